--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['dist/tests/**/*.test.js'],
+  timeout: '5m',
+  workerThreads: false,
+  concurrency: 6
+}
--- /dev/null
+++ b/importBoundaries.js
@@ -0,0 +1,32 @@
+/**
+ * Which folder may import from which, checked by the linter. A folder may
+ * always import from itself; what is not named here is not allowed.
+ */
+export const importBoundaries = {
+  utils: [],
+  protocol: ['utils'],
+  transport: ['utils', 'protocol'],
+  control: ['utils', 'protocol', 'transport'],
+  controlClient: ['utils', 'protocol', 'transport'],
+  entry: ['utils', 'protocol', 'transport', 'controlClient'],
+  cli: ['utils', 'protocol'],
+  load: ['utils', 'protocol'],
+  bin: ['utils', 'protocol', 'transport', 'control', 'controlClient', 'entry', 'cli', 'load']
+}
+
+/** The boundaries as zones of import-x/no-restricted-paths. */
+export function boundaryZones () {
+  const folders = Object.keys(importBoundaries)
+  const zones = folders.map(folder => ({
+    target: `./src/${folder}`,
+    from: './src',
+    except: [folder, ...importBoundaries[folder]].map(name => `./${name}`),
+    message: `src/${folder} may import from ${['itself', ...importBoundaries[folder]].join(', ')} only (importBoundaries.js).`
+  }))
+  const outside = {
+    target: './src',
+    from: ['./standins', './demo', './tests', './bench', './tools'],
+    message: 'The product does not import from its tests, stand-ins or tools.'
+  }
+  return [...zones, outside]
+}
--- /dev/null
+++ b/src/protocol/callers.ts
@@ -0,0 +1,38 @@
+/**
+ * What callers send: headers, advice, and the forms of the two calls,
+ * completions and plain service calls.
+ */
+import { z } from 'zod'
+
+export enum CallerHeader {
+  IdempotencyKey = 'idempotency-key',
+  /** Time the caller still waits for the answer. */
+  DeadlineMs = 'x-deadline-ms',
+  PriorityClass = 'x-priority-class',
+  CallerName = 'x-caller',
+  /** Set on answers: the host that served it. */
+  ServedBy = 'x-served-by',
+  /** Set on answers: whether the answer is a recorded one. */
+  Replayed = 'x-replayed'
+}
+
+/** GET /v1/advice?dataCentre=&caller= */
+export const adviceSchema = z.object({
+  /** Hosts to use, `ip:port`, first choice first. */
+  hosts: z.array(z.string()),
+  /** The answer may be kept this long. */
+  validForMs: z.number(),
+  revision: z.int()
+})
+export type Advice = z.infer<typeof adviceSchema>
+
+export const callerPaths = {
+  advice: '/v1/advice',
+  completions: '/v1/completions',
+  /** Followed by the pool's name and the path at the service. */
+  services: '/v1/services/',
+  announce: '/v1/endpoints/announce',
+  trainers: '/v1/trainers/',
+  status: '/v1/status',
+  explain: '/v1/explain/'
+} as const
--- /dev/null
+++ b/src/protocol/endpoints.ts
@@ -0,0 +1,132 @@
+/**
+ * What endpoints say and are told: announcements to an entry host, streamed
+ * completions, and orders with a fencing number.
+ */
+import { z } from 'zod'
+import { EndpointKind } from './resources.js'
+
+export enum EngineRole {
+  Mixed = 'mixed',
+  Prefill = 'prefill',
+  Decode = 'decode'
+}
+
+export const loadReportSchema = z.object({
+  runningCount: z.int().min(0),
+  waitingCount: z.int().min(0),
+  kvUsedPercent: z.number().min(0).max(100).default(0),
+  tokensPerSecond: z.number().min(0).default(0),
+  /** Age of the report when it was sent. */
+  ageMs: z.number().min(0).default(0)
+})
+export type LoadReport = z.infer<typeof loadReportSchema>
+
+/** POST /v1/endpoints/announce, repeated before the lease ends. */
+export const announcementSchema = z.object({
+  endpointId: z.string().min(1).max(128),
+  pool: z.string(),
+  endpointKind: z.enum(EndpointKind),
+  /** Base URL with an IP number, such as http://127.0.2.1:8000 */
+  url: z.string(),
+  /** Grows with every start of the endpoint. */
+  incarnation: z.int(),
+  /** Grows with every announcement of one incarnation. */
+  sequence: z.int(),
+  dataCentre: z.string(),
+  model: z.string().optional(),
+  /** Version of the loaded weights; engines only. */
+  weightVersion: z.int().optional(),
+  adapters: z.array(z.string()).default([]),
+  role: z.enum(EngineRole).default(EngineRole.Mixed),
+  load: loadReportSchema,
+  maxConcurrentCount: z.int().min(1).default(16),
+  leaving: z.boolean().default(false)
+})
+export type Announcement = z.infer<typeof announcementSchema>
+
+export const announcementReplySchema = z.object({
+  /** The announcement must be repeated within this time. */
+  leaseRemainingMs: z.number(),
+  /** Hosts to announce to from now on, `ip:port`, first choice first. */
+  announceTo: z.array(z.string())
+})
+export type AnnouncementReply = z.infer<typeof announcementReplySchema>
+
+/** POST {url}/v1/completions, answered as server-sent events. */
+export const completionRequestSchema = z.object({
+  model: z.string(),
+  prompt: z.string(),
+  max_tokens: z.int().min(1).default(64),
+  stream: z.boolean().default(false),
+  /** Echoed in every chunk; an answer under another id is dropped. */
+  request_id: z.string().optional(),
+  priority: z.number().optional(),
+  /** Tokens already generated, to resume after: the engine goes on behind them. */
+  resume_tokens: z.array(z.string()).optional(),
+  seed: z.int().optional()
+})
+export type CompletionRequest = z.infer<typeof completionRequestSchema>
+
+export enum FinishReason {
+  Stop = 'stop',
+  Length = 'length',
+  Cancelled = 'cancelled'
+}
+
+/** One server-sent event of a completion; the last one is `[DONE]`. */
+export const completionChunkSchema = z.object({
+  id: z.string(),
+  /** Index of the first token of the chunk within the whole answer. */
+  token_offset: z.int().min(0),
+  tokens: z.array(z.string()),
+  /** Version of the weights which produced these tokens. */
+  weight_version: z.int(),
+  engine_id: z.string(),
+  engine_incarnation: z.int(),
+  finish_reason: z.enum(FinishReason).nullable().default(null)
+})
+export type CompletionChunk = z.infer<typeof completionChunkSchema>
+
+export enum OrderKind {
+  LoadVersion = 'load_version',
+  LoadAdapter = 'load_adapter',
+  SetRole = 'set_role'
+}
+
+const orderBase = {
+  /** Orders with a number lower than one already seen are refused, where endpoints check. */
+  fencing_number: z.int(),
+  order_id: z.string(),
+  /** The endpoint drops the order when this time has passed on arrival of its turn. */
+  remaining_ms: z.number()
+}
+
+/** POST {url}/v1/orders; names an absolute target state. */
+export const orderSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(OrderKind.LoadVersion), ...orderBase, weight_version: z.int(), source_url: z.string() }),
+  z.object({ kind: z.literal(OrderKind.LoadAdapter), ...orderBase, adapter: z.string(), source_url: z.string() }),
+  z.object({ kind: z.literal(OrderKind.SetRole), ...orderBase, role: z.enum(EngineRole) })
+])
+export type Order = z.infer<typeof orderSchema>
+
+export const orderReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('done'), weight_version: z.int() }),
+  z.object({ kind: z.literal('stale_fence'), highest_fencing_number: z.int() }),
+  z.object({ kind: z.literal('failed'), message: z.string(), weight_version: z.int() })
+])
+export type OrderReply = z.infer<typeof orderReplySchema>
+
+/** GET {url}/v1/state: the endpoint's own word on what it runs. */
+export const endpointStateSchema = z.object({
+  endpointId: z.string(),
+  incarnation: z.int(),
+  weightVersion: z.int(),
+  adapters: z.array(z.string()),
+  role: z.enum(EngineRole),
+  highestFencingNumber: z.int().optional(),
+  lastOrderId: z.string().optional()
+})
+export type EndpointState = z.infer<typeof endpointStateSchema>
+
+/** The header by which a plain service says, with status 503, that it did not run a call. */
+export const NOT_EXECUTED_HEADER = 'x-not-executed'
--- /dev/null
+++ b/src/transport/memoryTransport.ts
@@ -0,0 +1,145 @@
+/**
+ * Connections in memory, for tests and benchmarks: messages are copied as the
+ * codec would, and delivered by the clock that is passed in.
+ */
+import { decode, encode } from 'cbor-x'
+import type { Clock } from '../utils/clock.js'
+import type { Scope } from '../utils/scope.js'
+import type { Connection, ConnectOutcome, Listener, Transport } from './connection.js'
+
+/** What happens to one message; undefined loses it. */
+export type DelayMs = (from: string, to: string) => number | undefined
+
+interface Listening {
+  scope: Scope
+  onConnection: (connection: Connection) => void
+}
+
+/** Addresses and the connections between them, shared by the hosts of a test. */
+export class MemoryNetwork {
+  private readonly _clock: Clock
+  private readonly _delayMs: DelayMs
+  private readonly _listening = new Map<string, Listening>()
+  private readonly _connections = new Set<MemoryConnection>()
+  private readonly _cuts = new Set<string>()
+
+  constructor (clock: Clock, delayMs: DelayMs = () => 0) {
+    this._clock = clock
+    this._delayMs = delayMs
+  }
+
+  /** The transport of one host, known by its IP number. */
+  host (localHost: string): Transport {
+    return {
+      connect: async (address, scope) => this._connect(localHost, address, scope),
+      listen: async (address, scope, onConnection) => this._listen(address, scope, onConnection)
+    }
+  }
+
+  /** Loses in silence whatever goes between two hosts, both ways. */
+  cut (hostA: string, hostB: string): void {
+    this._cuts.add(`${hostA}|${hostB}`)
+    this._cuts.add(`${hostB}|${hostA}`)
+  }
+
+  heal (): void {
+    this._cuts.clear()
+  }
+
+  /** Breaks every connection of a host, as its process ending does. */
+  reset (host: string): void {
+    for (const connection of [...this._connections]) {
+      if (connection.touches(host)) connection.close('reset')
+    }
+  }
+
+  private _connect (localHost: string, address: string, scope: Scope): ConnectOutcome {
+    const remoteHost = hostOf(address)
+    const listening = this._listening.get(address)
+    if (!listening || listening.scope.isClosed || this._isCut(localHost, remoteHost)) {
+      return { kind: 'unreachable', reason: `nothing answers at ${address}` }
+    }
+    const near = new MemoryConnection(scope.child(`to ${address}`), localHost, remoteHost, this._deliverer())
+    const far = new MemoryConnection(listening.scope.child(`from ${localHost}`), remoteHost, localHost, this._deliverer())
+    near.pairWith(far)
+    far.pairWith(near)
+    for (const connection of [near, far]) {
+      this._connections.add(connection)
+      connection.scope.onClose(() => this._connections.delete(connection))
+    }
+    listening.onConnection(far)
+    return { kind: 'connected', connection: near }
+  }
+
+  private _listen (address: string, scope: Scope, onConnection: (connection: Connection) => void): Listener {
+    this._listening.set(address, { scope, onConnection })
+    const remove = (): void => { this._listening.delete(address) }
+    scope.onClose(remove)
+    return { address, close: async () => remove() }
+  }
+
+  private _isCut (from: string, to: string): boolean {
+    return this._cuts.has(`${from}|${to}`)
+  }
+
+  private _deliverer (): Deliver {
+    let lastAtMs = 0
+    return (from, to, deliver) => {
+      const delayMs = this._isCut(from, to) ? undefined : this._delayMs(from, to)
+      if (delayMs === undefined) return
+      // A connection keeps the order of its messages.
+      lastAtMs = Math.max(lastAtMs, this._clock.nowMs() + delayMs)
+      this._clock.callAt(lastAtMs, deliver)
+    }
+  }
+}
+
+type Deliver = (from: string, to: string, deliver: () => void) => void
+
+class MemoryConnection implements Connection {
+  readonly scope: Scope
+  private readonly _from: string
+  private readonly _to: string
+  private readonly _deliver: Deliver
+  private readonly _listeners: Array<(message: unknown) => void> = []
+  private _other: MemoryConnection | undefined
+
+  constructor (scope: Scope, from: string, to: string, deliver: Deliver) {
+    this.scope = scope
+    this._from = from
+    this._to = to
+    this._deliver = deliver
+  }
+
+  touches (host: string): boolean {
+    return this._from === host || this._to === host
+  }
+
+  pairWith (other: MemoryConnection): void {
+    this._other = other
+    this.scope.onClose(() => this._deliver(this._from, this._to, () => other.scope.close('closed by the other side')))
+  }
+
+  send (message: unknown): void {
+    if (this.scope.isClosed) return
+    const copy: unknown = decode(encode(message))
+    this._deliver(this._from, this._to, () => this._other?._receive(copy))
+  }
+
+  onMessage (listener: (message: unknown) => void): void {
+    this._listeners.push(listener)
+  }
+
+  close (reason: string): void {
+    this.scope.close(reason)
+  }
+
+  private _receive (message: unknown): void {
+    if (this.scope.isClosed) return
+    for (const listener of this._listeners) listener(message)
+  }
+}
+
+function hostOf (address: string): string {
+  return address.split(':')[0] ?? address
+}
--- /dev/null
+++ b/src/transport/rpcPeer.ts
@@ -0,0 +1,145 @@
+/**
+ * Calls over a connection: typed requests with one reply each, and one-way
+ * notices. Either side may call the other. The body of a call is checked
+ * against the schema of its method before the handler sees it.
+ */
+import { z } from 'zod'
+import type { Progress } from '../utils/progress.js'
+import type { Connection } from './connection.js'
+
+enum FrameKind {
+  Call = 0,
+  Reply = 1,
+  Notice = 2,
+  Unserved = 3
+}
+
+const frameSchema = z.object({
+  kind: z.enum(FrameKind),
+  id: z.number().optional(),
+  method: z.string().optional(),
+  remainingMs: z.number().optional(),
+  body: z.unknown()
+})
+
+/** A method that the system's own processes call on each other. */
+export interface RpcMethod<Request, Reply> {
+  name: string
+  request: z.ZodType<Request>
+  reply: z.ZodType<Reply>
+}
+
+export function rpcMethod<Request, Reply> (name: string, request: z.ZodType<Request>, reply: z.ZodType<Reply>): RpcMethod<Request, Reply> {
+  return { name, request, reply }
+}
+
+export type CallOutcome<T> =
+  | { kind: 'replied', body: T }
+  /** The other side does not serve the method, or found the body malformed: nothing ran. */
+  | { kind: 'unserved', reason: string }
+  /** It may or may not have run. */
+  | { kind: 'lost', reason: string }
+
+/** @param remainingMs time the caller still waits for the reply */
+export type Handler<Request, Reply> = (request: Request, remainingMs: number) => Promise<Reply> | Reply
+
+interface RegisteredHandler {
+  method: RpcMethod<unknown, unknown>
+  handler: Handler<unknown, unknown>
+}
+
+/** The methods that one side serves; shared by all its connections. */
+export class RpcHandlers {
+  private readonly _handlers = new Map<string, RegisteredHandler>()
+
+  on<Request, Reply> (method: RpcMethod<Request, Reply>, handler: Handler<Request, Reply>): void {
+    this._handlers.set(method.name, {
+      method: method as RpcMethod<unknown, unknown>,
+      handler: handler as Handler<unknown, unknown>
+    })
+  }
+
+  find (name: string): RegisteredHandler | undefined {
+    return this._handlers.get(name)
+  }
+}
+
+export class RpcPeer {
+  readonly connection: Connection
+  private readonly _handlers: RpcHandlers
+  private readonly _onFatal: (error: unknown) => void
+  private readonly _waiting = new Map<number, (outcome: CallOutcome<unknown>) => void>()
+  private _nextId = 1
+
+  /** @param onFatal called when a handler throws: a broken invariant, not an outcome */
+  constructor (connection: Connection, handlers: RpcHandlers, onFatal: (error: unknown) => void) {
+    this.connection = connection
+    this._handlers = handlers
+    this._onFatal = onFatal
+    connection.onMessage(message => this._onFrame(message))
+    connection.scope.onClose(() => this._loseAll())
+  }
+
+  /** Calls a method; the deadline of the progress bounds the wait. */
+  async call<Request, Reply> (method: RpcMethod<Request, Reply>, body: Request, progress: Progress): Promise<CallOutcome<Reply>> {
+    if (this.connection.scope.isClosed) return { kind: 'unserved', reason: 'not connected' }
+    const id = this._nextId++
+    const reply = new Promise<CallOutcome<unknown>>(resolve => this._waiting.set(id, resolve))
+    this.connection.send({ kind: FrameKind.Call, id, method: method.name, remainingMs: progress.remainingMs(), body })
+    try {
+      const raced = await progress.race(reply)
+      if (raced.kind === 'deadlinePassed') return { kind: 'lost', reason: `no reply to ${method.name} in time` }
+      return this._checkReply(method, raced.value)
+    } finally {
+      this._waiting.delete(id)
+    }
+  }
+
+  /** Sends a one-way message; it may be lost with the connection. */
+  notify<Request> (method: RpcMethod<Request, void>, body: Request): void {
+    this.connection.send({ kind: FrameKind.Notice, method: method.name, body })
+  }
+
+  private _checkReply<Reply> (method: RpcMethod<unknown, Reply> | RpcMethod<never, Reply>, outcome: CallOutcome<unknown>): CallOutcome<Reply> {
+    if (outcome.kind !== 'replied') return outcome
+    const parsed = method.reply.safeParse(outcome.body)
+    if (parsed.success) return { kind: 'replied', body: parsed.data }
+    return { kind: 'lost', reason: `malformed reply to ${method.name}: ${parsed.error.message}` }
+  }
+
+  private _loseAll (): void {
+    const reason = this.connection.scope.closeReason ?? 'connection closed'
+    for (const resolve of this._waiting.values()) resolve({ kind: 'lost', reason })
+    this._waiting.clear()
+  }
+
+  private _onFrame (message: unknown): void {
+    const parsed = frameSchema.safeParse(message)
+    if (!parsed.success) return this.connection.close('malformed frame')
+    const frame = parsed.data
+    switch (frame.kind) {
+      case FrameKind.Call:
+      case FrameKind.Notice:
+        this._serve(frame.id, frame.method ?? '', frame.body, frame.remainingMs ?? 0).catch(this._onFatal)
+        return
+      case FrameKind.Reply:
+        this._waiting.get(frame.id ?? 0)?.({ kind: 'replied', body: frame.body })
+        return
+      case FrameKind.Unserved:
+        this._waiting.get(frame.id ?? 0)?.({ kind: 'unserved', reason: String(frame.body) })
+    }
+  }
+
+  private async _serve (id: number | undefined, name: string, body: unknown, remainingMs: number): Promise<void> {
+    const registered = this._handlers.find(name)
+    if (!registered) return this._refuse(id, `no method ${name}`)
+    const parsed = registered.method.request.safeParse(body)
+    if (!parsed.success) return this._refuse(id, `malformed ${name}: ${parsed.error.message}`)
+    const reply = await registered.handler(parsed.data, remainingMs)
+    if (id !== undefined) this.connection.send({ kind: FrameKind.Reply, id, body: reply })
+  }
+
+  private _refuse (id: number | undefined, reason: string): void {
+    if (id !== undefined) this.connection.send({ kind: FrameKind.Unserved, id, body: reason })
+  }
+}
--- /dev/null
+++ b/src/transport/tcpTransport.ts
@@ -0,0 +1,133 @@
+/**
+ * Connections over TCP: each message is four bytes of length, big-endian, and
+ * that many bytes of CBOR.
+ */
+import { createServer, connect as connectSocket, type Socket } from 'node:net'
+import { Decoder, Encoder } from 'cbor-x'
+import { Scope } from '../utils/scope.js'
+import { parseAddress } from '../utils/settings.js'
+import type { Connection, ConnectOutcome, Listener, Transport } from './connection.js'
+
+const LENGTH_BYTES = 4
+const MAX_FRAME_BYTES = 64 * 1024 * 1024
+const MAX_BACKLOG_BYTES = 64 * 1024 * 1024
+const KEEP_ALIVE_MS = 5_000
+
+/** Bytes and messages of all connections of a transport, for measurements. */
+export interface TrafficCounts {
+  sentBytes: number
+  sentMessages: number
+  receivedBytes: number
+  receivedMessages: number
+}
+
+export class TcpTransport implements Transport {
+  readonly counts: TrafficCounts = { sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0 }
+  private readonly _localHost: string | undefined
+
+  /** @param localHost IP number that outgoing connections are bound to */
+  constructor (localHost?: string) {
+    this._localHost = localHost
+  }
+
+  async connect (address: string, scope: Scope): Promise<ConnectOutcome> {
+    const { host, port } = parseAddress(address)
+    const socket = connectSocket({ host, port, localAddress: this._localHost, noDelay: true })
+    const opened = new Promise<ConnectOutcome>(resolve => {
+      socket.once('error', error => resolve({ kind: 'unreachable', reason: error.message }))
+      socket.once('connect', () => {
+        const connection = new TcpConnection(socket, scope.child(`to ${address}`), this.counts)
+        resolve({ kind: 'connected', connection })
+      })
+    })
+    const dispose = scope.onClose(() => socket.destroy())
+    const outcome = await scope.race(opened)
+    dispose()
+    return outcome
+  }
+
+  async listen (address: string, scope: Scope, onConnection: (connection: Connection) => void): Promise<Listener> {
+    const { host, port } = parseAddress(address)
+    const server = createServer({ noDelay: true }, socket => {
+      const from = `${socket.remoteAddress}:${socket.remotePort}`
+      onConnection(new TcpConnection(socket, scope.child(`from ${from}`), this.counts))
+    })
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, () => resolve())
+    })
+    scope.onClose(() => server.close())
+    const bound = server.address()
+    const boundPort = typeof bound === 'object' && bound ? bound.port : port
+    return {
+      address: `${host}:${boundPort}`,
+      close: () => new Promise(resolve => server.close(() => resolve()))
+    }
+  }
+}
+
+class TcpConnection implements Connection {
+  readonly scope: Scope
+  private readonly _socket: Socket
+  private readonly _counts: TrafficCounts
+  private readonly _encoder = new Encoder({ useRecords: false, mapsAsObjects: true })
+  private readonly _decoder = new Decoder({ useRecords: false, mapsAsObjects: true })
+  private readonly _listeners: Array<(message: unknown) => void> = []
+  private _pending: Buffer = Buffer.alloc(0)
+
+  constructor (socket: Socket, scope: Scope, counts: TrafficCounts) {
+    this._socket = socket
+    this.scope = scope
+    this._counts = counts
+    socket.setKeepAlive(true, KEEP_ALIVE_MS)
+    socket.on('data', chunk => this._onData(chunk))
+    socket.on('error', error => this.close(error.message))
+    socket.on('close', () => this.close('closed by the other side'))
+    scope.onClose(() => socket.destroy())
+  }
+
+  send (message: unknown): void {
+    if (this.scope.isClosed) return
+    const body = this._encoder.encode(message)
+    const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
+    frame.writeUInt32BE(body.length, 0)
+    body.copy(frame, LENGTH_BYTES)
+    this._counts.sentBytes += frame.length
+    this._counts.sentMessages++
+    this._socket.write(frame)
+    if (this._socket.writableLength > MAX_BACKLOG_BYTES) this.close('the other side does not keep up')
+  }
+
+  onMessage (listener: (message: unknown) => void): void {
+    this._listeners.push(listener)
+  }
+
+  close (reason: string): void {
+    this.scope.close(reason)
+  }
+
+  private _onData (chunk: Buffer): void {
+    this._counts.receivedBytes += chunk.length
+    this._pending = this._pending.length > 0 ? Buffer.concat([this._pending, chunk]) : chunk
+    while (this._pending.length >= LENGTH_BYTES) {
+      const lengthBytes = this._pending.readUInt32BE(0)
+      if (lengthBytes > MAX_FRAME_BYTES) return this.close(`frame of ${lengthBytes} bytes is over the limit`)
+      if (this._pending.length < LENGTH_BYTES + lengthBytes) return
+      const body = this._pending.subarray(LENGTH_BYTES, LENGTH_BYTES + lengthBytes)
+      this._pending = this._pending.subarray(LENGTH_BYTES + lengthBytes)
+      this._deliver(body)
+      if (this.scope.isClosed) return
+    }
+  }
+
+  private _deliver (body: Buffer): void {
+    this._counts.receivedMessages++
+    let message: unknown
+    try {
+      message = this._decoder.decode(body)
+    } catch (error) {
+      return this.close(`undecodable frame: ${(error as Error).message}`)
+    }
+    for (const listener of this._listeners) listener(message)
+  }
+}
--- /dev/null
+++ b/src/utils/clock.ts
@@ -0,0 +1,41 @@
+/**
+ * Time as an argument. Deadlines are instants of the monotonic clock, in
+ * milliseconds; what crosses the wire is the time that remains, because the
+ * clocks of hosts are not in step.
+ */
+import type { Scope } from './scope.js'
+
+export interface Clock {
+  /** Monotonic, in milliseconds from an arbitrary origin. */
+  nowMs (): number
+  /** Milliseconds since the Unix epoch, for records that people read. */
+  wallMs (): number
+  /** Calls back at the instant; the returned function cancels. */
+  callAt (deadlineMs: number, callback: () => void): () => void
+}
+
+export const systemClock: Clock = {
+  nowMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  callAt (deadlineMs, callback) {
+    const delayMs = Math.max(0, deadlineMs - performance.now())
+    const timer = setTimeout(callback, delayMs)
+    return () => clearTimeout(timer)
+  }
+}
+
+/**
+ * Waits until an instant.
+ * @throws ScopeClosedError when the scope closes first.
+ */
+export async function sleepUntil (clock: Clock, scope: Scope, deadlineMs: number): Promise<void> {
+  let cancel = (): void => {}
+  const elapsed = new Promise<void>(resolve => {
+    cancel = clock.callAt(deadlineMs, resolve)
+  })
+  try {
+    await scope.race(elapsed)
+  } finally {
+    cancel()
+  }
+}
--- /dev/null
+++ b/src/utils/progress.ts
@@ -0,0 +1,68 @@
+/**
+ * A deadline and a call log, handed down the calls made for one request. The
+ * log ends up in the refusal, so that it says what was tried.
+ */
+import { sleepUntil, type Clock } from './clock.js'
+import type { Scope } from './scope.js'
+
+const MAX_LOG_LINES = 32
+
+export type Raced<T> = { kind: 'done', value: T } | { kind: 'deadlinePassed' }
+
+export class Progress {
+  readonly clock: Clock
+  readonly scope: Scope
+  /** Instant of the monotonic clock. */
+  readonly deadlineMs: number
+  private readonly _log: string[] = []
+
+  constructor (clock: Clock, scope: Scope, deadlineMs: number) {
+    this.clock = clock
+    this.scope = scope
+    this.deadlineMs = deadlineMs
+  }
+
+  /** What was tried so far, oldest first. */
+  get callLog (): readonly string[] {
+    return this._log
+  }
+
+  log (line: string): void {
+    if (this._log.length < MAX_LOG_LINES) this._log.push(line)
+  }
+
+  remainingMs (): number {
+    return Math.max(0, this.deadlineMs - this.clock.nowMs())
+  }
+
+  isOver (): boolean {
+    return this.clock.nowMs() >= this.deadlineMs
+  }
+
+  /** The same deadline and log line sink, within a narrower scope. */
+  within (scope: Scope): Progress {
+    return new Progress(this.clock, scope, this.deadlineMs)
+  }
+
+  /** An earlier deadline for one of several tries. */
+  before (deadlineMs: number): Progress {
+    return new Progress(this.clock, this.scope, Math.min(this.deadlineMs, deadlineMs))
+  }
+
+  /**
+   * Waits for a promise until the deadline.
+   * @throws ScopeClosedError when the scope closes first.
+   */
+  async race<T> (promise: Promise<T>): Promise<Raced<T>> {
+    const timerScope = this.scope.child('deadline')
+    const deadline = sleepUntil(this.clock, timerScope, this.deadlineMs)
+      .then((): Raced<T> => ({ kind: 'deadlinePassed' }))
+    deadline.catch(() => {})
+    try {
+      const done = promise.then((value): Raced<T> => ({ kind: 'done', value }))
+      return await this.scope.race(Promise.race([done, deadline]))
+    } finally {
+      timerScope.close('race over')
+    }
+  }
+}
--- /dev/null
+++ b/src/utils/randomSource.ts
@@ -0,0 +1,40 @@
+/**
+ * Randomness as an argument: a seeded source, so that a test or a fuzz run
+ * replays exactly.
+ */
+import { randomBytes, randomInt } from 'node:crypto'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+const MAX_INT = 0x7fffffff
+
+export interface RandomSource {
+  /** An integer from min to max, both included. */
+  int (min: number, max: number): number
+  /** A real number in [0, 1). */
+  real (): number
+  /** A hexadecimal identifier of 16 characters. */
+  id (): string
+}
+
+export function seededRandom (seed: number): RandomSource {
+  const generator = xoroshiro128plus(seed)
+  const int = (min: number, max: number): number => uniformInt(generator, min, max)
+  const word = (): string => int(0, MAX_INT).toString(16).padStart(8, '0')
+  return {
+    int,
+    real: () => int(0, MAX_INT - 1) / MAX_INT,
+    id: () => word() + word()
+  }
+}
+
+/**
+ * Seeded from the operating system, for production. Identifiers come straight
+ * from it: a seed of 31 bits is too small to keep those of many hosts apart.
+ */
+export function systemRandom (): RandomSource {
+  return {
+    ...seededRandom(randomInt(MAX_INT)),
+    id: () => randomBytes(8).toString('hex')
+  }
+}
--- /dev/null
+++ b/src/utils/scope.ts
@@ -0,0 +1,96 @@
+/**
+ * Scopes: the lifetime of a connection, a peer task or a whole program.
+ *
+ * Every await of a task is raced against the scope which owns it, so closing a
+ * scope ends everything in it. The idea is Playwright's long-standing scope;
+ * here scopes also form a tree, which is the supervisor tree at run time.
+ */
+import { ScopeClosedError, type ScopeClosed } from './errors.js'
+
+type Rejecter = (error: ScopeClosed) => void
+
+export class Scope {
+  private readonly _name: string
+  private readonly _rejecters = new Set<Rejecter>()
+  private readonly _closeCallbacks = new Set<() => void>()
+  private _closedError: ScopeClosed | undefined
+
+  constructor (name: string) {
+    this._name = name
+  }
+
+  get name (): string {
+    return this._name
+  }
+
+  get isClosed (): boolean {
+    return this._closedError !== undefined
+  }
+
+  /** Why the scope was closed; undefined while it is open. */
+  get closeReason (): string | undefined {
+    return this._closedError?.reason
+  }
+
+  /** Makes a scope that closes with this one, and that can close before it. */
+  child (name: string): Scope {
+    const child = new Scope(`${this._name}/${name}`)
+    const dispose = this.onClose(() => child.close(this.closeReason ?? 'parent closed'))
+    child.onClose(dispose)
+    return child
+  }
+
+  /** Calls back once when the scope closes, at once if it has closed already. */
+  onClose (callback: () => void): () => void {
+    if (this._closedError) {
+      callback()
+      return () => {}
+    }
+    this._closeCallbacks.add(callback)
+    return () => this._closeCallbacks.delete(callback)
+  }
+
+  /** An AbortSignal that fires when the scope closes, for libraries that take one. */
+  signal (): AbortSignal {
+    const controller = new AbortController()
+    this.onClose(() => controller.abort(this._closedError))
+    return controller.signal
+  }
+
+  close (reason: string): void {
+    if (this._closedError) return
+    const error = new ScopeClosedError(`${this._name} closed: ${reason}`, { props: { reason } })
+    this._closedError = error
+    const rejecters = [...this._rejecters]
+    this._rejecters.clear()
+    for (const reject of rejecters) reject(error)
+    const callbacks = [...this._closeCallbacks]
+    this._closeCallbacks.clear()
+    for (const callback of callbacks) callback()
+  }
+
+  throwIfClosed (): void {
+    if (this._closedError) throw this._closedError
+  }
+
+  /**
+   * Waits for a promise, or for the scope to close.
+   * @throws ScopeClosedError when the scope closes first.
+   */
+  async race<T> (promise: Promise<T>): Promise<T> {
+    if (this._closedError) {
+      promise.catch(() => {})
+      throw this._closedError
+    }
+    let rejecter: Rejecter | undefined
+    const closed = new Promise<never>((_resolve, reject) => {
+      rejecter = reject
+      this._rejecters.add(reject)
+    })
+    try {
+      return await Promise.race([promise, closed])
+    } finally {
+      if (rejecter) this._rejecters.delete(rejecter)
+    }
+  }
+}
--- /dev/null
+++ b/src/utils/settings.ts
@@ -0,0 +1,72 @@
+/**
+ * Settings: TOML files checked against a zod schema. A mistake is one clear
+ * error that names file, key, value and what was expected, found before
+ * anything starts.
+ */
+import { readFileSync } from 'node:fs'
+import { parse, TomlError } from 'smol-toml'
+import { z } from 'zod'
+import { SettingsError } from './errors.js'
+
+const addressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
+
+/** `ip:port`; hosts are known by IP numbers, never by names. */
+export const addressSchema = z.string().regex(addressPattern, 'expected an address such as 127.0.0.1:7100')
+
+export interface SocketAddress {
+  host: string
+  port: number
+}
+
+export function parseAddress (address: string): SocketAddress {
+  const [host = '', port = ''] = address.split(':')
+  return { host, port: Number(port) }
+}
+
+/**
+ * Reads and checks a settings file.
+ * @throws SettingsError naming the file, the key, the value and the expectation.
+ */
+export function readSettings<S extends z.ZodType> (path: string, schema: S): z.output<S> {
+  return checkSettings(path, readText(path), schema)
+}
+
+export function checkSettings<S extends z.ZodType> (path: string, text: string, schema: S): z.output<S> {
+  const raw = parseToml(path, text)
+  const parsed = schema.safeParse(raw)
+  if (parsed.success) return parsed.data
+  const lines = parsed.error.issues.map(issue => describeIssue(path, raw, issue))
+  throw new SettingsError(lines.join('\n'))
+}
+
+function readText (path: string): string {
+  try {
+    return readFileSync(path, 'utf8')
+  } catch (error) {
+    throw new SettingsError(`${path}: cannot be read: ${(error as Error).message}`)
+  }
+}
+
+function parseToml (path: string, text: string): unknown {
+  try {
+    return parse(text)
+  } catch (error) {
+    if (error instanceof TomlError) throw new SettingsError(`${path}:${error.line}:${error.column}: ${error.message}`)
+    throw error
+  }
+}
+
+function describeIssue (path: string, raw: unknown, issue: z.core.$ZodIssue): string {
+  const key = issue.path.join('.') || '(top level)'
+  if (issue.code === 'unrecognized_keys') {
+    return `${path}: ${key}: unknown key ${issue.keys.map(name => `"${name}"`).join(', ')}`
+  }
+  const value = valueAt(raw, issue.path)
+  return `${path}: ${key}: ${issue.message} (value: ${value === undefined ? 'missing' : JSON.stringify(value)})`
+}
+
+function valueAt (raw: unknown, path: PropertyKey[]): unknown {
+  let value: unknown = raw
+  for (const key of path) value = (value as Record<PropertyKey, unknown> | undefined)?.[key]
+  return value
+}
--- /dev/null
+++ b/tests/settings.test.ts
@@ -0,0 +1,21 @@
+import test from 'ava'
+import { z } from 'zod'
+import { SettingsError } from '../src/utils/errors.js'
+import { addressSchema, checkSettings } from '../src/utils/settings.js'
+
+const schema = z.strictObject({ host: z.strictObject({ address: addressSchema }) })
+
+test('should name file, key, value and expectation of a malformed setting', t => {
+  const error = t.throws(() => checkSettings('entry.toml', '[host]\naddress = "localhost"', schema), { instanceOf: SettingsError })
+  t.regex(error.message, /entry\.toml: host\.address: expected an address such as .* \(value: "localhost"\)/)
+})
+
+test('should name an unknown key', t => {
+  const error = t.throws(() => checkSettings('entry.toml', '[host]\naddress = "127.0.0.1:1"\nadress = 1', schema))
+  t.regex(error.message, /host: unknown key "adress"/)
+})
+
+test('should name line and column of a syntax error', t => {
+  const error = t.throws(() => checkSettings('entry.toml', '[host\n', schema))
+  t.regex(error.message, /entry\.toml:1:/)
+})
