--- /dev/null
+++ b/src/control/controlState.ts
@@ -0,0 +1,108 @@
+/**
+ * The whole replicated state of the control hosts: resources, registered
+ * hosts with fencing numbers, and the ledgers. Each command goes to the part
+ * that owns it.
+ */
+import type { ConfigurationListing } from '../protocol/configuration.js'
+import type { AnyCommandResult, Command } from '../protocol/commands.js'
+import { HostCommandKind, type HostCommand } from '../protocol/hostCommands.js'
+import { QueryKind, type Query, type QueryResult } from '../protocol/queries.js'
+import { ResourceCommandKind, type ResourceCommand } from '../protocol/resourceCommands.js'
+import { UnrepeatableCommandKind, type UnrepeatableCommand } from '../protocol/unrepeatableCommands.js'
+import { unreachable } from '../utils/errors.js'
+import { HostRegistry } from './hosts/hostRegistry.js'
+import type { Ledgers, LedgersFactory } from './ledgers/ledgers.js'
+import type { ApplyContext, ReplicatedState } from './replicatedState.js'
+import { ChangeHistory, type ChangeHistorySnapshot } from './resources/changeHistory.js'
+import { checkResourceCommand, ResourceStore } from './resources/resourceStore.js'
+
+interface ControlStateSnapshot {
+  history: ChangeHistorySnapshot
+  resources: unknown
+  hosts: unknown
+  unrepeatable: unknown
+  rollouts: unknown
+}
+
+const resourceKinds = new Set<string>(Object.values(ResourceCommandKind))
+const hostKinds = new Set<string>(Object.values(HostCommandKind))
+const unrepeatableKinds = new Set<string>(Object.values(UnrepeatableCommandKind))
+
+export class ControlState implements ReplicatedState<Command, AnyCommandResult> {
+  readonly history = new ChangeHistory()
+  readonly resources = new ResourceStore(this.history)
+  readonly hosts = new HostRegistry(this.history)
+  private readonly _ledgers: Ledgers
+
+  constructor (createLedgers: LedgersFactory) {
+    this._ledgers = createLedgers(this.resources)
+  }
+
+  /** Revision of the configuration. */
+  get revision (): number {
+    return this.history.revision
+  }
+
+  apply (command: Command, context: ApplyContext): AnyCommandResult {
+    if (isResourceCommand(command)) return this.resources.apply(command, context)
+    if (isHostCommand(command)) return this.hosts.apply(command, context)
+    if (isUnrepeatableCommand(command)) return this._ledgers.unrepeatable.apply(command, context)
+    return this._ledgers.rollouts.apply(command, context)
+  }
+
+  answer<Q extends Query> (query: Q): QueryResult<Q>
+  answer (query: Query): QueryResult<Query> {
+    switch (query.kind) {
+      case QueryKind.Unrepeatable:
+        return this._ledgers.unrepeatable.stateOf(query.callerName, query.idempotencyKey)
+      case QueryKind.RolloutProgress:
+        return this._ledgers.rollouts.progress(query.job)
+      default:
+        return unreachable(query)
+    }
+  }
+
+  listing (): ConfigurationListing {
+    return { revision: this.revision, resources: this.resources.all(), hosts: this.hosts.all() }
+  }
+
+  snapshot (): ControlStateSnapshot {
+    return {
+      history: this.history.snapshot(),
+      resources: this.resources.snapshot(),
+      hosts: this.hosts.snapshot(),
+      unrepeatable: this._ledgers.unrepeatable.snapshot(),
+      rollouts: this._ledgers.rollouts.snapshot()
+    }
+  }
+
+  restore (snapshot: unknown): void {
+    const parts = snapshot as ControlStateSnapshot
+    this.history.restore(parts.history)
+    this.resources.restore(parts.resources)
+    this.hosts.restore(parts.hosts)
+    this._ledgers.unrepeatable.restore(parts.unrepeatable)
+    this._ledgers.rollouts.restore(parts.rollouts)
+  }
+}
+
+export type CheckOutcome = { kind: 'valid', command: Command } | { kind: 'answered', result: AnyCommandResult }
+
+/** What the leader does with a command before it enters the log. */
+export function checkCommand (command: Command): CheckOutcome {
+  if (!isResourceCommand(command)) return { kind: 'valid', command }
+  const checked = checkResourceCommand(command)
+  return checked.kind === 'valid' ? checked : { kind: 'answered', result: checked.result }
+}
+
+function isResourceCommand (command: Command): command is ResourceCommand {
+  return resourceKinds.has(command.kind)
+}
+
+function isHostCommand (command: Command): command is HostCommand {
+  return hostKinds.has(command.kind)
+}
+
+function isUnrepeatableCommand (command: Command): command is UnrepeatableCommand {
+  return unrepeatableKinds.has(command.kind)
+}
--- /dev/null
+++ b/src/control/hosts/fenceRegistry.ts
@@ -0,0 +1,64 @@
+/**
+ * Fencing numbers. The number is the index of the log entry that gave it, so
+ * it grows for every scope, even for one that was forgotten in between.
+ */
+import type { HostResult } from '../../protocol/hostCommands.js'
+import type { ApplyContext } from '../replicatedState.js'
+
+/** Scopes remembered with their holders; the one acquired longest ago is forgotten first. */
+export const MAX_FENCES_COUNT = 16_384
+
+interface Fence {
+  fenceScope: string
+  holder: string
+  fencingNumber: number
+  acquiredAtMs: number
+  previousHolder?: string
+  previousAcquiredAtMs?: number
+}
+
+export class FenceRegistry {
+  private readonly _fences = new Map<string, Fence>()
+
+  /** The same holder asking again keeps its number, so that a resent command is harmless. */
+  acquire (fenceScope: string, holder: string, context: ApplyContext): HostResult {
+    const current = this._fences.get(fenceScope)
+    if (current?.holder === holder) return resultOf(current)
+    const fence: Fence = {
+      fenceScope,
+      holder,
+      fencingNumber: context.index,
+      acquiredAtMs: context.atMs,
+      previousHolder: current?.holder,
+      previousAcquiredAtMs: current?.acquiredAtMs
+    }
+    this._fences.delete(fenceScope)
+    this._fences.set(fenceScope, fence)
+    this._forgetOldest()
+    return resultOf(fence)
+  }
+
+  snapshot (): Fence[] {
+    return [...this._fences.values()]
+  }
+
+  restore (snapshot: unknown): void {
+    this._fences.clear()
+    for (const fence of snapshot as Fence[]) this._fences.set(fence.fenceScope, fence)
+  }
+
+  private _forgetOldest (): void {
+    if (this._fences.size <= MAX_FENCES_COUNT) return
+    const [oldest = ''] = this._fences.keys()
+    this._fences.delete(oldest)
+  }
+}
+
+function resultOf (fence: Fence): HostResult {
+  return {
+    kind: 'fenced',
+    fencingNumber: fence.fencingNumber,
+    previousHolder: fence.previousHolder,
+    previousAcquiredAtMs: fence.previousAcquiredAtMs
+  }
+}
--- /dev/null
+++ b/src/control/resources/rememberedChanges.ts
@@ -0,0 +1,60 @@
+/**
+ * The outcomes of the latest changes by change id, so that a resent change
+ * gets its first outcome. Retention: the latest 4,096 changes, conflicts
+ * included; an id that is older than that counts as new.
+ */
+import { createHash } from 'node:crypto'
+import type { ResourceCommand, ResourceResult } from '../../protocol/resourceCommands.js'
+
+export const MAX_REMEMBERED_COUNT = 4096
+
+export interface RememberedChange {
+  changeId: string
+  /** Tells a resent change from another one under the same id. */
+  contentHash: string
+  result: ResourceResult
+}
+
+export type Recollection =
+  | { kind: 'new' }
+  | { kind: 'resent', result: ResourceResult }
+  /** The id belongs to a change with other content. */
+  | { kind: 'reused' }
+
+export class RememberedChanges {
+  private readonly _byId = new Map<string, RememberedChange>()
+
+  recall (command: ResourceCommand): Recollection {
+    const remembered = this._byId.get(command.changeId)
+    if (!remembered) return { kind: 'new' }
+    if (remembered.contentHash !== contentHash(command)) return { kind: 'reused' }
+    return { kind: 'resent', result: remembered.result }
+  }
+
+  remember (command: ResourceCommand, result: ResourceResult): void {
+    this._byId.set(command.changeId, { changeId: command.changeId, contentHash: contentHash(command), result })
+    if (this._byId.size <= MAX_REMEMBERED_COUNT) return
+    const [oldest = ''] = this._byId.keys()
+    this._byId.delete(oldest)
+  }
+
+  snapshot (): RememberedChange[] {
+    return [...this._byId.values()]
+  }
+
+  restore (changes: RememberedChange[]): void {
+    this._byId.clear()
+    for (const change of changes) this._byId.set(change.changeId, change)
+  }
+}
+
+function contentHash (command: ResourceCommand): string {
+  const { changeId: _changeId, ...content } = command
+  return createHash('sha256').update(JSON.stringify(content, sortedKeys)).digest('base64').slice(0, 22)
+}
+
+/** Makes the text of an object independent of the order of its keys. */
+function sortedKeys (_key: string, value: unknown): unknown {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return value
+  return Object.fromEntries(Object.entries(value).sort(([left], [right]) => (left < right ? -1 : 1)))
+}
--- /dev/null
+++ b/src/protocol/configuration.ts
@@ -0,0 +1,24 @@
+/**
+ * The configuration that entry hosts follow: resources and registered hosts,
+ * numbered by one revision that grows by one with every change.
+ */
+import { z } from 'zod'
+import { entryHostSchema } from './hostCommands.js'
+import { resourceEventSchema } from './resourceCommands.js'
+import { resourceSchema } from './resources.js'
+
+const hostEventSchemas = [
+  z.object({ kind: z.literal('hostPut'), revision: z.int(), host: entryHostSchema }),
+  z.object({ kind: z.literal('hostRemoved'), revision: z.int(), hostId: z.string() })
+] as const
+
+export const configurationChangeSchema = z.union([resourceEventSchema, ...hostEventSchemas])
+export type ConfigurationChange = z.infer<typeof configurationChangeSchema>
+
+/** Everything in force at a revision, for a follower that the history no longer reaches. */
+export const configurationListingSchema = z.object({
+  revision: z.int(),
+  resources: z.array(resourceSchema),
+  hosts: z.array(entryHostSchema)
+})
+export type ConfigurationListing = z.infer<typeof configurationListingSchema>
