Add a first priority scheduler behind the scheduling contract

Bounded queues per class and pool, start-time fair queueing on paid weight with guaranteed shares, group members together, caller limits, refusals with a spread retryAfterMs, two random choices plus the prefix's home on a load that is corrected by what this host did since the report, limits per endpoint that several hosts compute alike, outlier ejection with a floor, slow start, retry budget, and a bounded log of decisions for explain. The contract gains an optional requestId, explain, and the rule for finish after a closed scope.

Ruled out so far: ageing by waiting time (a guaranteed share bounds the wait in work of the others, which is what the operators state); one queue without classes; taking all free places of a report (every host would).

--- /dev/null
+++ b/src/entry/scheduling/decisionLog.ts
@@ -0,0 +1,61 @@
+/**
+ * The last decisions of the scheduler by request, for `threaddrum explain`.
+ * Bounded: the oldest request is forgotten first.
+ */
+
+const MAX_REQUESTS = 1024
+const MAX_DECISIONS_PER_REQUEST = 8
+const MAX_CANDIDATES = 8
+
+/** An endpoint that was looked at, with what the choice was made on. */
+export interface Candidate {
+  endpointId: string
+  /** Requests that it is believed to hold, those of other hosts included. */
+  estimatedCount: number
+  ownCount: number
+  /** How many this host may have on it now. */
+  ownLimitCount: number
+  reportAgeMs: number
+  msPerToken: number | undefined
+  /** Part of the prompt's prefix that it has probably cached. */
+  cachedPercent: number
+  score: number
+}
+
+export type Decision =
+  | { kind: 'queued', atMs: number, queuedCount: number, expectedWaitMs: number }
+  | { kind: 'assigned', atMs: number, waitedMs: number, endpointId: string, reason: string, candidates: Candidate[] }
+  | { kind: 'refused', atMs: number, reason: string, message: string }
+
+export class DecisionLog {
+  private readonly _byRequest = new Map<string, Decision[]>()
+
+  record (requestId: string | undefined, decision: Decision): void {
+    if (requestId === undefined) return
+    const decisions = this._byRequest.get(requestId) ?? []
+    if (decisions.length >= MAX_DECISIONS_PER_REQUEST) decisions.shift()
+    decisions.push(trimmed(decision))
+    this._byRequest.delete(requestId)
+    this._byRequest.set(requestId, decisions)
+    this._forgetOldest()
+  }
+
+  explain (requestId: string): Decision[] {
+    return [...this._byRequest.get(requestId) ?? []]
+  }
+
+  get size (): number {
+    return this._byRequest.size
+  }
+
+  private _forgetOldest (): void {
+    if (this._byRequest.size <= MAX_REQUESTS) return
+    const oldest = this._byRequest.keys().next()
+    if (!oldest.done) this._byRequest.delete(oldest.value)
+  }
+}
+
+function trimmed (decision: Decision): Decision {
+  if (decision.kind !== 'assigned') return decision
+  return { ...decision, candidates: decision.candidates.slice(0, MAX_CANDIDATES) }
+}
--- /dev/null
+++ b/src/entry/scheduling/endpointHealth.ts
@@ -0,0 +1,83 @@
+/**
+ * What this host's own tries say about an endpoint: its speed, its failures,
+ * whether it is left out for a while, and how carefully it is used again
+ * afterwards.
+ */
+
+const SMOOTHING = 0.2
+const CONSECUTIVE_FAILURES = 3
+const FAILURE_RATE = 0.5
+const MIN_TRIES = 8
+const FIRST_EJECTION_MS = 5_000
+const MAX_EJECTION_MS = 60_000
+/** After so long without an ejection, the next one is a first one again. */
+const FORGIVEN_AFTER_MS = 120_000
+
+export class EndpointHealth {
+  /** Milliseconds a token took, smoothed; undefined before the first success. */
+  msPerToken: number | undefined
+  /** Share of the tries that failed, smoothed. */
+  failureRate = 0
+  triesCount = 0
+  /** Left out until this instant. */
+  ejectedUntilMs = -Infinity
+  /** Requests at once while it recovers; Infinity once it has. */
+  slowStartCount = Infinity
+  private _consecutiveFailures = 0
+  private _ejectionsCount = 0
+  private _lastEjectedAtMs = -Infinity
+
+  succeeded (msPerToken: number): void {
+    this._tried(0)
+    this._consecutiveFailures = 0
+    this.msPerToken = smoothed(this.msPerToken, msPerToken)
+    this.slowStartCount += 1
+  }
+
+  /** True when it should be left out. */
+  failed (): boolean {
+    this._tried(1)
+    this._consecutiveFailures += 1
+    const recovering = this.slowStartCount !== Infinity
+    const rateExceeded = this.triesCount >= MIN_TRIES && this.failureRate > FAILURE_RATE
+    return recovering || rateExceeded || this._consecutiveFailures >= CONSECUTIVE_FAILURES
+  }
+
+  isEjected (nowMs: number): boolean {
+    return nowMs < this.ejectedUntilMs
+  }
+
+  /** Leaves it out, longer each time; afterwards it starts slowly with fresh figures. */
+  eject (nowMs: number): void {
+    if (this.isEjected(nowMs)) return
+    if (nowMs - this._lastEjectedAtMs > FORGIVEN_AFTER_MS) this._ejectionsCount = 0
+    const durationMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** this._ejectionsCount)
+    this._ejectionsCount += 1
+    this._lastEjectedAtMs = nowMs
+    this.ejectedUntilMs = nowMs + durationMs
+    this.startSlowly()
+  }
+
+  /** Uses it with one request at first, and one more with each success. */
+  startSlowly (): void {
+    this.slowStartCount = 1
+    this.msPerToken = undefined
+    this.failureRate = 0
+    this.triesCount = 0
+    this._consecutiveFailures = 0
+  }
+
+  /** Ends the slow start once it no longer binds. */
+  endSlowStart (capacityCount: number): void {
+    if (this.slowStartCount >= capacityCount) this.slowStartCount = Infinity
+  }
+
+  private _tried (failure: 0 | 1): void {
+    this.triesCount += 1
+    this.failureRate = smoothed(this.failureRate, failure)
+  }
+}
+
+function smoothed (old: number | undefined, value: number): number {
+  return old === undefined ? value : old + SMOOTHING * (value - old)
+}
--- /dev/null
+++ b/src/entry/scheduling/endpointState.ts
@@ -0,0 +1,105 @@
+/**
+ * One endpoint as this host sees it: its last announcement, what this host has
+ * running there, and how many it may have there.
+ *
+ * Several hosts share an endpoint and each sees its load late, so none may
+ * take all of what the last report shows free. A host may have its equal part
+ * of the endpoint at any time. Beyond that it takes a part of the free places
+ * of each report: the part that it has of the running requests, or an equal
+ * part where that is more. When the report shows more than the endpoint can
+ * run, hosts above their equal part give back in proportion.
+ */
+import type { EndpointPoolSpec } from '../../protocol/resources.js'
+import type { RandomSource } from '../../utils/randomSource.js'
+import type { EndpointRecord } from '../directory/endpointRecord.js'
+import { EndpointHealth } from './endpointHealth.js'
+import { OwnHistory } from './ownHistory.js'
+
+/** With its KV memory this full, an engine would only make requests wait. */
+const KV_FULL_PERCENT = 95
+
+export class EndpointState {
+  record: EndpointRecord
+  readonly health = new EndpointHealth()
+  private readonly _own = new OwnHistory()
+  private _ownAtReport = 0
+  private _limitCount = 0
+  private _refusedSinceReport = false
+
+  constructor (record: EndpointRecord) {
+    this.record = record
+  }
+
+  get endpointId (): string {
+    return this.record.announcement.endpointId
+  }
+
+  get ownCount (): number {
+    return this._own.count
+  }
+
+  /** What it runs and has waiting, as of the last report, with this host's part of today. */
+  get estimatedCount (): number {
+    return Math.max(0, this._reportedCount - this._ownAtReport) + this._own.count
+  }
+
+  /** How many requests this host may have there now. */
+  get ownLimitCount (): number {
+    const limitCount = this._refusedSinceReport ? Math.min(this._limitCount, this._own.count) : this._limitCount
+    return Math.min(limitCount, this.health.slowStartCount)
+  }
+
+  get hasPlace (): boolean {
+    return this._own.count < this.ownLimitCount
+  }
+
+  capacityCount (spec: EndpointPoolSpec): number {
+    return Math.min(this.record.announcement.maxConcurrentCount, spec.maxConcurrentCount)
+  }
+
+  /** Takes over a newer announcement. */
+  update (record: EndpointRecord): void {
+    const restarted = record.announcement.incarnation !== this.record.announcement.incarnation
+    if (restarted) this.health.startSlowly()
+    this.record = record
+  }
+
+  /** Works out the limit after a new report or a changed number of hosts. */
+  setLimit (spec: EndpointPoolSpec, hostsCount: number, random: RandomSource): void {
+    this._own.forgetBefore(this.record.loadAtMs)
+    this._ownAtReport = this._own.countAt(this.record.loadAtMs)
+    this._refusedSinceReport = false
+    const capacityCount = this.capacityCount(spec)
+    const equalPart = capacityCount / hostsCount
+    const limit = Math.min(capacityCount, Math.max(equalPart, this._shareOfReport(capacityCount, hostsCount)))
+    this._limitCount = Math.floor(limit + random.real())
+    this.health.endSlowStart(capacityCount)
+  }
+
+  began (nowMs: number): void {
+    this._own.began(nowMs)
+  }
+
+  ended (nowMs: number): void {
+    this._own.ended(nowMs)
+  }
+
+  /** It said that it can't take more: nothing new until its next report. */
+  refused (): void {
+    this._refusedSinceReport = true
+  }
+
+  private get _reportedCount (): number {
+    const { runningCount, waitingCount } = this.record.announcement.load
+    return runningCount + waitingCount
+  }
+
+  private _shareOfReport (capacityCount: number, hostsCount: number): number {
+    const totalCount = Math.max(this._reportedCount, this._ownAtReport)
+    const ownPart = totalCount > 0 ? this._ownAtReport / totalCount : 0
+    const freeCount = capacityCount - totalCount
+    if (freeCount < 0) return this._ownAtReport + freeCount * ownPart
+    if (this.record.announcement.load.kvUsedPercent >= KV_FULL_PERCENT) return this._ownAtReport
+    return this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount)
+  }
+}
--- /dev/null
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -0,0 +1,164 @@
+/**
+ * The endpoints of one pool as the scheduler sees them: kept in step with the
+ * directory, outliers left out, but never so many that less than half remain.
+ */
+import type { EndpointPoolSpec } from '../../protocol/resources.js'
+import { unreachable } from '../../utils/errors.js'
+import { MetricName } from '../../utils/metricNames.js'
+import { EndpointState } from './endpointState.js'
+import { CachedPrefixes } from './prefixAffinity.js'
+import type { AttemptResult, WorkItem } from './scheduler.js'
+import type { SchedulerParts } from './schedulerParts.js'
+
+/** Part of a pool's endpoints that ejection always leaves in use. */
+const KEPT_FRACTION = 0.5
+/** A token takes this many times as long as at the median endpoint. */
+const SLOW_FACTOR = 3
+const SLOW_MIN_TRIES = 5
+const SLOW_MIN_OTHERS = 2
+
+export class PoolEndpoints {
+  private readonly _parts: SchedulerParts
+  private readonly _pool: string
+  private readonly _states = new Map<string, EndpointState>()
+  private readonly _cached = new Map<string, CachedPrefixes>()
+  private _available: EndpointState[] = []
+  private _hostsCount = 0
+  private _spec: EndpointPoolSpec | undefined
+
+  constructor (parts: SchedulerParts, pool: string) {
+    this._parts = parts
+    this._pool = pool
+  }
+
+  /** As of the last refresh. */
+  get spec (): EndpointPoolSpec | undefined {
+    return this._spec
+  }
+
+  /** All that hold a lease and are not leaving, ejected ones included. */
+  get available (): readonly EndpointState[] {
+    return this._available
+  }
+
+  /** Takes over what directory and configuration say now. */
+  refresh (spec: EndpointPoolSpec): void {
+    const hostsCount = Math.max(1, this._parts.configuration.entryHosts().length)
+    const termsChanged = hostsCount !== this._hostsCount || spec !== this._spec
+    this._hostsCount = hostsCount
+    this._spec = spec
+    const records = this._parts.directory.available(this._pool)
+    this._available = records.map(record => {
+      const known = this._states.get(record.announcement.endpointId)
+      if (known && known.record === record && !termsChanged) return known
+      const state = known ?? this._add(new EndpointState(record))
+      if (record.announcement.incarnation !== state.record.announcement.incarnation) this.cachedOn(state.endpointId).clear()
+      state.update(record)
+      state.setLimit(spec, hostsCount, this._parts.random)
+      return state
+    })
+    this._forgetGone()
+  }
+
+  /** Those that may be used at all: ejected ones left out, as far as the floor allows. */
+  inUse (nowMs: number): EndpointState[] {
+    const ejected = this._available
+      .filter(state => state.health.isEjected(nowMs))
+      .sort((a, b) => b.health.ejectedUntilMs - a.health.ejectedUntilMs)
+    const keptCount = Math.max(1, Math.ceil(this._available.length * KEPT_FRACTION))
+    const leftOut = new Set(ejected.slice(0, Math.max(0, this._available.length - keptCount)))
+    return this._available.filter(state => !leftOut.has(state))
+  }
+
+  /** Those in use that the item may go to, whether or not they have a place. */
+  suitableFor (item: WorkItem, nowMs: number): EndpointState[] {
+    return this.inUse(nowMs).filter(state => isSuitable(state, item))
+  }
+
+  /** Whether any endpoint, ejected or not, could ever take the item as things are. */
+  couldTake (item: WorkItem): boolean {
+    return this._available.some(state => !item.excludedEndpointIds.includes(state.endpointId))
+  }
+
+  cachedOn (endpointId: string): CachedPrefixes {
+    const known = this._cached.get(endpointId)
+    if (known) return known
+    const cached = new CachedPrefixes()
+    this._cached.set(endpointId, cached)
+    return cached
+  }
+
+  /** Time of a token at the fastest endpoint in use; undefined before any finished. */
+  fastestMsPerToken (nowMs: number): number | undefined {
+    const times = this.inUse(nowMs).flatMap(({ health }) => health.msPerToken ?? [])
+    return times.length > 0 ? Math.min(...times) : undefined
+  }
+
+  /** Accounts for the end of a try. */
+  ended (state: EndpointState, result: AttemptResult, nowMs: number): void {
+    state.ended(nowMs)
+    switch (result.kind) {
+      case 'succeeded':
+        state.health.succeeded(result.durationMs / Math.max(1, result.tokensCount))
+        if (this._isSlow(state)) this._eject(state, nowMs)
+        break
+      case 'failed':
+        if (state.health.failed()) this._eject(state, nowMs)
+        break
+      case 'refused':
+        state.refused()
+        break
+      case 'cancelled':
+        break
+      default:
+        unreachable(result)
+    }
+  }
+
+  /** The next instant at which an ejected endpoint comes back. */
+  nextReturnAtMs (nowMs: number): number | undefined {
+    const instants = this._available.filter(state => state.health.isEjected(nowMs)).map(state => state.health.ejectedUntilMs)
+    return instants.length > 0 ? Math.min(...instants) : undefined
+  }
+
+  private _add (state: EndpointState): EndpointState {
+    this._states.set(state.endpointId, state)
+    return state
+  }
+
+  private _forgetGone (): void {
+    if (this._states.size === this._available.length) return
+    const nowMs = this._parts.clock.nowMs()
+    const present = new Set(this._available)
+    for (const [endpointId, state] of this._states) {
+      if (present.has(state) || state.ownCount > 0 || state.health.isEjected(nowMs)) continue
+      this._states.delete(endpointId)
+      this._cached.delete(endpointId)
+    }
+  }
+
+  private _isSlow (state: EndpointState): boolean {
+    const { msPerToken, triesCount } = state.health
+    if (msPerToken === undefined || triesCount < SLOW_MIN_TRIES) return false
+    const others = this._available.filter(other => other !== state).flatMap(({ health }) => health.msPerToken ?? [])
+    if (others.length < SLOW_MIN_OTHERS) return false
+    return msPerToken > SLOW_FACTOR * median(others)
+  }
+
+  private _eject (state: EndpointState, nowMs: number): void {
+    state.health.eject(nowMs)
+    const ejectedCount = this._available.filter(other => other.health.isEjected(nowMs)).length
+    this._parts.metrics.gauge(MetricName.EndpointsEjected, ejectedCount, { pool: this._pool })
+  }
+}
+
+function isSuitable (state: EndpointState, item: WorkItem): boolean {
+  if (item.excludedEndpointIds.includes(state.endpointId)) return false
+  if (item.minWeightVersion === undefined) return true
+  return (state.record.announcement.weightVersion ?? 0) >= item.minWeightVersion
+}
+
+function median (values: number[]): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.floor(sorted.length / 2)] ?? 0
+}
--- /dev/null
+++ b/src/entry/scheduling/poolQueue.ts
@@ -0,0 +1,121 @@
+/**
+ * What waits at one pool, over all priority classes, bounded in count and
+ * bytes. When it is full, the class that is furthest over its share gives up
+ * its last request, so that a flood of one class doesn't shut out the others.
+ */
+import type { EndpointPoolSpec } from '../../protocol/resources.js'
+import { ClassQueue, type QueuedWork } from './classQueue.js'
+import type { FairShare } from './fairShare.js'
+import type { WorkItem } from './scheduler.js'
+
+/** Work for idle endpoints waits apart from the classes, behind all of them. */
+const IDLE_QUEUE = ''
+
+export type MakeRoomOutcome = { kind: 'fits', evicted: QueuedWork[] } | { kind: 'full', message: string }
+
+export class PoolQueue {
+  private readonly _fairShare: FairShare
+  private readonly _queues = new Map<string, ClassQueue>()
+  private readonly _idle = new ClassQueue(IDLE_QUEUE)
+  private _count = 0
+  private _bytes = 0
+
+  constructor (fairShare: FairShare) {
+    this._fairShare = fairShare
+  }
+
+  get count (): number {
+    return this._count
+  }
+
+  get bytes (): number {
+    return this._bytes
+  }
+
+  get idle (): ClassQueue {
+    return this._idle
+  }
+
+  countOf (className: string): number {
+    return this._queues.get(className)?.count ?? 0
+  }
+
+  tokensOf (className: string): number {
+    return this._queues.get(className)?.tokensCount ?? 0
+  }
+
+  /** Names of the classes that have work waiting. */
+  backlogged (): string[] {
+    return [...this._queues.values()].filter(queue => queue.count > 0).map(queue => queue.className)
+  }
+
+  first (className: string, limitCount: number): QueuedWork[] {
+    return this._queues.get(className)?.first(limitCount) ?? []
+  }
+
+  all (): QueuedWork[] {
+    return [...this._queues.values(), this._idle].flatMap(queue => queue.all())
+  }
+
+  add (work: QueuedWork): void {
+    const queue = this._queueOf(work.item)
+    if (queue.count === 0 && queue !== this._idle) this._fairShare.activate(queue.className)
+    queue.add(work)
+    this._count += 1
+    this._bytes += work.item.bodyBytes
+  }
+
+  /** False when it was not waiting any more. */
+  remove (work: QueuedWork): boolean {
+    if (!this._queueOf(work.item).remove(work)) return false
+    this._count -= 1
+    this._bytes -= work.item.bodyBytes
+    return true
+  }
+
+  /** Takes out what must give way for the item, or says that the item doesn't fit. */
+  makeRoomFor (item: WorkItem, pool: EndpointPoolSpec, classMaxCount: number): MakeRoomOutcome {
+    const ownCount = this._queueOf(item).count
+    if (ownCount >= classMaxCount) return { kind: 'full', message: `${ownCount} requests of class ${item.priorityClass} wait already` }
+    if (item.bodyBytes > pool.maxQueuedBytes) return { kind: 'full', message: `a body of ${item.bodyBytes} bytes exceeds the queue's bound` }
+    const victims = this._victimsFor(item, pool)
+    if (!victims) return { kind: 'full', message: `${this._count} requests with ${this._bytes} bytes wait already` }
+    for (const victim of victims) this.remove(victim)
+    return { kind: 'fits', evicted: victims }
+  }
+
+  /** Undefined when the item's own class is the one that must give way. */
+  private _victimsFor (item: WorkItem, pool: EndpointPoolSpec): QueuedWork[] | undefined {
+    const victims: QueuedWork[] = []
+    let count = this._count + 1
+    let bytes = this._bytes + item.bodyBytes
+    if (count <= pool.maxQueuedCount && bytes <= pool.maxQueuedBytes) return victims
+    const candidates = this._furthestOverShare(item)
+    for (const victim of candidates) {
+      if (count <= pool.maxQueuedCount && bytes <= pool.maxQueuedBytes) break
+      victims.push(victim)
+      count -= 1
+      bytes -= victim.item.bodyBytes
+    }
+    return count <= pool.maxQueuedCount && bytes <= pool.maxQueuedBytes ? victims : undefined
+  }
+
+  /** The waiting work of the queue furthest over its share, last first; none when that is the item's own. */
+  private _furthestOverShare (item: WorkItem): QueuedWork[] {
+    const own = this._queueOf(item)
+    if (this._idle.count > 0 && own !== this._idle) return this._idle.all().reverse()
+    if (own === this._idle) return []
+    const overShare = (queue: ClassQueue): number => queue.count / this._fairShare.shareOf(queue.className)
+    const furthest = [...this._queues.values()].reduce((a, b) => overShare(a) >= overShare(b) ? a : b, own)
+    return furthest === own ? [] : furthest.all().reverse()
+  }
+
+  private _queueOf (item: WorkItem): ClassQueue {
+    if (item.onlyWhenIdle) return this._idle
+    const known = this._queues.get(item.priorityClass)
+    if (known) return known
+    const queue = new ClassQueue(item.priorityClass)
+    this._queues.set(item.priorityClass, queue)
+    return queue
+  }
+}
--- /dev/null
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -0,0 +1,310 @@
+/**
+ * Admission, queue and dispatch at one pool.
+ *
+ * Whatever may free a place or change the order calls `pump`, which hands out
+ * places until none is free or nothing that waits can use one.
+ */
+import { ResourceKind, type EndpointPoolSpec } from '../../protocol/resources.js'
+import { RefusalReason } from '../../protocol/refusals.js'
+import { invariant } from '../../utils/errors.js'
+import { MetricName } from '../../utils/metricNames.js'
+import type { Progress } from '../../utils/progress.js'
+import { createAssignment } from './assignment.js'
+import { QueueOrder, type QueuedWork } from './classQueue.js'
+import type { DecisionLog } from './decisionLog.js'
+import { chooseEndpoint, type Choice } from './endpointChoice.js'
+import type { EndpointState } from './endpointState.js'
+import { FairShare, classShares } from './fairShare.js'
+import { PoolEndpoints } from './poolEndpoints.js'
+import { PoolQueue } from './poolQueue.js'
+import { PromptPrefix } from './prefixAffinity.js'
+import { RetryBudget } from './retryBudget.js'
+import type { AssignOutcome, AttemptResult, WorkItem } from './scheduler.js'
+import type { SchedulerParts } from './schedulerParts.js'
+import { DrainRate, TokenTime, retryAfterMs } from './waitForecast.js'
+import { waitFor, type Waiting } from './waiting.js'
+
+/** Waiting work that is looked at per class and pump, past work that must wait for a certain endpoint. */
+const SCAN_COUNT = 64
+/** Work that no endpoint can take is refused after this time. */
+const NO_ENDPOINT_GRACE_MS = 2_000
+/** An endpoint under this part of its capacity counts as idle. */
+const IDLE_FRACTION = 0.25
+
+export class PoolScheduler {
+  readonly retryBudget: RetryBudget
+  private readonly _parts: SchedulerParts
+  private readonly _pool: string
+  private readonly _decisions: DecisionLog
+  private readonly _fairShare = new FairShare()
+  private readonly _queue = new PoolQueue(this._fairShare)
+  private readonly _order = new QueueOrder()
+  private readonly _endpoints: PoolEndpoints
+  private readonly _drain: DrainRate
+  private readonly _tokenTime = new TokenTime()
+  private readonly _prefixes = new WeakMap<WorkItem, PromptPrefix>()
+  private _sharesRevision: number | undefined
+  private _emptyCheckArmed = false
+  private _cancelWakeUp = (): void => {}
+
+  constructor (parts: SchedulerParts, pool: string, decisions: DecisionLog) {
+    this._parts = parts
+    this._pool = pool
+    this._decisions = decisions
+    this._endpoints = new PoolEndpoints(parts, pool)
+    this._drain = new DrainRate(parts.clock.nowMs())
+    this.retryBudget = new RetryBudget(parts.clock)
+  }
+
+  get queuedCount (): number {
+    return this._queue.count
+  }
+
+  get queuedBytes (): number {
+    return this._queue.bytes
+  }
+
+  /** Settles once; `onLeft` is called when the work no longer waits or runs. */
+  assign (item: WorkItem, progress: Progress, onLeft: () => void): Promise<AssignOutcome> {
+    const spec = this._spec()
+    this._endpoints.refresh(spec)
+    this._refreshShares()
+    const refusal = this._refusalOnArrival(item, progress) ?? this._makeRoom(item, spec)
+    if (refusal) {
+      onLeft()
+      return Promise.resolve(refusal)
+    }
+    if (item.excludedEndpointIds.length === 0) this.retryBudget.depositFirstTry()
+    return this._enqueue(item, progress, onLeft)
+  }
+
+  /** Hands out free places; to be called when anything changed. */
+  pump (): void {
+    if (this._queue.count === 0) return
+    const nowMs = this._parts.clock.nowMs()
+    this._endpoints.refresh(this._spec())
+    this._refreshShares()
+    if (this._endpoints.available.length === 0) this._refuseAllUnlessOneComes()
+    while (this._dispatchNext(nowMs)) { /* each call hands out one place */ }
+    this._afterChange(nowMs)
+  }
+
+  private _spec (): EndpointPoolSpec {
+    const resource = this._parts.configuration.get(ResourceKind.EndpointPool, this._pool)
+    return resource?.spec ?? this._lastSpec()
+  }
+
+  /** A pool that was deleted still runs off what waits, with nothing new admitted. */
+  private _lastSpec (): EndpointPoolSpec {
+    const spec = this._endpoints.spec
+    invariant(spec, `pool ${this._pool} was never declared`)
+    return spec
+  }
+
+  private _refreshShares (): void {
+    const { revision } = this._parts.configuration
+    if (revision === this._sharesRevision) return
+    this._sharesRevision = revision
+    const classes = this._parts.configuration.list(ResourceKind.PriorityClass)
+    this._fairShare.setShares(classShares(classes.map(({ name, spec }) => ({ className: name, spec }))))
+  }
+
+  private _refusalOnArrival (item: WorkItem, progress: Progress): AssignOutcome | undefined {
+    const nowMs = this._parts.clock.nowMs()
+    const remainingMs = progress.remainingMs()
+    const fastest = this._endpoints.fastestMsPerToken(nowMs) ?? 0
+    const runMs = fastest * item.expectedTokensCount
+    if (runMs > remainingMs) {
+      return this._refuse(item, RefusalReason.DeadlineUnreachable, `it needs about ${Math.round(runMs)} ms, ${Math.round(remainingMs)} ms remain`)
+    }
+    const waitMs = this._expectedWaitMs(item, nowMs)
+    const usualRunMs = (this._tokenTime.msPerToken ?? 0) * item.expectedTokensCount
+    if (waitMs === 0 || waitMs + usualRunMs <= remainingMs) return undefined
+    const message = `about ${Math.round(waitMs)} ms of waiting before it, ${Math.round(remainingMs)} ms remain`
+    return this._refuse(item, RefusalReason.DeadlineUnreachable, message, waitMs)
+  }
+
+  private _makeRoom (item: WorkItem, spec: EndpointPoolSpec): AssignOutcome | undefined {
+    const classSpec = this._parts.configuration.get(ResourceKind.PriorityClass, item.priorityClass)?.spec
+    const room = this._queue.makeRoomFor(item, spec, classSpec?.maxQueuedCount ?? 0)
+    if (room.kind === 'full') return this._refuse(item, RefusalReason.QueueFull, room.message)
+    for (const work of room.evicted) {
+      work.settle(this._refuse(work.item, RefusalReason.QueueFull, 'gave way to a class further below its share'))
+    }
+    return undefined
+  }
+
+  /** How long work of the item's class that waits already would keep it waiting. */
+  private _expectedWaitMs (item: WorkItem, nowMs: number): number {
+    const aheadCount = item.onlyWhenIdle ? 0 : this._queue.tokensOf(item.priorityClass)
+    const perMs = this._drain.perMs(nowMs)
+    if (aheadCount === 0 || perMs === undefined) return 0
+    const active = new Set([...this._queue.backlogged(), item.priorityClass])
+    const activeShare = [...active].reduce((total, name) => total + this._fairShare.shareOf(name), 0)
+    const classPerMs = perMs * this._fairShare.shareOf(item.priorityClass) / activeShare
+    return aheadCount / Math.max(classPerMs, Number.MIN_VALUE)
+  }
+
+  private _refuse (item: WorkItem, reason: RefusalReason, message: string, waitMs?: number): AssignOutcome {
+    const nowMs = this._parts.clock.nowMs()
+    this._decisions.record(item.requestId, { kind: 'refused', atMs: nowMs, reason, message })
+    const expectedWaitMs = waitMs ?? this._expectedWaitMs(item, nowMs)
+    return { kind: 'refused', reason, message, retryAfterMs: retryAfterMs(expectedWaitMs, this._parts.random) }
+  }
+
+  private _enqueue (item: WorkItem, progress: Progress, onLeft: () => void): Promise<AssignOutcome> {
+    const nowMs = this._parts.clock.nowMs()
+    const place = this._order.next(item, nowMs)
+    const fastest = this._endpoints.fastestMsPerToken(nowMs) ?? 0
+    const waiting = waitFor({
+      item,
+      progress,
+      enqueuedAtMs: nowMs,
+      ...place,
+      hopelessAtMs: progress.deadlineMs - fastest * item.expectedTokensCount,
+      onHopeless: () => this._giveUp(waiting),
+      onScopeClosed: () => this._withdraw(waiting),
+      left: onLeft
+    })
+    const expectedWaitMs = Math.round(this._expectedWaitMs(item, nowMs))
+    this._decisions.record(item.requestId, { kind: 'queued', atMs: nowMs, queuedCount: this._queue.count, expectedWaitMs })
+    this._queue.add(waiting)
+    if (!this._endpoints.couldTake(item)) this._refuseUnlessTakenSoon(waiting)
+    this.pump()
+    return waiting.outcome
+  }
+
+  private _refuseUnlessTakenSoon (waiting: Waiting): void {
+    const atMs = this._parts.clock.nowMs() + NO_ENDPOINT_GRACE_MS
+    const cancel = this._parts.clock.callAt(atMs, () => {
+      this._endpoints.refresh(this._spec())
+      if (this._endpoints.couldTake(waiting.item)) return
+      this._refuseWaiting(waiting, RefusalReason.NoEndpoint, `no endpoint of ${this._pool} can take it`)
+    })
+    waiting.onSettled(cancel)
+  }
+
+  private _refuseAllUnlessOneComes (): void {
+    if (this._emptyCheckArmed) return
+    this._emptyCheckArmed = true
+    this._parts.clock.callAt(this._parts.clock.nowMs() + NO_ENDPOINT_GRACE_MS, () => {
+      this._emptyCheckArmed = false
+      this._endpoints.refresh(this._spec())
+      if (this._endpoints.available.length > 0) return
+      for (const work of this._queue.all()) this._refuseWaiting(work, RefusalReason.NoEndpoint, `${this._pool} has no endpoint`)
+    })
+  }
+
+  private _refuseWaiting (work: QueuedWork, reason: RefusalReason, message: string): void {
+    if (!this._queue.remove(work)) return
+    work.settle(this._refuse(work.item, reason, message))
+    this._afterChange(this._parts.clock.nowMs())
+  }
+
+  /** Its deadline can't be met any more, wherever it went. */
+  private _giveUp (waiting: Waiting): void {
+    const reason = waiting.progress.isOver() ? RefusalReason.DeadlinePassed : RefusalReason.DeadlineUnreachable
+    const waitedMs = Math.round(this._parts.clock.nowMs() - waiting.enqueuedAtMs)
+    this._refuseWaiting(waiting, reason, `still waiting after ${waitedMs} ms`)
+  }
+
+  private _withdraw (waiting: Waiting): void {
+    this._queue.remove(waiting)
+    this._afterChange(this._parts.clock.nowMs())
+  }
+
+  private _dispatchNext (nowMs: number): boolean {
+    if (this._queue.count === 0) return false
+    const inUse = this._endpoints.inUse(nowMs)
+    if (!inUse.some(state => state.hasPlace)) return false
+    const backlogged = this._queue.backlogged()
+    for (const className of this._fairShare.inTurn(backlogged)) {
+      for (const work of this._queue.first(className, SCAN_COUNT)) {
+        if (this._tryDispatch(work, inUse.filter(state => state.hasPlace), nowMs)) return true
+      }
+    }
+    if (backlogged.length > 0) return false
+    const idle = inUse.filter(state => state.hasPlace && this._isIdle(state))
+    return this._queue.idle.first(SCAN_COUNT).some(work => this._tryDispatch(work, idle, nowMs))
+  }
+
+  private _isIdle (state: EndpointState): boolean {
+    return state.estimatedCount < IDLE_FRACTION * state.capacityCount(this._spec())
+  }
+
+  private _tryDispatch (work: QueuedWork, open: EndpointState[], nowMs: number): boolean {
+    const suitable = this._endpoints.suitableFor(work.item, nowMs)
+    const usable = open.filter(state => suitable.includes(state) && this._meetsDeadline(state, work))
+    const choice = chooseEndpoint({
+      open: usable,
+      suitable,
+      spec: this._spec(),
+      prefix: this._prefixOf(work.item),
+      cachedOn: endpointId => this._endpoints.cachedOn(endpointId),
+      usualMsPerToken: this._tokenTime.msPerToken,
+      nowMs
+    }, this._parts.random)
+    if (!choice) return false
+    this._dispatch(work, choice, nowMs)
+    return true
+  }
+
+  private _meetsDeadline (state: EndpointState, work: QueuedWork): boolean {
+    const msPerToken = state.health.msPerToken ?? 0
+    return msPerToken * work.item.expectedTokensCount <= work.progress.remainingMs()
+  }
+
+  private _dispatch (work: QueuedWork, { chosen, reason, candidates }: Choice, nowMs: number): void {
+    const { item } = work
+    const removed = this._queue.remove(work)
+    invariant(removed, 'dispatched work was not waiting')
+    if (!item.onlyWhenIdle) this._fairShare.charge(item.priorityClass, item.expectedTokensCount)
+    this._drain.left(nowMs, item.expectedTokensCount)
+    chosen.began(nowMs)
+    this._noteCached(item, chosen)
+    const waitedMs = nowMs - work.enqueuedAtMs
+    this._decisions.record(item.requestId, { kind: 'assigned', atMs: nowMs, waitedMs, endpointId: chosen.endpointId, reason, candidates })
+    const assignment = createAssignment({
+      endpoint: chosen.record,
+      clock: this._parts.clock,
+      scope: work.progress.scope,
+      onFinish: result => this._finished(work, chosen, result)
+    })
+    work.settle({ kind: 'assigned', assignment })
+  }
+
+  private _finished (work: QueuedWork, state: EndpointState, result: AttemptResult): void {
+    const { item } = work
+    work.left()
+    this._endpoints.ended(state, result, this._parts.clock.nowMs())
+    if (result.kind === 'succeeded') {
+      this._tokenTime.observe(result.durationMs / Math.max(1, result.tokensCount))
+      if (!item.onlyWhenIdle) this._fairShare.correct(item.priorityClass, result.tokensCount - item.expectedTokensCount)
+    }
+    if (result.kind === 'refused' && !item.onlyWhenIdle) this._fairShare.correct(item.priorityClass, -item.expectedTokensCount)
+    this.pump()
+  }
+
+  private _prefixOf (item: WorkItem): PromptPrefix | undefined {
+    if (!item.affinityText) return undefined
+    const known = this._prefixes.get(item)
+    if (known) return known
+    const prefix = new PromptPrefix(item.affinityText)
+    this._prefixes.set(item, prefix)
+    return prefix
+  }
+
+  private _noteCached (item: WorkItem, state: EndpointState): void {
+    const chain = this._prefixOf(item)?.chain(state.record.announcement.weightVersion ?? 0)
+    if (chain) this._endpoints.cachedOn(state.endpointId).note(chain)
+  }
+
+  /** Keeps the drain rate, the gauges and the wake-up for a returning endpoint in step. */
+  private _afterChange (nowMs: number): void {
+    this._drain.setBacklogged(nowMs, this._queue.count > 0)
+    this._parts.metrics.gauge(MetricName.QueueBytes, this._queue.bytes, { pool: this._pool })
+    this._cancelWakeUp()
+    const wakeAtMs = this._queue.count > 0 ? this._endpoints.nextReturnAtMs(nowMs) : undefined
+    this._cancelWakeUp = wakeAtMs === undefined ? () => {} : this._parts.clock.callAt(wakeAtMs, () => this.pump())
+  }
+}
--- a/src/entry/scheduling/scheduler.ts
+++ b/src/entry/scheduling/scheduler.ts
@@ -5,9 +5,12 @@
 import type { RefusalReason, RetryReason } from '../../protocol/refusals.js'
 import type { Progress } from '../../utils/progress.js'
 import type { EndpointRecord } from '../directory/endpointRecord.js'
+import type { Decision } from './decisionLog.js'
 
 /** One piece of work that wants an endpoint. */
 export interface WorkItem {
+  /** Under which `explain` finds the decisions made for it; unset: not kept. */
+  requestId?: string
   pool: string
   callerName: string
   priorityClass: string
@@ -33,7 +36,11 @@
   | { kind: 'failed' }
   | { kind: 'cancelled' }
 
-/** The right to use one endpoint for one try; finish must be called once. */
+/**
+ * The right to use one endpoint for one try; finish must be called once. When
+ * the scope of the request has closed and finish doesn't follow, the try
+ * counts as cancelled after a grace time.
+ */
 export interface Assignment {
   readonly endpoint: EndpointRecord
   finish (result: AttemptResult): void
@@ -44,8 +51,15 @@
   | { kind: 'refused', reason: RefusalReason, message: string, retryAfterMs?: number }
 
 export interface Scheduler {
-  /** Waits in the queue for an endpoint; a refusal comes as soon as it is certain. */
+  /**
+   * Waits in the queue for an endpoint; a refusal comes as soon as it is
+   * certain. Do not race the promise: it settles by itself at the deadline and
+   * when the scope closes, and an assignment that nobody reads is leaked.
+   * @throws ScopeClosedError when the scope closes first.
+   */
   assign (item: WorkItem, progress: Progress): Promise<AssignOutcome>
   /** Takes one retry from the budget of the pool, counted by reason; false when it is spent. */
   takeRetry (pool: string, reason: RetryReason): boolean
+  /** What was decided for a request, oldest first; empty when it is not known any more. */
+  explain? (requestId: string): Decision[]
 }
--- /dev/null
+++ b/src/entry/scheduling/waitForecast.ts
@@ -0,0 +1,71 @@
+/**
+ * How long work would wait and run at a pool, from what this host saw: the
+ * tokens a second that leave its queue while something waits, and the time a
+ * token takes.
+ */
+import type { RandomSource } from '../../utils/randomSource.js'
+
+/** Time over which the rate is averaged. */
+const RATE_WINDOW_MS = 3_000
+/** No rate is told before something waited for so long. */
+const MIN_BUSY_MS = 250
+const SMOOTHING = 0.05
+const MIN_RETRY_MS = 200
+const MAX_RETRY_MS = 30_000
+
+/** An exponentially weighted rate over the time in which there was a backlog. */
+export class DrainRate {
+  private _weighted = 0
+  private _busyMs = 0
+  private _updatedAtMs: number
+  private _backlogged = false
+
+  constructor (nowMs: number) {
+    this._updatedAtMs = nowMs
+  }
+
+  /** Says whether work waits from now on. */
+  setBacklogged (nowMs: number, backlogged: boolean): void {
+    this._advance(nowMs)
+    this._backlogged = backlogged
+  }
+
+  left (nowMs: number, tokensCount: number): void {
+    this._advance(nowMs)
+    if (this._backlogged) this._weighted += tokensCount / RATE_WINDOW_MS
+  }
+
+  /** Tokens a millisecond; undefined before there was a backlog for long enough. */
+  perMs (nowMs: number): number | undefined {
+    this._advance(nowMs)
+    if (this._busyMs < MIN_BUSY_MS) return undefined
+    return this._weighted / (1 - Math.exp(-this._busyMs / RATE_WINDOW_MS))
+  }
+
+  private _advance (nowMs: number): void {
+    const elapsedMs = nowMs - this._updatedAtMs
+    this._updatedAtMs = nowMs
+    if (!this._backlogged) return
+    this._weighted *= Math.exp(-elapsedMs / RATE_WINDOW_MS)
+    this._busyMs += elapsedMs
+  }
+}
+
+/** Time a token takes at the pool as a whole, smoothed. */
+export class TokenTime {
+  msPerToken: number | undefined
+
+  observe (msPerToken: number): void {
+    const old = this.msPerToken
+    this.msPerToken = old === undefined ? msPerToken : old + SMOOTHING * (msPerToken - old)
+  }
+}
+
+/**
+ * When a refused caller should come back: not before the backlog has drained,
+ * and spread over as long again, so that they don't return at one moment.
+ */
+export function retryAfterMs (expectedWaitMs: number, random: RandomSource): number {
+  const baseMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, expectedWaitMs))
+  return Math.round(baseMs * (1 + random.real()))
+}
