--- a/src/protocol/endpoints.ts
+++ b/src/protocol/endpoints.ts
@@ -130,3 +130,23 @@
 
 /** The header by which a plain service says, with status 503, that it did not run a call. */
 export const NOT_EXECUTED_HEADER = 'x-not-executed'
+
+/** The header with the id of the try of a service call; an answer that echoes another id is dropped. */
+export const REQUEST_ID_HEADER = 'x-request-id'
+
+/** POST {url}/v1/score of a service that scores samples. */
+export const SCORE_PATH = '/v1/score'
+
+export const scoreRequestSchema = z.object({
+  prompt: z.string(),
+  tokens: z.array(z.string())
+})
+export type ScoreRequest = z.infer<typeof scoreRequestSchema>
+
+export const scoreReplySchema = z.object({ score: z.number() })
+export type ScoreReply = z.infer<typeof scoreReplySchema>
+
+/** Where a version lies in a weight store: GET reads it, PUT by the trainer makes it. */
+export function weightsUrl (weightStoreUrl: string, weightVersion: number): string {
+  return `${weightStoreUrl.replace(/\/$/, '')}/v1/weights/${weightVersion}`
+}
