--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,20 @@
+/** Where commands write: results to one side, errors to the other. */
+import Table from 'cli-table3'
+
+export interface Output {
+  print (line: string): void
+  error (line: string): void
+}
+
+export const processOutput: Output = {
+  print: line => { process.stdout.write(`${line}\n`) },
+  error: line => { process.stderr.write(`${line}\n`) }
+}
+
+export type Cell = string | number | boolean | undefined
+
+export function renderTable (head: string[], rows: Cell[][]): string {
+  const table = new Table({ head, style: { head: [], border: [], compact: true } })
+  for (const row of rows) table.push(row.map(cell => cell === undefined ? '-' : String(cell)))
+  return table.toString()
+}
--- /dev/null
+++ b/src/utils/productVersion.ts
@@ -0,0 +1,12 @@
+/** The version in package.json, for --version. */
+import { readFileSync } from 'node:fs'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+/** From dist/src/utils up to the package. */
+const PACKAGE_FILE = join(dirname(fileURLToPath(import.meta.url)), '../../../package.json')
+
+export function productVersion (): string {
+  const { version } = JSON.parse(readFileSync(PACKAGE_FILE, 'utf8')) as { version: string }
+  return version
+}
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -32,14 +32,22 @@
 }
 
 export function checkSettings<S extends z.ZodType> (path: string, text: string, schema: S): z.output<S> {
-  const raw = parseToml(path, text)
-  const parsed = schema.safeParse(raw)
+  return checkValue(path, parseToml(path, text), schema)
+}
+
+/**
+ * Checks a value that was read from a file.
+ * @param keyPrefix where in the file the value stands
+ */
+export function checkValue<S extends z.ZodType> (path: string, value: unknown, schema: S, keyPrefix: PropertyKey[] = []): z.output<S> {
+  const parsed = schema.safeParse(value)
   if (parsed.success) return parsed.data
-  const lines = parsed.error.issues.map(issue => describeIssue(path, raw, issue))
+  const lines = parsed.error.issues.map(issue => describeIssue(path, value, issue, keyPrefix))
   throw new SettingsError(lines.join('\n'))
 }
 
-function readText (path: string): string {
+/** @throws SettingsError naming the file. */
+export function readText (path: string): string {
   try {
     return readFileSync(path, 'utf8')
   } catch (error) {
@@ -56,8 +64,8 @@
   }
 }
 
-function describeIssue (path: string, raw: unknown, issue: z.core.$ZodIssue): string {
-  const key = issue.path.join('.') || '(top level)'
+function describeIssue (path: string, raw: unknown, issue: z.core.$ZodIssue, keyPrefix: PropertyKey[]): string {
+  const key = [...keyPrefix, ...issue.path].join('.') || '(top level)'
   if (issue.code === 'unrecognized_keys') {
     return `${path}: ${key}: unknown key ${issue.keys.map(name => `"${name}"`).join(', ')}`
   }
