Add the demo: a whole system as processes on loopback addresses

Cause: a new user gets a clone and npm start, nothing else; and the tests of whole processes need the same system. Change: demo/ starts control hosts, entry hosts and stand-ins from outside the product, each on its own address of a block that a lock keeps from other runs; a guardian ends children whose parent died. examples/ holds the deck and the resources. Ruled out: ports chosen by the system (port 0): an entry host must be known before it starts, and a restarted one must come back under its address.

--- /dev/null
+++ b/demo/demoRun.ts
@@ -0,0 +1,198 @@
+/** The steps of the demo, in order. */
+import { createInterface } from 'node:readline'
+import { readResourceFile } from '../src/cli/resourceFile.js'
+import { CallerHeader, callerPaths } from '../src/protocol/callers.js'
+import { completionChunkSchema } from '../src/protocol/endpoints.js'
+import { ResourceKind, rolloutJobSpecSchema, type RolloutJobSpec } from '../src/protocol/resources.js'
+import { systemClock } from '../src/utils/clock.js'
+import { EntryClient, type EntryAnswer, type EntryRequest } from '../standins/entryClient.js'
+import { engineRecordSchema, serviceRecordSchema, trainerRecordSchema } from '../standins/recordSchemas.js'
+import { findFalseVersions } from '../standins/versionCheck.js'
+import { getJson, type LocalSystem } from './localSystem.js'
+import type { ManagedProcess } from './processGroup.js'
+import { progressLine, samplesTable, say, stepsTable } from './report.js'
+import { waitFor } from './waitFor.js'
+
+const ENGINES_COUNT = 2
+const STEPS_COUNT = 3
+const RESOURCES_FILE = 'examples/practice-hints.toml'
+const DECK_FILE = 'examples/dutch-deck.txt'
+const REVIEW_KEY = 'review-of-card-1'
+const PROGRESS_INTERVAL_MS = 1_000
+
+type Answered = Extract<EntryAnswer, { kind: 'answered' }>
+
+export class DemoRun {
+  private readonly _system: LocalSystem
+  private readonly _client: EntryClient
+  private _controls: ManagedProcess[] = []
+  private _entries: ManagedProcess[] = []
+  private _standIns: ManagedProcess[] = []
+
+  constructor (system: LocalSystem) {
+    this._system = system
+    this._client = new EntryClient({ clock: systemClock, entryHosts: system.entryAddresses, dataCentre: 'hal-a', callerName: 'learner' })
+  }
+
+  async bringUp (): Promise<void> {
+    say('starting three control hosts and three entry hosts in two data centres')
+    this._controls = this._system.startControls()
+    this._entries = this._system.startEntries()
+    const { leaderHostId, term } = await this._system.waitUntilReady()
+    say(`  control is led by ${leaderHostId ?? 'nobody'} in term ${term}; every entry host holds its lease`)
+    say('starting a weight store, two model engines, a deck service and a scoring service')
+    const engines = Array.from({ length: ENGINES_COUNT }, (_value, index) => this._system.startEngine(index))
+    this._standIns = [this._system.startWeightStore(), ...engines, this._system.startService(), this._system.startScoring()]
+    this._system.localFile(DECK_FILE)
+    say(`threaddrum apply --wait ${RESOURCES_FILE}`)
+    await this._command(['apply', '--wait', this._system.localFile(RESOURCES_FILE)])
+  }
+
+  async askAsCaller (): Promise<void> {
+    const hosts = await this._client.hosts()
+    say(`a caller asks for advice and is told to use ${hosts.join(', ')}`)
+    const card = await this._ask({ method: 'GET', path: `${callerPaths.services}decks/cards/1` })
+    say(`  plain answer by ${String(card.headers[CallerHeader.ServedBy])}: ${(await card.body.text()).slice(0, 100)}`)
+    await this._review()
+    await this._stream()
+  }
+
+  async train (): Promise<void> {
+    const spec = this._jobSpec()
+    const samplesPerStepCount = spec.groupSizeCount * spec.groupsPerStepCount
+    say(`a trainer pulls ${STEPS_COUNT} steps of ${samplesPerStepCount} samples and publishes new weights after each`)
+    this._standIns.push(this._system.startTrainer({
+      job: 'practice-hints',
+      stepsCount: STEPS_COUNT,
+      samplesPerStepCount,
+      stalenessBoundVersions: spec.stalenessBoundVersions
+    }))
+    const record = await this._followTrainer(samplesPerStepCount)
+    say(samplesTable(record))
+    say(stepsTable(record))
+    if (record.violations.length > 0) throw new Error(`the trainer found: ${record.violations.join('; ')}`)
+    const falseVersions = findFalseVersions(record.samples, await this._engineGenerations())
+    if (falseVersions.length > 0) throw new Error(`versions are not true: ${falseVersions.join('; ')}`)
+    say(`checked: ${record.samples.length} samples, fresh, complete, each once, versions as the engines recorded them`)
+  }
+
+  async keep (): Promise<void> {
+    const [control = ''] = this._system.controlAddresses
+    const [entry = ''] = this._system.entryAddresses
+    say(`the system stays up until Ctrl-C; logs and settings are in ${this._system.folder}`)
+    say(`  callers, trainers, endpoints: ${this._system.entryAddresses.join(' ')}`)
+    say(`  operators: ${this._system.controlAddresses.join(' ')}`)
+    say('try:')
+    say(`  export THREADDRUM_CONTROL=${this._system.controlAddresses.join(',')}`)
+    say('  npx threaddrum status')
+    say('  npx threaddrum get RolloutJob practice-hints')
+    say('  npx threaddrum status --job practice-hints')
+    say('  npx threaddrum drain entry-3')
+    say(`  curl http://${control}/v1/status`)
+    say(`  curl 'http://${entry}/v1/advice?dataCentre=hal-a'`)
+    say(`  curl -N http://${entry}/v1/completions -H 'content-type: application/json' -d '{"model":"practice-lm","prompt":"Kaart","stream":true}'`)
+    await untilInterrupted()
+  }
+
+  async stop (): Promise<void> {
+    say('stopping in order: entry hosts, stand-ins, control hosts')
+    await this._client.close()
+    for (const group of [this._entries, this._standIns, this._controls]) {
+      const ends = await Promise.all(group.map(async managed => ({ managed, end: await managed.stop() })))
+      const failed = ends.filter(({ end }) => end.code !== 0)
+      if (failed.length > 0) throw new Error(failed.map(({ managed, end }) => `${managed.name} ended with ${end.code ?? end.signal}`).join(', '))
+    }
+  }
+
+  /** Marks a card reviewed, twice under one key: it runs once. */
+  private async _review (): Promise<void> {
+    const review: EntryRequest = {
+      method: 'POST',
+      path: `${callerPaths.services}decks/reviews`,
+      headers: { [CallerHeader.IdempotencyKey]: REVIEW_KEY },
+      body: JSON.stringify({ card: 1 })
+    }
+    const first = await (await this._ask(review)).body.text()
+    const answer = await this._ask(review)
+    if (await answer.body.text() !== first) throw new Error('the answer to a resent review differs')
+    const { executions } = serviceRecordSchema.parse(await getJson(`${this._system.serviceUrl}/record`))
+    const reviewsCount = Object.values(executions).reduce((sum, count) => sum + count, 0) - 1
+    if (reviewsCount !== 1) throw new Error(`the review ran ${reviewsCount} times`)
+    say('  a review sent twice under one Idempotency-Key ran once')
+  }
+
+  private async _stream (): Promise<void> {
+    const answer = await this._ask({
+      method: 'POST',
+      path: callerPaths.completions,
+      headers: { [CallerHeader.PriorityClass]: 'learners' },
+      body: JSON.stringify({ model: 'practice-lm', prompt: 'Kaart "de brug": geef een oefenhint.', max_tokens: 40, stream: true })
+    })
+    let text = ''
+    let count = 0
+    for await (const line of createInterface({ input: answer.body })) {
+      if (!line.startsWith('data: ') || line === 'data: [DONE]') continue
+      const chunk = completionChunkSchema.parse(JSON.parse(line.slice('data: '.length)))
+      if (chunk.token_offset !== count) throw new Error(`the stream jumps from token ${count} to ${chunk.token_offset}`)
+      text += chunk.tokens.join('')
+      count += chunk.tokens.length
+    }
+    if (count === 0) throw new Error('the stream was empty')
+    say(`  streamed answer, ${count} tokens: ${text.slice(0, 80)}`)
+  }
+
+  /** Asks again, as a caller does, while nothing was executed. */
+  private async _ask (request: EntryRequest): Promise<Answered> {
+    return await waitFor(`an answer to ${request.method} ${request.path}`, async () => {
+      const answer = await this._client.send(request)
+      if (answer.kind === 'answered') return answer
+      if (answer.kind === 'lost') throw new Error(`${answer.host}: ${answer.reason}`)
+      if (answer.refusal.executed !== 'no') throw new Error(JSON.stringify(answer.refusal))
+      return undefined
+    })
+  }
+
+  private async _followTrainer (samplesPerStepCount: number): Promise<ReturnType<typeof trainerRecordSchema.parse>> {
+    let nextLineAtMs = 0
+    return await waitFor('the trainer to end', async () => {
+      const parsed = trainerRecordSchema.safeParse(await getJson(`${this._system.trainerUrl}/record`))
+      if (!parsed.success) return undefined
+      if (performance.now() >= nextLineAtMs || parsed.data.done) {
+        say(progressLine(parsed.data, STEPS_COUNT, samplesPerStepCount))
+        nextLineAtMs = performance.now() + PROGRESS_INTERVAL_MS
+      }
+      return parsed.data.done && parsed.data
+    })
+  }
+
+  private async _engineGenerations (): Promise<ReturnType<typeof engineRecordSchema.parse>['generations']> {
+    const records = []
+    for (let index = 0; index < ENGINES_COUNT; index++) {
+      const { generations } = engineRecordSchema.parse(await getJson(`${this._system.engineUrl(index)}/record`))
+      records.push(...generations)
+    }
+    return records
+  }
+
+  private _jobSpec (): RolloutJobSpec {
+    const job = readResourceFile(this._system.localFile(RESOURCES_FILE)).find(({ kind }) => kind === ResourceKind.RolloutJob)
+    return rolloutJobSpecSchema.parse(job?.spec)
+  }
+
+  private async _command (args: string[]): Promise<void> {
+    const command = this._system.startCommand(args)
+    const { code } = await command.ended
+    for (const line of command.log().trimEnd().split('\n')) say(`  ${line}`)
+    if (code !== 0) throw new Error(`threaddrum ${args[0]} ended with ${code}`)
+  }
+}
+
+async function untilInterrupted (): Promise<void> {
+  await new Promise<void>(resolve => {
+    const stayAlive = setInterval(() => {}, PROGRESS_INTERVAL_MS)
+    process.once('SIGINT', () => {
+      clearInterval(stayAlive)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/demo/localSystem.ts
@@ -0,0 +1,253 @@
+/**
+ * A whole system on loopback addresses: three control hosts, three entry
+ * hosts in two data centres, and the stand-ins around them, each a process of
+ * its own. The demo runs it, and so do the tests of whole processes.
+ */
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { stringify } from 'smol-toml'
+import { request } from 'undici'
+import { clusterStatusSchema, operatorPaths, type ClusterStatus } from '../src/protocol/operators.js'
+import { AddressBlock } from './addressBlock.js'
+import { ProcessGroup, type ManagedProcess } from './processGroup.js'
+import { waitFor } from './waitFor.js'
+
+const DIST = join(dirname(fileURLToPath(import.meta.url)), '..')
+const PRODUCT_FOLDER = join(DIST, '..')
+
+export const CALLER_PORT = 7100
+const PEER_PORT = 7200
+const OPERATOR_PORT = 7300
+const STAND_IN_PORT = 8000
+
+const CONTROL_COUNT = 3
+const DATA_CENTRES = ['hal-a', 'hal-a', 'depot']
+
+/** Host numbers within the block of addresses. */
+enum HostNumber {
+  FirstControl = 1,
+  FirstEntry = 4,
+  FirstEngine = 7,
+  Service = 9,
+  WeightStore = 10,
+  Scoring = 11,
+  Trainer = 12
+}
+
+export type Overrides = Record<string, unknown>
+
+export interface StandInOptions {
+  name: string
+  host: number
+  script: 'engine' | 'service' | 'scoring' | 'weights' | 'train'
+  settings: Overrides
+}
+
+export class LocalSystem {
+  readonly folder: string
+  readonly processes: ProcessGroup
+  private readonly _addresses: AddressBlock
+  private readonly _entryOverrides: Overrides
+
+  private constructor (addresses: AddressBlock, entryOverrides: Overrides) {
+    this._addresses = addresses
+    this._entryOverrides = entryOverrides
+    this.folder = mkdtempSync(join(tmpdir(), 'threaddrum-'))
+    this.processes = new ProcessGroup(this.folder, join(DIST, 'demo/guardian.js'))
+  }
+
+  /** @param entryOverrides further tables of the entry hosts' settings */
+  static async create (entryOverrides: Overrides = {}): Promise<LocalSystem> {
+    return new LocalSystem(await AddressBlock.take(), entryOverrides)
+  }
+
+  get controlAddresses (): string[] {
+    return range(CONTROL_COUNT).map(index => `${this._controlIp(index)}:${OPERATOR_PORT}`)
+  }
+
+  /** Where callers, trainers and endpoints connect. */
+  get entryAddresses (): string[] {
+    return DATA_CENTRES.map((_name, index) => `${this._entryIp(index)}:${CALLER_PORT}`)
+  }
+
+  get entryOperatorAddresses (): string[] {
+    return DATA_CENTRES.map((_name, index) => `${this._entryIp(index)}:${OPERATOR_PORT}`)
+  }
+
+  get weightStoreUrl (): string {
+    return `http://${this._addresses.ip(HostNumber.WeightStore)}:${STAND_IN_PORT}`
+  }
+
+  standInUrl (host: number): string {
+    return `http://${this._addresses.ip(host)}:${STAND_IN_PORT}`
+  }
+
+  /** A file of the product with its example addresses replaced by this system's. */
+  localFile (path: string): string {
+    const target = join(this.folder, path)
+    mkdirSync(dirname(target), { recursive: true })
+    writeFileSync(target, this._addresses.translate(readFileSync(join(PRODUCT_FOLDER, path), 'utf8')))
+    return target
+  }
+
+  startControls (): ManagedProcess[] {
+    return range(CONTROL_COUNT).map(index => this.startControl(index))
+  }
+
+  startControl (index: number): ManagedProcess {
+    const initialMembers = range(CONTROL_COUNT).map(member => ({ hostId: `control-${member + 1}`, peerAddress: `${this._controlIp(member)}:${PEER_PORT}` }))
+    const hostId = `control-${index + 1}`
+    const settings = {
+      host: { hostId, dataCentre: DATA_CENTRES[index], peerAddress: `${this._controlIp(index)}:${PEER_PORT}`, operatorAddress: `${this._controlIp(index)}:${OPERATOR_PORT}` },
+      storage: { dataFolder: this.dataFolder(index) },
+      cluster: { initialMembers }
+    }
+    return this._start(hostId, 'src/bin/threaddrumControl.js', settings)
+  }
+
+  /** Where a control host keeps its state. */
+  dataFolder (controlIndex: number): string {
+    return join(this.folder, `control-${controlIndex + 1}-data`)
+  }
+
+  wipeDataFolder (controlIndex: number): void {
+    rmSync(this.dataFolder(controlIndex), { recursive: true, force: true })
+  }
+
+  startEntries (): ManagedProcess[] {
+    return DATA_CENTRES.map((_name, index) => this.startEntry(index))
+  }
+
+  startEntry (index: number): ManagedProcess {
+    const ip = this._entryIp(index)
+    const hostId = `entry-${index + 1}`
+    const settings = {
+      host: {
+        hostId,
+        dataCentre: DATA_CENTRES[index],
+        callerAddress: `${ip}:${CALLER_PORT}`,
+        peerAddress: `${ip}:${PEER_PORT}`,
+        operatorAddress: `${ip}:${OPERATOR_PORT}`
+      },
+      control: { peerAddresses: range(CONTROL_COUNT).map(member => `${this._controlIp(member)}:${PEER_PORT}`) },
+      ...this._entryOverrides
+    }
+    return this._start(hostId, 'src/bin/threaddrumEntry.js', settings)
+  }
+
+  startEngine (index: number, overrides: Overrides = {}): ManagedProcess {
+    const name = `engine-${index + 1}`
+    return this.startStandIn({
+      name,
+      host: HostNumber.FirstEngine + index,
+      script: 'engine',
+      settings: { ...this._endpoint(name, 'hints', index), ...overrides }
+    })
+  }
+
+  startService (overrides: Overrides = {}): ManagedProcess {
+    const name = 'deck-service'
+    return this.startStandIn({ name, host: HostNumber.Service, script: 'service', settings: { ...this._endpoint(name, 'decks', 0), ...overrides } })
+  }
+
+  startScoring (overrides: Overrides = {}): ManagedProcess {
+    const name = 'scoring-service'
+    return this.startStandIn({ name, host: HostNumber.Scoring, script: 'scoring', settings: { ...this._endpoint(name, 'scoring', 1), ...overrides } })
+  }
+
+  startWeightStore (overrides: Overrides = {}): ManagedProcess {
+    return this.startStandIn({ name: 'weight-store', host: HostNumber.WeightStore, script: 'weights', settings: overrides })
+  }
+
+  startTrainer (settings: Overrides): ManagedProcess {
+    return this.startStandIn({
+      name: 'trainer',
+      host: HostNumber.Trainer,
+      script: 'train',
+      settings: { entryHosts: this.entryAddresses, dataCentre: DATA_CENTRES[0], weightStoreUrl: this.weightStoreUrl, ...settings }
+    })
+  }
+
+  startStandIn ({ name, host, script, settings }: StandInOptions): ManagedProcess {
+    const listenAddress = `${this._addresses.ip(host)}:${STAND_IN_PORT}`
+    return this._start(name, `standins/${script}.js`, { listenAddress, ...settings })
+  }
+
+  engineUrl (index: number): string {
+    return this.standInUrl(HostNumber.FirstEngine + index)
+  }
+
+  get serviceUrl (): string {
+    return this.standInUrl(HostNumber.Service)
+  }
+
+  get trainerUrl (): string {
+    return this.standInUrl(HostNumber.Trainer)
+  }
+
+  /** The command `threaddrum`, as a process of its own. */
+  startCommand (args: string[]): ManagedProcess {
+    const name = `threaddrum-${args[0]}-${this.processes.processes.length}`
+    return this.processes.start(name, join(DIST, 'src/bin/threaddrum.js'), [...args, '--control', this.controlAddresses.join(',')])
+  }
+
+  /** What any control host says; undefined while none does. */
+  async status (): Promise<ClusterStatus | undefined> {
+    for (const address of this.controlAddresses) {
+      const value = await getJson(`http://${address}${operatorPaths.status}`)
+      const parsed = clusterStatusSchema.safeParse(value)
+      if (parsed.success) return parsed.data
+    }
+    return undefined
+  }
+
+  /** Waits until a leader is known and every entry host may take work. */
+  async waitUntilReady (): Promise<ClusterStatus> {
+    return await waitFor('every entry host to hold its lease', async () => {
+      const status = await this.status()
+      const isReady = status?.entryHosts.length === DATA_CENTRES.length && status.entryHosts.every(({ holdsLease }) => holdsLease)
+      return isReady ? status : undefined
+    })
+  }
+
+  /** Kills what still runs and removes the folder. */
+  async dispose (): Promise<void> {
+    await this.processes.killAll()
+    this._addresses.release()
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  private _endpoint (endpointId: string, pool: string, dataCentreIndex: number): Overrides {
+    return { entryHosts: this.entryAddresses, endpointId, pool, dataCentre: DATA_CENTRES[dataCentreIndex * 2] ?? DATA_CENTRES[0] }
+  }
+
+  private _start (name: string, script: string, settings: Overrides): ManagedProcess {
+    const settingsFile = join(this.folder, `${name}.toml`)
+    writeFileSync(settingsFile, stringify(settings))
+    return this.processes.start(name, join(DIST, script), ['--settings', settingsFile])
+  }
+
+  private _controlIp (index: number): string {
+    return this._addresses.ip(HostNumber.FirstControl + index)
+  }
+
+  private _entryIp (index: number): string {
+    return this._addresses.ip(HostNumber.FirstEntry + index)
+  }
+}
+
+/** The JSON at a URL; undefined when there is none. */
+export async function getJson (url: string): Promise<unknown> {
+  try {
+    const answer = await request(url, { signal: AbortSignal.timeout(2_000) })
+    return await answer.body.json()
+  } catch {
+    return undefined
+  }
+}
+
+function range (count: number): number[] {
+  return Array.from({ length: count }, (_value, index) => index)
+}
--- a/standins/trainer.ts
+++ b/standins/trainer.ts
@@ -9,6 +9,7 @@
 import { RefusalReason } from '../src/protocol/refusals.js'
 import { openSessionReplySchema, pullReplySchema, type PullReply, type Sample } from '../src/protocol/trainers.js'
 import { sleepUntil, type Clock } from '../src/utils/clock.js'
+import { systemRandom } from '../src/utils/randomSource.js'
 import { Scope } from '../src/utils/scope.js'
 import { EntryClient } from './entryClient.js'
 import type { TrainerSettings } from './standInSettings.js'
@@ -98,7 +99,7 @@
   }
 
   private async _openSession (): Promise<boolean> {
-    const reply = await this._ask('session', {})
+    const reply = await this._ask('session', { sessionId: systemRandom().id() })
     if (reply.kind === 'fenced') return false
     const { sessionNumber, confirmedPosition } = openSessionReplySchema.parse(reply.value)
     this._sessionNumber = sessionNumber
