--- /dev/null
+++ b/tests/standins/checks.test.ts
@@ -0,0 +1,61 @@
+import test from 'ava'
+import type { Sample } from '../../src/protocol/trainers.js'
+import { GenerationRecord, recordTokens } from '../../standins/generationRecord.js'
+import { TrainerChecks } from '../../standins/trainerChecks.js'
+import { findFalseVersions } from '../../standins/versionCheck.js'
+
+const ENGINE = { engineId: 'engine-1', engineIncarnation: 1 }
+
+function sample (overrides: Partial<Sample> = {}): Sample {
+  return {
+    position: 1,
+    job: 'hints',
+    step: 0,
+    group: 0,
+    index: 0,
+    attemptId: 'a1',
+    prompt: 'p',
+    tokens: ['a ', 'b ', 'c '],
+    versions: [
+      { fromToken: 0, toToken: 2, weightVersion: 3, ...ENGINE },
+      { fromToken: 2, toToken: 3, weightVersion: 4, ...ENGINE }
+    ],
+    score: null,
+    ...overrides
+  }
+}
+
+function violationsOf (...samples: Array<[Sample, number]>): string[] {
+  const checks = new TrainerChecks(1, 0)
+  for (const [taken, trainerVersion] of samples) checks.takeSample(taken, trainerVersion)
+  return checks.violations
+}
+
+test('should accept a fresh, complete sample in its place', t => {
+  t.deepEqual(violationsOf([sample(), 4]), [])
+})
+
+test('should notice a gap, a repeat, a stale sample and a span that is missing', t => {
+  t.regex(violationsOf([sample({ position: 2 }), 4]).join(), /position 2 came after 0/)
+  t.regex(violationsOf([sample(), 4], [sample({ position: 2, attemptId: 'a2' }), 4]).join(), /slot 0\/0\/0 came twice/)
+  t.regex(violationsOf([sample(), 5]).join(), /2 versions old/)
+  t.regex(violationsOf([sample({ versions: sample().versions.slice(1) }), 4]).join(), /do not cover/)
+})
+
+test('should notice a step that is called complete but is not', t => {
+  const checks = new TrainerChecks(1, 0)
+  checks.takeSample(sample(), 4)
+  checks.finishStep(0, 2)
+  t.deepEqual(checks.violations, ['step 0 has 1 samples of 2'])
+})
+
+test('should notice versions and tokens that no engine made', t => {
+  const record = new GenerationRecord()
+  const entry = record.begin('r1', 'p', 0)
+  recordTokens(entry, ['a ', 'b '], { weightVersion: 3, ...ENGINE })
+  recordTokens(entry, ['c '], { weightVersion: 4, ...ENGINE })
+  t.deepEqual(findFalseVersions([sample()], [...record.entries]), [])
+  const claimsOne = sample({ versions: [{ fromToken: 0, toToken: 3, weightVersion: 4, ...ENGINE }] })
+  t.is(findFalseVersions([claimsOne], [...record.entries]).length, 1)
+  t.is(findFalseVersions([sample({ tokens: ['a ', 'x ', 'c '] })], [...record.entries]).length, 1)
+})
