Read streams in one place, for the demo and the tests of processes

Cause: both must tell a whole stream from one that was cut. Change: standins/streamReader.ts; the command takes any success status, as drain answers 202. Not run against the programs yet.

--- a/demo/demoRun.ts
+++ b/demo/demoRun.ts
@@ -1,12 +1,11 @@
 /** The steps of the demo, in order. */
-import { createInterface } from 'node:readline'
 import { readResourceFile } from '../src/cli/resourceFile.js'
 import { CallerHeader, callerPaths } from '../src/protocol/callers.js'
-import { completionChunkSchema } from '../src/protocol/endpoints.js'
 import { ResourceKind, rolloutJobSpecSchema, type RolloutJobSpec } from '../src/protocol/resources.js'
 import { systemClock } from '../src/utils/clock.js'
 import { EntryClient, type EntryAnswer, type EntryRequest } from '../standins/entryClient.js'
 import { engineRecordSchema, serviceRecordSchema, trainerRecordSchema } from '../standins/recordSchemas.js'
+import { readStream } from '../standins/streamReader.js'
 import { findFalseVersions } from '../standins/versionCheck.js'
 import { getJson, type LocalSystem } from './localSystem.js'
 import type { ManagedProcess } from './processGroup.js'
@@ -19,6 +18,7 @@
 const DECK_FILE = 'examples/dutch-deck.txt'
 const REVIEW_KEY = 'review-of-card-1'
 const PROGRESS_INTERVAL_MS = 1_000
+const MAX_TEXT_CHARS = 80
 
 type Answered = Extract<EntryAnswer, { kind: 'answered' }>
 
@@ -52,7 +52,7 @@
     const hosts = await this._client.hosts()
     say(`a caller asks for advice and is told to use ${hosts.join(', ')}`)
     const card = await this._ask({ method: 'GET', path: `${callerPaths.services}decks/cards/1` })
-    say(`  plain answer by ${String(card.headers[CallerHeader.ServedBy])}: ${(await card.body.text()).slice(0, 100)}`)
+    say(`  plain answer by ${String(card.headers[CallerHeader.ServedBy])}: ${(await card.body.text()).slice(0, MAX_TEXT_CHARS)}`)
     await this._review()
     await this._stream()
   }
@@ -128,17 +128,9 @@
       headers: { [CallerHeader.PriorityClass]: 'learners' },
       body: JSON.stringify({ model: 'practice-lm', prompt: 'Kaart "de brug": geef een oefenhint.', max_tokens: 40, stream: true })
     })
-    let text = ''
-    let count = 0
-    for await (const line of createInterface({ input: answer.body })) {
-      if (!line.startsWith('data: ') || line === 'data: [DONE]') continue
-      const chunk = completionChunkSchema.parse(JSON.parse(line.slice('data: '.length)))
-      if (chunk.token_offset !== count) throw new Error(`the stream jumps from token ${count} to ${chunk.token_offset}`)
-      text += chunk.tokens.join('')
-      count += chunk.tokens.length
-    }
-    if (count === 0) throw new Error('the stream was empty')
-    say(`  streamed answer, ${count} tokens: ${text.slice(0, 80)}`)
+    const { tokens, isWhole, misplacedCount } = await readStream(answer.body)
+    if (!isWhole || misplacedCount > 0 || tokens.length === 0) throw new Error(`the stream was not whole: ${tokens.length} tokens, ${misplacedCount} out of place`)
+    say(`  streamed answer, ${tokens.length} tokens: ${tokens.join('').slice(0, MAX_TEXT_CHARS)}`)
   }
 
   /** Asks again, as a caller does, while nothing was executed. */
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -37,6 +37,7 @@
 const TRY_TIMEOUT_MS = 5_000
 const PAUSE_BETWEEN_ROUNDS_MS = 200
 const STATUS_OK = 200
+const FIRST_REDIRECT_STATUS = 300
 const STATUS_NOT_FOUND = 404
 const STATUS_GONE = 410
 /** Statuses after which another host, or the same one later, may do better. */
@@ -155,7 +156,8 @@
   if (reply.kind === 'lost') return { kind: 'unreachable', message: reply.reason }
   if (reply.status === STATUS_NOT_FOUND) return { kind: 'notFound' }
   const parsed = schema.safeParse(reply.value)
-  if (reply.status === STATUS_OK && parsed.success) return { kind: 'answered', value: parsed.data }
+  const isSuccess = reply.status >= STATUS_OK && reply.status < FIRST_REDIRECT_STATUS
+  if (isSuccess && parsed.success) return { kind: 'answered', value: parsed.data }
   return { kind: 'refused', message: `status ${reply.status}: ${JSON.stringify(reply.value)}` }
 }
 
