Let an engine's record outlive its crash

Cause: a test that kills an engine still has to know which version made which token. Change: with recordFile, every stretch is appended before it is sent.

--- a/standins/completionStream.ts
+++ b/standins/completionStream.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http'
 import { FinishReason, type CompletionChunk, type CompletionRequest } from '../src/protocol/endpoints.js'
 import type { Sequence } from './generationBatch.js'
-import { recordTokens, type GenerationEntry } from './generationRecord.js'
+import type { GenerationEntry, GenerationRecord } from './generationRecord.js'
 import { answerLength, tokenAt } from './tokenSource.js'
 
 const MAX_UNSENT_BYTES = 64 * 1024
@@ -18,23 +18,33 @@
   weightVersion: () => number
 }
 
+export interface CompletionStreamParts {
+  response: ServerResponse
+  entry: GenerationEntry
+  record: GenerationRecord
+  identity: EngineIdentity
+  meanTokensCount: number
+}
+
 export class CompletionStream implements Sequence {
   readonly priority: number
   prefillChars: number
   private readonly _request: CompletionRequest
   private readonly _response: ServerResponse
   private readonly _entry: GenerationEntry
+  private readonly _record: GenerationRecord
   private readonly _identity: EngineIdentity
   private readonly _seed: string
   private readonly _length: number
   private _nextIndex: number
 
-  constructor (request: CompletionRequest, response: ServerResponse, entry: GenerationEntry, identity: EngineIdentity, meanTokensCount: number) {
+  constructor (request: CompletionRequest, { response, entry, record, identity, meanTokensCount }: CompletionStreamParts) {
     this.priority = request.priority ?? PRIORITY_OF_UNMARKED
     this.prefillChars = request.prompt.length
     this._request = request
     this._response = response
     this._entry = entry
+    this._record = record
     this._identity = identity
     this._seed = String(request.seed ?? request.request_id ?? '')
     this._nextIndex = entry.resumedFromToken
@@ -56,7 +66,7 @@
       tokens.push(tokenAt(this._request.prompt, this._seed, weightVersion, index))
     }
     this._nextIndex = toToken
-    recordTokens(this._entry, tokens, { weightVersion, engineId, engineIncarnation })
+    this._record.add(this._entry, tokens, { weightVersion, engineId, engineIncarnation })
     this._write(fromToken, tokens, this._finishReason())
     return toToken >= this._length
   }
--- a/standins/modelEngine.ts
+++ b/standins/modelEngine.ts
@@ -35,7 +35,7 @@
 
 export class ModelEngine {
   readonly server = new StandInServer()
-  readonly record = new GenerationRecord()
+  readonly record: GenerationRecord
   readonly orders: OrderDesk
   private readonly _settings: EngineSettings
   private readonly _clock: Clock
@@ -55,6 +55,7 @@
     this._clock = clock
     this._scope = new Scope(settings.endpointId)
     this._incarnation = clock.wallMs()
+    this.record = new GenerationRecord(settings.recordFile)
     this._batch = new GenerationBatch(clock, { ...settings, maxRunningCount: settings.maxConcurrentCount })
     this._cache = new PrefixCache(settings.cacheBlocksCount, settings.weightVersion)
     this._load = new LoadLag(clock, settings.loadLagMs, () => this._readLoad())
@@ -131,7 +132,7 @@
       engineIncarnation: this._incarnation,
       weightVersion: () => this._body.weightVersion
     }
-    const stream = new CompletionStream(completion, response, entry, identity, this._settings.meanTokensCount)
+    const stream = new CompletionStream(completion, { response, entry, record: this.record, identity, meanTokensCount: this._settings.meanTokensCount })
     stream.prefillChars = this._cache.admit(completion.prompt)
     response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' })
     response.flushHeaders()
--- a/standins/standInSettings.ts
+++ b/standins/standInSettings.ts
@@ -28,7 +28,9 @@
   cacheBlocksCount: z.int().min(1).default(1_000),
   meanTokensCount: z.number().positive().default(40),
   /** Generation stands still this long while weights are swapped. */
-  swapMs: z.number().min(0).default(50)
+  swapMs: z.number().min(0).default(50),
+  /** Where the record is also kept, so that it outlives a crash. */
+  recordFile: z.string().optional()
 })
 export type EngineSettings = z.output<typeof engineSettingsSchema>
 
--- a/tests/standins/checks.test.ts
+++ b/tests/standins/checks.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava'
 import type { Sample } from '../../src/protocol/trainers.js'
-import { GenerationRecord, recordTokens } from '../../standins/generationRecord.js'
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { GenerationRecord, readRecordFile } from '../../standins/generationRecord.js'
 import { TrainerChecks } from '../../standins/trainerChecks.js'
 import { findFalseVersions } from '../../standins/versionCheck.js'
 
@@ -50,10 +53,12 @@
 })
 
 test('should notice versions and tokens that no engine made', t => {
-  const record = new GenerationRecord()
+  const file = join(mkdtempSync(join(tmpdir(), 'threaddrum-record-')), 'engine')
+  const record = new GenerationRecord(file)
   const entry = record.begin('r1', 'p', 0)
-  recordTokens(entry, ['a ', 'b '], { weightVersion: 3, ...ENGINE })
-  recordTokens(entry, ['c '], { weightVersion: 4, ...ENGINE })
+  record.add(entry, ['a ', 'b '], { weightVersion: 3, ...ENGINE })
+  record.add(entry, ['c '], { weightVersion: 4, ...ENGINE })
+  t.deepEqual(readRecordFile(file), [...record.entries])
   t.deepEqual(findFalseVersions([sample()], [...record.entries]), [])
   const claimsOne = sample({ versions: [{ fromToken: 0, toToken: 3, weightVersion: 4, ...ENGINE }] })
   t.is(findFalseVersions([claimsOne], [...record.entries]).length, 1)
