Build afresh in setup, so that output without a source is never run

Cause: a test whose source a reset had removed still ran from dist. Ruled out: incremental builds, which leave such output.

--- a/tools/setup.mjs
+++ b/tools/setup.mjs
@@ -1,10 +1,10 @@
 /**
  * What `npm start` and `npm test` do first: install the locked packages when
- * they are missing, and build what has changed. Plain JavaScript, because it
+ * they are missing, and build. Plain JavaScript, because it
  * runs before the compiler is there.
  */
 import { spawnSync } from 'node:child_process'
-import { existsSync } from 'node:fs'
+import { existsSync, rmSync } from 'node:fs'
 
 function run (command, args) {
   const result = spawnSync(command, args, { stdio: ['ignore', 'inherit', 'inherit'] })
@@ -12,4 +12,6 @@
 }
 
 if (!existsSync('node_modules')) run('npm', ['ci'])
+// Built afresh: output whose source is gone would still be run as a test.
+rmSync('dist', { recursive: true, force: true })
 run('npx', ['tsc', '-p', '.'])
