Make no error for a scope that closes with nobody waiting

Cause: every framed call raced a deadline in a child scope of its own, and closing that scope built a ScopeClosedError. Building a modern-errors error (options, plugins, stack) was the largest entry of a processor profile of framed calls besides writing the bytes.

Change: Progress.race cancels its timer instead of closing a scope; Scope builds its error when an await or an abort signal needs it.

Ruled out: the lazy error alone.

Conclusion: errors are for what is thrown; a scope's end on the ordinary path costs none.

--- a/src/utils/progress.ts
+++ b/src/utils/progress.ts
@@ -2,7 +2,7 @@
  * A deadline and a call log, handed down the calls made for one request. The
  * log ends up in the refusal, so that it says what was tried.
  */
-import { sleepUntil, type Clock } from './clock.js'
+import type { Clock } from './clock.js'
 import type { Scope } from './scope.js'
 
 const MAX_LOG_LINES = 32
@@ -54,15 +54,15 @@
    * @throws ScopeClosedError when the scope closes first.
    */
   async race<T> (promise: Promise<T>): Promise<Raced<T>> {
-    const timerScope = this.scope.child('deadline')
-    const deadline = sleepUntil(this.clock, timerScope, this.deadlineMs)
-      .then((): Raced<T> => ({ kind: 'deadlinePassed' }))
-    deadline.catch(() => {})
+    let cancel = (): void => {}
+    const deadline = new Promise<Raced<T>>(resolve => {
+      cancel = this.clock.callAt(this.deadlineMs, () => resolve({ kind: 'deadlinePassed' }))
+    })
     try {
       const done = promise.then((value): Raced<T> => ({ kind: 'done', value }))
       return await this.scope.race(Promise.race([done, deadline]))
     } finally {
-      timerScope.close('race over')
+      cancel()
     }
   }
 }
--- a/src/utils/scope.ts
+++ b/src/utils/scope.ts
@@ -13,6 +13,8 @@
   private readonly _name: string
   private readonly _rejecters = new Set<Rejecter>()
   private readonly _closeCallbacks = new Set<() => void>()
+  private _closeReason: string | undefined
+  /** Made when somebody needs it: most scopes close with nobody waiting. */
   private _closedError: ScopeClosed | undefined
 
   constructor (name: string) {
@@ -24,12 +26,12 @@
   }
 
   get isClosed (): boolean {
-    return this._closedError !== undefined
+    return this._closeReason !== undefined
   }
 
   /** Why the scope was closed; undefined while it is open. */
   get closeReason (): string | undefined {
-    return this._closedError?.reason
+    return this._closeReason
   }
 
   /** Makes a scope that closes with this one, and that can close before it. */
@@ -42,7 +44,7 @@
 
   /** Calls back once when the scope closes, at once if it has closed already. */
   onClose (callback: () => void): () => void {
-    if (this._closedError) {
+    if (this.isClosed) {
       callback()
       return () => {}
     }
@@ -53,24 +55,23 @@
   /** An AbortSignal that fires when the scope closes, for libraries that take one. */
   signal (): AbortSignal {
     const controller = new AbortController()
-    this.onClose(() => controller.abort(this._closedError))
+    this.onClose(() => controller.abort(this._error()))
     return controller.signal
   }
 
   close (reason: string): void {
-    if (this._closedError) return
-    const error = new ScopeClosedError(`${this._name} closed: ${reason}`, { props: { reason } })
-    this._closedError = error
+    if (this.isClosed) return
+    this._closeReason = reason
     const rejecters = [...this._rejecters]
     this._rejecters.clear()
-    for (const reject of rejecters) reject(error)
+    for (const reject of rejecters) reject(this._error())
     const callbacks = [...this._closeCallbacks]
     this._closeCallbacks.clear()
     for (const callback of callbacks) callback()
   }
 
   throwIfClosed (): void {
-    if (this._closedError) throw this._closedError
+    if (this.isClosed) throw this._error()
   }
 
   /**
@@ -78,9 +79,9 @@
    * @throws ScopeClosedError when the scope closes first.
    */
   async race<T> (promise: Promise<T>): Promise<T> {
-    if (this._closedError) {
+    if (this.isClosed) {
       promise.catch(() => {})
-      throw this._closedError
+      throw this._error()
     }
     let rejecter: Rejecter | undefined
     const closed = new Promise<never>((_resolve, reject) => {
@@ -93,4 +94,10 @@
       if (rejecter) this._rejecters.delete(rejecter)
     }
   }
+
+  private _error (): ScopeClosed {
+    const reason = this._closeReason ?? ''
+    this._closedError ??= new ScopeClosedError(`${this._name} closed: ${reason}`, { props: { reason } })
+    return this._closedError
+  }
 }
