--- /dev/null
+++ b/bench/areas.ts
@@ -0,0 +1,8 @@
+/**
+ * The areas of the benchmark harness. An area is added here when its file
+ * lands.
+ */
+import type { BenchRun } from './benchResult.js'
+import { run as transport } from './transport.js'
+
+export const areas: Record<string, BenchRun> = { transport }
--- /dev/null
+++ b/tests/figures/bounds.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import type { BenchResult } from '../../bench/benchResult.js'
+import { areas } from '../../bench/areas.js'
+import { checkBounds, describeVerdict, passes, readBounds, type Bound } from '../../bench/bounds.js'
+
+const bound: Bound = { name: 'transport.bytes', max: 100, reading: 90, commit: '0123abc' }
+
+function verdictOf (value: number, unit: BenchResult['unit'] = 'bytes', name = bound.name) {
+  return checkBounds([bound], [{ name, value, unit }], ['transport'])[0]!
+}
+
+test('should hold a result at its bound and break one above it', t => {
+  t.true(passes(verdictOf(100)))
+  t.is(verdictOf(101).kind, 'broken')
+  t.is(verdictOf(NaN).kind, 'broken')
+  t.regex(describeVerdict(verdictOf(150)), /FAIL .*bound max 100, ratio to bound 1\.500, read 90 at 0123abc/)
+})
+
+test('should fail when the bounded result is not in the run', t => {
+  t.is(verdictOf(1, 'bytes', 'transport.other').kind, 'missing')
+})
+
+test('should refuse to bound what depends on the machine', t => {
+  t.is(verdictOf(1, 'us').kind, 'notBoundable')
+})
+
+test('should leave out the bounds of areas that did not run', t => {
+  t.deepEqual(checkBounds([bound], [], ['control']), [])
+})
+
+test('should name a known area in every stored bound', t => {
+  const bounds = readBounds()
+  t.true(bounds.length > 0)
+  for (const { name } of bounds) t.true((name.split('.')[0] ?? '') in areas, name)
+})
