Sketch the rollout ledger and the entry side of rollouts

Change: first whole draft; positions are given at the first offer instead of at the commit, so a stale group in waiting holds up nobody.

--- /dev/null
+++ b/src/control/ledgers/rollouts/delivery.ts
@@ -0,0 +1,145 @@
+/**
+ * Delivery by position and cursor.
+ *
+ * A sample gets its position when it is first offered, not when it is
+ * committed: so a group that goes stale while it waits holds up nobody, and
+ * positions have no gaps. What was offered and is not yet held is offered
+ * again, unchanged, to an equal pull on whatever host. The application of the
+ * pull in the log is the moment at which its samples are judged for staleness.
+ */
+import type { RolloutJobSpec } from '../../../protocol/resources.js'
+import { SampleDropReason, type CommittedSample, type RolloutCommandKind, type RolloutCommandOf, type RolloutResult, type RolloutResultOf } from '../../../protocol/rolloutCommands.js'
+import { allSlots, oldestDeliverableVersion, oldestVersion, slotsOf, type GroupState, type JobState, type PlacedSlot, type SlotState, type StepState } from './jobState.js'
+import { openSteps } from './slotLeasing.js'
+
+type Advance = RolloutCommandOf<RolloutCommandKind.Advance>
+
+export function advance (state: JobState, spec: RolloutJobSpec, command: Advance): RolloutResult {
+  if (command.sessionNumber !== state.sessionNumber) return { kind: 'sessionFenced', sessionNumber: state.sessionNumber }
+  const refused = checkCursor(state, command) ?? checkStep(state, command)
+  if (refused) return refused
+  confirm(state, command.heldPosition)
+  state.trainerVersion = Math.max(state.trainerVersion, command.trainerVersion)
+  moveToStep(state, command.step)
+  openSteps(state, spec)
+  dropStale(state, spec)
+  state.pullHostId = command.hostId
+  return offer(state, command)
+}
+
+function refuse (state: JobState, reason: RolloutResultOf<'pullRefused'>['reason']): RolloutResult {
+  return { kind: 'pullRefused', reason, confirmedPosition: state.confirmedPosition, step: state.step }
+}
+
+function checkCursor (state: JobState, { heldPosition }: Advance): RolloutResult | undefined {
+  if (heldPosition < state.confirmedPosition) return refuse(state, 'behindCursor')
+  if (heldPosition > state.offeredPosition) return refuse(state, 'aheadOfCursor')
+  return undefined
+}
+
+/** A trainer leaves a step only when it holds every sample of it. */
+function checkStep (state: JobState, { step, heldPosition }: Advance): RolloutResult | undefined {
+  if (step < state.step) return refuse(state, 'stepPassed')
+  if (step === state.step || state.step < 0) return undefined
+  const current = state.steps[0]
+  const isHeld = (slot: SlotState): boolean => slot.isConfirmed || (slot.position !== undefined && slot.position <= heldPosition)
+  const isWhole = current === undefined || [...slotsOf(state.job, current)].every(({ state }) => isHeld(state))
+  return isWhole ? undefined : refuse(state, 'stepIncomplete')
+}
+
+function confirm (state: JobState, heldPosition: number): void {
+  if (heldPosition <= state.confirmedPosition) return
+  for (const { state: slot } of allSlots(state)) {
+    if (slot.isConfirmed || slot.position === undefined || slot.position > heldPosition) continue
+    slot.isConfirmed = true
+    slot.attempts = []
+    delete slot.committed
+    state.counts.delivered++
+  }
+  state.confirmedPosition = heldPosition
+}
+
+function moveToStep (state: JobState, step: number): void {
+  if (step === state.step) return
+  if (state.step >= 0) {
+    const movedVersions = state.trainerVersion - state.versionAtStepStart
+    state.versionsPerStep = Math.round(movedVersions / (step - state.step))
+  }
+  state.step = step
+  state.versionAtStepStart = state.trainerVersion
+  // Whole steps that the trainer has left are dropped: the ledger's size does not grow with time.
+  state.steps = state.steps.filter(open => open.step >= step)
+  if (state.steps[0] && state.steps[0].step !== step) state.steps = []
+}
+
+/** Frees the slots of samples that are too old for the trainer as it is now. */
+function dropStale (state: JobState, spec: RolloutJobSpec): void {
+  dropStaleWhere(state, spec, () => true)
+}
+
+/**
+ * The same when weights are published. What was offered stays: the trainer may
+ * hold it, and says so with its next pull.
+ */
+export function dropStaleUnoffered (state: JobState, spec: RolloutJobSpec): void {
+  dropStaleWhere(state, spec, slot => slot.position === undefined)
+}
+
+function dropStaleWhere (state: JobState, spec: RolloutJobSpec, isConcerned: (slot: SlotState) => boolean): void {
+  const oldest = oldestDeliverableVersion(state, spec)
+  for (const { state: slot } of allSlots(state)) {
+    if (!slot.committed || !isConcerned(slot)) continue
+    if (oldestVersion(slot.committed.versions) < oldest) dropCommitted(state, slot, SampleDropReason.Stale)
+  }
+}
+
+/** The slot, and its position if it has one, is to be filled again. */
+export function dropCommitted (state: JobState, slot: SlotState, reason: SampleDropReason): void {
+  delete slot.committed
+  state.counts.rerun++
+  if (reason === SampleDropReason.Stale) state.counts.staleDropped++
+  else state.counts.contentLost++
+}
+
+function offer (state: JobState, command: Advance): RolloutResult {
+  const current = state.steps[0]
+  if (!current) return { kind: 'advanced', deliverable: [], stepComplete: true, trainerVersion: state.trainerVersion }
+  const hasOffered = state.offeredPosition > command.heldPosition
+  const placed = hasOffered ? offeredAgain(state, current) : offerWholeGroups(state, current, command.maxSamplesCount)
+  const offered = new Set(placed.map(({ state }) => state))
+  const stepComplete = [...slotsOf(state.job, current)].every(({ state }) => state.isConfirmed || offered.has(state))
+  return { kind: 'advanced', deliverable: placed.map(toDeliverable), stepComplete, trainerVersion: state.trainerVersion }
+}
+
+/** The samples behind the cursor, up to the first group that is not whole at the moment. */
+function offeredAgain (state: JobState, step: StepState): PlacedSlot[] {
+  const offered = [...slotsOf(state.job, step)]
+    .filter(({ state }) => !state.isConfirmed && state.position !== undefined)
+    .sort((a, b) => (a.state.position ?? 0) - (b.state.position ?? 0))
+  const broken = offered.findIndex(({ group }) => !isWhole(group))
+  return broken < 0 ? offered : offered.slice(0, broken)
+}
+
+function isWhole (group: GroupState): boolean {
+  return group.slots.every(slot => slot.isConfirmed || slot.committed !== undefined)
+}
+
+function offerWholeGroups (state: JobState, step: StepState, maxSamplesCount: number): PlacedSlot[] {
+  const placed: PlacedSlot[] = []
+  for (const [group, groupState] of step.groups.entries()) {
+    const isNew = groupState.slots.every(slot => slot.committed !== undefined && slot.position === undefined)
+    if (!isNew) continue
+    const isTooMany = placed.length > 0 && placed.length + groupState.slots.length > maxSamplesCount
+    if (isTooMany) break
+    for (const [index, slot] of groupState.slots.entries()) {
+      slot.position = ++state.offeredPosition
+      placed.push({ slot: { job: state.job, step: step.step, group, index }, group: groupState, state: slot })
+    }
+  }
+  return placed
+}
+
+function toDeliverable ({ slot, state }: PlacedSlot): CommittedSample {
+  const { attemptId = '', holderHostIds = [], versions = [] } = state.committed ?? {}
+  return { ...slot, position: state.position ?? 0, attemptId, holderHostIds, versions }
+}
--- /dev/null
+++ b/src/control/ledgers/rollouts/forecast.ts
@@ -0,0 +1,28 @@
+/**
+ * Forecasts how many tokens a sample will have, from the samples of the same
+ * prompt that were committed before. Part of the replicated state, so that
+ * every host orders slots by the same forecast.
+ */
+import type { GroupState, JobState } from './jobState.js'
+
+/** Weight of the newest sample in the moving means. */
+const NEWEST_WEIGHT = 0.3
+
+/** Prompts with a forecast of their own; further ones use the mean of the job. */
+const MAX_PROMPTS = 4096
+
+export function recordLength (state: JobState, group: GroupState, tokensCount: number): void {
+  state.meanTokens = blend(state.meanTokens, tokensCount)
+  const known = state.forecastTokens[group.promptIndex]
+  if (known === undefined && Object.keys(state.forecastTokens).length >= MAX_PROMPTS) return
+  state.forecastTokens[group.promptIndex] = blend(known ?? 0, tokensCount)
+}
+
+/** Tokens that a sample of the group is expected to have. */
+export function forecastLength (state: JobState, group: GroupState): number {
+  return state.forecastTokens[group.promptIndex] ?? state.meanTokens
+}
+
+function blend (mean: number, newest: number): number {
+  return mean === 0 ? newest : mean + NEWEST_WEIGHT * (newest - mean)
+}
--- /dev/null
+++ b/src/control/ledgers/rollouts/hostLeases.ts
@@ -0,0 +1,57 @@
+/**
+ * Leases of entry hosts on the slots they run. A host renews all of its slots
+ * with one command; when it falls silent, its attempts are replaced.
+ */
+import { SampleDropReason } from '../../../protocol/rolloutCommands.js'
+import { allSlots, type JobState, type SlotState } from './jobState.js'
+
+/** A host that has not renewed for this long has lost its slots. */
+export const SLOT_LEASE_MS = 15_000
+
+export interface HostLease {
+  incarnation: number
+  /** Of the last command that was applied; one that arrives after a later one counts for nothing. */
+  sequence: number
+  /** By the clock of the log. */
+  leaseEndsAtMs: number
+}
+
+export type HostLeases = Record<string, HostLease>
+
+/** Frees the slots of every host whose lease has run out. */
+export function expireHosts (hosts: HostLeases, jobs: Iterable<JobState>, atMs: number): void {
+  const expired = Object.keys(hosts).filter(hostId => (hosts[hostId]?.leaseEndsAtMs ?? 0) <= atMs)
+  if (expired.length === 0) return
+  for (const hostId of expired) delete hosts[hostId]
+  const lost = new Set(expired)
+  for (const job of jobs) {
+    releaseWhere(job, attempt => lost.has(attempt.hostId), SampleDropReason.HostLost)
+  }
+}
+
+interface Renewal {
+  hostId: string
+  hostIncarnation: number
+  sequence: number
+}
+
+/** @returns false for a command of an earlier process, or one that a later command has overtaken */
+export function renewHost (hosts: HostLeases, { hostId, hostIncarnation, sequence }: Renewal, atMs: number): boolean {
+  const known = hosts[hostId]
+  const isSuperseded = known && (known.incarnation > hostIncarnation || (known.incarnation === hostIncarnation && known.sequence >= sequence))
+  if (isSuperseded) return false
+  hosts[hostId] = { incarnation: hostIncarnation, sequence, leaseEndsAtMs: atMs + SLOT_LEASE_MS }
+  return true
+}
+
+/** Ends attempts; their slots wait again unless another attempt runs. */
+export function releaseWhere (job: JobState, isLost: (attempt: SlotState['attempts'][number]) => boolean, reason: SampleDropReason): void {
+  for (const { state } of allSlots(job)) {
+    if (state.attempts.length === 0) continue
+    const kept = state.attempts.filter(attempt => !isLost(attempt))
+    if (kept.length === state.attempts.length) continue
+    state.attempts = kept
+    if (reason === SampleDropReason.HostLost) job.counts.hostLost++
+    if (kept.length === 0) job.counts.rerun++
+  }
+}
--- /dev/null
+++ b/src/control/ledgers/rollouts/jobState.ts
@@ -0,0 +1,146 @@
+/**
+ * The state of one rollout job in the ledger: plain data, so that it can be
+ * snapshot as it stands, and the small questions that are asked of it.
+ */
+import type { RolloutJobSpec } from '../../../protocol/resources.js'
+import type { Slot } from '../../../protocol/rolloutCommands.js'
+import type { VersionSpan } from '../../../protocol/trainers.js'
+
+export interface AttemptState {
+  attemptId: string
+  hostId: string
+  isDuplicate: boolean
+}
+
+export interface CommittedState {
+  attemptId: string
+  holderHostIds: string[]
+  versions: VersionSpan[]
+}
+
+export interface SlotState {
+  attempts: AttemptState[]
+  attemptsCount: number
+  committed?: CommittedState
+  /** Set when the sample was first offered; stays when the content is rerun. */
+  position?: number
+  /** The trainer has it. */
+  isConfirmed: boolean
+}
+
+export interface GroupState {
+  prompt: string
+  promptIndex: number
+  slots: SlotState[]
+}
+
+/** The shape of a step is fixed when it opens, whatever the job becomes. */
+export interface StepState {
+  step: number
+  groups: GroupState[]
+}
+
+export interface JobCounts {
+  staleDropped: number
+  lateDropped: number
+  contentLost: number
+  hostLost: number
+  rerun: number
+  delivered: number
+}
+
+export interface JobState {
+  job: string
+  sessionNumber: number
+  sessionId: string
+  /** The trainer's step; -1 before the first pull. */
+  step: number
+  trainerVersion: number
+  publishedVersion: number
+  /** How far the trainer's version moved from one step to the next, last time. */
+  versionsPerStep: number
+  versionAtStepStart: number
+  confirmedPosition: number
+  offeredPosition: number
+  /** Open steps in order: the current one first. */
+  steps: StepState[]
+  /** The host where the trainer last pulled. */
+  pullHostId?: string
+  counts: JobCounts
+  /** Moving mean of tokens for each prompt, by its index. */
+  forecastTokens: Record<string, number>
+  meanTokens: number
+}
+
+export function newJobState (job: string): JobState {
+  return {
+    job,
+    sessionNumber: 0,
+    sessionId: '',
+    step: -1,
+    trainerVersion: 0,
+    publishedVersion: 0,
+    versionsPerStep: 1,
+    versionAtStepStart: 0,
+    confirmedPosition: 0,
+    offeredPosition: 0,
+    steps: [],
+    counts: { staleDropped: 0, lateDropped: 0, contentLost: 0, hostLost: 0, rerun: 0, delivered: 0 },
+    forecastTokens: {},
+    meanTokens: 0
+  }
+}
+
+export function openStep (step: number, spec: RolloutJobSpec): StepState {
+  const groups: GroupState[] = []
+  for (let group = 0; group < spec.groupsPerStepCount; group++) {
+    const promptIndex = (step * spec.groupsPerStepCount + group) % spec.prompts.length
+    groups.push({ prompt: spec.prompts[promptIndex] ?? '', promptIndex, slots: newSlots(spec.groupSizeCount) })
+  }
+  return { step, groups }
+}
+
+function newSlots (count: number): SlotState[] {
+  return Array.from({ length: count }, () => ({ attempts: [], attemptsCount: 0, isConfirmed: false }))
+}
+
+export function findSlot (state: JobState, slot: Slot): SlotState | undefined {
+  const step = state.steps.find(({ step }) => step === slot.step)
+  return step?.groups[slot.group]?.slots[slot.index]
+}
+
+export interface PlacedSlot {
+  slot: Slot
+  group: GroupState
+  state: SlotState
+}
+
+export function * slotsOf (job: string, step: StepState): Generator<PlacedSlot> {
+  for (const [group, groupState] of step.groups.entries()) {
+    for (const [index, state] of groupState.slots.entries()) {
+      yield { slot: { job, step: step.step, group, index }, group: groupState, state }
+    }
+  }
+}
+
+export function * allSlots (state: JobState): Generator<PlacedSlot> {
+  for (const step of state.steps) yield * slotsOf(state.job, step)
+}
+
+/** Nobody runs it and it has no sample. */
+export function isWaiting (slot: SlotState): boolean {
+  return !slot.isConfirmed && slot.committed === undefined && slot.attempts.length === 0
+}
+
+export function oldestVersion (versions: VersionSpan[]): number {
+  return versions.reduce((oldest, span) => Math.min(oldest, span.weightVersion), Number.POSITIVE_INFINITY)
+}
+
+export function tokensCountOf (versions: VersionSpan[]): number {
+  return versions.reduce((count, span) => Math.max(count, span.toToken), 0)
+}
+
+/** The oldest weights that a sample may name when it is delivered now. */
+export function oldestDeliverableVersion (state: JobState, spec: RolloutJobSpec): number {
+  return state.trainerVersion - spec.stalenessBoundVersions
+}
--- /dev/null
+++ b/src/control/ledgers/rollouts/slotLeasing.ts
@@ -0,0 +1,129 @@
+/**
+ * Which slots a host gets: those that hold the trainer up first, then the
+ * likely-long ones, so that a long sample never starts last; then slots of
+ * later steps as far as the staleness bound will let them be delivered.
+ */
+import type { RolloutJobSpec } from '../../../protocol/resources.js'
+import type { JobOutlook, LeasedSlot, WantedSlots } from '../../../protocol/rolloutCommands.js'
+import { forecastLength } from './forecast.js'
+import { isWaiting, openStep, slotsOf, type JobState, type PlacedSlot, type StepState } from './jobState.js'
+
+/** At most this many attempts at one slot run at once. */
+const MAX_ATTEMPTS_AT_ONCE = 2
+
+/** Opens the current step, and later ones as far as the job starts ahead. */
+export function openSteps (state: JobState, spec: RolloutJobSpec): void {
+  if (state.step < 0) return
+  const lastStep = state.step + spec.startAheadSteps
+  let next = (state.steps.at(-1)?.step ?? state.step - 1) + 1
+  for (; next <= lastStep; next++) state.steps.push(openStep(next, spec))
+}
+
+/** The trainer's version when it will pull a step, as far as can be told. */
+function forecastTrainerVersion (state: JobState, step: number): number {
+  return state.trainerVersion + (step - state.step) * state.versionsPerStep
+}
+
+/**
+ * How old weights may be when a sample starts. The knob `stalenessWeight`
+ * takes its share of the bound away: at 0 the whole bound is used to keep
+ * engines busy, at 1 only weights that will be fresh at delivery are used.
+ */
+function allowedVersions (spec: RolloutJobSpec): number {
+  return Math.round(spec.stalenessBoundVersions * (1 - spec.stalenessWeight))
+}
+
+/** The oldest weights with which a sample of the step may be started. */
+function minWeightVersion (state: JobState, spec: RolloutJobSpec, step: number): number {
+  return forecastTrainerVersion(state, step) - allowedVersions(spec)
+}
+
+/** Whether any engine can have the weights that the step needs. */
+function mayStart (state: JobState, spec: RolloutJobSpec, step: number): boolean {
+  return step === state.step || minWeightVersion(state, spec, step) <= state.publishedVersion
+}
+
+function waitingSlots (state: JobState, step: StepState): PlacedSlot[] {
+  const waiting = [...slotsOf(state.job, step)].filter(({ state }) => isWaiting(state))
+  return waiting.sort((a, b) => compareUrgency(state, a, b))
+}
+
+function compareUrgency (state: JobState, a: PlacedSlot, b: PlacedSlot): number {
+  const aPosition = a.state.position ?? Number.POSITIVE_INFINITY
+  const bPosition = b.state.position ?? Number.POSITIVE_INFINITY
+  if (aPosition !== bPosition) return aPosition - bPosition
+  return forecastLength(state, b.group) - forecastLength(state, a.group)
+}
+
+function duplicableSlots (state: JobState, step: StepState, hostId: string): PlacedSlot[] {
+  const running = [...slotsOf(state.job, step)].filter(({ state }) => {
+    const { attempts, committed } = state
+    return committed === undefined && attempts.length > 0 && attempts.length < MAX_ATTEMPTS_AT_ONCE
+  })
+  return running
+    .filter(({ state }) => state.attempts.every(attempt => attempt.hostId !== hostId))
+    .sort((a, b) => compareUrgency(state, a, b))
+}
+
+export interface Lessee {
+  hostId: string
+  /** Index of the log entry: makes attempt ids unique. */
+  logIndex: number
+}
+
+export function leaseSlots (state: JobState, spec: RolloutJobSpec, wanted: WantedSlots, lessee: Lessee): LeasedSlot[] {
+  if (spec.paused) return []
+  const leased: LeasedSlot[] = []
+  let aheadCount = wanted.maxAheadCount
+  for (const step of state.steps) {
+    if (!mayStart(state, spec, step.step)) break
+    const isAhead = step.step !== state.step
+    for (const placed of waitingSlots(state, step)) {
+      if (leased.length >= wanted.maxSlotsCount || (isAhead && aheadCount <= 0)) break
+      if (isAhead) aheadCount--
+      leased.push(startAttempt(state, spec, placed, lessee, leased.length))
+    }
+  }
+  return leased.concat(leaseDuplicates(state, spec, wanted, lessee, leased.length))
+}
+
+function leaseDuplicates (state: JobState, spec: RolloutJobSpec, wanted: WantedSlots, lessee: Lessee, takenCount: number): LeasedSlot[] {
+  const current = state.steps[0]
+  if (!current || wanted.maxDuplicatesCount === 0 || takenCount >= wanted.maxSlotsCount) return []
+  const slots = duplicableSlots(state, current, lessee.hostId).slice(0, wanted.maxDuplicatesCount)
+  return slots.map((placed, at) => startAttempt(state, spec, placed, lessee, takenCount + at))
+}
+
+function startAttempt (state: JobState, spec: RolloutJobSpec, placed: PlacedSlot, lessee: Lessee, at: number): LeasedSlot {
+  const { slot, group, state: slotState } = placed
+  const attemptId = `${lessee.hostId}.${state.job}.${lessee.logIndex}.${at}`
+  const isDuplicate = slotState.attempts.length > 0
+  const earlierAttemptsCount = slotState.attemptsCount
+  slotState.attempts.push({ attemptId, hostId: lessee.hostId, isDuplicate })
+  slotState.attemptsCount++
+  return {
+    ...slot,
+    attemptId,
+    prompt: group.prompt,
+    expectedTokensCount: forecastLength(state, group) || spec.maxTokensCount,
+    minWeightVersion: minWeightVersion(state, spec, slot.step),
+    earlierAttemptsCount,
+    isDuplicate,
+    isAhead: slot.step !== state.step
+  }
+}
+
+export function outlookOf (state: JobState, spec: RolloutJobSpec): JobOutlook {
+  const count = (step: StepState): number => [...slotsOf(state.job, step)].filter(({ state }) => isWaiting(state)).length
+  const startable = spec.paused ? [] : state.steps.filter(({ step }) => mayStart(state, spec, step))
+  const current = startable.filter(({ step }) => step === state.step)
+  const ahead = startable.filter(({ step }) => step !== state.step)
+  return {
+    job: state.job,
+    step: state.step,
+    trainerVersion: state.trainerVersion,
+    publishedVersion: state.publishedVersion,
+    waitingCount: current.reduce((sum, step) => sum + count(step), 0),
+    waitingAheadCount: ahead.reduce((sum, step) => sum + count(step), 0)
+  }
+}
--- a/src/entry/completions/completionRunner.ts
+++ b/src/entry/completions/completionRunner.ts
@@ -18,8 +18,11 @@
   resumeVersions?: VersionSpan[]
 }
 
-/** Called for each run of new tokens in order, without gap or repeat; waits for a slow reader. */
-export type TokenSink = (tokens: string[]) => Promise<void> | void
+/**
+ * Called for each run of new tokens in order, without gap or repeat; waits for
+ * a slow reader. The versions are those of these tokens, by absolute index.
+ */
+export type TokenSink = (tokens: string[], versions?: VersionSpan[]) => Promise<void> | void
 
 export interface PartialCompletion {
   tokens: string[]
--- /dev/null
+++ b/src/entry/rollouts/trainerRoutes.ts
@@ -0,0 +1,175 @@
+/**
+ * The routes of trainers: session, pull and weights. Every call may be
+ * repeated, on any host.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { z } from 'zod'
+import { callerPaths } from '../../protocol/callers.js'
+import { Executed, RefusalReason, refusalStatus, type Refusal } from '../../protocol/refusals.js'
+import { RolloutCommandKind, type RolloutResult } from '../../protocol/rolloutCommands.js'
+import { publishWeightsSchema, pullRequestSchema, type OpenSessionReply } from '../../protocol/trainers.js'
+import { MetricName } from '../../utils/metricNames.js'
+import { Progress } from '../../utils/progress.js'
+import type { Exchange, Route } from '../http/route.js'
+import type { LedgerClient } from './ledgerClient.js'
+import type { PullServer } from './pullServer.js'
+import { RolloutEvent } from './rolloutEvents.js'
+import type { RolloutParts } from './rolloutParts.js'
+
+const MAX_BODY_BYTES = 64 * 1024
+const CALL_TIMEOUT_MS = 10_000
+/** Time beyond the wait of a pull for bringing contents together. */
+const PULL_GRACE_MS = 10_000
+const MAX_PULL_WAIT_MS = 60_000
+const RETRY_AFTER_MS = 1_000
+
+const openSessionRequestSchema = z.object({
+  /** Chosen by the trainer: an equal request gets the same session again. */
+  sessionId: z.string().min(1).max(128).optional()
+})
+
+export interface TrainerRoutesOptions {
+  parts: RolloutParts
+  ledger: LedgerClient
+  pulls: PullServer
+  /** The job has a new weight version. */
+  onWeightsPublished: (job: string, weightVersion: number) => void
+}
+
+type Answer = { kind: 'ok', body: unknown } | { kind: 'refused', refusal: Refusal }
+type Call = (job: string, body: unknown, exchange: Exchange) => Promise<Answer>
+
+export class TrainerRoutes {
+  private readonly _options: TrainerRoutesOptions
+  private readonly _calls: Record<string, Call> = {
+    session: async (job, body, exchange) => await this._openSession(job, body, exchange),
+    pull: async (job, body, exchange) => await this._pull(job, body, exchange),
+    weights: async (job, body, exchange) => await this._publish(job, body, exchange)
+  }
+
+  constructor (options: TrainerRoutesOptions) {
+    this._options = options
+  }
+
+  routes (): Route[] {
+    return [{
+      name: 'trainers',
+      method: 'POST',
+      pathPrefix: callerPaths.trainers,
+      // What is committed is delivered by whatever host is asked: the ledger decides.
+      servedWithoutLease: true,
+      handle: async exchange => await this._handle(exchange)
+    }]
+  }
+
+  private async _handle (exchange: Exchange): Promise<void> {
+    const { metrics } = this._options.parts
+    metrics.count(MetricName.RequestReceived, { route: 'trainers' })
+    const answer = await this._answer(exchange)
+    switch (answer.kind) {
+      case 'ok':
+        metrics.count(MetricName.RequestAnswered, { route: 'trainers' })
+        return sendJson(exchange.response, 200, answer.body)
+      case 'refused':
+        metrics.count(MetricName.RequestRefused, { reason: answer.refusal.reason })
+        return sendRefusal(exchange.response, answer.refusal)
+    }
+  }
+
+  private async _answer (exchange: Exchange): Promise<Answer> {
+    const [job = '', callName = ''] = exchange.path.slice(callerPaths.trainers.length).split('/')
+    const call = Object.hasOwn(this._calls, callName) ? this._calls[callName] : undefined
+    if (!call) return refuse(RefusalReason.MalformedRequest, `no call ${callName}`)
+    const body = await readJson(exchange.request)
+    if (body.kind === 'malformed') return refuse(RefusalReason.MalformedRequest, body.message)
+    return await call(decodeURIComponent(job), body.value, exchange)
+  }
+
+  private async _openSession (job: string, body: unknown, exchange: Exchange): Promise<Answer> {
+    const parsed = openSessionRequestSchema.safeParse(body ?? {})
+    if (!parsed.success) return refuse(RefusalReason.MalformedRequest, z.prettifyError(parsed.error))
+    const sessionId = parsed.data.sessionId ?? this._options.parts.random.id()
+    const result = await this._submit({ kind: RolloutCommandKind.OpenSession, job, sessionId }, exchange)
+    if (result?.kind !== 'sessionOpened') return refuseResult(result)
+    const { sessionNumber, confirmedPosition } = result
+    this._options.parts.logger.event(RolloutEvent.SessionOpened, { job, sessionNumber })
+    const reply: OpenSessionReply = { sessionNumber, confirmedPosition }
+    return { kind: 'ok', body: reply }
+  }
+
+  private async _pull (job: string, body: unknown, exchange: Exchange): Promise<Answer> {
+    const { clock } = this._options.parts
+    const parsed = pullRequestSchema.safeParse(body)
+    if (!parsed.success) return refuse(RefusalReason.MalformedRequest, z.prettifyError(parsed.error))
+    const waitMs = Math.min(parsed.data.waitMs, MAX_PULL_WAIT_MS)
+    const progress = new Progress(clock, exchange.progress.scope, clock.nowMs() + waitMs + PULL_GRACE_MS)
+    const outcome = await this._options.pulls.pull(job, { ...parsed.data, waitMs }, progress)
+    switch (outcome.kind) {
+      case 'reply': return { kind: 'ok', body: outcome.reply }
+      case 'refused': return refuseResult(outcome.result)
+      case 'unavailable': return refuseResult(undefined)
+    }
+  }
+
+  private async _publish (job: string, body: unknown, exchange: Exchange): Promise<Answer> {
+    const parsed = publishWeightsSchema.safeParse(body)
+    if (!parsed.success) return refuse(RefusalReason.MalformedRequest, z.prettifyError(parsed.error))
+    const result = await this._submit({ kind: RolloutCommandKind.PublishWeights, job, ...parsed.data }, exchange)
+    if (result?.kind !== 'published') return refuseResult(result)
+    this._options.parts.logger.event(RolloutEvent.WeightsPublished, { job, weightVersion: result.weightVersion })
+    this._options.onWeightsPublished(job, result.weightVersion)
+    return { kind: 'ok', body: { weightVersion: result.weightVersion } }
+  }
+
+  private async _submit (command: Parameters<LedgerClient['submit']>[0], exchange: Exchange): Promise<RolloutResult | undefined> {
+    const { clock } = this._options.parts
+    return await this._options.ledger.submit(command, new Progress(clock, exchange.progress.scope, clock.nowMs() + CALL_TIMEOUT_MS))
+  }
+}
+
+function refuse (reason: RefusalReason, message: string, retryAfterMs?: number): Answer {
+  return { kind: 'refused', refusal: { reason, executed: Executed.No, message, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) } }
+}
+
+function refuseResult (result: RolloutResult | undefined): Answer {
+  switch (result?.kind) {
+    case 'unknownJob':
+      return refuse(RefusalReason.UnknownJob, 'no such job is declared')
+    case 'sessionFenced':
+      return refuse(RefusalReason.SessionFenced, `session ${result.sessionNumber} of the job has replaced this one`)
+    case 'pullRefused':
+      return refuse(RefusalReason.CursorMismatch, `${result.reason}: position ${result.confirmedPosition} is confirmed, the step is ${result.step}`)
+    default:
+      // Commands of the ledger are idempotent, so the trainer may just ask again.
+      return { kind: 'refused', refusal: { reason: RefusalReason.ControlUnavailable, executed: Executed.Unknown, message: 'the ledger did not answer in time', retryAfterMs: RETRY_AFTER_MS } }
+  }
+}
+
+type BodyOutcome = { kind: 'read', value: unknown } | { kind: 'malformed', message: string }
+
+async function readJson (message: IncomingMessage): Promise<BodyOutcome> {
+  const chunks: Buffer[] = []
+  let sizeBytes = 0
+  for await (const chunk of message) {
+    sizeBytes += (chunk as Buffer).length
+    if (sizeBytes > MAX_BODY_BYTES) return { kind: 'malformed', message: `a body of at most ${MAX_BODY_BYTES} bytes is expected` }
+    chunks.push(chunk as Buffer)
+  }
+  const text = Buffer.concat(chunks).toString('utf8')
+  if (text === '') return { kind: 'read', value: undefined }
+  try {
+    return { kind: 'read', value: JSON.parse(text) }
+  } catch (error) {
+    return { kind: 'malformed', message: String(error) }
+  }
+}
+
+function sendJson (response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(body))
+}
+
+function sendRefusal (response: ServerResponse, refusal: Refusal): void {
+  if (refusal.retryAfterMs !== undefined) response.setHeader('retry-after', String(Math.ceil(refusal.retryAfterMs / 1000)))
+  sendJson(response, refusalStatus[refusal.reason], refusal)
+}
--- a/src/entry/scheduling/scheduler.ts
+++ b/src/entry/scheduling/scheduler.ts
@@ -20,6 +20,8 @@
   expectedTokensCount: number
   /** Engines with older weights are not chosen. */
   minWeightVersion?: number
+  /** The version meant is that of this adapter (`versionServed`). */
+  adapter?: string
   /** Endpoints that this work was tried on already. */
   excludedEndpointIds: string[]
   /** Only on an endpoint that would otherwise stand idle. */
--- a/src/protocol/endpoints.ts
+++ b/src/protocol/endpoints.ts
@@ -44,6 +44,17 @@
 })
 export type Announcement = z.infer<typeof announcementSchema>
 
+/**
+ * The version that an engine serves of its base weights, or of an adapter;
+ * undefined when it serves none. Adapters are announced as `name@version`.
+ */
+export function versionServed (announcement: Pick<Announcement, 'weightVersion' | 'adapters'>, adapter?: string): number | undefined {
+  if (adapter === undefined) return announcement.weightVersion
+  const prefix = `${adapter}@`
+  const versions = announcement.adapters.filter(name => name.startsWith(prefix)).map(name => Number(name.slice(prefix.length)))
+  return versions.length > 0 ? Math.max(...versions) : undefined
+}
+
 export const announcementReplySchema = z.object({
   /** The announcement must be repeated within this time. */
   leaseRemainingMs: z.number(),
--- a/src/protocol/refusals.ts
+++ b/src/protocol/refusals.ts
@@ -25,7 +25,9 @@
   HostNotReady = 'host_not_ready',
   LeaseLost = 'lease_lost',
   ControlUnavailable = 'control_unavailable',
-  SessionFenced = 'session_fenced'
+  SessionFenced = 'session_fenced',
+  /** A pull names a position or a step at which its session is not. */
+  CursorMismatch = 'cursor_mismatch'
 }
 
 /** Whether the request was executed, as far as the system can know. */
@@ -82,5 +84,6 @@
   [RefusalReason.HostNotReady]: 503,
   [RefusalReason.LeaseLost]: 503,
   [RefusalReason.ControlUnavailable]: 503,
-  [RefusalReason.SessionFenced]: 409
+  [RefusalReason.SessionFenced]: 409,
+  [RefusalReason.CursorMismatch]: 409
 }
--- a/src/protocol/resources.ts
+++ b/src/protocol/resources.ts
@@ -37,7 +37,9 @@
   /** Where the weights of the model come from: base URL of the weight store. */
   weightStoreUrl: z.string().optional(),
   /** Engines that keep serving while others swap, in percent. */
-  minServingPercent: z.number().min(0).max(100).default(50)
+  minServingPercent: z.number().min(0).max(100).default(50),
+  /** Engines that fetch from the weight store at once: as many as fill its rate. */
+  maxFetchingCount: positiveCount.default(2)
 })
 
 export const priorityClassSpecSchema = z.strictObject({
@@ -66,6 +68,8 @@
   scoringPool: z.string().optional(),
   /** Gives up an attempt that takes longer, in milliseconds. */
   attemptTimeoutMs: positiveCount.default(600_000),
+  /** The trainer's weights are an adapter of this name, so jobs can share engines. */
+  adapter: z.string().regex(/^[A-Za-z0-9._-]{1,64}$/).optional(),
   paused: z.boolean().default(false)
 })
 
