Prove the ledger of samples: positions, cursor, sessions, leases, staleness

Cause: the ledger decides what a trainer gets; each rule needs a test that fails without it. Change: fourteen tests over a harness that applies commands as a control host would; the forecast is a constructor argument; paths of the weight store and of scoring as the stand-ins have them. Trial: without the max() over published versions in publishWeights the racing-publish test fails; without the group check in offeredAgain the lost-content test fails.

--- a/src/control/ledgers/rolloutLedger.ts
+++ b/src/control/ledgers/rolloutLedger.ts
@@ -12,7 +12,7 @@
 import type { RolloutProgress } from '../../protocol/rolloutProgress.js'
 import type { ApplyContext, ReplicatedState } from '../replicatedState.js'
 import { advance, dropCommitted, dropStaleUnoffered } from './rollouts/delivery.js'
-import { recordLength } from './rollouts/forecast.js'
+import { forecastLength, recordLength, type Forecast } from './rollouts/forecast.js'
 import { expireHosts, releaseWhere, renewHost, SLOT_LEASE_MS, type HostLeases } from './rollouts/hostLeases.js'
 import { allSlots, findSlot, isWaiting, newJobState, oldestDeliverableVersion, oldestVersion, slotsOf, tokensCountOf, type JobState } from './rollouts/jobState.js'
 import { leaseSlots, openSteps, outlookOf } from './rollouts/slotLeasing.js'
@@ -27,10 +27,13 @@
 
 export class RolloutLedger implements ReplicatedState<RolloutCommand, RolloutResult> {
   private readonly _specOf: JobSpecs
+  private readonly _forecast: Forecast
   private _state: LedgerState = { hosts: {}, jobs: {} }
 
-  constructor (specOf: JobSpecs) {
+  /** @param forecast must be the same on all hosts: it decides the order of slots */
+  constructor (specOf: JobSpecs, forecast: Forecast = forecastLength) {
     this._specOf = specOf
+    this._forecast = forecast
   }
 
   apply (command: RolloutCommand, context: ApplyContext): RolloutResult {
@@ -87,7 +90,7 @@
       const state = this._state.jobs[wanted.job]
       if (!spec || !state) return []
       openSteps(state, spec)
-      return leaseSlots(state, spec, wanted, { hostId, logIndex: index })
+      return leaseSlots(state, spec, wanted, { hostId, logIndex: index, forecast: this._forecast })
     })
     return {
       kind: 'leased',
--- a/src/control/ledgers/rollouts/forecast.ts
+++ b/src/control/ledgers/rollouts/forecast.ts
@@ -18,7 +18,9 @@
   state.forecastTokens[group.promptIndex] = blend(known ?? 0, tokensCount)
 }
 
-/** Tokens that a sample of the group is expected to have. */
+/** Tokens that a sample of the group is expected to have; 0 when nothing is known. */
+export type Forecast = (state: JobState, group: GroupState) => number
+
 export function forecastLength (state: JobState, group: GroupState): number {
   return state.forecastTokens[group.promptIndex] ?? state.meanTokens
 }
--- a/src/control/ledgers/rollouts/slotLeasing.ts
+++ b/src/control/ledgers/rollouts/slotLeasing.ts
@@ -5,7 +5,7 @@
  */
 import type { RolloutJobSpec } from '../../../protocol/resources.js'
 import type { JobOutlook, LeasedSlot, WantedSlots } from '../../../protocol/rolloutCommands.js'
-import { forecastLength } from './forecast.js'
+import type { Forecast } from './forecast.js'
 import { isWaiting, openStep, slotsOf, type JobState, type PlacedSlot, type StepState } from './jobState.js'
 
 /** At most this many attempts at one slot run at once. */
@@ -43,32 +43,33 @@
   return step === state.step || minWeightVersion(state, spec, step) <= state.publishedVersion
 }
 
-function waitingSlots (state: JobState, step: StepState): PlacedSlot[] {
+function waitingSlots (state: JobState, step: StepState, forecast: Forecast): PlacedSlot[] {
   const waiting = [...slotsOf(state.job, step)].filter(({ state }) => isWaiting(state))
-  return waiting.sort((a, b) => compareUrgency(state, a, b))
+  return waiting.sort((a, b) => compareUrgency(state, forecast, a, b))
 }
 
-function compareUrgency (state: JobState, a: PlacedSlot, b: PlacedSlot): number {
+function compareUrgency (state: JobState, forecast: Forecast, a: PlacedSlot, b: PlacedSlot): number {
   const aPosition = a.state.position ?? Number.POSITIVE_INFINITY
   const bPosition = b.state.position ?? Number.POSITIVE_INFINITY
   if (aPosition !== bPosition) return aPosition - bPosition
-  return forecastLength(state, b.group) - forecastLength(state, a.group)
+  return forecast(state, b.group) - forecast(state, a.group)
 }
 
-function duplicableSlots (state: JobState, step: StepState, hostId: string): PlacedSlot[] {
+function duplicableSlots (state: JobState, step: StepState, { hostId, forecast }: Lessee): PlacedSlot[] {
   const running = [...slotsOf(state.job, step)].filter(({ state }) => {
     const { attempts, committed } = state
     return committed === undefined && attempts.length > 0 && attempts.length < MAX_ATTEMPTS_AT_ONCE
   })
   return running
     .filter(({ state }) => state.attempts.every(attempt => attempt.hostId !== hostId))
-    .sort((a, b) => compareUrgency(state, a, b))
+    .sort((a, b) => compareUrgency(state, forecast, a, b))
 }
 
 export interface Lessee {
   hostId: string
   /** Index of the log entry: makes attempt ids unique. */
   logIndex: number
+  forecast: Forecast
 }
 
 export function leaseSlots (state: JobState, spec: RolloutJobSpec, wanted: WantedSlots, lessee: Lessee): LeasedSlot[] {
@@ -78,7 +79,7 @@
   for (const step of state.steps) {
     if (!mayStart(state, spec, step.step)) break
     const isAhead = step.step !== state.step
-    for (const placed of waitingSlots(state, step)) {
+    for (const placed of waitingSlots(state, step, lessee.forecast)) {
       if (leased.length >= wanted.maxSlotsCount || (isAhead && aheadCount <= 0)) break
       if (isAhead) aheadCount--
       leased.push(startAttempt(state, spec, placed, lessee, leased.length))
@@ -90,7 +91,7 @@
 function leaseDuplicates (state: JobState, spec: RolloutJobSpec, wanted: WantedSlots, lessee: Lessee, takenCount: number): LeasedSlot[] {
   const current = state.steps[0]
   if (!current || wanted.maxDuplicatesCount === 0 || takenCount >= wanted.maxSlotsCount) return []
-  const slots = duplicableSlots(state, current, lessee.hostId).slice(0, wanted.maxDuplicatesCount)
+  const slots = duplicableSlots(state, current, lessee).slice(0, wanted.maxDuplicatesCount)
   return slots.map((placed, at) => startAttempt(state, spec, placed, lessee, takenCount + at))
 }
 
@@ -105,7 +106,7 @@
     ...slot,
     attemptId,
     prompt: group.prompt,
-    expectedTokensCount: forecastLength(state, group) || spec.maxTokensCount,
+    expectedTokensCount: lessee.forecast(state, group) || spec.maxTokensCount,
     minWeightVersion: minWeightVersion(state, spec, slot.step),
     earlierAttemptsCount,
     isDuplicate,
--- a/src/entry/rollouts/sampleScorer.ts
+++ b/src/entry/rollouts/sampleScorer.ts
@@ -3,7 +3,7 @@
  * tokens of a sample are never thrown away because its score is late.
  */
 import { request } from 'undici'
-import { z } from 'zod'
+import { SCORE_PATH, scoreReplySchema, type ScoreRequest } from '../../protocol/endpoints.js'
 import { RefusalReason, RetryReason } from '../../protocol/refusals.js'
 import { sleepUntil } from '../../utils/clock.js'
 import type { Progress } from '../../utils/progress.js'
@@ -15,14 +15,6 @@
 const FIRST_PAUSE_MS = 100
 const MAX_PAUSE_MS = 5_000
 
-/** POST {url}/v1/score */
-export interface ScoreRequest {
-  prompt: string
-  tokens: string[]
-}
-
-export const scoreReplySchema = z.object({ score: z.number() })
-
 export type ScoreOutcome =
   | { kind: 'scored', score: number }
   /** The service is there, but did not score. */
@@ -34,7 +26,7 @@
 export const scoreOverHttp: ScoreCall = async (url, body, progress) => {
   const callScope = progress.scope.child('score')
   try {
-    const answer = await request(`${url}/v1/score`, {
+    const answer = await request(url + SCORE_PATH, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
--- a/src/entry/rollouts/weights/poolCoordinator.ts
+++ b/src/entry/rollouts/weights/poolCoordinator.ts
@@ -8,7 +8,7 @@
  * reply to an order until the next announcement; so an engine that restarts
  * with older weights, or that a stray order has set back, is brought up again.
  */
-import { OrderKind, type Order } from '../../../protocol/endpoints.js'
+import { OrderKind, weightsUrl, type Order } from '../../../protocol/endpoints.js'
 import type { EndpointPoolSpec } from '../../../protocol/resources.js'
 import { MetricName } from '../../../utils/metricNames.js'
 import { Progress } from '../../../utils/progress.js'
@@ -126,7 +126,7 @@
     const deadlineMs = clock.nowMs() + ORDER_LIFETIME_MS
     this._ordered.set(endpointId, deadlineMs)
     const progress = new Progress(clock, scope, deadlineMs)
-    const outcome = await this._orders.order(url, this._toOrder(record, target, spec), progress)
+    const outcome = await this._orders.order(url, this._toOrder(target, spec), progress)
     const hasTaken = await this._hasTaken(record, target, outcome, scope)
     metrics.count(MetricName.WeightsSwapped, { outcome: hasTaken ? 'done' : outcome.kind === 'replied' ? outcome.reply.kind : outcome.kind })
     if (hasTaken) {
@@ -136,15 +136,14 @@
     } else if (!this._isFenced) this._noteFailure(record, target)
   }
 
-  private _toOrder ({ announcement }: EndpointRecord, { adapter, weightVersion }: WeightTarget, spec: EndpointPoolSpec): Order {
+  private _toOrder ({ adapter, weightVersion }: WeightTarget, spec: EndpointPoolSpec): Order {
     const { parts: { hostId, hostIncarnation }, pool, fencingNumber } = this._options
     const base = {
       fencing_number: fencingNumber,
       order_id: `${hostId}.${hostIncarnation}.${pool}.${++this._ordersCount}`,
       remaining_ms: ORDER_LIFETIME_MS
     }
-    const weights = adapter ?? spec.model ?? announcement.model ?? pool
-    const sourceUrl = `${spec.weightStoreUrl ?? ''}/${weights}/${weightVersion}`
+    const sourceUrl = weightsUrl(spec.weightStoreUrl ?? '', weightVersion, adapter)
     if (adapter === undefined) return { kind: OrderKind.LoadVersion, ...base, weight_version: weightVersion, source_url: sourceUrl }
     return { kind: OrderKind.LoadAdapter, ...base, adapter: `${adapter}@${weightVersion}`, source_url: sourceUrl }
   }
--- a/src/protocol/endpoints.ts
+++ b/src/protocol/endpoints.ts
@@ -141,3 +141,21 @@
 
 /** The header by which a plain service says, with status 503, that it did not run a call. */
 export const NOT_EXECUTED_HEADER = 'x-not-executed'
+
+/** POST {url}/v1/score of a service that scores samples. */
+export const SCORE_PATH = '/v1/score'
+
+export const scoreRequestSchema = z.object({
+  prompt: z.string(),
+  tokens: z.array(z.string())
+})
+export type ScoreRequest = z.infer<typeof scoreRequestSchema>
+
+export const scoreReplySchema = z.object({ score: z.number() })
+export type ScoreReply = z.infer<typeof scoreReplySchema>
+
+/** Where a version lies in a weight store: GET reads it, PUT by the trainer makes it. */
+export function weightsUrl (weightStoreUrl: string, weightVersion: number, adapter?: string): string {
+  const path = adapter === undefined ? String(weightVersion) : `${adapter}/${weightVersion}`
+  return `${weightStoreUrl.replace(/\/$/, '')}/v1/weights/${path}`
+}
--- /dev/null
+++ b/tests/rollouts/rolloutLedger.test.ts
@@ -0,0 +1,169 @@
+import test from 'ava'
+import { RolloutLedger } from '../../src/control/ledgers/rolloutLedger.js'
+import { SLOT_LEASE_MS } from '../../src/control/ledgers/rollouts/hostLeases.js'
+import { RolloutCommandKind, SampleDropReason } from '../../src/protocol/rolloutCommands.js'
+import { JOB, jobSpec, LedgerHarness } from '../fixtures/rollouts/ledgerHarness.js'
+
+function opened (spec = {}): LedgerHarness {
+  const harness = new LedgerHarness(spec)
+  harness.open()
+  harness.pull()
+  return harness
+}
+
+test('should offer a group only when it is whole, and give positions without a gap', t => {
+  const harness = opened()
+  const slots = harness.lease()
+  t.is(slots.length, 4)
+  const [a0, a1] = slots.filter(({ group }) => group === 0)
+  const [b0, b1] = slots.filter(({ group }) => group === 1)
+  if (!a0 || !a1 || !b0 || !b1) return t.fail('slots are missing')
+  harness.commit(b0)
+  harness.commit(a0)
+  t.deepEqual(harness.positions(), [])
+  harness.commit(b1)
+  t.deepEqual(harness.positions(), [1, 2])
+  harness.commit(a1)
+  t.deepEqual(harness.positions(), [1, 2], 'an equal pull gets the same samples again')
+  t.deepEqual(harness.positions({ heldPosition: 1 }), [2])
+  t.like(harness.pull({ heldPosition: 2 }), { stepComplete: true })
+  t.deepEqual(harness.positions({ heldPosition: 2 }), [3, 4])
+})
+
+test('should replay the same attempts to an equal pull on another host', t => {
+  const harness = opened()
+  for (const slot of harness.lease()) harness.commit(slot)
+  const first = harness.pull()
+  const again = harness.pull({ hostId: 'h2' })
+  t.is(first.kind, 'advanced')
+  t.deepEqual(again, first)
+})
+
+test('should fence the older session, and keep a session whose opening is resent', t => {
+  const harness = opened()
+  t.is(harness.open('s1'), 1)
+  t.is(harness.open('s2'), 2)
+  t.deepEqual(harness.pull({ sessionNumber: 1 }), { kind: 'sessionFenced', sessionNumber: 2 })
+  t.like(harness.apply({ kind: RolloutCommandKind.PublishWeights, job: JOB, sessionNumber: 1, weightVersion: 9 }), { kind: 'sessionFenced' })
+})
+
+test('should refuse cursors and steps at which the session cannot be', t => {
+  const harness = opened()
+  for (const slot of harness.lease()) harness.commit(slot)
+  t.deepEqual(harness.positions(), [1, 2, 3, 4])
+  t.like(harness.pull({ heldPosition: 5 }), { reason: 'aheadOfCursor' })
+  t.like(harness.pull({ step: 1, heldPosition: 3 }), { reason: 'stepIncomplete' })
+  t.deepEqual(harness.positions({ step: 1, heldPosition: 4 }), [])
+  t.like(harness.pull({ heldPosition: 2, step: 1 }), { reason: 'behindCursor', confirmedPosition: 4 })
+  t.like(harness.pull({ heldPosition: 4 }), { reason: 'stepPassed' })
+})
+
+test('should commit the first whole attempt only, and count late ones', t => {
+  const harness = opened()
+  const [slot] = harness.lease('h1', 1)
+  if (!slot) return t.fail()
+  harness.atMs += SLOT_LEASE_MS
+  const [again] = harness.lease('h2', 1)
+  t.like(again, { step: slot.step, group: slot.group, index: slot.index, earlierAttemptsCount: 1 })
+  t.deepEqual(harness.commit(slot), { kind: 'sampleRefused', reason: SampleDropReason.Late })
+  t.is(harness.commit(again ?? slot).kind, 'sampleCommitted')
+  t.is(harness.commit(again ?? slot).kind, 'sampleCommitted', 'a resent commit is the same commit')
+})
+
+test('should free the slots that a host does not name, and those of its earlier process', t => {
+  const harness = opened()
+  const [kept, lost] = harness.lease('h1', 2)
+  const renewed = harness.renew('h1', [kept?.attemptId ?? '', 'unknown'])
+  t.deepEqual(renewed.revokedAttemptIds, ['unknown'])
+  t.like(harness.commit(lost ?? t.fail() as never), { reason: SampleDropReason.Late })
+  const restarted = harness.renew('h1', [], { maxSlotsCount: 4 }, 2)
+  t.is(restarted.slots.length, 4)
+  t.throws(() => harness.renew('h1', [], {}, 1), { message: 'leaseSuperseded' })
+})
+
+test('should refuse a stale sample at the commit and run its slot again', t => {
+  const harness = opened()
+  const [slot] = harness.lease('h1', 1)
+  harness.pull({ trainerVersion: 2 })
+  t.deepEqual(harness.commit(slot ?? t.fail() as never, 0), { kind: 'sampleRefused', reason: SampleDropReason.Stale })
+  t.like(harness.ledger.progress(JOB), { staleDroppedCount: 1, rerunCount: 1, waitingCount: 4 })
+})
+
+test('should judge staleness against a publish that was applied before the pull', t => {
+  const harness = opened({ stalenessBoundVersions: 0 })
+  for (const slot of harness.lease()) harness.commit(slot, 0)
+  harness.apply({ kind: RolloutCommandKind.PublishWeights, job: JOB, sessionNumber: 1, weightVersion: 1 })
+  t.deepEqual(harness.positions({ trainerVersion: 0 }), [], 'the trainer has version 1, whatever the racing pull names')
+  t.like(harness.ledger.progress(JOB), { staleDroppedCount: 4, waitingCount: 4 })
+})
+
+test('should deliver before a publish that is applied after the pull, and keep what was offered', t => {
+  const harness = opened({ stalenessBoundVersions: 0 })
+  for (const slot of harness.lease()) harness.commit(slot, 0)
+  t.deepEqual(harness.positions(), [1, 2, 3, 4])
+  harness.apply({ kind: RolloutCommandKind.PublishWeights, job: JOB, sessionNumber: 1, weightVersion: 1 })
+  t.deepEqual(harness.positions({ step: 1, heldPosition: 4, trainerVersion: 1 }), [], 'step 1 begins; nothing of step 0 runs again')
+  t.like(harness.ledger.progress(JOB), { staleDroppedCount: 0, confirmedPosition: 4 })
+})
+
+test('should fill the position of a lost content again, before anything behind it', t => {
+  const harness = opened()
+  for (const slot of harness.lease()) harness.commit(slot)
+  t.deepEqual(harness.positions(), [1, 2, 3, 4])
+  const offered = harness.pull()
+  if (offered.kind !== 'advanced') return t.fail()
+  const lost = offered.deliverable[2]
+  if (!lost) return t.fail()
+  const { job, step, group, index, attemptId } = lost
+  const drop = { kind: RolloutCommandKind.DropSample, job, step, group, index, attemptId, reason: SampleDropReason.ContentLost } as const
+  harness.apply(drop)
+  harness.apply(drop)
+  t.deepEqual(harness.positions(), [1, 2], 'the group of the lost sample is not whole')
+  const [again] = harness.lease()
+  harness.commit(again ?? t.fail() as never)
+  const replayed = harness.pull({ heldPosition: 2 })
+  t.like(replayed, { deliverable: [{ position: 3, group, index, attemptId: again?.attemptId }, { position: 4 }], stepComplete: true })
+})
+
+test('should start likely-long slots first, and slots that hold up the trainer before them', t => {
+  const harness = opened({ prompts: ['short', 'long'], groupSizeCount: 1 })
+  for (const slot of harness.lease()) harness.commit(slot, 0, slot.prompt === 'long' ? 900 : 30)
+  harness.positions()
+  harness.pull({ step: 1, heldPosition: 2 })
+  t.deepEqual(harness.lease().map(({ prompt }) => prompt), ['long', 'short'])
+})
+
+test('should start later steps only with weights that will be within the bound, less by the knob', t => {
+  const ahead = (stalenessWeight: number): number => {
+    const harness = opened({ startAheadSteps: 2, stalenessWeight })
+    return harness.lease('h1', 100, 100).filter(({ isAhead }) => isAhead).length
+  }
+  t.is(ahead(0), 4, 'one step ahead at a bound of one version')
+  t.is(ahead(1), 0, 'nothing ahead of its weights where staleness is all that counts')
+})
+
+test('should keep the size of its state bounded over many steps', t => {
+  const harness = opened({ startAheadSteps: 1 })
+  const sizes: number[] = []
+  let heldPosition = 0
+  for (let step = 0; step < 50; step++) {
+    harness.pull({ step, heldPosition, trainerVersion: step })
+    for (const slot of harness.lease()) harness.commit(slot, step)
+    heldPosition += harness.positions({ step, heldPosition, trainerVersion: step }).length
+    sizes.push(JSON.stringify(harness.ledger.snapshot()).length)
+  }
+  t.is(heldPosition, 200)
+  t.true((sizes[49] ?? 0) < 1.2 * (sizes[5] ?? 0), `grew from ${sizes[5]} to ${sizes[49]} bytes`)
+})
+
+test('should go on from a snapshot as from itself, and forget a deleted job', t => {
+  const harness = opened()
+  const [slot] = harness.lease('h1', 1)
+  harness.commit(slot ?? t.fail() as never)
+  const copy = new RolloutLedger(() => jobSpec())
+  copy.restore(harness.ledger.snapshot())
+  t.deepEqual(copy.progress(JOB), harness.ledger.progress(JOB))
+  harness.spec.current = undefined
+  t.is(harness.pull().kind, 'unknownJob')
+  t.is(harness.ledger.progress(JOB), null)
+})
