--- a/demo/localSystem.ts
+++ b/demo/localSystem.ts
@@ -84,11 +84,16 @@
     return `http://${this._addresses.ip(host)}:${STAND_IN_PORT}`
   }
 
+  /** Replaces the addresses of the examples by this system's. */
+  translate (text: string): string {
+    return this._addresses.translate(text)
+  }
+
   /** A file of the product with its example addresses replaced by this system's. */
   localFile (path: string): string {
     const target = join(this.folder, path)
     mkdirSync(dirname(target), { recursive: true })
-    writeFileSync(target, this._addresses.translate(readFileSync(join(PRODUCT_FOLDER, path), 'utf8')))
+    writeFileSync(target, this.translate(readFileSync(join(PRODUCT_FOLDER, path), 'utf8')))
     return target
   }
 
