--- a/tests/rollouts/rolloutLedger.test.ts
+++ b/tests/rollouts/rolloutLedger.test.ts
@@ -89,6 +89,16 @@
   t.like(harness.ledger.progress(JOB), { staleDroppedCount: 1, rerunCount: 1, waitingCount: 4 })
 })
 
+test('should drop samples that wait at the door when the trainer moves past the bound', t => {
+  const harness = opened()
+  for (const slot of harness.lease()) harness.commit(slot, 0)
+  t.deepEqual(harness.positions(), [1, 2, 3, 4], 'offered, but the answer is lost')
+  t.deepEqual(harness.positions({ trainerVersion: 2 }), [])
+  for (const slot of harness.lease()) harness.commit(slot, 2)
+  const again = harness.pull({ trainerVersion: 2 })
+  t.like(again, { stepComplete: true, deliverable: [{ position: 1, versions: [{ weightVersion: 2 }] }, { position: 2 }, { position: 3 }, { position: 4 }] })
+})
+
 test('should judge staleness against a publish that was applied before the pull', t => {
   const harness = opened({ stalenessBoundVersions: 0 })
   for (const slot of harness.lease()) harness.commit(slot, 0)
@@ -106,13 +116,13 @@
   t.like(harness.ledger.progress(JOB), { staleDroppedCount: 0, confirmedPosition: 4 })
 })
 
-test('should fill the position of a lost content again, before anything behind it', t => {
+test('should fill the position of a lost content again, and hold its group back until then', t => {
   const harness = opened()
   for (const slot of harness.lease()) harness.commit(slot)
   t.deepEqual(harness.positions(), [1, 2, 3, 4])
   const offered = harness.pull()
   if (offered.kind !== 'advanced') return t.fail()
-  const lost = offered.deliverable[2]
+  const lost = offered.deliverable[3]
   if (!lost) return t.fail()
   const { job, step, group, index, attemptId } = lost
   const drop = { kind: RolloutCommandKind.DropSample, job, step, group, index, attemptId, reason: SampleDropReason.ContentLost } as const
@@ -122,7 +132,7 @@
   const [again] = harness.lease()
   harness.commit(again ?? t.fail() as never)
   const replayed = harness.pull({ heldPosition: 2 })
-  t.like(replayed, { deliverable: [{ position: 3, group, index, attemptId: again?.attemptId }, { position: 4 }], stepComplete: true })
+  t.like(replayed, { deliverable: [{ position: 3 }, { position: 4, group, index, attemptId: again?.attemptId }], stepComplete: true })
 })
 
 test('should start likely-long slots first, and slots that hold up the trainer before them', t => {
