--- a/src/protocol/endpoints.ts
+++ b/src/protocol/endpoints.ts
@@ -142,6 +142,9 @@
 /** The header by which a plain service says, with status 503, that it did not run a call. */
 export const NOT_EXECUTED_HEADER = 'x-not-executed'
 
+/** The header with the id of the try of a service call; an answer that echoes another id is dropped. */
+export const REQUEST_ID_HEADER = 'x-request-id'
+
 /** POST {url}/v1/score of a service that scores samples. */
 export const SCORE_PATH = '/v1/score'
 
