--- a/src/entry/rollouts/rolloutProgram.ts
+++ b/src/entry/rollouts/rolloutProgram.ts
@@ -36,7 +36,17 @@
   const hints = new HintSender(parts)
   const pulls = new PullServer({ parts, ledger, replication, onSlotsWaiting: job => wakeAll(job) })
   const scorer = new SampleScorer(parts)
-  const leaser = new SlotLeaser({ parts, ledger, store, replication, scorer, outlooks, onGroupWhole: job => pulls.wake(job) })
+  let tasks: Supervisor | undefined
+  const leaser = new SlotLeaser({
+    parts,
+    ledger,
+    store,
+    replication,
+    scorer,
+    outlooks,
+    spawn: (name, task) => tasks?.spawn(name, task),
+    onGroupWhole: job => pulls.wake(job)
+  })
   const weights = new WeightDistribution(parts, outlooks)
   const routes = new TrainerRoutes({ parts, ledger, pulls, onWeightsPublished: job => wakeAll(job) })
   const wakeAll = (job: string): void => {
@@ -48,11 +58,12 @@
   return {
     routes: routes.routes(),
     start (supervisor) {
-      const tasks = supervisor.child('rollouts')
-      hints.start(tasks)
-      tasks.spawn('slots', async scope => await leaser.run(scope, tasks))
-      tasks.spawn('weights', async scope => await weights.run(scope, tasks))
-      tasks.spawn('endpoints', async scope => await watchEndpoints(parts, scope, () => {
+      const child = supervisor.child('rollouts')
+      tasks = child
+      hints.start(child)
+      child.spawn('slots', async scope => await leaser.run(scope, child))
+      child.spawn('weights', async scope => await weights.run(scope, child))
+      child.spawn('endpoints', async scope => await watchEndpoints(parts, scope, () => {
         leaser.wake()
         weights.wake()
       }))
--- a/src/entry/rollouts/slotWorker.ts
+++ b/src/entry/rollouts/slotWorker.ts
@@ -11,6 +11,7 @@
 import { MetricName } from '../../utils/metricNames.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
+import type { Task } from '../../utils/supervisor.js'
 import type { CompletionOutcome, CompletionTask, PartialCompletion } from '../completions/completionRunner.js'
 import { groupIsWhole, type SampleContent } from './rolloutMethods.js'
 import type { JobOutlooks } from './jobOutlooks.js'
@@ -27,6 +28,7 @@
 const HINT_TIMEOUT_MS = 2_000
 /** Tokens between two checkpoints of a running sample. */
 const CHECKPOINT_TOKENS = 256
+const CHECKPOINT_TIMEOUT_MS = 6_000
 
 export interface WorkerParts {
   parts: RolloutParts
@@ -35,6 +37,8 @@
   replication: SampleReplication
   scorer: SampleScorer
   outlooks: JobOutlooks
+  /** Starts a task beside the workers. */
+  spawn: (name: string, task: Task) => void
   /** Wakes pulls of this host. */
   onGroupWhole: (job: string) => void
 }
@@ -45,6 +49,7 @@
   private readonly _spec: RolloutJobSpec
   private _partial: PartialCompletion = { tokens: [], versions: [] }
   private _checkpointedCount = 0
+  private _isCheckpointing = false
 
   constructor (workerParts: WorkerParts, slot: LeasedSlot, spec: RolloutJobSpec) {
     this._with = workerParts
@@ -82,7 +87,8 @@
   private async _generate (progress: Progress): Promise<boolean> {
     const { completions, clock } = this._with.parts
     while (!progress.isOver()) {
-      const outcome = await completions.run(this._task(), progress, (tokens, versions) => this._noteTokens(tokens, versions, progress))
+      this._partial = { tokens: [...this._partial.tokens], versions: this._partial.versions }
+      const outcome = await completions.run(this._task(), progress, (tokens, versions) => this._noteTokens(tokens, versions))
       this._partial = outcome.kind === 'complete' ? outcome.completion : outcome.partial
       if (outcome.kind === 'complete') return true
       this._discardTooOld()
@@ -112,7 +118,7 @@
       model: this._spec.adapter ?? this._modelName(),
       prompt,
       maxTokensCount: this._spec.maxTokensCount,
-      ...(tokens.length > 0 ? { resumeTokens: tokens, resumeVersions: versions } : {})
+      ...(tokens.length > 0 ? { resumeTokens: [...tokens], resumeVersions: versions } : {})
     }
   }
 
@@ -138,15 +144,27 @@
   }
 
   /** Keeps what has been generated so far, for the hosts that may have to go on with it. */
-  private async _noteTokens (tokens: string[], versions: VersionSpan[] | undefined, progress: Progress): Promise<void> {
+  private _noteTokens (tokens: string[], versions: VersionSpan[] | undefined): void {
     if (!versions) return
-    this._partial.tokens = this._partial.tokens.concat(tokens)
+    this._partial.tokens.push(...tokens)
     this._partial.versions = appendSpans(this._partial.versions, versions)
     const count = this._partial.tokens.length
-    if (count - this._checkpointedCount < CHECKPOINT_TOKENS) return
+    if (this._isCheckpointing || count - this._checkpointedCount < CHECKPOINT_TOKENS) return
     this._checkpointedCount = count
+    this._isCheckpointing = true
+    // Beside the stream: a slow peer must not hold up the engine.
+    this._with.spawn(`checkpoint of ${this._slot.attemptId}`, async scope => await this._checkpoint(scope))
+  }
+
+  private async _checkpoint (scope: Scope): Promise<void> {
+    const { clock } = this._with.parts
     const { job, step, group, index } = this._slot
-    await this._with.replication.checkpoint({ job, step, group, index, ...this._partial }, progress)
+    const checkpoint = { job, step, group, index, tokens: [...this._partial.tokens], versions: this._partial.versions }
+    try {
+      await this._with.replication.checkpoint(checkpoint, new Progress(clock, scope, clock.nowMs() + CHECKPOINT_TIMEOUT_MS))
+    } finally {
+      this._isCheckpointing = false
+    }
   }
 
   private async _score (progress: Progress): Promise<SampleContent | undefined> {
--- a/src/entry/scheduling/poolEndpoints.ts
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -2,6 +2,7 @@
  * The endpoints of one pool as the scheduler sees them: kept in step with the
  * directory, outliers left out, but never so many that less than half remain.
  */
+import { versionServed } from '../../protocol/endpoints.js'
 import type { EndpointPoolSpec } from '../../protocol/resources.js'
 import { unreachable } from '../../utils/errors.js'
 import { MetricName } from '../../utils/metricNames.js'
@@ -155,7 +156,7 @@
 function isSuitable (state: EndpointState, item: WorkItem): boolean {
   if (item.excludedEndpointIds.includes(state.endpointId)) return false
   if (item.minWeightVersion === undefined) return true
-  return (state.record.announcement.weightVersion ?? 0) >= item.minWeightVersion
+  return (versionServed(state.record.announcement, item.adapter) ?? 0) >= item.minWeightVersion
 }
 
 function median (values: number[]): number {
