Let the stand-in service count executions by path

Cause: hosts give endpoints an id of their own for each try, so a caller can not find its request in the record by id.

--- a/standins/plainService.ts
+++ b/standins/plainService.ts
@@ -63,6 +63,8 @@
   readonly server = new StandInServer()
   /** Executions by request id. */
   readonly executions = new Map<string, number>()
+  /** Executions by path, for callers who give each request a path of its own. */
+  readonly executionsByPath = new Map<string, number>()
   private readonly _settings: ServiceSettings
   private readonly _clock: Clock
   private readonly _work: ServiceWork
@@ -130,7 +132,10 @@
   }
 
   private _addRoutes (): void {
-    this.server.on('GET', '/record', ({ response }) => sendJson(response, 200, { executions: Object.fromEntries(this.executions) }))
+    this.server.on('GET', '/record', ({ response }) => sendJson(response, 200, {
+      executions: Object.fromEntries(this.executions),
+      executionsByPath: Object.fromEntries(this.executionsByPath)
+    }))
     this.server.on('PUT', '/control/faults', async ({ request, response }) => {
       this.addFault(serviceFaultSchema.parse(await readJson(request)))
       sendJson(response, 200, {})
@@ -162,6 +167,7 @@
   private _execute ({ requestId, path, body }: Call): unknown {
     const count = (this.executions.get(requestId) ?? 0) + 1
     this.executions.set(requestId, count)
+    this.executionsByPath.set(path, (this.executionsByPath.get(path) ?? 0) + 1)
     return this._work(path, body)
   }
 
