--- /dev/null
+++ b/src/control/log/clusterFormation.ts
@@ -0,0 +1,116 @@
+/**
+ * How a replica without a cluster finds one. If any other host belongs to a
+ * cluster, it joins that. A new cluster is formed only when every initial
+ * member answers and none belongs to one yet, and only by the first of them
+ * in the order of host ids: a host whose disk was wiped therefore never
+ * starts a second cluster beside the survivors.
+ */
+import { sleepUntil } from '../../utils/clock.js'
+import { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import { ControlEvent } from '../controlEvents.js'
+import { EntryKind } from './logEntry.js'
+import { MemberRole, type Member } from './members.js'
+import { decodeMembership, encodeMembership } from './membershipHistory.js'
+import type { PeerLinks } from './peerLinks.js'
+import { identifyMethod, type IdentifyReply } from './raftMethods.js'
+import type { ReplicaCore } from './replicaCore.js'
+
+export interface InitialMember {
+  hostId: string
+  peerAddress: string
+}
+
+export interface OwnAddresses {
+  hostId: string
+  peerAddress: string
+  operatorAddress: string
+}
+
+/** Asks the cluster that a host belongs to to take the replica in. */
+export type JoinCall = (via: IdentifyReply, newcomer: Omit<Member, 'role'>, progress: Progress) => Promise<string>
+
+const RETRY_MS = 250
+const ASK_TIMEOUT_MS = 1_000
+const LOG_EVERY_TRIES_COUNT = 20
+
+export class ClusterFormation {
+  private readonly _core: ReplicaCore
+  private readonly _links: PeerLinks
+  private readonly _own: OwnAddresses
+  private readonly _initialMembers: InitialMember[]
+  private readonly _join: JoinCall
+  private _triesCount = 0
+
+  constructor (core: ReplicaCore, links: PeerLinks, own: OwnAddresses, initialMembers: InitialMember[], join: JoinCall) {
+    this._core = core
+    this._links = links
+    this._own = own
+    this._initialMembers = initialMembers
+    this._join = join
+  }
+
+  /** Returns once the replica belongs to a cluster. */
+  async run (scope: Scope): Promise<void> {
+    const { clock } = this._core.parts
+    await this._finishFormation(scope)
+    while (this._core.clusterId === null) {
+      await this._tryOnce(scope)
+      if (this._core.clusterId === null) await sleepUntil(clock, scope, clock.nowMs() + RETRY_MS)
+    }
+  }
+
+  /** A crash came between the first entry and the identity: the entry counts. */
+  private async _finishFormation (scope: Scope): Promise<void> {
+    const first = this._core.state.log.get(1)
+    if (this._core.clusterId !== null || first?.kind !== EntryKind.Membership) return
+    await scope.race(this._core.adopt(decodeMembership(first.payload).clusterId))
+  }
+
+  private async _tryOnce (scope: Scope): Promise<void> {
+    const others = this._initialMembers.filter(member => member.hostId !== this._own.hostId)
+    const answers = (await Promise.all(others.map(member => this._identify(member, scope)))).filter(answer => answer !== undefined)
+    if (this._core.clusterId !== null) return
+    const member = answers.find(answer => answer.clusterId !== null)
+    if (member) return await this._askToJoin(member, scope)
+    const isComplete = answers.length === others.length && others.length + 1 === this._initialMembers.length
+    if (!isComplete) return this._logWaiting(others, answers)
+    if (this._initialMembers.every(member => this._own.hostId <= member.hostId)) await this._form(answers, scope)
+  }
+
+  private async _identify (member: InitialMember, scope: Scope): Promise<IdentifyReply | undefined> {
+    const { clock } = this._core.parts
+    const progress = new Progress(clock, scope, clock.nowMs() + ASK_TIMEOUT_MS)
+    const outcome = await this._links.to(member).call(identifyMethod, {}, progress)
+    const isMeant = outcome.kind === 'replied' && outcome.body.hostId === member.hostId
+    return isMeant ? outcome.body : undefined
+  }
+
+  private async _askToJoin (via: IdentifyReply, scope: Scope): Promise<void> {
+    const { clock, logger } = this._core.parts
+    const progress = new Progress(clock, scope, clock.nowMs() + ASK_TIMEOUT_MS)
+    const answer = await this._join(via, { replicaId: this._core.replicaId, ...this._own }, progress)
+    if (this._triesCount++ % LOG_EVERY_TRIES_COUNT === 0) logger.event(ControlEvent.JoinAsked, { viaHostId: via.hostId, answer })
+  }
+
+  private async _form (answers: IdentifyReply[], scope: Scope): Promise<void> {
+    const { clock, random, logger } = this._core.parts
+    const clusterId = random.id()
+    const own: Member = { replicaId: this._core.replicaId, ...this._own, role: MemberRole.Voter }
+    const others = answers.map(({ replicaId, hostId, peerAddress, operatorAddress }) => (
+      { replicaId, hostId, peerAddress, operatorAddress, role: MemberRole.Voter }
+    ))
+    const payload = encodeMembership({ clusterId, members: [own, ...others] })
+    this._core.state.setHardState({ term: 1, votedFor: this._core.replicaId })
+    this._core.state.append([{ index: 1, term: 1, kind: EntryKind.Membership, atMs: clock.wallMs(), payload }])
+    await this._core.settled(scope)
+    await scope.race(this._core.adopt(clusterId))
+    logger.event(ControlEvent.ClusterFormed, { clusterId, hostIds: [own, ...others].map(member => member.hostId) })
+  }
+
+  private _logWaiting (others: InitialMember[], answers: IdentifyReply[]): void {
+    if (this._triesCount++ % LOG_EVERY_TRIES_COUNT !== 0) return
+    const silent = others.filter(member => !answers.some(answer => answer.hostId === member.hostId))
+    this._core.parts.logger.event(ControlEvent.WaitingForMembers, { hostIds: silent.map(member => member.hostId) })
+  }
+}
--- /dev/null
+++ b/src/control/log/following.ts
@@ -0,0 +1,76 @@
+/**
+ * The follower's side of replication: entries, heartbeats and snapshots of
+ * the leader.
+ */
+import type { Scope } from '../../utils/scope.js'
+import { ControlEvent } from '../controlEvents.js'
+import type { LogApplier } from './logApplier.js'
+import type {
+  AppendReply, AppendRequest, HeartbeatReply, HeartbeatRequest, SnapshotReply, SnapshotRequest
+} from './raftMethods.js'
+import type { ReplicaCore } from './replicaCore.js'
+import { SnapshotReceiver } from './snapshotReceiver.js'
+
+export class Following {
+  private readonly _core: ReplicaCore
+  private readonly _applier: LogApplier
+  private readonly _scope: Scope
+  private readonly _receiver = new SnapshotReceiver()
+
+  constructor (core: ReplicaCore, applier: LogApplier, scope: Scope) {
+    this._core = core
+    this._applier = applier
+    this._scope = scope
+  }
+
+  async onAppend (request: AppendRequest): Promise<AppendReply> {
+    const core = this._core
+    if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
+    if (request.term < core.term) return { kind: 'staleTerm', term: core.term }
+    core.follow(request.term, request.fromReplicaId)
+    const merged = core.state.merge(request, core.commitIndex)
+    if (merged.kind === 'mismatch') return merged
+    core.commitTo(Math.min(request.commitIndex, merged.matchIndex))
+    await core.settled(this._scope)
+    // A later leader may have cut the entries off again meanwhile.
+    if (core.term !== request.term) return { kind: 'staleTerm', term: core.term }
+    return { kind: 'matched', matchIndex: merged.matchIndex }
+  }
+
+  async onHeartbeat (request: HeartbeatRequest): Promise<HeartbeatReply> {
+    const core = this._core
+    if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
+    if (request.term < core.term) return { kind: 'staleTerm', term: core.term }
+    const isNewTerm = request.term > core.term
+    core.follow(request.term, request.fromReplicaId)
+    core.commitTo(request.commitIndex)
+    if (isNewTerm) await core.settled(this._scope)
+    return core.term === request.term ? { kind: 'following' } : { kind: 'staleTerm', term: core.term }
+  }
+
+  async onSnapshot (request: SnapshotRequest): Promise<SnapshotReply> {
+    const core = this._core
+    if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
+    if (request.term < core.term) return { kind: 'staleTerm', term: core.term }
+    core.follow(request.term, request.fromReplicaId)
+    // What is committed here already agrees with the leader's log.
+    if (request.lastIndex <= core.commitIndex) return await this._matchedAt(core.commitIndex, request.term)
+    const received = this._receiver.receive(request)
+    switch (received.kind) {
+      case 'incomplete':
+        return { kind: 'expecting', offsetBytes: received.offsetBytes }
+      case 'complete':
+        core.state.install(received.snapshot, received.bytes)
+        core.commitIndex = received.snapshot.lastIndex
+        this._applier.restore(received.snapshot)
+        core.parts.logger.event(ControlEvent.SnapshotInstalled, { lastIndex: received.snapshot.lastIndex, bytesCount: received.bytes.length })
+        return await this._matchedAt(received.snapshot.lastIndex, request.term)
+    }
+  }
+
+  private async _matchedAt (matchIndex: number, term: number): Promise<SnapshotReply> {
+    await this._core.settled(this._scope)
+    if (this._core.term !== term) return { kind: 'staleTerm', term: this._core.term }
+    return { kind: 'installed', matchIndex }
+  }
+}
--- /dev/null
+++ b/src/control/log/leadership.ts
@@ -0,0 +1,214 @@
+/**
+ * A leader's term of office: it appends proposals, counts what a quorum has
+ * synced, and confirms for readers that it still leads. It ends when a later
+ * term begins or when a quorum has not answered for an election timeout.
+ */
+import { sleepUntil } from '../../utils/clock.js'
+import { ScopeClosedError } from '../../utils/errors.js'
+import type { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import { Signal } from '../../utils/signal.js'
+import type { Supervisor } from '../../utils/supervisor.js'
+import { FollowerProgress } from './followerProgress.js'
+import { EntryKind } from './logEntry.js'
+import { encodeMembership } from './membershipHistory.js'
+import { isVoter, quorumValue, type Member } from './members.js'
+import type { PeerLinks } from './peerLinks.js'
+import { Replication, type ReplicationListener } from './replication.js'
+import type { ReplicaCore } from './replicaCore.js'
+
+interface FollowerTasks {
+  progress: FollowerProgress
+  supervisor: Supervisor
+}
+
+const NO_PAYLOAD = new Uint8Array()
+
+export class Leadership implements ReplicationListener {
+  readonly term: number
+  readonly scope: Scope
+  /** Notified whenever a follower has answered. */
+  readonly acknowledged = new Signal()
+  wantedRound = 0
+  private readonly _core: ReplicaCore
+  private readonly _links: PeerLinks
+  private readonly _supervisor: Supervisor
+  private readonly _followers = new Map<string, FollowerTasks>()
+  private readonly _startedAtMs: number
+  private _round = 0
+  private _firstIndex = 0
+  /** Ticket of this term's first entry: before it, what the writer says belongs to earlier leaders. */
+  private _firstTicket = 0
+
+  constructor (core: ReplicaCore, links: PeerLinks, supervisor: Supervisor) {
+    this._core = core
+    this._links = links
+    this._supervisor = supervisor
+    this.scope = supervisor.scope
+    this.term = core.term
+    this._startedAtMs = core.parts.clock.nowMs()
+  }
+
+  /** Leads until the leadership ends. */
+  async run (): Promise<void> {
+    this._firstTicket = this._append(EntryKind.Empty, NO_PAYLOAD)
+    this._firstIndex = this._core.state.log.lastIndex
+    this._adjustFollowers()
+    this._supervisor.spawn('own progress', scope => this._followWriter(scope))
+    try {
+      await this._checkQuorum()
+    } catch (error) {
+      if (!(error instanceof ScopeClosedError)) throw error
+    }
+  }
+
+  /** Puts a command into the log; its index. */
+  propose (payload: Uint8Array): number {
+    this._append(EntryKind.Command, payload)
+    return this._core.state.log.lastIndex
+  }
+
+  /** True when neither an earlier change of members nor this term's first entry is open. */
+  mayChangeMembers (): boolean {
+    return this._core.commitIndex >= this._firstIndex && this._core.commitIndex >= this._core.state.members.latestIndex
+  }
+
+  /** Puts new members into the log; they count at once. */
+  changeMembers (members: Member[]): number {
+    this._append(EntryKind.Membership, encodeMembership({ clusterId: this._core.clusterId ?? '', members }))
+    this._adjustFollowers()
+    return this._core.state.log.lastIndex
+  }
+
+  progressOf (replicaId: string): FollowerProgress | undefined {
+    return this._followers.get(replicaId)?.progress
+  }
+
+  /** Whether a replica has answered within an election timeout. */
+  isLive (replicaId: string): boolean {
+    if (replicaId === this._core.replicaId) return true
+    const { clock, timings } = this._core.parts
+    const progress = this.progressOf(replicaId)
+    return progress !== undefined && progress.ackedRound > 0 && progress.ackedSentAtMs >= clock.nowMs() - timings.electionMaxMs
+  }
+
+  /** Until when no other leader can have been elected, by this host's clock. */
+  get leaseEndsAtMs (): number {
+    const sentAtMs = this._quorumValue(progress => (progress.ackedRound > 0 ? progress.ackedSentAtMs : Number.NEGATIVE_INFINITY))
+    return sentAtMs + this._core.parts.timings.leaderLeaseMs
+  }
+
+  holdsLease (): boolean {
+    return !this.scope.isClosed && this._core.parts.clock.nowMs() < this.leaseEndsAtMs
+  }
+
+  /**
+   * Index that a read has to wait for to be linearizable, once a quorum has
+   * confirmed that this host led after the call began; undefined when the
+   * confirmation did not come.
+   */
+  async readIndex (progress: Progress): Promise<number | undefined> {
+    while (this._core.commitIndex < this._firstIndex) {
+      if (!(await this._core.committed.wait(this.scope, progress))) return undefined
+    }
+    const index = this._core.commitIndex
+    const round = this._round
+    this.wantedRound = round + 1
+    for (const { progress: follower } of this._followers.values()) follower.wanted.notify()
+    while (this._quorumValue(follower => follower.ackedRound) <= round) {
+      if (!(await this.acknowledged.wait(this.scope, progress))) return undefined
+    }
+    return this.scope.isClosed ? undefined : index
+  }
+
+  /** Index of a read under the leader's lease; undefined without one. */
+  leaseReadIndex (): number | undefined {
+    const isCurrent = this._core.commitIndex >= this._firstIndex
+    return isCurrent && this.holdsLease() ? this._core.commitIndex : undefined
+  }
+
+  nextRound (): number {
+    return ++this._round
+  }
+
+  onAcknowledged (): void {
+    this.acknowledged.notify()
+  }
+
+  onMatched (): void {
+    this._advanceCommit()
+  }
+
+  private _append (kind: EntryKind, payload: Uint8Array): number {
+    const { log } = this._core.state
+    const atMs = Math.max(log.lastAtMs, this._core.parts.clock.wallMs())
+    const ticket = this._core.state.append([{ index: log.lastIndex + 1, term: this.term, kind, atMs, payload }])
+    for (const { progress } of this._followers.values()) progress.wanted.notify()
+    return ticket
+  }
+
+  /** Starts and ends the tasks of followers as the members change. */
+  private _adjustFollowers (): void {
+    const others = this._core.members.filter(member => member.replicaId !== this._core.replicaId)
+    for (const [replicaId, tasks] of this._followers) {
+      if (others.some(member => member.replicaId === replicaId)) continue
+      tasks.supervisor.scope.close('no longer a member')
+      this._followers.delete(replicaId)
+    }
+    for (const member of others) {
+      if (!this._followers.has(member.replicaId)) this._startFollower(member)
+    }
+  }
+
+  private _startFollower (member: Member): void {
+    const progress = new FollowerProgress(member, this._core.state.log.lastIndex, this._startedAtMs)
+    const supervisor = this._supervisor.child(`replication to ${member.hostId}`)
+    const replication = new Replication(this._core, this._links, progress, this)
+    this._followers.set(member.replicaId, { progress, supervisor })
+    supervisor.spawn('entries', scope => replication.sendEntries(scope))
+    supervisor.spawn('heartbeats', scope => replication.sendHeartbeats(scope))
+  }
+
+  private async _followWriter (scope: Scope): Promise<void> {
+    for (;;) {
+      await this._core.state.writer.written.wait(scope)
+      this._advanceCommit()
+    }
+  }
+
+  private _advanceCommit (): void {
+    if (this.scope.isClosed) return
+    const { log, writer } = this._core.state
+    const ownIndex = writer.isDurable(this._firstTicket) ? writer.lastEntryIndex : 0
+    const index = quorumValue(this._core.members, replicaId => (
+      replicaId === this._core.replicaId ? ownIndex : this.progressOf(replicaId)?.matchIndex ?? 0
+    ))
+    // Only entries of the own term are committed by counting; earlier ones go with them.
+    if (index <= this._core.commitIndex || log.termAt(index) !== this.term) return
+    this._core.commitTo(index)
+    this._resignIfRemoved()
+  }
+
+  private _resignIfRemoved (): void {
+    if (this.mayChangeMembers() && !isVoter(this._core.members, this._core.replicaId)) this._core.stepDown('removed from the members')
+  }
+
+  private async _checkQuorum (): Promise<void> {
+    const { clock, timings } = this._core.parts
+    for (;;) {
+      await sleepUntil(clock, this.scope, clock.nowMs() + timings.heartbeatMs)
+      const confirmedAtMs = this._quorumValue(progress => progress.ackedSentAtMs)
+      if (clock.nowMs() - confirmedAtMs <= timings.electionMaxMs) continue
+      return this._core.stepDown('a quorum does not answer')
+    }
+  }
+
+  /** A value that a quorum has reached; the leader itself has reached any. */
+  private _quorumValue (valueOf: (progress: FollowerProgress) => number): number {
+    return quorumValue(this._core.members, replicaId => {
+      if (replicaId === this._core.replicaId) return Number.POSITIVE_INFINITY
+      const progress = this.progressOf(replicaId)
+      return progress ? valueOf(progress) : Number.NEGATIVE_INFINITY
+    })
+  }
+}
--- /dev/null
+++ b/src/control/log/peerLinks.ts
@@ -0,0 +1,32 @@
+/**
+ * The links to the other replicas, one for each address.
+ */
+import type { Transport } from '../../transport/connection.js'
+import { PeerLink } from '../../transport/peerLink.js'
+import { RpcHandlers } from '../../transport/rpcPeer.js'
+import type { Scope } from '../../utils/scope.js'
+
+export class PeerLinks {
+  readonly onFatal: (error: unknown) => void
+  private readonly _transport: Transport
+  private readonly _scope: Scope
+  private readonly _links = new Map<string, PeerLink>()
+  /** Replicas call each other; nothing is served on an outgoing connection. */
+  private readonly _noHandlers = new RpcHandlers()
+
+  constructor (transport: Transport, scope: Scope, onFatal: (error: unknown) => void) {
+    this._transport = transport
+    this._scope = scope
+    this.onFatal = onFatal
+  }
+
+  to (target: { peerAddress: string }): PeerLink {
+    const address = target.peerAddress
+    let link = this._links.get(address)
+    if (!link) {
+      link = new PeerLink(address, this._transport, this._scope, this._noHandlers, this.onFatal)
+      this._links.set(address, link)
+    }
+    return link
+  }
+}
--- /dev/null
+++ b/src/control/log/persistentState.ts
@@ -0,0 +1,115 @@
+/**
+ * What a replica must not forget: term, vote, log and members. Changes take
+ * effect in memory at once and are queued for the disk in the same order;
+ * nothing may be answered that relies on them before its ticket is durable.
+ */
+import { invariant } from '../../utils/errors.js'
+import type { Snapshot } from '../storage/snapshotFile.js'
+import type { LoadedReplica } from '../storage/storageLoader.js'
+import type { DurableWriter } from './durableWriter.js'
+import { EntryLog } from './entryLog.js'
+import type { HardState, LogEntry } from './logEntry.js'
+import { MembershipHistory } from './membershipHistory.js'
+import type { AppendRequest } from './raftMethods.js'
+
+export type MergeOutcome =
+  | { kind: 'merged', matchIndex: number }
+  | { kind: 'mismatch', retryFromIndex: number }
+
+export class PersistentState {
+  readonly log: EntryLog
+  readonly members: MembershipHistory
+  readonly writer: DurableWriter
+  private _hardState: HardState
+
+  constructor (loaded: LoadedReplica, writer: DurableWriter) {
+    const { snapshot, entries } = loaded
+    const base = { index: snapshot?.lastIndex ?? 0, term: snapshot?.lastTerm ?? 0, atMs: snapshot?.lastAtMs ?? 0 }
+    this.log = new EntryLog(base, entries.filter(entry => entry.index > base.index))
+    this.members = new MembershipHistory(base.index, snapshot?.members ?? [])
+    for (const entry of this.log.after(base.index)) this.members.note(entry)
+    this._hardState = loaded.hardState
+    this.writer = writer
+  }
+
+  get term (): number {
+    return this._hardState.term
+  }
+
+  get votedFor (): string | null {
+    return this._hardState.votedFor
+  }
+
+  setHardState (hardState: HardState): number {
+    invariant(hardState.term >= this.term, `term ${hardState.term} after ${this.term}`)
+    this._hardState = hardState
+    return this.writer.enqueue([{ kind: 'hardState', hardState }])
+  }
+
+  append (entries: LogEntry[]): number {
+    for (const entry of entries) {
+      this.log.append(entry)
+      this.members.note(entry)
+    }
+    return this.writer.enqueue(entries.map(entry => ({ kind: 'entry', entry })))
+  }
+
+  /**
+   * Takes over a leader's entries behind one that both logs have.
+   * @param commitIndex entries up to here never change
+   */
+  merge (request: AppendRequest, commitIndex: number): MergeOutcome {
+    const { prevIndex, prevTerm } = request
+    if (prevIndex > this.log.lastIndex) return { kind: 'mismatch', retryFromIndex: this.log.lastIndex + 1 }
+    const isCovered = prevIndex < this.log.baseIndex
+    if (!isCovered && this.log.termAt(prevIndex) !== prevTerm) {
+      const retryFromIndex = Math.max(this.log.firstIndexOfTerm(prevIndex), commitIndex + 1)
+      return { kind: 'mismatch', retryFromIndex }
+    }
+    const fresh = this._withoutKnown(request.entries, commitIndex)
+    if (fresh.length > 0) this.append(fresh)
+    return { kind: 'merged', matchIndex: prevIndex + request.entries.length }
+  }
+
+  /** Replaces the log up to the snapshot by it. */
+  compact (snapshot: Snapshot, snapshotBytes: Uint8Array, keptEntriesCount: number): number {
+    const keptFromIndex = Math.max(this.log.baseIndex, snapshot.lastIndex - keptEntriesCount)
+    this.log.compactTo(keptFromIndex)
+    this.members.compactTo(keptFromIndex)
+    return this._enqueueCompaction(snapshot, snapshotBytes)
+  }
+
+  /** Takes over a leader's snapshot. */
+  install (snapshot: Snapshot, snapshotBytes: Uint8Array): number {
+    const { lastIndex, lastTerm, lastAtMs } = snapshot
+    const keepsTail = this.log.termAt(lastIndex) === lastTerm
+    this.log.rebase({ index: lastIndex, term: lastTerm, atMs: lastAtMs })
+    if (keepsTail) this.members.compactTo(lastIndex)
+    else this.members.reset(lastIndex, snapshot.members)
+    return this._enqueueCompaction(snapshot, snapshotBytes)
+  }
+
+  private _enqueueCompaction (snapshot: Snapshot, snapshotBytes: Uint8Array): number {
+    return this.writer.enqueueCompaction({
+      snapshotIndex: snapshot.lastIndex,
+      snapshotTerm: snapshot.lastTerm,
+      snapshotBytes,
+      hardState: this._hardState,
+      entries: this.log.after(snapshot.lastIndex)
+    })
+  }
+
+  /** Cuts off what contradicts the entries; returns those that are not there yet. */
+  private _withoutKnown (entries: LogEntry[], commitIndex: number): LogEntry[] {
+    const firstUnknown = entries.findIndex(entry => entry.index > this.log.baseIndex && this.log.termAt(entry.index) !== entry.term)
+    const first = entries[firstUnknown]
+    if (!first) return []
+    if (first.index <= this.log.lastIndex) {
+      invariant(first.index > commitIndex, `leader contradicts the committed entry ${first.index}`)
+      this.log.truncateFrom(first.index)
+      this.members.truncateFrom(first.index)
+    }
+    // Copies, so that no entry keeps the whole message it came in.
+    return entries.slice(firstUnknown).map(entry => ({ ...entry, payload: Uint8Array.from(entry.payload) }))
+  }
+}
--- /dev/null
+++ b/src/control/log/replica.ts
@@ -0,0 +1,196 @@
+/**
+ * One replica of the log: the module that wires its parts, serves the other
+ * replicas, and offers proposing and reading to the rest of the program.
+ */
+import { Encoder } from 'cbor-x'
+import { sleepUntil, type Clock } from '../../utils/clock.js'
+import { ScopeClosedError } from '../../utils/errors.js'
+import type { Logger } from '../../utils/logger.js'
+import type { Metrics } from '../../utils/metrics.js'
+import { Progress } from '../../utils/progress.js'
+import type { RandomSource } from '../../utils/randomSource.js'
+import type { Scope } from '../../utils/scope.js'
+import type { Signal } from '../../utils/signal.js'
+import type { Supervisor } from '../../utils/supervisor.js'
+import type { Transport } from '../../transport/connection.js'
+import type { RpcHandlers } from '../../transport/rpcPeer.js'
+import type { ReplicatedState } from '../replicatedState.js'
+import type { OpenedReplica } from '../storage/replicaStorage.js'
+import { DurableWriter } from './durableWriter.js'
+import { Following } from './following.js'
+import { Leadership } from './leadership.js'
+import { LogApplier, type ApplyObserver, type SnapshotPolicy } from './logApplier.js'
+import type { Member } from './members.js'
+import { MembershipChanges, type MembershipOutcome } from './membershipChanges.js'
+import { PeerLinks } from './peerLinks.js'
+import { PersistentState } from './persistentState.js'
+import { Proposals, type ProposalOutcome } from './proposals.js'
+import { appendMethod, heartbeatMethod, snapshotMethod, voteMethod } from './raftMethods.js'
+import { ReplicaCore } from './replicaCore.js'
+import type { LogTimings } from './timings.js'
+import { Voting } from './voting.js'
+
+export interface ReplicaParts {
+  clock: Clock
+  random: RandomSource
+  metrics: Metrics
+  logger: Logger
+  timings: LogTimings
+  transport: Transport
+  supervisor: Supervisor
+  onFatal: (error: unknown) => void
+  opened: OpenedReplica
+  state: ReplicatedState<unknown, unknown>
+  snapshotPolicy: SnapshotPolicy
+  observer?: ApplyObserver
+}
+
+export type ReadOutcome = { kind: 'confirmed' } | { kind: 'notLeader' } | { kind: 'unavailable', reason: string }
+
+/** How a reader is told that what it reads is not out of date. */
+export enum ReadMode {
+  /** A quorum confirms the leader after the read began. */
+  Quorum = 'quorum',
+  /** The leader's lease is enough, while it lasts; relies on clock rates. */
+  Lease = 'lease'
+}
+
+/** Proposals that may wait for a commit at once. */
+const MAX_PROPOSALS_COUNT = 10_000
+
+export class Replica {
+  readonly core: ReplicaCore
+  readonly links: PeerLinks
+  private readonly _parts: ReplicaParts
+  private readonly _scope: Scope
+  private readonly _applier: LogApplier
+  private readonly _proposals = new Proposals()
+  private readonly _following: Following
+  private readonly _voting: Voting
+  private readonly _encoder = new Encoder({ useRecords: false })
+  private _leadership: Leadership | undefined
+  private _membershipChanges: MembershipChanges | undefined
+
+  constructor (parts: ReplicaParts) {
+    const { clock, random, metrics, logger, timings, opened, supervisor } = parts
+    this._parts = parts
+    this._scope = supervisor.scope
+    const writer = new DurableWriter(opened.storage, clock, metrics)
+    const state = new PersistentState(opened.loaded, writer)
+    const snapshot = opened.loaded.snapshot
+    if (snapshot) parts.state.restore(snapshot.state)
+    this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state }, snapshot?.lastIndex ?? 0)
+    this.links = new PeerLinks(parts.transport, this._scope, parts.onFatal)
+    this._applier = new LogApplier(this.core, parts.state, this._proposals, parts.snapshotPolicy, parts.observer)
+    this._following = new Following(this.core, this._applier, this._scope)
+    this._voting = new Voting(this.core, this.links, this._scope)
+  }
+
+  get appliedIndex (): number {
+    return this._applier.appliedIndex
+  }
+
+  /** Notified when the replicated state may have changed. */
+  get applied (): Signal {
+    return this._applier.applied
+  }
+
+  /** The present leadership of this replica, if it leads. */
+  get leadership (): Leadership | undefined {
+    return this._leadership?.scope.isClosed === false ? this._leadership : undefined
+  }
+
+  /** Registers what the other replicas call; before the listener opens. */
+  serve (handlers: RpcHandlers): void {
+    handlers.on(voteMethod, request => this._voting.onVote(request))
+    handlers.on(appendMethod, request => this._following.onAppend(request))
+    handlers.on(heartbeatMethod, request => this._following.onHeartbeat(request))
+    handlers.on(snapshotMethod, request => this._following.onSnapshot(request))
+  }
+
+  start (): void {
+    this._parts.supervisor.spawn('log writer', scope => this.core.state.writer.run(scope))
+    this._parts.supervisor.spawn('applier', scope => this._applier.run(scope))
+    this._parts.supervisor.spawn('elections', scope => this._standForElections(scope))
+  }
+
+  /** Puts a command into the log and waits until it was applied. */
+  async propose (command: unknown, progress: Progress): Promise<ProposalOutcome> {
+    const leadership = this.leadership
+    if (!leadership) return { kind: 'notCommitted', reason: 'not the leader' }
+    if (this._proposals.count >= MAX_PROPOSALS_COUNT) return { kind: 'notCommitted', reason: 'too many proposals wait' }
+    // A copy of the encoder's buffer, which is shared.
+    const index = leadership.propose(Uint8Array.from(this._encoder.encode(command)))
+    const outcome = this._proposals.outcomeOf(index, leadership.term)
+    try {
+      const raced = await progress.race(outcome)
+      return raced.kind === 'done' ? raced.value : { kind: 'unknown', reason: 'not committed in time' }
+    } finally {
+      this._proposals.abandon(index, leadership.term)
+    }
+  }
+
+  /** Makes sure that the state holds everything that was committed before the call. */
+  async read (mode: ReadMode, progress: Progress): Promise<ReadOutcome> {
+    const leadership = this.leadership
+    if (!leadership) return { kind: 'notLeader' }
+    try {
+      const byLease = mode === ReadMode.Lease ? leadership.leaseReadIndex() : undefined
+      const index = byLease ?? await leadership.readIndex(progress)
+      if (index === undefined) return { kind: 'unavailable', reason: 'a quorum did not confirm the leader in time' }
+      const applied = await progress.race(this._applier.whenApplied(index, this._scope))
+      return applied.kind === 'done' ? { kind: 'confirmed' } : { kind: 'unavailable', reason: 'not applied in time' }
+    } catch (error) {
+      if (!(error instanceof ScopeClosedError)) throw error
+      return { kind: 'notLeader' }
+    }
+  }
+
+  join (newcomer: Omit<Member, 'role'>): MembershipOutcome {
+    return this._activeChanges?.join(newcomer) ?? { kind: 'refused', reason: 'not the leader' }
+  }
+
+  remove (hostId: string): MembershipOutcome {
+    return this._activeChanges?.remove(hostId) ?? { kind: 'refused', reason: 'not the leader' }
+  }
+
+  private get _activeChanges (): MembershipChanges | undefined {
+    return this.leadership && this._membershipChanges
+  }
+
+  private async _standForElections (scope: Scope): Promise<void> {
+    for (;;) {
+      await this._untilElectionIsDue(scope)
+      if (this.core.isVoter() && await this._voting.campaign()) await this._lead()
+    }
+  }
+
+  /** Returns when nobody was heard from for a random election timeout. */
+  private async _untilElectionIsDue (scope: Scope): Promise<void> {
+    const { clock, random, timings } = this._parts
+    const timeoutMs = random.int(timings.electionMinMs, timings.electionMaxMs)
+    let dueAtMs = clock.nowMs() + timeoutMs
+    while (clock.nowMs() < dueAtMs) {
+      await sleepUntil(clock, scope, dueAtMs)
+      dueAtMs = Math.max(dueAtMs, this.core.quietSinceMs + timeoutMs)
+    }
+  }
+
+  private async _lead (): Promise<void> {
+    const supervisor = this._parts.supervisor.child(`leadership of term ${this.core.term}`)
+    const leadership = new Leadership(this.core, this.links, supervisor)
+    const changes = new MembershipChanges(this.core, leadership)
+    this.core.becomeLeader(reason => supervisor.scope.close(reason))
+    this._leadership = leadership
+    this._membershipChanges = changes
+    supervisor.spawn('membership review', scope => changes.review(scope))
+    try {
+      await leadership.run()
+    } finally {
+      supervisor.scope.close('leadership over')
+      this._leadership = undefined
+      this._membershipChanges = undefined
+    }
+    this._scope.throwIfClosed()
+  }
+}
--- /dev/null
+++ b/src/control/log/replicaCore.ts
@@ -0,0 +1,180 @@
+/**
+ * The state of a replica that its parts share: role, term, leader and how far
+ * the log is committed, with the steps that keep them consistent.
+ */
+import type { Clock } from '../../utils/clock.js'
+import { invariant } from '../../utils/errors.js'
+import type { Logger } from '../../utils/logger.js'
+import { MetricName } from '../../utils/metricNames.js'
+import type { Metrics } from '../../utils/metrics.js'
+import type { RandomSource } from '../../utils/randomSource.js'
+import type { Scope } from '../../utils/scope.js'
+import { Signal } from '../../utils/signal.js'
+import { ControlEvent } from '../controlEvents.js'
+import type { ReplicaStorage } from '../storage/replicaStorage.js'
+import { isVoter, type Member } from './members.js'
+import type { PersistentState } from './persistentState.js'
+import type { Addressed } from './raftMethods.js'
+import type { LogTimings } from './timings.js'
+
+export enum ReplicaRole {
+  Follower = 'follower',
+  Candidate = 'candidate',
+  Leader = 'leader'
+}
+
+export interface CoreParts {
+  clock: Clock
+  random: RandomSource
+  metrics: Metrics
+  logger: Logger
+  timings: LogTimings
+  storage: ReplicaStorage
+  state: PersistentState
+}
+
+export class ReplicaCore {
+  readonly parts: CoreParts
+  readonly state: PersistentState
+  /** Notified when the commit index moves. */
+  readonly committed = new Signal()
+  /** Notified when the leader or the term changes. */
+  readonly leaderChanged = new Signal()
+  commitIndex: number
+  private _role = ReplicaRole.Follower
+  private _leaderReplicaId: string | undefined
+  private _lastContactMs: number
+  private _lastVoteMs = Number.NEGATIVE_INFINITY
+  private _adoption: Promise<void> | undefined
+  private _onStepDown: (reason: string) => void = () => {}
+
+  constructor (parts: CoreParts, commitIndex: number) {
+    this.parts = parts
+    this.state = parts.state
+    this.commitIndex = commitIndex
+    // After a restart it cannot know whom it heard from; it votes for nobody
+    // until any lease that its last answers gave has ended.
+    this._lastContactMs = parts.clock.nowMs()
+  }
+
+  get replicaId (): string {
+    return this.parts.storage.identity.replicaId
+  }
+
+  get clusterId (): string | null {
+    return this.parts.storage.identity.clusterId
+  }
+
+  get role (): ReplicaRole {
+    return this._role
+  }
+
+  get term (): number {
+    return this.state.term
+  }
+
+  get members (): Member[] {
+    return this.state.members.latest
+  }
+
+  /** The member that leads, as far as this replica knows. */
+  get leader (): Member | undefined {
+    return this.members.find(member => member.replicaId === this._leaderReplicaId)
+  }
+
+  /** When a leader was last heard from, or a candidate was given its chance. */
+  get quietSinceMs (): number {
+    return Math.max(this._lastContactMs, this._lastVoteMs)
+  }
+
+  /** Whether it may stand for election. */
+  isVoter (): boolean {
+    return this.clusterId !== null && isVoter(this.members, this.replicaId)
+  }
+
+  /** True while a vote for another could break the leader's lease. */
+  isBoundToLeader (): boolean {
+    if (this._role === ReplicaRole.Leader) return true
+    return this.parts.clock.nowMs() < this._lastContactMs + this.parts.timings.electionMinMs
+  }
+
+  /**
+   * Whether a request is for this replica; a replica without a cluster enters
+   * the one that addresses it by its id.
+   */
+  async accepts (request: Addressed): Promise<boolean> {
+    if (request.toReplicaId !== this.replicaId) return false
+    if (this.clusterId === null) await this.adopt(request.clusterId)
+    return this.clusterId === request.clusterId
+  }
+
+  /** Enters a cluster for good; the first one wins. */
+  async adopt (clusterId: string): Promise<void> {
+    this._adoption ??= this.parts.storage.adoptCluster(clusterId)
+    await this._adoption
+  }
+
+  /** A request of a term's leader has come: follow it. */
+  follow (term: number, leaderReplicaId: string): void {
+    invariant(term >= this.term, 'a leader of an earlier term is not followed')
+    this.observeTerm(term)
+    invariant(this._role !== ReplicaRole.Leader, `two leaders in term ${term}`)
+    this._role = ReplicaRole.Follower
+    this._lastContactMs = this.parts.clock.nowMs()
+    if (this._leaderReplicaId === leaderReplicaId) return
+    this._leaderReplicaId = leaderReplicaId
+    this.parts.metrics.count(MetricName.LeaderChanged)
+    this.parts.logger.event(ControlEvent.LeaderFollowed, { term, leaderReplicaId })
+    this.leaderChanged.notify()
+  }
+
+  /** A later term ends whatever this replica was in the present one. */
+  observeTerm (term: number): void {
+    if (term <= this.term) return
+    this.state.setHardState({ term, votedFor: null })
+    this.stepDown(`term ${term} has begun`)
+  }
+
+  stepDown (reason: string): void {
+    const wasLeader = this._role === ReplicaRole.Leader
+    this._role = ReplicaRole.Follower
+    this._leaderReplicaId = undefined
+    if (!wasLeader) return
+    this.parts.logger.event(ControlEvent.LeadershipEnded, { term: this.term, reason })
+    this._onStepDown(reason)
+    this.leaderChanged.notify()
+  }
+
+  becomeCandidate (): void {
+    this._role = ReplicaRole.Candidate
+    this._leaderReplicaId = undefined
+  }
+
+  /** @param onStepDown called once when the leadership ends */
+  becomeLeader (onStepDown: (reason: string) => void): void {
+    this._role = ReplicaRole.Leader
+    this._leaderReplicaId = this.replicaId
+    this._onStepDown = onStepDown
+    this.parts.metrics.count(MetricName.LeaderChanged)
+    this.parts.logger.event(ControlEvent.LeadershipBegun, { term: this.term })
+    this.leaderChanged.notify()
+  }
+
+  /** A vote was given: the candidate gets its time to win. */
+  noteVoteGiven (): void {
+    this._lastVoteMs = this.parts.clock.nowMs()
+  }
+
+  commitTo (index: number): void {
+    if (index <= this.commitIndex) return
+    invariant(index <= this.state.log.lastIndex, `commit index ${index} is behind the end of the log`)
+    this.parts.metrics.count(MetricName.LogCommitted, {}, index - this.commitIndex)
+    this.commitIndex = index
+    this.committed.notify()
+  }
+
+  /** Waits until everything that was changed so far is synced. */
+  async settled (scope: Scope): Promise<void> {
+    await this.state.writer.whenDurable(this.state.writer.latestTicket, scope)
+  }
+}
--- /dev/null
+++ b/src/control/log/replication.ts
@@ -0,0 +1,168 @@
+/**
+ * The leader's two tasks for each other replica: one sends entries and
+ * snapshots, one at a time; the other sends heartbeats, which wait for no
+ * disk and so tell whether the leader is still followed.
+ */
+import { invariant } from '../../utils/errors.js'
+import { sleepUntil } from '../../utils/clock.js'
+import { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import type { FollowerProgress } from './followerProgress.js'
+import type { PeerLinks } from './peerLinks.js'
+import { appendMethod, heartbeatMethod, snapshotMethod, type AppendReply, type SnapshotReply } from './raftMethods.js'
+import type { ReplicaCore } from './replicaCore.js'
+
+/** Entries of one message, in bytes; one entry may be larger. */
+const MAX_APPEND_BYTES = 1024 * 1024
+const SNAPSHOT_PIECE_BYTES = 1024 * 1024
+
+/** What the tasks tell the leadership. */
+export interface ReplicationListener {
+  /** Numbers requests, so that an answer tells what had been asked before it. */
+  nextRound (): number
+  /** The highest number that somebody waits for to be confirmed. */
+  readonly wantedRound: number
+  onAcknowledged (): void
+  onMatched (): void
+}
+
+export class Replication {
+  private readonly _core: ReplicaCore
+  private readonly _links: PeerLinks
+  private readonly _follower: FollowerProgress
+  private readonly _listener: ReplicationListener
+  private readonly _term: number
+
+  constructor (core: ReplicaCore, links: PeerLinks, follower: FollowerProgress, listener: ReplicationListener) {
+    this._core = core
+    this._links = links
+    this._follower = follower
+    this._listener = listener
+    this._term = core.term
+  }
+
+  /** Sends entries as they come, until the scope closes. */
+  async sendEntries (scope: Scope): Promise<void> {
+    const { log } = this._core.state
+    for (;;) {
+      while (this._follower.nextIndex > log.lastIndex) await this._follower.wanted.wait(scope)
+      const isHeld = this._follower.nextIndex > log.baseIndex
+      const succeeded = isHeld ? await this._append(scope) : await this._sendSnapshot(scope)
+      if (!succeeded) await this._pause(scope)
+    }
+  }
+
+  /** Sends a heartbeat at every interval, and at once when a confirmation is wanted. */
+  async sendHeartbeats (scope: Scope): Promise<void> {
+    const { clock, timings } = this._core.parts
+    for (;;) {
+      const nextAtMs = clock.nowMs() + timings.heartbeatMs
+      await this._heartbeat(scope)
+      while (this._follower.sentRound >= this._listener.wantedRound) {
+        if (!(await this._follower.wanted.wait(scope, { clock, deadlineMs: nextAtMs }))) break
+      }
+    }
+  }
+
+  private async _append (scope: Scope): Promise<boolean> {
+    scope.throwIfClosed()
+    const { clock, timings } = this._core.parts
+    const { log } = this._core.state
+    const prevIndex = this._follower.nextIndex - 1
+    const prevTerm = log.termAt(prevIndex)
+    invariant(prevTerm !== undefined, `entry ${prevIndex} is not held`)
+    const entries = log.slice(this._follower.nextIndex, MAX_APPEND_BYTES)
+    const request = { ...this._address(), prevIndex, prevTerm, commitIndex: this._core.commitIndex, entries }
+    const sentAtMs = clock.nowMs()
+    const round = this._listener.nextRound()
+    const progress = new Progress(clock, scope, sentAtMs + timings.callTimeoutMs)
+    const outcome = await this._links.to(this._follower.member).call(appendMethod, request, progress)
+    if (outcome.kind !== 'replied') return false
+    return this._onAppendReply(outcome.body, round, sentAtMs)
+  }
+
+  private _onAppendReply (reply: AppendReply, round: number, sentAtMs: number): boolean {
+    switch (reply.kind) {
+      case 'matched':
+        this._follower.matched(reply.matchIndex)
+        this._acknowledge(round, sentAtMs)
+        this._listener.onMatched()
+        return true
+      case 'mismatch':
+        this._follower.nextIndex = Math.max(this._follower.matchIndex + 1, Math.min(reply.retryFromIndex, this._follower.nextIndex - 1))
+        this._acknowledge(round, sentAtMs)
+        return true
+      case 'staleTerm':
+        this._core.observeTerm(reply.term)
+        return false
+      case 'wrongReplica':
+        return false
+    }
+  }
+
+  private async _heartbeat (scope: Scope): Promise<void> {
+    scope.throwIfClosed()
+    const { clock, timings } = this._core.parts
+    const commitIndex = Math.min(this._core.commitIndex, this._follower.matchIndex)
+    const sentAtMs = clock.nowMs()
+    const round = this._listener.nextRound()
+    this._follower.sentRound = round
+    const progress = new Progress(clock, scope, sentAtMs + 2 * timings.heartbeatMs)
+    const outcome = await this._links.to(this._follower.member).call(heartbeatMethod, { ...this._address(), commitIndex }, progress)
+    if (outcome.kind !== 'replied') return
+    if (outcome.body.kind === 'following') this._acknowledge(round, sentAtMs)
+    if (outcome.body.kind === 'staleTerm') this._core.observeTerm(outcome.body.term)
+  }
+
+  private async _sendSnapshot (scope: Scope): Promise<boolean> {
+    const snapshot = await scope.race(this._core.parts.storage.readSnapshot())
+    if (!snapshot) return false
+    const lastTerm = this._core.state.log.termAt(snapshot.lastIndex) ?? 0
+    const totalBytes = snapshot.bytes.length
+    let offsetBytes = 0
+    for (;;) {
+      const bytes = snapshot.bytes.subarray(offsetBytes, offsetBytes + SNAPSHOT_PIECE_BYTES)
+      const piece = { lastIndex: snapshot.lastIndex, lastTerm, offsetBytes, totalBytes, bytes }
+      const reply = await this._sendPiece(piece, scope)
+      if (reply?.kind === 'installed') {
+        this._follower.matched(reply.matchIndex)
+        this._listener.onMatched()
+        return true
+      }
+      if (reply?.kind !== 'expecting') return false
+      offsetBytes = reply.offsetBytes
+    }
+  }
+
+  private async _sendPiece (piece: { lastIndex: number, lastTerm: number, offsetBytes: number, totalBytes: number, bytes: Uint8Array }, scope: Scope): Promise<SnapshotReply | undefined> {
+    scope.throwIfClosed()
+    const { clock, timings } = this._core.parts
+    const sentAtMs = clock.nowMs()
+    const round = this._listener.nextRound()
+    const progress = new Progress(clock, scope, sentAtMs + timings.callTimeoutMs)
+    const outcome = await this._links.to(this._follower.member).call(snapshotMethod, { ...this._address(), ...piece }, progress)
+    if (outcome.kind !== 'replied') return undefined
+    if (outcome.body.kind === 'staleTerm') this._core.observeTerm(outcome.body.term)
+    else if (outcome.body.kind !== 'wrongReplica') this._acknowledge(round, sentAtMs)
+    return outcome.body
+  }
+
+  private _address () {
+    return {
+      clusterId: this._core.clusterId ?? '',
+      fromReplicaId: this._core.replicaId,
+      toReplicaId: this._follower.member.replicaId,
+      term: this._term
+    }
+  }
+
+  private _acknowledge (round: number, sentAtMs: number): void {
+    this._follower.acknowledge(round, sentAtMs)
+    this._listener.onAcknowledged()
+  }
+
+  private async _pause (scope: Scope): Promise<void> {
+    const { clock, timings } = this._core.parts
+    await sleepUntil(clock, scope, clock.nowMs() + timings.retryPauseMs)
+  }
+}
--- /dev/null
+++ b/src/control/log/timings.ts
@@ -0,0 +1,25 @@
+/**
+ * The times of the replicated log. Failover takes an election timeout, two
+ * rounds of votes and a sync; the leader's lease must end before any follower
+ * may vote for another, by clocks that differ in rate by less than a quarter.
+ */
+export interface LogTimings {
+  heartbeatMs: number
+  /** A follower that heard from its leader within this time votes for nobody else. */
+  electionMinMs: number
+  electionMaxMs: number
+  /** The leader's lease, from the sending of a heartbeat that a quorum confirmed. */
+  leaderLeaseMs: number
+  /** A call that carries entries, with their sync at the other side. */
+  callTimeoutMs: number
+  retryPauseMs: number
+}
+
+export const defaultTimings: LogTimings = {
+  heartbeatMs: 150,
+  electionMinMs: 600,
+  electionMaxMs: 1_000,
+  leaderLeaseMs: 450,
+  callTimeoutMs: 1_000,
+  retryPauseMs: 50
+}
--- /dev/null
+++ b/src/control/log/voting.ts
@@ -0,0 +1,109 @@
+/**
+ * Votes: given to others, and asked for. A replica asks for pre-votes first,
+ * so that one which was cut off does not disturb a working leader with a
+ * higher term when it comes back.
+ */
+import type { CallOutcome } from '../../transport/rpcPeer.js'
+import { ScopeClosedError } from '../../utils/errors.js'
+import { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import { Signal } from '../../utils/signal.js'
+import { ControlEvent } from '../controlEvents.js'
+import { quorumCount, votersOf, type Member } from './members.js'
+import type { PeerLinks } from './peerLinks.js'
+import { voteMethod, type VoteReply, type VoteRequest } from './raftMethods.js'
+import { ReplicaRole, type ReplicaCore } from './replicaCore.js'
+
+export class Voting {
+  private readonly _core: ReplicaCore
+  private readonly _links: PeerLinks
+  private readonly _scope: Scope
+
+  constructor (core: ReplicaCore, links: PeerLinks, scope: Scope) {
+    this._core = core
+    this._links = links
+    this._scope = scope
+  }
+
+  /** Answers a candidate. */
+  async onVote (request: VoteRequest): Promise<VoteReply> {
+    const core = this._core
+    if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
+    if (core.isBoundToLeader() || request.term < core.term) return { kind: 'refused', term: core.term }
+    const isUpToDate = this._isUpToDate(request)
+    if (request.isPreVote) {
+      return isUpToDate && request.term > core.term ? { kind: 'granted' } : { kind: 'refused', term: core.term }
+    }
+    core.observeTerm(request.term)
+    const isFree = core.state.votedFor === null || core.state.votedFor === request.fromReplicaId
+    if (isUpToDate && isFree) {
+      core.state.setHardState({ term: request.term, votedFor: request.fromReplicaId })
+      core.noteVoteGiven()
+    }
+    await core.settled(this._scope)
+    const isGiven = core.term === request.term && core.state.votedFor === request.fromReplicaId
+    return isGiven ? { kind: 'granted' } : { kind: 'refused', term: core.term }
+  }
+
+  /** Tries to become leader of a new term; true when the votes are there. */
+  async campaign (): Promise<boolean> {
+    const core = this._core
+    const term = core.term + 1
+    if (!(await this._collect(term, true))) return false
+    if (core.term + 1 !== term || core.isBoundToLeader()) return false
+    core.becomeCandidate()
+    core.state.setHardState({ term, votedFor: core.replicaId })
+    core.parts.logger.event(ControlEvent.ElectionBegun, { term })
+    await core.settled(this._scope)
+    if (!this._isCandidateOf(term)) return false
+    return await this._collect(term, false) && this._isCandidateOf(term)
+  }
+
+  private _isCandidateOf (term: number): boolean {
+    return this._core.term === term && this._core.role === ReplicaRole.Candidate
+  }
+
+  private _isUpToDate (request: VoteRequest): boolean {
+    const { lastTerm, lastIndex } = this._core.state.log
+    return request.lastTerm > lastTerm || (request.lastTerm === lastTerm && request.lastIndex >= lastIndex)
+  }
+
+  /** Asks all voters at once; false as soon as the votes cannot suffice. */
+  private async _collect (term: number, isPreVote: boolean): Promise<boolean> {
+    const { clock, timings } = this._core.parts
+    const voters = votersOf(this._core.members)
+    const others = voters.filter(member => member.replicaId !== this._core.replicaId)
+    const neededCount = quorumCount(voters.length)
+    const progress = new Progress(clock, this._scope, clock.nowMs() + timings.electionMinMs)
+    const counted = new Signal()
+    const ballot = { grantedCount: 1, openCount: others.length }
+    for (const member of others) {
+      this._ask(member, term, isPreVote, progress).then(isGranted => {
+        ballot.openCount--
+        if (isGranted) ballot.grantedCount++
+        counted.notify()
+      }).catch(this._ignoreClosing)
+    }
+    while (ballot.grantedCount < neededCount && ballot.grantedCount + ballot.openCount >= neededCount) {
+      if (!(await counted.wait(this._scope, progress))) break
+    }
+    return ballot.grantedCount >= neededCount
+  }
+
+  private async _ask (member: Member, term: number, isPreVote: boolean, progress: Progress): Promise<boolean> {
+    const { lastIndex, lastTerm } = this._core.state.log
+    const address = { clusterId: this._core.clusterId ?? '', fromReplicaId: this._core.replicaId, toReplicaId: member.replicaId, term }
+    const outcome = await this._links.to(member).call(voteMethod, { ...address, isPreVote, lastIndex, lastTerm }, progress)
+    return this._isGranted(outcome)
+  }
+
+  private _isGranted (outcome: CallOutcome<VoteReply>): boolean {
+    if (outcome.kind !== 'replied') return false
+    if (outcome.body.kind === 'refused') this._core.observeTerm(outcome.body.term)
+    return outcome.body.kind === 'granted'
+  }
+
+  private readonly _ignoreClosing = (error: unknown): void => {
+    if (!(error instanceof ScopeClosedError)) this._links.onFatal(error)
+  }
+}
--- /dev/null
+++ b/src/control/storage/fileDisk.ts
@@ -0,0 +1,126 @@
+/**
+ * A folder of the file system as a disk.
+ */
+import { mkdir, open, readdir, readFile, rename, rm, type FileHandle } from 'node:fs/promises'
+import { join } from 'node:path'
+import { StorageError } from '../../utils/errors.js'
+import type { Disk, DiskFile } from './disk.js'
+
+export class FileDisk implements Disk {
+  private readonly _folder: string
+
+  private constructor (folder: string) {
+    this._folder = folder
+  }
+
+  /** Makes the folder if there is none. */
+  static async open (folder: string): Promise<FileDisk> {
+    await guarded(`make ${folder}`, () => mkdir(folder, { recursive: true }))
+    return new FileDisk(folder)
+  }
+
+  async list (): Promise<string[]> {
+    const entries = await guarded(`list ${this._folder}`, () => readdir(this._folder, { withFileTypes: true }))
+    return entries.filter(entry => entry.isFile()).map(entry => entry.name)
+  }
+
+  async read (name: string): Promise<Uint8Array | undefined> {
+    try {
+      return await readFile(join(this._folder, name))
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
+      throw storageError(`read ${name}`, error)
+    }
+  }
+
+  async open (name: string): Promise<DiskFile> {
+    const path = join(this._folder, name)
+    return await guarded(`open ${name}`, async () => {
+      const created = await open(path, 'a')
+      await created.close()
+      const handle = await open(path, 'r+')
+      const { size } = await handle.stat()
+      return new OpenFile(name, handle, size)
+    })
+  }
+
+  async rename (from: string, to: string): Promise<void> {
+    await guarded(`rename ${from}`, () => rename(join(this._folder, from), join(this._folder, to)))
+  }
+
+  async remove (name: string): Promise<void> {
+    await guarded(`remove ${name}`, () => rm(join(this._folder, name), { force: true }))
+  }
+
+  async setAside (names: string[], folder: string): Promise<void> {
+    const target = join(this._folder, folder)
+    await guarded(`make ${folder}`, () => mkdir(target, { recursive: true }))
+    for (const name of names) {
+      await guarded(`set ${name} aside`, () => rename(join(this._folder, name), join(target, name)))
+    }
+    await this.syncFolder()
+  }
+
+  async syncFolder (): Promise<void> {
+    await guarded(`sync ${this._folder}`, async () => {
+      const handle = await open(this._folder, 'r')
+      try {
+        await handle.sync()
+      } finally {
+        await handle.close()
+      }
+    })
+  }
+}
+
+class OpenFile implements DiskFile {
+  private readonly _name: string
+  private readonly _handle: FileHandle
+  private _lengthBytes: number
+
+  constructor (name: string, handle: FileHandle, lengthBytes: number) {
+    this._name = name
+    this._handle = handle
+    this._lengthBytes = lengthBytes
+  }
+
+  async append (bytes: Uint8Array): Promise<void> {
+    await this.writeAt(this._lengthBytes, bytes)
+    this._lengthBytes += bytes.length
+  }
+
+  async writeAt (positionBytes: number, bytes: Uint8Array): Promise<void> {
+    await guarded(`write ${this._name}`, async () => {
+      let writtenBytes = 0
+      while (writtenBytes < bytes.length) {
+        const result = await this._handle.write(bytes, writtenBytes, bytes.length - writtenBytes, positionBytes + writtenBytes)
+        writtenBytes += result.bytesWritten
+      }
+    })
+  }
+
+  async truncate (lengthBytes: number): Promise<void> {
+    await guarded(`truncate ${this._name}`, () => this._handle.truncate(lengthBytes))
+    this._lengthBytes = lengthBytes
+  }
+
+  async sync (): Promise<void> {
+    await guarded(`sync ${this._name}`, () => this._handle.datasync())
+  }
+
+  async close (): Promise<void> {
+    await guarded(`close ${this._name}`, () => this._handle.close())
+  }
+}
+
+async function guarded<T> (what: string, work: () => Promise<T>): Promise<T> {
+  try {
+    return await work()
+  } catch (error) {
+    throw storageError(what, error)
+  }
+}
+
+function storageError (what: string, error: unknown): Error {
+  return new StorageError(`cannot ${what}: ${(error as Error).message}`)
+}
--- /dev/null
+++ b/src/control/storage/logRecords.ts
@@ -0,0 +1,150 @@
+/**
+ * Records of a log file: four bytes of length, a checksum of the
+ * body, and the body in CBOR. A file begins with a head that says how far it
+ * is known to be synced, and every batch of records begins with the same
+ * statement. That is what tells a torn tail, which may be cut, from damage to
+ * something that was synced once, which may not.
+ */
+import { Decoder, Encoder } from 'cbor-x'
+import type { EntryKind, HardState, LogEntry } from '../log/logEntry.js'
+import { CHECKSUM_BYTES, checksumMatches, writeChecksum } from './checksum.js'
+
+enum RecordType {
+  Base = 0,
+  HardState = 1,
+  Entry = 2,
+  BatchStart = 3
+}
+
+export type LogRecord =
+  /** The snapshot that the file builds on; its first record. */
+  | { kind: 'base', snapshotIndex: number, snapshotTerm: number }
+  | { kind: 'hardState', hardState: HardState }
+  /** An entry replaces whatever the log held from its index on. */
+  | { kind: 'entry', entry: LogEntry }
+  /** Everything before this position had been synced when the batch was written. */
+  | { kind: 'batchStart', syncedBytes: number }
+
+const encoder = new Encoder({ useRecords: false })
+const decoder = new Decoder({ useRecords: false })
+const LENGTH_BYTES = 4
+const PREFIX_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
+const MAGIC = Buffer.from('TDLOG001', 'latin1')
+const MARK_BYTES = 8
+const MARK_POSITION_BYTES = MAGIC.length
+const MAX_BATCH_START_BODY_BYTES = 16
+
+export const HEAD_BYTES = MAGIC.length + MARK_BYTES + CHECKSUM_BYTES
+
+export function encodeRecord (record: LogRecord): Buffer {
+  const body = encoder.encode(toFields(record))
+  const bytes = Buffer.allocUnsafe(PREFIX_BYTES + body.length)
+  bytes.writeUInt32BE(body.length, 0)
+  body.copy(bytes, PREFIX_BYTES)
+  writeChecksum(bytes, LENGTH_BYTES, body)
+  return bytes
+}
+
+function toFields (record: LogRecord): unknown[] {
+  switch (record.kind) {
+    case 'base':
+      return [RecordType.Base, record.snapshotIndex, record.snapshotTerm]
+    case 'hardState':
+      return [RecordType.HardState, record.hardState.term, record.hardState.votedFor]
+    case 'entry': {
+      const { term, index, kind, atMs, payload } = record.entry
+      return [RecordType.Entry, term, index, kind, atMs, payload]
+    }
+    case 'batchStart':
+      return [RecordType.BatchStart, record.syncedBytes]
+  }
+}
+
+function fromFields (fields: unknown): LogRecord | undefined {
+  if (!Array.isArray(fields)) return undefined
+  const [type, ...values] = fields as [RecordType, ...unknown[]]
+  switch (type) {
+    case RecordType.Base:
+      return { kind: 'base', snapshotIndex: values[0] as number, snapshotTerm: values[1] as number }
+    case RecordType.HardState:
+      return { kind: 'hardState', hardState: { term: values[0] as number, votedFor: values[1] as string | null } }
+    case RecordType.Entry:
+      return { kind: 'entry', entry: entryFrom(values) }
+    case RecordType.BatchStart:
+      return { kind: 'batchStart', syncedBytes: values[0] as number }
+    default:
+      return undefined
+  }
+}
+
+function entryFrom (values: unknown[]): LogEntry {
+  const [term, index, kind, atMs, payload] = values as [number, number, EntryKind, number, Uint8Array]
+  // A copy, so that an entry does not keep the whole file in memory.
+  return { term, index, kind, atMs, payload: Uint8Array.from(payload) }
+}
+
+/** The head of a file that is synced up to a position. */
+export function encodeHead (syncedBytes: number): Buffer {
+  return Buffer.concat([MAGIC, encodeMark(syncedBytes).bytes])
+}
+
+/** What is written over part of the head after each sync, and where. */
+export function encodeMark (syncedBytes: number): { positionBytes: number, bytes: Buffer } {
+  const bytes = Buffer.alloc(MARK_BYTES + CHECKSUM_BYTES)
+  bytes.writeBigUInt64BE(BigInt(syncedBytes), 0)
+  writeChecksum(bytes, MARK_BYTES, bytes.subarray(0, MARK_BYTES))
+  return { positionBytes: MARK_POSITION_BYTES, bytes }
+}
+
+export type ReadOutcome =
+  | { kind: 'read', records: LogRecord[], validBytes: number, tornBytes: number }
+  | { kind: 'damaged', reason: string }
+
+/** Reads a log file whole. */
+export function readRecords (bytes: Uint8Array): ReadOutcome {
+  const file = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+  if (file.length < HEAD_BYTES || !file.subarray(0, MAGIC.length).equals(MAGIC)) return { kind: 'damaged', reason: 'it has no head' }
+  const records: LogRecord[] = []
+  let positionBytes = HEAD_BYTES
+  for (;;) {
+    const parsed = readRecordAt(file, positionBytes)
+    if (!parsed) break
+    records.push(parsed.record)
+    positionBytes = parsed.endBytes
+  }
+  const syncedBytes = Math.max(readMark(file), latestBatchStart(file, positionBytes))
+  if (syncedBytes > positionBytes) {
+    return { kind: 'damaged', reason: `byte ${positionBytes} is unreadable, but ${syncedBytes} bytes had been synced` }
+  }
+  return { kind: 'read', records, validBytes: positionBytes, tornBytes: file.length - positionBytes }
+}
+
+function readRecordAt (file: Buffer, positionBytes: number): { record: LogRecord, endBytes: number } | undefined {
+  const bodyAtBytes = positionBytes + PREFIX_BYTES
+  if (bodyAtBytes > file.length) return undefined
+  const lengthBytes = file.readUInt32BE(positionBytes)
+  const endBytes = bodyAtBytes + lengthBytes
+  if (lengthBytes === 0 || endBytes > file.length) return undefined
+  const body = file.subarray(bodyAtBytes, endBytes)
+  if (!checksumMatches(file, positionBytes + LENGTH_BYTES, body)) return undefined
+  const record = fromFields(decoder.decode(body))
+  return record && { record, endBytes }
+}
+
+/** The mark in the head; 0 when it is torn itself. */
+function readMark (file: Buffer): number {
+  const mark = file.subarray(MARK_POSITION_BYTES, MARK_POSITION_BYTES + MARK_BYTES)
+  const matches = checksumMatches(file, MARK_POSITION_BYTES + MARK_BYTES, mark)
+  return matches ? Number(mark.readBigUInt64BE(0)) : 0
+}
+
+/** The furthest sync that any batch behind an unreadable place speaks of. */
+function latestBatchStart (file: Buffer, fromBytes: number): number {
+  let syncedBytes = 0
+  for (let positionBytes = fromBytes + 1; positionBytes + PREFIX_BYTES < file.length; positionBytes++) {
+    if (file.readUInt32BE(positionBytes) > MAX_BATCH_START_BODY_BYTES) continue
+    const parsed = readRecordAt(file, positionBytes)
+    if (parsed?.record.kind === 'batchStart') syncedBytes = Math.max(syncedBytes, parsed.record.syncedBytes)
+  }
+  return syncedBytes
+}
--- /dev/null
+++ b/src/control/storage/replicaStorage.ts
@@ -0,0 +1,183 @@
+/**
+ * The files of one replica: its identity, the current log file and the latest
+ * snapshot. Whatever a method has returned from is synced. A failed write or
+ * sync throws a StorageError and leaves the storage unusable, because what
+ * reached the disk is unknown then.
+ */
+import { invariant, StorageError } from '../../utils/errors.js'
+import type { HardState, LogEntry } from '../log/logEntry.js'
+import { TEMPORARY_SUFFIX, writeWhole, type Disk, type DiskFile } from './disk.js'
+import { encodeHead, encodeMark, encodeRecord, HEAD_BYTES, type LogRecord } from './logRecords.js'
+import { encodeIdentity, type ReplicaIdentity } from './replicaFile.js'
+import { IDENTITY_FILE, latestLogSequence, loadReplica, logName, snapshotName, type LoadedReplica } from './storageLoader.js'
+
+export interface OpenedReplica {
+  storage: ReplicaStorage
+  loaded: LoadedReplica
+  /** Why an earlier replica's files were set aside; the replica is a new one then. */
+  damage: string | undefined
+}
+
+/** A snapshot together with everything that follows on it. */
+export interface Compaction {
+  snapshotIndex: number
+  snapshotTerm: number
+  snapshotBytes: Uint8Array
+  hardState: HardState
+  entries: LogEntry[]
+}
+
+export interface StorageOptions {
+  /** False only to measure what syncing costs. */
+  syncs: boolean
+}
+
+export class ReplicaStorage {
+  private readonly _disk: Disk
+  private readonly _options: StorageOptions
+  private _identity: ReplicaIdentity
+  private _log: DiskFile
+  private _logSequence: number
+  private _logBytes: number
+  private _snapshotIndex: number
+  private _failed = false
+
+  private constructor (disk: Disk, options: StorageOptions, loaded: LoadedReplica, log: DiskFile) {
+    this._disk = disk
+    this._options = options
+    this._identity = loaded.identity
+    this._log = log
+    this._logSequence = loaded.logSequence
+    this._logBytes = loaded.logBytes
+    this._snapshotIndex = loaded.snapshot?.lastIndex ?? 0
+  }
+
+  /**
+   * Opens the replica of a host, and makes one if the disk holds none. Files
+   * that are damaged are set aside, and the host gets a new replica, which
+   * has to join as any other new one.
+   * @throws StorageError if the disk belongs to another host.
+   */
+  static async open (disk: Disk, hostId: string, newId: () => string, options: StorageOptions = { syncs: true }): Promise<OpenedReplica> {
+    const outcome = await loadReplica(disk)
+    let damage: string | undefined
+    let loaded: LoadedReplica
+    switch (outcome.kind) {
+      case 'loaded':
+        loaded = outcome.replica
+        if (loaded.identity.hostId !== hostId) throw new StorageError(`the data folder belongs to host ${loaded.identity.hostId}, not ${hostId}`)
+        break
+      case 'damaged':
+        damage = outcome.reason
+        await disk.setAside(await disk.list(), `damaged-${newId()}`)
+        loaded = await makeReplica(disk, hostId, newId())
+        break
+      case 'empty':
+        loaded = await makeReplica(disk, hostId, newId())
+    }
+    const log = await disk.open(logName(loaded.logSequence))
+    const storage = new ReplicaStorage(disk, options, loaded, log)
+    await storage._cutTornTail(loaded.tornBytes)
+    await storage._removeLeftovers()
+    return { storage, loaded, damage }
+  }
+
+  get identity (): ReplicaIdentity {
+    return this._identity
+  }
+
+  /** Binds the replica to its cluster for good. */
+  async adoptCluster (clusterId: string): Promise<void> {
+    invariant(this._identity.clusterId === null, 'a replica belongs to one cluster')
+    const identity = { ...this._identity, clusterId }
+    await this._guarded(() => writeWhole(this._disk, IDENTITY_FILE, encodeIdentity(identity)))
+    this._identity = identity
+  }
+
+  /** Appends records as one batch with one sync. */
+  async append (records: LogRecord[]): Promise<void> {
+    const batch = Buffer.concat([{ kind: 'batchStart', syncedBytes: this._logBytes } as const, ...records].map(encodeRecord))
+    await this._guarded(async () => {
+      await this._log.append(batch)
+      if (this._options.syncs) await this._log.sync()
+      this._logBytes += batch.length
+      // Not synced itself: it outlives the process, and a loss of power only makes it older.
+      const mark = encodeMark(this._logBytes)
+      await this._log.writeAt(mark.positionBytes, mark.bytes)
+    })
+  }
+
+  /** Replaces snapshot and log in one step: after a crash there is the old pair or the new one. */
+  async compact (compaction: Compaction): Promise<void> {
+    await this._guarded(async () => {
+      const { snapshotIndex, snapshotTerm, hardState, entries } = compaction
+      await writeWhole(this._disk, snapshotName(snapshotIndex), compaction.snapshotBytes)
+      const content = logContent([
+        { kind: 'base', snapshotIndex, snapshotTerm },
+        { kind: 'hardState', hardState },
+        ...entries.map(entry => ({ kind: 'entry', entry } as const))
+      ])
+      const sequence = this._logSequence + 1
+      await writeWhole(this._disk, logName(sequence), content)
+      await this._log.close()
+      this._log = await this._disk.open(logName(sequence))
+      this._logSequence = sequence
+      this._logBytes = content.length
+      this._snapshotIndex = snapshotIndex
+      await this._removeLeftovers()
+    })
+  }
+
+  /** The latest snapshot as it lies on disk; undefined before the first one. */
+  async readSnapshot (): Promise<{ lastIndex: number, bytes: Uint8Array } | undefined> {
+    const lastIndex = this._snapshotIndex
+    if (lastIndex === 0) return undefined
+    const bytes = await this._disk.read(snapshotName(lastIndex))
+    return bytes && { lastIndex, bytes }
+  }
+
+  async close (): Promise<void> {
+    await this._log.close()
+  }
+
+  private async _guarded (work: () => Promise<void>): Promise<void> {
+    if (this._failed) throw new StorageError('the storage has failed before')
+    try {
+      await work()
+    } catch (error) {
+      this._failed = true
+      throw error
+    }
+  }
+
+  private async _cutTornTail (tornBytes: number): Promise<void> {
+    if (tornBytes === 0) return
+    await this._log.truncate(this._logBytes)
+    await this._log.sync()
+  }
+
+  /** Older logs and snapshots, and files that were being written. */
+  private async _removeLeftovers (): Promise<void> {
+    const kept = new Set([IDENTITY_FILE, logName(this._logSequence), snapshotName(this._snapshotIndex)])
+    for (const name of await this._disk.list()) {
+      const isOurs = name.startsWith('log-') || name.startsWith('snapshot-') || name.endsWith(TEMPORARY_SUFFIX)
+      if (isOurs && !kept.has(name)) await this._disk.remove(name)
+    }
+  }
+}
+
+/** The identity comes last: a folder with one has a log. */
+async function makeReplica (disk: Disk, hostId: string, replicaId: string): Promise<LoadedReplica> {
+  const logSequence = (latestLogSequence(await disk.list()) ?? 0) + 1
+  const content = logContent([{ kind: 'base', snapshotIndex: 0, snapshotTerm: 0 }])
+  await writeWhole(disk, logName(logSequence), content)
+  const identity: ReplicaIdentity = { replicaId, hostId, clusterId: null }
+  await writeWhole(disk, IDENTITY_FILE, encodeIdentity(identity))
+  const hardState = { term: 0, votedFor: null }
+  return { identity, hardState, snapshot: undefined, entries: [], logSequence, logBytes: content.length, tornBytes: 0 }
+}
+
+function logContent (records: LogRecord[]): Buffer {
+  const body = Buffer.concat(records.map(encodeRecord))
+  return Buffer.concat([encodeHead(HEAD_BYTES + body.length), body])
+}
--- /dev/null
+++ b/src/control/storage/storageLoader.ts
@@ -0,0 +1,117 @@
+/**
+ * Reads what a replica left on its disk, and says what is wrong with it.
+ * Damage to anything that was synced once is never repaired by guessing: the
+ * replica would forget votes or entries that others rely on.
+ */
+import { invariant } from '../../utils/errors.js'
+import type { HardState, LogEntry } from '../log/logEntry.js'
+import type { Disk } from './disk.js'
+import { readRecords, type LogRecord } from './logRecords.js'
+import { decodeIdentity, type ReplicaIdentity } from './replicaFile.js'
+import { decodeSnapshot, type Snapshot } from './snapshotFile.js'
+
+export const IDENTITY_FILE = 'replica'
+
+const logNamePattern = /^log-(\d+)$/
+const snapshotNamePattern = /^snapshot-\d+$/
+
+export function logName (sequence: number): string {
+  return `log-${String(sequence).padStart(10, '0')}`
+}
+
+export function snapshotName (lastIndex: number): string {
+  return `snapshot-${String(lastIndex).padStart(16, '0')}`
+}
+
+/** Everything that a replica relies on after a restart. */
+export interface LoadedReplica {
+  identity: ReplicaIdentity
+  hardState: HardState
+  snapshot: Snapshot | undefined
+  /** Consecutive, the first one at most one after the snapshot. */
+  entries: LogEntry[]
+  logSequence: number
+  logBytes: number
+  /** Bytes of a write that never ended, to be cut. */
+  tornBytes: number
+}
+
+export type LoadOutcome =
+  | { kind: 'loaded', replica: LoadedReplica }
+  | { kind: 'empty' }
+  | { kind: 'damaged', reason: string }
+
+export async function loadReplica (disk: Disk): Promise<LoadOutcome> {
+  const names = await disk.list()
+  const identityBytes = await disk.read(IDENTITY_FILE)
+  if (!identityBytes) {
+    const isEmpty = !names.some(name => logNamePattern.test(name) || snapshotNamePattern.test(name))
+    return isEmpty ? { kind: 'empty' } : { kind: 'damaged', reason: 'there are log files, but no identity' }
+  }
+  const identity = decodeIdentity(identityBytes)
+  if (!identity) return { kind: 'damaged', reason: `${IDENTITY_FILE}: its checksum does not match` }
+  const logSequence = latestLogSequence(names)
+  if (logSequence === undefined) return { kind: 'damaged', reason: 'there is an identity, but no log file' }
+  return await loadLog(disk, identity, logSequence)
+}
+
+export function latestLogSequence (names: string[]): number | undefined {
+  const sequences = names.map(name => logNamePattern.exec(name)?.[1]).filter(digits => digits !== undefined).map(Number)
+  return sequences.length > 0 ? Math.max(...sequences) : undefined
+}
+
+async function loadLog (disk: Disk, identity: ReplicaIdentity, logSequence: number): Promise<LoadOutcome> {
+  const name = logName(logSequence)
+  const bytes = await disk.read(name)
+  invariant(bytes, `${name} was listed but cannot be read`)
+  const read = readRecords(bytes)
+  if (read.kind === 'damaged') return { kind: 'damaged', reason: `${name}: ${read.reason}` }
+  const replayed = replay(read.records)
+  if (replayed.kind === 'damaged') return { kind: 'damaged', reason: `${name}: ${replayed.reason}` }
+  const base = await loadBase(disk, replayed.snapshotIndex)
+  if (base.kind === 'damaged') return base
+  const { hardState, entries } = replayed
+  const replica = { identity, hardState, entries, snapshot: base.snapshot, logSequence, logBytes: read.validBytes, tornBytes: read.tornBytes }
+  return { kind: 'loaded', replica }
+}
+
+type BaseOutcome = { kind: 'read', snapshot: Snapshot | undefined } | { kind: 'damaged', reason: string }
+
+async function loadBase (disk: Disk, snapshotIndex: number): Promise<BaseOutcome> {
+  if (snapshotIndex === 0) return { kind: 'read', snapshot: undefined }
+  const name = snapshotName(snapshotIndex)
+  const bytes = await disk.read(name)
+  if (!bytes) return { kind: 'damaged', reason: `${name} is missing` }
+  const snapshot = decodeSnapshot(bytes)
+  if (!snapshot) return { kind: 'damaged', reason: `${name}: its checksum does not match` }
+  return { kind: 'read', snapshot }
+}
+
+type ReplayOutcome =
+  | { kind: 'replayed', snapshotIndex: number, hardState: HardState, entries: LogEntry[] }
+  | { kind: 'damaged', reason: string }
+
+/** Plays the records of a file in order; an entry replaces those from its index on. */
+function replay (records: LogRecord[]): ReplayOutcome {
+  const base = records[0]
+  if (base?.kind !== 'base') return { kind: 'damaged', reason: 'its first record is unreadable' }
+  const hardState = records.findLast(record => record.kind === 'hardState')?.hardState ?? { term: 0, votedFor: null }
+  const { entries, misplaced } = replayEntries(records)
+  if (misplaced) return { kind: 'damaged', reason: `entry ${misplaced.index} does not follow on the one before` }
+  const firstIndex = entries[0]?.index ?? base.snapshotIndex + 1
+  if (firstIndex > base.snapshotIndex + 1) return { kind: 'damaged', reason: `entries ${base.snapshotIndex + 1} to ${firstIndex - 1} are missing` }
+  return { kind: 'replayed', snapshotIndex: base.snapshotIndex, hardState, entries }
+}
+
+function replayEntries (records: LogRecord[]): { entries: LogEntry[], misplaced?: LogEntry } {
+  const entries: LogEntry[] = []
+  for (const record of records) {
+    if (record.kind !== 'entry') continue
+    const firstIndex = entries[0]?.index ?? record.entry.index
+    const position = record.entry.index - firstIndex
+    if (position < 0 || position > entries.length) return { entries, misplaced: record.entry }
+    entries.length = position
+    entries.push(record.entry)
+  }
+  return { entries }
+}
--- /dev/null
+++ b/src/transport/peerLink.ts
@@ -0,0 +1,75 @@
+/**
+ * Calls to one address over a connection that is opened when it is needed
+ * and replaced when it is lost, or when calls over it go unanswered.
+ */
+import type { Clock } from '../utils/clock.js'
+import { ScopeClosedError } from '../utils/errors.js'
+import type { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import type { ConnectOutcome, Transport } from './connection.js'
+import { RpcPeer, type CallOutcome, type RpcHandlers, type RpcMethod } from './rpcPeer.js'
+
+/** A connection is given up after so many calls in a row that got no reply in time. */
+const MAX_UNANSWERED_COUNT = 3
+
+const CONNECT_TIMEOUT_MS = 2_000
+
+export class PeerLink {
+  readonly address: string
+  private readonly _transport: Transport
+  private readonly _scope: Scope
+  private readonly _handlers: RpcHandlers
+  private readonly _onFatal: (error: unknown) => void
+  private _peer: RpcPeer | undefined
+  private _opening: Promise<RpcPeer | undefined> | undefined
+  private _unansweredCount = 0
+
+  constructor (address: string, transport: Transport, scope: Scope, handlers: RpcHandlers, onFatal: (error: unknown) => void) {
+    this.address = address
+    this._transport = transport
+    this._scope = scope
+    this._handlers = handlers
+    this._onFatal = onFatal
+  }
+
+  async call<Request, Reply> (method: RpcMethod<Request, Reply>, body: Request, progress: Progress): Promise<CallOutcome<Reply>> {
+    const opened = await progress.race(this._open(progress.clock))
+    if (opened.kind === 'deadlinePassed') return { kind: 'unserved', reason: `${this.address} did not accept a connection in time` }
+    const peer = opened.value
+    if (!peer) return { kind: 'unserved', reason: `${this.address} is unreachable` }
+    const outcome = await peer.call(method, body, progress)
+    this._countUnanswered(peer, outcome.kind === 'lost')
+    return outcome
+  }
+
+  private async _open (clock: Clock): Promise<RpcPeer | undefined> {
+    if (this._peer && !this._peer.connection.scope.isClosed) return this._peer
+    this._opening ??= this._connect(clock).finally(() => { this._opening = undefined })
+    return await this._opening
+  }
+
+  private async _connect (clock: Clock): Promise<RpcPeer | undefined> {
+    const scope = this._scope.child(`link to ${this.address}`)
+    const cancelTimer = clock.callAt(clock.nowMs() + CONNECT_TIMEOUT_MS, () => scope.close('connecting takes too long'))
+    const outcome = await this._connectWithin(scope)
+    cancelTimer()
+    if (outcome.kind === 'unreachable') return undefined
+    this._unansweredCount = 0
+    this._peer = new RpcPeer(outcome.connection, this._handlers, this._onFatal)
+    return this._peer
+  }
+
+  private async _connectWithin (scope: Scope): Promise<ConnectOutcome> {
+    try {
+      return await this._transport.connect(this.address, scope)
+    } catch (error) {
+      if (!(error instanceof ScopeClosedError) || this._scope.isClosed) throw error
+      return { kind: 'unreachable', reason: error.message }
+    }
+  }
+
+  private _countUnanswered (peer: RpcPeer, isLost: boolean): void {
+    this._unansweredCount = isLost ? this._unansweredCount + 1 : 0
+    if (this._unansweredCount >= MAX_UNANSWERED_COUNT) peer.connection.close('calls go unanswered')
+  }
+}
--- /dev/null
+++ b/src/utils/signal.ts
@@ -0,0 +1,42 @@
+/**
+ * A condition that tasks wait for. Whoever waits checks its condition first
+ * and again after every wake-up; a waiter that gives up leaves nothing behind.
+ */
+import type { Clock } from './clock.js'
+import type { Scope } from './scope.js'
+
+export interface WaitLimit {
+  clock: Clock
+  /** Instant of the monotonic clock. */
+  deadlineMs: number
+}
+
+export class Signal {
+  private readonly _waiters = new Set<() => void>()
+
+  notify (): void {
+    const waiters = [...this._waiters]
+    this._waiters.clear()
+    for (const wake of waiters) wake()
+  }
+
+  /**
+   * Waits for the next notification; false when the deadline passed first.
+   * @throws ScopeClosedError when the scope closes first.
+   */
+  async wait (scope: Scope, limit?: WaitLimit): Promise<boolean> {
+    let wake = (): void => {}
+    let cancelTimer = (): void => {}
+    const notified = new Promise<boolean>(resolve => {
+      wake = () => resolve(true)
+      if (limit) cancelTimer = limit.clock.callAt(limit.deadlineMs, () => resolve(false))
+    })
+    this._waiters.add(wake)
+    try {
+      return await scope.race(notified)
+    } finally {
+      this._waiters.delete(wake)
+      cancelTimer()
+    }
+  }
+}
