--- a/src/transport/rpcPeer.ts
+++ b/src/transport/rpcPeer.ts
@@ -4,6 +4,7 @@
  * against the schema of its method before the handler sees it.
  */
 import { z } from 'zod'
+import { ScopeClosedError } from '../utils/errors.js'
 import type { Progress } from '../utils/progress.js'
 import type { Connection } from './connection.js'
 
@@ -120,7 +121,7 @@
     switch (frame.kind) {
       case FrameKind.Call:
       case FrameKind.Notice:
-        this._serve(frame.id, frame.method ?? '', frame.body, frame.remainingMs ?? 0).catch(this._onFatal)
+        this._serve(frame.id, frame.method ?? '', frame.body, frame.remainingMs ?? 0).catch(error => this._onHandlerError(error))
         return
       case FrameKind.Reply:
         this._waiting.get(frame.id ?? 0)?.({ kind: 'replied', body: frame.body })
@@ -139,6 +140,11 @@
     if (id !== undefined) this.connection.send({ kind: FrameKind.Reply, id, body: reply })
   }
 
+  /** A handler that its scope has ended is no broken invariant: the caller gets no reply. */
+  private _onHandlerError (error: unknown): void {
+    if (!(error instanceof ScopeClosedError)) this._onFatal(error)
+  }
+
   private _refuse (id: number | undefined, reason: string): void {
     if (id !== undefined) this.connection.send({ kind: FrameKind.Unserved, id, body: reason })
   }
