--- /dev/null
+++ b/src/control/admin/adminRouter.ts
@@ -0,0 +1,58 @@
+/**
+ * Rare calls between control hosts, by tRPC on the operator address: joining,
+ * membership, and what a follower passes on to its leader. Whatever repeats
+ * goes over framed TCP instead (docs/design/wire.md).
+ */
+import { initTRPC } from '@trpc/server'
+import { z } from 'zod'
+import { resourceCommandSchema } from '../../protocol/resourceCommands.js'
+import type { Clock } from '../../utils/clock.js'
+import { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import type { ControlNode } from '../controlNode.js'
+import { ReadMode } from '../log/replica.js'
+import { controlStatus } from './controlStatus.js'
+
+export interface AdminContext {
+  node: ControlNode
+  clock: Clock
+  scope: Scope
+}
+
+const { router, procedure } = initTRPC.context<AdminContext>().create()
+
+const MAX_WAIT_MS = 30_000
+const remainingMsSchema = z.number().min(0).max(MAX_WAIT_MS)
+const newcomerSchema = z.object({ replicaId: z.string(), hostId: z.string(), peerAddress: z.string(), operatorAddress: z.string() })
+
+function progressOf ({ clock, scope }: AdminContext, remainingMs: number): Progress {
+  return new Progress(clock, scope, clock.nowMs() + remainingMs)
+}
+
+export const adminRouter = router({
+  /** Takes a new replica in as a learner. */
+  join: procedure.input(newcomerSchema).mutation(({ ctx, input }) => ctx.node.replica.join(input)),
+
+  /** Removes a control host from the members. */
+  removeMember: procedure.input(z.object({ hostId: z.string() })).mutation(({ ctx, input }) => ctx.node.replica.remove(input.hostId)),
+
+  /** An operator's change that came to a follower. */
+  submit: procedure
+    .input(z.object({ command: resourceCommandSchema, remainingMs: remainingMsSchema }))
+    .mutation(({ ctx, input }) => ctx.node.submit(input.command, progressOf(ctx, input.remainingMs))),
+
+  /** The index that a follower has to have applied before it answers a read. */
+  readIndex: procedure
+    .input(z.object({ remainingMs: remainingMsSchema }))
+    .query(async ({ ctx, input }) => {
+      const read = await ctx.node.read(ReadMode.Quorum, progressOf(ctx, input.remainingMs))
+      return read.kind === 'confirmed' ? { kind: 'confirmed' as const, index: ctx.node.replica.appliedIndex } : read
+    }),
+
+  /** What only the leader knows of members and entry hosts. */
+  status: procedure
+    .input(z.object({ remainingMs: remainingMsSchema }))
+    .query(({ ctx, input }) => controlStatus(ctx.node, progressOf(ctx, input.remainingMs)))
+})
+
+export type AdminRouter = typeof adminRouter
--- /dev/null
+++ b/src/control/controlProgram.ts
@@ -0,0 +1,172 @@
+/**
+ * The wiring of a control host.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { TcpTransport } from '../transport/tcpTransport.js'
+import type { RpcHandlers } from '../transport/rpcPeer.js'
+import { systemClock } from '../utils/clock.js'
+import { ScopeClosedError } from '../utils/errors.js'
+import type { Logger } from '../utils/logger.js'
+import type { Metrics } from '../utils/metrics.js'
+import { systemRandom } from '../utils/randomSource.js'
+import { Scope } from '../utils/scope.js'
+import { parseAddress } from '../utils/settings.js'
+import { Supervisor } from '../utils/supervisor.js'
+import { adminRouter } from './admin/adminRouter.js'
+import { adminClient, LeaderAccess } from './admin/leaderAccess.js'
+import { ClientSessions } from './clientSessions.js'
+import { ControlEvent } from './controlEvents.js'
+import { ControlNode } from './controlNode.js'
+import type { ControlSettings } from './controlSettings.js'
+import { ControlState } from './controlState.js'
+import { SilentHosts } from './hosts/silentHosts.js'
+import type { LedgersFactory } from './ledgers/ledgers.js'
+import { ClusterFormation, type JoinCall } from './log/clusterFormation.js'
+import { defaultSnapshotPolicy } from './log/logApplier.js'
+import { identifyMethod } from './log/raftMethods.js'
+import { Replica } from './log/replica.js'
+import { defaultTimings } from './log/timings.js'
+import { OperatorApi } from './operatorApi/operatorApi.js'
+import { WatchStreams } from './operatorApi/watchStream.js'
+import type { ReplicatedState } from './replicatedState.js'
+import { FileDisk } from './storage/fileDisk.js'
+import { ReplicaStorage, type OpenedReplica } from './storage/replicaStorage.js'
+
+export interface ControlProgramParts {
+  settings: ControlSettings
+  createLedgers: LedgersFactory
+  logger: Logger
+  metrics: Metrics
+  /** Called once when the process can no longer be trusted. */
+  onFatal: (error: unknown) => void
+}
+
+export class ControlProgram {
+  readonly transport = new TcpTransport()
+  private readonly _parts: ControlProgramParts
+  private readonly _scope = new Scope('control')
+  private readonly _supervisor: Supervisor
+  private readonly _node: ControlNode
+  private readonly _sessions: ClientSessions
+  private readonly _servers: Server[] = []
+
+  private constructor (parts: ControlProgramParts, opened: OpenedReplica) {
+    this._parts = parts
+    this._supervisor = new Supervisor(this._scope, (_task, error) => parts.onFatal(error))
+    const state = new ControlState(parts.createLedgers)
+    const replica = new Replica({
+      clock: systemClock,
+      random: systemRandom(),
+      metrics: parts.metrics,
+      logger: parts.logger,
+      timings: defaultTimings,
+      transport: this.transport,
+      supervisor: this._supervisor,
+      onFatal: parts.onFatal,
+      opened,
+      state: state as ReplicatedState<unknown, unknown>,
+      snapshotPolicy: defaultSnapshotPolicy
+    })
+    this._node = new ControlNode(replica, state, systemClock)
+    this._sessions = new ClientSessions(this._node, systemClock, parts.onFatal)
+  }
+
+  /**
+   * Opens the data folder and starts to serve.
+   * @throws StorageError when the data folder cannot be used at all.
+   */
+  static async start (parts: ControlProgramParts): Promise<ControlProgram> {
+    const { settings, logger } = parts
+    const random = systemRandom()
+    const disk = await FileDisk.open(settings.storage.dataFolder)
+    const opened = await ReplicaStorage.open(disk, settings.host.hostId, () => random.id())
+    if (opened.damage !== undefined) logger.event(ControlEvent.StorageDamaged, { reason: opened.damage })
+    if (opened.loaded.tornBytes > 0) logger.event(ControlEvent.TornTailCut, { bytesCount: opened.loaded.tornBytes })
+    const program = new ControlProgram(parts, opened)
+    await program._start()
+    return program
+  }
+
+  /** Stops as planned; what was accepted is on disk already. */
+  async stop (): Promise<void> {
+    this._parts.logger.event(ControlEvent.Stopping)
+    for (const server of this._servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+    await this._supervisor.stop('planned stop')
+  }
+
+  private async _start (): Promise<void> {
+    const { settings, logger } = this._parts
+    const { hostId, peerAddress, operatorAddress } = settings.host
+    const { replica } = this._node
+    await this.transport.listen(peerAddress, this._scope, connection => (
+      this._sessions.accept(connection, handlers => this._serveReplicas(handlers))
+    ))
+    await this._listenForOperators(operatorAddress)
+    replica.start()
+    const own = { hostId, peerAddress, operatorAddress }
+    const formation = new ClusterFormation(replica.core, replica.links, own, settings.cluster.initialMembers, joinByAdmin)
+    const silentHosts = new SilentHosts(this._node, systemClock, logger)
+    this._supervisor.spawn('cluster formation', scope => formation.run(scope))
+    this._supervisor.spawn('pushed changes', scope => this._sessions.pushChanges(scope))
+    this._supervisor.spawn('silent hosts', scope => silentHosts.run(scope))
+    logger.event(ControlEvent.Started, { hostId, replicaId: replica.core.replicaId, appliedIndex: replica.appliedIndex })
+  }
+
+  private _serveReplicas (handlers: RpcHandlers): void {
+    const { core } = this._node.replica
+    this._node.replica.serve(handlers)
+    handlers.on(identifyMethod, () => ({
+      replicaId: core.replicaId,
+      hostId: this._parts.settings.host.hostId,
+      peerAddress: this._parts.settings.host.peerAddress,
+      operatorAddress: this._parts.settings.host.operatorAddress,
+      clusterId: core.clusterId,
+      leader: core.leader
+    }))
+  }
+
+  private async _listenForOperators (operatorAddress: string): Promise<void> {
+    const access = new LeaderAccess(this._node, systemClock, this._scope)
+    const watches = new WatchStreams(this._node, access, systemClock)
+    const api = new OperatorApi({ node: this._node, access, watches, clock: systemClock })
+    const admin = createHTTPHandler({
+      router: adminRouter,
+      basePath: '/trpc/',
+      createContext: () => ({ node: this._node, clock: systemClock, scope: this._scope })
+    })
+    const server = createServer((request, response) => {
+      if (request.url?.startsWith('/trpc/')) admin(request, response)
+      else this._handle(api, request, response)
+    })
+    const { host, port } = parseAddress(operatorAddress)
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, resolve)
+    })
+    this._servers.push(server)
+  }
+
+  /** One task for each exchange, in a scope that ends with it. */
+  private _handle (api: OperatorApi, request: IncomingMessage, response: ServerResponse): void {
+    const scope = this._scope.child('operator')
+    response.on('close', () => scope.close('exchange over'))
+    api.handle(request, response, scope).then(isKnown => {
+      if (!isKnown) response.writeHead(404).end()
+    }).catch(error => {
+      if (!(error instanceof ScopeClosedError)) this._parts.onFatal(error)
+      response.destroy()
+    })
+  }
+}
+
+/** Joining is rare, so it goes by the admin interface of the leader, or of whoever answered. */
+const joinByAdmin: JoinCall = async (via, newcomer, progress) => {
+  const target = via.leader?.operatorAddress ?? via.operatorAddress
+  const asked = adminClient(target).join.mutate(newcomer).then(outcome => outcome.kind, (error: Error) => error.message)
+  const raced = await progress.race(asked)
+  return raced.kind === 'done' ? raced.value : 'no answer in time'
+}
--- /dev/null
+++ b/src/control/hosts/silentHosts.ts
@@ -0,0 +1,58 @@
+/**
+ * Strikes entry hosts from the configuration that have not renewed their
+ * lease for long, so that nobody is sent to them and the registry does not
+ * grow. A struck host that comes back registers again.
+ */
+import { HostCommandKind } from '../../protocol/hostCommands.js'
+import { sleepUntil, type Clock } from '../../utils/clock.js'
+import type { Logger } from '../../utils/logger.js'
+import { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import { ControlEvent } from '../controlEvents.js'
+import type { ControlNode } from '../controlNode.js'
+
+/** Well over a lease: a host that merely lost it stays registered. */
+export const SILENCE_MS = 15_000
+const REVIEW_INTERVAL_MS = 1_000
+
+export class SilentHosts {
+  private readonly _node: ControlNode
+  private readonly _clock: Clock
+  private readonly _logger: Logger
+  private _ledTerm = 0
+  private _ledSinceMs = 0
+
+  constructor (node: ControlNode, clock: Clock, logger: Logger) {
+    this._node = node
+    this._clock = clock
+    this._logger = logger
+  }
+
+  async run (scope: Scope): Promise<void> {
+    for (;;) {
+      await sleepUntil(this._clock, scope, this._clock.nowMs() + REVIEW_INTERVAL_MS)
+      if (this._node.isLeader) await this._review(scope)
+    }
+  }
+
+  private async _review (scope: Scope): Promise<void> {
+    this._noteTerm()
+    for (const host of this._node.state.hosts.all()) {
+      // A new leader gives every host its time to be heard.
+      const heardAtMs = Math.max(this._ledSinceMs, this._node.leases.get(host.hostId)?.renewedAtMs ?? 0)
+      if (this._clock.nowMs() - heardAtMs < SILENCE_MS) continue
+      this._logger.event(ControlEvent.EntryHostSilent, { hostId: host.hostId })
+      const progress = new Progress(this._clock, scope, this._clock.nowMs() + REVIEW_INTERVAL_MS)
+      await this._node.submit({ kind: HostCommandKind.Remove, hostId: host.hostId, incarnation: host.incarnation }, progress)
+      this._node.leases.forget(host.hostId)
+    }
+  }
+
+  private _noteTerm (): void {
+    const term = this._node.replica.core.term
+    if (term === this._ledTerm) return
+    this._ledTerm = term
+    this._ledSinceMs = this._clock.nowMs()
+    this._node.leases.clear()
+  }
+}
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -146,6 +146,11 @@
     }
   }
 
+  /** Waits until the state holds an entry. */
+  async whenApplied (index: number): Promise<void> {
+    await this._applier.whenApplied(index, this._scope)
+  }
+
   join (newcomer: Omit<Member, 'role'>): MembershipOutcome {
     return this._activeChanges?.join(newcomer) ?? { kind: 'refused', reason: 'not the leader' }
   }
--- /dev/null
+++ b/src/control/operatorApi/operatorApi.ts
@@ -0,0 +1,193 @@
+/**
+ * The operators' HTTP/JSON interface: resources with compare-and-set, status,
+ * members and jobs. Watches stand in watchStream.ts.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { z } from 'zod'
+import type { SubmitReply } from '../../protocol/controlMessages.js'
+import { QueryKind } from '../../protocol/queries.js'
+import { Executed, RefusalReason } from '../../protocol/refusals.js'
+import { ResourceCommandKind, resourceCommandSchema, type ResourceCommand, type ResourceResult } from '../../protocol/resourceCommands.js'
+import { ResourceKind } from '../../protocol/resources.js'
+import type { Clock } from '../../utils/clock.js'
+import { Progress } from '../../utils/progress.js'
+import type { Scope } from '../../utils/scope.js'
+import type { LeaderAccess } from '../admin/leaderAccess.js'
+import type { ControlNode } from '../controlNode.js'
+import { readBody, sendJson, type Answer } from './jsonExchange.js'
+import type { WatchStreams } from './watchStream.js'
+
+/** What an operator's call may take. */
+const PATIENCE_MS = 10_000
+
+const putBodySchema = z.object({
+  changeId: z.string(),
+  expectedRevision: z.int().min(0).optional(),
+  spec: z.unknown()
+})
+
+const kindSchema = z.enum(ResourceKind)
+
+interface Call {
+  method: string
+  segments: string[]
+  query: URLSearchParams
+  request: IncomingMessage
+  progress: Progress
+}
+
+export interface OperatorApiParts {
+  node: ControlNode
+  access: LeaderAccess
+  watches: WatchStreams
+  clock: Clock
+}
+
+export class OperatorApi {
+  private readonly _parts: OperatorApiParts
+
+  constructor (parts: OperatorApiParts) {
+    this._parts = parts
+  }
+
+  /** Answers one exchange; false when the path is not one of this interface. */
+  async handle (request: IncomingMessage, response: ServerResponse, scope: Scope): Promise<boolean> {
+    const url = new URL(request.url ?? '/', 'http://operator')
+    const [version, ...segments] = url.pathname.split('/').filter(Boolean).map(decodeURIComponent)
+    if (version !== 'v1') return false
+    const progress = new Progress(this._parts.clock, scope, this._parts.clock.nowMs() + PATIENCE_MS)
+    const call: Call = { method: request.method ?? 'GET', segments, query: url.searchParams, request, progress }
+    if (segments[0] === 'watch' && call.method === 'GET') await this._parts.watches.serve(url.searchParams, response, progress)
+    else sendJson(response, await this._answer(call))
+    return true
+  }
+
+  private async _answer (call: Call): Promise<Answer> {
+    switch (call.segments[0]) {
+      case 'resources':
+        return await this._answerResource(call)
+      case 'status':
+        return await this._status(call)
+      case 'members':
+        return await this._members(call)
+      case 'jobs':
+        return await this._progress(call)
+      default:
+        return malformed(404, `no such path: /v1/${call.segments.join('/')}`)
+    }
+  }
+
+  private async _answerResource (call: Call): Promise<Answer> {
+    const [, kindText, name] = call.segments
+    const kind = kindSchema.safeParse(kindText)
+    if (!kind.success) return malformed(404, `no such kind: ${kindText}; kinds are ${Object.values(ResourceKind).join(', ')}`)
+    switch (call.method) {
+      case 'GET':
+        return await this._read(call, kind.data, name)
+      case 'PUT':
+        return await this._put(call, kind.data, name)
+      case 'DELETE':
+        return await this._delete(call, kind.data, name)
+      default:
+        return malformed(405, `${call.method} is not one of GET, PUT, DELETE`)
+    }
+  }
+
+  private async _read (call: Call, kind: ResourceKind, name: string | undefined): Promise<Answer> {
+    const read = await this._parts.access.read(call.progress)
+    if (read.kind !== 'confirmed') return unavailable(read.kind === 'notLeader' ? 'the leader has moved' : read.reason)
+    const { resources, revision } = this._parts.node.state
+    if (name === undefined) return { status: 200, body: { revision, resources: resources.list(kind) } }
+    const resource = resources.get(kind, name)
+    return resource ? { status: 200, body: resource } : malformed(404, `no ${kind} ${name}`)
+  }
+
+  private async _put (call: Call, resourceKind: ResourceKind, name: string | undefined): Promise<Answer> {
+    const read = await readBody(call.request, putBodySchema)
+    if (read.kind === 'malformed') return malformed(400, read.message)
+    return await this._submit({ kind: ResourceCommandKind.Apply, ...read.body, resourceKind, name: name ?? '' }, call.progress)
+  }
+
+  private async _delete (call: Call, resourceKind: ResourceKind, name: string | undefined): Promise<Answer> {
+    const expected = call.query.get('expectedRevision')
+    return await this._submit({
+      kind: ResourceCommandKind.Delete,
+      changeId: call.query.get('changeId') ?? '',
+      resourceKind,
+      name: name ?? '',
+      expectedRevision: expected === null ? undefined : Number(expected)
+    }, call.progress)
+  }
+
+  private async _submit (unchecked: ResourceCommand, progress: Progress): Promise<Answer> {
+    const parsed = resourceCommandSchema.safeParse(unchecked)
+    if (!parsed.success) {
+      const issue = parsed.error.issues[0]
+      return { status: 422, body: { kind: 'invalid', field: issue?.path.join('.') ?? '', message: issue?.message ?? 'malformed' } }
+    }
+    return answerOf(await this._parts.access.submit(parsed.data, progress))
+  }
+
+  private async _status (call: Call): Promise<Answer> {
+    const outcome = await this._parts.access.status(call.progress)
+    if (outcome.kind === 'status') return { status: 200, body: outcome.status }
+    return unavailable(outcome.kind === 'notLeader' ? 'the leader has moved' : outcome.reason)
+  }
+
+  private async _members (call: Call): Promise<Answer> {
+    const hostId = call.segments[1]
+    if (call.method !== 'DELETE' || hostId === undefined) return malformed(405, 'expected DELETE /v1/members/{hostId}')
+    const outcome = await this._parts.access.removeMember(hostId, call.progress)
+    switch (outcome.kind) {
+      case 'accepted':
+        return { status: 202, body: outcome }
+      case 'busy':
+        return { status: 503, body: outcome }
+      case 'refused':
+        return { status: 409, body: outcome }
+    }
+  }
+
+  private async _progress (call: Call): Promise<Answer> {
+    const [, job = '', view] = call.segments
+    if (view !== 'progress') return malformed(404, 'expected /v1/jobs/{job}/progress')
+    const read = await this._parts.access.read(call.progress)
+    if (read.kind !== 'confirmed') return unavailable(read.kind === 'notLeader' ? 'the leader has moved' : read.reason)
+    const progress = this._parts.node.state.answer({ kind: QueryKind.RolloutProgress, job })
+    return progress ? { status: 200, body: progress } : malformed(404, `no job ${job}`)
+  }
+}
+
+function answerOf (reply: SubmitReply): Answer {
+  switch (reply.kind) {
+    case 'committed':
+      return { status: resultStatus(reply.result as ResourceResult), body: reply.result }
+    case 'notLeader':
+      return unavailable('the leader has moved')
+    case 'notCommitted':
+      return unavailable(reply.reason)
+    case 'unknown':
+      return unavailable(reply.reason, Executed.Unknown)
+  }
+}
+
+function resultStatus (result: ResourceResult): number {
+  switch (result.kind) {
+    case 'applied':
+    case 'deleted':
+      return 200
+    case 'conflict':
+      return 409
+    case 'invalid':
+      return 422
+  }
+}
+
+/** A change whose outcome is unknown is sent again under its change id. */
+function unavailable (message: string, executed = Executed.No): Answer {
+  return { status: 503, body: { reason: RefusalReason.ControlUnavailable, executed, message, retryAfterMs: 500 } }
+}
+
+function malformed (status: number, message: string): Answer {
+  return { status, body: { reason: RefusalReason.MalformedRequest, executed: Executed.No, message } }
+}
