--- a/src/control/operatorApi/operatorApi.ts
+++ b/src/control/operatorApi/operatorApi.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { z } from 'zod'
 import type { SubmitReply } from '../../protocol/controlMessages.js'
+import { putResourceSchema } from '../../protocol/operators.js'
 import { QueryKind } from '../../protocol/queries.js'
 import { Executed, RefusalReason } from '../../protocol/refusals.js'
 import { ResourceCommandKind, resourceCommandSchema, type ResourceCommand, type ResourceResult } from '../../protocol/resourceCommands.js'
@@ -20,12 +21,6 @@
 /** What an operator's call may take. */
 const PATIENCE_MS = 10_000
 
-const putBodySchema = z.object({
-  changeId: z.string(),
-  expectedRevision: z.int().min(0).optional(),
-  spec: z.unknown()
-})
-
 const kindSchema = z.enum(ResourceKind)
 
 interface Call {
@@ -103,7 +98,7 @@
   }
 
   private async _put (call: Call, resourceKind: ResourceKind, name: string | undefined): Promise<Answer> {
-    const read = await readBody(call.request, putBodySchema)
+    const read = await readBody(call.request, putResourceSchema)
     if (read.kind === 'malformed') return malformed(400, read.message)
     return await this._submit({ kind: ResourceCommandKind.Apply, ...read.body, resourceKind, name: name ?? '' }, call.progress)
   }
--- a/src/protocol/controlStatus.ts
+++ b/src/protocol/controlStatus.ts
@@ -1,32 +1,19 @@
 /**
- * The answer of GET /v1/status on a control host.
+ * GET /v1/status of a control host, with what only operators of the control
+ * hosts themselves want to know.
  */
 import { z } from 'zod'
+import { clusterStatusSchema, memberStatusSchema } from './operators.js'
 
-export const controlStatusSchema = z.object({
-  leaderHostId: z.string(),
-  term: z.int(),
-  /** Revision of the accepted configuration. */
-  revision: z.int(),
+export const controlStatusSchema = clusterStatusSchema.extend({
   commitIndex: z.int(),
-  members: z.array(z.object({
+  members: z.array(memberStatusSchema.extend({
     replicaId: z.string(),
-    hostId: z.string(),
-    peerAddress: z.string(),
     operatorAddress: z.string(),
     role: z.enum(['voter', 'learner']),
     isLive: z.boolean(),
+    /** The member has synced the log up to here. */
     matchIndex: z.int()
-  })),
-  entryHosts: z.array(z.object({
-    hostId: z.string(),
-    dataCentre: z.string(),
-    callerAddress: z.string(),
-    operatorAddress: z.string().optional(),
-    /** What the host had in force when it last renewed its lease. */
-    revisionInForce: z.int(),
-    /** False when the host has to have stopped taking new work. */
-    holdsLease: z.boolean()
   }))
 })
 export type ControlStatus = z.infer<typeof controlStatusSchema>
