--- a/src/entry/completions/completionRoute.ts
+++ b/src/entry/completions/completionRoute.ts
@@ -110,7 +110,9 @@
       model: request.model,
       prompt: request.prompt,
       maxTokensCount: request.max_tokens,
-      resumeTokens: request.resume_tokens
+      resumeTokens: request.resume_tokens,
+      seed: request.seed,
+      requestId: exchange.requestId
     }
     return { kind: 'task', task, request }
   }
--- a/src/entry/completions/completionRunner.ts
+++ b/src/entry/completions/completionRunner.ts
@@ -13,6 +13,9 @@
   model: string
   prompt: string
   maxTokensCount: number
+  seed?: number
+  /** The caller's request, for `threaddrum explain`. */
+  requestId?: string
   /** Tokens of an earlier try, with the versions that made them. */
   resumeTokens?: string[]
   resumeVersions?: VersionSpan[]
--- a/src/entry/completions/engineCompletions.ts
+++ b/src/entry/completions/engineCompletions.ts
@@ -13,6 +13,7 @@
 import type { Progress } from '../../utils/progress.js'
 import type { RandomSource } from '../../utils/randomSource.js'
 import { EntryEvent } from '../entryEvents.js'
+import type { RequestJournal } from '../http/requestJournal.js'
 import type { Assignment, AttemptResult, Scheduler } from '../scheduling/scheduler.js'
 import { ChunkAssembly } from './chunkAssembly.js'
 import type { CompletionOutcome, CompletionRunner, CompletionTask, TokenSink } from './completionRunner.js'
@@ -27,7 +28,10 @@
   random: RandomSource
   metrics: Metrics
   logger: Logger
+  journal: RequestJournal
   engineSilenceMs: number
+  /** What a priority class pays, which engines take as priority. */
+  paidWeightOf: (priorityClass: string) => number | undefined
 }
 
 interface Run {
@@ -101,6 +105,7 @@
     const { task, progress, assembly } = run
     const { url, endpointId } = endpoint.announcement
     const attemptId = this._parts.random.id()
+    if (task.requestId !== undefined) this._parts.journal.addAttempt(attemptId, task.requestId)
     progress.log(`attempt ${attemptId} at ${endpointId}${assembly.tokens.length > 0 ? ` behind ${assembly.tokens.length} tokens` : ''}`)
     assembly.beginTry()
     const body = {
@@ -109,6 +114,8 @@
       max_tokens: task.maxTokensCount,
       stream: true,
       request_id: attemptId,
+      priority: this._parts.paidWeightOf(task.item.priorityClass),
+      seed: task.seed,
       ...(assembly.tokens.length > 0 ? { resume_tokens: assembly.tokens } : {})
     }
     const call = { url: `${url}/v1/completions`, body, engineSilenceMs: this._parts.engineSilenceMs }
--- a/src/entry/directory/gossip.ts
+++ b/src/entry/directory/gossip.ts
@@ -97,12 +97,13 @@
   }
 
   /**
-   * Learns what the others know, before this host serves. Gives up waiting
-   * when no host that knows the endpoints can be reached by then.
+   * Learns what the others know, before this host serves. Gives up waiting at
+   * the deadline, or when there is no other host and something is known.
    */
-  async learnFromPeers (scope: Scope, deadlineMs: number): Promise<void> {
+  async learnFromPeers (scope: Scope, deadlineMs: number, somethingIsKnown: () => boolean): Promise<void> {
     const { clock, topology } = this._parts
     while (clock.nowMs() < deadlineMs) {
+      if (topology.othersNearestFirst().length === 0 && somethingIsKnown()) break
       for (const hostId of topology.othersNearestFirst()) {
         if (await this._learnFrom(hostId, scope)) return this._becomeReady()
       }
@@ -245,4 +246,3 @@
     return new Progress(clock, scope, clock.nowMs() + CALL_TIMEOUT_MS)
   }
 }
-
--- a/src/entry/directory/gossipRecord.ts
+++ b/src/entry/directory/gossipRecord.ts
@@ -16,7 +16,8 @@
   callerAddress: z.string(),
   /** The host takes no new work and is about to stop. */
   stopping: z.boolean(),
-  holdsLease: z.boolean()
+  /** It is ready and holds its configuration lease. */
+  takesWork: z.boolean()
 })
 export type HostContent = z.infer<typeof hostContentSchema>
 
--- a/src/entry/directory/hostStates.ts
+++ b/src/entry/directory/hostStates.ts
@@ -33,7 +33,8 @@
   mesh: PeerMesh
   hostLeaseMs: number
   inFlightCount: () => number
-  holdsLease: () => boolean
+  /** Whether this host takes new work, as callers are to be told. */
+  takesWork: () => boolean
 }
 
 export class HostStates {
@@ -57,7 +58,7 @@
 
   /** Hosts that take new work, as far as this one knows. */
   serving (): HostState[] {
-    return this._all().filter(state => !state.stopping && state.holdsLease)
+    return this._all().filter(state => !state.stopping && state.takesWork)
   }
 
   mayLive (hostId: string): boolean {
@@ -104,9 +105,9 @@
 
   private _nextRecord (): FullRecord {
     const { hostId, incarnation, dataCentre, callerAddress, hostLeaseMs } = this._parts
-    const content: HostContent = { dataCentre, callerAddress, stopping: this._stopping, holdsLease: this._parts.holdsLease() }
+    const content: HostContent = { dataCentre, callerAddress, stopping: this._stopping, takesWork: this._parts.takesWork() }
     this._sequence++
-    if (content.stopping !== this._content?.stopping || content.holdsLease !== this._content.holdsLease) this._contentSequence = this._sequence
+    if (content.stopping !== this._content?.stopping || content.takesWork !== this._content.takesWork) this._contentSequence = this._sequence
     this._content = content
     return {
       kind: RecordKind.Host,
--- /dev/null
+++ b/src/entry/operators/operatorRoutes.ts
@@ -0,0 +1,58 @@
+/**
+ * What operators ask of one entry host: its status, why a request went where
+ * it did, and planned stops of the host itself or of an endpoint.
+ */
+import { callerPaths } from '../../protocol/callers.js'
+import type { Progress } from '../../utils/progress.js'
+import type { Answers } from '../http/answers.js'
+import type { RequestJournal } from '../http/requestJournal.js'
+import type { Exchange, Route } from '../http/route.js'
+
+const DRAIN_PATH = '/v1/drain'
+const ENDPOINTS_PATH = '/v1/endpoints/'
+const DRAIN_SUFFIX = '/drain'
+
+export interface OperatorRoutesParts {
+  answers: Answers
+  journal: RequestJournal
+  status: () => unknown
+  /** Begins the planned stop of this host. */
+  drainHost: () => void
+  /** False if the endpoint is not known. */
+  drainEndpoint: (endpointId: string, progress: Progress) => Promise<boolean>
+  /** What the scheduler remembers of a request. */
+  explainScheduling: (requestId: string) => unknown
+}
+
+export function operatorRoutes (parts: OperatorRoutesParts): Route[] {
+  const { answers } = parts
+  return [
+    operatorRoute('status', 'GET', callerPaths.status, async exchange => answers.json(exchange, 200, parts.status())),
+    operatorRoute('explain', 'GET', callerPaths.explain, async exchange => explain(parts, exchange)),
+    operatorRoute('drain', 'POST', DRAIN_PATH, async exchange => {
+      answers.json(exchange, 202, { draining: true })
+      parts.drainHost()
+    }),
+    operatorRoute('drain_endpoint', 'POST', ENDPOINTS_PATH, async exchange => await drainEndpoint(parts, exchange))
+  ]
+}
+
+function operatorRoute (name: string, method: string, pathPrefix: string, handle: (exchange: Exchange) => Promise<void>): Route {
+  return { name, method, pathPrefix, servedWithoutLease: true, handle }
+}
+
+function explain ({ answers, journal, explainScheduling }: OperatorRoutesParts, exchange: Exchange): void {
+  const id = decodeURIComponent(exchange.path.slice(callerPaths.explain.length))
+  const entry = journal.find(id)
+  if (!entry) return answers.json(exchange, 404, { message: `this host remembers no request or attempt ${id}` })
+  answers.json(exchange, 200, { ...entry, scheduling: explainScheduling(entry.requestId) })
+}
+
+async function drainEndpoint ({ answers, drainEndpoint }: OperatorRoutesParts, exchange: Exchange): Promise<void> {
+  const rest = exchange.path.slice(ENDPOINTS_PATH.length)
+  if (!rest.endsWith(DRAIN_SUFFIX)) return answers.json(exchange, 404, { message: `nothing is served at ${exchange.path}` })
+  const endpointId = decodeURIComponent(rest.slice(0, -DRAIN_SUFFIX.length))
+  const isKnown = await drainEndpoint(endpointId, exchange.progress)
+  if (!isKnown) return answers.json(exchange, 404, { message: `no endpoint ${endpointId} holds a lease` })
+  answers.json(exchange, 202, { endpointId, draining: true })
+}
--- a/src/entry/scheduling/plainScheduler.ts
+++ b/src/entry/scheduling/plainScheduler.ts
@@ -154,12 +154,12 @@
 
   private _serveQueue (pool: string): void {
     const state = this._pools.get(pool)
-    while (state && state.queue.length > 0) {
-      const first = state.queue[0]
-      const outcome = first && (this._candidates(first.item).length === 0
+    if (!state) return
+    for (let first = state.queue[0]; first; first = state.queue[0]) {
+      const outcome = this._candidates(first.item).length === 0
         ? { kind: 'refused' as const, reason: RefusalReason.NoEndpoint, message: `pool ${pool} has no endpoint left` }
-        : this._tryAssign(first.item, state))
-      if (!first || !outcome) return
+        : this._tryAssign(first.item, state)
+      if (!outcome) return
       state.queue.shift()
       state.queuedBytes -= first.item.bodyBytes
       first.resolve(outcome)
--- a/src/entry/services/unrepeatableCalls.ts
+++ b/src/entry/services/unrepeatableCalls.ts
@@ -167,7 +167,7 @@
     assignment.finish({ kind: 'cancelled' })
     if (submitted.kind === 'committed') return await this._judgeUnstarted(attempt, submitted.result)
     // It may be in the log; this try does not run, so the key is to be free again.
-    this._inBackground('release', progress => this._offerRelease(attempt, progress))
+    this._releaseInBackground(attempt)
     return refused(RefusalReason.ControlUnavailable, Executed.Unknown, `the start could not be recorded: ${submitted.reason}`)
   }
 
@@ -195,7 +195,7 @@
       }
       case 'notRun': {
         const given = await this.giveUp(attempt.key, attempt.attemptId, { reason: outcome.reason, executed: Executed.No, message: outcome.message, callLog: [...attempt.progress.callLog] })
-        if (given.kind === 'refused' && given.refusal.executed !== Executed.No) this._inBackground('release', progress => this._offerRelease(attempt, progress))
+        if (given.kind === 'refused' && given.refusal.executed !== Executed.No) this._releaseInBackground(attempt)
         return given
       }
       case 'lost': {
@@ -243,6 +243,10 @@
     return submitted.kind === 'committed'
   }
 
+  private _releaseInBackground (attempt: Try): void {
+    this._inBackground('release', progress => this._offerRelease(attempt, progress)).catch(() => {})
+  }
+
   /** Offers a command to control until it is taken or a minute has passed. */
   private _inBackground (name: string, offer: (progress: Progress) => Promise<boolean>): Promise<void> {
     const { clock, supervisor, logger } = this._parts
--- a/src/entry/services/unrepeatableDispatch.ts
+++ b/src/entry/services/unrepeatableDispatch.ts
@@ -64,7 +64,7 @@
       if (isNotExecuted(status, headers)) {
         return { kind: 'notRun', reason: RefusalReason.EndpointRefused, retryReason: RetryReason.EndpointRefused, message: 'the endpoint says that it did not run the call' }
       }
-      return { kind: 'answered', answer: { status, contentType: headers['content-type'], body, bodyDropped: false } }
+      return { kind: 'answered', answer: { status, contentType: headers['content-type'], body: Uint8Array.from(body), bodyDropped: false } }
     }
   }
 }
--- a/src/utils/supervisor.ts
+++ b/src/utils/supervisor.ts
@@ -30,6 +30,11 @@
     return scope
   }
 
+  /** Reports a broken invariant that was met outside a task. */
+  fatal (taskName: string, error: unknown): void {
+    this._onFatal(taskName, error)
+  }
+
   /** A supervisor whose tasks end with one of this one's. */
   child (name: string): Supervisor {
     return new Supervisor(this.scope.child(name), this._onFatal)
