--- a/src/entry/completions/completionRoute.ts
+++ b/src/entry/completions/completionRoute.ts
@@ -99,6 +99,7 @@
     if (caller.kind === 'refused') return caller
     const task: CompletionTask = {
       item: {
+        requestId: exchange.requestId,
         pool,
         callerName: caller.callerName,
         priorityClass: caller.priorityClass,
--- a/src/entry/directory/gossip.ts
+++ b/src/entry/directory/gossip.ts
@@ -16,7 +16,7 @@
 import type { PeerMesh } from '../peers/peerMesh.js'
 import { fullRecordSchema, loadRecordSchema, recordKeySchema, versionEntrySchema, type FullRecord, type LoadRecord, type RecordKey, type VersionEntry } from './gossipRecord.js'
 import { PushQueue } from './pushQueue.js'
-import { BUCKETS_COUNT, type RecordStore } from './recordStore.js'
+import { BUCKETS_COUNT, isDrained, type RecordStore } from './recordStore.js'
 import type { Topology } from './topology.js'
 
 const NEAR_FLUSH_MS = 200
@@ -179,11 +179,11 @@
     return { differingBuckets, renewals }
   }
 
-  private _newerThan ([kind, id, incarnation, sequence]: VersionEntry): FullRecord | undefined {
+  private _newerThan ([kind, id, incarnation, sequence, drained]: VersionEntry): FullRecord | undefined {
     const record = this._parts.store.export([kind, id])
-    if (!record) return undefined
-    const isNewer = record.incarnation > incarnation || (record.incarnation === incarnation && record.sequence > sequence)
-    return isNewer ? record : undefined
+    if (!record || record.incarnation < incarnation) return undefined
+    if (record.incarnation > incarnation || record.sequence > sequence) return record
+    return isDrained(record) && !drained ? record : undefined
   }
 
   private _exchange (buckets: number[], versions: VersionEntry[]): ExchangeReply {
--- a/src/entry/directory/gossipRecord.ts
+++ b/src/entry/directory/gossipRecord.ts
@@ -35,11 +35,12 @@
 }
 
 /**
- * An endpoint's record names the host that last took an announcement of it,
- * and whether an operator takes it out of service.
+ * An endpoint's record also says whether an operator took it out of service;
+ * once said, that holds for the rest of the incarnation, whatever version says
+ * otherwise.
  */
 export const fullRecordSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal(RecordKind.Endpoint), ...versionShape, content: announcementSchema, originHostId: z.string(), drained: z.boolean() }),
+  z.object({ kind: z.literal(RecordKind.Endpoint), ...versionShape, content: announcementSchema, drained: z.boolean() }),
   z.object({ kind: z.literal(RecordKind.Host), ...versionShape, content: hostContentSchema })
 ])
 export type FullRecord = z.infer<typeof fullRecordSchema>
@@ -50,8 +51,8 @@
 ])
 export type LoadRecord = z.infer<typeof loadRecordSchema>
 
-/** Positions: kind, id, incarnation, sequence, contentSequence. */
-export const versionEntrySchema = z.tuple([z.enum(RecordKind), z.string(), z.number(), z.number(), z.number()])
+/** Positions: kind, id, incarnation, sequence, drained. */
+export const versionEntrySchema = z.tuple([z.enum(RecordKind), z.string(), z.number(), z.number(), z.boolean()])
 export type VersionEntry = z.infer<typeof versionEntrySchema>
 
 export const recordKeySchema = z.tuple([z.enum(RecordKind), z.string()])
--- a/src/entry/directory/recordStore.ts
+++ b/src/entry/directory/recordStore.ts
@@ -55,18 +55,31 @@
   put (record: FullRecord): PutOutcome {
     const key = keyOf(record.kind, record.id)
     const before = this._records.get(key)
-    if (!isNewer(record, before?.record ?? this._tombstones.get(key))) return 'stale'
+    if (!isNewer(record, before?.record ?? this._tombstones.get(key))) return this._drainBy(key, before, record)
     const nowMs = this._clock.nowMs()
     if (record.leaseRemainingMs <= 0) return 'stale'
-    const stored = { record, loadAtMs: nowMs - record.loadAgeMs, leaseEndsAtMs: nowMs + record.leaseRemainingMs }
+    const kept = keepDrained(record, before?.record)
+    const stored = { record: kept, loadAtMs: nowMs - record.loadAgeMs, leaseEndsAtMs: nowMs + record.leaseRemainingMs }
     this._records.set(key, stored)
     this._tombstones.delete(key)
-    const sameContent = before?.record.incarnation === record.incarnation && before.record.contentSequence === record.contentSequence
+    const sameContent = before?.record.incarnation === record.incarnation &&
+      before.record.contentSequence === record.contentSequence && isDrained(before.record) === isDrained(kept)
     const kind = sameContent ? 'load' : 'content'
     this._changes.emit({ kind, stored })
     return kind
   }
 
+  /** An older record may still bring the news that an operator drained the endpoint. */
+  private _drainBy (key: string, before: StoredRecord | undefined, record: FullRecord): PutOutcome {
+    const isNews = before?.record.kind === RecordKind.Endpoint && isDrained(record) &&
+      before.record.incarnation === record.incarnation && !before.record.drained
+    if (!isNews) return 'stale'
+    const stored = { ...before, record: { ...before.record, drained: true } }
+    this._records.set(key, stored as StoredRecord)
+    this._changes.emit({ kind: 'content', stored: stored as StoredRecord })
+    return 'content'
+  }
+
   /** Takes over load and lease if the content is known already. */
   putLoad (entry: LoadRecord): LoadOutcome {
     const [kind, id, incarnation, sequence, contentSequence, leaseRemainingMs, loadAgeMs, load] = entry
@@ -110,7 +123,7 @@
     const hashes = new Array<number>(BUCKETS_COUNT).fill(0)
     for (const [key, { record }] of this._records) {
       const bucket = bucketOf(key)
-      const contentHash = hash32(`${key}\n${record.incarnation}\n${record.contentSequence}`)
+      const contentHash = hash32(`${key}\n${record.incarnation}\n${record.contentSequence}\n${isDrained(record)}`)
       hashes[bucket] = ((hashes[bucket] ?? 0) ^ contentHash) >>> 0
     }
     return hashes
@@ -133,9 +146,11 @@
   }
 
   /** Whether a version says more than what is held here. */
-  lacks ([kind, id, incarnation, sequence]: VersionEntry): boolean {
+  lacks ([kind, id, incarnation, sequence, drained]: VersionEntry): boolean {
     const key = keyOf(kind, id)
-    return isNewer({ incarnation, sequence }, this._records.get(key)?.record ?? this._tombstones.get(key))
+    const held = this._records.get(key)?.record
+    if (held?.incarnation === incarnation && drained && !isDrained(held)) return true
+    return isNewer({ incarnation, sequence }, held ?? this._tombstones.get(key))
   }
 }
 
@@ -144,7 +159,7 @@
 }
 
 export function versionOf (record: FullRecord): VersionEntry {
-  return [record.kind, record.id, record.incarnation, record.sequence, record.contentSequence]
+  return [record.kind, record.id, record.incarnation, record.sequence, isDrained(record)]
 }
 
 export function keyOf (kind: RecordKind, id: string): string {
@@ -155,6 +170,15 @@
   }
 }
 
+export function isDrained (record: FullRecord): boolean {
+  return record.kind === RecordKind.Endpoint && record.drained
+}
+
+function keepDrained (record: FullRecord, before: FullRecord | undefined): FullRecord {
+  if (record.kind !== RecordKind.Endpoint || before?.incarnation !== record.incarnation || !isDrained(before)) return record
+  return { ...record, drained: true }
+}
+
 function bucketOf (key: string): number {
   return hash32(key) % BUCKETS_COUNT
 }
--- a/src/entry/entryProgram.ts
+++ b/src/entry/entryProgram.ts
@@ -40,7 +40,8 @@
 import { operatorRoutes } from './operators/operatorRoutes.js'
 import { PeerMesh } from './peers/peerMesh.js'
 import { stopAsPlanned } from './plannedStop.js'
-import { PlainScheduler } from './scheduling/plainScheduler.js'
+import { createScheduler } from './scheduling/priorityScheduler.js'
+import type { Scheduler } from './scheduling/scheduler.js'
 import { PlainCalls } from './services/plainCalls.js'
 import { ServiceRoute } from './services/serviceRoute.js'
 import { UnrepeatableCalls } from './services/unrepeatableCalls.js'
@@ -81,7 +82,7 @@
   private readonly _directory: LiveDirectory
   private readonly _announcements: Announcements
   private readonly _advice: AdviceRoute
-  private readonly _scheduler: PlainScheduler
+  private readonly _scheduler: Scheduler
   private readonly _completions: EngineCompletions
   private readonly _plainCalls: PlainCalls
   private readonly _unrepeatable: UnrepeatableCalls
@@ -116,7 +117,7 @@
     this._directory = new LiveDirectory(this._store, metrics, logger)
     this._announcements = this._createAnnouncements()
     this._advice = this._createAdvice()
-    this._scheduler = new PlainScheduler(this._directory, control.configuration, clock, metrics)
+    this._scheduler = createScheduler({ clock, random, directory: this._directory, configuration: control.configuration, metrics, scope: supervisor.scope })
     this._engines = new Agent({ connect: { timeout: limits.connectTimeoutMs, noDelay: true }, pipelining: 1 })
     this._completions = this._createCompletions()
     this._plainCalls = new PlainCalls({ ...this._callParts(), answers: this._answers, metrics, connectTimeoutMs: limits.connectTimeoutMs })
@@ -139,6 +140,11 @@
     return this._directory
   }
 
+  /** Whether this host takes new work now. */
+  get takesWork (): boolean {
+    return this._state === ServingState.Serving && this._environment.control.holdsLease()
+  }
+
   async start (): Promise<void> {
     const { supervisor, logger } = this._environment
     const { host } = this._settings
@@ -204,7 +210,7 @@
   }
 
   private _createHostStates (): HostStates {
-    const { clock, incarnation, control } = this._environment
+    const { clock, incarnation } = this._environment
     const { host, limits } = this._settings
     return new HostStates({
       hostId: host.hostId,
@@ -217,17 +223,15 @@
       mesh: this._mesh,
       hostLeaseMs: limits.hostLeaseMs,
       inFlightCount: () => this._http.inFlightCount,
-      takesWork: () => this._state === ServingState.Serving && control.holdsLease()
+      takesWork: () => this.takesWork
     })
   }
 
   private _createAnnouncements (): Announcements {
     return new Announcements({
-      hostId: this._settings.host.hostId,
       store: this._store,
       gossip: this._gossip,
       hosts: this._hosts,
-      mesh: this._mesh,
       answers: this._answers,
       endpointLeaseMs: this._settings.limits.endpointLeaseMs
     })
@@ -260,7 +264,7 @@
     })
   }
 
-  private _callParts (): { scheduler: PlainScheduler, random: RandomSource, logger: Logger, journal: RequestJournal } {
+  private _callParts (): { scheduler: Scheduler, random: RandomSource, logger: Logger, journal: RequestJournal } {
     const { random, logger } = this._environment
     return { scheduler: this._scheduler, random, logger, journal: this._journal }
   }
@@ -296,8 +300,8 @@
       journal: this._journal,
       status: () => this._status(),
       drainHost: () => { this.stop().catch(error => this._onFatal('stop', error)) },
-      drainEndpoint: (endpointId, progress) => this._announcements.drain(endpointId, progress),
-      explainScheduling: () => undefined
+      drainEndpoint: endpointId => this._announcements.drain(endpointId),
+      explainScheduling: requestId => this._scheduler.explain?.(requestId)
     })
   }
 
--- a/src/entry/http/callerIdentity.ts
+++ b/src/entry/http/callerIdentity.ts
@@ -2,14 +2,12 @@
  * Who calls, and in which priority class the call counts.
  */
 import type { ConfigurationView } from '../../controlClient/controlClient.js'
-import { CallerHeader } from '../../protocol/callers.js'
+import { CallerHeader, DEFAULT_PRIORITY_CLASS } from '../../protocol/callers.js'
 import { Executed, RefusalReason, type Refusal } from '../../protocol/refusals.js'
 import { ResourceKind } from '../../protocol/resources.js'
 import type { Exchange } from './route.js'
 
 export const ANONYMOUS_CALLER = 'anonymous'
-/** Of callers that name none and have none declared. */
-export const DEFAULT_PRIORITY_CLASS = 'default'
 
 export type CallerOutcome =
   | { kind: 'caller', callerName: string, priorityClass: string }
@@ -20,7 +18,7 @@
   const callerName = headerOf(request.headers[CallerHeader.CallerName]) ?? ANONYMOUS_CALLER
   const declared = configuration.get(ResourceKind.CallerLimit, callerName)?.spec.priorityClass
   const priorityClass = declared ?? headerOf(request.headers[CallerHeader.PriorityClass])
-  if (priorityClass === undefined) return { kind: 'caller', callerName, priorityClass: DEFAULT_PRIORITY_CLASS }
+  if (priorityClass === undefined) return { kind: 'caller', callerName, priorityClass: lowestClass(configuration) }
   if (!configuration.get(ResourceKind.PriorityClass, priorityClass)) {
     const message = `there is no priority class ${priorityClass}`
     return { kind: 'refused', refusal: { reason: RefusalReason.UnknownPriorityClass, executed: Executed.No, message } }
@@ -28,6 +26,14 @@
   return { kind: 'caller', callerName, priorityClass }
 }
 
+/** Who names no class gets the one that pays least. */
+function lowestClass (configuration: ConfigurationView): string {
+  const classes = configuration.list(ResourceKind.PriorityClass)
+  const [first, ...others] = classes
+  if (!first) return DEFAULT_PRIORITY_CLASS
+  return others.reduce((lowest, candidate) => candidate.spec.paidWeight < lowest.spec.paidWeight ? candidate : lowest, first).name
+}
+
 function headerOf (value: string | string[] | undefined): string | undefined {
   return typeof value === 'string' && value !== '' ? value : undefined
 }
--- a/src/entry/services/oneShotCall.ts
+++ b/src/entry/services/oneShotCall.ts
@@ -31,13 +31,13 @@
   /** It may have run. */
   | { kind: 'lost', message: string }
 
-/** @param mayStillSend asked in the last moment before the first byte */
-export async function callOnce (url: string, request: OneShotRequest, limits: OneShotLimits, progress: Progress, mayStillSend: () => boolean): Promise<OneShotOutcome> {
+/** @param maySend asked once, in the last moment before the first byte */
+export async function callOnce (url: string, request: OneShotRequest, limits: OneShotLimits, progress: Progress, maySend: () => boolean): Promise<OneShotOutcome> {
   const opened = await openSocket(url, progress.before(progress.clock.nowMs() + limits.connectTimeoutMs))
   if (typeof opened === 'string') return { kind: 'notSent', message: opened }
   const dispose = progress.scope.onClose(() => opened.destroy())
   try {
-    if (!mayStillSend()) return { kind: 'notSent', message: 'no longer wanted' }
+    if (!maySend()) return { kind: 'notSent', message: 'no longer wanted' }
     const raced = await progress.race(exchange(new URL(url).origin, opened, request, limits))
     return raced.kind === 'done' ? raced.value : { kind: 'lost', message: 'no answer in time' }
   } finally {
@@ -88,12 +88,15 @@
   }
 }
 
-/** A connector that hands out one socket once. */
+/** A connector that hands out one socket once; not before it has returned, which the client cannot bear. */
 function onlyThis (socket: Socket): buildConnector.connector {
   let isTaken = false
   return (_options, callback) => {
-    if (isTaken || socket.destroyed) return callback(new Error('the connection has closed'), null)
+    const isUsable = !isTaken && !socket.destroyed
     isTaken = true
-    callback(null, socket)
+    process.nextTick(() => {
+      if (isUsable && !socket.destroyed) callback(null, socket)
+      else callback(new Error('the connection has closed'), null)
+    })
   }
 }
--- a/src/entry/services/serviceRoute.ts
+++ b/src/entry/services/serviceRoute.ts
@@ -66,6 +66,7 @@
     const { request } = exchange
     const call: ServiceCall = {
       item: {
+        requestId: exchange.requestId,
         pool: target.pool,
         callerName: caller.callerName,
         priorityClass: caller.priorityClass,
--- a/src/entry/services/unrepeatableCalls.ts
+++ b/src/entry/services/unrepeatableCalls.ts
@@ -17,7 +17,7 @@
 import { sleepUntil, type Clock } from '../../utils/clock.js'
 import { unreachable } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
-import { Progress } from '../../utils/progress.js'
+import { Progress, type Raced } from '../../utils/progress.js'
 import type { RandomSource } from '../../utils/randomSource.js'
 import type { Supervisor } from '../../utils/supervisor.js'
 import { EntryEvent } from '../entryEvents.js'
@@ -75,6 +75,8 @@
   generation: number
   /** The caller's. */
   progress: Progress
+  /** Bytes of it may be on their way to an endpoint, or have reached one. */
+  isAtEndpoint: boolean
 }
 
 export class UnrepeatableCalls {
@@ -102,7 +104,7 @@
       case 'absent': {
         const attemptId = this._parts.random.id()
         this._parts.journal.addAttempt(attemptId, requestId)
-        return await this._begin({ key, attemptId, call, requestHash, generation: state.generation, progress })
+        return await this._begin({ key, attemptId, call, requestHash, generation: state.generation, progress, isAtEndpoint: false })
       }
       default: return unreachable(state)
     }
@@ -140,9 +142,17 @@
     const execution = this._execute(attempt, assigned.assignment)
     const raced = await progress.race(execution)
     if (raced.kind === 'done') return raced.value
+    // Nothing was sent and nothing will be now: the try ends by itself, and knows that it did not run.
+    const settled = attempt.isAtEndpoint ? raced : await this._briefly(execution)
+    if (settled.kind === 'done') return settled.value
     return refused(RefusalReason.DeadlinePassed, Executed.Unknown, 'the deadline passed before the answer came; a resend of the key gets it when it is there')
   }
 
+  private async _briefly<T> (promise: Promise<T>): Promise<Raced<T>> {
+    const { clock, supervisor } = this._parts
+    return await new Progress(clock, supervisor.scope, clock.nowMs() + RELEASE_TIMEOUT_MS).race(promise)
+  }
+
   /** Starts the key and runs the call, in the scope of the host. */
   private _execute (attempt: Try, assignment: Assignment): Promise<UnrepeatableOutcome> {
     const { clock, supervisor, limits } = this._parts
--- a/src/entry/services/unrepeatableDispatch.ts
+++ b/src/entry/services/unrepeatableDispatch.ts
@@ -22,6 +22,8 @@
   call: ServiceCall
   /** The caller's: when it is over before the first byte, the call is not sent. */
   progress: Progress
+  /** Set before the first byte leaves, and taken back when the call certainly did not run. */
+  isAtEndpoint: boolean
 }
 
 export interface DispatchLimits {
@@ -29,7 +31,8 @@
   maxBodyBytes: number
 }
 
-export async function runAtEndpoint ({ attemptId, call, progress: callerProgress }: DispatchedTry, assignment: Assignment, limits: DispatchLimits, progress: Progress): Promise<EndpointOutcome> {
+export async function runAtEndpoint (attempt: DispatchedTry, assignment: Assignment, limits: DispatchLimits, progress: Progress): Promise<EndpointOutcome> {
+  const { attemptId, call, progress: callerProgress } = attempt
   const { endpointId, url } = assignment.endpoint.announcement
   const startedAtMs = progress.clock.nowMs()
   callerProgress.log(`attempt ${attemptId} at ${endpointId}`)
@@ -39,11 +42,15 @@
     headers: requestHeaders(call, attemptId, progress.remainingMs()),
     body: call.body
   }
-  const mayStillSend = (): boolean => !callerProgress.scope.isClosed && !callerProgress.isOver()
+  const maySend = (): boolean => {
+    attempt.isAtEndpoint = !callerProgress.scope.isClosed && !callerProgress.isOver()
+    return attempt.isAtEndpoint
+  }
   let result: AttemptResult = { kind: 'cancelled' }
   try {
-    const outcome = await callOnce(url, request, { connectTimeoutMs: limits.connectTimeoutMs, maxAnswerBytes: limits.maxBodyBytes }, progress, mayStillSend)
+    const outcome = await callOnce(url, request, { connectTimeoutMs: limits.connectTimeoutMs, maxAnswerBytes: limits.maxBodyBytes }, progress, maySend)
     const judged = judge(outcome, attemptId)
+    if (judged.kind === 'notRun') attempt.isAtEndpoint = false
     result = resultOf(outcome, judged, progress.clock.nowMs() - startedAtMs)
     if (judged.kind !== 'answered') callerProgress.log(`${endpointId}: ${judged.message}`)
     return judged
--- a/src/protocol/callers.ts
+++ b/src/protocol/callers.ts
@@ -20,6 +20,9 @@
   Replayed = 'x-replayed'
 }
 
+/** Of calls that name no class while the operators have declared none; a class of this name must exist then. */
+export const DEFAULT_PRIORITY_CLASS = 'default'
+
 /** GET /v1/advice?dataCentre=&caller= */
 export const adviceSchema = z.object({
   /** Hosts to use, `ip:port`, first choice first. */
