Wire rollouts into the entry host; keep the wiring module small

Change: the parts that know endpoints and hosts are wired in Fleet, registration is left to the control client, which does it already (a second registrar was ruled out).

--- a/src/entry/entryProgram.ts
+++ b/src/entry/entryProgram.ts
@@ -7,7 +7,8 @@
  *     ├─ peers               one task for each connection to another entry host
  *     ├─ directory           expiry, digests
  *     ├─ calls               unrepeatable calls that were started
- *     └─ registration, topology, host state, readiness
+ *     ├─ rollouts            slots, samples, weights
+ *     └─ topology, host state, readiness, lease reports
  */
 import { Agent } from 'undici'
 import type { ControlClient } from '../controlClient/controlClient.js'
@@ -18,6 +19,7 @@
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
+import { Progress } from '../utils/progress.js'
 import type { RandomSource } from '../utils/randomSource.js'
 import type { Scope } from '../utils/scope.js'
 import type { Supervisor } from '../utils/supervisor.js'
@@ -25,29 +27,26 @@
 import { CompletionRoute } from './completions/completionRoute.js'
 import { EngineCompletions } from './completions/engineCompletions.js'
 import { Announcements } from './directory/announcements.js'
-import { Gossip } from './directory/gossip.js'
-import { HostStates } from './directory/hostStates.js'
-import { LiveDirectory } from './directory/liveDirectory.js'
-import { RecordStore } from './directory/recordStore.js'
-import { Topology } from './directory/topology.js'
+import { Fleet } from './directory/fleet.js'
+import type { LiveDirectory } from './directory/liveDirectory.js'
 import { EntryEvent } from './entryEvents.js'
 import type { EntrySettings } from './entrySettings.js'
-import { HostRegistration } from './hostRegistration.js'
 import { Answers } from './http/answers.js'
 import { HttpServer } from './http/httpServer.js'
 import { RequestJournal } from './http/requestJournal.js'
 import type { Route } from './http/route.js'
 import { operatorRoutes } from './operators/operatorRoutes.js'
-import { PeerMesh } from './peers/peerMesh.js'
 import { stopAsPlanned } from './plannedStop.js'
+import { createRollouts, type Rollouts } from './rollouts/rolloutProgram.js'
 import { createScheduler } from './scheduling/priorityScheduler.js'
 import type { Scheduler } from './scheduling/scheduler.js'
 import { PlainCalls } from './services/plainCalls.js'
 import { ServiceRoute } from './services/serviceRoute.js'
 import { UnrepeatableCalls } from './services/unrepeatableCalls.js'
 
-const TOPOLOGY_INTERVAL_MS = 500
+const LEASE_CHECK_MS = 250
 const READINESS_INTERVAL_MS = 25
+const LEAVE_TIMEOUT_MS = 2_000
 
 export interface EntryEnvironment {
   clock: Clock
@@ -57,6 +56,8 @@
   logger: Logger
   supervisor: Supervisor
   control: ControlClient
+  /** Takes this host out of the configuration, as the last step of a planned stop. */
+  leaveControl: (progress: Progress) => Promise<void>
   /** Grows with every start of the process. */
   incarnation: number
 }
@@ -74,12 +75,7 @@
   private readonly _environment: EntryEnvironment
   private readonly _journal = new RequestJournal()
   private readonly _answers: Answers
-  private readonly _store: RecordStore
-  private readonly _mesh: PeerMesh
-  private readonly _topology: Topology
-  private readonly _gossip: Gossip
-  private readonly _hosts: HostStates
-  private readonly _directory: LiveDirectory
+  private readonly _fleet: Fleet
   private readonly _announcements: Announcements
   private readonly _advice: AdviceRoute
   private readonly _scheduler: Scheduler
@@ -87,37 +83,22 @@
   private readonly _plainCalls: PlainCalls
   private readonly _unrepeatable: UnrepeatableCalls
   private readonly _engines: Agent
-  private readonly _registration: HostRegistration
+  private readonly _rollouts: Rollouts
   private readonly _http: HttpServer
   private readonly _operators: HttpServer
   private _state = ServingState.Starting
   private _stopping: Promise<void> | undefined
 
   constructor (settings: EntrySettings, environment: EntryEnvironment) {
-    const { clock, random, metrics, logger, control, supervisor } = environment
+    const { clock, random, metrics, control, supervisor } = environment
     const { host, limits } = settings
     this._settings = settings
     this._environment = environment
     this._answers = new Answers(host.hostId, metrics, random, limits.slowReaderTimeoutMs)
-    this._store = new RecordStore(clock)
-    this._mesh = this._createMesh()
-    this._topology = this._createTopology()
-    this._gossip = new Gossip({
-      hostId: host.hostId,
-      store: this._store,
-      mesh: this._mesh,
-      topology: this._topology,
-      clock,
-      random,
-      logger,
-      supervisor: supervisor.child('directory'),
-      leaseMs: Math.min(limits.endpointLeaseMs, limits.hostLeaseMs)
-    })
-    this._hosts = this._createHostStates()
-    this._directory = new LiveDirectory(this._store, metrics, logger)
+    this._fleet = this._createFleet()
     this._announcements = this._createAnnouncements()
     this._advice = this._createAdvice()
-    this._scheduler = createScheduler({ clock, random, directory: this._directory, configuration: control.configuration, metrics, scope: supervisor.scope })
+    this._scheduler = createScheduler({ clock, random, directory: this._fleet.directory, configuration: control.configuration, metrics, scope: supervisor.scope })
     this._engines = new Agent({ connect: { timeout: limits.connectTimeoutMs, noDelay: true }, pipelining: 1 })
     this._completions = this._createCompletions()
     this._plainCalls = new PlainCalls({ ...this._callParts(), answers: this._answers, metrics, connectTimeoutMs: limits.connectTimeoutMs })
@@ -125,19 +106,19 @@
       ...this._callParts(),
       hostId: host.hostId,
       control,
-      peers: this._mesh,
+      peers: this._fleet.mesh,
       supervisor: supervisor.child('calls'),
       clock,
       limits
     })
-    this._registration = new HostRegistration({ ...host, incarnation: environment.incarnation }, control, clock, logger)
+    this._rollouts = this._createRollouts()
     this._http = this._createServer('http', this._callerRoutes())
     this._operators = this._createServer('operators', this._operatorRoutes())
   }
 
   /** The directory that this host knows, for parts that are started beside it. */
   get directory (): LiveDirectory {
-    return this._directory
+    return this._fleet.directory
   }
 
   /** Whether this host takes new work now. */
@@ -148,13 +129,9 @@
   async start (): Promise<void> {
     const { supervisor, logger } = this._environment
     const { host } = this._settings
-    await this._mesh.listen(host.peerAddress)
+    await this._fleet.start()
     await this._http.listen(host.callerAddress)
     await this._operators.listen(host.operatorAddress)
-    this._gossip.start()
-    supervisor.spawn('registration', scope => this._registration.run(scope))
-    supervisor.spawn('topology', scope => this._followTopology(scope))
-    supervisor.spawn('host state', scope => this._hosts.publishRepeatedly(scope))
     supervisor.spawn('readiness', scope => this._becomeReady(scope))
     supervisor.spawn('lease reports', scope => this._reportLease(scope))
     logger.event(EntryEvent.Started, { callerAddress: host.callerAddress })
@@ -175,53 +152,21 @@
       logger,
       adviceValidMs,
       maxStopMs,
-      leaveAdvice: scope => this._hosts.leaveAdvice(this._topology.othersNearestFirst(), scope),
+      leaveAdvice: scope => this._fleet.hosts.leaveAdvice(this._fleet.topology.othersNearestFirst(), scope),
       refuseNewWork: () => { this._state = ServingState.Refusing },
       runningCount: () => this._http.inFlightCount + this._unrepeatable.runningCount
     }, supervisor.scope)
-    await this._registration.remove(supervisor.scope)
+    await this._environment.leaveControl(new Progress(clock, supervisor.scope, clock.nowMs() + LEAVE_TIMEOUT_MS))
     await supervisor.stop('planned stop')
     await Promise.all([this._plainCalls.close(), this._engines.destroy()])
   }
 
-  private _createMesh (): PeerMesh {
-    const { clock, random, transport, logger, supervisor, control } = this._environment
-    return new PeerMesh({
-      hostId: this._settings.host.hostId,
-      supervisor: supervisor.child('peers'),
-      clock,
-      random,
-      transport,
-      logger,
-      onFatal: error => this._onFatal('peers', error),
-      addressOf: hostId => control.configuration.entryHosts().find(host => host.hostId === hostId)?.peerAddress
-    })
-  }
-
-  private _createTopology (): Topology {
-    const { hostId, dataCentre } = this._settings.host
-    return new Topology({
-      hostId,
-      dataCentre,
-      entryHosts: () => this._environment.control.configuration.entryHosts(),
-      connectedHostIds: () => this._mesh.connectedHostIds(),
-      mayLive: id => this._hosts.mayLive(id)
-    })
-  }
-
-  private _createHostStates (): HostStates {
-    const { clock, incarnation } = this._environment
-    const { host, limits } = this._settings
-    return new HostStates({
-      hostId: host.hostId,
-      incarnation,
-      dataCentre: host.dataCentre,
-      callerAddress: host.callerAddress,
-      clock,
-      store: this._store,
-      gossip: this._gossip,
-      mesh: this._mesh,
-      hostLeaseMs: limits.hostLeaseMs,
+  private _createFleet (): Fleet {
+    const { control } = this._environment
+    return new Fleet({
+      ...this._environment,
+      settings: this._settings,
+      entryHosts: () => control.configuration.entryHosts(),
       inFlightCount: () => this._http.inFlightCount,
       takesWork: () => this.takesWork
     })
@@ -229,9 +174,9 @@
 
   private _createAnnouncements (): Announcements {
     return new Announcements({
-      store: this._store,
-      gossip: this._gossip,
-      hosts: this._hosts,
+      store: this._fleet.store,
+      gossip: this._fleet.gossip,
+      hosts: this._fleet.hosts,
       answers: this._answers,
       endpointLeaseMs: this._settings.limits.endpointLeaseMs
     })
@@ -242,7 +187,7 @@
     const { host, limits } = this._settings
     return new AdviceRoute({
       dataCentre: host.dataCentre,
-      hosts: this._hosts,
+      hosts: this._fleet.hosts,
       random,
       answers: this._answers,
       adviceValidMs: limits.adviceValidMs,
@@ -264,6 +209,23 @@
     })
   }
 
+  private _createRollouts (): Rollouts {
+    const { control, clock, random, metrics, logger, incarnation } = this._environment
+    return createRollouts({
+      hostId: this._settings.host.hostId,
+      hostIncarnation: incarnation,
+      clock,
+      random,
+      control,
+      completions: this._completions,
+      scheduler: this._scheduler,
+      directory: this._fleet.directory,
+      peers: this._fleet.mesh,
+      metrics,
+      logger
+    })
+  }
+
   private _callParts (): { scheduler: Scheduler, random: RandomSource, logger: Logger, journal: RequestJournal } {
     const { random, logger } = this._environment
     return { scheduler: this._scheduler, random, logger, journal: this._journal }
@@ -291,7 +253,7 @@
     const shared = { configuration: control.configuration, answers: this._answers, maxBodyBytes }
     const completions = new CompletionRoute({ ...shared, completions: this._completions })
     const services = new ServiceRoute({ ...shared, random, plain: this._plainCalls, unrepeatable: this._unrepeatable })
-    return [this._advice.route(), this._announcements.route(), completions.route(), services.route()]
+    return [this._advice.route(), this._announcements.route(), completions.route(), services.route(), ...this._rollouts.routes]
   }
 
   private _operatorRoutes (): Route[] {
@@ -324,24 +286,15 @@
     return { reason, executed: Executed.No, message, otherHosts }
   }
 
-  private async _followTopology (scope: Scope): Promise<void> {
-    const { clock } = this._environment
-    for (;;) {
-      this._mesh.keepConnected(this._topology.wantedConnections())
-      await sleepUntil(clock, scope, clock.nowMs() + TOPOLOGY_INTERVAL_MS)
-    }
-  }
-
   /** Takes work only once the configuration and the endpoints are known. */
   private async _becomeReady (scope: Scope): Promise<void> {
-    const { clock, control, logger } = this._environment
+    const { clock, control, logger, supervisor } = this._environment
     while (!control.holdsLease()) await sleepUntil(clock, scope, clock.nowMs() + READINESS_INTERVAL_MS)
-    // With no host to ask, every endpoint has announced itself again by then.
-    const waitMs = this._settings.limits.endpointLeaseMs / 3
-    await this._gossip.learnFromPeers(scope, clock.nowMs() + waitMs, () => this._directory.all().length > 0)
+    await this._fleet.learn(scope)
     if (this._state === ServingState.Starting) this._state = ServingState.Serving
-    this._hosts.publish()
-    logger.event(EntryEvent.Ready, { endpointsCount: this._directory.all().length })
+    this._rollouts.start(supervisor)
+    this._fleet.hosts.publish()
+    logger.event(EntryEvent.Ready, { endpointsCount: this._fleet.directory.all().length })
   }
 
   private async _reportLease (scope: Scope): Promise<void> {
@@ -352,10 +305,10 @@
       if (holds !== held) {
         logger.event(holds ? EntryEvent.LeaseHeld : EntryEvent.LeaseLost, { revision: control.configuration.revision })
         if (!holds) metrics.count(MetricName.LeaseLost)
-        this._hosts.publish()
+        this._fleet.hosts.publish()
       }
       held = holds
-      await sleepUntil(clock, scope, clock.nowMs() + TOPOLOGY_INTERVAL_MS)
+      await sleepUntil(clock, scope, clock.nowMs() + LEASE_CHECK_MS)
     }
   }
 
@@ -369,9 +322,9 @@
       holdsLease: control.holdsLease(),
       inFlightCount: this._http.inFlightCount,
       unrepeatableRunningCount: this._unrepeatable.runningCount,
-      connectedHostIds: this._mesh.connectedHostIds(),
-      servingHosts: this._hosts.serving(),
-      endpoints: this._directory.all().map(({ announcement }) => announcement),
+      connectedHostIds: this._fleet.mesh.connectedHostIds(),
+      servingHosts: this._fleet.hosts.serving(),
+      endpoints: this._fleet.directory.all().map(({ announcement }) => announcement),
       metrics: metrics.snapshot()
     }
   }
