--- /dev/null
+++ b/tests/entry/unrepeatable.test.ts
@@ -0,0 +1,216 @@
+/**
+ * Unrepeatable calls: run at most once, truthful about whether they ran, and
+ * answered alike through every host.
+ */
+import test, { type ExecutionContext } from 'ava'
+import { request } from 'undici'
+import { NOT_EXECUTED_HEADER } from '../../src/protocol/endpoints.js'
+import { EndpointKind } from '../../src/protocol/resources.js'
+import { UnrepeatableCommandKind } from '../../src/protocol/unrepeatableCommands.js'
+import { EntryCluster, type TestHost } from '../fixtures/entryCluster.js'
+import { ControlFault } from '../fixtures/memoryControl.js'
+import { TestEndpoint, type Handler } from '../fixtures/testEndpoint.js'
+import { until } from '../fixtures/until.js'
+
+interface Setting {
+  cluster: EntryCluster
+  host: TestHost
+  other: TestHost
+  /** Calls that the service ran. */
+  executions: string[]
+  service: TestEndpoint
+}
+
+interface Answer {
+  status: number
+  text: string
+  replayed: boolean
+}
+
+/** A service that runs each call it reads, then answers as told. */
+async function withService (answer: Handler, run: (setting: Setting) => Promise<void>): Promise<void> {
+  const cluster = new EntryCluster()
+  const [host, other] = [await cluster.start(), await cluster.start()]
+  const executions: string[] = []
+  const service = await new TestEndpoint('booking-1', EndpointKind.Service, async (request, response, body) => {
+    await answer(request, response, body)
+    if (response.statusCode !== 503) executions.push(`${request.url} ${body.toString()}`)
+  }).start(host, other)
+  try {
+    await Promise.all([host.ready(), other.ready()])
+    await run({ cluster, host, other, executions, service })
+  } finally {
+    await service.kill()
+    await cluster.stop()
+  }
+}
+
+async function post (host: TestHost, key: string | undefined, body = 'drum 7', headers: Record<string, string> = {}): Promise<Answer> {
+  const keyHeader: Record<string, string> = key === undefined ? {} : { 'idempotency-key': key }
+  const answer = await request(`${host.url}/v1/services/booking/returns/7`, { method: 'POST', headers: { ...keyHeader, 'x-caller': 'depot', ...headers }, body })
+  return { status: answer.statusCode, text: await answer.body.text(), replayed: answer.headers['x-replayed'] === 'true' }
+}
+
+function isRefusal (t: ExecutionContext, answer: Answer, reason: string, executed: string): void {
+  t.like(JSON.parse(answer.text), { reason, executed })
+}
+
+const recorded: Handler = (_request, response) => { response.end('recorded') }
+
+test('should run a call once and replay its answer through any host', async t => {
+  await withService(recorded, async ({ host, other, executions }) => {
+    t.like(await post(host, 'k1'), { status: 200, text: 'recorded', replayed: false })
+    t.like(await post(host, 'k1'), { status: 200, text: 'recorded', replayed: true })
+    t.like(await post(other, 'k1'), { status: 200, text: 'recorded', replayed: true })
+    t.is(executions.length, 1)
+    isRefusal(t, await post(other, 'k1', 'drum 8'), 'idempotency_key_reused', 'no')
+    isRefusal(t, await post(host, undefined), 'idempotency_key_required', 'no')
+    t.is(executions.length, 1)
+  })
+})
+
+test('should keep the keys of different callers apart', async t => {
+  const echo: Handler = (_request, response, body) => { response.end(body) }
+  await withService(echo, async ({ host, executions }) => {
+    t.is((await post(host, 'k', 'mine')).text, 'mine')
+    t.is((await post(host, 'k', 'theirs', { 'x-caller': 'foreman' })).text, 'theirs')
+    t.is(executions.length, 2)
+  })
+})
+
+test('should run a call once when it is sent through both hosts at the same time', async t => {
+  const slow: Handler = async (_request, response) => {
+    await new Promise(resolve => setTimeout(resolve, 50))
+    response.end('recorded')
+  }
+  await withService(slow, async ({ host, other, executions }) => {
+    const answers = await Promise.all([host, other, host, other].map(target => post(target, 'k1')))
+    t.deepEqual(answers.map(answer => answer.text), Array(4).fill('recorded'))
+    t.is(answers.filter(answer => !answer.replayed).length, 1)
+    t.is(executions.length, 1)
+  })
+})
+
+test('should answer "unknown" and never run again when the connection dies after the request', async t => {
+  const dying: Handler = request => { request.socket.destroy() }
+  await withService(dying, async ({ host, other, executions }) => {
+    isRefusal(t, await post(host, 'k1'), 'answer_lost', 'unknown')
+    isRefusal(t, await post(other, 'k1'), 'answer_lost', 'unknown')
+    t.is(executions.length, 1)
+  })
+})
+
+test('should answer "unknown" for half an answer and for one under another id', async t => {
+  let half = true
+  const broken: Handler = (request, response) => {
+    if (!half) {
+      response.writeHead(200, { 'x-request-id': 'other' }).end('SECRET')
+      return
+    }
+    response.writeHead(200, { 'content-length': '100' })
+    response.write('half', () => request.socket.destroy())
+  }
+  await withService(broken, async ({ host, executions }) => {
+    isRefusal(t, await post(host, 'k1'), 'answer_lost', 'unknown')
+    half = false
+    const foreign = await post(host, 'k2')
+    isRefusal(t, foreign, 'answer_lost', 'unknown')
+    t.false(foreign.text.includes('SECRET'))
+    t.is(executions.length, 2)
+  })
+})
+
+test('should give an answer that came late to whoever asks again', async t => {
+  let release = (): void => {}
+  const held = new Promise<void>(resolve => { release = resolve })
+  const late: Handler = async (_request, response) => {
+    await held
+    response.end('recorded')
+  }
+  await withService(late, async ({ host, other, executions }) => {
+    isRefusal(t, await post(host, 'k1', 'drum 7', { 'x-deadline-ms': '100' }), 'deadline_passed', 'unknown')
+    const resent = post(other, 'k1')
+    release()
+    t.like(await resent, { text: 'recorded', replayed: true })
+    t.is(executions.length, 1)
+  })
+})
+
+test('should run and record a call to its end when its caller hangs up', async t => {
+  let release = (): void => {}
+  const held = new Promise<void>(resolve => { release = resolve })
+  const late: Handler = async (_request, response) => {
+    await held
+    response.end('recorded')
+  }
+  await withService(late, async ({ host, other, executions, service }) => {
+    const controller = new AbortController()
+    const gone = request(`${host.url}/v1/services/booking/returns/7`, {
+      method: 'POST', body: 'drum 7', headers: { 'idempotency-key': 'k1', 'x-caller': 'depot' }, signal: controller.signal
+    }).catch(() => {})
+    await until(() => service.receivedCount === 1)
+    controller.abort()
+    await gone
+    release()
+    t.like(await post(other, 'k1'), { text: 'recorded', replayed: true })
+    t.is(executions.length, 1)
+  })
+})
+
+test('should say "not run" after a documented refusal, and run a resend', async t => {
+  let refuses = true
+  const refusing: Handler = (_request, response) => {
+    if (refuses) response.writeHead(503, { [NOT_EXECUTED_HEADER]: 'true' }).end()
+    else response.end('recorded')
+  }
+  await withService(refusing, async ({ host, other, executions }) => {
+    const refused = await post(host, 'k1', 'drum 7', { 'x-deadline-ms': '1000' })
+    t.is(JSON.parse(refused.text).executed, 'no')
+    t.is(executions.length, 0)
+    refuses = false
+    t.like(await post(other, 'k1'), { text: 'recorded', replayed: false })
+    t.is(executions.length, 1)
+  })
+})
+
+test('should not run a call that waited while another try of its key was refused as not run', async t => {
+  await withService(recorded, async ({ cluster, host, executions }) => {
+    const key = { callerName: 'depot', idempotencyKey: 'k1' }
+    const first = cluster.ledger.stateOf(key.callerName, key.idempotencyKey)
+    t.deepEqual(first, { kind: 'absent', generation: 0 })
+    host.control.leaseHeld = false
+    isRefusal(t, await post(host, 'k1'), 'lease_lost', 'unknown')
+    host.control.leaseHeld = true
+    host.control.fault = ControlFault.Unreachable
+    isRefusal(t, await post(host, 'k1'), 'control_unavailable', 'unknown')
+    host.control.fault = ControlFault.None
+    const refused = await post(host, 'k1', 'x'.repeat(9 * 1024 * 1024)).catch(() => undefined)
+    if (refused) isRefusal(t, refused, 'body_too_large', 'no')
+    const start = cluster.control.apply({ kind: UnrepeatableCommandKind.Start, ...key, attemptId: 'overtaken', requestHash: 'h', hostId: 'entry-1', generation: 0 })
+    t.deepEqual(start, { kind: 'superseded' })
+    t.is(executions.length, 0)
+    t.like(await post(host, 'k1'), { text: 'recorded' })
+  })
+})
+
+test('should not run a call whose start could not be confirmed', async t => {
+  await withService(recorded, async ({ host, other, executions }) => {
+    const submit = host.control.submit.bind(host.control)
+    host.control.submit = async command => {
+      const outcome = await submit(command)
+      return command.kind === UnrepeatableCommandKind.Start ? { kind: 'unknown', reason: 'answer lost' } : outcome
+    }
+    isRefusal(t, await post(host, 'k1'), 'control_unavailable', 'unknown')
+    await until(async () => (await post(other, 'k1')).status === 200)
+    t.is(executions.length, 1)
+  })
+})
+
+test('should reach no byte of an endpoint that is gone, and say so', async t => {
+  await withService(recorded, async ({ host, executions, service }) => {
+    await service.kill()
+    const refused = await post(host, 'k1', 'drum 7', { 'x-deadline-ms': '2000' })
+    t.is(JSON.parse(refused.text).executed, 'no')
+    t.is(executions.length, 0)
+  })
+})
