Move the clock by hand in two tests whose verdict hung on the machine's speed

Cause: a deadline of 100 ms and one of 400 ms had passed before the call they were about had begun, while other work ran beside (seen once each). Checks are as strict as before.

--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -1,7 +1,7 @@
 /** The command line of `threaddrum`: options, help, and which command runs. */
 import { cac, type CAC } from 'cac'
 import { ResourceKind } from '../protocol/resources.js'
-import { systemClock } from '../utils/clock.js'
+import { systemClock, type Clock } from '../utils/clock.js'
 import { SettingsError } from '../utils/errors.js'
 import { Progress } from '../utils/progress.js'
 import { systemRandom } from '../utils/randomSource.js'
@@ -24,6 +24,8 @@
   output: Output
   settingsSchemas: SettingsSchemas
   environment: Record<string, string | undefined>
+  /** The system's clock unless a test brings its own. */
+  clock?: Clock
 }
 
 /** Options as cac hands them over: numbers are parsed, the rest is text or a switch. */
@@ -63,7 +65,7 @@
 
 function defineCommands (cli: CAC, parts: CommandLineParts): void {
   cli.option('--control <addresses>', `Operator addresses of control hosts, ip:port, comma-separated (or ${CONTROL_VARIABLE})`)
-  cli.option('--timeout-ms <ms>', 'Give up after this time', { default: DEFAULT_TIMEOUT_MS })
+  cli.option('--timeout-ms <ms>', `Give up after this time (default: ${DEFAULT_TIMEOUT_MS})`)
   cli.option('--json', 'Print JSON')
   defineChanges(cli, parts)
   defineReads(cli, parts)
@@ -124,11 +126,11 @@
 }
 
 function context (parts: CommandLineParts, options: Options, defaultTimeoutMs?: number): CommandContext {
-  const given = optionalNumber(options, 'timeoutMs') ?? DEFAULT_TIMEOUT_MS
-  const timeoutMs = given === DEFAULT_TIMEOUT_MS && defaultTimeoutMs !== undefined ? defaultTimeoutMs : given
+  const clock = parts.clock ?? systemClock
+  const timeoutMs = optionalNumber(options, 'timeoutMs') ?? defaultTimeoutMs ?? DEFAULT_TIMEOUT_MS
   return {
     client: new OperatorClient(controlAddresses(parts, options)),
-    progress: new Progress(systemClock, new Scope('command'), systemClock.nowMs() + timeoutMs),
+    progress: new Progress(clock, new Scope('command'), clock.nowMs() + timeoutMs),
     output: parts.output,
     asJson: options.json === true
   }
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -7,6 +7,8 @@
 import { z } from 'zod'
 import { runCommandLine } from '../../src/cli/commandLine.js'
 import { ExitCode } from '../../src/cli/exitCode.js'
+import type { Clock } from '../../src/utils/clock.js'
+import { JumpingClock } from '../fixtures/jumpingClock.js'
 
 const POOL = { endpointKind: 'service' }
 
@@ -37,7 +39,7 @@
   return { address: `${address}:${port}`, server, calls }
 }
 
-async function run (argv: string[], control?: FakeControl): Promise<{ exitCode: ExitCode, out: string, err: string }> {
+async function run (argv: string[], control?: FakeControl, clock?: Clock): Promise<{ exitCode: ExitCode, out: string, err: string }> {
   const out: string[] = []
   const err: string[] = []
   const settingsSchema = z.strictObject({ host: z.strictObject({ hostId: z.string() }) })
@@ -45,7 +47,8 @@
     version: '0.0.0',
     output: { print: line => out.push(line), error: line => err.push(line) },
     settingsSchemas: { entry: settingsSchema, control: settingsSchema },
-    environment: { THREADDRUM_CONTROL: control?.address }
+    environment: { THREADDRUM_CONTROL: control?.address },
+    clock
   })
   control?.server.close()
   return { exitCode, out: out.join('\n'), err: err.join('\n') }
@@ -83,8 +86,14 @@
   const host = { hostId: 'entry-1', dataCentre: 'hal-a', callerAddress: '127.0.0.1:1', revisionInForce: 7, holdsLease: true }
   const entryHosts = [host, { ...host, hostId: 'entry-2', revisionInForce: 6 }]
   const status = { leaderHostId: 'control-1', term: 1, revision: 7, members: [], entryHosts }
-  const control = await startFakeControl(path => path === '/v1/status' ? { status: 200, value: status } : applied())
-  const { exitCode, err } = await run(['apply', '--wait', '--timeout-ms', '400', writeFile('pool.toml', POOL_FILE)], control)
+  const clock = new JumpingClock()
+  let statusCount = 0
+  const control = await startFakeControl(path => {
+    if (path !== '/v1/status') return applied()
+    if (++statusCount === 2) setImmediate(() => clock.jump(600_000))
+    return { status: 200, value: status }
+  })
+  const { exitCode, err } = await run(['apply', '--wait', '--timeout-ms', '600000', writeFile('pool.toml', POOL_FILE)], control, clock)
   t.is(exitCode, ExitCode.Timeout)
   t.regex(err, /entry-2 \(hal-a\): not in force, it has revision 6 of 7/)
   t.notRegex(err, /entry-1/)
--- a/tests/entry/unrepeatable.test.ts
+++ b/tests/entry/unrepeatable.test.ts
@@ -4,6 +4,7 @@
  */
 import test, { type ExecutionContext } from 'ava'
 import { request } from 'undici'
+import type { EntryLimits } from '../../src/entry/entrySettings.js'
 import { NOT_EXECUTED_HEADER } from '../../src/protocol/endpoints.js'
 import { EndpointKind } from '../../src/protocol/resources.js'
 import { UnrepeatableCommandKind } from '../../src/protocol/unrepeatableCommands.js'
@@ -28,15 +29,17 @@
 }
 
 /** A service that runs each call it reads, then answers as told. */
-async function withService (answer: Handler, run: (setting: Setting) => Promise<void>): Promise<void> {
+async function withService (answer: Handler, run: (setting: Setting) => Promise<void>, limits: Partial<EntryLimits> = {}): Promise<void> {
   const cluster = new EntryCluster()
-  const [host, other] = [await cluster.start(), await cluster.start()]
+  const [host, other] = [await cluster.start('ubungo', limits), await cluster.start('ubungo', limits)]
   const executions: string[] = []
   const service = await new TestEndpoint('booking-1', EndpointKind.Service, async (request, response, body) => {
     await answer(request, response, body)
     if (response.statusCode !== 503) executions.push(`${request.url} ${body.toString()}`)
   }).start(host, other)
   try {
+    // A host that starts waits for others that may know endpoints; longer leases make that longer.
+    if (limits.endpointLeaseMs !== undefined) cluster.clock.jump(limits.endpointLeaseMs / 3)
     await Promise.all([host.ready(), other.ready()])
     await run({ cluster, host, other, executions, service })
   } finally {
@@ -127,13 +130,18 @@
     await held
     response.end('recorded')
   }
-  await withService(late, async ({ host, other, executions }) => {
-    isRefusal(t, await post(host, 'k1', 'drum 7', { 'x-deadline-ms': '100' }), 'deadline_passed', 'unknown')
+  const deadlineMs = 60_000
+  const lasting = { endpointLeaseMs: 10 * deadlineMs }
+  await withService(late, async ({ cluster, host, other, executions, service }) => {
+    const first = post(host, 'k1', 'drum 7', { 'x-deadline-ms': String(deadlineMs) })
+    await until(() => service.receivedCount === 1)
+    cluster.clock.jump(deadlineMs)
+    isRefusal(t, await first, 'deadline_passed', 'unknown')
     const resent = post(other, 'k1')
     release()
     t.like(await resent, { text: 'recorded', replayed: true })
     t.is(executions.length, 1)
-  })
+  }, lasting)
 })
 
 test('should run and record a call to its end when its caller hangs up', async t => {
