--- /dev/null
+++ b/tests/entry/directory.test.ts
@@ -0,0 +1,175 @@
+/**
+ * The directory between entry hosts: what every host knows, how soon, and
+ * what it does after losses, cuts and restarts.
+ */
+import test from 'ava'
+import { defaultLimits } from '../../src/entry/entrySettings.js'
+import { BUCKETS_COUNT } from '../../src/entry/directory/recordStore.js'
+import { rankByRendezvous } from '../../src/entry/directory/rendezvous.js'
+import { MemoryFleet, type FleetHost } from '../fixtures/memoryFleet.js'
+
+const CONNECT_MS = 3_000
+/** No new work reaches a leaving endpoint after this. */
+const LEAVING_BOUND_MS = 3_000
+
+async function sixHosts (): Promise<{ net: MemoryFleet, hosts: [FleetHost, FleetHost, FleetHost, FleetHost, FleetHost, FleetHost] }> {
+  const net = new MemoryFleet()
+  const start = (index: number): Promise<FleetHost> => net.start(`host${index}`, index <= 3 ? 'a' : 'b')
+  const hosts = [await start(1), await start(2), await start(3), await start(4), await start(5), await start(6)] as Awaited<ReturnType<typeof sixHosts>>['hosts']
+  await net.clock.advance(CONNECT_MS)
+  return { net, hosts }
+}
+
+function available (hosts: FleetHost[]): number[] {
+  return hosts.map(({ fleet }) => fleet.directory.available('lm').length)
+}
+
+test('should tell every host of an endpoint, of its load and that it leaves', async t => {
+  const { net, hosts } = await sixHosts()
+  hosts[0].announcements.announce(net.announcement('engine'))
+  await net.clock.advance(10)
+  t.deepEqual(available(hosts), [1, 1, 1, 1, 1, 1])
+  hosts[0].announcements.announce(net.announcement('engine', { load: { runningCount: 9, waitingCount: 2, kvUsedPercent: 50, tokensPerSecond: 7, ageMs: 20 } }))
+  await net.clock.advance(1_500)
+  t.deepEqual(hosts.map(({ fleet }) => fleet.directory.get('engine')?.announcement.load.runningCount), Array(6).fill(9))
+  hosts[1].announcements.announce(net.announcement('engine', { leaving: true }))
+  await net.clock.advance(10)
+  t.deepEqual(available(hosts), [0, 0, 0, 0, 0, 0])
+})
+
+test('should cross to another data centre once for each change', async t => {
+  const { net, hosts } = await sixHosts()
+  const cost = async (): Promise<number> => {
+    const farBefore = net.messages.far
+    await net.clock.advance(500)
+    return net.messages.far - farBefore
+  }
+  const idle = await cost()
+  hosts[0].announcements.announce(net.announcement('engine'))
+  const busy = await cost()
+  t.is(busy - idle, 1, `${busy} messages against ${idle} when idle`)
+  t.deepEqual(available(hosts), [1, 1, 1, 1, 1, 1])
+})
+
+test('should drop an endpoint that falls silent, and not take it back from a late copy', async t => {
+  const { net, hosts } = await sixHosts()
+  hosts[0].announcements.announce(net.announcement('engine'))
+  await net.clock.advance(10)
+  const late = hosts[5].fleet.store.all().find(({ record }) => record.id === 'engine')
+  await net.clock.advance(defaultLimits.endpointLeaseMs + 1_000)
+  t.deepEqual(available(hosts), [0, 0, 0, 0, 0, 0])
+  if (late) t.is(hosts[3].fleet.store.put(late.record), 'stale')
+  await net.clock.advance(10_000)
+  t.deepEqual(available(hosts), [0, 0, 0, 0, 0, 0])
+})
+
+test('should repair what was lost in a silent cut between data centres', async t => {
+  const { net, hosts } = await sixHosts()
+  hosts[0].announcements.announce(net.announcement('engine-1'))
+  await net.clock.advance(10)
+  for (const near of hosts.slice(0, 3)) for (const far of hosts.slice(3)) net.network.cut(near.ip, far.ip)
+  const keepAlive = async (forMs: number, fields = {}): Promise<void> => {
+    for (let passedMs = 0; passedMs < forMs; passedMs += 1_000) {
+      hosts[0].announcements.announce(net.announcement('engine-1', fields))
+      hosts[4].announcements.announce(net.announcement('engine-2'))
+      await net.clock.advance(1_000)
+    }
+  }
+  await keepAlive(15_000, { leaving: true })
+  t.deepEqual(available(hosts), [0, 0, 0, 1, 1, 1])
+  net.network.heal()
+  await keepAlive(15_000, { leaving: true })
+  t.deepEqual(available(hosts), [1, 1, 1, 1, 1, 1])
+  t.deepEqual(hosts.map(({ fleet }) => fleet.directory.all().length), Array(6).fill(2))
+})
+
+test('should know the endpoints before it serves after a restart', async t => {
+  const { net, hosts } = await sixHosts()
+  for (const host of hosts) host.fleet.learn(host.supervisor.scope).catch(() => {})
+  await net.clock.advance(5_000)
+  hosts[0].announcements.announce(net.announcement('engine-1'))
+  hosts[3].announcements.announce(net.announcement('engine-2', { leaving: true }))
+  await net.clock.advance(10)
+  await net.kill(hosts[2])
+  await net.clock.advance(100)
+  const restarted = await net.start('host3', 'a')
+  const learnt = restarted.fleet.learn(restarted.supervisor.scope)
+  await net.clock.advanceUntil(learnt)
+  t.deepEqual(restarted.fleet.directory.all().map(({ announcement }) => announcement.endpointId).sort(), ['engine-1', 'engine-2'])
+  t.is(restarted.fleet.directory.available('lm').length, 1)
+})
+
+test('should reach the other data centre through another relay when one crashes', async t => {
+  const { net, hosts } = await sixHosts()
+  const relay = hosts[0].fleet.topology.relays()[0]
+  const crashed = hosts.find(({ host }) => host.hostId === relay)
+  if (!crashed) return t.fail('no relay')
+  await net.kill(crashed)
+  hosts[0].announcements.announce(net.announcement('engine'))
+  await net.clock.advance(LEAVING_BOUND_MS)
+  for (const host of hosts) {
+    if (host !== crashed) t.is(host.fleet.directory.available('lm').length, 1, host.host.hostId)
+  }
+})
+
+test('should keep an endpoint drained for its incarnation, whatever is announced and wherever', async t => {
+  const { net, hosts } = await sixHosts()
+  hosts[0].announcements.announce(net.announcement('engine'))
+  await net.clock.advance(10)
+  const raced = net.announcement('engine')
+  t.true(hosts[4].announcements.drain('engine'))
+  hosts[0].announcements.announce(raced)
+  hosts[1].announcements.announce(net.announcement('engine'))
+  await net.clock.advance(LEAVING_BOUND_MS)
+  t.deepEqual(available(hosts), [0, 0, 0, 0, 0, 0])
+  hosts[2].announcements.announce(net.announcement('engine', { incarnation: 2 }))
+  await net.clock.advance(10)
+  t.deepEqual(available(hosts), [1, 1, 1, 1, 1, 1])
+})
+
+test('should prefer the newer incarnation and sequence in whatever order they come', async t => {
+  const { net, hosts } = await sixHosts()
+  const [first, second] = [net.announcement('engine', { url: 'http://10.1.0.1:1' }), net.announcement('engine', { url: 'http://10.1.0.1:2' })]
+  hosts[0].announcements.announce(second)
+  hosts[1].announcements.announce(first)
+  hosts[3].announcements.announce({ ...first, incarnation: 0, url: 'http://10.1.0.1:0' })
+  await net.clock.advance(LEAVING_BOUND_MS)
+  t.deepEqual(hosts.map(({ fleet }) => fleet.directory.get('engine')?.announcement.url), Array(6).fill('http://10.1.0.1:2'))
+})
+
+test('should agree on the digests once everything has arrived', async t => {
+  const { net, hosts } = await sixHosts()
+  for (let index = 0; index < 40; index++) hosts[index % 6]?.announcements.announce(net.announcement(`engine-${index}`))
+  await net.clock.advance(10)
+  const digests = hosts.map(({ fleet }) => fleet.store.bucketHashes())
+  t.is(digests[0]?.length, BUCKETS_COUNT)
+  for (const digest of digests) t.deepEqual(digest, digests[0])
+})
+
+test('should take a stopping host out of the advice of all others before it says so', async t => {
+  const { net, hosts } = await sixHosts()
+  await net.clock.advance(5_000)
+  const others = hosts.slice(1)
+  const leaving = hosts[0].fleet.hosts.leaveAdvice(hosts[0].fleet.topology.othersNearestFirst(), hosts[0].supervisor.scope)
+  await net.clock.advanceUntil(leaving)
+  for (const { fleet } of others) t.false(fleet.hosts.serving().some(({ hostId }) => hostId === 'host1'))
+})
+
+test('should count a host that does not confirm as one that advises until the lease ends', async t => {
+  const { net, hosts } = await sixHosts()
+  await net.clock.advance(5_000)
+  net.network.cut(hosts[0].ip, hosts[5].ip)
+  const beganAtMs = net.clock.nowMs()
+  const leaving = hosts[0].fleet.hosts.leaveAdvice(hosts[0].fleet.topology.othersNearestFirst(), hosts[0].supervisor.scope)
+  t.is(await net.clock.advanceUntil(leaving), beganAtMs + defaultLimits.hostLeaseMs)
+})
+
+test('should move only the keys of a candidate that goes', t => {
+  const candidates = ['h1', 'h2', 'h3', 'h4']
+  const keys = Array.from({ length: 200 }, (_, index) => `engine-${index}`)
+  for (const key of keys) {
+    const [first] = rankByRendezvous(key, candidates)
+    const [after] = rankByRendezvous(key, candidates.filter(candidate => candidate !== 'h4'))
+    if (first !== 'h4') t.is(after, first)
+  }
+})
