Add a benchmark of the scheduling policy against plain baselines

Cause: the policy is to be judged by measurement, not by its look. Change: bench/requests.ts runs stand-in engines (continuous batching, chunked prefill, limited prefix cache, priorities) and several entry hosts with late reports on a virtual clock; contenders are the policy, least reported load, round robin and random, over loads of 0.7, 1.0 and 1.5 of capacity, a slow, a flapping and a crashed engine and a load spike. Capacity is that of engines kept full with every shared prefix on one engine. Ruled out: measuring on wall-clock time with processes (not repeatable, and the policy is what is measured here).

--- /dev/null
+++ b/bench/requests/scenarios.ts
@@ -0,0 +1,67 @@
+/**
+ * Loads and faults, as parts of the engines' measured capacity.
+ */
+import type { RandomSource } from '../../src/utils/randomSource.js'
+import type { VirtualClock } from '../../tests/fixtures/virtualClock.js'
+import type { StandInEngine } from './standInEngine.js'
+import type { ClassLoad } from './workload.js'
+
+export interface Scenario {
+  hostsCount: number
+  /** Offered load, as part of the capacity of the healthy engines. */
+  loadAt (nowMs: number): number
+  arrange? (engines: StandInEngine[], clock: VirtualClock): void
+  hostFor? (load: ClassLoad, random: RandomSource): number
+  /** Not run for the baselines. */
+  policyOnly?: boolean
+}
+
+const HOSTS_COUNT = 3
+const MANY_HOSTS_COUNT = 12
+const FAULT_AT_MS = 12_000
+const FLAP_EVERY_MS = 3_000
+const SPIKE_FROM_MS = 14_000
+const SPIKE_MS = 5_000
+
+function steady (load: number, hostsCount = HOSTS_COUNT): Scenario {
+  return { hostsCount, loadAt: () => load }
+}
+
+function slow (engines: StandInEngine[]): void {
+  engines[0]!.speed = 0.2
+}
+
+function crash (engines: StandInEngine[], clock: VirtualClock): void {
+  clock.callAt(FAULT_AT_MS, () => engines[0]!.crash())
+}
+
+function flap (engines: StandInEngine[], clock: VirtualClock): void {
+  const engine = engines[0]!
+  const turn = (): void => {
+    if (engine.isUp) engine.crash()
+    else engine.restart()
+    clock.callAt(clock.nowMs() + FLAP_EVERY_MS, turn)
+  }
+  clock.callAt(FAULT_AT_MS, turn)
+}
+
+function spike (nowMs: number): number {
+  return nowMs >= SPIKE_FROM_MS && nowMs < SPIKE_FROM_MS + SPIKE_MS ? 4 : 0.4
+}
+
+export const scenarios: Record<string, Scenario> = {
+  unloaded: steady(0.05),
+  load_0_7: steady(0.7),
+  load_1_0: steady(1),
+  load_1_5: steady(1.5),
+  slow: { ...steady(0.7), arrange: slow },
+  flapping: { ...steady(0.7), arrange: flap },
+  crashed: { ...steady(0.7), arrange: crash },
+  spike: { ...steady(0.4), loadAt: spike },
+  overload_slow: { ...steady(1.5), arrange: slow },
+  hosts_12_load_0_7: { ...steady(0.7, MANY_HOSTS_COUNT), policyOnly: true },
+  hosts_12_load_1_5: steady(1.5, MANY_HOSTS_COUNT),
+  hosts_1_load_1_5: { ...steady(1.5, 1), policyOnly: true },
+  /** All gold requests come to the first host, all others to the rest. */
+  skewed_1_5: { ...steady(1.5), policyOnly: true, hostFor: (load, random) => load.name === 'gold' ? 0 : random.int(1, HOSTS_COUNT - 1) }
+}
