Give every prompt prefix homes that all hosts compute alike

Change: a prefix has homes by rendezvous hashing, as many as its part of the recent traffic asks for; waiting work whose home has a place may pass others of its class, bounded by a count of passes, and waits a little for its home. Ruled out: the memory of own sends per endpoint (an LRU of block hashes) is gone; it claimed far more than the engines' caches hold.

--- a/src/entry/scheduling/classQueue.ts
+++ b/src/entry/scheduling/classQueue.ts
@@ -5,6 +5,7 @@
  */
 import { LRUCache } from 'lru-cache'
 import type { Progress } from '../../utils/progress.js'
+import type { PrefixHomes } from './prefixHomes.js'
 import type { AssignOutcome, WorkItem } from './scheduler.js'
 
 const MAX_GROUPS = 4096
@@ -19,6 +20,12 @@
   /** Place of its group, or its own; smaller is earlier. */
   readonly order: number
   readonly sequence: number
+  /** Until then it waits for a place where its prefix is kept. */
+  readonly patienceEndsAtMs: number
+  /** Where its prefix is kept; undefined when that doesn't matter. */
+  readonly homes: PrefixHomes | undefined
+  /** How often later work of its class went before it. */
+  passedCount: number
   /** Gives the waiting caller its outcome; called exactly once. */
   settle (outcome: AssignOutcome): void
   /** To be called once when it neither waits nor runs any more. */
--- a/src/entry/scheduling/decisionLog.ts
+++ b/src/entry/scheduling/decisionLog.ts
@@ -17,8 +17,8 @@
   ownLimitCount: number
   reportAgeMs: number
   msPerToken: number | undefined
-  /** Part of the prompt's prefix that it has probably cached. */
-  cachedPercent: number
+  /** Whether the prompt's prefix is kept there. */
+  isHome: boolean
   score: number
 }
 
--- a/src/entry/scheduling/poolEndpoints.ts
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -6,7 +6,6 @@
 import { unreachable } from '../../utils/errors.js'
 import { MetricName } from '../../utils/metricNames.js'
 import { EndpointState } from './endpointState.js'
-import { CachedPrefixes } from './prefixAffinity.js'
 import type { AttemptResult, WorkItem } from './scheduler.js'
 import type { SchedulerParts } from './schedulerParts.js'
 
@@ -21,8 +20,8 @@
   private readonly _parts: SchedulerParts
   private readonly _pool: string
   private readonly _states = new Map<string, EndpointState>()
-  private readonly _cached = new Map<string, CachedPrefixes>()
   private _available: EndpointState[] = []
+  private _ids: readonly string[] = []
   private _hostsCount = 0
   private _spec: EndpointPoolSpec | undefined
 
@@ -52,7 +51,6 @@
       const known = this._states.get(record.announcement.endpointId)
       if (known && known.record === record && !termsChanged) return known
       const state = known ?? this._add(new EndpointState(record))
-      if (record.announcement.incarnation !== state.record.announcement.incarnation) this.cachedOn(state.endpointId).clear()
       state.update(record)
       state.setLimit(spec, hostsCount, this._parts.random)
       return state
@@ -70,9 +68,11 @@
     return this._available.filter(state => !leftOut.has(state))
   }
 
-  /** Those in use that the item may go to, whether or not they have a place. */
-  suitableFor (item: WorkItem, nowMs: number): EndpointState[] {
-    return this.inUse(nowMs).filter(state => isSuitable(state, item))
+  /** Their ids; the same array as long as they are the same. */
+  idsOf (states: EndpointState[]): readonly string[] {
+    const unchanged = states.length === this._ids.length && states.every((state, index) => state.endpointId === this._ids[index])
+    if (!unchanged) this._ids = states.map(state => state.endpointId)
+    return this._ids
   }
 
   /** Whether any endpoint, ejected or not, could ever take the item as things are. */
@@ -80,14 +80,6 @@
     return this._available.some(state => !item.excludedEndpointIds.includes(state.endpointId))
   }
 
-  cachedOn (endpointId: string): CachedPrefixes {
-    const known = this._cached.get(endpointId)
-    if (known) return known
-    const cached = new CachedPrefixes()
-    this._cached.set(endpointId, cached)
-    return cached
-  }
-
   /** Time of a token at the fastest endpoint in use; undefined before any finished. */
   fastestMsPerToken (nowMs: number): number | undefined {
     const times = this.inUse(nowMs).flatMap(({ health }) => health.msPerToken ?? [])
@@ -133,7 +125,6 @@
     for (const [endpointId, state] of this._states) {
       if (present.has(state) || state.ownCount > 0 || state.health.isEjected(nowMs)) continue
       this._states.delete(endpointId)
-      this._cached.delete(endpointId)
     }
   }
 
@@ -152,7 +143,7 @@
   }
 }
 
-function isSuitable (state: EndpointState, item: WorkItem): boolean {
+export function isSuitable (state: EndpointState, item: WorkItem): boolean {
   if (item.excludedEndpointIds.includes(state.endpointId)) return false
   if (item.minWeightVersion === undefined) return true
   return (state.record.announcement.weightVersion ?? 0) >= item.minWeightVersion
--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -13,11 +13,12 @@
 import { QueueOrder, type QueuedWork } from './classQueue.js'
 import type { DecisionLog } from './decisionLog.js'
 import { chooseEndpoint, type Choice } from './endpointChoice.js'
+import { nextToDispatch } from './dispatchOrder.js'
 import type { EndpointState } from './endpointState.js'
 import { FairShare, classShares } from './fairShare.js'
-import { PoolEndpoints } from './poolEndpoints.js'
+import { PoolEndpoints, isSuitable } from './poolEndpoints.js'
 import { PoolQueue } from './poolQueue.js'
-import { PromptPrefix } from './prefixAffinity.js'
+import { PrefixPopularity, homesFor } from './prefixHomes.js'
 import { RetryBudget } from './retryBudget.js'
 import type { AssignOutcome, AttemptResult, WorkItem } from './scheduler.js'
 import type { SchedulerParts } from './schedulerParts.js'
@@ -28,6 +29,9 @@
 const SCAN_COUNT = 64
 /** Work that no endpoint can take is refused after this time. */
 const NO_ENDPOINT_GRACE_MS = 2_000
+/** Part of the time to its deadline that a request waits for a place where its prefix is kept. */
+const PATIENCE_FRACTION = 0.05
+const MAX_PATIENCE_MS = 1_000
 /** An endpoint under this part of its capacity counts as idle. */
 const IDLE_FRACTION = 0.25
 
@@ -42,7 +46,7 @@
   private readonly _endpoints: PoolEndpoints
   private readonly _drain: DrainRate
   private readonly _tokenTime = new TokenTime()
-  private readonly _prefixes = new WeakMap<WorkItem, PromptPrefix>()
+  private readonly _popularity = new PrefixPopularity()
   private _sharesRevision: number | undefined
   private _emptyCheckArmed = false
   private _cancelWakeUp = (): void => {}
@@ -161,6 +165,8 @@
       progress,
       enqueuedAtMs: nowMs,
       ...place,
+      patienceEndsAtMs: nowMs + Math.min(MAX_PATIENCE_MS, PATIENCE_FRACTION * progress.remainingMs()),
+      homes: homesFor(item.affinityText, this._popularity, nowMs),
       hopelessAtMs: progress.deadlineMs - fastest * item.expectedTokensCount,
       onHopeless: () => this._giveUp(waiting),
       onScopeClosed: () => this._withdraw(waiting),
@@ -216,37 +222,36 @@
   private _dispatchNext (nowMs: number): boolean {
     if (this._queue.count === 0) return false
     const inUse = this._endpoints.inUse(nowMs)
-    if (!inUse.some(state => state.hasPlace)) return false
+    const open = inUse.filter(state => state.hasPlace)
+    if (open.length === 0) return false
+    const inUseIds = this._endpoints.idsOf(inUse)
     const backlogged = this._queue.backlogged()
     for (const className of this._fairShare.inTurn(backlogged)) {
-      for (const work of this._queue.first(className, SCAN_COUNT)) {
-        if (this._tryDispatch(work, inUse.filter(state => state.hasPlace), nowMs)) return true
-      }
+      if (this._dispatchOneOf(this._queue.first(className, SCAN_COUNT), open, inUseIds, nowMs)) return true
     }
     if (backlogged.length > 0) return false
-    const idle = inUse.filter(state => state.hasPlace && this._isIdle(state))
-    return this._queue.idle.first(SCAN_COUNT).some(work => this._tryDispatch(work, idle, nowMs))
+    const idle = open.filter(state => this._isIdle(state))
+    return this._dispatchOneOf(this._queue.idle.first(SCAN_COUNT), idle, inUseIds, nowMs)
   }
 
-  private _isIdle (state: EndpointState): boolean {
-    return state.estimatedCount < IDLE_FRACTION * state.capacityCount(this._spec())
+  private _dispatchOneOf (waiting: QueuedWork[], open: EndpointState[], inUseIds: readonly string[], nowMs: number): boolean {
+    const next = nextToDispatch({
+      waiting,
+      endpointsCount: inUseIds.length,
+      nowMs,
+      openFor: work => open.filter(state => isSuitable(state, work.item) && this._meetsDeadline(state, work)),
+      homesOf: work => work.homes?.among(inUseIds) ?? new Set()
+    })
+    if (!next) return false
+    const spec = this._spec()
+    const choice = chooseEndpoint({ ...next, spec, usualMsPerToken: this._tokenTime.msPerToken, nowMs }, this._parts.random)
+    invariant(choice, 'work that may be dispatched has no endpoint')
+    this._dispatch(next.work, choice, nowMs)
+    return true
   }
 
-  private _tryDispatch (work: QueuedWork, open: EndpointState[], nowMs: number): boolean {
-    const suitable = this._endpoints.suitableFor(work.item, nowMs)
-    const usable = open.filter(state => suitable.includes(state) && this._meetsDeadline(state, work))
-    const choice = chooseEndpoint({
-      open: usable,
-      suitable,
-      spec: this._spec(),
-      prefix: this._prefixOf(work.item),
-      cachedOn: endpointId => this._endpoints.cachedOn(endpointId),
-      usualMsPerToken: this._tokenTime.msPerToken,
-      nowMs
-    }, this._parts.random)
-    if (!choice) return false
-    this._dispatch(work, choice, nowMs)
-    return true
+  private _isIdle (state: EndpointState): boolean {
+    return state.estimatedCount < IDLE_FRACTION * state.capacityCount(this._spec())
   }
 
   private _meetsDeadline (state: EndpointState, work: QueuedWork): boolean {
@@ -261,7 +266,6 @@
     if (!item.onlyWhenIdle) this._fairShare.charge(item.priorityClass, item.expectedTokensCount)
     this._drain.left(nowMs, item.expectedTokensCount)
     chosen.began(nowMs)
-    this._noteCached(item, chosen)
     const waitedMs = nowMs - work.enqueuedAtMs
     this._decisions.record(item.requestId, { kind: 'assigned', atMs: nowMs, waitedMs, endpointId: chosen.endpointId, reason, candidates })
     const assignment = createAssignment({
@@ -285,26 +289,21 @@
     this.pump()
   }
 
-  private _prefixOf (item: WorkItem): PromptPrefix | undefined {
-    if (!item.affinityText) return undefined
-    const known = this._prefixes.get(item)
-    if (known) return known
-    const prefix = new PromptPrefix(item.affinityText)
-    this._prefixes.set(item, prefix)
-    return prefix
-  }
-
-  private _noteCached (item: WorkItem, state: EndpointState): void {
-    const chain = this._prefixOf(item)?.chain(state.record.announcement.weightVersion ?? 0)
-    if (chain) this._endpoints.cachedOn(state.endpointId).note(chain)
-  }
-
   /** Keeps the drain rate, the gauges and the wake-up for a returning endpoint in step. */
   private _afterChange (nowMs: number): void {
     this._drain.setBacklogged(nowMs, this._queue.count > 0)
     this._parts.metrics.gauge(MetricName.QueueBytes, this._queue.bytes, { pool: this._pool })
     this._cancelWakeUp()
-    const wakeAtMs = this._queue.count > 0 ? this._endpoints.nextReturnAtMs(nowMs) : undefined
-    this._cancelWakeUp = wakeAtMs === undefined ? () => {} : this._parts.clock.callAt(wakeAtMs, () => this.pump())
+    const wakeAtMs = this._queue.count > 0 ? this._nextWakeAtMs(nowMs) : Infinity
+    this._cancelWakeUp = wakeAtMs === Infinity ? () => {} : this._parts.clock.callAt(wakeAtMs, () => this.pump())
+  }
+
+  /** When an endpoint comes back, or the first request stops waiting for the home of its prefix. */
+  private _nextWakeAtMs (nowMs: number): number {
+    const patienceEnds = this._queue.backlogged()
+      .flatMap(className => this._queue.first(className, SCAN_COUNT))
+      .map(work => work.patienceEndsAtMs)
+      .filter(atMs => atMs > nowMs)
+    return Math.min(this._endpoints.nextReturnAtMs(nowMs) ?? Infinity, ...patienceEnds)
   }
 }
--- a/src/entry/scheduling/waiting.ts
+++ b/src/entry/scheduling/waiting.ts
@@ -12,7 +12,7 @@
   onSettled (callback: () => void): void
 }
 
-export interface WaitingParts extends Omit<QueuedWork, 'settle'> {
+export interface WaitingParts extends Omit<QueuedWork, 'settle' | 'passedCount'> {
   /** When its deadline can't be met any more. */
   hopelessAtMs: number
   onHopeless: () => void
@@ -20,7 +20,7 @@
 }
 
 export function waitFor (parts: WaitingParts): Waiting {
-  const { item, progress, enqueuedAtMs, order, sequence } = parts
+  const { item, progress, enqueuedAtMs, order, sequence, patienceEndsAtMs, homes } = parts
   const callbacks: Array<() => void> = []
   let settled = false
   let resolve: (outcome: AssignOutcome) => void = () => {}
@@ -48,6 +48,9 @@
     enqueuedAtMs,
     order,
     sequence,
+    patienceEndsAtMs,
+    homes,
+    passedCount: 0,
     outcome,
     left: parts.left,
     onSettled: callback => callbacks.push(callback),
