Let the best-paid work go to an engine beyond this host's limit

Cause: with the places of an engine split over hosts, a gold request waited for a place of its own host (p50 176 ms, p99 770 ms) while the engine, which queues by priority, would have taken it next. Change: while the best-paid class is within its share it may exceed the host's limit by two at an engine with little waiting; patience for a home is not changed yet; a token's time is taken over all tokens, not per answer, as short answers spend most of their time on the prompt.

--- a/src/entry/scheduling/endpointHealth.ts
+++ b/src/entry/scheduling/endpointHealth.ts
@@ -3,6 +3,7 @@
  * whether it is left out for a while, and how carefully it is used again
  * afterwards.
  */
+import { TokenTime } from './waitForecast.js'
 
 const SMOOTHING = 0.2
 const CONSECUTIVE_FAILURES = 3
@@ -14,8 +15,6 @@
 const FORGIVEN_AFTER_MS = 120_000
 
 export class EndpointHealth {
-  /** Milliseconds a token took, smoothed; undefined before the first success. */
-  msPerToken: number | undefined
   /** Share of the tries that failed, smoothed. */
   failureRate = 0
   triesCount = 0
@@ -23,14 +22,20 @@
   ejectedUntilMs = -Infinity
   /** Requests at once while it recovers; Infinity once it has. */
   slowStartCount = Infinity
+  private readonly _tokenTime = new TokenTime(SMOOTHING)
   private _consecutiveFailures = 0
   private _ejectionsCount = 0
   private _lastEjectedAtMs = -Infinity
 
-  succeeded (msPerToken: number): void {
+  /** Milliseconds a token took, smoothed; undefined before the first success. */
+  get msPerToken (): number | undefined {
+    return this._tokenTime.msPerToken
+  }
+
+  succeeded (tokensCount: number, durationMs: number): void {
     this._tried(0)
     this._consecutiveFailures = 0
-    this.msPerToken = smoothed(this.msPerToken, msPerToken)
+    this._tokenTime.observe(tokensCount, durationMs)
     this.slowStartCount += 1
   }
 
@@ -61,7 +66,7 @@
   /** Uses it with one request at first, and one more with each success. */
   startSlowly (): void {
     this.slowStartCount = 1
-    this.msPerToken = undefined
+    this._tokenTime.forget()
     this.failureRate = 0
     this.triesCount = 0
     this._consecutiveFailures = 0
@@ -78,6 +83,6 @@
   }
 }
 
-function smoothed (old: number | undefined, value: number): number {
-  return old === undefined ? value : old + SMOOTHING * (value - old)
+function smoothed (old: number, value: number): number {
+  return old + SMOOTHING * (value - old)
 }
--- a/src/entry/scheduling/endpointState.ts
+++ b/src/entry/scheduling/endpointState.ts
@@ -9,12 +9,21 @@
  * part where that is more. When the report shows more than the endpoint can
  * run, hosts above their equal part give back in proportion.
  */
-import type { EndpointPoolSpec } from '../../protocol/resources.js'
+import { EndpointKind, type EndpointPoolSpec } from '../../protocol/resources.js'
 import type { RandomSource } from '../../utils/randomSource.js'
 import type { EndpointRecord } from '../directory/endpointRecord.js'
 import { EndpointHealth } from './endpointHealth.js'
 import { OwnHistory } from './ownHistory.js'
 
+/**
+ * Engines queue by priority, so each is given a little more than it runs: a
+ * place that frees there goes to the most urgent request of any host.
+ */
+const WAITING_FRACTION = 0.25
+/** What a host may send of the best-paid work beyond its limit. */
+const URGENT_EXTRA_COUNT = 2
+/** Not to an engine where this part of what it runs waits already. */
+const URGENT_WAITING_FRACTION = 0.5
 /** With its KV memory this full, an engine would only make requests wait. */
 const KV_FULL_PERCENT = 95
 
@@ -53,6 +62,18 @@
     return this._own.count < this.ownLimitCount
   }
 
+  /**
+   * Whether the best-paid work may go there: an engine takes it ahead of what
+   * waits there, so it need not wait here for a place of this host.
+   */
+  get hasPlaceForUrgent (): boolean {
+    if (this.hasPlace) return true
+    const { endpointKind, load, maxConcurrentCount } = this.record.announcement
+    const mayPass = endpointKind === EndpointKind.Engine && this.health.slowStartCount === Infinity && !this._refusedSinceReport
+    if (!mayPass || load.waitingCount > URGENT_WAITING_FRACTION * maxConcurrentCount) return false
+    return this._own.count < this._limitCount + URGENT_EXTRA_COUNT
+  }
+
   capacityCount (spec: EndpointPoolSpec): number {
     return Math.min(this.record.announcement.maxConcurrentCount, spec.maxConcurrentCount)
   }
@@ -70,8 +91,9 @@
     this._ownAtReport = this._own.countAt(this.record.loadAtMs)
     this._refusedSinceReport = false
     const capacityCount = this.capacityCount(spec)
-    const equalPart = capacityCount / hostsCount
-    const limit = Math.min(capacityCount, Math.max(equalPart, this._shareOfReport(capacityCount, hostsCount)))
+    const placesCount = capacityCount * (1 + this._waitingFraction())
+    const equalPart = placesCount / hostsCount
+    const limit = Math.min(placesCount, Math.max(equalPart, this._shareOfReport(placesCount, hostsCount)))
     this._limitCount = Math.floor(limit + random.real())
     this.health.endSlowStart(capacityCount)
   }
@@ -94,10 +116,14 @@
     return runningCount + waitingCount
   }
 
-  private _shareOfReport (capacityCount: number, hostsCount: number): number {
+  private _waitingFraction (): number {
+    return this.record.announcement.endpointKind === EndpointKind.Engine ? WAITING_FRACTION : 0
+  }
+
+  private _shareOfReport (placesCount: number, hostsCount: number): number {
     const totalCount = Math.max(this._reportedCount, this._ownAtReport)
     const ownPart = totalCount > 0 ? this._ownAtReport / totalCount : 0
-    const freeCount = capacityCount - totalCount
+    const freeCount = placesCount - totalCount
     if (freeCount < 0) return this._ownAtReport + freeCount * ownPart
     if (this.record.announcement.load.kvUsedPercent >= KV_FULL_PERCENT) return this._ownAtReport
     return this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount)
--- a/src/entry/scheduling/fairShare.ts
+++ b/src/entry/scheduling/fairShare.ts
@@ -87,6 +87,13 @@
     return [...classNames].sort((a, b) => this._timeOf(a) - this._timeOf(b) || this.shareOf(b) - this.shareOf(a))
   }
 
+  /** Whether a class gets more than some other, and none gets more than it. */
+  isBestPaid (className: string): boolean {
+    const shares = [...this._shares.values()]
+    const share = this.shareOf(className)
+    return share >= Math.max(...shares) && share > Math.min(...shares)
+  }
+
   private _timeOf (className: string): number {
     return this._virtualTimes.get(className) ?? 0
   }
--- a/src/entry/scheduling/poolEndpoints.ts
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -91,7 +91,7 @@
     state.ended(nowMs)
     switch (result.kind) {
       case 'succeeded':
-        state.health.succeeded(result.durationMs / Math.max(1, result.tokensCount))
+        state.health.succeeded(result.tokensCount, result.durationMs)
         if (this._isSlow(state)) this._eject(state, nowMs)
         break
       case 'failed':
--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -29,6 +29,7 @@
 const SCAN_COUNT = 64
 /** Work that no endpoint can take is refused after this time. */
 const NO_ENDPOINT_GRACE_MS = 2_000
+const TOKEN_TIME_SMOOTHING = 0.05
 /** Part of the time to its deadline that a request waits for a place where its prefix is kept. */
 const PATIENCE_FRACTION = 0.05
 const MAX_PATIENCE_MS = 1_000
@@ -45,7 +46,7 @@
   private readonly _order = new QueueOrder()
   private readonly _endpoints: PoolEndpoints
   private readonly _drain: DrainRate
-  private readonly _tokenTime = new TokenTime()
+  private readonly _tokenTime = new TokenTime(TOKEN_TIME_SMOOTHING)
   private readonly _popularity = new PrefixPopularity()
   private _sharesRevision: number | undefined
   private _emptyCheckArmed = false
@@ -223,10 +224,15 @@
     if (this._queue.count === 0) return false
     const inUse = this._endpoints.inUse(nowMs)
     const open = inUse.filter(state => state.hasPlace)
-    if (open.length === 0) return false
     const inUseIds = this._endpoints.idsOf(inUse)
-    const backlogged = this._queue.backlogged()
-    for (const className of this._fairShare.inTurn(backlogged)) {
+    const backlogged = this._fairShare.inTurn(this._queue.backlogged())
+    const [first] = backlogged
+    if (first !== undefined && this._fairShare.isBestPaid(first)) {
+      const urgentOpen = inUse.filter(state => state.hasPlaceForUrgent)
+      if (this._dispatchOneOf(this._queue.first(first, SCAN_COUNT), urgentOpen, inUseIds, nowMs)) return true
+    }
+    if (open.length === 0) return false
+    for (const className of backlogged) {
       if (this._dispatchOneOf(this._queue.first(className, SCAN_COUNT), open, inUseIds, nowMs)) return true
     }
     if (backlogged.length > 0) return false
@@ -282,7 +288,7 @@
     work.left()
     this._endpoints.ended(state, result, this._parts.clock.nowMs())
     if (result.kind === 'succeeded') {
-      this._tokenTime.observe(result.durationMs / Math.max(1, result.tokensCount))
+      this._tokenTime.observe(result.tokensCount, result.durationMs)
       if (!item.onlyWhenIdle) this._fairShare.correct(item.priorityClass, result.tokensCount - item.expectedTokensCount)
     }
     if (result.kind === 'refused' && !item.onlyWhenIdle) this._fairShare.correct(item.priorityClass, -item.expectedTokensCount)
--- a/src/entry/scheduling/waitForecast.ts
+++ b/src/entry/scheduling/waitForecast.ts
@@ -9,7 +9,6 @@
 const RATE_WINDOW_MS = 3_000
 /** No rate is told before something waited for so long. */
 const MIN_BUSY_MS = 250
-const SMOOTHING = 0.05
 const MIN_RETRY_MS = 200
 const MAX_RETRY_MS = 30_000
 
@@ -51,13 +50,34 @@
   }
 }
 
-/** Time a token takes at the pool as a whole, smoothed. */
+/**
+ * Time a token takes, smoothed: over all tokens, because short answers spend
+ * most of their time on the prompt.
+ */
 export class TokenTime {
-  msPerToken: number | undefined
+  private readonly _smoothing: number
+  private _durationMs = 0
+  private _tokensCount = 0
+
+  constructor (smoothing: number) {
+    this._smoothing = smoothing
+  }
+
+  /** Undefined before anything was observed. */
+  get msPerToken (): number | undefined {
+    return this._tokensCount > 0 ? this._durationMs / this._tokensCount : undefined
+  }
+
+  observe (tokensCount: number, durationMs: number): void {
+    const counted = Math.max(1, tokensCount)
+    const isFirst = this._tokensCount === 0
+    this._tokensCount = isFirst ? counted : this._tokensCount + this._smoothing * (counted - this._tokensCount)
+    this._durationMs = isFirst ? durationMs : this._durationMs + this._smoothing * (durationMs - this._durationMs)
+  }
 
-  observe (msPerToken: number): void {
-    const old = this.msPerToken
-    this.msPerToken = old === undefined ? msPerToken : old + SMOOTHING * (msPerToken - old)
+  forget (): void {
+    this._tokensCount = 0
+    this._durationMs = 0
   }
 }
 
