Dispatch to homes across the classes first, and test every protection

A class's work took any free place as soon as its patience was over, though another class had work whose home the place was; and a host kept its equal part of an engine while the best-paid work of all hosts queued there. Change: places go first to waiting work whose home they are, in the turn of the classes; what it passes is passed a bounded number of times. An engine that holds more than it runs shrinks every host's equal part alike. Time to the first token is kept apart from the time a token takes. Failures fade, so an endpoint with one failure is tried again.

--- a/bench/requests.ts
+++ b/bench/requests.ts
@@ -9,6 +9,8 @@
 import { POLICY, measureCapacity, simulate, type Contender } from './requests/simulation.js'
 
 const ENGINES_COUNT = 8
+/** An unloaded run has few requests a second, so it is measured for longer. */
+const UNLOADED_FACTOR = 10
 const contenders: Contender[] = [POLICY, Baseline.LeastReported, Baseline.RoundRobin, Baseline.Random]
 
 interface Setting {
@@ -23,7 +25,7 @@
   const capacity = await measureCapacity(ENGINES_COUNT, options.seed, measuredMs)
   const setting = { capacity, seed: options.seed, warmUpMs: 10_000, measuredMs }
   const results: BenchResult[] = [{ name: 'requests.capacity', value: capacity, unit: 'per_second', detail: `tokens of ${ENGINES_COUNT} engines` }]
-  const unloaded = await runOne(scenarios.unloaded!, POLICY, setting)
+  const unloaded = await runOne(scenarios.unloaded!, POLICY, { ...setting, measuredMs: UNLOADED_FACTOR * measuredMs })
   const unloadedP99Ms = unloaded.classes.gold?.p99Ms ?? 1
   results.push({ name: 'requests.unloaded.gold_p99', value: unloadedP99Ms, unit: 'ms' })
   for (const [name, scenario] of Object.entries(scenarios)) {
--- a/bench/requests/standInEngine.ts
+++ b/bench/requests/standInEngine.ts
@@ -47,12 +47,14 @@
 export interface EngineResult {
   kind: 'complete' | 'failed' | 'cancelled'
   tokensCount: number
+  firstTokenAtMs?: number
 }
 
 interface RunningJob {
   job: EngineJob
   prefillLeftCount: number
   tokensCount: number
+  firstTokenAtMs: number | undefined
   admitted: boolean
   end (result: EngineResult): void
 }
@@ -118,7 +120,7 @@
   run (job: EngineJob, scope: Scope): Promise<EngineResult> {
     if (!this._isUp) return Promise.resolve({ kind: 'failed', tokensCount: 0 })
     return new Promise(resolve => {
-      const running: RunningJob = { job, prefillLeftCount: 0, tokensCount: 0, admitted: false, end: resolve }
+      const running: RunningJob = { job, prefillLeftCount: 0, tokensCount: 0, firstTokenAtMs: undefined, admitted: false, end: resolve }
       const forget = scope.onClose(() => {
         this._jobs = this._jobs.filter(other => other !== running)
         resolve({ kind: 'cancelled', tokensCount: running.tokensCount })
@@ -186,9 +188,10 @@
   private _makeToken (running: RunningJob): void {
     if (!this._jobs.includes(running)) return
     running.tokensCount += 1
+    running.firstTokenAtMs ??= this._clock.nowMs()
     this._tokensSinceReport += 1
     if (running.tokensCount < running.job.outputTokensCount) return
     this._jobs = this._jobs.filter(other => other !== running)
-    running.end({ kind: 'complete', tokensCount: running.tokensCount })
+    running.end({ kind: 'complete', tokensCount: running.tokensCount, firstTokenAtMs: running.firstTokenAtMs })
   }
 }
--- a/src/entry/scheduling/dispatchOrder.ts
+++ b/src/entry/scheduling/dispatchOrder.ts
@@ -25,7 +25,14 @@
   homesOf: (work: QueuedWork) => Set<string>
 }
 
-export function nextToDispatch (input: OrderInput): Dispatchable | undefined {
+export interface Order {
+  /** Goes now. */
+  ready?: Dispatchable
+  /** Has waited long enough: goes if nothing of another class is ready. */
+  patient?: Dispatchable
+}
+
+export function nextToDispatch (input: OrderInput): Order {
   const maxPassedCount = PASSES_PER_ENDPOINT * input.endpointsCount
   const passed: QueuedWork[] = []
   let patient: Dispatchable | undefined
@@ -35,12 +42,12 @@
     const homes = input.homesOf(work)
     if (mayGo(work, open, homes, maxPassedCount)) {
       for (const other of passed) other.passedCount += 1
-      return { work, open, homes }
+      return { ready: { work, open, homes }, patient }
     }
     passed.push(work)
     if (!patient && input.nowMs >= work.patienceEndsAtMs) patient = { work, open, homes }
   }
-  return patient
+  return { patient }
 }
 
 function mayGo (work: QueuedWork, open: EndpointState[], homes: Set<string>, maxPassedCount: number): boolean {
--- a/src/entry/scheduling/endpointChoice.ts
+++ b/src/entry/scheduling/endpointChoice.ts
@@ -10,7 +10,7 @@
 
 const RANDOM_CHOICES = 2
 /** A home is preferred until it has so much more load, as part of the capacity. */
-const HOME_GAIN = 0.4
+const HOME_GAIN = 1
 const FAILURE_PENALTY = 2
 
 export interface ChoiceInput {
@@ -54,7 +54,7 @@
   const { health, record } = state
   const load = (state.estimatedCount + 1) / state.capacityCount(input.spec)
   const slowness = slownessOf(health.msPerToken, input.usualMsPerToken)
-  const unreliability = 1 + FAILURE_PENALTY * health.failureRate
+  const unreliability = 1 + FAILURE_PENALTY * health.failureRate(input.nowMs)
   return {
     endpointId: state.endpointId,
     estimatedCount: state.estimatedCount,
--- a/src/entry/scheduling/endpointHealth.ts
+++ b/src/entry/scheduling/endpointHealth.ts
@@ -9,20 +9,21 @@
 const CONSECUTIVE_FAILURES = 3
 const FAILURE_RATE = 0.5
 const MIN_TRIES = 8
+const FAILURE_HALF_LIFE_MS = 5_000
 const FIRST_EJECTION_MS = 5_000
 const MAX_EJECTION_MS = 60_000
 /** After so long without an ejection, the next one is a first one again. */
 const FORGIVEN_AFTER_MS = 120_000
 
 export class EndpointHealth {
-  /** Share of the tries that failed, smoothed. */
-  failureRate = 0
   triesCount = 0
   /** Left out until this instant. */
   ejectedUntilMs = -Infinity
   /** Requests at once while it recovers; Infinity once it has. */
   slowStartCount = Infinity
   private readonly _tokenTime = new TokenTime(SMOOTHING)
+  private _failureRate = 0
+  private _failedAtMs = -Infinity
   private _consecutiveFailures = 0
   private _ejectionsCount = 0
   private _lastEjectedAtMs = -Infinity
@@ -32,6 +33,7 @@
     return this._tokenTime.msPerToken
   }
 
+  /** Takes the tokens that followed the first and the time they took. */
   succeeded (tokensCount: number, durationMs: number): void {
     this._tried(0)
     this._consecutiveFailures = 0
@@ -39,12 +41,18 @@
     this.slowStartCount += 1
   }
 
+  /** Share of the tries that failed; fades, so that an endpoint is tried again. */
+  failureRate (nowMs: number): number {
+    return this._failureRate * 2 ** (-Math.max(0, nowMs - this._failedAtMs) / FAILURE_HALF_LIFE_MS)
+  }
+
   /** True when it should be left out. */
-  failed (): boolean {
+  failed (nowMs: number): boolean {
     this._tried(1)
+    this._failedAtMs = nowMs
     this._consecutiveFailures += 1
     const recovering = this.slowStartCount !== Infinity
-    const rateExceeded = this.triesCount >= MIN_TRIES && this.failureRate > FAILURE_RATE
+    const rateExceeded = this.triesCount >= MIN_TRIES && this._failureRate > FAILURE_RATE
     return recovering || rateExceeded || this._consecutiveFailures >= CONSECUTIVE_FAILURES
   }
 
@@ -67,7 +75,7 @@
   startSlowly (): void {
     this.slowStartCount = 1
     this._tokenTime.forget()
-    this.failureRate = 0
+    this._failureRate = 0
     this.triesCount = 0
     this._consecutiveFailures = 0
   }
@@ -79,7 +87,7 @@
 
   private _tried (failure: 0 | 1): void {
     this.triesCount += 1
-    this.failureRate = smoothed(this.failureRate, failure)
+    this._failureRate = smoothed(this._failureRate, failure)
   }
 }
 
--- a/src/entry/scheduling/endpointState.ts
+++ b/src/entry/scheduling/endpointState.ts
@@ -19,7 +19,8 @@
  * Engines queue by priority, so each is given a little more than it runs: a
  * place that frees there goes to the most urgent request of any host.
  */
-const WAITING_FRACTION = 0.25
+const WAITING_PER_HOST = 0
+const MAX_WAITING_FRACTION = 1
 /** What a host may send of the best-paid work beyond its limit. */
 const URGENT_EXTRA_COUNT = 2
 /** Not to an engine where this part of what it runs waits already. */
@@ -91,9 +92,8 @@
     this._ownAtReport = this._own.countAt(this.record.loadAtMs)
     this._refusedSinceReport = false
     const capacityCount = this.capacityCount(spec)
-    const placesCount = capacityCount * (1 + this._waitingFraction())
-    const equalPart = placesCount / hostsCount
-    const limit = Math.min(placesCount, Math.max(equalPart, this._shareOfReport(placesCount, hostsCount)))
+    const placesCount = capacityCount + this._waitingCount(capacityCount, hostsCount)
+    const limit = Math.min(placesCount, this._shareOf(placesCount, hostsCount))
     this._limitCount = Math.floor(limit + random.real())
     this.health.endSlowStart(capacityCount)
   }
@@ -116,16 +116,18 @@
     return runningCount + waitingCount
   }
 
-  private _waitingFraction (): number {
-    return this.record.announcement.endpointKind === EndpointKind.Engine ? WAITING_FRACTION : 0
+  private _waitingCount (capacityCount: number, hostsCount: number): number {
+    if (this.record.announcement.endpointKind !== EndpointKind.Engine) return 0
+    return Math.min(MAX_WAITING_FRACTION * capacityCount, WAITING_PER_HOST * hostsCount)
   }
 
-  private _shareOfReport (placesCount: number, hostsCount: number): number {
+  private _shareOf (placesCount: number, hostsCount: number): number {
     const totalCount = Math.max(this._reportedCount, this._ownAtReport)
     const ownPart = totalCount > 0 ? this._ownAtReport / totalCount : 0
     const freeCount = placesCount - totalCount
-    if (freeCount < 0) return this._ownAtReport + freeCount * ownPart
+    const equalPart = placesCount / hostsCount
+    if (freeCount < 0) return Math.max(equalPart * placesCount / totalCount, this._ownAtReport + freeCount * ownPart)
     if (this.record.announcement.load.kvUsedPercent >= KV_FULL_PERCENT) return this._ownAtReport
-    return this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount)
+    return Math.max(equalPart, this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount))
   }
 }
--- a/src/entry/scheduling/poolEndpoints.ts
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -91,11 +91,11 @@
     state.ended(nowMs)
     switch (result.kind) {
       case 'succeeded':
-        state.health.succeeded(result.tokensCount, result.durationMs)
+        state.health.succeeded(result.tokensCount, result.durationMs - (result.firstTokenMs ?? 0))
         if (this._isSlow(state)) this._eject(state, nowMs)
         break
       case 'failed':
-        if (state.health.failed()) this._eject(state, nowMs)
+        if (state.health.failed(nowMs)) this._eject(state, nowMs)
         break
       case 'refused':
         state.refused()
--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -13,7 +13,7 @@
 import { QueueOrder, type QueuedWork } from './classQueue.js'
 import type { DecisionLog } from './decisionLog.js'
 import { chooseEndpoint, type Choice } from './endpointChoice.js'
-import { nextToDispatch } from './dispatchOrder.js'
+import { nextToDispatch, type Dispatchable, type Order } from './dispatchOrder.js'
 import type { EndpointState } from './endpointState.js'
 import { FairShare, classShares } from './fairShare.js'
 import { PoolEndpoints, isSuitable } from './poolEndpoints.js'
@@ -22,16 +22,15 @@
 import { RetryBudget } from './retryBudget.js'
 import type { AssignOutcome, AttemptResult, WorkItem } from './scheduler.js'
 import type { SchedulerParts } from './schedulerParts.js'
-import { DrainRate, TokenTime, retryAfterMs } from './waitForecast.js'
+import { DrainRate, RunTime, retryAfterMs } from './waitForecast.js'
 import { waitFor, type Waiting } from './waiting.js'
 
 /** Waiting work that is looked at per class and pump, past work that must wait for a certain endpoint. */
 const SCAN_COUNT = 64
 /** Work that no endpoint can take is refused after this time. */
 const NO_ENDPOINT_GRACE_MS = 2_000
-const TOKEN_TIME_SMOOTHING = 0.05
 /** Part of the time to its deadline that a request waits for a place where its prefix is kept. */
-const PATIENCE_FRACTION = 0.05
+const PATIENCE_FRACTION = 0.2
 const MAX_PATIENCE_MS = 1_000
 /** An endpoint under this part of its capacity counts as idle. */
 const IDLE_FRACTION = 0.25
@@ -43,10 +42,10 @@
   private readonly _decisions: DecisionLog
   private readonly _fairShare = new FairShare()
   private readonly _queue = new PoolQueue(this._fairShare)
-  private readonly _order = new QueueOrder()
+  private readonly _places = new QueueOrder()
   private readonly _endpoints: PoolEndpoints
   private readonly _drain: DrainRate
-  private readonly _tokenTime = new TokenTime(TOKEN_TIME_SMOOTHING)
+  private readonly _runTime = new RunTime()
   private readonly _popularity = new PrefixPopularity()
   private _sharesRevision: number | undefined
   private _emptyCheckArmed = false
@@ -117,18 +116,22 @@
   private _refusalOnArrival (item: WorkItem, progress: Progress): AssignOutcome | undefined {
     const nowMs = this._parts.clock.nowMs()
     const remainingMs = progress.remainingMs()
-    const fastest = this._endpoints.fastestMsPerToken(nowMs) ?? 0
-    const runMs = fastest * item.expectedTokensCount
+    const runMs = this._shortestRunMs(item, nowMs)
     if (runMs > remainingMs) {
       return this._refuse(item, RefusalReason.DeadlineUnreachable, `it needs about ${Math.round(runMs)} ms, ${Math.round(remainingMs)} ms remain`)
     }
     const waitMs = this._expectedWaitMs(item, nowMs)
-    const usualRunMs = (this._tokenTime.msPerToken ?? 0) * item.expectedTokensCount
+    const usualRunMs = this._runTime.expectedMs(item)
     if (waitMs === 0 || waitMs + usualRunMs <= remainingMs) return undefined
     const message = `about ${Math.round(waitMs)} ms of waiting before it, ${Math.round(remainingMs)} ms remain`
     return this._refuse(item, RefusalReason.DeadlineUnreachable, message, waitMs)
   }
 
+  /** On the fastest endpoint; 0 before any figures. */
+  private _shortestRunMs (item: WorkItem, nowMs: number): number {
+    return this._runTime.expectedMs(item, this._endpoints.fastestMsPerToken(nowMs) ?? 0)
+  }
+
   private _makeRoom (item: WorkItem, spec: EndpointPoolSpec): AssignOutcome | undefined {
     const classSpec = this._parts.configuration.get(ResourceKind.PriorityClass, item.priorityClass)?.spec
     const room = this._queue.makeRoomFor(item, spec, classSpec?.maxQueuedCount ?? 0)
@@ -159,8 +162,7 @@
 
   private _enqueue (item: WorkItem, progress: Progress, onLeft: () => void): Promise<AssignOutcome> {
     const nowMs = this._parts.clock.nowMs()
-    const place = this._order.next(item, nowMs)
-    const fastest = this._endpoints.fastestMsPerToken(nowMs) ?? 0
+    const place = this._places.next(item, nowMs)
     const waiting = waitFor({
       item,
       progress,
@@ -168,7 +170,7 @@
       ...place,
       patienceEndsAtMs: nowMs + Math.min(MAX_PATIENCE_MS, PATIENCE_FRACTION * progress.remainingMs()),
       homes: homesFor(item.affinityText, this._popularity, nowMs),
-      hopelessAtMs: progress.deadlineMs - fastest * item.expectedTokensCount,
+      hopelessAtMs: progress.deadlineMs - this._shortestRunMs(item, nowMs),
       onHopeless: () => this._giveUp(waiting),
       onScopeClosed: () => this._withdraw(waiting),
       left: onLeft
@@ -223,34 +225,54 @@
   private _dispatchNext (nowMs: number): boolean {
     if (this._queue.count === 0) return false
     const inUse = this._endpoints.inUse(nowMs)
-    const open = inUse.filter(state => state.hasPlace)
-    const inUseIds = this._endpoints.idsOf(inUse)
     const backlogged = this._fairShare.inTurn(this._queue.backlogged())
-    const [first] = backlogged
-    if (first !== undefined && this._fairShare.isBestPaid(first)) {
-      const urgentOpen = inUse.filter(state => state.hasPlaceForUrgent)
-      if (this._dispatchOneOf(this._queue.first(first, SCAN_COUNT), urgentOpen, inUseIds, nowMs)) return true
-    }
+    if (this._dispatchUrgent(backlogged[0], inUse, nowMs)) return true
+    const open = inUse.filter(state => state.hasPlace)
     if (open.length === 0) return false
-    for (const className of backlogged) {
-      if (this._dispatchOneOf(this._queue.first(className, SCAN_COUNT), open, inUseIds, nowMs)) return true
-    }
-    if (backlogged.length > 0) return false
+    if (backlogged.length > 0) return this._dispatchInTurn(backlogged, open, inUse, nowMs)
     const idle = open.filter(state => this._isIdle(state))
-    return this._dispatchOneOf(this._queue.idle.first(SCAN_COUNT), idle, inUseIds, nowMs)
+    const { ready, patient } = this._order(this._queue.idle.first(SCAN_COUNT), idle, inUse, nowMs)
+    return this._dispatchTo(ready ?? patient, nowMs)
   }
 
-  private _dispatchOneOf (waiting: QueuedWork[], open: EndpointState[], inUseIds: readonly string[], nowMs: number): boolean {
-    const next = nextToDispatch({
+  /** The best-paid class, while it is within its share, may go beyond this host's limits. */
+  private _dispatchUrgent (className: string | undefined, inUse: EndpointState[], nowMs: number): boolean {
+    if (className === undefined || !this._fairShare.isBestPaid(className)) return false
+    const open = inUse.filter(state => state.hasPlaceForUrgent)
+    const { ready, patient } = this._order(this._queue.first(className, SCAN_COUNT), open, inUse, nowMs)
+    return this._dispatchTo(ready ?? patient, nowMs)
+  }
+
+  /** Work whose home is open first, in the turn of the classes; then what has waited for its home long enough. */
+  private _dispatchInTurn (classNames: string[], open: EndpointState[], inUse: EndpointState[], nowMs: number): boolean {
+    const patients: Dispatchable[] = []
+    for (const className of classNames) {
+      const { ready, patient } = this._order(this._queue.first(className, SCAN_COUNT), open, inUse, nowMs)
+      if (ready) {
+        for (const { work } of patients) work.passedCount += 1
+        return this._dispatchTo(ready, nowMs)
+      }
+      if (patient) patients.push(patient)
+    }
+    return this._dispatchTo(patients[0], nowMs)
+  }
+
+  private _order (waiting: QueuedWork[], open: EndpointState[], inUse: EndpointState[], nowMs: number): Order {
+    if (open.length === 0 || waiting.length === 0) return {}
+    const inUseIds = this._endpoints.idsOf(inUse)
+    return nextToDispatch({
       waiting,
-      endpointsCount: inUseIds.length,
+      endpointsCount: inUse.length,
       nowMs,
       openFor: work => open.filter(state => isSuitable(state, work.item) && this._meetsDeadline(state, work)),
       homesOf: work => work.homes?.among(inUseIds) ?? new Set()
     })
+  }
+
+  private _dispatchTo (next: Dispatchable | undefined, nowMs: number): boolean {
     if (!next) return false
     const spec = this._spec()
-    const choice = chooseEndpoint({ ...next, spec, usualMsPerToken: this._tokenTime.msPerToken, nowMs }, this._parts.random)
+    const choice = chooseEndpoint({ ...next, spec, usualMsPerToken: this._runTime.msPerToken, nowMs }, this._parts.random)
     invariant(choice, 'work that may be dispatched has no endpoint')
     this._dispatch(next.work, choice, nowMs)
     return true
@@ -261,8 +283,8 @@
   }
 
   private _meetsDeadline (state: EndpointState, work: QueuedWork): boolean {
-    const msPerToken = state.health.msPerToken ?? 0
-    return msPerToken * work.item.expectedTokensCount <= work.progress.remainingMs()
+    const { item, progress } = work
+    return this._runTime.expectedMs(item, state.health.msPerToken) <= progress.remainingMs()
   }
 
   private _dispatch (work: QueuedWork, { chosen, reason, candidates }: Choice, nowMs: number): void {
@@ -288,7 +310,7 @@
     work.left()
     this._endpoints.ended(state, result, this._parts.clock.nowMs())
     if (result.kind === 'succeeded') {
-      this._tokenTime.observe(result.tokensCount, result.durationMs)
+      this._runTime.observe(item.priorityClass, result)
       if (!item.onlyWhenIdle) this._fairShare.correct(item.priorityClass, result.tokensCount - item.expectedTokensCount)
     }
     if (result.kind === 'refused' && !item.onlyWhenIdle) this._fairShare.correct(item.priorityClass, -item.expectedTokensCount)
--- a/src/entry/scheduling/scheduler.ts
+++ b/src/entry/scheduling/scheduler.ts
@@ -31,7 +31,8 @@
 
 /** How a try at an endpoint ended, for load accounting and ejection. */
 export type AttemptResult =
-  | { kind: 'succeeded', tokensCount: number, durationMs: number }
+  /** With the time to the first token, waiting at the engine isn't taken for slowness. */
+  | { kind: 'succeeded', tokensCount: number, durationMs: number, firstTokenMs?: number }
   | { kind: 'refused' }
   | { kind: 'failed' }
   | { kind: 'cancelled' }
--- a/src/entry/scheduling/waitForecast.ts
+++ b/src/entry/scheduling/waitForecast.ts
@@ -4,6 +4,7 @@
  * token takes.
  */
 import type { RandomSource } from '../../utils/randomSource.js'
+import type { WorkItem } from './scheduler.js'
 
 /** Time over which the rate is averaged. */
 const RATE_WINDOW_MS = 3_000
@@ -81,6 +82,29 @@
   }
 }
 
+const RUN_SMOOTHING = 0.05
+
+/** How long tries take at a pool: to their first token by priority class, and for each token after it. */
+export class RunTime {
+  private readonly _tokenTime = new TokenTime(RUN_SMOOTHING)
+  private readonly _firstTokenMs = new Map<string, number>()
+
+  get msPerToken (): number | undefined {
+    return this._tokenTime.msPerToken
+  }
+
+  observe (className: string, { tokensCount, durationMs, firstTokenMs = 0 }: { tokensCount: number, durationMs: number, firstTokenMs?: number }): void {
+    this._tokenTime.observe(tokensCount, durationMs - firstTokenMs)
+    const old = this._firstTokenMs.get(className) ?? firstTokenMs
+    this._firstTokenMs.set(className, old + RUN_SMOOTHING * (firstTokenMs - old))
+  }
+
+  /** From dispatch to the end; at the pool's usual speed unless another is given. */
+  expectedMs ({ priorityClass, expectedTokensCount }: WorkItem, msPerToken = this.msPerToken ?? 0): number {
+    return (this._firstTokenMs.get(priorityClass) ?? 0) + msPerToken * expectedTokensCount
+  }
+}
+
 /**
  * When a refused caller should come back: not before the backlog has drained,
  * and spread over as long again, so that they don't return at one moment.
--- /dev/null
+++ b/tests/scheduling/choice.test.ts
@@ -0,0 +1,136 @@
+import test from 'ava'
+import { SchedulingFixture, settledOf } from '../fixtures/schedulingFixture.js'
+
+const PROMPT = 'A prompt that many requests share from its start on. '.repeat(30)
+
+/** Where so many requests go, each finished before the next. */
+async function endpointsOf (fixture: SchedulingFixture, count: number, affinityText?: string): Promise<string[]> {
+  const chosen: string[] = []
+  for (let index = 0; index < count; index++) {
+    const assignment = await fixture.assigned({ affinityText })
+    chosen.push(assignment.endpoint.announcement.endpointId)
+    assignment.finish({ kind: 'cancelled' })
+  }
+  return chosen
+}
+
+/** Prompts of other kinds, so that the shared one is a small part of the traffic. */
+async function sendOthers (fixture: SchedulingFixture): Promise<void> {
+  for (let index = 0; index < 100; index++) await endpointsOf(fixture, 1, `${index} is the start of another prompt. `.repeat(30))
+}
+
+test('should correct an old load report by what this host did since', async t => {
+  const fixture = new SchedulingFixture()
+  fixture.announce('one', { maxConcurrentCount: 8, load: { runningCount: 0, waitingCount: 0, kvUsedPercent: 0, tokensPerSecond: 0, ageMs: 0 } })
+  fixture.announce('two', { maxConcurrentCount: 8, load: { runningCount: 1, waitingCount: 0, kvUsedPercent: 0, tokensPerSecond: 0, ageMs: 0 } })
+  const counts: Record<string, number> = { one: 0, two: 0 }
+  for (let index = 0; index < 9; index++) {
+    const { endpoint } = await fixture.assigned()
+    counts[endpoint.announcement.endpointId]! += 1
+  }
+  t.deepEqual(counts, { one: 5, two: 4 })
+})
+
+test('should not count its own requests twice when a report shows them', async t => {
+  const fixture = new SchedulingFixture()
+  fixture.announce('one')
+  await fixture.assigned()
+  await fixture.assigned()
+  await fixture.clock.advance(100)
+  fixture.announce('one', { load: { runningCount: 3, waitingCount: 0, kvUsedPercent: 0, tokensPerSecond: 0, ageMs: 50 } })
+  await fixture.assigned({ requestId: 'third' })
+  const decision = fixture.scheduler.explain('third')[1]
+  t.like(decision, { candidates: [{ estimatedCount: 3, ownCount: 2, reportAgeMs: 50 }] })
+})
+
+test('should keep the requests of one prefix at one endpoint, and let go when it is loaded', async t => {
+  const fixture = new SchedulingFixture()
+  for (const name of ['a', 'b', 'c', 'd']) fixture.announce(name, { maxConcurrentCount: 4 })
+  await sendOthers(fixture)
+  const chosen = await endpointsOf(fixture, 5, PROMPT)
+  t.is(new Set(chosen).size, 1)
+  const [home] = chosen
+  const assignments = []
+  for (let index = 0; index < 8; index++) assignments.push(fixture.assigned({ affinityText: PROMPT, priorityClass: 'bronze' }))
+  const endpoints = await Promise.all(assignments.map(async assignment => (await fixture.clock.advanceUntil(assignment)).endpoint.announcement.endpointId))
+  t.is(endpoints.filter(name => name === home).length, 4)
+})
+
+test('should send a prefix to the same endpoints from every host', async t => {
+  const homes = []
+  for (const seed of [1, 2, 3]) {
+    const fixture = new SchedulingFixture({ seed, hostsCount: 3 })
+    for (const name of ['a', 'b', 'c', 'd', 'e']) fixture.announce(name, { maxConcurrentCount: 12 })
+    await sendOthers(fixture)
+    homes.push((await endpointsOf(fixture, 3, PROMPT)).at(-1))
+  }
+  t.is(new Set(homes).size, 1)
+})
+
+test('should not choose engines with older weights, nor those that were tried', async t => {
+  const fixture = new SchedulingFixture()
+  fixture.announce('old', { weightVersion: 1 })
+  fixture.announce('new', { weightVersion: 2 })
+  fixture.announce('tried', { weightVersion: 2 })
+  for (let index = 0; index < 4; index++) {
+    const { endpoint } = await fixture.assigned({ minWeightVersion: 2, excludedEndpointIds: ['tried'] })
+    t.is(endpoint.announcement.endpointId, 'new')
+  }
+})
+
+test('should use only idle endpoints, and only with nothing else waiting, for work that may wait', async t => {
+  const fixture = new SchedulingFixture()
+  fixture.announce('one', { maxConcurrentCount: 8 })
+  const first = await fixture.assigned({ onlyWhenIdle: true })
+  await fixture.assigned({ onlyWhenIdle: true })
+  const third = fixture.assigned({ onlyWhenIdle: true })
+  t.deepEqual(await settledOf([third]), [])
+  first.finish({ kind: 'cancelled' })
+  t.is((await third).endpoint.announcement.endpointId, 'one')
+})
+
+test('should never give out more places than an endpoint has, however many hosts share it', async t => {
+  for (const hostsCount of [3, 12]) {
+    const hosts = Array.from({ length: hostsCount }, (_, seed) => new SchedulingFixture({ hostsCount, seed }))
+    let heldCount = 0
+    for (const host of hosts) {
+      host.announce('one', { maxConcurrentCount: 16 })
+      for (let index = 0; index < 16; index++) host.assigned({ priorityClass: 'bronze' }).then(() => { heldCount += 1 }).catch(() => {})
+      await host.clock.advance(1)
+    }
+    t.true(heldCount <= 16 + hostsCount, `${heldCount} requests of ${hostsCount} hosts`)
+    t.true(heldCount >= 16 - hostsCount, `${heldCount} requests of ${hostsCount} hosts`)
+  }
+})
+
+test('should leave a full endpoint to hosts under their equal part', async t => {
+  const fixture = new SchedulingFixture({ hostsCount: 2 })
+  const load = (runningCount: number, waitingCount: number) => ({ runningCount, waitingCount, kvUsedPercent: 0, tokensPerSecond: 0, ageMs: 0 })
+  fixture.announce('one', { maxConcurrentCount: 16, load: load(0, 0) })
+  const held = []
+  for (let index = 0; index < 8; index++) held.push(await fixture.assigned({ priorityClass: 'bronze' }))
+  await fixture.clock.advance(10)
+  fixture.announce('one', { maxConcurrentCount: 16, load: load(8, 0) })
+  for (let index = 0; index < 8; index++) held.push(await fixture.assigned({ priorityClass: 'bronze' }))
+  await fixture.clock.advance(10)
+  fixture.announce('one', { maxConcurrentCount: 16, load: load(16, 8) })
+  await fixture.clock.advance(10)
+  for (const assignment of held.slice(0, 5)) assignment.finish({ kind: 'cancelled' })
+  await fixture.assigned({ requestId: 'after', priorityClass: 'gold' })
+  const decision = fixture.scheduler.explain('after')[1]
+  t.true(decision?.kind === 'assigned' && decision.candidates[0]!.ownLimitCount <= 11)
+  fixture.announce('one', { maxConcurrentCount: 16, load: load(16, 16) })
+  for (const assignment of held.slice(5, 12)) assignment.finish({ kind: 'cancelled' })
+  t.deepEqual(await settledOf([fixture.assigned({ priorityClass: 'bronze' })]), [])
+})
+
+test('should let only the best-paid class exceed its limit, by a bounded count, and only at engines', async t => {
+  const fixture = new SchedulingFixture()
+  fixture.announce('one', { maxConcurrentCount: 2 })
+  const counts = { gold: 0, bronze: 0 }
+  for (const priorityClass of ['bronze', 'gold'] as const) {
+    for (let index = 0; index < 6; index++) fixture.assigned({ priorityClass }).then(() => { counts[priorityClass] += 1 }).catch(() => {})
+    await fixture.clock.advance(1)
+  }
+  t.deepEqual(counts, { bronze: 2, gold: 2 })
+})
