--- a/src/protocol/endpoints.ts
+++ b/src/protocol/endpoints.ts
@@ -44,6 +44,17 @@
 })
 export type Announcement = z.infer<typeof announcementSchema>
 
+/**
+ * The version that an engine serves of its base weights, or of an adapter;
+ * undefined when it serves none. Adapters are announced as `name@version`.
+ */
+export function versionServed (announcement: Pick<Announcement, 'weightVersion' | 'adapters'>, adapter?: string): number | undefined {
+  if (adapter === undefined) return announcement.weightVersion
+  const prefix = `${adapter}@`
+  const versions = announcement.adapters.filter(name => name.startsWith(prefix)).map(name => Number(name.slice(prefix.length)))
+  return versions.length > 0 ? Math.max(...versions) : undefined
+}
+
 export const announcementReplySchema = z.object({
   /** The announcement must be repeated within this time. */
   leaseRemainingMs: z.number(),
@@ -130,3 +141,24 @@
 
 /** The header by which a plain service says, with status 503, that it did not run a call. */
 export const NOT_EXECUTED_HEADER = 'x-not-executed'
+
+/** The header with the id of the try of a service call; an answer that echoes another id is dropped. */
+export const REQUEST_ID_HEADER = 'x-request-id'
+
+/** POST {url}/v1/score of a service that scores samples. */
+export const SCORE_PATH = '/v1/score'
+
+export const scoreRequestSchema = z.object({
+  prompt: z.string(),
+  tokens: z.array(z.string())
+})
+export type ScoreRequest = z.infer<typeof scoreRequestSchema>
+
+export const scoreReplySchema = z.object({ score: z.number() })
+export type ScoreReply = z.infer<typeof scoreReplySchema>
+
+/** Where a version lies in a weight store: GET reads it, PUT by the trainer makes it. */
+export function weightsUrl (weightStoreUrl: string, weightVersion: number, adapter?: string): string {
+  const path = adapter === undefined ? String(weightVersion) : `${adapter}/${weightVersion}`
+  return `${weightStoreUrl.replace(/\/$/, '')}/v1/weights/${path}`
+}
