--- a/src/entry/entryProgram.ts
+++ b/src/entry/entryProgram.ts
@@ -60,6 +60,8 @@
   leaveControl: (progress: Progress) => Promise<void>
   /** Grows with every start of the process. */
   incarnation: number
+  /** Called when a planned stop has ended. */
+  onStopped: () => void
 }
 
 enum ServingState {
@@ -159,6 +161,7 @@
     await this._environment.leaveControl(new Progress(clock, supervisor.scope, clock.nowMs() + LEAVE_TIMEOUT_MS))
     await supervisor.stop('planned stop')
     await Promise.all([this._plainCalls.close(), this._engines.destroy()])
+    this._environment.onStopped()
   }
 
   private _createFleet (): Fleet {
