Run entry and control hosts by one main with checks before the start; prove whole systems as processes

Ruled out: asking the programs themselves to report a port in use: their parts start one after another, and some would be up already.

--- a/demo/localSystem.ts
+++ b/demo/localSystem.ts
@@ -29,13 +29,15 @@
 enum HostNumber {
   FirstControl = 1,
   FirstEntry = 4,
-  FirstEngine = 7,
   Service = 9,
   WeightStore = 10,
   Scoring = 11,
   Trainer = 12
 }
 
+/** Host numbers of the engines. */
+const ENGINE_HOSTS = [7, 8, 13, 14]
+
 export type Overrides = Record<string, unknown>
 
 export interface StandInOptions {
@@ -146,7 +148,7 @@
     const name = `engine-${index + 1}`
     return this.startStandIn({
       name,
-      host: HostNumber.FirstEngine + index,
+      host: engineHost(index),
       script: 'engine',
       settings: { ...this._endpoint(name, 'hints', index), ...overrides }
     })
@@ -181,7 +183,7 @@
   }
 
   engineUrl (index: number): string {
-    return this.standInUrl(HostNumber.FirstEngine + index)
+    return this.standInUrl(engineHost(index))
   }
 
   get serviceUrl (): string {
@@ -253,6 +255,12 @@
   }
 }
 
+function engineHost (index: number): number {
+  const host = ENGINE_HOSTS[index]
+  if (host === undefined) throw new Error(`there is room for ${ENGINE_HOSTS.length} engines`)
+  return host
+}
+
 function range (count: number): number[] {
   return Array.from({ length: count }, (_value, index) => index)
 }
--- /dev/null
+++ b/src/utils/programMain.ts
@@ -0,0 +1,96 @@
+/**
+ * What the programs that run on hosts share: their options, settings, checks
+ * before the start, logs, metrics, signals and exit codes.
+ */
+import { cac } from 'cac'
+import type { z } from 'zod'
+import { SettingsError } from './errors.js'
+import { createLogger, writeLogsTo, type EventCatalogue, type Logger } from './logger.js'
+import { memoryMetrics, statsdMetrics, type Metrics } from './metrics.js'
+import { productVersion } from './productVersion.js'
+import { parseAddress, readSettings } from './settings.js'
+import { checkStartupNeeds, type StartupNeeds } from './startupChecks.js'
+
+export enum ProgramExit {
+  Stopped = 0,
+  Settings = 2,
+  BrokenInvariant = 70
+}
+
+/** What the settings of every such program hold. */
+export interface HostSettings {
+  host: { hostId: string, dataCentre: string }
+  metrics?: { statsdAddress: string } | undefined
+}
+
+export interface ProgramParts {
+  logger: Logger
+  metrics: Metrics
+  /** Ends the process, because what it holds can no longer be trusted. */
+  onFatal: (error: unknown) => void
+  /** Ends the process after a planned stop. */
+  onStopped: () => void
+}
+
+export interface RunningProgram {
+  /** Begins the planned stop. */
+  stop: () => Promise<void>
+}
+
+export interface ProgramDescription<Settings extends HostSettings> {
+  name: string
+  settingsSchema: z.ZodType<Settings>
+  eventCatalogue: EventCatalogue
+  brokenInvariantEvent: number
+  needs: (settings: Settings) => StartupNeeds
+  start: (settings: Settings, parts: ProgramParts) => Promise<RunningProgram>
+}
+
+export async function runProgram<Settings extends HostSettings> (description: ProgramDescription<Settings>): Promise<void> {
+  const settingsFile = readOptions(description.name)
+  if (settingsFile === undefined) return
+  try {
+    const settings = readSettings(settingsFile, description.settingsSchema)
+    await checkStartupNeeds(settingsFile, description.needs(settings))
+    await start(description, settings)
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error
+    process.stderr.write(`${error.message}\n`)
+    process.exitCode = ProgramExit.Settings
+  }
+}
+
+/** The settings file; undefined when there is nothing to run. */
+function readOptions (name: string): string | undefined {
+  const cli = cac(name)
+  cli.option('--settings <file>', 'Settings of this host, in TOML')
+  cli.help()
+  cli.version(productVersion())
+  const { options } = cli.parse()
+  if (options.help === true || options.version === true) return undefined
+  if (typeof options.settings === 'string') return options.settings
+  process.stderr.write(`${name}: --settings FILE is required\n`)
+  process.exitCode = ProgramExit.Settings
+  return undefined
+}
+
+async function start<Settings extends HostSettings> (description: ProgramDescription<Settings>, settings: Settings): Promise<void> {
+  const { hostId, dataCentre } = settings.host
+  writeLogsTo(line => process.stderr.write(line))
+  const logger = createLogger(description.eventCatalogue, { program: description.name, hostId })
+  const metrics = settings.metrics ? statsdMetrics(parseAddress(settings.metrics.statsdAddress), { hostId, dataCentre }) : memoryMetrics()
+  const onFatal = (error: unknown): void => {
+    logger.event(description.brokenInvariantEvent, { error: error instanceof Error ? error.stack : String(error) })
+    process.exit(ProgramExit.BrokenInvariant)
+  }
+  const onStopped = (): void => process.exit(ProgramExit.Stopped)
+  process.on('uncaughtException', onFatal)
+  try {
+    const program = await description.start(settings, { logger, metrics, onFatal, onStopped })
+    const stop = (): void => { program.stop().then(onStopped, onFatal) }
+    process.once('SIGTERM', stop)
+    process.once('SIGINT', stop)
+  } catch (error) {
+    onFatal(error)
+  }
+}
--- /dev/null
+++ b/src/utils/startupChecks.ts
@@ -0,0 +1,52 @@
+/**
+ * What a program needs of its host, checked before anything starts, so that a
+ * port in use or a folder that cannot be written is one clear error.
+ */
+import { access, constants, mkdir } from 'node:fs/promises'
+import { createServer } from 'node:net'
+import { SettingsError } from './errors.js'
+import { parseAddress } from './settings.js'
+
+export interface StartupNeeds {
+  /** Addresses to listen on, by their key in the settings. */
+  addresses: Record<string, string>
+  /** Folders to write to, by their key in the settings. */
+  folders: Record<string, string>
+}
+
+/** @throws SettingsError naming the file, the key, the value and what is wrong. */
+export async function checkStartupNeeds (settingsFile: string, { addresses, folders }: StartupNeeds): Promise<void> {
+  const problems: string[] = []
+  for (const [key, address] of Object.entries(addresses)) {
+    const problem = await problemOf(async () => await listenOnce(address))
+    if (problem !== undefined) problems.push(`${settingsFile}: ${key}: cannot listen there: ${problem} (value: "${address}")`)
+  }
+  for (const [key, folder] of Object.entries(folders)) {
+    const problem = await problemOf(async () => await checkWritable(folder))
+    if (problem !== undefined) problems.push(`${settingsFile}: ${key}: expected a folder that can be written: ${problem} (value: "${folder}")`)
+  }
+  if (problems.length > 0) throw new SettingsError(problems.join('\n'))
+}
+
+async function problemOf (check: () => Promise<void>): Promise<string | undefined> {
+  try {
+    await check()
+    return undefined
+  } catch (error) {
+    return (error as Error).message
+  }
+}
+
+async function listenOnce (address: string): Promise<void> {
+  const { host, port } = parseAddress(address)
+  const server = createServer()
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => server.close(() => resolve()))
+  })
+}
+
+async function checkWritable (folder: string): Promise<void> {
+  await mkdir(folder, { recursive: true })
+  await access(folder, constants.W_OK | constants.X_OK)
+}
--- /dev/null
+++ b/tests/processes/plannedStop.test.ts
@@ -0,0 +1,57 @@
+import test from 'ava'
+import { CallerHeader, callerPaths } from '../../src/protocol/callers.js'
+import { ProcessSystem, type OpenStream } from '../fixtures/processSystem.js'
+
+const STREAM_TOKENS = 120
+const STREAMS_PER_HOST = 2
+const REVIEWS_COUNT = 40
+const REVIEWS_BEFORE_STOP = 10
+
+test('should cut no request when any one process is told to stop', async t => {
+  const system = await ProcessSystem.start(t, { enginesCount: 3, engine: { meanTokensCount: 5_000 } })
+  for (const victim of [system.engines[0]!, system.controls[0]!, system.entries[0]!]) {
+    const streams: OpenStream[] = []
+    for (const host of system.local.entryAddresses) {
+      for (let index = 0; index < STREAMS_PER_HOST; index++) {
+        streams.push(system.openStream(host, `${victim.name} ${index}`, STREAM_TOKENS))
+      }
+    }
+    await Promise.all(streams.map(async ({ begun }) => await begun))
+    const end = victim.stop()
+    for (const stream of await Promise.all(streams.map(async ({ read }) => await read))) {
+      t.true(stream.isWhole, victim.name)
+      t.is(stream.misplacedCount, 0)
+      t.is(stream.tokens.length, STREAM_TOKENS)
+    }
+    t.like(await end, { code: 0 }, victim.name)
+  }
+})
+
+test('should run each review once while an entry host stops', async t => {
+  const system = await ProcessSystem.start(t, { enginesCount: 1 })
+  for (let index = 0; index < REVIEWS_COUNT; index++) {
+    if (index === REVIEWS_BEFORE_STOP) system.entries[1]!.signal('SIGTERM')
+    await sendUntilAnswered(system, `review-${index}`)
+  }
+  t.like(await system.entries[1]!.ended, { code: 0 })
+  const counts = Object.values(await system.executions())
+  t.is(counts.length, REVIEWS_COUNT)
+  t.true(counts.every(count => count === 1))
+})
+
+/** Sends the same call with the same key until it is answered, as callers are told to. */
+async function sendUntilAnswered (system: ProcessSystem, key: string): Promise<void> {
+  for (;;) {
+    const answer = await system.client.send({
+      method: 'POST',
+      path: `${callerPaths.services}decks/reviews`,
+      headers: { [CallerHeader.IdempotencyKey]: key },
+      body: key
+    })
+    if (answer.kind === 'answered') {
+      await answer.body.dump()
+      return
+    }
+    system.client.forgetAdvice()
+  }
+}
