--- a/src/entry/scheduling/waitForecast.ts
+++ b/src/entry/scheduling/waitForecast.ts
@@ -4,12 +4,12 @@
  * token takes.
  */
 import type { RandomSource } from '../../utils/randomSource.js'
+import type { WorkItem } from './scheduler.js'
 
 /** Time over which the rate is averaged. */
 const RATE_WINDOW_MS = 3_000
 /** No rate is told before something waited for so long. */
 const MIN_BUSY_MS = 250
-const SMOOTHING = 0.05
 const MIN_RETRY_MS = 200
 const MAX_RETRY_MS = 30_000
 
@@ -51,13 +51,57 @@
   }
 }
 
-/** Time a token takes at the pool as a whole, smoothed. */
+/**
+ * Time a token takes, smoothed: over all tokens, because short answers spend
+ * most of their time on the prompt.
+ */
 export class TokenTime {
-  msPerToken: number | undefined
+  private readonly _smoothing: number
+  private _durationMs = 0
+  private _tokensCount = 0
+
+  constructor (smoothing: number) {
+    this._smoothing = smoothing
+  }
+
+  /** Undefined before anything was observed. */
+  get msPerToken (): number | undefined {
+    return this._tokensCount > 0 ? this._durationMs / this._tokensCount : undefined
+  }
+
+  observe (tokensCount: number, durationMs: number): void {
+    const counted = Math.max(1, tokensCount)
+    const isFirst = this._tokensCount === 0
+    this._tokensCount = isFirst ? counted : this._tokensCount + this._smoothing * (counted - this._tokensCount)
+    this._durationMs = isFirst ? durationMs : this._durationMs + this._smoothing * (durationMs - this._durationMs)
+  }
+
+  forget (): void {
+    this._tokensCount = 0
+    this._durationMs = 0
+  }
+}
+
+const RUN_SMOOTHING = 0.05
+
+/** How long tries take at a pool: to their first token by priority class, and for each token after it. */
+export class RunTime {
+  private readonly _tokenTime = new TokenTime(RUN_SMOOTHING)
+  private readonly _firstTokenMs = new Map<string, number>()
+
+  get msPerToken (): number | undefined {
+    return this._tokenTime.msPerToken
+  }
+
+  observe (className: string, { tokensCount, durationMs, firstTokenMs = 0 }: { tokensCount: number, durationMs: number, firstTokenMs?: number }): void {
+    this._tokenTime.observe(tokensCount, durationMs - firstTokenMs)
+    const old = this._firstTokenMs.get(className) ?? firstTokenMs
+    this._firstTokenMs.set(className, old + RUN_SMOOTHING * (firstTokenMs - old))
+  }
 
-  observe (msPerToken: number): void {
-    const old = this.msPerToken
-    this.msPerToken = old === undefined ? msPerToken : old + SMOOTHING * (msPerToken - old)
+  /** From dispatch to the end; at the pool's usual speed unless another is given. */
+  expectedMs ({ priorityClass, expectedTokensCount }: WorkItem, msPerToken = this.msPerToken ?? 0): number {
+    return (this._firstTokenMs.get(priorityClass) ?? 0) + msPerToken * expectedTokensCount
   }
 }
 
--- /dev/null
+++ b/src/entry/startEntry.ts
@@ -0,0 +1,58 @@
+/**
+ * Starts an entry host in this process, with the real clock, network and
+ * control hosts.
+ */
+import { NetworkControlClient } from '../controlClient/networkControlClient.js'
+import { TcpTransport } from '../transport/tcpTransport.js'
+import { systemClock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import type { Metrics } from '../utils/metrics.js'
+import { systemRandom } from '../utils/randomSource.js'
+import { Scope } from '../utils/scope.js'
+import { parseAddress } from '../utils/settings.js'
+import { Supervisor } from '../utils/supervisor.js'
+import { EntryProgram } from './entryProgram.js'
+import type { EntrySettings } from './entrySettings.js'
+
+export interface StartEntryParts {
+  logger: Logger
+  metrics: Metrics
+  /** Called once when the process can no longer be trusted. */
+  onFatal: (error: unknown) => void
+  /** Called when a planned stop, however it was asked for, has ended. */
+  onStopped: () => void
+}
+
+export async function startEntry (settings: EntrySettings, { logger, metrics, onFatal, onStopped }: StartEntryParts): Promise<EntryProgram> {
+  const supervisor = new Supervisor(new Scope('entry'), (_task, error) => onFatal(error))
+  const random = systemRandom()
+  const transport = new TcpTransport(parseAddress(settings.host.peerAddress).host)
+  const incarnation = systemClock.wallMs()
+  const { operatorAddress, ...host } = settings.host
+  const control = new NetworkControlClient({
+    clock: systemClock,
+    random,
+    metrics,
+    transport,
+    supervisor: supervisor.child('control'),
+    onFatal,
+    controlAddresses: settings.control.peerAddresses,
+    host: { ...host, incarnation },
+    operatorAddress
+  })
+  const program = new EntryProgram(settings, {
+    clock: systemClock,
+    random,
+    transport,
+    metrics,
+    logger,
+    supervisor,
+    control,
+    leaveControl: progress => control.leave(progress),
+    incarnation,
+    onStopped
+  })
+  control.start()
+  await program.start()
+  return program
+}
