Let best-paid work queue at engines more freely

Cause: with 12 hosts at 1.5 of capacity the best-paid work was kept back at the hosts whenever half an engine's batch waited at it, and then left its home. Change: up to four beyond a host's limit, as long as no more than one whole batch waits at the engine; a request may be passed eight times per endpoint.

--- a/src/entry/scheduling/dispatchOrder.ts
+++ b/src/entry/scheduling/dispatchOrder.ts
@@ -8,7 +8,7 @@
 import type { EndpointState } from './endpointState.js'
 
 /** A request is passed at most so many times for each endpoint of the pool. */
-const PASSES_PER_ENDPOINT = 4
+const PASSES_PER_ENDPOINT = 8
 
 export interface Dispatchable {
   work: QueuedWork
--- a/src/entry/scheduling/endpointState.ts
+++ b/src/entry/scheduling/endpointState.ts
@@ -22,9 +22,9 @@
 const WAITING_PER_HOST = 0
 const MAX_WAITING_FRACTION = 1
 /** What a host may send of the best-paid work beyond its limit. */
-const URGENT_EXTRA_COUNT = 2
+const URGENT_EXTRA_COUNT = 4
 /** Not to an engine where this part of what it runs waits already. */
-const URGENT_WAITING_FRACTION = 0.5
+const URGENT_WAITING_FRACTION = 1
 /** With its KV memory this full, an engine would only make requests wait. */
 const KV_FULL_PERCENT = 95
 
--- a/tests/scheduling/choice.test.ts
+++ b/tests/scheduling/choice.test.ts
@@ -132,5 +132,5 @@
     for (let index = 0; index < 6; index++) fixture.assigned({ priorityClass }).then(() => { counts[priorityClass] += 1 }).catch(() => {})
     await fixture.clock.advance(1)
   }
-  t.deepEqual(counts, { bronze: 2, gold: 2 })
+  t.deepEqual(counts, { bronze: 2, gold: 4 })
 })
