Avoid slow endpoints by what they report, instead of ejecting them

Cause: with one engine at a fifth of its speed each host had to see tries end late before it knew; leaving the engine out for seconds also left out work that it could have finished in time. Change: the time of a token by the engine's own reports (running streams over tokens a second) counts beside the host's own figures, in the score and in whether a deadline can be met; own slowness fades with a half-life of a minute. Ejection stays for failures only.

--- a/bench/requests/scenarios.ts
+++ b/bench/requests/scenarios.ts
@@ -31,6 +31,11 @@
   engines[0]!.speed = 0.2
 }
 
+function recover (engines: StandInEngine[], clock: VirtualClock): void {
+  slow(engines)
+  clock.callAt(FAULT_AT_MS, () => { engines[0]!.speed = 1 })
+}
+
 function crash (engines: StandInEngine[], clock: VirtualClock): void {
   clock.callAt(FAULT_AT_MS, () => engines[0]!.crash())
 }
@@ -56,6 +61,7 @@
   load_1_5: steady(1.5),
   slow: { ...steady(0.7), arrange: slow },
   flapping: { ...steady(0.7), arrange: flap },
+  recovering: { ...steady(0.9), arrange: recover },
   crashed: { ...steady(0.7), arrange: crash },
   spike: { ...steady(0.4), loadAt: spike },
   overload_slow: { ...steady(1.5), arrange: slow },
--- a/src/entry/scheduling/endpointChoice.ts
+++ b/src/entry/scheduling/endpointChoice.ts
@@ -21,6 +21,8 @@
   spec: EndpointPoolSpec
   /** Typical time a token takes in this pool. */
   usualMsPerToken: number | undefined
+  /** How many times as long as usual a token takes, by the endpoint's own reports. */
+  reportedSlowness: (state: EndpointState) => number
   nowMs: number
 }
 
@@ -53,7 +55,7 @@
   const isHome = input.homes.has(state.endpointId)
   const { health, record } = state
   const load = (state.estimatedCount + 1) / state.capacityCount(input.spec)
-  const slowness = slownessOf(health.msPerToken, input.usualMsPerToken)
+  const slowness = Math.max(health.slowness(input.usualMsPerToken, input.nowMs), input.reportedSlowness(state))
   const unreliability = 1 + FAILURE_PENALTY * health.failureRate(input.nowMs)
   return {
     endpointId: state.endpointId,
@@ -66,8 +68,3 @@
     score: load * slowness * unreliability - (isHome ? HOME_GAIN : 0)
   }
 }
-
-function slownessOf (msPerToken: number | undefined, usualMsPerToken: number | undefined): number {
-  if (msPerToken === undefined || usualMsPerToken === undefined) return 1
-  return Math.max(1, msPerToken / usualMsPerToken)
-}
--- a/src/entry/scheduling/endpointHealth.ts
+++ b/src/entry/scheduling/endpointHealth.ts
@@ -10,6 +10,7 @@
 const FAILURE_RATE = 0.5
 const MIN_TRIES = 8
 const FAILURE_HALF_LIFE_MS = 5_000
+const SLOWNESS_HALF_LIFE_MS = 60_000
 const FIRST_EJECTION_MS = 5_000
 const MAX_EJECTION_MS = 60_000
 /** After so long without an ejection, the next one is a first one again. */
@@ -24,6 +25,7 @@
   private readonly _tokenTime = new TokenTime(SMOOTHING)
   private _failureRate = 0
   private _failedAtMs = -Infinity
+  private _succeededAtMs = -Infinity
   private _consecutiveFailures = 0
   private _ejectionsCount = 0
   private _lastEjectedAtMs = -Infinity
@@ -33,8 +35,16 @@
     return this._tokenTime.msPerToken
   }
 
+  /** How many times as long as usual a token takes; fades, so that a slow endpoint is tried again. */
+  slowness (usualMsPerToken: number | undefined, nowMs: number): number {
+    if (this.msPerToken === undefined || usualMsPerToken === undefined) return 1
+    const excess = Math.max(0, this.msPerToken / usualMsPerToken - 1)
+    return 1 + excess * 2 ** (-(nowMs - this._succeededAtMs) / SLOWNESS_HALF_LIFE_MS)
+  }
+
   /** Takes the tokens that followed the first and the time they took. */
-  succeeded (tokensCount: number, durationMs: number): void {
+  succeeded (tokensCount: number, durationMs: number, nowMs: number): void {
+    this._succeededAtMs = nowMs
     this._tried(0)
     this._consecutiveFailures = 0
     this._tokenTime.observe(tokensCount, durationMs)
--- a/src/entry/scheduling/endpointState.ts
+++ b/src/entry/scheduling/endpointState.ts
@@ -25,6 +25,9 @@
 const URGENT_EXTRA_COUNT = 4
 /** Not to an engine where this part of what it runs waits already. */
 const URGENT_WAITING_FRACTION = 1
+/** With fewer running, a reported speed says little. */
+const MIN_RUNNING_COUNT = 3
+const SPEED_SMOOTHING = 0.4
 /** With its KV memory this full, an engine would only make requests wait. */
 const KV_FULL_PERCENT = 95
 
@@ -32,6 +35,8 @@
   record: EndpointRecord
   readonly health = new EndpointHealth()
   private readonly _own = new OwnHistory()
+  /** Time of a token in one stream, by its reports, smoothed; undefined before it had enough to run. */
+  reportedMsPerToken: number | undefined
   private _ownAtReport = 0
   private _limitCount = 0
   private _refusedSinceReport = false
@@ -82,8 +87,10 @@
   /** Takes over a newer announcement. */
   update (record: EndpointRecord): void {
     const restarted = record.announcement.incarnation !== this.record.announcement.incarnation
-    if (restarted) this.health.startSlowly()
+    if (restarted) this._startAnew()
+    const isNewReport = record.loadAtMs > this.record.loadAtMs
     this.record = record
+    if (isNewReport) this._noteSpeed()
   }
 
   /** Works out the limit after a new report or a changed number of hosts. */
@@ -111,6 +118,19 @@
     this._refusedSinceReport = true
   }
 
+  private _startAnew (): void {
+    this.health.startSlowly()
+    this.reportedMsPerToken = undefined
+  }
+
+  private _noteSpeed (): void {
+    const { runningCount, tokensPerSecond } = this.record.announcement.load
+    if (runningCount < MIN_RUNNING_COUNT || tokensPerSecond === 0) return
+    const msPerToken = 1000 * runningCount / tokensPerSecond
+    const old = this.reportedMsPerToken ?? msPerToken
+    this.reportedMsPerToken = old + SPEED_SMOOTHING * (msPerToken - old)
+  }
+
   private get _reportedCount (): number {
     const { runningCount, waitingCount } = this.record.announcement.load
     return runningCount + waitingCount
--- a/src/entry/scheduling/poolEndpoints.ts
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -1,6 +1,7 @@
 /**
  * The endpoints of one pool as the scheduler sees them: kept in step with the
- * directory, outliers left out, but never so many that less than half remain.
+ * directory, those that fail left out, but never so many that less than half
+ * remain.
  */
 import { versionServed } from '../../protocol/endpoints.js'
 import type { EndpointPoolSpec } from '../../protocol/resources.js'
@@ -12,10 +13,8 @@
 
 /** Part of a pool's endpoints that ejection always leaves in use. */
 const KEPT_FRACTION = 0.5
-/** A token takes this many times as long as at the median endpoint. */
-const SLOW_FACTOR = 3
-const SLOW_MIN_TRIES = 5
-const SLOW_MIN_OTHERS = 2
+/** Fewer endpoints that report a speed don't tell which of them is slow. */
+const MIN_REPORTED = 3
 
 export class PoolEndpoints {
   private readonly _parts: SchedulerParts
@@ -92,8 +91,7 @@
     state.ended(nowMs)
     switch (result.kind) {
       case 'succeeded':
-        state.health.succeeded(result.tokensCount, result.durationMs - (result.firstTokenMs ?? 0))
-        if (this._isSlow(state)) this._eject(state, nowMs)
+        state.health.succeeded(result.tokensCount, result.durationMs - (result.firstTokenMs ?? 0), nowMs)
         break
       case 'failed':
         if (state.health.failed(nowMs)) this._eject(state, nowMs)
@@ -108,6 +106,13 @@
     }
   }
 
+  /** How many times as long as at the median endpoint a token takes, by what the engines report. */
+  reportedSlowness (state: EndpointState): number {
+    if (state.reportedMsPerToken === undefined) return 1
+    const times = this._available.flatMap(other => other.reportedMsPerToken ?? [])
+    return times.length < MIN_REPORTED ? 1 : Math.max(1, state.reportedMsPerToken / median(times))
+  }
+
   /** The next instant at which an ejected endpoint comes back. */
   nextReturnAtMs (nowMs: number): number | undefined {
     const instants = this._available.filter(state => state.health.isEjected(nowMs)).map(state => state.health.ejectedUntilMs)
@@ -129,14 +134,6 @@
     }
   }
 
-  private _isSlow (state: EndpointState): boolean {
-    const { msPerToken, triesCount } = state.health
-    if (msPerToken === undefined || triesCount < SLOW_MIN_TRIES) return false
-    const others = this._available.filter(other => other !== state).flatMap(({ health }) => health.msPerToken ?? [])
-    if (others.length < SLOW_MIN_OTHERS) return false
-    return msPerToken > SLOW_FACTOR * median(others)
-  }
-
   private _eject (state: EndpointState, nowMs: number): void {
     state.health.eject(nowMs)
     const ejectedCount = this._available.filter(other => other.health.isEjected(nowMs)).length
--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -272,7 +272,13 @@
   private _dispatchTo (next: Dispatchable | undefined, nowMs: number): boolean {
     if (!next) return false
     const spec = this._spec()
-    const choice = chooseEndpoint({ ...next, spec, usualMsPerToken: this._runTime.msPerToken, nowMs }, this._parts.random)
+    const choice = chooseEndpoint({
+      ...next,
+      spec,
+      usualMsPerToken: this._runTime.msPerToken,
+      reportedSlowness: state => this._endpoints.reportedSlowness(state),
+      nowMs
+    }, this._parts.random)
     invariant(choice, 'work that may be dispatched has no endpoint')
     this._dispatch(next.work, choice, nowMs)
     return true
@@ -284,7 +290,9 @@
 
   private _meetsDeadline (state: EndpointState, work: QueuedWork): boolean {
     const { item, progress } = work
-    return this._runTime.expectedMs(item, state.health.msPerToken) <= progress.remainingMs()
+    const usualMs = this._runTime.msPerToken ?? 0
+    const msPerToken = Math.max(state.health.msPerToken ?? 0, usualMs * this._endpoints.reportedSlowness(state))
+    return this._runTime.expectedMs(item, msPerToken) <= progress.remainingMs()
   }
 
   private _dispatch (work: QueuedWork, { chosen, reason, candidates }: Choice, nowMs: number): void {
