--- a/bench/areas.ts
+++ b/bench/areas.ts
@@ -3,6 +3,7 @@
  * lands.
  */
 import type { BenchRun } from './benchResult.js'
+import { run as requests } from './requests.js'
 import { run as transport } from './transport.js'
 
-export const areas: Record<string, BenchRun> = { transport }
+export const areas: Record<string, BenchRun> = { requests, transport }
--- a/src/entry/scheduling/poolQueue.ts
+++ b/src/entry/scheduling/poolQueue.ts
@@ -36,8 +36,9 @@
     return this._idle
   }
 
-  countOf (className: string): number {
-    return this._queues.get(className)?.count ?? 0
+  /** How much waits, by class; work for idle endpoints is not in it. */
+  counts (): Array<[string, number]> {
+    return [...this._queues.values()].map(queue => [queue.className, queue.count])
   }
 
   tokensOf (className: string): number {
--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -328,12 +328,18 @@
   /** Keeps the drain rate, the gauges and the wake-up for a returning endpoint in step. */
   private _afterChange (nowMs: number): void {
     this._drain.setBacklogged(nowMs, this._queue.count > 0)
-    this._parts.metrics.gauge(MetricName.QueueBytes, this._queue.bytes, { pool: this._pool })
+    this._gaugeQueue()
     this._cancelWakeUp()
     const wakeAtMs = this._queue.count > 0 ? this._nextWakeAtMs(nowMs) : Infinity
     this._cancelWakeUp = wakeAtMs === Infinity ? () => {} : this._parts.clock.callAt(wakeAtMs, () => this.pump())
   }
 
+  private _gaugeQueue (): void {
+    const { metrics } = this._parts
+    metrics.gauge(MetricName.QueueBytes, this._queue.bytes, { pool: this._pool })
+    for (const [priorityClass, count] of this._queue.counts()) metrics.gauge(MetricName.QueueLength, count, { pool: this._pool, priorityClass })
+  }
+
   /** When an endpoint comes back, or the first request stops waiting for the home of its prefix. */
   private _nextWakeAtMs (nowMs: number): number {
     const patienceEnds = this._queue.backlogged()
