--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -272,7 +272,13 @@
   private _dispatchTo (next: Dispatchable | undefined, nowMs: number): boolean {
     if (!next) return false
     const spec = this._spec()
-    const choice = chooseEndpoint({ ...next, spec, usualMsPerToken: this._runTime.msPerToken, nowMs }, this._parts.random)
+    const choice = chooseEndpoint({
+      ...next,
+      spec,
+      usualMsPerToken: this._runTime.msPerToken,
+      reportedSlowness: state => this._endpoints.reportedSlowness(state),
+      nowMs
+    }, this._parts.random)
     invariant(choice, 'work that may be dispatched has no endpoint')
     this._dispatch(next.work, choice, nowMs)
     return true
@@ -284,7 +290,9 @@
 
   private _meetsDeadline (state: EndpointState, work: QueuedWork): boolean {
     const { item, progress } = work
-    return this._runTime.expectedMs(item, state.health.msPerToken) <= progress.remainingMs()
+    const usualMs = this._runTime.msPerToken ?? 0
+    const msPerToken = Math.max(state.health.msPerToken ?? 0, usualMs * this._endpoints.reportedSlowness(state))
+    return this._runTime.expectedMs(item, msPerToken) <= progress.remainingMs()
   }
 
   private _dispatch (work: QueuedWork, { chosen, reason, candidates }: Choice, nowMs: number): void {
@@ -320,12 +328,18 @@
   /** Keeps the drain rate, the gauges and the wake-up for a returning endpoint in step. */
   private _afterChange (nowMs: number): void {
     this._drain.setBacklogged(nowMs, this._queue.count > 0)
-    this._parts.metrics.gauge(MetricName.QueueBytes, this._queue.bytes, { pool: this._pool })
+    this._gaugeQueue()
     this._cancelWakeUp()
     const wakeAtMs = this._queue.count > 0 ? this._nextWakeAtMs(nowMs) : Infinity
     this._cancelWakeUp = wakeAtMs === Infinity ? () => {} : this._parts.clock.callAt(wakeAtMs, () => this.pump())
   }
 
+  private _gaugeQueue (): void {
+    const { metrics } = this._parts
+    metrics.gauge(MetricName.QueueBytes, this._queue.bytes, { pool: this._pool })
+    for (const [priorityClass, count] of this._queue.counts()) metrics.gauge(MetricName.QueueLength, count, { pool: this._pool, priorityClass })
+  }
+
   /** When an endpoint comes back, or the first request stops waiting for the home of its prefix. */
   private _nextWakeAtMs (nowMs: number): number {
     const patienceEnds = this._queue.backlogged()
