--- a/tests/entry/directory.test.ts
+++ b/tests/entry/directory.test.ts
@@ -39,6 +39,8 @@
 
 test('should cross to another data centre once for each change', async t => {
   const { net, hosts } = await sixHosts()
+  // A moment in which no host renews its own record.
+  await net.clock.advance(100)
   const before = { ...net.messages }
   hosts[0].announcements.announce(net.announcement('engine'))
   await net.clock.advance(5)
