--- a/standins/plainService.ts
+++ b/standins/plainService.ts
@@ -133,6 +133,7 @@
 
   private _addRoutes (): void {
     this.server.on('GET', '/record', ({ response }) => sendJson(response, 200, {
+      runningCount: this._runningCount,
       executions: Object.fromEntries(this.executions),
       executionsByPath: Object.fromEntries(this.executionsByPath)
     }))
--- a/standins/recordSchemas.ts
+++ b/standins/recordSchemas.ts
@@ -14,7 +14,10 @@
 })
 
 export const serviceRecordSchema = z.object({
-  executions: z.record(z.string(), z.int())
+  /** Calls that have come in and are not answered. */
+  runningCount: z.int(),
+  executions: z.record(z.string(), z.int()),
+  executionsByPath: z.record(z.string(), z.int())
 })
 
 export const trainerRecordSchema = z.object({
--- /dev/null
+++ b/tests/examples/readme.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava'
+import { existsSync, readFileSync } from 'node:fs'
+
+interface Citation {
+  file: string
+  title: string
+}
+
+/** `area/file` or the "title" of a test in the file named last. */
+const TOKEN = /`(\w+\/\w+)`|"((?:[^"\\]|\\.)+)"/g
+
+/** The tests that the rows of the table of promises cite. */
+function citations (): Citation[] {
+  const [, section = ''] = readFileSync('README.md', 'utf8').split('## What it promises')
+  const found: Citation[] = []
+  for (const row of section.split('\n').filter(line => line.startsWith('| ') && line.includes('`'))) {
+    let file = ''
+    const [, , cell = ''] = row.split('|')
+    for (const [, path, title] of cell.matchAll(TOKEN)) {
+      if (path !== undefined) file = path
+      else found.push({ file, title: (title ?? '').replaceAll('\\"', '"') })
+    }
+  }
+  return found
+}
+
+test('should cite only tests that exist in the table of promises', t => {
+  const cited = citations()
+  t.true(cited.length > 0)
+  for (const { file, title } of cited) {
+    const path = `tests/${file}.test.ts`
+    t.true(existsSync(path) && readFileSync(path, 'utf8').includes(`test('${title}'`), `${file}: ${title}`)
+  }
+})
--- a/tests/processes/control.test.ts
+++ b/tests/processes/control.test.ts
@@ -1,5 +1,4 @@
 import test from 'ava'
-import { waitFor } from '../../demo/waitFor.js'
 import { ProcessSystem } from '../fixtures/processSystem.js'
 
 /** Applies a change and remembers that it was accepted. */
@@ -23,31 +22,23 @@
   }
 }
 
-async function leaderIndex (system: ProcessSystem): Promise<number> {
-  return await waitFor('a leader that runs', async () => {
-    const status = await system.local.status()
-    const index = system.controls.findIndex(({ name, end }) => name === status?.leaderHostId && !end)
-    return index >= 0 && { index }
-  }).then(({ index }) => index)
-}
-
 test('should lose no accepted change when leaders are killed, frozen and wiped', async t => {
   const system = await ProcessSystem.start(t, { enginesCount: 1 })
   const operator = new Operator(system)
   await operator.apply('first')
 
-  const killed = await leaderIndex(system)
+  const killed = await system.leaderIndex()
   await system.controls[killed]!.stop('SIGKILL')
   await operator.apply('after-kill')
   system.controls[killed] = system.local.startControl(killed)
 
-  const frozen = await leaderIndex(system)
+  const frozen = await system.leaderIndex()
   system.controls[frozen]!.signal('SIGSTOP')
   await operator.apply('while-frozen')
   system.controls[frozen]!.signal('SIGCONT')
   await operator.apply('after-thaw')
 
-  const wiped = await leaderIndex(system)
+  const wiped = await system.leaderIndex()
   await system.controls[wiped]!.stop('SIGKILL')
   system.local.wipeDataFolder(wiped)
   system.controls[wiped] = system.local.startControl(wiped)
--- a/tests/processes/plannedStop.test.ts
+++ b/tests/processes/plannedStop.test.ts
@@ -1,15 +1,19 @@
 import test from 'ava'
 import { CallerHeader, callerPaths } from '../../src/protocol/callers.js'
+import { waitFor } from '../../demo/waitFor.js'
+import type { EntryAnswer } from '../../standins/entryClient.js'
 import { ProcessSystem, type OpenStream } from '../fixtures/processSystem.js'
 
 const STREAM_TOKENS = 120
 const STREAMS_PER_HOST = 2
+const SERVICE_MS = 1_000
 const REVIEWS_COUNT = 40
 const REVIEWS_BEFORE_STOP = 10
 
 test('should cut no request when any one process is told to stop', async t => {
-  const system = await ProcessSystem.start(t, { enginesCount: 3, engine: { meanTokensCount: 5_000 } })
-  for (const victim of [system.engines[0]!, system.controls[0]!, system.entries[0]!]) {
+  const system = await ProcessSystem.start(t, { enginesCount: 3, engine: { meanTokensCount: 5_000 }, service: { serviceMs: SERVICE_MS } })
+  const leader = system.controls[await system.leaderIndex()]!
+  for (const victim of [system.engines[0]!, leader, system.service!, system.entries[0]!]) {
     const streams: OpenStream[] = []
     for (const host of system.local.entryAddresses) {
       for (let index = 0; index < STREAMS_PER_HOST; index++) {
@@ -17,12 +21,14 @@
       }
     }
     await Promise.all(streams.map(async ({ begun }) => await begun))
+    const calls = system.service?.end ? [] : await beginCalls(system, `/cards/${victim.name}`)
     const end = victim.stop()
     for (const stream of await Promise.all(streams.map(async ({ read }) => await read))) {
       t.true(stream.isWhole, victim.name)
       t.is(stream.misplacedCount, 0)
       t.is(stream.tokens.length, STREAM_TOKENS)
     }
+    for (const answer of await Promise.all(calls)) t.like(answer, { kind: 'answered' }, victim.name)
     t.like(await end, { code: 0 }, victim.name)
   }
 })
@@ -34,11 +40,21 @@
     await sendUntilAnswered(system, `review-${index}`)
   }
   t.like(await system.entries[1]!.ended, { code: 0 })
-  const counts = Object.values(await system.executions())
+  const counts = Object.values((await system.serviceRecord()).executions)
   t.is(counts.length, REVIEWS_COUNT)
   t.true(counts.every(count => count === 1))
 })
 
+/** Calls the service through every host and waits until it runs, or has run, all of them. */
+async function beginCalls (system: ProcessSystem, path: string): Promise<Array<Promise<EntryAnswer>>> {
+  const calls = system.local.entryAddresses.map(async host => await system.client.sendTo(host, { method: 'GET', path: `${callerPaths.services}decks${path}` }))
+  await waitFor('the service to run the calls', async () => {
+    const { runningCount, executionsByPath } = await system.serviceRecord()
+    return runningCount + (executionsByPath[path] ?? 0) >= calls.length
+  })
+  return calls
+}
+
 /** Sends the same call with the same key until it is answered, as callers are told to. */
 async function sendUntilAnswered (system: ProcessSystem, key: string): Promise<void> {
   for (;;) {
