--- a/src/control/log/clusterFormation.ts
+++ b/src/control/log/clusterFormation.ts
@@ -50,16 +50,21 @@
     this._join = join
   }
 
-  /** Returns once the replica belongs to a cluster. */
+  /** Returns once the replica finds itself among the members of a cluster. */
   async run (scope: Scope): Promise<void> {
     const { clock } = this._core.parts
     await this._finishFormation(scope)
-    while (this._core.clusterId === null) {
+    while (!this._isMember()) {
       await this._tryOnce(scope)
-      if (this._core.clusterId === null) await sleepUntil(clock, scope, clock.nowMs() + RETRY_MS)
+      await sleepUntil(clock, scope, clock.nowMs() + RETRY_MS)
     }
   }
 
+  /** A cluster may have spoken to the replica and then lost the entry that took it in. */
+  private _isMember (): boolean {
+    return this._core.clusterId !== null && this._core.members.some(member => member.replicaId === this._core.replicaId)
+  }
+
   /** A crash came between the first entry and the identity: the entry counts. */
   private async _finishFormation (scope: Scope): Promise<void> {
     const first = this._core.state.log.get(1)
@@ -70,8 +75,9 @@
   private async _tryOnce (scope: Scope): Promise<void> {
     const others = this._initialMembers.filter(member => member.hostId !== this._own.hostId)
     const answers = (await Promise.all(others.map(member => this._identify(member, scope)))).filter(answer => answer !== undefined)
-    if (this._core.clusterId !== null) return
-    const member = answers.find(answer => answer.clusterId !== null)
+    const { clusterId } = this._core
+    const member = answers.find(answer => answer.clusterId !== null && answer.clusterId === (clusterId ?? answer.clusterId))
+    if (clusterId !== null && !member) return
     if (member) return await this._askToJoin(member, scope)
     const isComplete = answers.length === others.length && others.length + 1 === this._initialMembers.length
     if (!isComplete) return this._logWaiting(others, answers)
--- /dev/null
+++ b/tests/control/storage.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava'
+import { mkdtempSync, readdirSync, readFileSync, rmSync, truncateSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { EntryKind, type LogEntry } from '../../src/control/log/logEntry.js'
+import { encodeSnapshot } from '../../src/control/storage/snapshotFile.js'
+import { FileDisk } from '../../src/control/storage/fileDisk.js'
+import type { LogRecord } from '../../src/control/storage/logRecords.js'
+import { ReplicaStorage, type OpenedReplica } from '../../src/control/storage/replicaStorage.js'
+import { StorageError } from '../../src/utils/errors.js'
+
+function entry (index: number, term = 1, size = 100): LogEntry {
+  return { index, term, kind: EntryKind.Command, atMs: index, payload: new Uint8Array(size).fill(index) }
+}
+
+function record (index: number, term = 1): LogRecord {
+  return { kind: 'entry', entry: entry(index, term) }
+}
+
+async function open (folder: string): Promise<OpenedReplica> {
+  let ids = 0
+  return await ReplicaStorage.open(await FileDisk.open(folder), 'control-1', () => `id-${readdirSync(folder).length}-${ids++}`)
+}
+
+/** A folder with ten entries, each synced by itself. */
+async function filledFolder (): Promise<{ folder: string, logFile: string }> {
+  const folder = mkdtempSync(join(tmpdir(), 'threaddrum-storage-'))
+  const { storage } = await open(folder)
+  await storage.append([{ kind: 'hardState', hardState: { term: 3, votedFor: 'b' } }])
+  for (let index = 1; index <= 10; index++) await storage.append([record(index)])
+  await storage.close()
+  return { folder, logFile: join(folder, 'log-0000000001') }
+}
+
+function withDamage (file: string, atBytes: number): void {
+  const bytes = readFileSync(file)
+  bytes[atBytes] = (bytes[atBytes] ?? 0) ^ 0xff
+  writeFileSync(file, bytes)
+}
+
+test('should read back what was synced, with the later entry where two have one place', async t => {
+  const { folder } = await filledFolder()
+  const { storage } = await open(folder)
+  await storage.append([record(8, 2)])
+  await storage.close()
+  const { loaded, damage } = await open(folder)
+  t.is(damage, undefined)
+  t.deepEqual(loaded.hardState, { term: 3, votedFor: 'b' })
+  t.deepEqual(loaded.entries.map(({ index, term }) => [index, term]), [[1, 1], [2, 1], [3, 1], [4, 1], [5, 1], [6, 1], [7, 1], [8, 2]])
+  rmSync(folder, { recursive: true })
+})
+
+test('should cut a torn tail and write on behind it', async t => {
+  const { folder, logFile } = await filledFolder()
+  const wholeBytes = readFileSync(logFile).length
+  // A write that did not end: its sync was never reported.
+  writeFileSync(logFile, Buffer.concat([readFileSync(logFile), Buffer.alloc(70, 7)]))
+  const { storage, loaded, damage } = await open(folder)
+  t.is(damage, undefined)
+  t.is(loaded.tornBytes, 70)
+  t.is(readFileSync(logFile).length, wholeBytes)
+  await storage.append([record(11)])
+  await storage.close()
+  t.is((await open(folder)).loaded.entries.length, 11)
+  rmSync(folder, { recursive: true })
+})
+
+for (const [where, atPart] of [['in the middle', 0.5], ['near the beginning', 0.05], ['in its last entry', 0.99]] as const) {
+  test(`should set a log aside that is damaged ${where}, and begin as a new replica`, async t => {
+    const { folder, logFile } = await filledFolder()
+    const oldId = (await open(folder)).loaded.identity.replicaId
+    withDamage(logFile, Math.floor(readFileSync(logFile).length * atPart))
+    const { loaded, damage } = await open(folder)
+    t.regex(damage ?? '', /log-0000000001: byte \d+ is unreadable, but \d+ bytes had been synced/)
+    t.not(loaded.identity.replicaId, oldId)
+    t.deepEqual(loaded.entries, [])
+    t.deepEqual(loaded.hardState, { term: 0, votedFor: null })
+    const aside = readdirSync(folder).find(name => name.startsWith('damaged-')) ?? ''
+    t.true(readdirSync(join(folder, aside)).includes('log-0000000001'))
+    rmSync(folder, { recursive: true })
+  })
+}
+
+test('should not take a log for whole that lost synced bytes, its identity or its snapshot', async t => {
+  const cut = await filledFolder()
+  truncateSync(cut.logFile, readFileSync(cut.logFile).length - 150)
+  t.truthy((await open(cut.folder)).damage)
+  const nameless = await filledFolder()
+  rmSync(join(nameless.folder, 'replica'))
+  t.truthy((await open(nameless.folder)).damage)
+  const logless = await filledFolder()
+  rmSync(logless.logFile)
+  t.truthy((await open(logless.folder)).damage)
+  for (const { folder } of [cut, nameless, logless]) rmSync(folder, { recursive: true })
+})
+
+test('should replace log and snapshot in one step, and notice a damaged snapshot', async t => {
+  const { folder } = await filledFolder()
+  const { storage } = await open(folder)
+  const snapshot = { lastIndex: 7, lastTerm: 1, lastAtMs: 7, members: [], state: { some: 'state' } }
+  const hardState = { term: 3, votedFor: 'b' }
+  await storage.compact({ snapshotIndex: 7, snapshotTerm: 1, snapshotBytes: encodeSnapshot(snapshot), hardState, entries: [entry(8), entry(9), entry(10)] })
+  await storage.append([record(11)])
+  await storage.close()
+  const { loaded } = await open(folder)
+  t.deepEqual(loaded.snapshot, snapshot)
+  t.deepEqual(loaded.hardState, hardState)
+  t.deepEqual(loaded.entries.map(({ index }) => index), [8, 9, 10, 11])
+  t.deepEqual(readdirSync(folder).sort(), ['log-0000000002', 'replica', 'snapshot-0000000000000007'])
+  withDamage(join(folder, 'snapshot-0000000000000007'), 20)
+  t.regex((await open(folder)).damage ?? '', /snapshot-0000000000000007: its checksum does not match/)
+  rmSync(folder, { recursive: true })
+})
+
+test('should refuse the data folder of another host', async t => {
+  const { folder } = await filledFolder()
+  await t.throwsAsync(async () => await ReplicaStorage.open(await FileDisk.open(folder), 'control-2', () => 'x'), { instanceOf: StorageError, message: /belongs to host control-1/ })
+  rmSync(folder, { recursive: true })
+})
