--- a/src/control/log/clusterFormation.ts
+++ b/src/control/log/clusterFormation.ts
@@ -60,9 +60,10 @@
     }
   }
 
-  /** A cluster may have spoken to the replica and then lost the entry that took it in. */
+  /** Only a committed entry counts: a leader may have taken the replica in and lost that again. */
   private _isMember (): boolean {
-    return this._core.clusterId !== null && this._core.members.some(member => member.replicaId === this._core.replicaId)
+    const { clusterId, replicaId, commitIndex, state } = this._core
+    return clusterId !== null && state.members.at(commitIndex).some(member => member.replicaId === replicaId)
   }
 
   /** A crash came between the first entry and the identity: the entry counts. */
--- a/src/controlClient/leaderLink.ts
+++ b/src/controlClient/leaderLink.ts
@@ -111,7 +111,10 @@
     const cancelTimer = clock.callAt(clock.nowMs() + ASK_TIMEOUT_MS, () => connectScope.close('connecting takes too long'))
     try {
       const outcome = await transport.connect(address, connectScope)
-      if (outcome.kind === 'connected') return new RpcPeer(outcome.connection, handlers, onFatal)
+      if (outcome.kind === 'connected') {
+        outcome.connection.scope.onClose(() => connectScope.close('connection closed'))
+        return new RpcPeer(outcome.connection, handlers, onFatal)
+      }
     } catch (error) {
       if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
     } finally {
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -53,7 +53,11 @@
     const cancelTimer = clock.callAt(clock.nowMs() + CONNECT_TIMEOUT_MS, () => scope.close('connecting takes too long'))
     const outcome = await this._connectWithin(scope)
     cancelTimer()
-    if (outcome.kind === 'unreachable') return undefined
+    if (outcome.kind === 'unreachable') {
+      scope.close('not connected')
+      return undefined
+    }
+    outcome.connection.scope.onClose(() => scope.close('connection closed'))
     this._unansweredCount = 0
     this._peer = new RpcPeer(outcome.connection, this._handlers, this._onFatal)
     return this._peer
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -3,8 +3,11 @@
  * event has a number; the enums of numbers and their texts stand with the
  * layer that emits them, and docs/LOG-EVENTS.md is made from them.
  */
+import './enableRoarr.js'
 import { Roarr, ROARR } from 'roarr'
 
+ROARR.write = () => {}
+
 export enum LogLevel {
   Debug = 'debug',
   Info = 'info',
