--- a/src/entry/scheduling/poolEndpoints.ts
+++ b/src/entry/scheduling/poolEndpoints.ts
@@ -1,29 +1,27 @@
 /**
  * The endpoints of one pool as the scheduler sees them: kept in step with the
- * directory, outliers left out, but never so many that less than half remain.
+ * directory, those that fail left out, but never so many that less than half
+ * remain.
  */
 import { versionServed } from '../../protocol/endpoints.js'
 import type { EndpointPoolSpec } from '../../protocol/resources.js'
 import { unreachable } from '../../utils/errors.js'
 import { MetricName } from '../../utils/metricNames.js'
 import { EndpointState } from './endpointState.js'
-import { CachedPrefixes } from './prefixAffinity.js'
 import type { AttemptResult, WorkItem } from './scheduler.js'
 import type { SchedulerParts } from './schedulerParts.js'
 
 /** Part of a pool's endpoints that ejection always leaves in use. */
 const KEPT_FRACTION = 0.5
-/** A token takes this many times as long as at the median endpoint. */
-const SLOW_FACTOR = 3
-const SLOW_MIN_TRIES = 5
-const SLOW_MIN_OTHERS = 2
+/** Fewer endpoints that report a speed don't tell which of them is slow. */
+const MIN_REPORTED = 3
 
 export class PoolEndpoints {
   private readonly _parts: SchedulerParts
   private readonly _pool: string
   private readonly _states = new Map<string, EndpointState>()
-  private readonly _cached = new Map<string, CachedPrefixes>()
   private _available: EndpointState[] = []
+  private _ids: readonly string[] = []
   private _hostsCount = 0
   private _spec: EndpointPoolSpec | undefined
 
@@ -53,7 +51,6 @@
       const known = this._states.get(record.announcement.endpointId)
       if (known && known.record === record && !termsChanged) return known
       const state = known ?? this._add(new EndpointState(record))
-      if (record.announcement.incarnation !== state.record.announcement.incarnation) this.cachedOn(state.endpointId).clear()
       state.update(record)
       state.setLimit(spec, hostsCount, this._parts.random)
       return state
@@ -71,9 +68,11 @@
     return this._available.filter(state => !leftOut.has(state))
   }
 
-  /** Those in use that the item may go to, whether or not they have a place. */
-  suitableFor (item: WorkItem, nowMs: number): EndpointState[] {
-    return this.inUse(nowMs).filter(state => isSuitable(state, item))
+  /** Their ids; the same array as long as they are the same. */
+  idsOf (states: EndpointState[]): readonly string[] {
+    const unchanged = states.length === this._ids.length && states.every((state, index) => state.endpointId === this._ids[index])
+    if (!unchanged) this._ids = states.map(state => state.endpointId)
+    return this._ids
   }
 
   /** Whether any endpoint, ejected or not, could ever take the item as things are. */
@@ -81,14 +80,6 @@
     return this._available.some(state => !item.excludedEndpointIds.includes(state.endpointId))
   }
 
-  cachedOn (endpointId: string): CachedPrefixes {
-    const known = this._cached.get(endpointId)
-    if (known) return known
-    const cached = new CachedPrefixes()
-    this._cached.set(endpointId, cached)
-    return cached
-  }
-
   /** Time of a token at the fastest endpoint in use; undefined before any finished. */
   fastestMsPerToken (nowMs: number): number | undefined {
     const times = this.inUse(nowMs).flatMap(({ health }) => health.msPerToken ?? [])
@@ -100,11 +91,10 @@
     state.ended(nowMs)
     switch (result.kind) {
       case 'succeeded':
-        state.health.succeeded(result.durationMs / Math.max(1, result.tokensCount))
-        if (this._isSlow(state)) this._eject(state, nowMs)
+        state.health.succeeded(result.tokensCount, result.durationMs - (result.firstTokenMs ?? 0), nowMs)
         break
       case 'failed':
-        if (state.health.failed()) this._eject(state, nowMs)
+        if (state.health.failed(nowMs)) this._eject(state, nowMs)
         break
       case 'refused':
         state.refused()
@@ -116,6 +106,13 @@
     }
   }
 
+  /** How many times as long as at the median endpoint a token takes, by what the engines report. */
+  reportedSlowness (state: EndpointState): number {
+    if (state.reportedMsPerToken === undefined) return 1
+    const times = this._available.flatMap(other => other.reportedMsPerToken ?? [])
+    return times.length < MIN_REPORTED ? 1 : Math.max(1, state.reportedMsPerToken / median(times))
+  }
+
   /** The next instant at which an ejected endpoint comes back. */
   nextReturnAtMs (nowMs: number): number | undefined {
     const instants = this._available.filter(state => state.health.isEjected(nowMs)).map(state => state.health.ejectedUntilMs)
@@ -134,18 +131,9 @@
     for (const [endpointId, state] of this._states) {
       if (present.has(state) || state.ownCount > 0 || state.health.isEjected(nowMs)) continue
       this._states.delete(endpointId)
-      this._cached.delete(endpointId)
     }
   }
 
-  private _isSlow (state: EndpointState): boolean {
-    const { msPerToken, triesCount } = state.health
-    if (msPerToken === undefined || triesCount < SLOW_MIN_TRIES) return false
-    const others = this._available.filter(other => other !== state).flatMap(({ health }) => health.msPerToken ?? [])
-    if (others.length < SLOW_MIN_OTHERS) return false
-    return msPerToken > SLOW_FACTOR * median(others)
-  }
-
   private _eject (state: EndpointState, nowMs: number): void {
     state.health.eject(nowMs)
     const ejectedCount = this._available.filter(other => other.health.isEjected(nowMs)).length
@@ -153,7 +141,7 @@
   }
 }
 
-function isSuitable (state: EndpointState, item: WorkItem): boolean {
+export function isSuitable (state: EndpointState, item: WorkItem): boolean {
   if (item.excludedEndpointIds.includes(state.endpointId)) return false
   if (item.minWeightVersion === undefined) return true
   return (versionServed(state.record.announcement, item.adapter) ?? 0) >= item.minWeightVersion
