--- a/src/entry/rollouts/weights/poolCoordinator.ts
+++ b/src/entry/rollouts/weights/poolCoordinator.ts
@@ -39,8 +39,8 @@
 
 interface EngineNote {
   incarnation: number
-  /** Versions by adapter that the engine confirmed in reply to an order. */
-  confirmed: Map<string | undefined, number>
+  /** What the engine confirmed in reply to orders, by adapter; counts until its next announcement. */
+  confirmed: Map<string | undefined, { weightVersion: number, atMs: number }>
   failuresCount: number
   retryAtMs: number
 }
@@ -88,7 +88,7 @@
     const engines = parts.directory.available(pool)
     const wanted = targets()
     const lagging = engines.flatMap(record => {
-      const target = this._isFree(record) ? nextTarget(record, wanted, adapter => this._noteOf(record).confirmed.get(adapter)) : undefined
+      const target = this._isFree(record) ? nextTarget(record, wanted, adapter => this._confirmedVersion(record, adapter)) : undefined
       return target ? [{ record, target }] : []
     })
     lagging.sort((a, b) => a.record.announcement.load.runningCount - b.record.announcement.load.runningCount)
@@ -109,6 +109,12 @@
     return note
   }
 
+  /** An engine that a stray order has set back says so itself; then its word counts, not the reply to us. */
+  private _confirmedVersion (record: EndpointRecord, adapter?: string): number | undefined {
+    const confirmed = this._noteOf(record).confirmed.get(adapter)
+    return confirmed && confirmed.atMs >= record.loadAtMs ? confirmed.weightVersion : undefined
+  }
+
   private _swap (record: EndpointRecord, target: WeightTarget, spec: EndpointPoolSpec, scope: Scope): void {
     const { endpointId } = record.announcement
     const swapping = this._runSwap(record, target, spec, scope)
@@ -130,7 +136,7 @@
     const hasTaken = await this._hasTaken(record, target, outcome, scope)
     metrics.count(MetricName.WeightsSwapped, { outcome: hasTaken ? 'done' : outcome.kind === 'replied' ? outcome.reply.kind : outcome.kind })
     if (hasTaken) {
-      this._noteOf(record).confirmed.set(target.adapter, target.weightVersion)
+      this._noteOf(record).confirmed.set(target.adapter, { weightVersion: target.weightVersion, atMs: clock.nowMs() })
       this._noteOf(record).failuresCount = 0
       logger.event(RolloutEvent.SwapDone, { pool, endpointId, weightVersion: target.weightVersion })
     } else if (!this._isFenced) this._noteFailure(record, target)
