--- /dev/null
+++ b/bench/rollouts.ts
@@ -0,0 +1,83 @@
+/**
+ * Rollouts: how long trainers stand idle, how stale their samples are, and what
+ * is thrown away, against the plain policy in the same run. On a virtual clock:
+ * the figures do not depend on the machine.
+ */
+import { BenchUnit, type BenchOptions, type BenchResult } from './benchResult.js'
+import { Policy, runScenario, type Reading, type Scenario } from './rollouts/scenario.js'
+
+const FULL = { stepsCount: 8, samplesPerStepCount: 512, trainMs: 15_000 }
+const QUICK = { stepsCount: 4, samplesPerStepCount: 128, trainMs: 5_000 }
+
+interface Setting {
+  name: string
+  scenario: Omit<Scenario, 'policy'>
+}
+
+function settings ({ seed, quick }: BenchOptions): Setting[] {
+  const size = quick ? QUICK : FULL
+  const base = { ...size, seed, losesEngine: false, stalenessBoundVersions: 1, startAheadSteps: 1, stalenessWeight: 0 }
+  const shared = { trainersCount: 3, samplesPerStepCount: size.samplesPerStepCount / 4 }
+  return [
+    { name: 'oneTrainer', scenario: { ...base, trainersCount: 1 } },
+    { name: 'oneTrainerEngineLost', scenario: { ...base, trainersCount: 1, losesEngine: true } },
+    { name: 'threeTrainers', scenario: { ...base, ...shared } },
+    { name: 'threeTrainersEngineLost', scenario: { ...base, ...shared, losesEngine: true } },
+    { name: 'backToBack', scenario: { ...base, trainersCount: 1, trainMs: 0 } }
+  ]
+}
+
+export async function run (options: BenchOptions): Promise<BenchResult[]> {
+  const results: BenchResult[] = []
+  for (const setting of settings(options)) {
+    const readings = new Map<Policy, Reading>()
+    for (const policy of Object.values(Policy)) {
+      const reading = await runScenario({ ...setting.scenario, policy })
+      readings.set(policy, reading)
+      options.report(`rollouts ${setting.name} ${policy}: ${describe(reading)}`)
+      results.push(...toResults(`rollouts.${setting.name}.${policy}`, reading, setting.scenario))
+    }
+    results.push(...comparisons(setting.name, readings))
+  }
+  return [...results, ...await knob(options)]
+}
+
+/** One job at both ends of `stalenessWeight`. */
+async function knob (options: BenchOptions): Promise<BenchResult[]> {
+  const [first] = settings(options)
+  if (!first) return []
+  const results: BenchResult[] = []
+  for (const stalenessWeight of [0, 1]) {
+    const reading = await runScenario({ ...first.scenario, policy: Policy.Threaddrum, stalenessWeight })
+    options.report(`rollouts stalenessWeight ${stalenessWeight}: ${describe(reading)}`)
+    results.push(...toResults(`rollouts.stalenessWeight${stalenessWeight}`, reading, { ...first.scenario, stalenessWeight }))
+  }
+  return results
+}
+
+function describe (reading: Reading): string {
+  return Object.entries(reading).map(([name, value]) => `${name} ${Number(value).toFixed(3)}`).join(', ')
+}
+
+function toResults (prefix: string, reading: Reading, scenario: Omit<Scenario, 'policy'>): BenchResult[] {
+  const result = (name: string, value: number, unit: BenchUnit): BenchResult => ({ name: `${prefix}.${name}`, value, unit, detail: { ...scenario } })
+  const results = [
+    result('idlePerStep', reading.idleMsPerStep, BenchUnit.Milliseconds),
+    result('stalenessMean', reading.stalenessMean, BenchUnit.Count),
+    result('stalenessP95', reading.stalenessP95, BenchUnit.Count),
+    result('stalenessWorst', reading.stalenessWorst, BenchUnit.Count),
+    result('timeOverBound', reading.timeOverBound, BenchUnit.Ratio),
+    result('discarded', reading.discardedPercent, BenchUnit.Percent),
+    result('violations', reading.violationsCount, BenchUnit.Count)
+  ]
+  return Number.isNaN(reading.swapOverStore) ? results : [...results, result('swapOverStore', reading.swapOverStore, BenchUnit.Ratio)]
+}
+
+function comparisons (name: string, readings: Map<Policy, Reading>): BenchResult[] {
+  const own = readings.get(Policy.Threaddrum)
+  return [Policy.Plain, Policy.PlainAhead].flatMap((policy): BenchResult[] => {
+    const other = readings.get(policy)
+    if (!own || !other) return []
+    return [{ name: `rollouts.${name}.idleOver.${policy}`, value: own.idleMsPerStep / other.idleMsPerStep, unit: BenchUnit.Ratio }]
+  })
+}
--- /dev/null
+++ b/bench/rollouts/scenario.ts
@@ -0,0 +1,202 @@
+/**
+ * One run of the rollout side on a virtual clock: the real ledger, workers,
+ * delivery, weight distribution and scheduler over seeded engines whose
+ * samples have heavy-tailed lengths.
+ */
+import { createHash } from 'node:crypto'
+import { seededRandom, type RandomSource } from '../../src/utils/randomSource.js'
+import { POOL, RolloutWorld, type WorldOptions } from '../../tests/fixtures/rollouts/rolloutWorld.js'
+import { capacityPerSecond, defaultPace, type EnginePace } from '../../tests/fixtures/rollouts/virtualEngine.js'
+import { VirtualTrainer } from '../../tests/fixtures/rollouts/virtualTrainer.js'
+
+export enum Policy {
+  /** As the product does it. */
+  Threaddrum = 'threaddrum',
+  /** First in, first out; restart on failure; all engines swapped at once; nothing ahead. */
+  Plain = 'plain',
+  /** The same, but it may start the next step as early as the product does. */
+  PlainAhead = 'plainAhead'
+}
+
+export interface Scenario {
+  policy: Policy
+  seed: number
+  trainersCount: number
+  stepsCount: number
+  samplesPerStepCount: number
+  trainMs: number
+  losesEngine: boolean
+  stalenessBoundVersions: number
+  startAheadSteps: number
+  stalenessWeight: number
+}
+
+export interface Reading {
+  idleMsPerStep: number
+  stalenessMean: number
+  stalenessP95: number
+  stalenessWorst: number
+  /** Time of the whole run over what no policy could be below. */
+  timeOverBound: number
+  discardedPercent: number
+  /** From a publish until every engine has the version, over the store's own time; the worst. */
+  swapOverStore: number
+  violationsCount: number
+}
+
+const ENGINES_COUNT = 8
+const HOSTS_COUNT = 4
+const GROUP_SIZE_COUNT = 8
+const PROMPTS_COUNT = 96
+const MAX_TOKENS = 1_024
+const MEDIAN_TOKENS = 150
+/** Spread of the logarithm of lengths, between prompts and within one. */
+const PROMPT_SIGMA = 0.6
+const SAMPLE_SIGMA = 0.5
+const ENGINE_AWAY_MS = 20_000
+const PACE: EnginePace = { ...defaultPace, maxConcurrentCount: 16 }
+const STORE = { weightBytes: 500_000_000, adapterBytes: 100_000_000, bytesPerSecond: 1_000_000_000 }
+
+function normal (random: RandomSource): number {
+  return Math.sqrt(-2 * Math.log(1 - random.real())) * Math.cos(2 * Math.PI * random.real())
+}
+
+/** The n-th sample of a prompt is equally long under every policy. */
+function heavyTail (seed: number): WorldOptions['drawLength'] {
+  const prompts = new Map<string, { random: RandomSource, factor: number }>()
+  return prompt => {
+    const known = prompts.get(prompt) ?? newPrompt(seed, prompt)
+    prompts.set(prompt, known)
+    const length = MEDIAN_TOKENS * known.factor * Math.exp(SAMPLE_SIGMA * normal(known.random))
+    return Math.round(Math.min(MAX_TOKENS, Math.max(8, length)))
+  }
+}
+
+function newPrompt (seed: number, prompt: string): { random: RandomSource, factor: number } {
+  const digest = createHash('sha1').update(`${seed}|${prompt}`).digest()
+  const random = seededRandom(digest.readUInt32BE(0) >>> 1)
+  return { random, factor: Math.exp(PROMPT_SIGMA * normal(random)) }
+}
+
+function worldOf ({ policy, seed }: Scenario): RolloutWorld {
+  const isPlain = policy !== Policy.Threaddrum
+  return new RolloutWorld({
+    seed,
+    hostsCount: HOSTS_COUNT,
+    enginesCount: ENGINES_COUNT,
+    pace: PACE,
+    store: STORE,
+    recordsMakers: false,
+    drawLength: heavyTail(seed),
+    resumes: !isPlain,
+    forecast: isPlain ? () => 0 : undefined,
+    pool: isPlain ? { minServingPercent: 0, maxFetchingCount: ENGINES_COUNT } : { minServingPercent: 50, maxFetchingCount: 2 }
+  })
+}
+
+function jobSpec (scenario: Scenario, trainer: number): Record<string, unknown> {
+  const { policy, samplesPerStepCount, stalenessBoundVersions, startAheadSteps, stalenessWeight, trainersCount } = scenario
+  return {
+    prompts: Array.from({ length: PROMPTS_COUNT }, (_, at) => `prompt ${at} of trainer ${trainer}`),
+    groupSizeCount: GROUP_SIZE_COUNT,
+    groupsPerStepCount: samplesPerStepCount / GROUP_SIZE_COUNT,
+    maxTokensCount: MAX_TOKENS,
+    stalenessBoundVersions,
+    startAheadSteps: policy === Policy.Plain ? 0 : startAheadSteps,
+    stalenessWeight,
+    ...(trainersCount > 1 ? { adapter: `adapter-${trainer}` } : {})
+  }
+}
+
+export async function runScenario (scenario: Scenario): Promise<Reading> {
+  const { trainersCount, stepsCount, samplesPerStepCount, stalenessBoundVersions, trainMs, losesEngine } = scenario
+  const world = worldOf(scenario)
+  const names = Array.from({ length: trainersCount }, (_, at) => `job-${at}`)
+  names.forEach((name, at) => world.declareJob(name, jobSpec(scenario, at)))
+  const trainers = names.map(job => new VirtualTrainer(world, { job, samplesPerStepCount, groupSizeCount: GROUP_SIZE_COUNT, stalenessBoundVersions, trainMs }))
+  await world.clock.advance(2_000)
+  const startedAtMs = world.clock.nowMs()
+  const runs = trainers.map(async (trainer, at) => await runTrainer(world, trainer, names[at] ?? '', scenario, at))
+  if (losesEngine) loseEngine(world)
+  await world.clock.advanceUntil(Promise.all(runs), 36_000_000)
+  const elapsedMs = world.clock.nowMs() - startedAtMs
+  const reading = readRun(world, trainers, elapsedMs, scenario)
+  world.stop()
+  if (stepsCount < 1 || world.fatal.length > 0) throw new Error(world.fatal.join('\n'))
+  return reading
+}
+
+/** Starts nothing ahead of the last step, so that all that was generated can be counted. */
+async function runTrainer (world: RolloutWorld, trainer: VirtualTrainer, name: string, scenario: Scenario, at: number): Promise<void> {
+  await trainer.open()
+  for (let step = 0; step < scenario.stepsCount; step++) {
+    if (step === scenario.stepsCount - 1) world.declareJob(name, { ...jobSpec(scenario, at), startAheadSteps: 0 })
+    await trainer.runStep(step)
+    await trainer.train(step)
+  }
+}
+
+function loseEngine (world: RolloutWorld): void {
+  const engine = world.engines.get('e1')
+  const { clock } = world
+  clock.callAt(clock.nowMs() + 25_000, () => {
+    engine?.crash()
+    clock.callAt(clock.nowMs() + ENGINE_AWAY_MS, () => engine?.start(0))
+  })
+}
+
+function readRun (world: RolloutWorld, trainers: VirtualTrainer[], elapsedMs: number, scenario: Scenario): Reading {
+  const steps = trainers.flatMap(({ steps }) => steps)
+  const staleness = trainers.flatMap(({ staleness }) => staleness).sort((a, b) => a - b)
+  const deliveredCount = steps.reduce((sum, { tokensCount }) => sum + tokensCount, 0)
+  const sum = (values: number[]): number => values.reduce((a, b) => a + b, 0)
+  return {
+    // The first step has nothing to overlap with under any policy.
+    idleMsPerStep: sum(trainers.flatMap(({ steps }) => steps.slice(1)).map(({ idleMs }) => idleMs)) / (steps.length - trainers.length),
+    stalenessMean: sum(staleness) / staleness.length,
+    stalenessP95: staleness[Math.floor(0.95 * staleness.length)] ?? 0,
+    stalenessWorst: staleness.at(-1) ?? 0,
+    timeOverBound: elapsedMs / lowerBoundMs(trainers, deliveredCount, scenario),
+    discardedPercent: 100 * (world.record.generatedCount - deliveredCount) / world.record.generatedCount,
+    swapOverStore: swapOverStore(world, trainers, scenario),
+    violationsCount: sum(trainers.map(({ violations }) => violations.length))
+  }
+}
+
+/**
+ * Total tokens over what full batches make, or the chain of longest samples:
+ * a step cannot be whole before its longest sample, which starts when the
+ * trainer pulls the step, or the one that it may be started ahead of.
+ */
+function lowerBoundMs (trainers: VirtualTrainer[], deliveredCount: number, { trainMs, startAheadSteps }: Scenario): number {
+  const engineMs = 1000 * deliveredCount / (ENGINES_COUNT * capacityPerSecond(PACE))
+  const chainsMs = trainers.map(({ steps }) => chainMs(steps.map(({ longestTokensCount }) => longestTokensCount), trainMs, startAheadSteps))
+  return Math.max(engineMs + trainMs, ...chainsMs)
+}
+
+function chainMs (longestTokensCounts: number[], trainMs: number, startAheadSteps: number): number {
+  const msPerToken = PACE.roundMs / PACE.tokensPerRound
+  const pulledAtMs: number[] = []
+  let readyAtMs = 0
+  for (const [step, longestTokensCount] of longestTokensCounts.entries()) {
+    pulledAtMs.push(readyAtMs)
+    const startedAtMs = pulledAtMs[Math.max(0, step - startAheadSteps)] ?? 0
+    const wholeAtMs = Math.max(readyAtMs, startedAtMs + longestTokensCount * msPerToken)
+    readyAtMs = wholeAtMs + trainMs
+  }
+  return readyAtMs
+}
+
+function swapOverStore (world: RolloutWorld, trainers: VirtualTrainer[], { trainersCount, stepsCount }: Scenario): number {
+  if (trainersCount > 1) return Number.NaN
+  const [trainer] = trainers
+  const storeMs = ENGINES_COUNT * world.store.transferMs()
+  const ratios = (trainer?.published ?? []).slice(0, stepsCount - 1).flatMap(({ weightVersion, atMs }) => {
+    const applied = [...world.engines.values()].map(({ carriedOut }) => carriedOut.find(({ target }) => target === weightVersion)?.appliedAtMs)
+    if (applied.includes(undefined)) return []
+    return [(Math.max(...applied as number[]) - atMs) / storeMs]
+  })
+  return Math.max(0, ...ratios)
+}
+
+export { POOL }
--- a/src/entry/rollouts/weights/poolCoordinator.ts
+++ b/src/entry/rollouts/weights/poolCoordinator.ts
@@ -3,7 +3,9 @@
  *
  * As many engines load at once as keep the weight store's rate filled, but
  * never so many that fewer than the pool's share go on serving: a sliding
- * window, so that the store does not wait for the slowest engine of a wave.
+ * window, so that the store does not wait for the slowest engine of a wave, and
+ * orders that would start together are set apart, so that engines do not all
+ * exchange weights, while the store stands idle, at the same moment.
  * Nothing is remembered that the engines do not say themselves, except the
  * reply to an order until the next announcement; so an engine that restarts
  * with older weights, or that a stray order has set back, is brought up again.
@@ -26,6 +28,9 @@
 const RECONCILE_INTERVAL_MS = 1_000
 const FIRST_BACKOFF_MS = 1_000
 const MAX_BACKOFF_MS = 30_000
+/** Part of an even spacing that orders keep from each other. */
+const START_GAP = 0.5
+const SMOOTHING = 0.3
 
 export interface CoordinatorOptions {
   parts: RolloutParts
@@ -53,6 +58,9 @@
   private readonly _ordered = new Map<string, number>()
   private readonly _signal = new WakeSignal()
   private _isFenced = false
+  /** Moving mean of how long a swap takes; 0 before the first. */
+  private _swapMs = 0
+  private _nextStartAtMs = 0
   private _ordersCount = 0
 
   constructor (options: CoordinatorOptions) {
@@ -77,7 +85,8 @@
     const { clock } = this._options.parts
     while (!this._isFenced && this._options.mayOrder()) {
       this._startSwaps(scope)
-      await this._signal.wait(clock, scope, clock.nowMs() + RECONCILE_INTERVAL_MS)
+      const nextStartAtMs = this._nextStartAtMs > clock.nowMs() ? this._nextStartAtMs : Number.POSITIVE_INFINITY
+      await this._signal.wait(clock, scope, Math.min(nextStartAtMs, clock.nowMs() + RECONCILE_INTERVAL_MS))
     }
   }
 
@@ -92,8 +101,13 @@
       return target ? [{ record, target }] : []
     })
     lagging.sort((a, b) => a.record.announcement.load.runningCount - b.record.announcement.load.runningCount)
-    const roomCount = maxSwappingCount(engines.length, poolSpec) - this._ordered.size
-    for (const { record, target } of lagging.slice(0, Math.max(0, roomCount))) this._swap(record, target, poolSpec, scope)
+    const maxCount = maxSwappingCount(engines.length, poolSpec)
+    for (const { record, target } of lagging.slice(0, Math.max(0, maxCount - this._ordered.size))) {
+      const nowMs = parts.clock.nowMs()
+      if (this._nextStartAtMs > nowMs) return
+      this._nextStartAtMs = nowMs + this._swapMs * START_GAP / maxCount
+      this._swap(record, target, poolSpec, scope)
+    }
   }
 
   private _isFree (record: EndpointRecord): boolean {
@@ -129,13 +143,16 @@
   private async _runSwap (record: EndpointRecord, target: WeightTarget, spec: EndpointPoolSpec, scope: Scope): Promise<void> {
     const { parts: { clock, logger, metrics }, pool } = this._options
     const { endpointId, url } = record.announcement
-    const deadlineMs = clock.nowMs() + ORDER_LIFETIME_MS
+    const startedAtMs = clock.nowMs()
+    const deadlineMs = startedAtMs + ORDER_LIFETIME_MS
     this._ordered.set(endpointId, deadlineMs)
     const progress = new Progress(clock, scope, deadlineMs)
     const outcome = await this._orders.order(url, this._toOrder(target, spec), progress)
     const hasTaken = await this._hasTaken(record, target, outcome, scope)
     metrics.count(MetricName.WeightsSwapped, { outcome: hasTaken ? 'done' : outcome.kind === 'replied' ? outcome.reply.kind : outcome.kind })
     if (hasTaken) {
+      const tookMs = clock.nowMs() - startedAtMs
+      this._swapMs = this._swapMs === 0 ? tookMs : this._swapMs + SMOOTHING * (tookMs - this._swapMs)
       this._noteOf(record).confirmed.set(target.adapter, { weightVersion: target.weightVersion, atMs: clock.nowMs() })
       this._noteOf(record).failuresCount = 0
       logger.event(RolloutEvent.SwapDone, { pool, endpointId, weightVersion: target.weightVersion })
--- a/tests/rollouts/weightDistribution.test.ts
+++ b/tests/rollouts/weightDistribution.test.ts
@@ -43,7 +43,7 @@
   await world.clock.advanceUntil(trainer.publish(1))
   const publishedAtMs = world.clock.nowMs()
   await world.until(() => allServe(setting, 1))
-  const storeMs = 6 * world.store.transferMs
+  const storeMs = 6 * world.store.transferMs()
   const tookMs = world.clock.nowMs() - publishedAtMs
   t.true(tookMs <= 1.1 * storeMs, `${tookMs} ms for ${storeMs} ms of the store`)
   t.is(world.store.maxFetchingCount, 2)
