--- a/src/control/ledgers/rolloutLedger.ts
+++ b/src/control/ledgers/rolloutLedger.ts
@@ -14,7 +14,7 @@
 import { advance, dropCommitted, dropStaleUnoffered } from './rollouts/delivery.js'
 import { forecastLength, recordLength, type Forecast } from './rollouts/forecast.js'
 import { expireHosts, releaseWhere, renewHost, SLOT_LEASE_MS, type HostLeases } from './rollouts/hostLeases.js'
-import { allSlots, findSlot, isWaiting, newJobState, oldestDeliverableVersion, oldestVersion, slotsOf, tokensCountOf, type JobState } from './rollouts/jobState.js'
+import { allSlots, allStates, findSlot, isWaiting, newJobState, oldestDeliverableVersion, oldestVersion, statesOf, tokensCountOf, type JobState } from './rollouts/jobState.js'
 import { leaseSlots, openSteps, outlookOf } from './rollouts/slotLeasing.js'
 
 /** The specification in force, from the same replicated state. */
@@ -96,7 +96,7 @@
       kind: 'leased',
       slots,
       revokedAttemptIds: command.runningAttemptIds.filter(attemptId => !owned.has(attemptId)),
-      held: this._heldBy(hostId),
+      held: command.wantsHeld ? this._heldBy(hostId) : undefined,
       jobs: this._outlooks(),
       leaseRemainingMs: SLOT_LEASE_MS
     }
@@ -107,7 +107,7 @@
     const owned = new Set<string>()
     for (const state of Object.values(this._state.jobs)) {
       releaseWhere(state, attempt => attempt.hostId === hostId && !named.has(attempt.attemptId), SampleDropReason.GivenUp)
-      for (const { state: slot } of allSlots(state)) {
+      for (const slot of allStates(state)) {
         for (const attempt of slot.attempts) if (attempt.hostId === hostId) owned.add(attempt.attemptId)
       }
     }
@@ -188,7 +188,7 @@
 
 function progressOf (state: JobState): RolloutProgress {
   const current = state.steps[0]
-  const slots = current ? [...slotsOf(state.job, current)].map(({ state }) => state) : []
+  const slots = current ? statesOf(current) : []
   return {
     job: state.job,
     step: Math.max(0, state.step),
--- a/src/control/ledgers/rollouts/delivery.ts
+++ b/src/control/ledgers/rollouts/delivery.ts
@@ -9,7 +9,7 @@
  */
 import type { RolloutJobSpec } from '../../../protocol/resources.js'
 import { SampleDropReason, type CommittedSample, type RolloutCommandKind, type RolloutCommandOf, type RolloutResult, type RolloutResultOf } from '../../../protocol/rolloutCommands.js'
-import { allSlots, oldestDeliverableVersion, oldestVersion, slotsOf, type GroupState, type JobState, type PlacedSlot, type SlotState, type StepState } from './jobState.js'
+import { allStates, oldestDeliverableVersion, oldestVersion, slotsOf, statesOf, type GroupState, type JobState, type PlacedSlot, type SlotState, type StepState } from './jobState.js'
 import { openSteps } from './slotLeasing.js'
 
 type Advance = RolloutCommandOf<RolloutCommandKind.Advance>
@@ -43,13 +43,13 @@
   if (step === state.step || state.step < 0) return undefined
   const current = state.steps[0]
   const isHeld = (slot: SlotState): boolean => slot.isConfirmed || (slot.position !== undefined && slot.position <= heldPosition)
-  const isWhole = current === undefined || [...slotsOf(state.job, current)].every(({ state }) => isHeld(state))
+  const isWhole = current === undefined || statesOf(current).every(isHeld)
   return isWhole ? undefined : refuse(state, 'stepIncomplete')
 }
 
 function confirm (state: JobState, heldPosition: number): void {
   if (heldPosition <= state.confirmedPosition) return
-  for (const { state: slot } of allSlots(state)) {
+  for (const slot of allStates(state)) {
     if (slot.isConfirmed || slot.position === undefined || slot.position > heldPosition) continue
     slot.isConfirmed = true
     slot.attempts = []
@@ -87,7 +87,7 @@
 
 function dropStaleWhere (state: JobState, spec: RolloutJobSpec, isConcerned: (slot: SlotState) => boolean): void {
   const oldest = oldestDeliverableVersion(state, spec)
-  for (const { state: slot } of allSlots(state)) {
+  for (const slot of allStates(state)) {
     if (!slot.committed || !isConcerned(slot)) continue
     if (oldestVersion(slot.committed.versions) < oldest) dropCommitted(state, slot, SampleDropReason.Stale)
   }
@@ -107,7 +107,7 @@
   const hasOffered = state.offeredPosition > command.heldPosition
   const placed = hasOffered ? offeredAgain(state, current) : offerWholeGroups(state, current, command.maxSamplesCount)
   const offered = new Set(placed.map(({ state }) => state))
-  const stepComplete = [...slotsOf(state.job, current)].every(({ state }) => state.isConfirmed || offered.has(state))
+  const stepComplete = statesOf(current).every(slot => slot.isConfirmed || offered.has(slot))
   return { kind: 'advanced', deliverable: placed.map(toDeliverable), stepComplete, trainerVersion: state.trainerVersion }
 }
 
--- a/src/control/ledgers/rollouts/hostLeases.ts
+++ b/src/control/ledgers/rollouts/hostLeases.ts
@@ -3,7 +3,7 @@
  * with one command; when it falls silent, its attempts are replaced.
  */
 import { SampleDropReason } from '../../../protocol/rolloutCommands.js'
-import { allSlots, type JobState, type SlotState } from './jobState.js'
+import { allStates, type JobState, type SlotState } from './jobState.js'
 
 /** A host that has not renewed for this long has lost its slots. */
 export const SLOT_LEASE_MS = 15_000
@@ -46,7 +46,7 @@
 
 /** Ends attempts; their slots wait again unless another attempt runs. */
 export function releaseWhere (job: JobState, isLost: (attempt: SlotState['attempts'][number]) => boolean, reason: SampleDropReason): void {
-  for (const { state } of allSlots(job)) {
+  for (const state of allStates(job)) {
     if (state.attempts.length === 0) continue
     const kept = state.attempts.filter(attempt => !isLost(attempt))
     if (kept.length === state.attempts.length) continue
--- a/src/control/ledgers/rollouts/jobState.ts
+++ b/src/control/ledgers/rollouts/jobState.ts
@@ -127,6 +127,22 @@
   for (const step of state.steps) yield * slotsOf(state.job, step)
 }
 
+/** A step keeps its slots from when it opens until it is forgotten. */
+const statesByStep = new WeakMap<StepState, SlotState[]>()
+
+/** The states alone, for passes that do not ask which slot is which. */
+export function statesOf (step: StepState): SlotState[] {
+  const known = statesByStep.get(step)
+  if (known) return known
+  const states = step.groups.flatMap(({ slots }) => slots)
+  statesByStep.set(step, states)
+  return states
+}
+
+export function * allStates (state: JobState): Generator<SlotState> {
+  for (const step of state.steps) yield * statesOf(step)
+}
+
 /** Nobody runs it and it has no sample. */
 export function isWaiting (slot: SlotState): boolean {
   return !slot.isConfirmed && slot.committed === undefined && slot.attempts.length === 0
--- a/src/control/ledgers/rollouts/slotLeasing.ts
+++ b/src/control/ledgers/rollouts/slotLeasing.ts
@@ -6,7 +6,7 @@
 import type { RolloutJobSpec } from '../../../protocol/resources.js'
 import type { JobOutlook, LeasedSlot, WantedSlots } from '../../../protocol/rolloutCommands.js'
 import type { Forecast } from './forecast.js'
-import { isWaiting, openStep, slotsOf, type JobState, type PlacedSlot, type StepState } from './jobState.js'
+import { isWaiting, openStep, slotsOf, statesOf, type JobState, type PlacedSlot, type StepState } from './jobState.js'
 
 /** At most this many attempts at one slot run at once. */
 const MAX_ATTEMPTS_AT_ONCE = 2
@@ -44,6 +44,7 @@
 }
 
 function waitingSlots (state: JobState, step: StepState, forecast: Forecast): PlacedSlot[] {
+  if (!statesOf(step).some(isWaiting)) return []
   const waiting = [...slotsOf(state.job, step)].filter(({ state }) => isWaiting(state))
   return waiting.sort((a, b) => compareUrgency(state, forecast, a, b))
 }
@@ -115,7 +116,7 @@
 }
 
 export function outlookOf (state: JobState, spec: RolloutJobSpec): JobOutlook {
-  const count = (step: StepState): number => [...slotsOf(state.job, step)].filter(({ state }) => isWaiting(state)).length
+  const count = (step: StepState): number => statesOf(step).filter(isWaiting).length
   const startable = spec.paused ? [] : state.steps.filter(({ step }) => mayStart(state, spec, step))
   const current = startable.filter(({ step }) => step === state.step)
   const ahead = startable.filter(({ step }) => step !== state.step)
--- a/src/entry/rollouts/slotLeaser.ts
+++ b/src/entry/rollouts/slotLeaser.ts
@@ -3,7 +3,7 @@
  * host, names what it runs, and asks for as much as the engines can start, so
  * that the order of starts stays with the ledger.
  */
-import { RolloutCommandKind, type JobOutlook, type LeasedSlot, type RolloutResultOf, type WantedSlots } from '../../protocol/rolloutCommands.js'
+import { RolloutCommandKind, type HeldSample, type JobOutlook, type LeasedSlot, type RolloutResultOf, type WantedSlots } from '../../protocol/rolloutCommands.js'
 import { ResourceKind, type RolloutJobSpec } from '../../protocol/resources.js'
 import { sleepUntil } from '../../utils/clock.js'
 import { MetricName } from '../../utils/metricNames.js'
@@ -16,6 +16,7 @@
 
 const RENEW_INTERVAL_MS = 5_000
 const LEASE_TIMEOUT_MS = 4_000
+const SWEEP_INTERVAL_MS = 5_000
 /** Events within this time share one command. */
 const LINGER_MS = 10
 /** Room beyond the engines' own, so that they do not wait for the log between two samples. */
@@ -31,6 +32,7 @@
   private readonly _running = new Map<string, RunningSlot>()
   private readonly _signal = new WakeSignal()
   private _sequence = 0
+  private _nextSweepAtMs = 0
 
   constructor (workerParts: WorkerParts) {
     this._with = workerParts
@@ -55,24 +57,33 @@
   }
 
   private async _lease (scope: Scope, supervisor: Supervisor): Promise<void> {
-    const { ledger, outlooks, parts, replication, store } = this._with
+    const { ledger, outlooks, parts } = this._with
     const progress = new Progress(parts.clock, scope, parts.clock.nowMs() + LEASE_TIMEOUT_MS)
+    const wantsHeld = this._nextSweepAtMs <= parts.clock.nowMs()
     const result = await ledger.submit({
       kind: RolloutCommandKind.LeaseSlots,
       hostId: parts.hostId,
       hostIncarnation: parts.hostIncarnation,
       sequence: ++this._sequence,
       runningAttemptIds: [...this._running.keys()],
+      wantsHeld,
       wanted: this._wanted()
     }, progress)
     if (result?.kind !== 'leased') return parts.logger.event(RolloutEvent.LeaseNotRenewed, { outcome: result?.kind ?? 'unknown' })
     outlooks.note(result.jobs)
     this._revoke(result)
     for (const slot of result.slots) this._start(slot, supervisor)
-    store.sweep(result.held)
     if (this._hasRoomForMore()) this.wake()
-    supervisor.spawn('repair', async repairScope => {
-      await replication.repair(result.held, new Progress(parts.clock, repairScope, parts.clock.nowMs() + RENEW_INTERVAL_MS))
+    if (result.held) this._tend(result.held, supervisor)
+  }
+
+  /** Drops contents that nobody needs any more, and copies those that have lost a holder. */
+  private _tend (held: HeldSample[], supervisor: Supervisor): void {
+    const { parts: { clock }, replication, store } = this._with
+    this._nextSweepAtMs = clock.nowMs() + SWEEP_INTERVAL_MS
+    store.sweep(held)
+    supervisor.spawn('repair', async scope => {
+      await replication.repair(held, new Progress(clock, scope, clock.nowMs() + SWEEP_INTERVAL_MS))
     })
   }
 
--- a/src/protocol/rolloutCommands.ts
+++ b/src/protocol/rolloutCommands.ts
@@ -90,6 +90,8 @@
     /** Grows with every such command of one process. */
     sequence: z.int(),
     runningAttemptIds: z.array(z.string()),
+    /** Whether the answer names the samples that the host holds. */
+    wantsHeld: z.boolean(),
     wanted: z.array(wantedSlotsSchema)
   }),
   z.object({
@@ -144,8 +146,8 @@
     slots: z.array(leasedSlotSchema),
     /** Attempts that the host named, but that are not its own any more. */
     revokedAttemptIds: z.array(z.string()),
-    /** Unconfirmed samples that the host must keep. */
-    held: z.array(heldSampleSchema),
+    /** Unconfirmed samples that the host must keep, if it asked. */
+    held: z.array(heldSampleSchema).optional(),
     jobs: z.array(jobOutlookSchema),
     /** The host has lost its slots unless it renews within this time of sending the command. */
     leaseRemainingMs: z.number()
--- a/tests/rollouts/rolloutLedger.test.ts
+++ b/tests/rollouts/rolloutLedger.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava'
 import { RolloutLedger } from '../../src/control/ledgers/rolloutLedger.js'
 import { SLOT_LEASE_MS } from '../../src/control/ledgers/rollouts/hostLeases.js'
+import { appendSpans } from '../../src/entry/rollouts/slotWorker.js'
 import { RolloutCommandKind, SampleDropReason } from '../../src/protocol/rolloutCommands.js'
+import type { VersionSpan } from '../../src/protocol/trainers.js'
 import { JOB, jobSpec, LedgerHarness } from '../fixtures/rollouts/ledgerHarness.js'
 
 function opened (spec = {}): LedgerHarness {
@@ -177,3 +179,10 @@
   t.is(harness.pull().kind, 'unknownJob')
   t.is(harness.ledger.progress(JOB), null)
 })
+
+test('should keep the spans of different versions, engines and incarnations apart', t => {
+  const span = (fromToken: number, changes: Partial<VersionSpan> = {}): VersionSpan => ({ fromToken, toToken: fromToken + 10, weightVersion: 1, engineId: 'e1', engineIncarnation: 1, ...changes })
+  const joined = [span(0), span(10), span(20, { weightVersion: 2 }), span(30, { weightVersion: 2, engineId: 'e2' }), span(40, { weightVersion: 2, engineId: 'e2', engineIncarnation: 2 })]
+    .reduce((spans: VersionSpan[], next) => appendSpans(spans, [next]), [])
+  t.deepEqual(joined.map(({ fromToken, toToken }) => `${fromToken}-${toToken}`), ['0-20', '20-30', '30-40', '40-50'])
+})
