--- a/src/entry/scheduling/endpointState.ts
+++ b/src/entry/scheduling/endpointState.ts
@@ -9,12 +9,25 @@
  * part where that is more. When the report shows more than the endpoint can
  * run, hosts above their equal part give back in proportion.
  */
-import type { EndpointPoolSpec } from '../../protocol/resources.js'
+import { EndpointKind, type EndpointPoolSpec } from '../../protocol/resources.js'
 import type { RandomSource } from '../../utils/randomSource.js'
 import type { EndpointRecord } from '../directory/endpointRecord.js'
 import { EndpointHealth } from './endpointHealth.js'
 import { OwnHistory } from './ownHistory.js'
 
+/**
+ * Engines queue by priority, so each is given a little more than it runs: a
+ * place that frees there goes to the most urgent request of any host.
+ */
+const WAITING_PER_HOST = 0
+const MAX_WAITING_FRACTION = 1
+/** What a host may send of the best-paid work beyond its limit. */
+const URGENT_EXTRA_COUNT = 4
+/** Not to an engine where this part of what it runs waits already. */
+const URGENT_WAITING_FRACTION = 1
+/** With fewer running, a reported speed says little. */
+const MIN_RUNNING_COUNT = 3
+const SPEED_SMOOTHING = 0.4
 /** With its KV memory this full, an engine would only make requests wait. */
 const KV_FULL_PERCENT = 95
 
@@ -22,6 +35,8 @@
   record: EndpointRecord
   readonly health = new EndpointHealth()
   private readonly _own = new OwnHistory()
+  /** Time of a token in one stream, by its reports, smoothed; undefined before it had enough to run. */
+  reportedMsPerToken: number | undefined
   private _ownAtReport = 0
   private _limitCount = 0
   private _refusedSinceReport = false
@@ -53,6 +68,18 @@
     return this._own.count < this.ownLimitCount
   }
 
+  /**
+   * Whether the best-paid work may go there: an engine takes it ahead of what
+   * waits there, so it need not wait here for a place of this host.
+   */
+  get hasPlaceForUrgent (): boolean {
+    if (this.hasPlace) return true
+    const { endpointKind, load, maxConcurrentCount } = this.record.announcement
+    const mayPass = endpointKind === EndpointKind.Engine && this.health.slowStartCount === Infinity && !this._refusedSinceReport
+    if (!mayPass || load.waitingCount > URGENT_WAITING_FRACTION * maxConcurrentCount) return false
+    return this._own.count < this._limitCount + URGENT_EXTRA_COUNT
+  }
+
   capacityCount (spec: EndpointPoolSpec): number {
     return Math.min(this.record.announcement.maxConcurrentCount, spec.maxConcurrentCount)
   }
@@ -60,8 +87,10 @@
   /** Takes over a newer announcement. */
   update (record: EndpointRecord): void {
     const restarted = record.announcement.incarnation !== this.record.announcement.incarnation
-    if (restarted) this.health.startSlowly()
+    if (restarted) this._startAnew()
+    const isNewReport = record.loadAtMs > this.record.loadAtMs
     this.record = record
+    if (isNewReport) this._noteSpeed()
   }
 
   /** Works out the limit after a new report or a changed number of hosts. */
@@ -70,8 +99,8 @@
     this._ownAtReport = this._own.countAt(this.record.loadAtMs)
     this._refusedSinceReport = false
     const capacityCount = this.capacityCount(spec)
-    const equalPart = capacityCount / hostsCount
-    const limit = Math.min(capacityCount, Math.max(equalPart, this._shareOfReport(capacityCount, hostsCount)))
+    const placesCount = capacityCount + this._waitingCount(capacityCount, hostsCount)
+    const limit = Math.min(placesCount, this._shareOf(placesCount, hostsCount))
     this._limitCount = Math.floor(limit + random.real())
     this.health.endSlowStart(capacityCount)
   }
@@ -89,17 +118,36 @@
     this._refusedSinceReport = true
   }
 
+  private _startAnew (): void {
+    this.health.startSlowly()
+    this.reportedMsPerToken = undefined
+  }
+
+  private _noteSpeed (): void {
+    const { runningCount, tokensPerSecond } = this.record.announcement.load
+    if (runningCount < MIN_RUNNING_COUNT || tokensPerSecond === 0) return
+    const msPerToken = 1000 * runningCount / tokensPerSecond
+    const old = this.reportedMsPerToken ?? msPerToken
+    this.reportedMsPerToken = old + SPEED_SMOOTHING * (msPerToken - old)
+  }
+
   private get _reportedCount (): number {
     const { runningCount, waitingCount } = this.record.announcement.load
     return runningCount + waitingCount
   }
 
-  private _shareOfReport (capacityCount: number, hostsCount: number): number {
+  private _waitingCount (capacityCount: number, hostsCount: number): number {
+    if (this.record.announcement.endpointKind !== EndpointKind.Engine) return 0
+    return Math.min(MAX_WAITING_FRACTION * capacityCount, WAITING_PER_HOST * hostsCount)
+  }
+
+  private _shareOf (placesCount: number, hostsCount: number): number {
     const totalCount = Math.max(this._reportedCount, this._ownAtReport)
     const ownPart = totalCount > 0 ? this._ownAtReport / totalCount : 0
-    const freeCount = capacityCount - totalCount
-    if (freeCount < 0) return this._ownAtReport + freeCount * ownPart
+    const freeCount = placesCount - totalCount
+    const equalPart = placesCount / hostsCount
+    if (freeCount < 0) return Math.max(equalPart * placesCount / totalCount, this._ownAtReport + freeCount * ownPart)
     if (this.record.announcement.load.kvUsedPercent >= KV_FULL_PERCENT) return this._ownAtReport
-    return this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount)
+    return Math.max(equalPart, this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount))
   }
 }
--- a/src/entry/scheduling/poolQueue.ts
+++ b/src/entry/scheduling/poolQueue.ts
@@ -36,8 +36,9 @@
     return this._idle
   }
 
-  countOf (className: string): number {
-    return this._queues.get(className)?.count ?? 0
+  /** How much waits, by class; work for idle endpoints is not in it. */
+  counts (): Array<[string, number]> {
+    return [...this._queues.values()].map(queue => [queue.className, queue.count])
   }
 
   tokensOf (className: string): number {
@@ -59,7 +60,7 @@
 
   add (work: QueuedWork): void {
     const queue = this._queueOf(work.item)
-    if (queue.count === 0 && queue !== this._idle) this._fairShare.activate(queue.className)
+    if (queue.count === 0 && queue !== this._idle) this._fairShare.activate(queue.className, this.backlogged())
     queue.add(work)
     this._count += 1
     this._bytes += work.item.bodyBytes
