Pass the versions of each run of tokens to the sink of a completion

Cause: a worker can leave a checkpoint with another host only if it knows which weights made its tokens; EngineCompletions gave it the tokens alone, so a killed entry host lost all that its samples had. Change: the sink gets the span of the chunk, as the contract says. No process test shows it yet.

--- a/src/entry/completions/engineCompletions.ts
+++ b/src/entry/completions/engineCompletions.ts
@@ -5,6 +5,7 @@
  */
 import type { Dispatcher } from 'undici'
 import type { CompletionChunk } from '../../protocol/endpoints.js'
+import type { VersionSpan } from '../../protocol/trainers.js'
 import { FinishReason } from '../../protocol/endpoints.js'
 import { Executed, RefusalReason, RetryReason, type Refusal } from '../../protocol/refusals.js'
 import type { Logger } from '../../utils/logger.js'
@@ -46,6 +47,11 @@
   isUnwanted: boolean
 }
 
+/** Which weights made the tokens of a chunk, by the engine's own word. */
+function spanOf ({ token_offset: fromToken, tokens, weight_version: weightVersion, engine_id: engineId, engine_incarnation: engineIncarnation }: CompletionChunk): VersionSpan {
+  return { fromToken, toToken: fromToken + tokens.length, weightVersion, engineId, engineIncarnation }
+}
+
 type Step = { kind: 'again' } | { kind: 'over', outcome: CompletionOutcome }
 
 export class EngineCompletions implements CompletionRunner {
@@ -57,7 +63,7 @@
 
   async run (task: CompletionTask, progress: Progress, onTokens: TokenSink): Promise<CompletionOutcome> {
     return await this.runChunks(task, progress, async chunk => {
-      if (chunk.tokens.length > 0) await onTokens(chunk.tokens)
+      if (chunk.tokens.length > 0) await onTokens(chunk.tokens, [spanOf(chunk)])
       return true
     })
   }
