--- /dev/null
+++ b/bench/slopes/child.ts
@@ -0,0 +1,21 @@
+/**
+ * The processes that slopes need besides their own: `child.js KIND SIZE …`
+ * sends its reading to its parent.
+ */
+import { openConnections, serveConnections } from './connections.js'
+
+const [kind = '', size = '0', argument = ''] = process.argv.slice(2)
+
+process.once('SIGTERM', () => process.exit(0))
+process.once('disconnect', () => process.exit(0))
+
+switch (kind) {
+  case 'serve':
+    process.send?.(await serveConnections(argument, Number(size)))
+    break
+  case 'connect':
+    await openConnections(Number(size), argument)
+    break
+  default:
+    throw new Error(`unknown kind ${kind}`)
+}
--- /dev/null
+++ b/bench/slopes/ledgers.ts
@@ -0,0 +1,62 @@
+/**
+ * What the ledger of samples costs a control host: state, and processor time
+ * of a whole step, as the samples of a step grow.
+ */
+import { encode } from 'cbor-x'
+import { LedgerHarness } from '../../tests/fixtures/rollouts/ledgerHarness.js'
+import { processorUs } from './ownProcess.js'
+import type { SlopeMeasurement } from './slope.js'
+
+const GROUP_SIZE = 8
+const SLOTS_PER_LEASE = 4
+const HOSTS = 12
+const sizes = [128, 256, 512, 1_024]
+
+function openedStep (samplesCount: number): LedgerHarness {
+  const groupsPerStepCount = samplesCount / GROUP_SIZE
+  const prompts = Array.from({ length: groupsPerStepCount }, (_, index) => `Write a practice hint for card ${index}.`)
+  const harness = new LedgerHarness({ prompts, groupSizeCount: GROUP_SIZE, groupsPerStepCount })
+  harness.open()
+  harness.pull()
+  return harness
+}
+
+/** Leases and commits every slot of the step, as hosts of a fleet would; gives the number of commands. */
+function runStep (harness: LedgerHarness): number {
+  let commandsCount = 0
+  for (let host = 0; ; host = (host + 1) % HOSTS) {
+    const slots = harness.lease(`h${host}`, SLOTS_PER_LEASE)
+    commandsCount += 1 + slots.length
+    if (slots.length === 0) return commandsCount
+    for (const slot of slots) harness.commit(slot)
+  }
+}
+
+export const ledgerSlopes: SlopeMeasurement[] = [
+  {
+    name: 'rollouts.stepSnapshotBytes',
+    what: 'the ledger of one job in a snapshot, with a whole step committed and not yet confirmed',
+    unit: 'bytes',
+    sizeUnit: 'samples of a step',
+    sizes,
+    repeats: 1,
+    async read (size) {
+      const harness = openedStep(size)
+      runStep(harness)
+      return encode(harness.ledger.snapshot()).length
+    }
+  },
+  {
+    name: 'rollouts.stepApplyUs',
+    what: 'processor time of a control host to apply all leases and commits of one step (4 slots a lease)',
+    unit: 'us',
+    sizeUnit: 'samples of a step',
+    sizes,
+    repeats: 3,
+    async read (size) {
+      runStep(openedStep(size))
+      const harness = openedStep(size)
+      return await processorUs(() => { runStep(harness) })
+    }
+  }
+]
--- /dev/null
+++ b/bench/slopes/measurements.ts
@@ -0,0 +1,9 @@
+/**
+ * All slopes. A file is added here when the module it measures has landed.
+ */
+import { connectionSlopes } from './connections.js'
+import { ledgerSlopes } from './ledgers.js'
+import { schedulingSlopes } from './scheduling.js'
+import type { SlopeMeasurement } from './slope.js'
+
+export const measurements: SlopeMeasurement[] = [...connectionSlopes, ...schedulingSlopes, ...ledgerSlopes]
--- /dev/null
+++ b/bench/slopes/ownProcess.ts
@@ -0,0 +1,21 @@
+/**
+ * Readings of the own process: live memory and processor time.
+ */
+const GC_ROUNDS = 3
+
+/** Bytes that live on the heap or beside it after collection. */
+export function liveBytes (): number {
+  const collect = globalThis.gc
+  if (!collect) throw new Error('needs --expose-gc')
+  for (let round = 0; round < GC_ROUNDS; round++) collect()
+  const { heapUsed, external } = process.memoryUsage()
+  return heapUsed + external
+}
+
+/** Processor time used while something runs, in microseconds. */
+export async function processorUs (work: () => Promise<void> | void): Promise<number> {
+  const before = process.cpuUsage()
+  await work()
+  const used = process.cpuUsage(before)
+  return used.user + used.system
+}
