--- a/bench/slopes/child.ts
+++ b/bench/slopes/child.ts
@@ -2,6 +2,8 @@
  * The processes that slopes need besides their own: `child.js KIND SIZE …`
  * sends its reading to its parent.
  */
+import { announceAll, type AnnouncerOrder } from './announcers.js'
+import { runControl, type ControlOrder } from './controlHosts.js'
 import { openConnections, serveConnections } from './connections.js'
 
 const [kind = '', size = '0', argument = ''] = process.argv.slice(2)
@@ -16,6 +18,12 @@
   case 'connect':
     await openConnections(Number(size), argument)
     break
+  case 'announce':
+    announceAll(JSON.parse(size) as AnnouncerOrder)
+    break
+  case 'control':
+    await runControl(JSON.parse(size) as ControlOrder)
+    break
   default:
     throw new Error(`unknown kind ${kind}`)
 }
--- a/bench/slopes/connections.ts
+++ b/bench/slopes/connections.ts
@@ -73,21 +73,25 @@
 
 export const connectionSlopes: SlopeMeasurement[] = [
   {
-    name: 'transport.connectionBytes',
-    what: 'memory of the accepting side for idle framed connections, after collection',
-    unit: 'bytes',
+    metrics: [{
+      name: 'transport.connectionBytes',
+      what: 'memory of the accepting side for idle framed connections, after collection',
+      unit: 'bytes'
+    }],
     sizeUnit: 'connections',
     sizes,
     repeats: 3,
-    read: async size => await readMode(Mode.Memory, size)
+    read: async size => [await readMode(Mode.Memory, size)]
   },
   {
-    name: 'transport.fanOutUs',
-    what: 'processor time of the sender for one message of 300 bytes to every connection',
-    unit: 'us',
+    metrics: [{
+      name: 'transport.fanOutUs',
+      what: 'processor time of the sender for one message of 300 bytes to every connection',
+      unit: 'us'
+    }],
     sizeUnit: 'connections',
     sizes,
     repeats: 3,
-    read: async size => await readMode(Mode.FanOut, size)
+    read: async size => [await readMode(Mode.FanOut, size)]
   }
 ]
--- a/bench/slopes/ledgers.ts
+++ b/bench/slopes/ledgers.ts
@@ -32,31 +32,26 @@
   }
 }
 
-export const ledgerSlopes: SlopeMeasurement[] = [
-  {
-    name: 'rollouts.stepSnapshotBytes',
-    what: 'the ledger of one job in a snapshot, with a whole step committed and not yet confirmed',
-    unit: 'bytes',
-    sizeUnit: 'samples of a step',
-    sizes,
-    repeats: 1,
-    async read (size) {
-      const harness = openedStep(size)
-      runStep(harness)
-      return encode(harness.ledger.snapshot()).length
-    }
-  },
-  {
-    name: 'rollouts.stepApplyUs',
-    what: 'processor time of a control host to apply all leases and commits of one step (4 slots a lease)',
-    unit: 'us',
-    sizeUnit: 'samples of a step',
-    sizes,
-    repeats: 3,
-    async read (size) {
-      runStep(openedStep(size))
-      const harness = openedStep(size)
-      return await processorUs(() => { runStep(harness) })
+export const ledgerSlopes: SlopeMeasurement[] = [{
+  metrics: [
+    {
+      name: 'rollouts.stepSnapshotBytes',
+      what: 'the ledger of one job in a snapshot, with a whole step committed and not yet confirmed',
+      unit: 'bytes'
+    },
+    {
+      name: 'rollouts.stepApplyUs',
+      what: 'processor time of a control host to apply all leases and commits of one step (4 slots a lease)',
+      unit: 'us'
     }
+  ],
+  sizeUnit: 'samples of a step',
+  sizes,
+  repeats: 3,
+  async read (size) {
+    runStep(openedStep(size))
+    const harness = openedStep(size)
+    const usedUs = await processorUs(() => { runStep(harness) })
+    return [encode(harness.ledger.snapshot()).length, usedUs]
   }
-]
+}]
--- a/bench/slopes/main.ts
+++ b/bench/slopes/main.ts
@@ -5,7 +5,7 @@
  */
 import { execFileSync } from 'node:child_process'
 import { existsSync, readFileSync, writeFileSync } from 'node:fs'
-import { bendOf, fitLine, MIN_SIZES, slopesSchema, SLOPES_PATH, spreadPercentOf, type Slope, type SlopeMeasurement, type SlopeReading } from './slope.js'
+import { bendOf, fitLine, MIN_SIZES, slopesSchema, SLOPES_PATH, spreadPercentOf, type Slope, type SlopeMeasurement, type SlopeMetric, type SlopeReading } from './slope.js'
 import { measurements } from './measurements.js'
 
 const EXIT_USAGE = 2
@@ -14,30 +14,36 @@
   return existsSync(SLOPES_PATH) ? slopesSchema.parse(JSON.parse(readFileSync(SLOPES_PATH, 'utf8'))).slopes : []
 }
 
-async function readAll (measurement: SlopeMeasurement): Promise<SlopeReading[]> {
-  const { sizes, repeats, name } = measurement
-  if (sizes.length < MIN_SIZES) throw new Error(`${name}: ${MIN_SIZES} sizes at least`)
-  const readings = sizes.map(size => ({ size, values: [] as number[] }))
+/** The readings of each metric, in order. */
+async function readAll ({ sizes, repeats, metrics, read }: SlopeMeasurement): Promise<SlopeReading[][]> {
+  const names = metrics.map(({ name }) => name).join(', ')
+  if (sizes.length < MIN_SIZES) throw new Error(`${names}: ${MIN_SIZES} sizes at least`)
+  const readings = metrics.map(() => sizes.map(size => ({ size, values: [] as number[] })))
   for (let round = 0; round < repeats; round++) {
-    for (const reading of readings) reading.values.push(Number((await measurement.read(reading.size)).toPrecision(6)))
+    for (const [index, size] of sizes.entries()) {
+      process.stderr.write(`${names}: ${size}, round ${round + 1} of ${repeats}\n`)
+      const values = await read(size)
+      for (const [metric, value] of values.entries()) readings[metric]?.[index]?.values.push(Number(value.toPrecision(6)))
+    }
   }
   return readings
 }
 
-async function measure (measurement: SlopeMeasurement, commit: string): Promise<Slope> {
-  const { name, what, unit, sizeUnit } = measurement
+async function measure (measurement: SlopeMeasurement, commit: string): Promise<Slope[]> {
   const readings = await readAll(measurement)
+  return measurement.metrics.map((metric, index) => slopeOf(metric, measurement.sizeUnit, readings[index]!, commit))
+}
+
+function slopeOf (metric: SlopeMetric, sizeUnit: string, readings: SlopeReading[], commit: string): Slope {
   const line = fitLine(readings)
   return {
-    name,
-    what,
-    unit,
+    ...metric,
     sizeUnit,
     readings,
     ...line,
     spreadPercent: Math.round(spreadPercentOf(readings)),
     bend: Number(bendOf(readings, line).toFixed(2)),
-    command: `npm run slopes -- ${name}`,
+    command: `npm run slopes -- ${metric.name}`,
     date: new Date().toISOString().slice(0, 10),
     commit
   }
@@ -47,20 +53,29 @@
   return `${name}: ${perUnit.toPrecision(4)} ${unit} per one of ${sizeUnit}, from ${intercept.toPrecision(4)}, spread ${spreadPercent}%, bend ${bend}`
 }
 
+function isAsked ({ metrics }: SlopeMeasurement, asked: readonly string[]): boolean {
+  return asked.length === 0 || metrics.some(({ name }) => asked.some(prefix => name === prefix || name.startsWith(`${prefix}.`)))
+}
+
+function store (measured: readonly Slope[]): void {
+  const kept = storedSlopes().filter(({ name }) => !measured.some(slope => slope.name === name))
+  const slopes = [...kept, ...measured].sort((a, b) => a.name < b.name ? -1 : 1)
+  writeFileSync(SLOPES_PATH, `${JSON.stringify({ slopes }, null, 1)}\n`)
+}
+
 async function main (): Promise<number> {
   const asked = process.argv.slice(2)
-  const chosen = measurements.filter(({ name }) => asked.length === 0 || asked.some(prefix => name === prefix || name.startsWith(`${prefix}.`)))
+  const chosen = measurements.filter(measurement => isAsked(measurement, asked))
   if (chosen.length === 0) {
-    process.stderr.write(`expected names of ${measurements.map(({ name }) => name).join(', ')}\n`)
+    const names = measurements.flatMap(({ metrics }) => metrics.map(({ name }) => name))
+    process.stderr.write(`expected names of ${names.join(', ')}\n`)
     return EXIT_USAGE
   }
   const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' }).trim()
   for (const measurement of chosen) {
-    const slope = await measure(measurement, commit)
-    process.stdout.write(`${describe(slope)}\n`)
-    const kept = storedSlopes().filter(({ name }) => name !== slope.name)
-    const slopes = [...kept, slope].sort((a, b) => a.name < b.name ? -1 : 1)
-    writeFileSync(SLOPES_PATH, `${JSON.stringify({ slopes }, null, 1)}\n`)
+    const slopes = await measure(measurement, commit)
+    for (const slope of slopes) process.stdout.write(`${describe(slope)}\n`)
+    store(slopes)
   }
   return 0
 }
--- a/bench/slopes/measurements.ts
+++ b/bench/slopes/measurements.ts
@@ -2,8 +2,10 @@
  * All slopes. A file is added here when the module it measures has landed.
  */
 import { connectionSlopes } from './connections.js'
+import { controlSlopes } from './controlHosts.js'
+import { directorySlopes } from './directory.js'
 import { ledgerSlopes } from './ledgers.js'
 import { schedulingSlopes } from './scheduling.js'
 import type { SlopeMeasurement } from './slope.js'
 
-export const measurements: SlopeMeasurement[] = [...connectionSlopes, ...schedulingSlopes, ...ledgerSlopes]
+export const measurements: SlopeMeasurement[] = [...connectionSlopes, ...controlSlopes, ...directorySlopes, ...schedulingSlopes, ...ledgerSlopes]
--- a/bench/slopes/scheduling.ts
+++ b/bench/slopes/scheduling.ts
@@ -23,9 +23,11 @@
 }
 
 export const schedulingSlopes: SlopeMeasurement[] = [{
-  name: 'requests.assignUs',
-  what: 'processor time of one assignment of a request to an endpoint, in an empty queue',
-  unit: 'us',
+  metrics: [{
+    name: 'requests.assignUs',
+    what: 'processor time of one assignment of a request to an endpoint, in an empty queue',
+    unit: 'us'
+  }],
   sizeUnit: 'endpoints of the pool',
   sizes: [50, 100, 200, 400, 600],
   repeats: 3,
@@ -34,6 +36,6 @@
     await assignMany(fixture, WARM_UP)
     const usedUs = await processorUs(async () => await assignMany(fixture, ASSIGNMENTS))
     fixture.scope.close('read')
-    return usedUs / ASSIGNMENTS
+    return [usedUs / ASSIGNMENTS]
   }
 }]
--- a/bench/slopes/slope.ts
+++ b/bench/slopes/slope.ts
@@ -7,19 +7,25 @@
 export const SLOPES_PATH = 'bench/slopes.json'
 export const MIN_SIZES = 4
 
-/** What is measured, and how. */
-export interface SlopeMeasurement {
+/** One figure that a reading gives. */
+export interface SlopeMetric {
   /** Dotted, the area first. */
   name: string
   /** One sentence: what grows with what. */
   what: string
   unit: string
+}
+
+/** Figures that are read together, over one size. */
+export interface SlopeMeasurement {
+  metrics: SlopeMetric[]
   /** What the sizes count, in the plural. */
   sizeUnit: string
   sizes: number[]
   /** Readings of each size; rounds are interleaved. */
   repeats: number
-  read (size: number): Promise<number>
+  /** In the order of the metrics. */
+  read(size: number): Promise<number[]>
 }
 
 export const slopeSchema = z.strictObject({
