--- /dev/null
+++ b/src/entry/entryProgram.ts
@@ -0,0 +1,335 @@
+/**
+ * The entry host: the one module that wires its parts, and the supervisor
+ * tree they run in.
+ *
+ *     entry
+ *     ├─ http, operators     one scope for each request
+ *     ├─ peers               one task for each connection to another entry host
+ *     ├─ directory           expiry, digests
+ *     ├─ calls               unrepeatable calls that were started
+ *     ├─ rollouts            slots, samples, weights
+ *     └─ topology, host state, readiness, lease reports
+ */
+import { Agent } from 'undici'
+import type { ControlClient } from '../controlClient/controlClient.js'
+import { Executed, RefusalReason, type Refusal } from '../protocol/refusals.js'
+import { ResourceKind } from '../protocol/resources.js'
+import type { Transport } from '../transport/connection.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import { MetricName } from '../utils/metricNames.js'
+import type { Metrics } from '../utils/metrics.js'
+import { Progress } from '../utils/progress.js'
+import type { RandomSource } from '../utils/randomSource.js'
+import type { Scope } from '../utils/scope.js'
+import type { Supervisor } from '../utils/supervisor.js'
+import { AdviceRoute } from './advice/adviceRoute.js'
+import { CompletionRoute } from './completions/completionRoute.js'
+import { EngineCompletions } from './completions/engineCompletions.js'
+import { Announcements } from './directory/announcements.js'
+import { Fleet } from './directory/fleet.js'
+import type { LiveDirectory } from './directory/liveDirectory.js'
+import { EntryEvent } from './entryEvents.js'
+import type { EntrySettings } from './entrySettings.js'
+import { Answers } from './http/answers.js'
+import { HttpServer } from './http/httpServer.js'
+import { RequestJournal } from './http/requestJournal.js'
+import type { Route } from './http/route.js'
+import { operatorRoutes } from './operators/operatorRoutes.js'
+import { stopAsPlanned } from './plannedStop.js'
+import { createRollouts, type Rollouts } from './rollouts/rolloutProgram.js'
+import { createScheduler } from './scheduling/priorityScheduler.js'
+import type { Scheduler } from './scheduling/scheduler.js'
+import { PlainCalls } from './services/plainCalls.js'
+import { ServiceRoute } from './services/serviceRoute.js'
+import { UnrepeatableCalls } from './services/unrepeatableCalls.js'
+
+const LEASE_CHECK_MS = 250
+const READINESS_INTERVAL_MS = 25
+const LEAVE_TIMEOUT_MS = 2_000
+
+export interface EntryEnvironment {
+  clock: Clock
+  random: RandomSource
+  transport: Transport
+  metrics: Metrics
+  logger: Logger
+  supervisor: Supervisor
+  control: ControlClient
+  /** Takes this host out of the configuration, as the last step of a planned stop. */
+  leaveControl: (progress: Progress) => Promise<void>
+  /** Grows with every start of the process. */
+  incarnation: number
+}
+
+enum ServingState {
+  Starting = 'starting',
+  Serving = 'serving',
+  /** Out of the advice, but still taking work. */
+  Leaving = 'leaving',
+  Refusing = 'refusing'
+}
+
+export class EntryProgram {
+  private readonly _settings: EntrySettings
+  private readonly _environment: EntryEnvironment
+  private readonly _journal = new RequestJournal()
+  private readonly _answers: Answers
+  private readonly _fleet: Fleet
+  private readonly _announcements: Announcements
+  private readonly _advice: AdviceRoute
+  private readonly _scheduler: Scheduler
+  private readonly _completions: EngineCompletions
+  private readonly _plainCalls: PlainCalls
+  private readonly _unrepeatable: UnrepeatableCalls
+  private readonly _engines: Agent
+  private readonly _rollouts: Rollouts
+  private readonly _http: HttpServer
+  private readonly _operators: HttpServer
+  private _state = ServingState.Starting
+  private _stopping: Promise<void> | undefined
+
+  constructor (settings: EntrySettings, environment: EntryEnvironment) {
+    const { clock, random, metrics, control, supervisor } = environment
+    const { host, limits } = settings
+    this._settings = settings
+    this._environment = environment
+    this._answers = new Answers(host.hostId, metrics, random, limits.slowReaderTimeoutMs)
+    this._fleet = this._createFleet()
+    this._announcements = this._createAnnouncements()
+    this._advice = this._createAdvice()
+    this._scheduler = createScheduler({ clock, random, directory: this._fleet.directory, configuration: control.configuration, metrics, scope: supervisor.scope })
+    this._engines = new Agent({ connect: { timeout: limits.connectTimeoutMs, noDelay: true }, pipelining: 1 })
+    this._completions = this._createCompletions()
+    this._plainCalls = new PlainCalls({ ...this._callParts(), answers: this._answers, metrics, connectTimeoutMs: limits.connectTimeoutMs })
+    this._unrepeatable = new UnrepeatableCalls({
+      ...this._callParts(),
+      hostId: host.hostId,
+      control,
+      peers: this._fleet.mesh,
+      supervisor: supervisor.child('calls'),
+      clock,
+      limits
+    })
+    this._rollouts = this._createRollouts()
+    this._http = this._createServer('http', this._callerRoutes())
+    this._operators = this._createServer('operators', this._operatorRoutes())
+  }
+
+  /** The directory that this host knows, for parts that are started beside it. */
+  get directory (): LiveDirectory {
+    return this._fleet.directory
+  }
+
+  /** Whether this host takes new work now. */
+  get takesWork (): boolean {
+    return this._state === ServingState.Serving && this._environment.control.holdsLease()
+  }
+
+  async start (): Promise<void> {
+    const { supervisor, logger } = this._environment
+    const { host } = this._settings
+    await this._fleet.start()
+    await this._http.listen(host.callerAddress)
+    await this._operators.listen(host.operatorAddress)
+    supervisor.spawn('readiness', scope => this._becomeReady(scope))
+    supervisor.spawn('lease reports', scope => this._reportLease(scope))
+    logger.event(EntryEvent.Started, { callerAddress: host.callerAddress })
+  }
+
+  /** The planned stop; resolves when nothing runs any more. */
+  stop (): Promise<void> {
+    this._stopping ??= this._stop()
+    return this._stopping
+  }
+
+  private async _stop (): Promise<void> {
+    const { supervisor, clock, logger } = this._environment
+    const { adviceValidMs, maxStopMs } = this._settings.limits
+    this._state = ServingState.Leaving
+    await stopAsPlanned({
+      clock,
+      logger,
+      adviceValidMs,
+      maxStopMs,
+      leaveAdvice: scope => this._fleet.hosts.leaveAdvice(this._fleet.topology.othersNearestFirst(), scope),
+      refuseNewWork: () => { this._state = ServingState.Refusing },
+      runningCount: () => this._http.inFlightCount + this._unrepeatable.runningCount
+    }, supervisor.scope)
+    await this._environment.leaveControl(new Progress(clock, supervisor.scope, clock.nowMs() + LEAVE_TIMEOUT_MS))
+    await supervisor.stop('planned stop')
+    await Promise.all([this._plainCalls.close(), this._engines.destroy()])
+  }
+
+  private _createFleet (): Fleet {
+    const { control } = this._environment
+    return new Fleet({
+      ...this._environment,
+      settings: this._settings,
+      entryHosts: () => control.configuration.entryHosts(),
+      inFlightCount: () => this._http.inFlightCount,
+      takesWork: () => this.takesWork
+    })
+  }
+
+  private _createAnnouncements (): Announcements {
+    return new Announcements({
+      store: this._fleet.store,
+      gossip: this._fleet.gossip,
+      hosts: this._fleet.hosts,
+      answers: this._answers,
+      endpointLeaseMs: this._settings.limits.endpointLeaseMs
+    })
+  }
+
+  private _createAdvice (): AdviceRoute {
+    const { random, control } = this._environment
+    const { host, limits } = this._settings
+    return new AdviceRoute({
+      dataCentre: host.dataCentre,
+      hosts: this._fleet.hosts,
+      random,
+      answers: this._answers,
+      adviceValidMs: limits.adviceValidMs,
+      revision: () => control.configuration.revision
+    })
+  }
+
+  private _createCompletions (): EngineCompletions {
+    const { random, metrics, logger, control } = this._environment
+    return new EngineCompletions({
+      scheduler: this._scheduler,
+      dispatcher: this._engines,
+      random,
+      metrics,
+      logger,
+      journal: this._journal,
+      engineSilenceMs: this._settings.limits.engineSilenceMs,
+      paidWeightOf: name => control.configuration.get(ResourceKind.PriorityClass, name)?.spec.paidWeight
+    })
+  }
+
+  private _createRollouts (): Rollouts {
+    const { control, clock, random, metrics, logger, incarnation } = this._environment
+    return createRollouts({
+      hostId: this._settings.host.hostId,
+      hostIncarnation: incarnation,
+      clock,
+      random,
+      control,
+      completions: this._completions,
+      scheduler: this._scheduler,
+      directory: this._fleet.directory,
+      peers: this._fleet.mesh,
+      metrics,
+      logger
+    })
+  }
+
+  private _callParts (): { scheduler: Scheduler, random: RandomSource, logger: Logger, journal: RequestJournal } {
+    const { random, logger } = this._environment
+    return { scheduler: this._scheduler, random, logger, journal: this._journal }
+  }
+
+  private _createServer (name: string, routes: Route[]): HttpServer {
+    const { clock, random, metrics, supervisor } = this._environment
+    return new HttpServer({
+      scope: supervisor.scope.child(name),
+      clock,
+      random,
+      metrics,
+      answers: this._answers,
+      journal: this._journal,
+      limits: this._settings.limits,
+      routes,
+      refusalOf: route => this._refusalOf(route),
+      onFatal: (task, error) => this._onFatal(task, error)
+    })
+  }
+
+  private _callerRoutes (): Route[] {
+    const { control, random } = this._environment
+    const { maxBodyBytes } = this._settings.limits
+    const shared = { configuration: control.configuration, answers: this._answers, maxBodyBytes }
+    const completions = new CompletionRoute({ ...shared, completions: this._completions })
+    const services = new ServiceRoute({ ...shared, random, plain: this._plainCalls, unrepeatable: this._unrepeatable })
+    return [this._advice.route(), this._announcements.route(), completions.route(), services.route(), ...this._rollouts.routes]
+  }
+
+  private _operatorRoutes (): Route[] {
+    return operatorRoutes({
+      answers: this._answers,
+      journal: this._journal,
+      status: () => this._status(),
+      drainHost: () => { this.stop().catch(error => this._onFatal('stop', error)) },
+      drainEndpoint: endpointId => this._announcements.drain(endpointId),
+      explainScheduling: requestId => this._scheduler.explain?.(requestId)
+    })
+  }
+
+  private _refusalOf (route: Route): Refusal | undefined {
+    if (route.servedWithoutLease) return undefined
+    const { control } = this._environment
+    switch (this._state) {
+      case ServingState.Starting: return this._goElsewhere(RefusalReason.HostNotReady, 'this host does not know the endpoints yet')
+      case ServingState.Refusing: return this._goElsewhere(RefusalReason.HostStopping, 'this host is stopping')
+      case ServingState.Serving:
+      case ServingState.Leaving:
+        if (control.holdsLease()) return undefined
+        return this._goElsewhere(RefusalReason.LeaseLost, 'this host may work under an old configuration')
+    }
+  }
+
+  private _goElsewhere (reason: RefusalReason, message: string): Refusal {
+    const { callerAddress } = this._settings.host
+    const otherHosts = this._advice.advise(undefined).hosts.filter(address => address !== callerAddress)
+    return { reason, executed: Executed.No, message, otherHosts }
+  }
+
+  /** Takes work only once the configuration and the endpoints are known. */
+  private async _becomeReady (scope: Scope): Promise<void> {
+    const { clock, control, logger, supervisor } = this._environment
+    while (!control.holdsLease()) await sleepUntil(clock, scope, clock.nowMs() + READINESS_INTERVAL_MS)
+    await this._fleet.learn(scope)
+    if (this._state === ServingState.Starting) this._state = ServingState.Serving
+    this._rollouts.start(supervisor)
+    this._fleet.hosts.publish()
+    logger.event(EntryEvent.Ready, { endpointsCount: this._fleet.directory.all().length })
+  }
+
+  private async _reportLease (scope: Scope): Promise<void> {
+    const { clock, control, logger, metrics } = this._environment
+    let held = false
+    for (;;) {
+      const holds = control.holdsLease()
+      if (holds !== held) {
+        logger.event(holds ? EntryEvent.LeaseHeld : EntryEvent.LeaseLost, { revision: control.configuration.revision })
+        if (!holds) metrics.count(MetricName.LeaseLost)
+        this._fleet.hosts.publish()
+      }
+      held = holds
+      await sleepUntil(clock, scope, clock.nowMs() + LEASE_CHECK_MS)
+    }
+  }
+
+  private _status (): unknown {
+    const { control, metrics, incarnation } = this._environment
+    return {
+      ...this._settings.host,
+      incarnation,
+      state: this._state,
+      revision: control.configuration.revision,
+      holdsLease: control.holdsLease(),
+      inFlightCount: this._http.inFlightCount,
+      unrepeatableRunningCount: this._unrepeatable.runningCount,
+      connectedHostIds: this._fleet.mesh.connectedHostIds(),
+      servingHosts: this._fleet.hosts.serving(),
+      endpoints: this._fleet.directory.all().map(({ announcement }) => announcement),
+      metrics: metrics.snapshot()
+    }
+  }
+
+  private _onFatal (task: string, error: unknown): void {
+    this._environment.supervisor.fatal(task, error)
+  }
+}
