Measure what callers' work, commits and known endpoints cost, with the real programs

Cause: docs/CAPACITY.md may only use measured slopes. Change: slopes of plain calls, tokens, open streams, log commands and announcements, each in processes of their own. Ruled out: the pool's default of 32 running requests an endpoint for the token slope; 12 of 131 were then refused as deadline_unreachable, which is right for the load and useless for the slope.

--- a/bench/slopes/child.ts
+++ b/bench/slopes/child.ts
@@ -5,6 +5,8 @@
 import { announceAll, type AnnouncerOrder } from './announcers.js'
 import { runControl, type ControlOrder } from './controlHosts.js'
 import { openConnections, serveConnections } from './connections.js'
+import { runEntry } from './entryHost.js'
+import { runEndpoint, type EndpointOrder } from './paceEndpoint.js'
 
 const [kind = '', size = '0', argument = ''] = process.argv.slice(2)
 
@@ -24,6 +26,12 @@
   case 'control':
     await runControl(JSON.parse(size) as ControlOrder)
     break
+  case 'entry':
+    await runEntry()
+    break
+  case 'endpoint':
+    await runEndpoint(JSON.parse(size) as EndpointOrder)
+    break
   default:
     throw new Error(`unknown kind ${kind}`)
 }
--- a/bench/slopes/measurements.ts
+++ b/bench/slopes/measurements.ts
@@ -2,11 +2,24 @@
  * All slopes. A file is added here when the module it measures has landed.
  */
 import { connectionSlopes } from './connections.js'
+import { commitSlopes } from './commits.js'
 import { controlSlopes } from './controlHosts.js'
 import { directorySlopes } from './directory.js'
+import { entrySlopes } from './entryHost.js'
+import { knownEndpointSlopes } from './knownEndpoints.js'
 import { ledgerSlopes } from './ledgers.js'
 import { schedulingSlopes } from './scheduling.js'
 import { weightSlopes } from './weights.js'
 import type { SlopeMeasurement } from './slope.js'
 
-export const measurements: SlopeMeasurement[] = [...connectionSlopes, ...controlSlopes, ...directorySlopes, ...schedulingSlopes, ...ledgerSlopes, ...weightSlopes]
+export const measurements: SlopeMeasurement[] = [
+  ...connectionSlopes,
+  ...controlSlopes,
+  ...commitSlopes,
+  ...directorySlopes,
+  ...knownEndpointSlopes,
+  ...entrySlopes,
+  ...schedulingSlopes,
+  ...ledgerSlopes,
+  ...weightSlopes
+]
