--- /dev/null
+++ b/tools/capacity/events.ts
@@ -0,0 +1,63 @@
+/**
+ * Ordinary and bad days at the target size, in messages and seconds: seconds
+ * from the programs' own timers, messages and time from measured slopes.
+ */
+import { CONFIGURATION_LEASE_MS } from '../../src/control/hosts/leaseTable.js'
+import { SILENCE_MS } from '../../src/control/hosts/silentHosts.js'
+import { MAX_KEYS_COUNT, UNREPEATABLE_RETENTION_MS } from '../../src/control/ledgers/unrepeatableLedger.js'
+import { defaultTimings } from '../../src/control/log/timings.js'
+import { defaultLimits } from '../../src/entry/entrySettings.js'
+import { unrepeatablePerSecond } from './rows.js'
+import type { SlopeBook } from './slopeBook.js'
+import { assumed, hostsPerDataCentre, target } from './target.js'
+
+const MS_PER_SECOND = 1_000
+const CHANGES_PER_RESTART = 2
+
+function seconds (ms: number): string {
+  return `${(ms / MS_PER_SECOND).toFixed(1)} s`
+}
+
+/** Pushed notices, and pairs of connections, when hosts go and come. */
+function restartMessages (hostsCount: number): { pushes: number, hellos: number } {
+  const connections = hostsPerDataCentre - 1 + target.dataCentres - 1
+  return { pushes: hostsCount * CHANGES_PER_RESTART * target.entryHosts, hellos: Math.round(hostsCount * connections * 2) }
+}
+
+function leaderMs (book: SlopeBook, hostsCount: number): number | undefined {
+  const changeUs = book.at('control.changeLeaderUs', target.entryHosts)
+  return changeUs === undefined ? undefined : hostsCount * changeUs / MS_PER_SECOND
+}
+
+function row (what: string, book: SlopeBook, hostsCount: number, consequence: string): string {
+  const { pushes, hellos } = restartMessages(hostsCount)
+  const ms = leaderMs(book, hostsCount)
+  const busy = ms === undefined ? 'not measured' : seconds(ms)
+  return `| ${what} | ${hostsCount} | ${pushes.toLocaleString('en')} | ${hellos.toLocaleString('en')} | ${busy} | ${consequence} |`
+}
+
+export function eventsSection (book: SlopeBook): string {
+  const { hostLeaseMs, endpointLeaseMs, adviceValidMs } = defaultLimits
+  const { electionMinMs, electionMaxMs } = defaultTimings
+  const swapSeconds = book.at('weights.poolSwapSeconds', target.engines)
+  const keysSeconds = MAX_KEYS_COUNT / unrepeatablePerSecond
+  const keysPerSecond = MAX_KEYS_COUNT / (UNREPEATABLE_RETENTION_MS / MS_PER_SECOND)
+  return `## Days
+
+Pushes are notices of the leader (a removal and a registration, each to ${target.entryHosts} hosts); hellos are the calls by which
+hosts of a data centre connect again. The leader's time is \`control.changeLeaderUs\` at ${target.entryHosts} hosts.
+
+| what happens | hosts | pushes | hellos | leader's processor time | what callers see, by the programs' timers |
+| --- | --- | --- | --- | --- | --- |
+${row('6 hosts fail in a day', book, target.failedHostsPerDay, `a dead host leaves the advice after ${seconds(hostLeaseMs)}, callers that kept it step on after ${seconds(adviceValidMs)} at most; it is struck from the configuration after ${seconds(SILENCE_MS)}`)}
+${row('110 hosts are restarted in a day', book, target.restartedHostsPerDay, `each leaves the advice first and stops after ${seconds(adviceValidMs)} or its last answer`)}
+${row('a rack goes', book, assumed.rackHosts, `as six hosts, at one time; endpoints in it leave after ${seconds(endpointLeaseMs)}`)}
+${row('a data centre goes', book, Math.round(hostsPerDataCentre), `${Math.round(target.engines / target.dataCentres)} engines leave after ${seconds(endpointLeaseMs)}; if the leader was there, another leads after ${seconds(electionMinMs)} to ${seconds(electionMaxMs)} and the votes`)}
+
+Regions apart: the side without a quorum loses its configuration leases after ${seconds(CONFIGURATION_LEASE_MS)} and refuses new work as "not run"
+until the regions meet again. At the target size that is half of the system for minutes, several times a year.
+
+- New weights on ${target.engines} engines: ${swapSeconds === undefined ? 'not measured' : `${swapSeconds.toFixed(1)} s`} with a store that could just serve all in ${target.weightsEverywhereSeconds} s (\`weights.poolSwapSeconds\`).
+- Unrepeatable requests: the ledger keeps ${MAX_KEYS_COUNT.toLocaleString('en')} keys for ${UNREPEATABLE_RETENTION_MS / 3_600_000} hours, which is ${keysPerSecond.toFixed(2)} a second for good.
+  With ${(assumed.unrepeatablePart * 100).toFixed(0)}% of ${target.requestsPerSecond} requests a second it is full after ${(keysSeconds / 60).toFixed(0)} minutes; new keys are turned away then.`
+}
--- /dev/null
+++ b/tools/capacity/rows.ts
@@ -0,0 +1,210 @@
+/**
+ * The rows of the capacity tables: each is one cost of one role at the target
+ * size, worked out from measured slopes, with the mechanism that carries it.
+ */
+import { assumed, hostsPerDataCentre, SECONDS_PER_DAY, target } from './target.js'
+import type { SlopeBook } from './slopeBook.js'
+
+export enum Role {
+  EntryControl = 'Entry host: control (leases, watches, directory)',
+  EntryWork = 'Entry host: callers, trainers, endpoints',
+  ControlLeader = 'Control host that leads',
+  ControlFollower = 'Control host that follows'
+}
+
+export interface Cost {
+  /** Percent of one core. */
+  corePercent?: number
+  kilobytesPerSecond?: number
+  megabytes?: number
+}
+
+export interface CapacityRow {
+  role: Role
+  what: string
+  cost: Cost
+  /** Slopes it comes from. */
+  slopes: string[]
+  mechanism: string
+}
+
+const US_PER_CORE_PERCENT = 10_000
+const BYTES_PER_KB = 1_000
+const BYTES_PER_MB = 1_000_000
+
+function corePercent (usPerSecond: number | undefined): number | undefined {
+  return usPerSecond === undefined ? undefined : Math.max(0, usPerSecond) / US_PER_CORE_PERCENT
+}
+
+function kilobytes (bytesPerSecond: number | undefined): number | undefined {
+  return bytesPerSecond === undefined ? undefined : Math.max(0, bytesPerSecond) / BYTES_PER_KB
+}
+
+function times (value: number | undefined, factor: number): number | undefined {
+  return value === undefined ? undefined : value * factor
+}
+
+export function minus (value: number | undefined, other: number | undefined): number | undefined {
+  return value === undefined || other === undefined ? undefined : value - other
+}
+
+const changesPerSecond = target.changesPerDay / SECONDS_PER_DAY
+const samplesPerSecond = target.trainers * target.samplesPerStep / assumed.stepSeconds
+const announcementsPerSecond = target.engines * assumed.announceToHosts / assumed.announceEverySeconds
+const slotLeasesPerSecond = target.entryHosts / 5
+export const unrepeatablePerSecond = target.requestsPerSecond * assumed.unrepeatablePart
+/** Slot leases, a lease and a commit a sample, and unrepeatable requests. */
+export const commandsPerSecond = slotLeasesPerSecond + 2 * samplesPerSecond + assumed.commandsPerUnrepeatable * unrepeatablePerSecond
+
+/** Hosts and announcements of the arrangement that `directory.endpoint…` was read in. */
+const SLOPE_HOSTS = 6
+const announcementsPerEndpointAtSlope = assumed.announceToHosts / SLOPE_HOSTS
+
+/** What following one endpoint costs a host that it does not announce to. */
+export function followUs (book: SlopeBook): number | undefined {
+  const announced = times(book.perUnit('directory.announceUs'), announcementsPerEndpointAtSlope)
+  return minus(book.perUnit('directory.endpointProcessorUs'), announced)
+}
+
+function entryControlRows (book: SlopeBook): CapacityRow[] {
+  const { entryHosts } = target
+  const role = Role.EntryControl
+  return [
+    {
+      role,
+      what: 'configuration lease, renewed every second',
+      cost: { corePercent: corePercent(book.at('control.clientSteadyUs', 0)), kilobytesPerSecond: kilobytes(book.at('control.clientSteadyBytes', entryHosts)) },
+      slopes: ['control.clientSteadyUs', 'control.clientSteadyBytes'],
+      mechanism: 'one framed call a second to the leader'
+    },
+    {
+      role,
+      what: `${target.changesPerDay} changes a day, watched`,
+      cost: { kilobytesPerSecond: kilobytes(times(book.perUnit('control.changeLeaderBytes'), changesPerSecond)) },
+      slopes: ['control.changeLeaderBytes'],
+      mechanism: 'the leader pushes each committed change to every host once'
+    },
+    ...directoryRows(book)
+  ]
+}
+
+function directoryRows (book: SlopeBook): CapacityRow[] {
+  const { entryHosts, engines } = target
+  const role = Role.EntryControl
+  return [
+    {
+      role,
+      what: `connections and states of ${hostsPerDataCentre} hosts of its data centre`,
+      cost: { corePercent: corePercent(book.at('directory.hostProcessorUs', hostsPerDataCentre)), kilobytesPerSecond: kilobytes(book.at('directory.hostBytesPerSecond', hostsPerDataCentre)) },
+      slopes: ['directory.hostProcessorUs', 'directory.hostBytesPerSecond'],
+      mechanism: 'full mesh within a data centre, one relay to each other one'
+    },
+    {
+      role,
+      what: `load of ${engines} engines, changed every ${assumed.announceEverySeconds} s`,
+      cost: { corePercent: corePercent(times(followUs(book), engines)), kilobytesPerSecond: kilobytes(times(book.perUnit('directory.endpointBytesPerSecond'), engines)) },
+      slopes: ['directory.endpointProcessorUs', 'directory.announceUs', 'directory.endpointBytesPerSecond'],
+      mechanism: 'batched load records to every host of the data centre'
+    },
+    {
+      role,
+      what: 'announcements that it takes itself',
+      cost: { corePercent: corePercent(times(book.perUnit('directory.announceUs'), announcementsPerSecond / entryHosts)) },
+      slopes: ['directory.announceUs'],
+      mechanism: 'each endpoint announces to 3 hosts by rendezvous hashing'
+    },
+    {
+      role,
+      what: `the whole process, resident, with ${engines} endpoints known (${(times(book.at('directory.knownLiveBytes', engines), 1 / BYTES_PER_MB) ?? 0).toFixed(0)} MB of it alive)`,
+      cost: { megabytes: times(book.at('directory.knownResidentBytes', engines), 1 / BYTES_PER_MB) },
+      slopes: ['directory.knownResidentBytes', 'directory.knownLiveBytes'],
+      mechanism: 'one record an endpoint; most of it is Node with its libraries'
+    }
+  ]
+}
+
+function entryWorkRows (book: SlopeBook): CapacityRow[] {
+  const role = Role.EntryWork
+  const requests = target.requestsPerSecond / target.entryHosts
+  const tokens = target.tokensPerSecond / target.entryHosts
+  const streams = tokens / assumed.tokensPerSecondPerStream
+  return [
+    {
+      role,
+      what: `${requests.toFixed(1)} requests a second`,
+      cost: { corePercent: corePercent(times(book.perUnit('requests.plainCallUs'), requests)) },
+      slopes: ['requests.plainCallUs'],
+      mechanism: 'advice spreads callers over the hosts'
+    },
+    {
+      role,
+      what: `choice among ${target.engines} endpoints, the same requests`,
+      cost: { corePercent: corePercent(times(book.at('requests.assignUs', target.engines), requests)) },
+      slopes: ['requests.assignUs'],
+      mechanism: 'the choice looks at every endpoint of the pool'
+    },
+    {
+      role,
+      what: `${tokens.toFixed(0)} tokens a second, one a chunk`,
+      cost: { corePercent: corePercent(times(book.perUnit('requests.tokenUs'), tokens)) },
+      slopes: ['requests.tokenUs'],
+      mechanism: 'each chunk is checked, put in order and passed on'
+    },
+    {
+      role,
+      what: `${streams.toFixed(0)} open streams of ${assumed.tokensPerSecondPerStream} tokens a second`,
+      cost: { megabytes: times(book.perUnit('requests.openStreamBytes'), streams / BYTES_PER_MB) },
+      slopes: ['requests.openStreamBytes'],
+      mechanism: 'bounded buffers, back pressure to the engine'
+    }
+  ]
+}
+
+function controlLeaderRows (book: SlopeBook): CapacityRow[] {
+  const role = Role.ControlLeader
+  const { entryHosts, samplesPerStep, trainers } = target
+  return [
+    {
+      role,
+      what: `${entryHosts} leases, renewed every second`,
+      cost: { corePercent: corePercent(book.at('control.leaderSteadyUs', entryHosts)), kilobytesPerSecond: kilobytes(book.at('control.leaderSteadyBytes', entryHosts)), megabytes: times(book.at('control.leaderLiveBytes', entryHosts), 1 / BYTES_PER_MB) },
+      slopes: ['control.leaderSteadyUs', 'control.leaderSteadyBytes', 'control.leaderLiveBytes'],
+      mechanism: 'leases in memory of the leader, no log entry each'
+    },
+    {
+      role,
+      what: `${target.changesPerDay} changes a day to ${entryHosts} hosts`,
+      cost: { corePercent: corePercent(times(book.at('control.changeLeaderUs', entryHosts), changesPerSecond)), kilobytesPerSecond: kilobytes(times(book.at('control.changeLeaderBytes', entryHosts), changesPerSecond)) },
+      slopes: ['control.changeLeaderUs', 'control.changeLeaderBytes'],
+      mechanism: 'one push to each host'
+    },
+    {
+      role,
+      what: `${commandsPerSecond.toFixed(0)} commands a second: ${slotLeasesPerSecond.toFixed(0)} slot leases, ${(2 * samplesPerSecond).toFixed(0)} for samples, ${(assumed.commandsPerUnrepeatable * unrepeatablePerSecond).toFixed(0)} for unrepeatable requests`,
+      cost: { corePercent: corePercent(times(book.perUnit('control.commitLeaderUs'), commandsPerSecond)), kilobytesPerSecond: kilobytes(times(book.perUnit('control.commitLeaderBytes'), commandsPerSecond)) },
+      slopes: ['control.commitLeaderUs', 'control.commitLeaderBytes'],
+      mechanism: 'group commit: one sync for all that waits'
+    },
+    {
+      role,
+      what: `${trainers} ledgers of ${samplesPerStep} samples a step, applied`,
+      cost: { corePercent: corePercent(times(book.at('rollouts.stepApplyUs', samplesPerStep), trainers / assumed.stepSeconds)), megabytes: times(book.at('rollouts.stepSnapshotBytes', samplesPerStep), trainers / BYTES_PER_MB) },
+      slopes: ['rollouts.stepApplyUs', 'rollouts.stepSnapshotBytes'],
+      mechanism: 'the ledger keeps the current step only'
+    }
+  ]
+}
+
+function controlFollowerRows (book: SlopeBook): CapacityRow[] {
+  return [{
+    role: Role.ControlFollower,
+    what: `the same ${commandsPerSecond.toFixed(0)} commands a second, replicated`,
+    cost: { corePercent: corePercent(times(book.perUnit('control.commitFollowerUs'), commandsPerSecond)), kilobytesPerSecond: kilobytes(times(book.perUnit('control.commitFollowerBytes'), commandsPerSecond)) },
+    slopes: ['control.commitFollowerUs', 'control.commitFollowerBytes'],
+    mechanism: 'batches of entries, one sync each'
+  }]
+}
+
+export function capacityRows (book: SlopeBook): CapacityRow[] {
+  return [...entryControlRows(book), ...entryWorkRows(book), ...controlLeaderRows(book), ...controlFollowerRows(book)]
+}
