--- /dev/null
+++ b/src/bin/threaddrumEntry.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+/** threaddrum-entry: an entry host. */
+import { EntryEvent, entryEventCatalogue } from '../entry/entryEvents.js'
+import { entrySettingsSchema } from '../entry/entrySettings.js'
+import { rolloutEventCatalogue } from '../entry/rollouts/rolloutEvents.js'
+import { startEntry } from '../entry/startEntry.js'
+import { runProgram } from '../utils/programMain.js'
+
+await runProgram({
+  name: 'threaddrum-entry',
+  settingsSchema: entrySettingsSchema,
+  eventCatalogue: { ...entryEventCatalogue, ...rolloutEventCatalogue },
+  brokenInvariantEvent: EntryEvent.InvariantBroken,
+  needs: ({ host }) => ({
+    addresses: {
+      'host.callerAddress': host.callerAddress,
+      'host.peerAddress': host.peerAddress,
+      'host.operatorAddress': host.operatorAddress
+    },
+    folders: {}
+  }),
+  start: startEntry
+})
