--- a/bench/requests/scenarios.ts
+++ b/bench/requests/scenarios.ts
@@ -20,6 +20,8 @@
 const MANY_HOSTS_COUNT = 12
 const FAULT_AT_MS = 12_000
 const FLAP_EVERY_MS = 3_000
+const STALLED_SPEED = 1e-5
+const STALL_MS = 10_000
 const SPIKE_FROM_MS = 14_000
 const SPIKE_MS = 5_000
 
@@ -36,6 +38,16 @@
   clock.callAt(FAULT_AT_MS, () => { engines[0]!.speed = 1 })
 }
 
+/** Takes work and goes on reporting, but makes no token for a while. */
+function stall (engines: StandInEngine[], clock: VirtualClock): void {
+  clock.callAt(FAULT_AT_MS, () => { engines[0]!.speed = STALLED_SPEED })
+  clock.callAt(FAULT_AT_MS + STALL_MS, () => engines[0]!.crash())
+  clock.callAt(FAULT_AT_MS + STALL_MS + FLAP_EVERY_MS, () => {
+    engines[0]!.speed = 1
+    engines[0]!.restart()
+  })
+}
+
 function crash (engines: StandInEngine[], clock: VirtualClock): void {
   clock.callAt(FAULT_AT_MS, () => engines[0]!.crash())
 }
@@ -62,6 +74,7 @@
   slow: { ...steady(0.7), arrange: slow },
   flapping: { ...steady(0.7), arrange: flap },
   recovering: { ...steady(0.9), arrange: recover },
+  stalled: { ...steady(0.7), arrange: stall },
   crashed: { ...steady(0.7), arrange: crash },
   spike: { ...steady(0.4), loadAt: spike },
   overload_slow: { ...steady(1.5), arrange: slow },
