Let every host send one to an endpoint that is mostly free

Cause: with 12 hosts and endpoints that run fewer at once than there are hosts, the equal part is under one and rounds to nothing: a request waited for the next report before idle endpoints. Change: with half of the places free every host may have one there. Tests: one, seen failing with the rule taken out.

--- a/src/entry/scheduling/endpointState.ts
+++ b/src/entry/scheduling/endpointState.ts
@@ -28,6 +28,8 @@
 /** With fewer running, a reported speed says little. */
 const MIN_RUNNING_COUNT = 3
 const SPEED_SMOOTHING = 0.4
+/** With this part of it free, every host may send one, however small its equal part is. */
+const ROOMY_FRACTION = 0.5
 /** With its KV memory this full, an engine would only make requests wait. */
 const KV_FULL_PERCENT = 95
 
@@ -148,6 +150,7 @@
     const equalPart = placesCount / hostsCount
     if (freeCount < 0) return Math.max(equalPart * placesCount / totalCount, this._ownAtReport + freeCount * ownPart)
     if (this.record.announcement.load.kvUsedPercent >= KV_FULL_PERCENT) return this._ownAtReport
-    return Math.max(equalPart, this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount))
+    const leastCount = freeCount >= ROOMY_FRACTION * placesCount ? 1 : 0
+    return Math.max(leastCount, equalPart, this._ownAtReport + freeCount * Math.max(ownPart, 1 / hostsCount))
   }
 }
--- a/tests/scheduling/choice.test.ts
+++ b/tests/scheduling/choice.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { EndpointKind } from '../../src/protocol/resources.js'
 import { SchedulingFixture, settledOf } from '../fixtures/schedulingFixture.js'
 
 const PROMPT = 'A prompt that many requests share from its start on. '.repeat(30)
@@ -124,6 +125,14 @@
   t.deepEqual(await settledOf([fixture.assigned({ priorityClass: 'bronze' })]), [])
 })
 
+test('should let every host send at least one to an endpoint that is mostly free', async t => {
+  for (let seed = 0; seed < 20; seed++) {
+    const fixture = new SchedulingFixture({ hostsCount: 12, seed })
+    fixture.announce('one', { maxConcurrentCount: 2, endpointKind: EndpointKind.Service })
+    t.is((await settledOf([1, 2].map(() => fixture.assign({ priorityClass: 'bronze' })))).length, 1)
+  }
+})
+
 test('should let only the best-paid class exceed its limit, by a bounded count, and only at engines', async t => {
   const fixture = new SchedulingFixture()
   fixture.announce('one', { maxConcurrentCount: 2 })
