Move samples off slow engines with their tokens, and drop duplicates

A duplicate throws away the tokens of whichever attempt loses; a sample that goes on elsewhere with its tokens throws none away, and costs one prefill. Change: a worker that gets less than 0.4 of the usual pace for 4 s, while another engine has room, breaks its run off and goes on there; the ledger's second attempts are gone, which nothing used. Ruled out: that the scheduler's own avoidance suffices; it acts on new samples only.

--- a/bench/rollouts.ts
+++ b/bench/rollouts.ts
@@ -6,53 +6,51 @@
 import { BenchUnit, type BenchOptions, type BenchResult } from './benchResult.js'
 import { Policy, runScenario, type Reading, type Scenario } from './rollouts/scenario.js'
 
-const FULL = { stepsCount: 6, samplesPerStepCount: 512, trainMs: 15_000 }
+const FULL = { stepsCount: 5, samplesPerStepCount: 384, trainMs: 15_000 }
 const QUICK = { stepsCount: 4, samplesPerStepCount: 128, trainMs: 5_000 }
 
 interface Setting {
   name: string
+  /** All of them unless set. */
+  policies?: Policy[]
   scenario: Omit<Scenario, 'policy'>
 }
 
-function settings ({ seed, quick }: BenchOptions): Setting[] {
+export function settings ({ seed, quick }: BenchOptions): Setting[] {
   const size = quick ? QUICK : FULL
-  const base = { ...size, seed, losesEngine: false, stalenessBoundVersions: 1, startAheadSteps: 1, stalenessWeight: 0 }
+  const base = { ...size, seed, losesEngine: false, slowsEngine: false, stalenessBoundVersions: 2, startAheadSteps: 2, stalenessWeight: 0 }
   const shared = { trainersCount: 3, samplesPerStepCount: size.samplesPerStepCount / 4 }
   return [
     { name: 'oneTrainer', scenario: { ...base, trainersCount: 1 } },
     { name: 'oneTrainerEngineLost', scenario: { ...base, trainersCount: 1, losesEngine: true } },
+    { name: 'oneTrainerEngineSlow', scenario: { ...base, trainersCount: 1, slowsEngine: true } },
+    { name: 'oneTrainerBoundOne', scenario: { ...base, trainersCount: 1, stalenessBoundVersions: 1, startAheadSteps: 1 } },
     { name: 'threeTrainers', scenario: { ...base, ...shared } },
     { name: 'threeTrainersEngineLost', scenario: { ...base, ...shared, losesEngine: true } },
-    { name: 'backToBack', scenario: { ...base, trainersCount: 1, trainMs: 0 } }
+    { name: 'backToBack', scenario: { ...base, trainersCount: 1, trainMs: 0 } },
+    // The knob at its middle and at its end; oneTrainer has it at 0.
+    { name: 'stalenessWeightHalf', policies: [Policy.Threaddrum], scenario: { ...base, trainersCount: 1, stalenessWeight: 0.5 } },
+    { name: 'stalenessWeightOne', policies: [Policy.Threaddrum], scenario: { ...base, trainersCount: 1, stalenessWeight: 1 } }
   ]
 }
 
 export async function run (options: BenchOptions): Promise<BenchResult[]> {
   const results: BenchResult[] = []
-  for (const setting of settings(options)) {
-    const readings = new Map<Policy, Reading>()
-    for (const policy of Object.values(Policy)) {
-      const reading = await runScenario({ ...setting.scenario, policy })
-      readings.set(policy, reading)
-      options.report(`rollouts ${setting.name} ${policy}: ${describe(reading)}`)
-      results.push(...toResults(`rollouts.${setting.name}.${policy}`, reading, setting.scenario))
-    }
-    results.push(...comparisons(setting.name, readings))
-  }
-  return [...results, ...await knob(options)]
+  for (const setting of settings(options)) results.push(...await runSetting(setting, options))
+  return results
 }
 
-/** One job at both ends of `stalenessWeight`. */
-async function knob (options: BenchOptions): Promise<BenchResult[]> {
-  const [first] = settings(options)
-  if (!first) return []
+/** All policies over the same samples. */
+export async function runSetting ({ name, scenario, policies = Object.values(Policy) }: Setting, options: BenchOptions): Promise<BenchResult[]> {
+  const readings = new Map<Policy, Reading>()
   const results: BenchResult[] = []
-  for (const stalenessWeight of [0, 1]) {
-    const reading = await runScenario({ ...first.scenario, policy: Policy.Threaddrum, stalenessWeight })
-    options.report(`rollouts stalenessWeight ${stalenessWeight}: ${describe(reading)}`)
-    results.push(...toResults(`rollouts.stalenessWeight${stalenessWeight}`, reading, { ...first.scenario, stalenessWeight }))
+  for (const policy of policies) {
+    const reading = await runScenario({ ...scenario, policy })
+    readings.set(policy, reading)
+    options.report(`rollouts ${name} ${policy}: ${describe(reading)}`)
+    results.push(...toResults(`rollouts.${name}.${policy}`, reading, scenario))
   }
-  return results
+  return [...results, ...comparisons(name, readings)]
 }
 
 function describe (reading: Reading): string {
@@ -67,6 +65,7 @@
     result('stalenessP95', reading.stalenessP95, BenchUnit.Count),
     result('stalenessWorst', reading.stalenessWorst, BenchUnit.Count),
     result('timeOverBound', reading.timeOverBound, BenchUnit.Ratio),
+    result('stepTimeOverBound', reading.stepTimeOverBound, BenchUnit.Ratio),
     result('discarded', reading.discardedPercent, BenchUnit.Percent),
     result('violations', reading.violationsCount, BenchUnit.Count)
   ]
--- a/bench/rollouts/scenario.ts
+++ b/bench/rollouts/scenario.ts
@@ -7,7 +7,7 @@
 import { seededRandom, type RandomSource } from '../../src/utils/randomSource.js'
 import { POOL, RolloutWorld, type WorldOptions } from '../../tests/fixtures/rollouts/rolloutWorld.js'
 import { capacityPerSecond, defaultPace, type EnginePace } from '../../tests/fixtures/rollouts/virtualEngine.js'
-import { VirtualTrainer } from '../../tests/fixtures/rollouts/virtualTrainer.js'
+import { VirtualTrainer, type StepReport } from '../../tests/fixtures/rollouts/virtualTrainer.js'
 
 export enum Policy {
   /** As the product does it. */
@@ -26,6 +26,8 @@
   samplesPerStepCount: number
   trainMs: number
   losesEngine: boolean
+  /** One engine runs at a fifth of its speed from the middle of the run on. */
+  slowsEngine: boolean
   stalenessBoundVersions: number
   startAheadSteps: number
   stalenessWeight: number
@@ -38,13 +40,15 @@
   stalenessWorst: number
   /** Time of the whole run over what no policy could be below. */
   timeOverBound: number
+  /** Time of a step after the first over its total tokens, its longest sample or its training. */
+  stepTimeOverBound: number
   discardedPercent: number
   /** From a publish until every engine has the version, over the store's own time; the worst. */
   swapOverStore: number
   violationsCount: number
 }
 
-const ENGINES_COUNT = 8
+const ENGINES_COUNT = 6
 const HOSTS_COUNT = 4
 const GROUP_SIZE_COUNT = 8
 const PROMPTS_COUNT = 96
@@ -118,6 +122,7 @@
   const startedAtMs = world.clock.nowMs()
   const runs = trainers.map(async (trainer, at) => await runTrainer(world, trainer, names[at] ?? '', scenario, at))
   if (losesEngine) loseEngine(world)
+  if (scenario.slowsEngine) slowEngine(world)
   await world.clock.advanceUntil(Promise.all(runs), 36_000_000)
   const elapsedMs = world.clock.nowMs() - startedAtMs
   const reading = readRun(world, trainers, elapsedMs, scenario)
@@ -130,7 +135,8 @@
 async function runTrainer (world: RolloutWorld, trainer: VirtualTrainer, name: string, scenario: Scenario, at: number): Promise<void> {
   await trainer.open()
   for (let step = 0; step < scenario.stepsCount; step++) {
-    if (step === scenario.stepsCount - 1) world.declareJob(name, { ...jobSpec(scenario, at), startAheadSteps: 0 })
+    const remainingSteps = scenario.stepsCount - 1 - step
+    if (remainingSteps < scenario.startAheadSteps) world.declareJob(name, { ...jobSpec(scenario, at), startAheadSteps: remainingSteps })
     await trainer.runStep(step)
     await trainer.train(step)
   }
@@ -145,6 +151,13 @@
   })
 }
 
+function slowEngine (world: RolloutWorld): void {
+  const engine = world.engines.get('e2')
+  world.clock.callAt(world.clock.nowMs() + 25_000, () => {
+    if (engine) engine.slowFactor = 5
+  })
+}
+
 function readRun (world: RolloutWorld, trainers: VirtualTrainer[], elapsedMs: number, scenario: Scenario): Reading {
   const steps = trainers.flatMap(({ steps }) => steps)
   const staleness = trainers.flatMap(({ staleness }) => staleness).sort((a, b) => a - b)
@@ -157,6 +170,7 @@
     stalenessP95: staleness[Math.floor(0.95 * staleness.length)] ?? 0,
     stalenessWorst: staleness.at(-1) ?? 0,
     timeOverBound: elapsedMs / lowerBoundMs(trainers, deliveredCount, scenario),
+    stepTimeOverBound: stepTimeOverBound(trainers, scenario),
     discardedPercent: 100 * (world.record.generatedCount - deliveredCount) / world.record.generatedCount,
     swapOverStore: swapOverStore(world, trainers, scenario),
     violationsCount: sum(trainers.map(({ violations }) => violations.length))
@@ -187,6 +201,17 @@
   return readyAtMs
 }
 
+function stepTimeOverBound (trainers: VirtualTrainer[], { trainMs }: Scenario): number {
+  const steps = trainers.flatMap(({ steps }) => steps.slice(1))
+  const boundMs = ({ tokensCount, longestTokensCount }: StepReport): number => Math.max(
+    trainMs,
+    1000 * trainers.length * tokensCount / (ENGINES_COUNT * capacityPerSecond(PACE)),
+    longestTokensCount * PACE.roundMs / PACE.tokensPerRound
+  )
+  const totalMs = steps.reduce((sum, step) => sum + step.durationMs, 0)
+  return totalMs / steps.reduce((sum, step) => sum + boundMs(step), 0)
+}
+
 function swapOverStore (world: RolloutWorld, trainers: VirtualTrainer[], { trainersCount, stepsCount }: Scenario): number {
   if (trainersCount > 1) return Number.NaN
   const [trainer] = trainers
--- a/src/control/ledgers/rollouts/jobState.ts
+++ b/src/control/ledgers/rollouts/jobState.ts
@@ -9,7 +9,6 @@
 export interface AttemptState {
   attemptId: string
   hostId: string
-  isDuplicate: boolean
 }
 
 export interface CommittedState {
--- a/src/control/ledgers/rollouts/slotLeasing.ts
+++ b/src/control/ledgers/rollouts/slotLeasing.ts
@@ -8,9 +8,6 @@
 import type { Forecast } from './forecast.js'
 import { isWaiting, openStep, slotsOf, statesOf, type JobState, type PlacedSlot, type StepState } from './jobState.js'
 
-/** At most this many attempts at one slot run at once. */
-const MAX_ATTEMPTS_AT_ONCE = 2
-
 /** Opens the current step, and later ones as far as the job starts ahead. */
 export function openSteps (state: JobState, spec: RolloutJobSpec): void {
   if (state.step < 0) return
@@ -56,16 +53,6 @@
   return forecast(state, b.group) - forecast(state, a.group)
 }
 
-function duplicableSlots (state: JobState, step: StepState, { hostId, forecast }: Lessee): PlacedSlot[] {
-  const running = [...slotsOf(state.job, step)].filter(({ state }) => {
-    const { attempts, committed } = state
-    return committed === undefined && attempts.length > 0 && attempts.length < MAX_ATTEMPTS_AT_ONCE
-  })
-  return running
-    .filter(({ state }) => state.attempts.every(attempt => attempt.hostId !== hostId))
-    .sort((a, b) => compareUrgency(state, forecast, a, b))
-}
-
 export interface Lessee {
   hostId: string
   /** Index of the log entry: makes attempt ids unique. */
@@ -86,22 +73,14 @@
       leased.push(startAttempt(state, spec, placed, lessee, leased.length))
     }
   }
-  return leased.concat(leaseDuplicates(state, spec, wanted, lessee, leased.length))
-}
-
-function leaseDuplicates (state: JobState, spec: RolloutJobSpec, wanted: WantedSlots, lessee: Lessee, takenCount: number): LeasedSlot[] {
-  const current = state.steps[0]
-  if (!current || wanted.maxDuplicatesCount === 0 || takenCount >= wanted.maxSlotsCount) return []
-  const slots = duplicableSlots(state, current, lessee).slice(0, wanted.maxDuplicatesCount)
-  return slots.map((placed, at) => startAttempt(state, spec, placed, lessee, takenCount + at))
+  return leased
 }
 
 function startAttempt (state: JobState, spec: RolloutJobSpec, placed: PlacedSlot, lessee: Lessee, at: number): LeasedSlot {
   const { slot, group, state: slotState } = placed
   const attemptId = `${lessee.hostId}.${state.job}.${lessee.logIndex}.${at}`
-  const isDuplicate = slotState.attempts.length > 0
   const earlierAttemptsCount = slotState.attemptsCount
-  slotState.attempts.push({ attemptId, hostId: lessee.hostId, isDuplicate })
+  slotState.attempts.push({ attemptId, hostId: lessee.hostId })
   slotState.attemptsCount++
   return {
     ...slot,
@@ -110,7 +89,6 @@
     expectedTokensCount: lessee.forecast(state, group) || spec.maxTokensCount,
     minWeightVersion: minWeightVersion(state, spec, slot.step),
     earlierAttemptsCount,
-    isDuplicate,
     isAhead: slot.step !== state.step
   }
 }
--- a/src/entry/rollouts/rolloutProgram.ts
+++ b/src/entry/rollouts/rolloutProgram.ts
@@ -5,6 +5,7 @@
 import type { Supervisor } from '../../utils/supervisor.js'
 import { Progress } from '../../utils/progress.js'
 import type { Route } from '../http/route.js'
+import { EnginePaces } from './enginePaces.js'
 import { JobOutlooks } from './jobOutlooks.js'
 import { LedgerClient } from './ledgerClient.js'
 import { PullServer } from './pullServer.js'
@@ -44,6 +45,7 @@
     replication,
     scorer,
     outlooks,
+    paces: new EnginePaces(parts),
     spawn: (name, task) => tasks?.spawn(name, task),
     onGroupWhole: job => pulls.wake(job)
   })
--- a/src/entry/rollouts/slotLeaser.ts
+++ b/src/entry/rollouts/slotLeaser.ts
@@ -94,7 +94,7 @@
   private _start (slot: LeasedSlot, supervisor: Supervisor): void {
     const spec = this._specOf(slot.job)
     if (!spec) return
-    if (slot.earlierAttemptsCount > 0) this._with.parts.metrics.count(MetricName.SampleRerun, { reason: slot.isDuplicate ? 'duplicate' : 'rerun' })
+    if (slot.earlierAttemptsCount > 0) this._with.parts.metrics.count(MetricName.SampleRerun, { reason: 'earlierAttemptLost' })
     const scope = supervisor.spawn(`slot ${slot.attemptId}`, async scope => {
       await new SlotWorker(this._with, slot, spec).run(scope)
     })
@@ -128,8 +128,7 @@
       job,
       maxSlotsCount: Math.max(0, roomCount - ownCount),
       // Later steps take only the room that no current step of any job wants.
-      maxAheadCount: isStepDrained ? freeCount : 0,
-      maxDuplicatesCount: 0
+      maxAheadCount: isStepDrained ? freeCount : 0
     }
   }
 
--- a/src/entry/rollouts/slotWorker.ts
+++ b/src/entry/rollouts/slotWorker.ts
@@ -13,6 +13,7 @@
 import type { Scope } from '../../utils/scope.js'
 import type { Task } from '../../utils/supervisor.js'
 import type { CompletionOutcome, CompletionTask, PartialCompletion } from '../completions/completionRunner.js'
+import type { EnginePaces, SamplePace } from './enginePaces.js'
 import { groupIsWhole, type SampleContent } from './rolloutMethods.js'
 import type { JobOutlooks } from './jobOutlooks.js'
 import type { LedgerClient } from './ledgerClient.js'
@@ -23,6 +24,7 @@
 import type { SampleScorer } from './sampleScorer.js'
 
 const RETRY_PAUSE_MS = 250
+const MOVED = 'moved to a faster engine'
 /** A commit that is not known after this time is left to the lease. */
 const COMMIT_TIMEOUT_MS = 60_000
 const HINT_TIMEOUT_MS = 2_000
@@ -37,6 +39,7 @@
   replication: SampleReplication
   scorer: SampleScorer
   outlooks: JobOutlooks
+  paces: EnginePaces
   /** Starts a task beside the workers. */
   spawn: (name: string, task: Task) => void
   /** Wakes pulls of this host. */
@@ -50,11 +53,15 @@
   private _partial: PartialCompletion = { tokens: [], versions: [] }
   private _checkpointedCount = 0
   private _isCheckpointing = false
+  private readonly _pace: SamplePace
+  /** The engine that was too slow. */
+  private _leftEngineId: string | undefined
 
   constructor (workerParts: WorkerParts, slot: LeasedSlot, spec: RolloutJobSpec) {
     this._with = workerParts
     this._slot = slot
     this._spec = spec
+    this._pace = workerParts.paces.sample(spec.pool)
   }
 
   /** @throws ScopeClosedError when the attempt is revoked */
@@ -76,7 +83,6 @@
 
   /** Goes on behind what an earlier attempt of the slot left with a host. */
   private async _takeOver (progress: Progress): Promise<void> {
-    if (this._slot.isDuplicate) return
     const checkpoint = await this._with.replication.findCheckpoint(this._slot, progress)
     if (!checkpoint || this._isTooOld(checkpoint.versions)) return
     this._partial = { tokens: checkpoint.tokens, versions: checkpoint.versions }
@@ -88,7 +94,11 @@
     const { completions, clock } = this._with.parts
     while (!progress.isOver()) {
       this._partial = { tokens: [...this._partial.tokens], versions: this._partial.versions }
-      const outcome = await completions.run(this._task(), progress, (tokens, versions) => this._noteTokens(tokens, versions))
+      const run = progress.scope.child('completion')
+      this._pace.start(() => run.close(MOVED))
+      const outcome = await this._unlessMoved(completions.run(this._task(), progress.within(run), (tokens, versions) => this._noteTokens(tokens, versions)), run, progress)
+      run.close('over')
+      if (outcome === undefined) continue
       this._partial = outcome.kind === 'complete' ? outcome.completion : outcome.partial
       if (outcome.kind === 'complete') return true
       this._discardTooOld()
@@ -98,8 +108,21 @@
     return false
   }
 
+  /** @returns undefined when the run was broken off to go on with another engine */
+  private async _unlessMoved (running: Promise<CompletionOutcome>, run: Scope, progress: Progress): Promise<CompletionOutcome | undefined> {
+    try {
+      return await running
+    } catch (error) {
+      progress.scope.throwIfClosed()
+      if (run.closeReason !== MOVED) throw error
+      this._leftEngineId = this._partial.versions.at(-1)?.engineId
+      this._with.parts.metrics.count(MetricName.SampleMoved, {})
+      return undefined
+    }
+  }
+
   private _task (): CompletionTask {
-    const { job, step, group, prompt, expectedTokensCount, isDuplicate } = this._slot
+    const { job, step, group, prompt, expectedTokensCount } = this._slot
     const { tokens, versions } = this._partial
     return {
       item: {
@@ -112,8 +135,7 @@
         expectedTokensCount: Math.max(1, expectedTokensCount - tokens.length),
         minWeightVersion: this._minWeightVersion(),
         adapter: this._spec.adapter,
-        excludedEndpointIds: [],
-        onlyWhenIdle: isDuplicate
+        excludedEndpointIds: this._leftEngineId === undefined ? [] : [this._leftEngineId]
       },
       model: this._spec.adapter ?? this._modelName(),
       prompt,
@@ -148,6 +170,7 @@
     if (!versions) return
     this._partial.tokens.push(...tokens)
     this._partial.versions = appendSpans(this._partial.versions, versions)
+    this._pace.note(tokens.length, versions.at(-1)?.engineId)
     const count = this._partial.tokens.length
     if (this._isCheckpointing || count - this._checkpointedCount < CHECKPOINT_TOKENS) return
     this._checkpointedCount = count
--- a/src/protocol/rolloutCommands.ts
+++ b/src/protocol/rolloutCommands.ts
@@ -49,8 +49,6 @@
   minWeightVersion: z.int(),
   /** Earlier attempts at the slot; a host may hold a checkpoint of one. */
   earlierAttemptsCount: z.int(),
-  /** Another attempt at the slot is running. */
-  isDuplicate: z.boolean(),
   /** The step is not the trainer's current one yet. */
   isAhead: z.boolean()
 })
@@ -69,9 +67,7 @@
   job: z.string(),
   maxSlotsCount: z.int().min(0),
   /** Slots of later steps among them, at most. */
-  maxAheadCount: z.int().min(0),
-  /** Second attempts at slots that run elsewhere, at most. */
-  maxDuplicatesCount: z.int().min(0)
+  maxAheadCount: z.int().min(0)
 })
 export type WantedSlots = z.infer<typeof wantedSlotsSchema>
 
--- a/tests/rollouts/rolloutDelivery.test.ts
+++ b/tests/rollouts/rolloutDelivery.test.ts
@@ -245,6 +245,20 @@
   assertClean(t, setting)
 })
 
+test('should move samples off an engine that has become slow, with their tokens', async t => {
+  const setting = setUp({ drawLength: () => 900 }, { groupsPerStepCount: 3 }, { samplesPerStepCount: 12 })
+  const { world, trainer } = setting
+  const run = trainer.run(0, 1)
+  await world.clock.advance(3_000)
+  const slow = world.engines.get('e1')
+  if (slow) slow.slowFactor = 10
+  await world.clock.advanceUntil(run)
+  t.true(world.counted('sample.moved') > 0)
+  t.is(world.record.generatedCount, 12 * 900, 'no token was made twice')
+  t.true((trainer.steps[0]?.durationMs ?? 0) < 40_000, 'the slow engine would have taken more than 90 s for its samples')
+  assertClean(t, setting)
+})
+
 test('should score samples through services that refuse and fail, without losing them', async t => {
   let callsCount = 0
   const setting = setUp({
