--- a/bench/areas.ts
+++ b/bench/areas.ts
@@ -4,6 +4,7 @@
  */
 import type { BenchRun } from './benchResult.js'
 import { run as requests } from './requests.js'
+import { run as rollouts } from './rollouts.js'
 import { run as transport } from './transport.js'
 
-export const areas: Record<string, BenchRun> = { requests, transport }
+export const areas: Record<string, BenchRun> = { requests, rollouts, transport }
