Measure control: commits, cost of entry hosts, changes in force, restarts

Cause: bounds and the capacity page need figures of control. Change: bench/control.ts with commits, fleet and restart.

--- a/bench/areas.ts
+++ b/bench/areas.ts
@@ -3,7 +3,8 @@
  * lands.
  */
 import type { BenchRun } from './benchResult.js'
+import { run as control } from './control.js'
 import { run as requests } from './requests.js'
 import { run as transport } from './transport.js'
 
-export const areas: Record<string, BenchRun> = { requests, transport }
+export const areas: Record<string, BenchRun> = { control, requests, transport }
