Let a new leader reckon with leases that its predecessor gave

Change: the table belongs to a term and is entered at the first renewal or status of it; a host not heard of may hold a lease until one has passed. Conclusion: what the status calls ended has ended at the host.

--- a/src/control/admin/controlStatus.ts
+++ b/src/control/admin/controlStatus.ts
@@ -17,6 +17,7 @@
   if (read.kind !== 'confirmed') return read
   const { core, leadership } = node.replica
   if (!leadership) return { kind: 'notLeader' }
+  node.leases.enterTerm(core.term)
   const members = core.members.map(({ replicaId, hostId, peerAddress, operatorAddress, role }) => {
     const isSelf = replicaId === core.replicaId
     const matchIndex = isSelf ? core.state.log.lastIndex : leadership.progressOf(replicaId)?.matchIndex ?? 0
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -60,6 +60,7 @@
     const registered = this.state.hosts.get(request.hostId)
     if (!registered || registered.incarnation < request.incarnation) return { kind: 'unregistered' }
     if (registered.incarnation > request.incarnation) return { kind: 'superseded' }
+    this.leases.enterTerm(this.replica.core.term)
     this.leases.renewed(request.hostId, request.incarnation, request.revision, request.operatorAddress)
     const since = this.state.history.since(request.revision)
     const granted = { clusterId, leaseMs: CONFIGURATION_LEASE_MS }
--- a/src/control/hosts/leaseTable.ts
+++ b/src/control/hosts/leaseTable.ts
@@ -24,11 +24,26 @@
 export class LeaseTable {
   private readonly _clock: Clock
   private readonly _holders = new Map<string, LeaseHolder>()
+  private _term = 0
+  private _termSinceMs = Number.NEGATIVE_INFINITY
 
   constructor (clock: Clock) {
     this._clock = clock
   }
 
+  /** When this host first acted as the leader of the present term. */
+  get termSinceMs (): number {
+    return this._termSinceMs
+  }
+
+  /** Forgets what was heard in an earlier term. */
+  enterTerm (term: number): void {
+    if (term === this._term) return
+    this._term = term
+    this._termSinceMs = this._clock.nowMs()
+    this._holders.clear()
+  }
+
   get (hostId: string): LeaseHolder | undefined {
     return this._holders.get(hostId)
   }
@@ -37,17 +52,13 @@
     this._holders.set(hostId, { hostId, incarnation, operatorAddress, revisionInForce, renewedAtMs: this._clock.nowMs() })
   }
 
-  /** Whether a host may hold a lease now. */
+  /** Whether a host may hold a lease now; an earlier leader may have given it one just before. */
   mayHold (hostId: string): boolean {
-    const holder = this._holders.get(hostId)
-    return holder !== undefined && this._clock.nowMs() < holder.renewedAtMs + CONFIGURATION_LEASE_MS
+    const lastGrantMs = this._holders.get(hostId)?.renewedAtMs ?? this._termSinceMs
+    return this._clock.nowMs() < lastGrantMs + CONFIGURATION_LEASE_MS
   }
 
   forget (hostId: string): void {
     this._holders.delete(hostId)
   }
-
-  clear (): void {
-    this._holders.clear()
-  }
 }
--- a/src/control/hosts/silentHosts.ts
+++ b/src/control/hosts/silentHosts.ts
@@ -19,8 +19,6 @@
   private readonly _node: ControlNode
   private readonly _clock: Clock
   private readonly _logger: Logger
-  private _ledTerm = 0
-  private _ledSinceMs = 0
 
   constructor (node: ControlNode, clock: Clock, logger: Logger) {
     this._node = node
@@ -36,10 +34,10 @@
   }
 
   private async _review (scope: Scope): Promise<void> {
-    this._noteTerm()
+    this._node.leases.enterTerm(this._node.replica.core.term)
     for (const host of this._node.state.hosts.all()) {
       // A new leader gives every host its time to be heard.
-      const heardAtMs = Math.max(this._ledSinceMs, this._node.leases.get(host.hostId)?.renewedAtMs ?? 0)
+      const heardAtMs = this._node.leases.get(host.hostId)?.renewedAtMs ?? this._node.leases.termSinceMs
       if (this._clock.nowMs() - heardAtMs < SILENCE_MS) continue
       this._logger.event(ControlEvent.EntryHostSilent, { hostId: host.hostId })
       const progress = new Progress(this._clock, scope, this._clock.nowMs() + REVIEW_INTERVAL_MS)
@@ -47,12 +45,4 @@
       this._node.leases.forget(host.hostId)
     }
   }
-
-  private _noteTerm (): void {
-    const term = this._node.replica.core.term
-    if (term === this._ledTerm) return
-    this._ledTerm = term
-    this._ledSinceMs = this._clock.nowMs()
-    this._node.leases.clear()
-  }
 }
--- a/tests/control/client.test.ts
+++ b/tests/control/client.test.ts
@@ -2,6 +2,7 @@
 import { NetworkControlClient } from '../../src/controlClient/networkControlClient.js'
 import { HostCommandKind } from '../../src/protocol/hostCommands.js'
 import { ResourceKind } from '../../src/protocol/resources.js'
+import type { Transport } from '../../src/transport/connection.js'
 import { TcpTransport } from '../../src/transport/tcpTransport.js'
 import { systemClock } from '../../src/utils/clock.js'
 import { memoryMetrics } from '../../src/utils/metrics.js'
@@ -9,15 +10,16 @@
 import { systemRandom } from '../../src/utils/randomSource.js'
 import { Scope } from '../../src/utils/scope.js'
 import { Supervisor } from '../../src/utils/supervisor.js'
+import { CuttableTransport } from '../fixtures/cuttableTransport.js'
 import { ControlProcesses, until } from '../fixtures/controlProcesses.js'
 
-function startClient (scope: Scope, control: ControlProcesses, hostId: string, incarnation = 1): NetworkControlClient {
+function startClient (scope: Scope, control: ControlProcesses, hostId: string, incarnation = 1, transport: Transport = new TcpTransport()): NetworkControlClient {
   const fail = (error: unknown): void => { throw error }
   const client = new NetworkControlClient({
     clock: systemClock,
     random: systemRandom(),
     metrics: memoryMetrics(),
-    transport: new TcpTransport(),
+    transport,
     supervisor: new Supervisor(scope, (_task, error) => fail(error)),
     onFatal: fail,
     controlAddresses: control.peerAddresses,
@@ -67,3 +69,51 @@
   await until(async () => client.holdsLease() || undefined, 'a lease again')
   t.pass()
 })
+
+test('should give a restarted host no lease before it has all of 500 changes, and take the older start its lease', async t => {
+  const control = new ControlProcesses(20, 3)
+  const scope = new Scope('test')
+  t.teardown(async () => {
+    scope.close('test over')
+    await control.stop()
+  })
+  control.startAll()
+  const first = startClient(scope, control, 'entry-1', 1)
+  await until(async () => first.holdsLease() || undefined, 'a lease')
+  const change = async (number: number): Promise<number> => (await control.putUntilAnswered(`change-${number}`, `class-${number % 7}`, number)).body.revision
+  const revisions: number[] = []
+  for (let number = 0; number < 500; number += 20) {
+    revisions.push(...await Promise.all(Array.from({ length: 20 }, (_value, offset) => change(number + offset + 1))))
+  }
+  t.is(new Set(revisions).size, 500)
+  const second = startClient(scope, control, 'entry-1', 2)
+  await until(async () => second.holdsLease() || undefined, 'a lease of the second start')
+  t.true(second.configuration.revision >= Math.max(...revisions))
+  t.is(second.configuration.list(ResourceKind.PriorityClass).length, 7)
+  await until(async () => !first.holdsLease() || undefined, 'the first start to lose its lease')
+  t.true(second.holdsLease())
+})
+
+test('should leave a host that is cut off in silence without a lease while the rest goes on', async t => {
+  const control = new ControlProcesses(21, 3)
+  const scope = new Scope('test')
+  t.teardown(async () => {
+    scope.close('test over')
+    await control.stop()
+  })
+  control.startAll()
+  const transport = new CuttableTransport(new TcpTransport())
+  const cut = startClient(scope, control, 'entry-1', 1, transport)
+  const other = startClient(scope, control, 'entry-2')
+  await until(async () => (cut.holdsLease() && other.holdsLease()) || undefined, 'leases')
+  transport.isCut = true
+  const answer = await control.putUntilAnswered('unseen', 'gold', 5)
+  await control.untilStatus(({ entryHosts }) => entryHosts.some(host => host.hostId === 'entry-1' && !host.holdsLease), 'the cut host named')
+  // What control takes for ended has ended at the host: its lease began before the renewal arrived.
+  t.false(cut.holdsLease())
+  t.is(cut.configuration.get(ResourceKind.PriorityClass, 'gold'), undefined)
+  t.true(other.configuration.revision >= answer.body.revision)
+  transport.isCut = false
+  await until(async () => cut.holdsLease() || undefined, 'a lease again')
+  t.is(cut.configuration.get(ResourceKind.PriorityClass, 'gold')?.spec.paidWeight, 5)
+})
