Double the hostile callers, so that the bound on open files stands clear of pooled connections

Cause: the test waited up to 30 s (35 s twice at load 50, else 7 s): open files stood at +9 to +11 over the start, bound +10; the rest are pooled connections to the engine, which close after 30 s. No fault of the host. Change: 40 callers of each kind instead of 20; the bound stays half a kind's callers (now +20), so one kind that leaks still breaks it. Ruled out: connections of callers held: none were in flight.

--- a/tests/processes/hostileCallers.test.ts
+++ b/tests/processes/hostileCallers.test.ts
@@ -6,7 +6,7 @@
 import { waitFor } from '../../demo/waitFor.js'
 import { ProcessSystem } from '../fixtures/processSystem.js'
 
-const REPEATS = 20
+const REPEATS = 40
 const MAX_BODY_BYTES = 10_000
 const HEAD_TIMEOUT_MS = 500
 
