Forget when holders were out of reach once their content is found

Cause: on reading, the instant at which holders of a content were first out of reach stayed after the content was found, so that a later, short absence would have counted as 3 s and run the sample again; and the map grew. Change: it is forgotten. No test shows it: it takes two cuts during one sample's wait.

--- a/src/entry/rollouts/pullServer.ts
+++ b/src/entry/rollouts/pullServer.ts
@@ -107,8 +107,10 @@
     let hasUnreachable = false
     for (const sample of missing) {
       const outcome = outcomes.get(sample.attemptId)
-      if (outcome?.kind === 'found') contents.set(sample.attemptId, outcome.content)
-      else if (outcome?.kind === 'unreachable' && !this._isGone(sample.attemptId)) hasUnreachable = true
+      if (outcome?.kind === 'found') {
+        contents.set(sample.attemptId, outcome.content)
+        this._unreachableSinceMs.delete(sample.attemptId)
+      } else if (outcome?.kind === 'unreachable' && !this._isGone(sample.attemptId)) hasUnreachable = true
       else await this._dropLost(sample, progress)
     }
     if (hasUnreachable) await this._pause(progress, clock.nowMs() + RETRY_FETCH_MS)
