--- a/bench/slopes/directory.ts
+++ b/bench/slopes/directory.ts
@@ -14,6 +14,8 @@
 const WINDOW_MS = 6_000
 const DATA_CENTRE = 'ubungo'
 const HOSTS_FOR_ENDPOINTS = 6
+/** A second arrangement, which tells what following costs from what announcements cost. */
+const MANY_HOSTS_FOR_ENDPOINTS = 18
 const ENDPOINT_INTERVAL_MS = 1_000
 /** The product's own defaults; the fixture's are shorter. */
 const leases = { adviceValidMs: 5_000, hostLeaseMs: 6_000, endpointLeaseMs: 10_000 }
@@ -88,5 +90,14 @@
     sizes: [25, 50, 100, 200],
     repeats: 2,
     read: async size => inOrder(await readFleet(HOSTS_FOR_ENDPOINTS, size))
+  },
+  {
+    metrics: [
+      { name: 'directory.endpointProcessorOf18Us', what: `processor time a second of one of ${MANY_HOSTS_FOR_ENDPOINTS} hosts for the same as \`directory.endpointProcessorUs\``, unit: 'us/s' }
+    ],
+    sizeUnit: 'endpoints',
+    sizes: [25, 50, 100, 200],
+    repeats: 2,
+    read: async size => [(await readFleet(MANY_HOSTS_FOR_ENDPOINTS, size)).processorUsPerSecond]
   }
 ]
--- a/tools/capacity/rows.ts
+++ b/tools/capacity/rows.ts
@@ -56,14 +56,15 @@
 /** Slot leases, a lease and a commit a sample, and unrepeatable requests. */
 export const commandsPerSecond = slotLeasesPerSecond + 2 * samplesPerSecond + assumed.commandsPerUnrepeatable * unrepeatablePerSecond
 
-/** Hosts and announcements of the arrangement that `directory.endpoint…` was read in. */
-const SLOPE_HOSTS = 6
-const announcementsPerEndpointAtSlope = assumed.announceToHosts / SLOPE_HOSTS
+/** Hosts of the two arrangements that the cost of endpoints was read in; the announcements are the same in both. */
+const FEW_HOSTS = 6
+const MANY_HOSTS = 18
 
 /** What following one endpoint costs a host that it does not announce to. */
 export function followUs (book: SlopeBook): number | undefined {
-  const announced = times(book.perUnit('directory.announceUs'), announcementsPerEndpointAtSlope)
-  return minus(book.perUnit('directory.endpointProcessorUs'), announced)
+  const many = times(book.perUnit('directory.endpointProcessorOf18Us'), MANY_HOSTS)
+  const few = times(book.perUnit('directory.endpointProcessorUs'), FEW_HOSTS)
+  return times(minus(many, few), 1 / (MANY_HOSTS - FEW_HOSTS))
 }
 
 function entryControlRows (book: SlopeBook): CapacityRow[] {
@@ -103,7 +104,7 @@
       role,
       what: `load of ${engines} engines, changed every ${assumed.announceEverySeconds} s`,
       cost: { corePercent: corePercent(times(followUs(book), engines)), kilobytesPerSecond: kilobytes(times(book.perUnit('directory.endpointBytesPerSecond'), engines)) },
-      slopes: ['directory.endpointProcessorUs', 'directory.announceUs', 'directory.endpointBytesPerSecond'],
+      slopes: ['directory.endpointProcessorUs', 'directory.endpointProcessorOf18Us', 'directory.endpointBytesPerSecond'],
       mechanism: 'batched load records to every host of the data centre'
     },
     {
