--- a/tests/figures/capacity.test.ts
+++ b/tests/figures/capacity.test.ts
@@ -33,9 +33,16 @@
 })
 
 test('should not say that a limit holds while a slope that it needs is missing', t => {
-  const { all } = SlopeBook.read()
-  const without = new SlopeBook(all.filter(({ name }) => name !== 'control.clientSteadyBytes'))
-  const table = verdictTable(controlVerdicts(capacityRows(without), without))
-  t.notRegex(table, /\| holds \|/)
-  t.regex(table, /control\.clientSteadyBytes.* not measured/)
+  const free = SlopeBook.read().all.map(slope => ({ ...slope, perUnit: 0, intercept: 0 }))
+  const verdictsOf = (book: SlopeBook): string => verdictTable(controlVerdicts(capacityRows(book), book))
+  t.is(verdictsOf(new SlopeBook(free)).match(/\| holds \|/g)?.length, 3)
+  const without = verdictsOf(new SlopeBook(free.filter(({ name }) => name !== 'control.clientSteadyBytes')))
+  t.notRegex(without, /\| holds \|/)
+  t.regex(without, /control\.clientSteadyBytes.* not measured/)
+})
+
+test('should say that a limit does not hold when it is passed, whatever is missing', t => {
+  const dear = SlopeBook.read().all.map(slope => ({ ...slope, perUnit: 1e9, intercept: 1e9 }))
+  const book = new SlopeBook(dear.filter(({ name }) => name !== 'control.clientSteadyBytes'))
+  t.regex(verdictTable(controlVerdicts(capacityRows(book), book)), /does not hold/)
 })
