--- a/bench/areas.ts
+++ b/bench/areas.ts
@@ -3,6 +3,7 @@
  * lands.
  */
 import type { BenchRun } from './benchResult.js'
+import { run as entryOverhead } from './entryOverhead.js'
 import { run as transport } from './transport.js'
 
-export const areas: Record<string, BenchRun> = { transport }
+export const areas: Record<string, BenchRun> = { transport, entryOverhead }
