--- a/src/entry/entryProgram.ts
+++ b/src/entry/entryProgram.ts
@@ -123,6 +123,11 @@
     return this._fleet.directory
   }
 
+  /** Requests of callers whose answer has not ended. */
+  get inFlightCount (): number {
+    return this._http.inFlightCount
+  }
+
   /** Whether this host takes new work now. */
   get takesWork (): boolean {
     return this._state === ServingState.Serving && this._environment.control.holdsLease()
--- /dev/null
+++ b/tests/entry/plainCalls.test.ts
@@ -0,0 +1,132 @@
+/**
+ * Plain service calls and hostile callers: answers that never cross, retries
+ * only of what may be repeated, refusals at once and in JSON.
+ */
+import { connect } from 'node:net'
+import test from 'ava'
+import { request } from 'undici'
+import type { EntryLimits } from '../../src/entry/entrySettings.js'
+import { EndpointKind } from '../../src/protocol/resources.js'
+import { EntryCluster, type TestHost } from '../fixtures/entryCluster.js'
+import { TestEndpoint, type Handler } from '../fixtures/testEndpoint.js'
+
+async function withService (handler: Handler, run: (host: TestHost, service: TestEndpoint) => Promise<void>, limits: Partial<EntryLimits> = {}): Promise<void> {
+  const cluster = new EntryCluster()
+  const host = await cluster.start('ubungo', limits)
+  const service = await new TestEndpoint('booking-1', EndpointKind.Service, handler).start(host)
+  const other = await new TestEndpoint('booking-2', EndpointKind.Service, handler).start(host)
+  try {
+    await host.ready()
+    await run(host, service)
+  } finally {
+    await Promise.all([service.kill(), other.kill()])
+    await cluster.stop()
+  }
+}
+
+async function call (host: TestHost, path: string, method: 'GET' | 'POST' = 'GET', body?: string): Promise<{ status: number, text: string }> {
+  const answer = await request(`${host.url}/v1/services/booking${path}`, { method, body, headers: { 'x-deadline-ms': '20000' } })
+  return { status: answer.statusCode, text: await answer.body.text() }
+}
+
+/** Sends raw bytes and reads until the other side closes. */
+async function raw (host: TestHost, bytes: string): Promise<string> {
+  const { hostname, port } = new URL(host.url)
+  const socket = connect(Number(port), hostname)
+  socket.write(bytes)
+  let text = ''
+  return await new Promise(resolve => {
+    socket.on('data', chunk => { text += chunk.toString() })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(text))
+  })
+}
+
+test('should pass a call on with its method, path, query and body', async t => {
+  const echo: Handler = (request, response, body) => { response.setHeader('x-own', 'kept').end(`${request.method} ${request.url} ${body.toString()}`) }
+  await withService(echo, async host => {
+    t.is((await call(host, '/stock?drum=7')).text, 'GET /stock?drum=7 ')
+    t.is((await call(host, '/stock', 'POST', 'body')).text, 'POST /stock body')
+  })
+})
+
+test('should try a broken answer again for a call that may be repeated, and only for that', async t => {
+  let callsCount = 0
+  const brokenFirst: Handler = (request, response) => {
+    if (++callsCount > 1) {
+      response.end('whole')
+      return
+    }
+    response.writeHead(200, { 'content-length': '100' })
+    response.write('half', () => request.socket.destroy())
+  }
+  await withService(brokenFirst, async host => {
+    t.like(await call(host, '/stock'), { status: 200, text: 'whole' })
+    t.is(callsCount, 2)
+    callsCount = 0
+    const lost = await call(host, '/stock', 'POST', 'x')
+    t.like(JSON.parse(lost.text), { reason: 'answer_lost', executed: 'unknown' })
+    t.is(callsCount, 1)
+  })
+})
+
+test('should never hand a second answer to the next caller', async t => {
+  const twice: Handler = (request, response, body) => {
+    const id = request.headers['x-request-id']
+    const text = body.toString()
+    const once = `HTTP/1.1 200 OK\r\n${text.startsWith('silent') ? '' : `x-request-id: ${id}\r\n`}content-length: ${text.length}\r\n\r\n${text}`
+    response.detachSocket(request.socket)
+    request.socket.write(once + once)
+  }
+  await withService(twice, async host => {
+    for (const prefix of ['echoes', 'silent']) {
+      const bodies = Array.from({ length: 40 }, (_, index) => `${prefix} ${index}`)
+      const answers = await Promise.all(bodies.map(body => call(host, '/stock', 'POST', body)))
+      for (const [index, { status, text }] of answers.entries()) {
+        if (status === 200) t.is(text, bodies[index] ?? '')
+        else t.is(JSON.parse(text).executed, 'unknown')
+      }
+    }
+  })
+})
+
+test('should cut an answer that breaks off after its first byte went to the caller', async t => {
+  const large = 'x'.repeat(400 * 1024)
+  const breaking: Handler = (request, response) => {
+    response.writeHead(200, { 'content-length': 2 * large.length })
+    response.write(large, () => request.socket.destroy())
+  }
+  await withService(breaking, async host => {
+    await t.throwsAsync(call(host, '/stock'))
+  })
+})
+
+test('should refuse floods, giants and the unknown in JSON and at once', async t => {
+  await withService((_request, response) => { response.end() }, async host => {
+    const flood = await raw(host, `GET /v1/advice HTTP/1.1\r\nhost: x\r\nx-flood: ${'f'.repeat(20_000)}\r\n\r\n`)
+    t.regex(flood, /^HTTP\/1\.1 431 /)
+    t.true(flood.includes('"executed":"no"'))
+    const giant = await raw(host, 'POST /v1/services/booking/stock HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\nfirst bytes')
+    t.regex(giant, /^HTTP\/1\.1 413 /)
+    const chunked = await raw(host, `POST /v1/services/booking/stock HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nfff\r\n${'y'.repeat(0xfff)}\r\n`)
+    t.regex(chunked, /^HTTP\/1\.1 413 /)
+    const slow = await raw(host, 'GET /v1/advice HTTP/1.1\r\nhost: x\r\nx-slo')
+    t.regex(slow, /^HTTP\/1\.1 408 /)
+    const nonsense = await raw(host, 'NONSENSE\r\n\r\n')
+    t.regex(nonsense, /^HTTP\/1\.1 400 /)
+    t.is((await request(`${host.url}/nowhere`)).statusCode, 404)
+  }, { maxBodyBytes: 1_000, headTimeoutMs: 500 })
+})
+
+test('should explain a request by its id and count refusals by reason', async t => {
+  await withService((_request, response) => { response.end('done') }, async host => {
+    await (await request(`${host.url}/v1/services/booking/stock`, { headers: { 'x-request-id': 'mine' } })).body.dump()
+    const explained = await (await request(`${host.operatorUrl}/v1/explain/mine`)).body.json() as { route: string, callLog: string[] }
+    t.is(explained.route, 'services')
+    t.regex(explained.callLog[0] ?? '', /^attempt \w+ at booking-/)
+    await (await request(`${host.url}/v1/services/nobody/x`)).body.dump()
+    t.is(host.metrics.snapshot()['request.refused{reason=unknown_pool}'], 1)
+    t.is((await request(`${host.operatorUrl}/v1/endpoints/booking-1/drain`, { method: 'POST' })).statusCode, 202)
+    t.deepEqual(host.program.directory.available('booking').map(({ announcement }) => announcement.endpointId), ['booking-2'])
+  })
+})
--- a/tests/entry/unrepeatable.test.ts
+++ b/tests/entry/unrepeatable.test.ts
@@ -201,6 +201,29 @@
   })
 })
 
+test('should bar a try that still waits when another try of its key is told "not run"', async t => {
+  let release = (): void => {}
+  const held = new Promise<void>(resolve => { release = resolve })
+  const slow: Handler = async (_request, response, body) => {
+    if (body.toString() === 'blocker') await held
+    response.end('recorded')
+  }
+  await withService(slow, async ({ host, other, executions, service }) => {
+    service.maxConcurrentCount = 1
+    await service.announce()
+    const blocker = post(host, 'k0', 'blocker')
+    await until(() => service.receivedCount === 1)
+    const waiting = post(host, 'k1')
+    await until(() => host.program.inFlightCount === 2)
+    const refused = await post(other, 'k1', 'drum 7', { 'x-priority-class': 'nobody' })
+    isRefusal(t, refused, 'unknown_priority_class', 'no')
+    release()
+    t.is((await blocker).status, 200)
+    isRefusal(t, await waiting, 'superseded', 'no')
+    t.deepEqual(executions, ['/returns/7 blocker'])
+  })
+})
+
 test('should not run a call whose start could not be confirmed', async t => {
   await withService(recorded, async ({ host, other, executions }) => {
     const submit = host.control.submit.bind(host.control)
