--- a/demo/localSystem.ts
+++ b/demo/localSystem.ts
@@ -29,13 +29,15 @@
 enum HostNumber {
   FirstControl = 1,
   FirstEntry = 4,
-  FirstEngine = 7,
   Service = 9,
   WeightStore = 10,
   Scoring = 11,
   Trainer = 12
 }
 
+/** Host numbers of the engines. */
+const ENGINE_HOSTS = [7, 8, 13, 14]
+
 export type Overrides = Record<string, unknown>
 
 export interface StandInOptions {
@@ -84,11 +86,16 @@
     return `http://${this._addresses.ip(host)}:${STAND_IN_PORT}`
   }
 
+  /** Replaces the addresses of the examples by this system's. */
+  translate (text: string): string {
+    return this._addresses.translate(text)
+  }
+
   /** A file of the product with its example addresses replaced by this system's. */
   localFile (path: string): string {
     const target = join(this.folder, path)
     mkdirSync(dirname(target), { recursive: true })
-    writeFileSync(target, this._addresses.translate(readFileSync(join(PRODUCT_FOLDER, path), 'utf8')))
+    writeFileSync(target, this.translate(readFileSync(join(PRODUCT_FOLDER, path), 'utf8')))
     return target
   }
 
@@ -141,7 +148,7 @@
     const name = `engine-${index + 1}`
     return this.startStandIn({
       name,
-      host: HostNumber.FirstEngine + index,
+      host: engineHost(index),
       script: 'engine',
       settings: { ...this._endpoint(name, 'hints', index), ...overrides }
     })
@@ -176,7 +183,7 @@
   }
 
   engineUrl (index: number): string {
-    return this.standInUrl(HostNumber.FirstEngine + index)
+    return this.standInUrl(engineHost(index))
   }
 
   get serviceUrl (): string {
@@ -248,6 +255,12 @@
   }
 }
 
+function engineHost (index: number): number {
+  const host = ENGINE_HOSTS[index]
+  if (host === undefined) throw new Error(`there is room for ${ENGINE_HOSTS.length} engines`)
+  return host
+}
+
 function range (count: number): number[] {
   return Array.from({ length: count }, (_value, index) => index)
 }
