Move the clock by hand in a test whose verdict hung on the machine's speed

Cause: one suite run (load 28) failed 'should say not run after a documented refusal': its deadline of one second passed while the call was at the endpoint, where unknown is the truth. Change: the clock jumps once the retry waits; the assertion is the same.

--- a/tests/entry/unrepeatable.test.ts
+++ b/tests/entry/unrepeatable.test.ts
@@ -171,14 +171,17 @@
     if (refuses) response.writeHead(503, { [NOT_EXECUTED_HEADER]: 'true' }).end()
     else response.end('recorded')
   }
-  await withService(refusing, async ({ host, other, executions }) => {
-    const refused = await post(host, 'k1', 'drum 7', { 'x-deadline-ms': '1000' })
+  await withService(refusing, async ({ cluster, host, other, executions }) => {
+    const waiting = post(host, 'k1', 'drum 7', { 'x-deadline-ms': '60000' })
+    await until(() => host.metrics.snapshot()['request.retried{pool=booking,reason=endpoint_refused}'] === 1)
+    cluster.clock.jump(60_000)
+    const refused = await waiting
     t.is(JSON.parse(refused.text).executed, 'no')
     t.is(executions.length, 0)
     refuses = false
     t.like(await post(other, 'k1'), { text: 'recorded', replayed: false })
     t.is(executions.length, 1)
-  })
+  }, { endpointLeaseMs: 600_000 })
 })
 
 test('should not run a call that waited while another try of its key was refused as not run', async t => {
