--- a/tests/entry/unrepeatable.test.ts
+++ b/tests/entry/unrepeatable.test.ts
@@ -171,14 +171,17 @@
     if (refuses) response.writeHead(503, { [NOT_EXECUTED_HEADER]: 'true' }).end()
     else response.end('recorded')
   }
-  await withService(refusing, async ({ host, other, executions }) => {
-    const refused = await post(host, 'k1', 'drum 7', { 'x-deadline-ms': '1000' })
+  await withService(refusing, async ({ cluster, host, other, executions }) => {
+    const waiting = post(host, 'k1', 'drum 7', { 'x-deadline-ms': '60000' })
+    await until(() => host.metrics.snapshot()['request.retried{pool=booking,reason=endpoint_refused}'] === 1)
+    cluster.clock.jump(60_000)
+    const refused = await waiting
     t.is(JSON.parse(refused.text).executed, 'no')
     t.is(executions.length, 0)
     refuses = false
     t.like(await post(other, 'k1'), { text: 'recorded', replayed: false })
     t.is(executions.length, 1)
-  })
+  }, { endpointLeaseMs: 600_000 })
 })
 
 test('should not run a call that waited while another try of its key was refused as not run', async t => {
@@ -201,6 +204,29 @@
   })
 })
 
+test('should bar a try that still waits when another try of its key is told "not run"', async t => {
+  let release = (): void => {}
+  const held = new Promise<void>(resolve => { release = resolve })
+  const slow: Handler = async (_request, response, body) => {
+    if (body.toString() === 'blocker') await held
+    response.end('recorded')
+  }
+  await withService(slow, async ({ host, other, executions, service }) => {
+    service.maxConcurrentCount = 1
+    await service.announce()
+    const blocker = post(host, 'k0', 'blocker')
+    await until(() => service.receivedCount === 1)
+    const waiting = post(host, 'k1')
+    await until(() => host.program.inFlightCount === 2)
+    const refused = await post(other, 'k1', 'drum 7', { 'x-priority-class': 'nobody' })
+    isRefusal(t, refused, 'unknown_priority_class', 'no')
+    release()
+    t.is((await blocker).status, 200)
+    isRefusal(t, await waiting, 'superseded', 'no')
+    t.deepEqual(executions, ['/returns/7 blocker'])
+  })
+})
+
 test('should not run a call whose start could not be confirmed', async t => {
   await withService(recorded, async ({ host, other, executions }) => {
     const submit = host.control.submit.bind(host.control)
