Refuse at once what every endpoint has failed; tell the scheduler of first tokens

Change: the refusal comes on arrival, with the time to come back; completions report firstTokenMs; the messages of the overhead benchmark stand in a module of their own. The new test failed before the change. Ruled out: refusing at once where no endpoint is known at all, as after a restart one may just be announcing itself.

--- a/bench/entryOverhead.ts
+++ b/bench/entryOverhead.ts
@@ -8,7 +8,7 @@
 import { chunkEvent, completionOf, TestEndpoint, type Handler } from '../tests/fixtures/testEndpoint.js'
 import { median, type BenchOptions, type BenchResult } from './benchResult.js'
 import { Proxy } from './overhead/proxies.js'
-import { ProxyKind } from './overhead/proxyProcess.js'
+import { ProxyKind } from './overhead/proxyMessages.js'
 
 const CONCURRENT_COUNT = 16
 const ROUNDS_COUNT = 5
--- a/bench/overhead/proxies.ts
+++ b/bench/overhead/proxies.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import type { ProxyCommand, ProxyKind, ProxyUsage } from './proxyProcess.js'
+import type { ProxyCommand, ProxyKind, ProxyUsage } from './proxyMessages.js'
 
 const script = join(dirname(fileURLToPath(import.meta.url)), 'proxyProcess.js')
 
--- /dev/null
+++ b/bench/overhead/proxyMessages.ts
@@ -0,0 +1,15 @@
+/**
+ * What the overhead benchmark and its processes tell each other.
+ */
+export enum ProxyKind {
+  Entry = 'entry',
+  Bare = 'bare'
+}
+
+export interface ProxyUsage {
+  processorMicros: number
+  heapBytes: number
+  residentBytes: number
+}
+
+export type ProxyCommand = { kind: 'usage' } | { kind: 'stop' }
--- a/bench/overhead/proxyProcess.ts
+++ b/bench/overhead/proxyProcess.ts
@@ -9,19 +9,7 @@
 import { EndpointKind, ResourceKind } from '../../src/protocol/resources.js'
 import { EntryCluster } from '../../tests/fixtures/entryCluster.js'
 import { loopbackHost } from '../../tests/fixtures/loopback.js'
-
-export enum ProxyKind {
-  Entry = 'entry',
-  Bare = 'bare'
-}
-
-export interface ProxyUsage {
-  processorMicros: number
-  heapBytes: number
-  residentBytes: number
-}
-
-export type ProxyCommand = { kind: 'usage' } | { kind: 'stop' }
+import { ProxyKind, type ProxyCommand, type ProxyUsage } from './proxyMessages.js'
 
 async function startEntry (): Promise<string> {
   const cluster = new EntryCluster()
--- a/src/entry/completions/engineCompletions.ts
+++ b/src/entry/completions/engineCompletions.ts
@@ -45,6 +45,8 @@
   mayHaveRun: boolean
   /** The sink wants no more. */
   isUnwanted: boolean
+  /** When the present try made its first token; undefined before. */
+  firstTokenAtMs: number | undefined
 }
 
 /** Which weights made the tokens of a chunk, by the engine's own word. */
@@ -78,7 +80,8 @@
       assembly: new ChunkAssembly(task.resumeTokens, task.resumeVersions),
       excludedEndpointIds: [...task.item.excludedEndpointIds],
       mayHaveRun: false,
-      isUnwanted: false
+      isUnwanted: false,
+      firstTokenAtMs: undefined
     }
     for (;;) {
       if (run.assembly.tokens.length >= task.maxTokensCount) return complete(run, FinishReason.Length)
@@ -96,12 +99,13 @@
     }
     const { assignment } = assigned
     const startedAtMs = progress.clock.nowMs()
+    run.firstTokenAtMs = undefined
     const heldCount = run.assembly.tokens.length
     let result: AttemptResult = { kind: 'cancelled' }
     try {
       const outcome = await this._stream(run, assignment)
       const tokensCount = run.assembly.tokens.length - heldCount
-      result = attemptResult(run, outcome, tokensCount, progress.clock.nowMs() - startedAtMs)
+      result = attemptResult(run, outcome, tokensCount, startedAtMs)
       return this._judge(run, assignment, outcome)
     } finally {
       assignment.finish(result)
@@ -142,6 +146,7 @@
       if (accepted.kind === 'accepted') fresh.push(...accepted.chunks)
       else gapTooLarge = true
     }
+    if (fresh.length > 0) run.firstTokenAtMs ??= run.progress.clock.nowMs()
     if (fresh.length > 0 && !await this._handOn(run, fresh)) return Reading.Stop
     if (run.assembly.finishReason !== undefined) return Reading.Complete
     return gapTooLarge ? Reading.Stop : Reading.GoOn
@@ -211,8 +216,10 @@
   return { kind: 'refused', refusal: { ...refusal, callLog: [...progress.callLog] }, partial }
 }
 
-function attemptResult (run: Run, outcome: TryOutcome, tokensCount: number, durationMs: number): AttemptResult {
-  if (run.assembly.finishReason !== undefined) return { kind: 'succeeded', tokensCount, durationMs }
+function attemptResult (run: Run, outcome: TryOutcome, tokensCount: number, startedAtMs: number): AttemptResult {
+  const durationMs = run.progress.clock.nowMs() - startedAtMs
+  const firstTokenMs = run.firstTokenAtMs === undefined ? undefined : run.firstTokenAtMs - startedAtMs
+  if (run.assembly.finishReason !== undefined) return { kind: 'succeeded', tokensCount, durationMs, firstTokenMs }
   if (run.isUnwanted) return { kind: 'cancelled' }
   switch (outcome.kind) {
     case 'ended': return { kind: 'failed' }
--- a/src/entry/scheduling/poolScheduler.ts
+++ b/src/entry/scheduling/poolScheduler.ts
@@ -73,7 +73,7 @@
     const spec = this._spec()
     this._endpoints.refresh(spec)
     this._refreshShares()
-    const refusal = this._refusalOnArrival(item, progress) ?? this._makeRoom(item, spec)
+    const refusal = this._refusalWhenAllFailed(item) ?? this._refusalOnArrival(item, progress) ?? this._makeRoom(item, spec)
     if (refusal) {
       onLeft()
       return Promise.resolve(refusal)
@@ -113,6 +113,13 @@
     this._fairShare.setShares(classShares(classes.map(({ name, spec }) => ({ className: name, spec }))))
   }
 
+  /** Nothing is left to wait for: the caller learns that now, not after a grace time. */
+  private _refusalWhenAllFailed (item: WorkItem): AssignOutcome | undefined {
+    if (item.excludedEndpointIds.length === 0 || this._endpoints.available.length === 0) return undefined
+    if (this._endpoints.couldTake(item)) return undefined
+    return this._refuse(item, RefusalReason.NoEndpoint, `every endpoint of ${this._pool} has failed it`)
+  }
+
   private _refusalOnArrival (item: WorkItem, progress: Progress): AssignOutcome | undefined {
     const nowMs = this._parts.clock.nowMs()
     const remainingMs = progress.remainingMs()
--- a/tests/scheduling/admission.test.ts
+++ b/tests/scheduling/admission.test.ts
@@ -110,6 +110,14 @@
   t.true(fixture.clock.nowMs() < 5000)
 })
 
+test('should refuse at once work that every endpoint of the pool has failed', async t => {
+  const fixture = new SchedulingFixture()
+  for (const name of ['one', 'two']) fixture.announce(name)
+  const [outcome] = await settledOf([fixture.assign({ excludedEndpointIds: ['one', 'two'] })])
+  t.like(outcome, { kind: 'refused', reason: RefusalReason.NoEndpoint })
+  t.is(fixture.clock.nowMs(), 0)
+})
+
 test('should forget work whose caller has gone, waiting or running', async t => {
   const fixture = new SchedulingFixture()
   fixture.configuration.put(ResourceKind.CallerLimit, 'caller', { maxConcurrentCount: 1, requestsPerSecond: 100 })
