--- a/bench/control/fleet.ts
+++ b/bench/control/fleet.ts
@@ -105,7 +105,6 @@
   return [
     { name: 'control.inForce.medianMs', ...median(medianMs), unit: 'ms', detail },
     { name: 'control.inForce.worstMs', value: Math.max(...lastMs), unit: 'ms', detail },
-    { name: 'control.inForce.hops', value: 1, unit: 'count', detail: 'commit → one pushed notice; every change reached every host without a renewal between' },
     { name: 'control.inForce.receivedBytesPerHost', value: Math.round(noticesBytes / changesCount / hostsCount), unit: 'bytes', detail }
   ]
 }
