Move the replicated log and its storage to src/replication

The durable store of batches runs the same log as the control hosts, so the log stands in a folder that both may import. Its log events keep their numbers. No change of behaviour; lint and types checked.

--- a/importBoundaries.js
+++ b/importBoundaries.js
@@ -6,12 +6,13 @@
   utils: [],
   protocol: ['utils'],
   transport: ['utils', 'protocol'],
-  control: ['utils', 'protocol', 'transport'],
+  replication: ['utils', 'transport'],
+  control: ['utils', 'protocol', 'transport', 'replication'],
   controlClient: ['utils', 'protocol', 'transport'],
   entry: ['utils', 'protocol', 'transport', 'controlClient'],
   cli: ['utils', 'protocol'],
   load: ['utils', 'protocol'],
-  bin: ['utils', 'protocol', 'transport', 'control', 'controlClient', 'entry', 'cli', 'load']
+  bin: ['utils', 'protocol', 'transport', 'replication', 'control', 'controlClient', 'entry', 'cli', 'load']
 }
 
 /** The boundaries as zones of import-x/no-restricted-paths. */
--- a/src/bin/threaddrumControl.ts
+++ b/src/bin/threaddrumControl.ts
@@ -4,12 +4,13 @@
 import { ControlProgram } from '../control/controlProgram.js'
 import { controlSettingsSchema } from '../control/controlSettings.js'
 import { createLedgers } from '../control/ledgers/createLedgers.js'
+import { replicationEventCatalogue } from '../replication/replicationEvents.js'
 import { runProgram } from '../utils/programMain.js'
 
 await runProgram({
   name: 'threaddrum-control',
   settingsSchema: controlSettingsSchema,
-  eventCatalogue: controlEventCatalogue,
+  eventCatalogue: { ...controlEventCatalogue, ...replicationEventCatalogue },
   brokenInvariantEvent: ControlEvent.BrokenInvariant,
   needs: ({ host, storage }) => ({
     addresses: { 'host.peerAddress': host.peerAddress, 'host.operatorAddress': host.operatorAddress },
--- a/src/control/admin/adminRouter.ts
+++ b/src/control/admin/adminRouter.ts
@@ -10,7 +10,7 @@
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
 import type { ControlNode } from '../controlNode.js'
-import { ReadMode } from '../log/replica.js'
+import { ReadMode } from '../../replication/log/replica.js'
 import { controlStatus } from './controlStatus.js'
 
 export interface AdminContext {
--- a/src/control/admin/controlStatus.ts
+++ b/src/control/admin/controlStatus.ts
@@ -5,7 +5,7 @@
 import type { ControlStatus } from '../../protocol/controlStatus.js'
 import type { Progress } from '../../utils/progress.js'
 import type { ControlNode } from '../controlNode.js'
-import { ReadMode } from '../log/replica.js'
+import { ReadMode } from '../../replication/log/replica.js'
 
 export type StatusOutcome =
   | { kind: 'status', status: ControlStatus }
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -10,8 +10,8 @@
 import type { Progress } from '../utils/progress.js'
 import { checkCommand, type ControlState } from './controlState.js'
 import { CONFIGURATION_LEASE_MS, LeaseTable } from './hosts/leaseTable.js'
-import type { Member } from './log/members.js'
-import { ReadMode, type ReadOutcome, type Replica } from './log/replica.js'
+import type { Member } from '../replication/log/members.js'
+import { ReadMode, type ReadOutcome, type Replica } from '../replication/log/replica.js'
 
 export class ControlNode {
   readonly replica: Replica
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -16,22 +16,23 @@
 import { adminRouter } from './admin/adminRouter.js'
 import { adminClient, LeaderAccess } from './admin/leaderAccess.js'
 import { ClientSessions } from './clientSessions.js'
+import { ReplicationEvent } from '../replication/replicationEvents.js'
 import { ControlEvent } from './controlEvents.js'
 import { ControlNode } from './controlNode.js'
 import type { ControlSettings } from './controlSettings.js'
 import { ControlState } from './controlState.js'
 import { SilentHosts } from './hosts/silentHosts.js'
 import type { LedgersFactory } from './ledgers/ledgers.js'
-import { ClusterFormation, type JoinCall } from './log/clusterFormation.js'
-import { defaultSnapshotPolicy } from './log/logApplier.js'
-import { identifyMethod } from './log/raftMethods.js'
-import { Replica } from './log/replica.js'
-import { defaultTimings } from './log/timings.js'
+import { ClusterFormation, type JoinCall } from '../replication/log/clusterFormation.js'
+import { defaultSnapshotPolicy } from '../replication/log/logApplier.js'
+import { identifyMethod } from '../replication/log/raftMethods.js'
+import { Replica } from '../replication/log/replica.js'
+import { defaultTimings } from '../replication/log/timings.js'
 import { OperatorApi } from './operatorApi/operatorApi.js'
 import { WatchStreams } from './operatorApi/watchStream.js'
-import type { ReplicatedState } from './replicatedState.js'
-import { FileDisk } from './storage/fileDisk.js'
-import { ReplicaStorage, type OpenedReplica } from './storage/replicaStorage.js'
+import type { ReplicatedState } from '../replication/replicatedState.js'
+import { FileDisk } from '../replication/storage/fileDisk.js'
+import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
 
 export interface ControlProgramParts {
   settings: ControlSettings
@@ -81,8 +82,8 @@
     const random = systemRandom()
     const disk = await FileDisk.open(settings.storage.dataFolder)
     const opened = await ReplicaStorage.open(disk, settings.host.hostId, () => random.id())
-    if (opened.damage !== undefined) logger.event(ControlEvent.StorageDamaged, { reason: opened.damage })
-    if (opened.loaded.tornBytes > 0) logger.event(ControlEvent.TornTailCut, { bytesCount: opened.loaded.tornBytes })
+    if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
+    if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailCut, { bytesCount: opened.loaded.tornBytes })
     const program = new ControlProgram(parts, opened)
     await program._start()
     return program
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -12,7 +12,7 @@
 import { unreachable } from '../utils/errors.js'
 import { HostRegistry } from './hosts/hostRegistry.js'
 import type { Ledgers, LedgersFactory } from './ledgers/ledgers.js'
-import type { ApplyContext, ReplicatedState } from './replicatedState.js'
+import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
 import { ChangeHistory, type ChangeHistorySnapshot } from './resources/changeHistory.js'
 import { checkResourceCommand, ResourceStore } from './resources/resourceStore.js'
 
--- a/src/control/hosts/fenceRegistry.ts
+++ b/src/control/hosts/fenceRegistry.ts
@@ -3,7 +3,7 @@
  * it grows for every scope, even for one that was forgotten in between.
  */
 import type { HostResult } from '../../protocol/hostCommands.js'
-import type { ApplyContext } from '../replicatedState.js'
+import type { ApplyContext } from '../../replication/replicatedState.js'
 
 /** Scopes remembered with their holders; the one acquired longest ago is forgotten first. */
 export const MAX_FENCES_COUNT = 16_384
--- a/src/control/hosts/hostRegistry.ts
+++ b/src/control/hosts/hostRegistry.ts
@@ -3,7 +3,7 @@
  * numbers.
  */
 import { HostCommandKind, type EntryHost, type HostCommand, type HostResult } from '../../protocol/hostCommands.js'
-import type { ApplyContext, ReplicatedState } from '../replicatedState.js'
+import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
 import type { ChangeHistory } from '../resources/changeHistory.js'
 import { FenceRegistry } from './fenceRegistry.js'
 
--- a/src/control/ledgers/ledgers.ts
+++ b/src/control/ledgers/ledgers.ts
@@ -6,7 +6,7 @@
 import type { RolloutCommand, RolloutResult } from '../../protocol/rolloutCommands.js'
 import type { RolloutProgress } from '../../protocol/rolloutProgress.js'
 import type { UnrepeatableCommand, UnrepeatableResult } from '../../protocol/unrepeatableCommands.js'
-import type { ReplicatedState } from '../replicatedState.js'
+import type { ReplicatedState } from '../../replication/replicatedState.js'
 import type { ResourceLookup } from '../resources/resourceStore.js'
 
 export interface UnrepeatableLedgerState extends ReplicatedState<UnrepeatableCommand, UnrepeatableResult> {
--- a/src/control/ledgers/rolloutLedger.ts
+++ b/src/control/ledgers/rolloutLedger.ts
@@ -10,7 +10,7 @@
 import { RolloutCommandKind, SampleDropReason, type HeldSample, type JobOutlook, type LeasedSlot, type RolloutCommand, type RolloutCommandOf, type RolloutResult } from '../../protocol/rolloutCommands.js'
 import type { RolloutJobSpec } from '../../protocol/resources.js'
 import type { RolloutProgress } from '../../protocol/rolloutProgress.js'
-import type { ApplyContext, ReplicatedState } from '../replicatedState.js'
+import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
 import { advance, dropCommitted, dropStaleUnoffered } from './rollouts/delivery.js'
 import { forecastLength, recordLength, type Forecast } from './rollouts/forecast.js'
 import { expireHosts, releaseWhere, renewHost, SLOT_LEASE_MS, type HostLeases } from './rollouts/hostLeases.js'
--- a/src/control/ledgers/unrepeatableLedger.ts
+++ b/src/control/ledgers/unrepeatableLedger.ts
@@ -12,7 +12,7 @@
 import type { UnrepeatableState } from '../../protocol/queries.js'
 import { UnrepeatableCommandKind, type RecordedAnswer, type UnrepeatableCommand, type UnrepeatableResult } from '../../protocol/unrepeatableCommands.js'
 import { unreachable } from '../../utils/errors.js'
-import type { ApplyContext, ReplicatedState } from '../replicatedState.js'
+import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
 
 /** A resend within this time never runs a second time. */
 export const UNREPEATABLE_RETENTION_MS = 24 * 3_600_000
--- a/src/control/resources/resourceStore.ts
+++ b/src/control/resources/resourceStore.ts
@@ -4,7 +4,7 @@
  */
 import { ResourceCommandKind, type ResourceCommand, type ResourceResult } from '../../protocol/resourceCommands.js'
 import { specSchemas, type Resource, type ResourceKind, type ResourceOf } from '../../protocol/resources.js'
-import type { ApplyContext, ReplicatedState } from '../replicatedState.js'
+import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
 import type { ChangeHistory } from './changeHistory.js'
 import { RememberedChanges, type RememberedChange } from './rememberedChanges.js'
 
--- a/src/control/log/clusterFormation.ts
+++ b/src/replication/log/clusterFormation.ts
@@ -8,7 +8,7 @@
 import { sleepUntil } from '../../utils/clock.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
-import { ControlEvent } from '../controlEvents.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import { EntryKind } from './logEntry.js'
 import { MemberRole, type Member } from './members.js'
 import { decodeMembership, encodeMembership } from './membershipHistory.js'
@@ -97,7 +97,7 @@
     const { clock, logger } = this._core.parts
     const progress = new Progress(clock, scope, clock.nowMs() + ASK_TIMEOUT_MS)
     const answer = await this._join(via, { replicaId: this._core.replicaId, ...this._own }, progress)
-    if (this._triesCount++ % LOG_EVERY_TRIES_COUNT === 0) logger.event(ControlEvent.JoinAsked, { viaHostId: via.hostId, answer })
+    if (this._triesCount++ % LOG_EVERY_TRIES_COUNT === 0) logger.event(ReplicationEvent.JoinAsked, { viaHostId: via.hostId, answer })
   }
 
   private async _form (answers: IdentifyReply[], scope: Scope): Promise<void> {
@@ -112,12 +112,12 @@
     this._core.state.append([{ index: 1, term: 1, kind: EntryKind.Membership, atMs: clock.wallMs(), payload }])
     await this._core.settled(scope)
     await scope.race(this._core.adopt(clusterId))
-    logger.event(ControlEvent.ClusterFormed, { clusterId, hostIds: [own, ...others].map(member => member.hostId) })
+    logger.event(ReplicationEvent.ClusterFormed, { clusterId, hostIds: [own, ...others].map(member => member.hostId) })
   }
 
   private _logWaiting (others: InitialMember[], answers: IdentifyReply[]): void {
     if (this._triesCount++ % LOG_EVERY_TRIES_COUNT !== 0) return
     const silent = others.filter(member => !answers.some(answer => answer.hostId === member.hostId))
-    this._core.parts.logger.event(ControlEvent.WaitingForMembers, { hostIds: silent.map(member => member.hostId) })
+    this._core.parts.logger.event(ReplicationEvent.WaitingForMembers, { hostIds: silent.map(member => member.hostId) })
   }
 }
--- a/src/control/log/following.ts
+++ b/src/replication/log/following.ts
@@ -3,7 +3,7 @@
  * the leader.
  */
 import type { Scope } from '../../utils/scope.js'
-import { ControlEvent } from '../controlEvents.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import type { LogApplier } from './logApplier.js'
 import type {
   AppendReply, AppendRequest, HeartbeatReply, HeartbeatRequest, SnapshotReply, SnapshotRequest
@@ -63,7 +63,7 @@
         core.state.install(received.snapshot, received.bytes)
         core.commitIndex = received.snapshot.lastIndex
         this._applier.restore(received.snapshot)
-        core.parts.logger.event(ControlEvent.SnapshotInstalled, { lastIndex: received.snapshot.lastIndex, bytesCount: received.bytes.length })
+        core.parts.logger.event(ReplicationEvent.SnapshotInstalled, { lastIndex: received.snapshot.lastIndex, bytesCount: received.bytes.length })
         return await this._matchedAt(received.snapshot.lastIndex, request.term)
     }
   }
--- a/src/control/log/logApplier.ts
+++ b/src/replication/log/logApplier.ts
@@ -7,7 +7,7 @@
 import { invariant } from '../../utils/errors.js'
 import type { Scope } from '../../utils/scope.js'
 import { Signal } from '../../utils/signal.js'
-import { ControlEvent } from '../controlEvents.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import type { ReplicatedState } from '../replicatedState.js'
 import { encodeSnapshot, type Snapshot } from '../storage/snapshotFile.js'
 import { EntryKind, entryBytes, type LogEntry } from './logEntry.js'
@@ -117,6 +117,6 @@
     this._core.state.compact(snapshot, bytes, this._policy.keptEntriesCount)
     this._entriesCount = 0
     this._bytes = 0
-    this._core.parts.logger.event(ControlEvent.SnapshotTaken, { lastIndex, bytesCount: bytes.length })
+    this._core.parts.logger.event(ReplicationEvent.SnapshotTaken, { lastIndex, bytesCount: bytes.length })
   }
 }
--- a/src/control/log/membershipChanges.ts
+++ b/src/replication/log/membershipChanges.ts
@@ -5,7 +5,7 @@
  */
 import { sleepUntil } from '../../utils/clock.js'
 import type { Scope } from '../../utils/scope.js'
-import { ControlEvent } from '../controlEvents.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import type { Leadership } from './leadership.js'
 import { MemberRole, quorumCount, votersOf, type Member } from './members.js'
 import type { ReplicaCore } from './replicaCore.js'
@@ -43,7 +43,7 @@
     // An earlier learner of the same host never voted and can go in the same step.
     const kept = members.filter(member => member.hostId !== newcomer.hostId || member.role === MemberRole.Voter)
     this._leadership.changeMembers([...kept, { ...newcomer, role: MemberRole.Learner }])
-    this._core.parts.logger.event(ControlEvent.MemberAdded, { hostId: newcomer.hostId, replicaId: newcomer.replicaId })
+    this._core.parts.logger.event(ReplicationEvent.MemberAdded, { hostId: newcomer.hostId, replicaId: newcomer.replicaId })
     return { kind: 'accepted' }
   }
 
@@ -55,7 +55,7 @@
     const remaining = this._core.members.filter(member => member.hostId !== hostId)
     if (votersOf(leaving).length > 1) return this._removeOne(leaving)
     if (!this._hasLiveQuorum(remaining)) return { kind: 'refused', reason: 'too few of the remaining members answer' }
-    this._change(remaining, ControlEvent.MemberRemoved, hostId)
+    this._change(remaining, ReplicationEvent.MemberRemoved, hostId)
     return { kind: 'accepted' }
   }
 
@@ -80,25 +80,25 @@
   private _replace (predecessor: Member): void {
     const remaining = this._core.members.filter(member => member.replicaId !== predecessor.replicaId)
     if (this._leadership.isLive(predecessor.replicaId) || !this._hasLiveQuorum(remaining)) return
-    this._change(remaining, ControlEvent.MemberRemoved, predecessor.hostId)
+    this._change(remaining, ReplicationEvent.MemberRemoved, predecessor.hostId)
   }
 
   private _promote (learner: Member): void {
     const members = this._core.members.map(member => (
       member.replicaId === learner.replicaId ? { ...member, role: MemberRole.Voter } : member
     ))
-    if (this._hasLiveQuorum(members)) this._change(members, ControlEvent.MemberPromoted, learner.hostId)
+    if (this._hasLiveQuorum(members)) this._change(members, ReplicationEvent.MemberPromoted, learner.hostId)
   }
 
   private _removeOne (leaving: Member[]): MembershipOutcome {
     const [first] = votersOf(leaving)
     const remaining = this._core.members.filter(member => member !== first)
     if (!this._hasLiveQuorum(remaining)) return { kind: 'refused', reason: 'too few of the remaining members answer' }
-    this._change(remaining, ControlEvent.MemberRemoved, first?.hostId ?? '')
+    this._change(remaining, ReplicationEvent.MemberRemoved, first?.hostId ?? '')
     return { kind: 'busy' }
   }
 
-  private _change (members: Member[], event: ControlEvent, hostId: string): void {
+  private _change (members: Member[], event: ReplicationEvent, hostId: string): void {
     this._leadership.changeMembers(members)
     this._core.parts.logger.event(event, { hostId })
   }
--- a/src/control/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -10,7 +10,7 @@
 import type { RandomSource } from '../../utils/randomSource.js'
 import type { Scope } from '../../utils/scope.js'
 import { Signal } from '../../utils/signal.js'
-import { ControlEvent } from '../controlEvents.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import type { ReplicaStorage } from '../storage/replicaStorage.js'
 import { isVoter, type Member } from './members.js'
 import type { PersistentState } from './persistentState.js'
@@ -124,7 +124,7 @@
     if (this._leaderReplicaId === leaderReplicaId) return
     this._leaderReplicaId = leaderReplicaId
     this.parts.metrics.count(MetricName.LeaderChanged)
-    this.parts.logger.event(ControlEvent.LeaderFollowed, { term, leaderReplicaId })
+    this.parts.logger.event(ReplicationEvent.LeaderFollowed, { term, leaderReplicaId })
     this.leaderChanged.notify()
   }
 
@@ -140,7 +140,7 @@
     this._role = ReplicaRole.Follower
     this._leaderReplicaId = undefined
     if (!wasLeader) return
-    this.parts.logger.event(ControlEvent.LeadershipEnded, { term: this.term, reason })
+    this.parts.logger.event(ReplicationEvent.LeadershipEnded, { term: this.term, reason })
     this._onStepDown(reason)
     this.leaderChanged.notify()
   }
@@ -156,7 +156,7 @@
     this._leaderReplicaId = this.replicaId
     this._onStepDown = onStepDown
     this.parts.metrics.count(MetricName.LeaderChanged)
-    this.parts.logger.event(ControlEvent.LeadershipBegun, { term: this.term })
+    this.parts.logger.event(ReplicationEvent.LeadershipBegun, { term: this.term })
     this.leaderChanged.notify()
   }
 
--- a/src/control/log/voting.ts
+++ b/src/replication/log/voting.ts
@@ -8,7 +8,7 @@
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
 import { Signal } from '../../utils/signal.js'
-import { ControlEvent } from '../controlEvents.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import { quorumCount, votersOf, type Member } from './members.js'
 import type { PeerLinks } from './peerLinks.js'
 import { voteMethod, type VoteReply, type VoteRequest } from './raftMethods.js'
@@ -53,7 +53,7 @@
     if (core.term + 1 !== term || core.isBoundToLeader()) return false
     core.becomeCandidate()
     core.state.setHardState({ term, votedFor: core.replicaId })
-    core.parts.logger.event(ControlEvent.ElectionBegun, { term })
+    core.parts.logger.event(ReplicationEvent.ElectionBegun, { term })
     await core.settled(this._scope)
     if (!this._isCandidateOf(term)) return false
     return await this._collect(term, false) && this._isCandidateOf(term)
--- /dev/null
+++ b/src/replication/replicationEvents.ts
@@ -0,0 +1,38 @@
+/**
+ * Log events of a replica of the log, whichever program runs it: 1010 to 1039.
+ */
+import { LogLevel, type EventCatalogue } from '../utils/logger.js'
+
+export enum ReplicationEvent {
+  LeaderFollowed = 1010,
+  LeadershipBegun = 1011,
+  LeadershipEnded = 1012,
+  ElectionBegun = 1013,
+  SnapshotTaken = 1020,
+  SnapshotInstalled = 1021,
+  StorageDamaged = 1022,
+  TornTailCut = 1023,
+  ClusterFormed = 1030,
+  JoinAsked = 1031,
+  MemberAdded = 1032,
+  MemberPromoted = 1033,
+  MemberRemoved = 1034,
+  WaitingForMembers = 1035
+}
+
+export const replicationEventCatalogue: EventCatalogue = {
+  [ReplicationEvent.LeaderFollowed]: { level: LogLevel.Info, text: 'This host follows another leader.', advice: 'Several an hour without restarts point to slow disks or a bad network.' },
+  [ReplicationEvent.LeadershipBegun]: { level: LogLevel.Info, text: 'This host leads.', advice: 'None.' },
+  [ReplicationEvent.LeadershipEnded]: { level: LogLevel.Warn, text: 'This host no longer leads.', advice: 'Look at the reason; a lost quorum means that most control hosts are down or cut off.' },
+  [ReplicationEvent.ElectionBegun]: { level: LogLevel.Info, text: 'This host stands for election.', advice: 'None.' },
+  [ReplicationEvent.SnapshotTaken]: { level: LogLevel.Info, text: 'A snapshot was taken and the log compacted.', advice: 'None.' },
+  [ReplicationEvent.SnapshotInstalled]: { level: LogLevel.Info, text: 'A snapshot of the leader was installed.', advice: 'None.' },
+  [ReplicationEvent.StorageDamaged]: { level: LogLevel.Error, text: 'The data folder is damaged; its files were set aside, and the host joins as a new replica.', advice: 'Check the disk. The old files stand in a folder damaged-… until you remove them. If this happens on most control hosts, stop and keep those folders.' },
+  [ReplicationEvent.TornTailCut]: { level: LogLevel.Warn, text: 'A write that never ended was cut off the log.', advice: 'Expected after a crash or a loss of power.' },
+  [ReplicationEvent.ClusterFormed]: { level: LogLevel.Info, text: 'A new cluster was formed.', advice: 'Expected once, at the first start of all. If control held data before, stop and look for the old data folders.' },
+  [ReplicationEvent.JoinAsked]: { level: LogLevel.Info, text: 'The host asks to join the cluster.', advice: 'If it repeats, the cluster has no leader, or the host id is in use.' },
+  [ReplicationEvent.MemberAdded]: { level: LogLevel.Info, text: 'A replica was added as a learner.', advice: 'None.' },
+  [ReplicationEvent.MemberPromoted]: { level: LogLevel.Info, text: 'A learner has caught up and votes.', advice: 'None.' },
+  [ReplicationEvent.MemberRemoved]: { level: LogLevel.Info, text: 'A replica was removed.', advice: 'None.' },
+  [ReplicationEvent.WaitingForMembers]: { level: LogLevel.Info, text: 'The first start waits until all initial members answer.', advice: 'Start the control hosts that are named.' }
+}
--- a/tests/control/failures.test.ts
+++ b/tests/control/failures.test.ts
@@ -2,9 +2,9 @@
  * One test for each protection of the log that random runs seldom need.
  */
 import test from 'ava'
-import { ReadMode } from '../../src/control/log/replica.js'
-import { MemberRole } from '../../src/control/log/members.js'
-import type { Replica } from '../../src/control/log/replica.js'
+import { ReadMode } from '../../src/replication/log/replica.js'
+import { MemberRole } from '../../src/replication/log/members.js'
+import type { Replica } from '../../src/replication/log/replica.js'
 import { ResourceCommandKind, type ResourceCommand } from '../../src/protocol/resourceCommands.js'
 import { ResourceKind } from '../../src/protocol/resources.js'
 import { Progress } from '../../src/utils/progress.js'
--- a/tools/capacity/events.ts
+++ b/tools/capacity/events.ts
@@ -5,7 +5,7 @@
 import { CONFIGURATION_LEASE_MS } from '../../src/control/hosts/leaseTable.js'
 import { SILENCE_MS } from '../../src/control/hosts/silentHosts.js'
 import { MAX_KEYS_COUNT, UNREPEATABLE_RETENTION_MS } from '../../src/control/ledgers/unrepeatableLedger.js'
-import { defaultTimings } from '../../src/control/log/timings.js'
+import { defaultTimings } from '../../src/replication/log/timings.js'
 import { defaultLimits } from '../../src/entry/entrySettings.js'
 import { unrepeatablePerSecond } from './rows.js'
 import type { SlopeBook } from './slopeBook.js'
