--- a/bench/control/commits.ts
+++ b/bench/control/commits.ts
@@ -78,7 +78,7 @@
   })
   replica.start()
   const members = Array.from({ length: HOSTS_COUNT }, (_value, position) => ({ hostId: `control-${position + 1}`, peerAddress: addressOf(position + 1) }))
-  const formation = new ClusterFormation(replica.core, replica.links, own, members, async () => 'not needed')
+  const formation = new ClusterFormation(replica.core, replica.links, own, { initialMembers: members, mayForm: true }, async () => 'not needed')
   supervisor.spawn('formation', formationScope => formation.run(formationScope))
   return { replica, batchesCount }
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 import { boundaryZones } from './importBoundaries.js'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**', '.run/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', '.run/**'] }),
   {
     files: ['**/*.ts'],
     plugins: { 'import-x': importX },
--- /dev/null
+++ b/src/batches/batchClient.ts
@@ -0,0 +1,122 @@
+/**
+ * The batch store as an entry host sees it: calls go to its leader, which is
+ * looked up in the fleet and in the answers of replicas that do not lead.
+ */
+import type { FleetView } from '../fleet/fleetView.js'
+import { HostRole } from '../protocol/fleet.js'
+import type { BatchSubmission } from '../protocol/batches.js'
+import { PeerLinks } from '../replication/log/peerLinks.js'
+import {
+  endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod,
+  type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
+} from '../transport/batchMethods.js'
+import type { Transport } from '../transport/connection.js'
+import type { CallOutcome, RpcMethod } from '../transport/rpcPeer.js'
+import { sleepUntil } from '../utils/clock.js'
+import type { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+
+/** Pause before the leader is looked for again. */
+const RETRY_PAUSE_MS = 50
+/** A leader that has not answered within this time may be cut off: look whether there is another. */
+const TRY_TIMEOUT_MS = 700
+
+/** Answered by replicas; resolved here and never passed on. */
+export interface NotLeader {
+  kind: 'notLeader'
+  leaderAddress?: string | undefined
+}
+
+interface Unavailable {
+  kind: 'unavailable'
+  reason: string
+}
+
+type Asked<Reply> = { kind: 'answered', reply: Exclude<Reply, NotLeader> } | { kind: 'unsent' } | { kind: 'lost', reason: string }
+
+export class BatchClient {
+  private readonly _view: FleetView
+  private readonly _links: PeerLinks
+  private _hint: string | undefined
+  private _nextReplica = 0
+
+  constructor (view: FleetView, transport: Transport, scope: Scope, onFatal: (error: unknown) => void) {
+    this._view = view
+    this._links = new PeerLinks(transport, scope, onFatal)
+  }
+
+  /** Submitting twice takes a batch once, so a lost call is repeated. */
+  async submit (submission: BatchSubmission, progress: Progress): Promise<SubmitBatchReply> {
+    const asked = await this._ask<{ submission: BatchSubmission }, SubmitBatchReply>(submitBatchMethod, { submission }, progress, TRY_TIMEOUT_MS)
+    switch (asked.kind) {
+      case 'answered':
+        return asked.reply
+      case 'unsent':
+        return { kind: 'refused', reason: 'no leader of the batch store is known' }
+      case 'lost':
+        return { kind: 'unknown', reason: asked.reason }
+    }
+  }
+
+  async readResults (batchId: string, fromPosition: number, waitMs: number, progress: Progress): Promise<Exclude<ReadResultsReply, NotLeader>> {
+    const request = { batchId, fromPosition, waitMs }
+    return await this._read<typeof request, ReadResultsReply>(readResultsMethod, request, progress, waitMs + TRY_TIMEOUT_MS)
+  }
+
+  async readItem (batchId: string, itemId: string, progress: Progress): Promise<Exclude<ReadItemReply, NotLeader>> {
+    return await this._read<{ batchId: string, itemId: string }, ReadItemReply>(readItemMethod, { batchId, itemId }, progress, TRY_TIMEOUT_MS)
+  }
+
+  async end (batchId: string, progress: Progress): Promise<Exclude<EndBatchReply, NotLeader>> {
+    return await this._read<{ batchId: string }, EndBatchReply>(endBatchMethod, { batchId }, progress, TRY_TIMEOUT_MS)
+  }
+
+  private async _read<Request, Reply extends { kind: string }> (
+    method: RpcMethod<Request, Reply>, body: Request, progress: Progress, tryTimeoutMs: number
+  ): Promise<Exclude<Reply, NotLeader> | Unavailable> {
+    const asked = await this._ask<Request, Reply>(method, body, progress, tryTimeoutMs)
+    if (asked.kind === 'answered') return asked.reply
+    return { kind: 'unavailable', reason: asked.kind === 'lost' ? asked.reason : 'no leader of the batch store is known' }
+  }
+
+  private async _ask<Request, Reply extends { kind: string }> (
+    method: RpcMethod<Request, Reply>, body: Request, progress: Progress, tryTimeoutMs: number
+  ): Promise<Asked<Reply>> {
+    let last: Asked<Reply> = { kind: 'unsent' }
+    while (!progress.isOver()) {
+      const address = this._leaderAddress()
+      if (address !== undefined) {
+        const outcome = await this._askAt(address, method, body, progress.before(progress.clock.nowMs() + tryTimeoutMs))
+        if (outcome.kind === 'replied' && !isNotLeader(outcome.body)) {
+          if (outcome.body.kind !== 'unavailable') return { kind: 'answered', reply: outcome.body as Exclude<Reply, NotLeader> }
+        } else if (outcome.kind === 'lost') {
+          last = { kind: 'lost', reason: outcome.reason }
+        }
+      }
+      await sleepUntil(progress.clock, progress.scope, Math.min(progress.deadlineMs, progress.clock.nowMs() + RETRY_PAUSE_MS))
+    }
+    return last
+  }
+
+  private async _askAt<Request, Reply extends { kind: string }> (
+    address: string, method: RpcMethod<Request, Reply>, body: Request, progress: Progress
+  ): Promise<CallOutcome<Reply>> {
+    const outcome = await this._links.to({ peerAddress: address }).call(method, body, progress)
+    const isLed = outcome.kind === 'replied' && !isNotLeader(outcome.body)
+    this._hint = outcome.kind === 'replied' && isNotLeader(outcome.body) ? outcome.body.leaderAddress : isLed ? address : undefined
+    return outcome
+  }
+
+  /** A replica that answered last, the leader that control hosts know, or any replica in turn. */
+  private _leaderAddress (): string | undefined {
+    if (this._hint !== undefined) return this._hint
+    const told = this._view.storeLeader()?.store?.peerAddress
+    const replicas = this._view.hosts(HostRole.Store).flatMap(({ store }) => store?.peerAddress ?? [])
+    const inTurn = replicas[this._nextReplica++ % Math.max(1, replicas.length)]
+    return this._nextReplica % 2 === 1 ? told ?? inTurn : inTurn
+  }
+}
+
+function isNotLeader (reply: { kind: string }): reply is NotLeader {
+  return reply.kind === 'notLeader'
+}
--- /dev/null
+++ b/src/batches/batchDispatcher.ts
@@ -0,0 +1,224 @@
+/**
+ * Runs the items of all open batches while this host leads the batch store.
+ * Every item is a task that waits here for its turn; a turn is given whenever
+ * an engine with fitting weights has room.
+ */
+import type { EndpointClient } from '../endpoints/endpointClient.js'
+import type { EndpointPool } from '../endpoints/endpointPool.js'
+import type { FleetView } from '../fleet/fleetView.js'
+import type { RequestForwarder } from '../gateway/requestForwarder.js'
+import { CurrentRoutes } from '../gateway/routeTable.js'
+import type { BatchItem, ItemResult } from '../protocol/batches.js'
+import type { RoutingRoute } from '../protocol/routing.js'
+import type { Replica } from '../replication/log/replica.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import type { Scope } from '../utils/scope.js'
+import type { Supervisor } from '../utils/supervisor.js'
+import { BatchEvent } from './batchEvents.js'
+import type { Batch, BatchState } from './batchState.js'
+import { EngineFleet, type Engine } from './engineFleet.js'
+import { compareWaiting, fastestEngine } from './itemOrder.js'
+import { ItemRun, type ItemRunParts } from './itemRun.js'
+import type { ItemOutput } from './itemOutput.js'
+
+/** How often waiting items are looked at when nothing is heard: suspicions and pauses of engines end by time. */
+const LOOK_INTERVAL_MS = 50
+/** Output of items whose batch ended early, kept for their return in a later one. */
+const MAX_KEPT_OUTPUTS_COUNT = 2_000
+/** For a batch whose route is not known any more. */
+const DEFAULT_DUE_MS = 10_000
+
+export interface BatchDispatcherParts {
+  clock: Clock
+  logger: Logger
+  client: EndpointClient
+  forwarder: RequestForwarder
+  pool: EndpointPool
+  view: FleetView
+  replica: Replica
+  state: BatchState
+  supervisor: Supervisor
+}
+
+interface Waiting {
+  run: ItemRun
+  resolve: (engine: Engine) => void
+}
+
+interface TrackedBatch {
+  batch: Batch
+  supervisor: Supervisor
+}
+
+export class BatchDispatcher {
+  readonly engines: EngineFleet
+  private readonly _parts: BatchDispatcherParts
+  private readonly _routes = new CurrentRoutes()
+  private readonly _tracked = new Map<string, TrackedBatch>()
+  private readonly _keptOutputs = new Map<string, ItemOutput>()
+  private readonly _seenItemIds = new Set<string>()
+  private _waiting: Waiting[] = []
+
+  constructor (parts: BatchDispatcherParts) {
+    this._parts = parts
+    this.engines = new EngineFleet(parts.pool)
+  }
+
+  /** Open batches that this host runs. */
+  batches (): Batch[] {
+    return [...this._tracked.values()].map(({ batch }) => batch)
+  }
+
+  /** The oldest version that a model's engines need for what is open. */
+  neededVersion (model: string): number {
+    const versions = this.batches().filter(({ submission }) => submission.model === model).map(({ submission }) => submission.minVersion)
+    return Math.max(0, ...versions)
+  }
+
+  /** Follows the list of batches until the scope closes. */
+  async run (scope: Scope): Promise<void> {
+    const { clock, replica, view } = this._parts
+    this._parts.logger.event(BatchEvent.DispatchBegun, { term: replica.core.term, openBatchesCount: this._parts.state.open().length })
+    scope.onClose(view.onChange(() => this._giveTurns()))
+    scope.onClose(() => this._parts.logger.event(BatchEvent.DispatchEnded, { reason: scope.closeReason ?? '' }))
+    this._parts.supervisor.spawn('turns', turnsScope => this._lookRegularly(turnsScope))
+    for (;;) {
+      this._track()
+      await replica.applied.wait(scope, { clock, deadlineMs: clock.nowMs() + 1_000 })
+    }
+  }
+
+  /** An engine has changed: somebody may get a turn. */
+  enginesChanged (): void {
+    this._giveTurns()
+  }
+
+  routeOf (host: string, path: string): RoutingRoute | undefined {
+    const { routing } = this._parts.view
+    return routing && this._routes.of(routing).find(host, path)
+  }
+
+  private async _lookRegularly (scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    for (;;) {
+      await sleepUntil(clock, scope, clock.nowMs() + LOOK_INTERVAL_MS)
+      if (this._waiting.length > 0) this._giveTurns()
+    }
+  }
+
+  private _track (): void {
+    const { state } = this._parts
+    for (const [batchId, { batch, supervisor }] of this._tracked) {
+      if (!batch.isEnded && state.get(batchId) === batch) continue
+      supervisor.scope.close('the batch has ended')
+      this._tracked.delete(batchId)
+    }
+    for (const batch of state.open()) {
+      if (!this._tracked.has(batch.batchId)) this._begin(batch)
+    }
+  }
+
+  private _begin (batch: Batch): void {
+    const { clock, supervisor: parent } = this._parts
+    const supervisor = parent.child(`batch ${batch.batchId}`)
+    this._tracked.set(batch.batchId, { batch, supervisor })
+    const promise = this.routeOf(batch.submission.host, batch.submission.path)?.batch
+    const dueAtMs = clock.nowMs() + (promise?.dueMs ?? DEFAULT_DUE_MS)
+    const giveUpAtMs = clock.nowMs() + (promise?.maxQueueMs ?? DEFAULT_DUE_MS)
+    for (const item of batch.openItems()) this._beginItem(batch, item, dueAtMs, giveUpAtMs, supervisor)
+  }
+
+  private _beginItem (batch: Batch, item: BatchItem, dueAtMs: number, giveUpAtMs: number, supervisor: Supervisor): void {
+    const { clock, logger, client, forwarder, replica } = this._parts
+    const parts: ItemRunParts = {
+      clock,
+      logger,
+      client,
+      forwarder,
+      replica,
+      acquire: (run, scope) => this._acquire(run, scope),
+      release: (run, engine) => this._release(run, engine),
+      routeOf: (host, path) => this.routeOf(host, path)
+    }
+    const run = new ItemRun(parts, batch, item, dueAtMs, giveUpAtMs, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
+    this._seenItemIds.add(item.itemId)
+    const completed = this._completedResultOf(batch, item)
+    supervisor.spawn(`item ${item.itemId}`, async scope => {
+      scope.onClose(() => this._keepOutput(run))
+      await run.run(scope, completed)
+    })
+  }
+
+  /** A result of an earlier batch that fits this one as it is. */
+  private _completedResultOf (batch: Batch, item: BatchItem): ItemResult | undefined {
+    const completed = this._parts.state.completedResult(item)
+    if (!completed) return undefined
+    return completed.versions.every(version => version >= batch.submission.minVersion) ? completed : undefined
+  }
+
+  private _keptOutputOf (batch: Batch, item: BatchItem): ItemOutput | undefined {
+    const kept = this._keptOutputs.get(item.itemId)
+    this._keptOutputs.delete(item.itemId)
+    return kept?.isMadeSince(batch.submission.minVersion) === true ? kept : undefined
+  }
+
+  private _keepOutput (run: ItemRun): void {
+    if (!run.isBegun || run.batch.isListed(run.item.itemId)) return
+    this._keptOutputs.set(run.item.itemId, run.output)
+    const [oldest] = this._keptOutputs.keys()
+    if (this._keptOutputs.size > MAX_KEPT_OUTPUTS_COUNT && oldest !== undefined) this._keptOutputs.delete(oldest)
+  }
+
+  private async _acquire (run: ItemRun, scope: Scope): Promise<Engine> {
+    let waiting: Waiting | undefined
+    const turn = new Promise<Engine>(resolve => {
+      waiting = { run, resolve }
+      this._waiting.push(waiting)
+    })
+    const stopWaiting = scope.onClose(() => { this._waiting = this._waiting.filter(other => other !== waiting) })
+    this._giveTurns()
+    try {
+      return await scope.race(turn)
+    } finally {
+      stopWaiting()
+    }
+  }
+
+  private _release (run: ItemRun, engine: Engine): void {
+    engine.runningCount--
+    engine.heldTokensCount -= tokensOf(run)
+    this._giveTurns()
+  }
+
+  private _giveTurns (): void {
+    if (this._waiting.length === 0) return
+    this._waiting.sort((left, right) => compareWaiting(left.run, right.run))
+    const left: Waiting[] = []
+    for (const waiting of this._waiting) {
+      const engine = this._engineFor(waiting.run)
+      if (!engine) {
+        left.push(waiting)
+        continue
+      }
+      engine.runningCount++
+      engine.heldTokensCount += tokensOf(waiting.run)
+      waiting.resolve(engine)
+    }
+    this._waiting = left
+  }
+
+  private _engineFor (run: ItemRun): Engine | undefined {
+    const { host, path, minVersion } = run.batch.submission
+    const route = this.routeOf(host, path)
+    const service = route?.services.find(({ weight }) => weight > 0)?.service
+    if (service === undefined) return undefined
+    const fitting = this.engines.ofService(service).filter(engine => engine.mayRun() && engine.version(run.item.model) >= minVersion)
+    const capacity = this._parts.view.routing?.services.find(({ name }) => name === service)?.engine?.kvCapacityTokens
+    return fastestEngine(fitting, capacity ?? Number.POSITIVE_INFINITY)
+  }
+}
+
+function tokensOf (run: ItemRun): number {
+  return run.item.promptTokensCount + run.item.expectedTokensCount
+}
--- /dev/null
+++ b/src/batches/batchEvents.ts
@@ -0,0 +1,50 @@
+/**
+ * Log events of the batch store: 3000 to 3099.
+ */
+import { LogLevel, type EventCatalogue } from '../utils/logger.js'
+
+export enum BatchEvent {
+  Started = 3000,
+  Stopping = 3001,
+  BrokenInvariant = 3002,
+  StoreAdopted = 3010,
+  StoreJoinAsked = 3011,
+  BatchAccepted = 3020,
+  BatchRefused = 3021,
+  BatchEnded = 3022,
+  ItemStarted = 3030,
+  ItemBroken = 3031,
+  ItemFinished = 3032,
+  ItemScored = 3033,
+  ItemListed = 3034,
+  ItemGivenUp = 3035,
+  ItemReused = 3036,
+  DispatchBegun = 3040,
+  DispatchEnded = 3041,
+  OrderGiven = 3050,
+  OrderSettled = 3051,
+  HostRetired = 3060
+}
+
+export const batchEventCatalogue: EventCatalogue = {
+  [BatchEvent.Started]: { level: LogLevel.Info, text: 'The store host has started.', advice: 'None.' },
+  [BatchEvent.Stopping]: { level: LogLevel.Info, text: 'The store host stops as planned.', advice: 'None.' },
+  [BatchEvent.BrokenInvariant]: { level: LogLevel.Error, text: 'A broken invariant or a failed disk stops the process.', advice: 'Read the error. With a failed or full disk, mend the disk or wipe the data folder and start again: the host joins as a new replica. Otherwise keep the data folder and report it.' },
+  [BatchEvent.StoreAdopted]: { level: LogLevel.Info, text: 'This replica is one of the first members of the batch store.', advice: 'Expected once for a disk.' },
+  [BatchEvent.StoreJoinAsked]: { level: LogLevel.Info, text: 'The host asks to join the batch store.', advice: 'If it repeats, the store has no leader or is full.' },
+  [BatchEvent.BatchAccepted]: { level: LogLevel.Info, text: 'A batch was accepted and is on the disks of a quorum.', advice: 'None.' },
+  [BatchEvent.BatchRefused]: { level: LogLevel.Warn, text: 'A batch was refused, or its fate is not known.', advice: 'Read the reason.' },
+  [BatchEvent.BatchEnded]: { level: LogLevel.Info, text: 'A batch was ended by its submitter.', advice: 'None.' },
+  [BatchEvent.ItemStarted]: { level: LogLevel.Info, text: 'An item was sent to an engine.', advice: 'None.' },
+  [BatchEvent.ItemBroken]: { level: LogLevel.Warn, text: 'A run of an item ended before its output was whole.', advice: 'Look at the engine if it repeats.' },
+  [BatchEvent.ItemFinished]: { level: LogLevel.Info, text: 'The output of an item is whole.', advice: 'None.' },
+  [BatchEvent.ItemScored]: { level: LogLevel.Info, text: 'The reward call of an item has ended.', advice: 'None.' },
+  [BatchEvent.ItemListed]: { level: LogLevel.Info, text: 'The result of an item has its position in the list.', advice: 'None.' },
+  [BatchEvent.ItemGivenUp]: { level: LogLevel.Warn, text: 'An item was given up for good.', advice: 'Read the reason.' },
+  [BatchEvent.ItemReused]: { level: LogLevel.Info, text: 'An item that returned in a later batch kept what it had.', advice: 'None.' },
+  [BatchEvent.DispatchBegun]: { level: LogLevel.Info, text: 'This host leads the batch store and runs its items.', advice: 'None.' },
+  [BatchEvent.DispatchEnded]: { level: LogLevel.Info, text: 'This host no longer runs items.', advice: 'None.' },
+  [BatchEvent.OrderGiven]: { level: LogLevel.Info, text: 'An engine was ordered to load a version of weights.', advice: 'None.' },
+  [BatchEvent.OrderSettled]: { level: LogLevel.Info, text: 'What came of an order to an engine.', advice: 'Look at the engine if the version is not reached.' },
+  [BatchEvent.HostRetired]: { level: LogLevel.Info, text: 'A store host was taken out of the members for its retirement.', advice: 'None.' }
+}
--- /dev/null
+++ b/src/batches/batchService.ts
@@ -0,0 +1,127 @@
+/**
+ * What entry hosts ask of the batch store, answered by its leader. A read
+ * counts only while the leader's lease or a quorum confirms that it leads.
+ */
+import { BatchCommandKind, type BatchCommandResult, type BatchSubmission, type ItemResult } from '../protocol/batches.js'
+import { ReadMode, type Replica } from '../replication/log/replica.js'
+import {
+  endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod,
+  type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
+} from '../transport/batchMethods.js'
+import type { RpcHandlers } from '../transport/rpcPeer.js'
+import type { Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import { BatchEvent } from './batchEvents.js'
+import type { Batch, BatchState } from './batchState.js'
+
+/** Results of one read, by the bytes of their texts. */
+const MAX_RESULT_BYTES = 900_000
+/** Bounds what a caller may ask a handler to wait. */
+const MAX_WAIT_MS = 10_000
+/** A read that waits for results ends this much before its caller gives up. */
+const WAIT_MARGIN_MS = 100
+
+export interface BatchServiceParts {
+  replica: Replica
+  state: BatchState
+  clock: Clock
+  logger: Logger
+  scope: Scope
+  /** How long results can be read after their batch was accepted. */
+  keepMs: number
+}
+
+export class BatchService {
+  private readonly _parts: BatchServiceParts
+
+  constructor (parts: BatchServiceParts) {
+    this._parts = parts
+  }
+
+  serve (handlers: RpcHandlers): void {
+    handlers.on(submitBatchMethod, ({ submission }, remainingMs) => this._submit(submission, this._progress(remainingMs)))
+    handlers.on(readResultsMethod, ({ batchId, fromPosition, waitMs }, remainingMs) => (
+      this._readResults(batchId, fromPosition, waitMs, this._progress(remainingMs))
+    ))
+    handlers.on(readItemMethod, ({ batchId, itemId }, remainingMs) => this._readItem(batchId, itemId, this._progress(remainingMs)))
+    handlers.on(endBatchMethod, ({ batchId }, remainingMs) => this._end(batchId, this._progress(remainingMs)))
+  }
+
+  private async _submit (submission: BatchSubmission, progress: Progress): Promise<SubmitBatchReply> {
+    const { replica, logger, keepMs } = this._parts
+    if (!replica.leadership) return this._notLeader()
+    const { batchId, step, items } = submission
+    const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission, keepMs }, progress)
+    if (outcome.kind === 'committed') {
+      logger.event(BatchEvent.BatchAccepted, { batchId, step, itemsCount: items.length, index: outcome.index })
+      return { kind: 'accepted' }
+    }
+    logger.event(BatchEvent.BatchRefused, { batchId, step, outcome: outcome.kind, reason: outcome.reason })
+    return outcome.kind === 'notCommitted' ? { kind: 'refused', reason: outcome.reason } : outcome
+  }
+
+  private async _readResults (batchId: string, fromPosition: number, waitMs: number, progress: Progress): Promise<ReadResultsReply> {
+    const { clock, replica, state } = this._parts
+    const waiting = progress.before(Math.min(clock.nowMs() + waitMs, progress.deadlineMs - WAIT_MARGIN_MS))
+    for (;;) {
+      const failure = await this._confirm(progress)
+      if (failure) return failure
+      const batch = state.get(batchId)
+      if (!batch) return { kind: 'unknownBatch' }
+      if (batch.results.length > fromPosition || batch.isEnded || waiting.isOver()) return pageOf(batch, fromPosition)
+      await replica.applied.wait(progress.scope, waiting)
+    }
+  }
+
+  private async _readItem (batchId: string, itemId: string, progress: Progress): Promise<ReadItemReply> {
+    const failure = await this._confirm(progress)
+    if (failure) return failure
+    const item = this._parts.state.get(batchId)?.openItem(itemId)
+    return item ? { kind: 'body', body: item.body } : { kind: 'absent' }
+  }
+
+  private async _end (batchId: string, progress: Progress): Promise<EndBatchReply> {
+    const { replica, logger } = this._parts
+    if (!replica.leadership) return this._notLeader()
+    const outcome = await replica.propose({ kind: BatchCommandKind.End, batchId }, progress)
+    if (outcome.kind !== 'committed') return { kind: 'unavailable', reason: outcome.reason }
+    logger.event(BatchEvent.BatchEnded, { batchId, index: outcome.index })
+    return (outcome.result as BatchCommandResult).kind === 'ended' ? { kind: 'ended' } : { kind: 'unknownBatch' }
+  }
+
+  /** What keeps this host from answering; undefined when its state is current. */
+  private async _confirm (progress: Progress): Promise<{ kind: 'notLeader', leaderAddress: string | undefined } | { kind: 'unavailable', reason: string } | undefined> {
+    const read = await this._parts.replica.read(ReadMode.Lease, progress)
+    switch (read.kind) {
+      case 'confirmed':
+        return undefined
+      case 'notLeader':
+        return this._notLeader()
+      case 'unavailable':
+        return read
+    }
+  }
+
+  private _notLeader (): { kind: 'notLeader', leaderAddress: string | undefined } {
+    return { kind: 'notLeader', leaderAddress: this._parts.replica.core.leader?.peerAddress }
+  }
+
+  private _progress (remainingMs: number): Progress {
+    const { clock, scope } = this._parts
+    return new Progress(clock, scope, clock.nowMs() + Math.min(remainingMs, MAX_WAIT_MS))
+  }
+}
+
+/** Results from a position on; one at least if there is one. */
+function pageOf (batch: Batch, fromPosition: number): ReadResultsReply {
+  const results: ItemResult[] = []
+  let lengthBytes = 0
+  for (const result of batch.results.slice(fromPosition)) {
+    lengthBytes += Buffer.byteLength(result.text)
+    if (results.length > 0 && lengthBytes > MAX_RESULT_BYTES) break
+    results.push(result)
+  }
+  return { kind: 'results', totalCount: batch.submission.items.length, nextPosition: fromPosition + results.length, results }
+}
--- /dev/null
+++ b/src/batches/batchState.ts
@@ -0,0 +1,173 @@
+/**
+ * The replicated state of the batch store: batches with their items, and their
+ * lists of results. A result's position and content never change.
+ */
+import { BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type BatchSubmission, type ItemResult } from '../protocol/batches.js'
+import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
+
+/** A batch that nobody ends is kept open no longer than this beyond its time. */
+const MAX_OPEN_FACTOR = 2
+
+interface BatchFields {
+  submission: BatchSubmission
+  acceptedAtMs: number
+  keepMs: number
+  results: ItemResult[]
+  isEnded: boolean
+}
+
+interface CompletedItem {
+  result: ItemResult
+  rewardId: string | undefined
+}
+
+export class Batch {
+  readonly fields: BatchFields
+  private readonly _items: Map<string, BatchItem>
+  private readonly _listed = new Set<string>()
+
+  constructor (fields: BatchFields) {
+    this.fields = fields
+    this._items = new Map(fields.submission.items.map(item => [item.itemId, item]))
+    for (const { itemId } of fields.results) this._listed.add(itemId)
+  }
+
+  get batchId (): string {
+    return this.fields.submission.batchId
+  }
+
+  get submission (): BatchSubmission {
+    return this.fields.submission
+  }
+
+  get results (): readonly ItemResult[] {
+    return this.fields.results
+  }
+
+  get isEnded (): boolean {
+    return this.fields.isEnded
+  }
+
+  /** The leader's wall clock when it took the batch. */
+  get acceptedAtMs (): number {
+    return this.fields.acceptedAtMs
+  }
+
+  isListed (itemId: string): boolean {
+    return this._listed.has(itemId)
+  }
+
+  /** An item that is not listed yet. */
+  openItem (itemId: string): BatchItem | undefined {
+    return this.isEnded || this.isListed(itemId) ? undefined : this._items.get(itemId)
+  }
+
+  rewardIdOf (itemId: string): string | undefined {
+    return this._items.get(itemId)?.reward?.rewardId
+  }
+
+  openItems (): BatchItem[] {
+    return this.isEnded ? [] : this.submission.items.filter(({ itemId }) => !this.isListed(itemId))
+  }
+
+  /** Lists a result; its position, or undefined if the item is listed already, or is not one of the batch. */
+  list (result: ItemResult): number | undefined {
+    if (this.isListed(result.itemId) || !this._items.has(result.itemId)) return undefined
+    this._listed.add(result.itemId)
+    return this.fields.results.push(result) - 1
+  }
+
+  isOutdated (atMs: number): boolean {
+    const keptMs = this.isEnded ? this.fields.keepMs : MAX_OPEN_FACTOR * this.fields.keepMs
+    return atMs - this.fields.acceptedAtMs > keptMs
+  }
+}
+
+export class BatchState implements ReplicatedState<BatchCommand, BatchCommandResult> {
+  private readonly _batches = new Map<string, Batch>()
+  /** Completed results by item, for items that return in a later batch. */
+  private readonly _completed = new Map<string, CompletedItem>()
+
+  get (batchId: string): Batch | undefined {
+    return this._batches.get(batchId)
+  }
+
+  open (): Batch[] {
+    return [...this._batches.values()].filter(batch => !batch.isEnded)
+  }
+
+  get count (): number {
+    return this._batches.size
+  }
+
+  /** The completed result that an item had, under the same reward call, in any batch that is still kept. */
+  completedResult ({ itemId, reward }: BatchItem): ItemResult | undefined {
+    const completed = this._completed.get(itemId)
+    return completed && completed.rewardId === reward?.rewardId ? completed.result : undefined
+  }
+
+  apply (command: BatchCommand, { atMs }: ApplyContext): BatchCommandResult {
+    switch (command.kind) {
+      case BatchCommandKind.Submit:
+        return this._submit(command.submission, command.keepMs, atMs)
+      case BatchCommandKind.Finish:
+        return this._finish(command.batchId, command.result)
+      case BatchCommandKind.End:
+        return this._end(command.batchId)
+    }
+  }
+
+  snapshot (): BatchFields[] {
+    return [...this._batches.values()].map(({ fields }) => fields)
+  }
+
+  restore (snapshot: unknown): void {
+    this._batches.clear()
+    this._completed.clear()
+    for (const fields of snapshot as BatchFields[]) {
+      const batch = new Batch(fields)
+      this._batches.set(batch.batchId, batch)
+      for (const result of fields.results) this._remember(batch, result)
+    }
+  }
+
+  private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
+    this._forgetOutdated(atMs)
+    if (!this._batches.has(submission.batchId)) {
+      const fields = { submission, acceptedAtMs: atMs, keepMs, results: [], isEnded: false }
+      this._batches.set(submission.batchId, new Batch(fields))
+    }
+    return { kind: 'accepted' }
+  }
+
+  private _finish (batchId: string, result: ItemResult): BatchCommandResult {
+    const batch = this._batches.get(batchId)
+    if (!batch || batch.isEnded) return { kind: 'closed' }
+    const position = batch.list(result)
+    if (position === undefined) return { kind: 'closed' }
+    this._remember(batch, result)
+    return { kind: 'listed', position }
+  }
+
+  private _end (batchId: string): BatchCommandResult {
+    const batch = this._batches.get(batchId)
+    if (!batch) return { kind: 'unknownBatch' }
+    batch.fields.isEnded = true
+    return { kind: 'ended' }
+  }
+
+  private _remember (batch: Batch, result: ItemResult): void {
+    if (result.state !== ResultState.Completed) return
+    this._completed.set(result.itemId, { result, rewardId: batch.rewardIdOf(result.itemId) })
+  }
+
+  private _forgetOutdated (atMs: number): void {
+    for (const [batchId, batch] of this._batches) {
+      if (!batch.isOutdated(atMs)) continue
+      this._batches.delete(batchId)
+      for (const result of batch.results) {
+        if (this._completed.get(result.itemId)?.result === result) this._completed.delete(result.itemId)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/batches/itemRun.ts
@@ -0,0 +1,258 @@
+/**
+ * One item of a batch, from its turn to its place in the list of results: it
+ * runs on an engine, goes on at another one behind the last event if that
+ * breaks off, is scored, and is committed. One task, written straight down.
+ */
+import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
+import type { ForwardOutcome, RequestForwarder } from '../gateway/requestForwarder.js'
+import { BatchCommandKind, ResultState, type BatchItem, type ItemResult, type RewardCall } from '../protocol/batches.js'
+import type { RoutingRoute } from '../protocol/routing.js'
+import type { Replica } from '../replication/log/replica.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import { ScopeClosedError, unreachable } from '../utils/errors.js'
+import type { Logger } from '../utils/logger.js'
+import { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import type { Batch } from './batchState.js'
+import { BatchEvent } from './batchEvents.js'
+import type { Engine } from './engineFleet.js'
+import { ItemOutput } from './itemOutput.js'
+import type { WaitingItem } from './itemOrder.js'
+
+/** An engine that makes no event for so long is left for another one. */
+const SILENT_RUN_MS = 900
+/** Pause after a run that failed at once, so that a broken engine is not asked in a loop. */
+const RETRY_PAUSE_MS = 30
+/** One try of the reward call, with its retries. */
+const REWARD_TIMEOUT_MS = 2_000
+const REWARD_RETRY_PAUSE_MS = 50
+const COMMIT_TIMEOUT_MS = 2_000
+const HTTP_OK_MIN = 200
+const HTTP_OK_MAX = 299
+
+export interface ItemRunParts {
+  clock: Clock
+  logger: Logger
+  client: EndpointClient
+  forwarder: RequestForwarder
+  replica: Replica
+  /** Waits until an engine has room for the item. */
+  acquire: (run: ItemRun, scope: Scope) => Promise<Engine>
+  release: (run: ItemRun, engine: Engine) => void
+  /** The route of a request, in the routing configuration of the moment. */
+  routeOf: (host: string, path: string) => RoutingRoute | undefined
+}
+
+export class ItemRun implements WaitingItem {
+  readonly batch: Batch
+  readonly item: BatchItem
+  readonly output: ItemOutput
+  readonly dueAtMs: number
+  readonly isCarriedOver: boolean
+  private readonly _parts: ItemRunParts
+  private readonly _giveUpAtMs: number
+  /** Runs that engines answered as failed. */
+  private _failuresCount = 0
+
+  /** @param kept output that an earlier batch had of the item */
+  constructor (parts: ItemRunParts, batch: Batch, item: BatchItem, dueAtMs: number, giveUpAtMs: number, kept: ItemOutput | undefined, isCarriedOver: boolean) {
+    this._parts = parts
+    this.batch = batch
+    this.item = item
+    this.dueAtMs = dueAtMs
+    this._giveUpAtMs = giveUpAtMs
+    this.output = kept ?? new ItemOutput()
+    this.isCarriedOver = isCarriedOver
+  }
+
+  get isBegun (): boolean {
+    return this.output.lastEventId > 0
+  }
+
+  get expectedTokensCount (): number {
+    return this.item.expectedTokensCount
+  }
+
+  /** Returns once the item is listed. */
+  async run (scope: Scope, completed: ItemResult | undefined): Promise<void> {
+    if (completed) return await this._reuse(completed, scope)
+    const isWhole = await this._untilWhole(scope)
+    const result = isWhole ? await this._scored(scope) : this._givenUp()
+    await this._commit(result, scope)
+  }
+
+  private async _reuse (completed: ItemResult, scope: Scope): Promise<void> {
+    this._log(BatchEvent.ItemReused, { versions: completed.versions.map(String), isWhole: true })
+    await this._commit(completed, scope)
+  }
+
+  /** False when the item is given up. */
+  private async _untilWhole (scope: Scope): Promise<boolean> {
+    const { clock } = this._parts
+    if (this.isBegun) this._log(BatchEvent.ItemReused, { eventsCount: this.output.lastEventId, isWhole: false })
+    for (;;) {
+      const engine = await this._parts.acquire(this, scope)
+      const outcome = await this._runOn(engine, scope)
+      switch (outcome.kind) {
+        case 'finished':
+          this._log(BatchEvent.ItemFinished, { endpointId: engine.id, eventsCount: this.output.lastEventId, versions: this.output.versions.map(String) })
+          return true
+        case 'impossible':
+          return false
+        case 'failed':
+          this._failuresCount++
+          break
+        case 'notExecuted':
+          engine.health.wasFull(undefined)
+          break
+        case 'misdirected':
+        case 'unreached':
+        case 'broken':
+          engine.health.failed()
+          break
+        default:
+          return unreachable(outcome)
+      }
+      this._log(BatchEvent.ItemBroken, { endpointId: engine.id, outcome: outcome.kind, reason: reasonOf(outcome), eventsCount: this.output.lastEventId })
+      if (this._isHopeless()) return false
+      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+    }
+  }
+
+  private _isHopeless (): boolean {
+    const route = this._parts.routeOf(this.batch.submission.host, this.batch.submission.path)
+    const hasFailedOften = route !== undefined && this._failuresCount >= route.maxAttemptsCount
+    return hasFailedOften || this._parts.clock.nowMs() >= this._giveUpAtMs
+  }
+
+  private async _runOn (engine: Engine, scope: Scope): Promise<ItemOutcome> {
+    const { clock, client, release } = this._parts
+    const runScope = scope.child(`run on ${engine.id}`)
+    let eventAtMs = clock.nowMs()
+    const onEvent = (event: ItemEvent): void => {
+      engine.sawGap(clock.nowMs() - eventAtMs)
+      eventAtMs = clock.nowMs()
+      const problem = this._take(event, engine)
+      if (problem !== undefined) runScope.close(problem)
+    }
+    const cancelWatch = this._watch(runScope, () => eventAtMs)
+    this._log(BatchEvent.ItemStarted, { endpointId: engine.id, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
+    try {
+      return await client.runItem(this._request(engine), runScope, onEvent)
+    } catch (error) {
+      if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
+      return { kind: 'broken', reason: runScope.closeReason ?? '' }
+    } finally {
+      cancelWatch()
+      runScope.close('run over')
+      release(this, engine)
+    }
+  }
+
+  private _request (engine: Engine) {
+    const { path, headers, body, itemId } = this.item
+    return {
+      endpoint: engine.endpoint,
+      path,
+      host: this.batch.submission.host,
+      headers,
+      body,
+      attemptId: itemId,
+      deadlineMs: this._giveUpAtMs,
+      afterEventId: this.isBegun ? this.output.lastEventId : undefined
+    }
+  }
+
+  /** Keeps an event; the reason to end the run if it must not be kept. */
+  private _take (event: ItemEvent, engine: Engine): string | undefined {
+    const { minVersion, host, path } = this.batch.submission
+    if (event.version < minVersion) {
+      engine.setVersion(this.item.model, event.version)
+      return `version ${event.version} is older than ${minVersion}`
+    }
+    engine.learnVersion(this.item.model, event.version)
+    const isSingle = this._parts.routeOf(host, path)?.batch?.isSingleVersion === true
+    if (isSingle && this.isBegun && !this.output.versions.includes(event.version)) {
+      this.output.clear()
+      return 'the version changed in the middle'
+    }
+    this.output.add(event)
+    return undefined
+  }
+
+  /** Ends the run when the engine falls silent. */
+  private _watch (runScope: Scope, lastEventAtMs: () => number): () => void {
+    const { clock } = this._parts
+    let cancel = (): void => {}
+    const look = (): void => {
+      const silentAtMs = lastEventAtMs() + SILENT_RUN_MS
+      if (clock.nowMs() >= silentAtMs) runScope.close('the engine fell silent')
+      else cancel = clock.callAt(silentAtMs, look)
+    }
+    look()
+    return () => cancel()
+  }
+
+  private _givenUp (): ItemResult {
+    this._log(BatchEvent.ItemGivenUp, { failuresCount: this._failuresCount })
+    return { itemId: this.item.itemId, state: ResultState.GivenUp, text: this.output.text, versions: this.output.versions }
+  }
+
+  /** Asks for the score until there is one, or the reward call has failed for good. */
+  private async _scored (scope: Scope): Promise<ItemResult> {
+    const { clock } = this._parts
+    const { reward, itemId } = this.item
+    const whole = { itemId, text: this.output.text, versions: this.output.versions }
+    if (!reward) return { ...whole, state: ResultState.Completed }
+    let failuresCount = 0
+    for (;;) {
+      const route = this._parts.routeOf(reward.host, reward.path)
+      const outcome = route && await this._askReward(reward, route, scope)
+      if (outcome?.kind === 'answered') {
+        const { status, receipt, failedAnswersCount } = outcome
+        this._log(BatchEvent.ItemScored, { rewardId: reward.rewardId, status, failedAnswersCount })
+        if (status >= HTTP_OK_MIN && status <= HTTP_OK_MAX && receipt !== undefined) return { ...whole, state: ResultState.Completed, score: receipt }
+        failuresCount += failedAnswersCount
+      }
+      const isLost = route !== undefined && failuresCount >= route.maxAttemptsCount
+      if (isLost) return { ...whole, state: ResultState.GivenUp }
+      await sleepUntil(clock, scope, clock.nowMs() + REWARD_RETRY_PAUSE_MS)
+    }
+  }
+
+  private async _askReward (reward: RewardCall, route: RoutingRoute, scope: Scope): Promise<ForwardOutcome> {
+    const { clock, forwarder } = this._parts
+    return await forwarder.forward({
+      route,
+      method: 'POST',
+      path: reward.path,
+      host: reward.host,
+      headers: [],
+      body: reward.body,
+      attemptId: reward.rewardId,
+      progress: new Progress(clock, scope, clock.nowMs() + REWARD_TIMEOUT_MS),
+      isPersistent: true
+    })
+  }
+
+  private async _commit (result: ItemResult, scope: Scope): Promise<void> {
+    const { clock, replica } = this._parts
+    const command = { kind: BatchCommandKind.Finish, batchId: this.batch.batchId, result }
+    while (!this.batch.isListed(this.item.itemId)) {
+      const progress = new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS)
+      const outcome = await replica.propose(command, progress)
+      this._log(BatchEvent.ItemListed, { state: result.state, outcome: outcome.kind })
+      if (outcome.kind === 'committed') return
+      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+    }
+  }
+
+  private _log (event: BatchEvent, fields: Record<string, string | number | boolean | string[] | undefined>): void {
+    this._parts.logger.event(event, { batchId: this.batch.batchId, itemId: this.item.itemId, ...fields })
+  }
+}
+
+function reasonOf (outcome: ItemOutcome): string {
+  if ('reason' in outcome) return outcome.reason
+  return 'status' in outcome ? `status ${outcome.status}` : ''
+}
--- /dev/null
+++ b/src/batches/storeProgram.ts
@@ -0,0 +1,242 @@
+/**
+ * The wiring of a store host: a replica of the batch store and, while it
+ * leads, the dispatcher of items, the rollout of weights and retirements.
+ */
+import type { EndpointClient } from '../endpoints/endpointClient.js'
+import { EndpointPool } from '../endpoints/endpointPool.js'
+import { ControlCommands } from '../fleet/controlCommands.js'
+import { FleetFollower } from '../fleet/fleetFollower.js'
+import { FleetView } from '../fleet/fleetView.js'
+import { RequestForwarder } from '../gateway/requestForwarder.js'
+import { HostRole, type FleetHost } from '../protocol/fleet.js'
+import type { Leadership } from '../replication/log/leadership.js'
+import type { SnapshotPolicy } from '../replication/log/logApplier.js'
+import { votersOf } from '../replication/log/members.js'
+import { ReadMode, Replica } from '../replication/log/replica.js'
+import { defaultTimings } from '../replication/log/timings.js'
+import type { ReplicatedState } from '../replication/replicatedState.js'
+import { ReplicationEvent } from '../replication/replicationEvents.js'
+import { FileDisk } from '../replication/storage/fileDisk.js'
+import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
+import type { Connection } from '../transport/connection.js'
+import { joinStoreMethod } from '../transport/batchMethods.js'
+import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
+import { TcpTransport } from '../transport/tcpTransport.js'
+import { sleepUntil, systemClock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import type { Metrics } from '../utils/metrics.js'
+import { Progress } from '../utils/progress.js'
+import { systemRandom } from '../utils/randomSource.js'
+import { Scope } from '../utils/scope.js'
+import { Supervisor } from '../utils/supervisor.js'
+import { BatchDispatcher } from './batchDispatcher.js'
+import { BatchEvent } from './batchEvents.js'
+import { BatchService } from './batchService.js'
+import { BatchState } from './batchState.js'
+import { StoreMembership } from './storeMembership.js'
+import { StoreRetirement } from './storeRetirement.js'
+import { WeightRollout } from './weightRollout.js'
+
+export interface StoreSettings {
+  hostId: string
+  hostName: string
+  dataCentre: string
+  /** Where the other processes of the system connect. */
+  peerAddress: string
+  dataFolder: string
+  /** Control hosts to begin with. */
+  controlAddresses: string[]
+  /** Results can be read for so long after their batch was accepted. */
+  keepBatchesMs: number
+  /** Two hosts may not both order an engine within this time. */
+  orderLeaseMs: number
+  /** Engines that load weights at once. */
+  maxLoadsCount: number
+  /** A replica that was silent for so long is struck from the members. */
+  strikeSilentAfterMs: number
+}
+
+export interface StoreProgramParts {
+  settings: StoreSettings
+  client: EndpointClient
+  logger: Logger
+  metrics: Metrics
+  onFatal: (error: unknown) => void
+}
+
+/** Batches are a few hundred kilobytes each; a snapshot holds all that are kept. */
+const snapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 24 * 1024 * 1024, keptEntriesCount: 256 }
+const READY_TIMEOUT_MS = 1_000
+const READY_PAUSE_MS = 20
+
+export class StoreProgram {
+  private readonly _parts: StoreProgramParts
+  private readonly _scope = new Scope('store')
+  private readonly _supervisor: Supervisor
+  private readonly _transport = new TcpTransport()
+  private readonly _state = new BatchState()
+  private readonly _replica: Replica
+  private readonly _view: FleetView
+  private readonly _follower: FleetFollower
+  private readonly _service: BatchService
+  private readonly _commands: ControlCommands
+
+  private constructor (parts: StoreProgramParts, opened: OpenedReplica) {
+    this._parts = parts
+    const { settings, logger, metrics, onFatal } = parts
+    this._supervisor = new Supervisor(this._scope, (_task, error) => onFatal(error))
+    this._replica = new Replica({
+      clock: systemClock,
+      random: systemRandom(),
+      metrics,
+      logger,
+      timings: defaultTimings,
+      transport: this._transport,
+      supervisor: this._supervisor,
+      onFatal,
+      opened,
+      state: this._state as ReplicatedState<unknown, unknown>,
+      snapshotPolicy,
+      strikeSilentAfterMs: settings.strikeSilentAfterMs
+    })
+    this._view = new FleetView(logger)
+    this._follower = new FleetFollower({
+      clock: systemClock,
+      transport: this._transport,
+      logger,
+      supervisor: this._supervisor,
+      view: this._view,
+      seedAddresses: settings.controlAddresses,
+      describe: () => this._describe(),
+      onFatal
+    })
+    const { keepBatchesMs: keepMs } = settings
+    this._service = new BatchService({ replica: this._replica, state: this._state, clock: systemClock, logger, scope: this._scope, keepMs })
+    this._commands = new ControlCommands(() => this._follower.addresses, this._transport, this._scope, onFatal)
+  }
+
+  /**
+   * Opens the data folder and starts to serve.
+   * @throws StorageError when the data folder cannot be used at all.
+   */
+  static async start (parts: StoreProgramParts): Promise<StoreProgram> {
+    const { settings, logger } = parts
+    const random = systemRandom()
+    const disk = await FileDisk.open(settings.dataFolder)
+    const opened = await ReplicaStorage.open(disk, settings.hostId, () => random.id())
+    if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
+    if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailCut, { bytesCount: opened.loaded.tornBytes })
+    const program = new StoreProgram(parts, opened)
+    await program._start()
+    return program
+  }
+
+  /** Stops as planned; what was accepted is on disk already. */
+  async stop (): Promise<void> {
+    this._parts.logger.event(BatchEvent.Stopping)
+    await this._supervisor.stop('planned stop')
+  }
+
+  /** Control hosts that the settings name now. */
+  followSeeds (addresses: string[]): void {
+    this._follower.follow(addresses)
+  }
+
+  private async _start (): Promise<void> {
+    const { settings, logger, onFatal } = this._parts
+    const { hostId, peerAddress } = settings
+    const handlers = new RpcHandlers()
+    this._replica.serve(handlers)
+    this._service.serve(handlers)
+    handlers.on(joinStoreMethod, newcomer => this._join(newcomer))
+    await this._transport.listen(peerAddress, this._scope, connection => { serveOver(connection, handlers, onFatal) })
+    this._replica.start()
+    this._follower.start()
+    const membership = new StoreMembership({ replica: this._replica, view: this._view, clock: systemClock, logger, hostId, peerAddress })
+    this._supervisor.spawn('membership', scope => membership.run(scope))
+    this._supervisor.spawn('leading', scope => this._leadWhenElected(scope))
+    logger.event(BatchEvent.Started, { hostId, replicaId: this._replica.core.replicaId, appliedIndex: this._replica.appliedIndex })
+  }
+
+  private _join (newcomer: { replicaId: string, hostId: string, peerAddress: string }) {
+    if (!this._replica.leadership) return { kind: 'notLeader' as const, leaderAddress: this._replica.core.leader?.peerAddress }
+    const outcome = this._replica.join({ ...newcomer, operatorAddress: newcomer.peerAddress })
+    return { kind: 'answered' as const, outcome: outcome.kind === 'refused' ? outcome.reason : outcome.kind }
+  }
+
+  private _describe (): FleetHost {
+    const { hostId, hostName, dataCentre, peerAddress } = this._parts.settings
+    const { core, leadership } = this._replica
+    const isLeader = leadership?.holdsLease() === true
+    const voterIds = isLeader ? votersOf(core.members).map(({ replicaId }) => replicaId) : []
+    const store = { replicaId: core.replicaId, peerAddress, clusterId: core.clusterId, term: core.term, isLeader, voterIds }
+    return { hostId, hostName, dataCentre, role: HostRole.Store, isServing: true, store }
+  }
+
+  private async _leadWhenElected (scope: Scope): Promise<void> {
+    for (;;) {
+      const { leadership } = this._replica
+      if (!leadership) {
+        await this._replica.core.leaderChanged.wait(scope)
+        continue
+      }
+      this._follower.announceChange()
+      await this._lead(leadership, scope)
+      this._follower.announceChange()
+    }
+  }
+
+  private async _lead (leadership: Leadership, scope: Scope): Promise<void> {
+    const supervisor = this._supervisor.child(`dispatch in term ${leadership.term}`)
+    leadership.scope.onClose(() => supervisor.scope.close('leadership over'))
+    const over = new Promise<void>(resolve => supervisor.scope.onClose(resolve))
+    supervisor.spawn('dispatch', taskScope => this._dispatch(leadership, supervisor, taskScope))
+    await scope.race(over)
+  }
+
+  private async _dispatch (leadership: Leadership, supervisor: Supervisor, scope: Scope): Promise<void> {
+    await this._untilCurrent(scope)
+    this._follower.announceChange()
+    const dispatcher = this._createDispatcher(supervisor)
+    const { settings, client, logger } = this._parts
+    const rollout = new WeightRollout({
+      clock: systemClock,
+      logger,
+      client,
+      view: this._view,
+      dispatcher,
+      leadership,
+      supervisor,
+      holder: settings.hostName,
+      orderLeaseMs: settings.orderLeaseMs,
+      maxLoadsCount: settings.maxLoadsCount
+    })
+    const retirement = new StoreRetirement({ replica: this._replica, leadership, view: this._view, commands: this._commands, clock: systemClock, logger })
+    supervisor.spawn('weights', taskScope => rollout.run(taskScope))
+    supervisor.spawn('retirements', taskScope => retirement.run(taskScope))
+    await dispatcher.run(scope)
+  }
+
+  private _createDispatcher (supervisor: Supervisor): BatchDispatcher {
+    const { settings, client, logger, metrics } = this._parts
+    const view = this._view
+    const random = systemRandom()
+    const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: settings.dataCentre })
+    const forwarder = new RequestForwarder({ view, pool, client, random, logger, metrics })
+    return new BatchDispatcher({ clock: systemClock, logger, client, forwarder, pool, view, replica: this._replica, state: this._state, supervisor })
+  }
+
+  /** Waits until the state holds everything that earlier leaders committed. */
+  private async _untilCurrent (scope: Scope): Promise<void> {
+    for (;;) {
+      const progress = new Progress(systemClock, scope, systemClock.nowMs() + READY_TIMEOUT_MS)
+      const read = await this._replica.read(ReadMode.Quorum, progress)
+      if (read.kind === 'confirmed') return
+      await sleepUntil(systemClock, scope, systemClock.nowMs() + READY_PAUSE_MS)
+    }
+  }
+}
+
+function serveOver (connection: Connection, handlers: RpcHandlers, onFatal: (error: unknown) => void): RpcPeer {
+  return new RpcPeer(connection, handlers, onFatal)
+}
--- /dev/null
+++ b/src/batches/weightRollout.ts
@@ -0,0 +1,176 @@
+/**
+ * Brings engines to the versions of weights that trainers named. Only the
+ * leader of the batch store gives orders, and only once every order of a
+ * predecessor is older than the lease within which two hosts may not both
+ * order. Each order names the count of orders that the engine had taken, so
+ * that one which is carried out late, after newer ones, is void.
+ */
+import { LoadMode, type EndpointClient, type EndpointReport, type OrderOutcome } from '../endpoints/endpointClient.js'
+import type { FleetView } from '../fleet/fleetView.js'
+import type { Leadership } from '../replication/log/leadership.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import type { Scope } from '../utils/scope.js'
+import type { Supervisor } from '../utils/supervisor.js'
+import { BatchEvent } from './batchEvents.js'
+import type { BatchDispatcher } from './batchDispatcher.js'
+import type { Engine } from './engineFleet.js'
+
+/** On top of the lease: an order of the predecessor may have been on its way when its leadership ended. */
+const LEASE_MARGIN_MS = 300
+const LOOK_INTERVAL_MS = 30
+const REPORT_TIMEOUT_MS = 400
+const ORDER_TIMEOUT_MS = 500
+/** A load takes about a second; the engine is asked from then on. */
+const FIRST_CHECK_MS = 900
+const CHECK_INTERVAL_MS = 150
+/** A load that has not ended by then is given up; the engine is looked at anew. */
+const LOAD_TIMEOUT_MS = 6_000
+/** Pause before an engine is ordered again whose order had no effect. */
+const RETRY_PAUSE_MS = 300
+/** Share of a model's engines that load a version although what they hold would still do, so that they do not all have to at the next one. */
+const EAGER_SHARE = 0.5
+
+export interface WeightRolloutParts {
+  clock: Clock
+  logger: Logger
+  client: EndpointClient
+  view: FleetView
+  dispatcher: BatchDispatcher
+  leadership: Leadership
+  supervisor: Supervisor
+  /** This host, as engines are told. */
+  holder: string
+  /** Two hosts may not both order an engine within this time. */
+  orderLeaseMs: number
+  /** Engines that load at once; more only slow each other down. */
+  maxLoadsCount: number
+}
+
+interface WantedLoad {
+  engine: Engine
+  model: string
+  version: number
+  isNeeded: boolean
+}
+
+export class WeightRollout {
+  private readonly _parts: WeightRolloutParts
+  private _loadsCount = 0
+
+  constructor (parts: WeightRolloutParts) {
+    this._parts = parts
+  }
+
+  async run (scope: Scope): Promise<void> {
+    const { clock, orderLeaseMs } = this._parts
+    await sleepUntil(clock, scope, clock.nowMs() + orderLeaseMs + LEASE_MARGIN_MS)
+    for (;;) {
+      this._startLoads()
+      await sleepUntil(clock, scope, clock.nowMs() + LOOK_INTERVAL_MS)
+    }
+  }
+
+  private _startLoads (): void {
+    const { maxLoadsCount, supervisor } = this._parts
+    if (this._loadsCount >= maxLoadsCount) return
+    for (const wanted of this._wantedLoads()) {
+      if (this._loadsCount >= maxLoadsCount) return
+      if (wanted.engine.isLoading) continue
+      wanted.engine.isLoading = true
+      this._loadsCount++
+      supervisor.spawn(`load on ${wanted.engine.id}`, async scope => {
+        scope.onClose(() => {
+          this._loadsCount--
+          wanted.engine.isLoading = false
+          this._parts.dispatcher.enginesChanged()
+        })
+        await this._load(wanted, scope)
+      })
+    }
+  }
+
+  /** What engines lack, the most urgent first. */
+  private _wantedLoads (): WantedLoad[] {
+    const { view, dispatcher } = this._parts
+    const wanted: WantedLoad[] = []
+    for (const service of view.routing?.services ?? []) {
+      const engines = service.engine ? dispatcher.engines.ofService(service.name) : []
+      for (const model of service.engine?.models ?? []) wanted.push(...this._wantedOf(engines, model))
+    }
+    return wanted.sort((left, right) => Number(right.isNeeded) - Number(left.isNeeded) || left.engine.runningCount - right.engine.runningCount)
+  }
+
+  private _wantedOf (engines: Engine[], model: string): WantedLoad[] {
+    const { view, dispatcher } = this._parts
+    const version = view.namedVersion(model)
+    const neededVersion = dispatcher.neededVersion(model)
+    const currentCount = engines.filter(engine => engine.version(model) >= version).length
+    let eagerCount = Math.ceil(EAGER_SHARE * engines.length) - currentCount
+    const wanted: WantedLoad[] = []
+    for (const engine of engines) {
+      const held = engine.version(model)
+      if (held >= version || engine.health.isSuspect) continue
+      const isNeeded = held < neededVersion || held < version - 1
+      if (isNeeded) wanted.push({ engine, model, version, isNeeded })
+      else if (eagerCount-- > 0) wanted.push({ engine, model, version, isNeeded })
+    }
+    return wanted
+  }
+
+  private async _load (wanted: WantedLoad, scope: Scope): Promise<void> {
+    const { engine, model, version } = wanted
+    const before = await this._report(engine, scope)
+    if (!before) {
+      engine.health.failed()
+      return
+    }
+    this._learn(engine, before)
+    if (before.isBusy || engine.version(model) >= version) return await this._pause(scope)
+    const outcome = await this._order(wanted, before, scope)
+    if (outcome?.kind === 'misdirected') this._parts.view.markGone(engine.id)
+    const isLoaded = outcome?.kind === 'underWay' || outcome?.kind === 'unknown' ? await this._untilLoaded(wanted, scope) : outcome?.kind === 'alreadyHolds'
+    if (outcome?.kind === 'alreadyHolds') engine.learnVersion(model, version)
+    this._parts.logger.event(BatchEvent.OrderSettled, { endpointId: engine.id, model, version, outcome: outcome?.kind ?? 'not sent', isLoaded })
+    if (!isLoaded) await this._pause(scope)
+  }
+
+  private async _order ({ engine, model, version, isNeeded }: WantedLoad, before: EndpointReport, scope: Scope): Promise<OrderOutcome | undefined> {
+    const { clock, client, leadership, holder, logger } = this._parts
+    // Checked at the last moment: a host that was frozen may have a successor by now.
+    if (!leadership.holdsLease()) return undefined
+    const order = { model, version, mode: LoadMode.Retain, holder, fencingNumber: leadership.term, expectedOrdersCount: before.ordersCount }
+    logger.event(BatchEvent.OrderGiven, { endpointId: engine.id, model, version, heldVersion: engine.version(model), isNeeded, ordersCount: before.ordersCount, term: leadership.term })
+    return await client.orderLoad(engine.endpoint, order, clock.nowMs() + ORDER_TIMEOUT_MS, scope)
+  }
+
+  private async _untilLoaded ({ engine, model, version }: WantedLoad, scope: Scope): Promise<boolean> {
+    const { clock } = this._parts
+    const giveUpAtMs = clock.nowMs() + LOAD_TIMEOUT_MS
+    await sleepUntil(clock, scope, clock.nowMs() + FIRST_CHECK_MS)
+    while (clock.nowMs() < giveUpAtMs) {
+      if (engine.version(model) >= version) return true
+      const report = await this._report(engine, scope)
+      if (report) {
+        this._learn(engine, report)
+        if (!report.isBusy) return engine.version(model) >= version
+      }
+      await sleepUntil(clock, scope, clock.nowMs() + CHECK_INTERVAL_MS)
+    }
+    return false
+  }
+
+  private async _report (engine: Engine, scope: Scope): Promise<EndpointReport | undefined> {
+    const { clock, client } = this._parts
+    return await client.report(engine.endpoint, clock.nowMs() + REPORT_TIMEOUT_MS, scope)
+  }
+
+  private _learn (engine: Engine, report: EndpointReport): void {
+    for (const { model, version } of report.weights) engine.setVersion(model, version)
+  }
+
+  private async _pause (scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+  }
+}
--- a/src/control/clientSessions.ts
+++ b/src/control/clientSessions.ts
@@ -3,7 +3,7 @@
  * changes to each host that renews its lease over one.
  */
 import type { Connection } from '../transport/connection.js'
-import { changesMethod, findLeaderMethod, queryMethod, renewMethod, submitMethod } from '../transport/controlMethods.js'
+import { changesMethod, findLeaderMethod, queryMethod, readIndexMethod, renewMethod, submitMethod } from '../transport/controlMethods.js'
 import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import type { Clock } from '../utils/clock.js'
 import { Progress } from '../utils/progress.js'
@@ -39,9 +39,9 @@
   }
 
   /** Serves a connection, beside the methods that other control hosts call. */
-  accept (connection: Connection, registerOthers: (handlers: RpcHandlers) => void): void {
+  accept (connection: Connection, registerOthers: (handlers: RpcHandlers, peerOf: () => RpcPeer) => void): RpcPeer {
     const handlers = new RpcHandlers()
-    registerOthers(handlers)
+    registerOthers(handlers, () => session.peer)
     const session: Session = { peer: new RpcPeer(connection, handlers, this._onFatal), sentRevision: undefined }
     const progress = (remainingMs: number): Progress => (
       new Progress(this._clock, connection.scope, this._clock.nowMs() + Math.min(remainingMs, MAX_WAIT_MS))
@@ -50,8 +50,10 @@
     handlers.on(submitMethod, ({ command }, remainingMs) => this._node.submit(command, progress(remainingMs)))
     handlers.on(queryMethod, ({ query }, remainingMs) => this._node.query(query, progress(remainingMs)))
     handlers.on(renewMethod, (request, remainingMs) => this._renew(session, request, progress(remainingMs)))
+    handlers.on(readIndexMethod, (_request, remainingMs) => this._node.readIndex(progress(remainingMs)))
     this._sessions.add(session)
     connection.scope.onClose(() => this._sessions.delete(session))
+    return session.peer
   }
 
   /** Pushes what is committed, as it comes, while this host leads. */
--- a/src/control/controlNode.ts
+++ b/src/control/controlNode.ts
@@ -3,7 +3,7 @@
  * leader, and the way to the leader elsewhere.
  */
 import type { AnyCommandResult, Command } from '../protocol/commands.js'
-import type { QueryReply, RenewReply, RenewRequest, SubmitReply } from '../protocol/controlMessages.js'
+import type { QueryReply, ReadIndexReply, RenewReply, RenewRequest, SubmitReply } from '../protocol/controlMessages.js'
 import type { Query } from '../protocol/queries.js'
 import type { Clock } from '../utils/clock.js'
 import { invariant } from '../utils/errors.js'
@@ -72,6 +72,19 @@
     return await this.replica.read(mode, progress)
   }
 
+  /** For hosts that answer reads from their own state. */
+  async readIndex (progress: Progress): Promise<ReadIndexReply> {
+    const read = await this.read(ReadMode.Quorum, progress)
+    switch (read.kind) {
+      case 'confirmed':
+        return { kind: 'confirmed', index: this.replica.appliedIndex }
+      case 'notLeader':
+        return this._notLeader()
+      case 'unavailable':
+        return read
+    }
+  }
+
   private _notLeader (): { kind: 'notLeader', leaderAddress: string | undefined } {
     return { kind: 'notLeader', leaderAddress: this.leader?.peerAddress }
   }
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -3,10 +3,12 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { followMethod } from '../transport/fleetMethods.js'
 import { TcpTransport } from '../transport/tcpTransport.js'
-import type { RpcHandlers } from '../transport/rpcPeer.js'
+import type { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { systemClock } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
+import { Progress } from '../utils/progress.js'
 import type { Logger } from '../utils/logger.js'
 import type { Metrics } from '../utils/metrics.js'
 import { systemRandom } from '../utils/randomSource.js'
@@ -21,15 +23,19 @@
 import { ControlNode } from './controlNode.js'
 import type { ControlSettings } from './controlSettings.js'
 import { ControlState } from './controlState.js'
+import { EndpointDirectory } from './fleet/endpointDirectory.js'
+import { FollowerSessions } from './fleet/followerSessions.js'
+import { StoreFormation } from './fleet/storeFormation.js'
 import { SilentHosts } from './hosts/silentHosts.js'
 import type { LedgersFactory } from './ledgers/ledgers.js'
-import { ClusterFormation, type JoinCall } from '../replication/log/clusterFormation.js'
+import { ClusterFormation, type FormationOptions, type InitialMember, type JoinCall } from '../replication/log/clusterFormation.js'
 import { defaultSnapshotPolicy } from '../replication/log/logApplier.js'
 import { identifyMethod } from '../replication/log/raftMethods.js'
 import { Replica } from '../replication/log/replica.js'
 import { defaultTimings } from '../replication/log/timings.js'
 import { OperatorApi } from './operatorApi/operatorApi.js'
 import { WatchStreams } from './operatorApi/watchStream.js'
+import { LeaderCalls } from './routing/leaderCalls.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { FileDisk } from '../replication/storage/fileDisk.js'
 import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
@@ -41,19 +47,40 @@
   metrics: Metrics
   /** Called once when the process can no longer be trusted. */
   onFatal: (error: unknown) => void
+  fleet?: FleetOptions
 }
 
+/** What differs for control hosts that endpoints announce themselves to. */
+export interface FleetOptions {
+  /** Interval at which endpoints announce themselves. */
+  heartbeatMs: number
+  /** Whether this start may form a cluster; false for a host that came later or lost its disk. */
+  mayForm: boolean
+  /** A voter that was silent for so long is struck from the members, as long as enough others are left. */
+  strikeSilentAfterMs: number
+}
+
+/** Endpoints of a deployment that does not say how often announce themselves this often. */
+const DEFAULT_HEARTBEAT_MS = 1_200
+/** What a follower may wait for its first routing configuration to be confirmed. */
+const CONFIRM_TIMEOUT_MS = 350
+
 export class ControlProgram {
   readonly transport = new TcpTransport()
   private readonly _parts: ControlProgramParts
   private readonly _scope = new Scope('control')
   private readonly _supervisor: Supervisor
-  private readonly _node: ControlNode
+  readonly node: ControlNode
+  readonly leaderCalls: LeaderCalls
+  readonly directory: EndpointDirectory
+  readonly followers: FollowerSessions
   private readonly _sessions: ClientSessions
   private readonly _servers: Server[] = []
+  private readonly _formationOptions: FormationOptions
 
   private constructor (parts: ControlProgramParts, opened: OpenedReplica) {
     this._parts = parts
+    this._formationOptions = { initialMembers: parts.settings.cluster.initialMembers, mayForm: parts.fleet?.mayForm ?? true }
     this._supervisor = new Supervisor(this._scope, (_task, error) => parts.onFatal(error))
     const state = new ControlState(parts.createLedgers)
     const replica = new Replica({
@@ -67,10 +94,20 @@
       onFatal: parts.onFatal,
       opened,
       state: state as ReplicatedState<unknown, unknown>,
-      snapshotPolicy: defaultSnapshotPolicy
+      snapshotPolicy: defaultSnapshotPolicy,
+      strikeSilentAfterMs: parts.fleet?.strikeSilentAfterMs
+    })
+    this.node = new ControlNode(replica, state, systemClock)
+    this._sessions = new ClientSessions(this.node, systemClock, parts.onFatal)
+    this.leaderCalls = new LeaderCalls(this.node)
+    this.directory = new EndpointDirectory(systemClock, parts.fleet?.heartbeatMs ?? DEFAULT_HEARTBEAT_MS)
+    this.followers = new FollowerSessions({
+      node: this.node,
+      directory: this.directory,
+      clock: systemClock,
+      logger: parts.logger,
+      confirm: async progress => (await this.leaderCalls.read(progress)).kind === 'confirmed'
     })
-    this._node = new ControlNode(replica, state, systemClock)
-    this._sessions = new ClientSessions(this._node, systemClock, parts.onFatal)
   }
 
   /**
@@ -99,27 +136,53 @@
     await this._supervisor.stop('planned stop')
   }
 
+  /** Hosts to ask for the cluster from now on. */
+  askAt (initialMembers: InitialMember[]): void {
+    this._formationOptions.initialMembers = initialMembers
+  }
+
   private async _start (): Promise<void> {
     const { settings, logger } = this._parts
     const { hostId, peerAddress, operatorAddress } = settings.host
-    const { replica } = this._node
-    await this.transport.listen(peerAddress, this._scope, connection => (
-      this._sessions.accept(connection, handlers => this._serveReplicas(handlers))
-    ))
+    const { replica } = this.node
+    await this.transport.listen(peerAddress, this._scope, connection => {
+      const peer = this._sessions.accept(connection, (handlers, peerOf) => {
+        this._serveReplicas(handlers)
+        this._serveFollower(handlers, peerOf)
+      })
+      this.followers.watch(peer)
+    })
     await this._listenForOperators(operatorAddress)
     replica.start()
     const own = { hostId, peerAddress, operatorAddress }
-    const formation = new ClusterFormation(replica.core, replica.links, own, settings.cluster.initialMembers, joinByAdmin)
-    const silentHosts = new SilentHosts(this._node, systemClock, logger)
+    const formation = new ClusterFormation(replica.core, replica.links, own, this._formationOptions, joinByAdmin)
+    const silentHosts = new SilentHosts(this.node, systemClock, logger)
     this._supervisor.spawn('cluster formation', scope => formation.run(scope))
     this._supervisor.spawn('pushed changes', scope => this._sessions.pushChanges(scope))
+    this._supervisor.spawn('followers', scope => this.followers.review(scope))
+    this._supervisor.spawn('pushes to followers', scope => this.followers.pushChanges(scope))
+    this._supervisor.spawn('store formation', scope => this._formStore(scope))
     this._supervisor.spawn('silent hosts', scope => silentHosts.run(scope))
     logger.event(ControlEvent.Started, { hostId, replicaId: replica.core.replicaId, appliedIndex: replica.appliedIndex })
   }
 
+  private async _formStore (scope: Scope): Promise<void> {
+    const { logger } = this._parts
+    const formation = new StoreFormation({ node: this.node, followers: this.followers, clock: systemClock, random: systemRandom(), logger })
+    await formation.run(scope)
+  }
+
+  private _serveFollower (handlers: RpcHandlers, peerOf: () => RpcPeer): void {
+    handlers.on(followMethod, (request, remainingMs) => {
+      const waitMs = Math.min(remainingMs, CONFIRM_TIMEOUT_MS)
+      const progress = new Progress(systemClock, peerOf().connection.scope, systemClock.nowMs() + waitMs)
+      return this.followers.follow(peerOf(), request, progress)
+    })
+  }
+
   private _serveReplicas (handlers: RpcHandlers): void {
-    const { core } = this._node.replica
-    this._node.replica.serve(handlers)
+    const { core } = this.node.replica
+    this.node.replica.serve(handlers)
     handlers.on(identifyMethod, () => ({
       replicaId: core.replicaId,
       hostId: this._parts.settings.host.hostId,
@@ -131,13 +194,13 @@
   }
 
   private async _listenForOperators (operatorAddress: string): Promise<void> {
-    const access = new LeaderAccess(this._node, systemClock, this._scope)
-    const watches = new WatchStreams(this._node, access, systemClock)
-    const api = new OperatorApi({ node: this._node, access, watches, clock: systemClock })
+    const access = new LeaderAccess(this.node, systemClock, this._scope)
+    const watches = new WatchStreams(this.node, access, systemClock)
+    const api = new OperatorApi({ node: this.node, access, watches, clock: systemClock })
     const admin = createHTTPHandler({
       router: adminRouter,
       basePath: '/trpc/',
-      createContext: () => ({ node: this._node, clock: systemClock, scope: this._scope })
+      createContext: () => ({ node: this.node, clock: systemClock, scope: this._scope })
     })
     const server = createServer((request, response) => {
       if (request.url?.startsWith('/trpc/')) admin(request, response)
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -9,12 +9,14 @@
 import { QueryKind, type Query, type QueryResult } from '../protocol/queries.js'
 import { ResourceCommandKind, type ResourceCommand } from '../protocol/resourceCommands.js'
 import { UnrepeatableCommandKind, type UnrepeatableCommand } from '../protocol/unrepeatableCommands.js'
+import { RoutingCommandKind, type RoutingCommand } from '../protocol/routingCommands.js'
 import { unreachable } from '../utils/errors.js'
 import { HostRegistry } from './hosts/hostRegistry.js'
 import type { Ledgers, LedgersFactory } from './ledgers/ledgers.js'
 import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
 import { ChangeHistory, type ChangeHistorySnapshot } from './resources/changeHistory.js'
 import { checkResourceCommand, ResourceStore } from './resources/resourceStore.js'
+import { RoutingState } from './routing/routingState.js'
 
 interface ControlStateSnapshot {
   history: ChangeHistorySnapshot
@@ -22,16 +24,19 @@
   hosts: unknown
   unrepeatable: unknown
   rollouts: unknown
+  routing: unknown
 }
 
 const resourceKinds = new Set<string>(Object.values(ResourceCommandKind))
 const hostKinds = new Set<string>(Object.values(HostCommandKind))
+const routingKinds = new Set<string>(Object.values(RoutingCommandKind))
 const unrepeatableKinds = new Set<string>(Object.values(UnrepeatableCommandKind))
 
 export class ControlState implements ReplicatedState<Command, AnyCommandResult> {
   readonly history = new ChangeHistory()
   readonly resources = new ResourceStore(this.history)
   readonly hosts = new HostRegistry(this.history)
+  readonly routing = new RoutingState()
   private readonly _ledgers: Ledgers
 
   constructor (createLedgers: LedgersFactory) {
@@ -46,6 +51,7 @@
   apply (command: Command, context: ApplyContext): AnyCommandResult {
     if (isResourceCommand(command)) return this.resources.apply(command, context)
     if (isHostCommand(command)) return this.hosts.apply(command, context)
+    if (isRoutingCommand(command)) return this.routing.apply(command)
     if (isUnrepeatableCommand(command)) return this._ledgers.unrepeatable.apply(command, context)
     return this._ledgers.rollouts.apply(command, context)
   }
@@ -72,7 +78,8 @@
       resources: this.resources.snapshot(),
       hosts: this.hosts.snapshot(),
       unrepeatable: this._ledgers.unrepeatable.snapshot(),
-      rollouts: this._ledgers.rollouts.snapshot()
+      rollouts: this._ledgers.rollouts.snapshot(),
+      routing: this.routing.snapshot()
     }
   }
 
@@ -83,6 +90,7 @@
     this.hosts.restore(parts.hosts)
     this._ledgers.unrepeatable.restore(parts.unrepeatable)
     this._ledgers.rollouts.restore(parts.rollouts)
+    if (parts.routing !== undefined) this.routing.restore(parts.routing)
   }
 }
 
@@ -103,6 +111,10 @@
   return hostKinds.has(command.kind)
 }
 
+function isRoutingCommand (command: Command): command is RoutingCommand {
+  return routingKinds.has(command.kind)
+}
+
 function isUnrepeatableCommand (command: Command): command is UnrepeatableCommand {
   return unrepeatableKinds.has(command.kind)
 }
--- /dev/null
+++ b/src/control/routing/leaderCalls.ts
@@ -0,0 +1,72 @@
+/**
+ * Commands and reads of callers that reach any control host: done here when
+ * this host leads, passed on to the leader otherwise. The caller moves on to
+ * another host after a second, so every call ends well within that.
+ */
+import type { SubmitReply } from '../../protocol/controlMessages.js'
+import type { RoutingCommand } from '../../protocol/routingCommands.js'
+import { ReadMode, type ReadOutcome } from '../../replication/log/replica.js'
+import { readIndexMethod, submitMethod } from '../../transport/controlMethods.js'
+import { sleepUntil } from '../../utils/clock.js'
+import type { Progress } from '../../utils/progress.js'
+import type { ControlNode } from '../controlNode.js'
+
+/** Pause before another try when no leader is known, or the one that is known has just stepped down. */
+const RETRY_PAUSE_MS = 40
+
+export class LeaderCalls {
+  private readonly _node: ControlNode
+
+  constructor (node: ControlNode) {
+    this._node = node
+  }
+
+  /** Commits a command; every command here may be committed twice without harm, so a lost call is repeated. */
+  async submit (command: RoutingCommand, progress: Progress): Promise<SubmitReply> {
+    let last: SubmitReply = { kind: 'notCommitted', reason: 'no leader is known' }
+    while (!progress.isOver()) {
+      const reply = await this._submitOnce(command, progress)
+      if (reply.kind === 'committed') return reply
+      if (reply.kind !== 'notLeader') last = reply
+      await this._pause(progress)
+    }
+    return last
+  }
+
+  /** Makes this host's state fit for a linearizable answer. */
+  async read (progress: Progress): Promise<ReadOutcome> {
+    let last: ReadOutcome = { kind: 'unavailable', reason: 'no leader is known' }
+    while (!progress.isOver()) {
+      const outcome = await this._readOnce(progress)
+      if (outcome.kind === 'confirmed') return outcome
+      if (outcome.kind !== 'notLeader') last = outcome
+      await this._pause(progress)
+    }
+    return last
+  }
+
+  private async _submitOnce (command: RoutingCommand, progress: Progress): Promise<SubmitReply> {
+    if (this._node.isLeader) return await this._node.submit(command, progress)
+    const { leader, replica } = this._node
+    if (!leader) return { kind: 'notLeader', leaderAddress: undefined }
+    const outcome = await replica.links.to(leader).call(submitMethod, { command }, progress)
+    if (outcome.kind === 'replied') return outcome.body
+    return outcome.kind === 'unserved' ? { kind: 'notCommitted', reason: outcome.reason } : { kind: 'unknown', reason: outcome.reason }
+  }
+
+  private async _readOnce (progress: Progress): Promise<ReadOutcome> {
+    if (this._node.isLeader) return await this._node.read(ReadMode.Quorum, progress)
+    const { leader, replica } = this._node
+    if (!leader) return { kind: 'notLeader' }
+    const outcome = await replica.links.to(leader).call(readIndexMethod, {}, progress)
+    if (outcome.kind !== 'replied') return { kind: 'unavailable', reason: outcome.reason }
+    if (outcome.body.kind !== 'confirmed') return outcome.body.kind === 'notLeader' ? { kind: 'notLeader' } : outcome.body
+    const applied = await progress.race(replica.whenApplied(outcome.body.index))
+    return applied.kind === 'done' ? { kind: 'confirmed' } : { kind: 'unavailable', reason: 'this host has not caught up in time' }
+  }
+
+  private async _pause (progress: Progress): Promise<void> {
+    const nowMs = progress.clock.nowMs()
+    await sleepUntil(progress.clock, progress.scope, Math.min(progress.deadlineMs, nowMs + RETRY_PAUSE_MS))
+  }
+}
--- /dev/null
+++ b/src/control/routing/routingState.ts
@@ -0,0 +1,109 @@
+/**
+ * The part of the replicated state that holds the routing configuration, the
+ * named versions of weights, the batch store's first members and retirements.
+ */
+import type { Routing } from '../../protocol/routing.js'
+import {
+  RetirementState, RoutingCommandKind, type NamedWeights, type Retirement, type RoutingCommand, type RoutingResult, type StoreGroup
+} from '../../protocol/routingCommands.js'
+import type { ReplicatedState } from '../../replication/replicatedState.js'
+
+interface RoutingSnapshot {
+  routing: Routing | undefined
+  document: string | undefined
+  weights: NamedWeights[]
+  storeGroup: StoreGroup | undefined
+  retirements: Retirement[]
+}
+
+/** Nothing was configured yet. */
+export const NO_ROUTING_VERSION = -1
+
+export class RoutingState implements ReplicatedState<RoutingCommand, RoutingResult> {
+  routing: Routing | undefined
+  /** The routing configuration as the operator sent it. */
+  document: string | undefined
+  storeGroup: StoreGroup | undefined
+  private readonly _weights = new Map<string, number>()
+  private readonly _retirements = new Map<string, Retirement>()
+
+  get version (): number {
+    return this.routing?.version ?? NO_ROUTING_VERSION
+  }
+
+  namedWeights (): NamedWeights[] {
+    return [...this._weights].map(([model, version]) => ({ model, version }))
+  }
+
+  retirements (): Retirement[] {
+    return [...this._retirements.values()]
+  }
+
+  retirementOf (hostName: string): Retirement | undefined {
+    return this._retirements.get(hostName)
+  }
+
+  apply (command: RoutingCommand): RoutingResult {
+    switch (command.kind) {
+      case RoutingCommandKind.Replace:
+        return this._replace(command.routing, command.document)
+      case RoutingCommandKind.NameWeights:
+        return this._nameWeights(command.model, command.version)
+      case RoutingCommandKind.FormStore:
+        this.storeGroup ??= command.group
+        return { kind: 'storeFormed' }
+      case RoutingCommandKind.BeginRetirement:
+        this._beginRetirement(command.hostName, command.hostId)
+        return { kind: 'retirementHeld' }
+      case RoutingCommandKind.EndRetirement:
+        this._endRetirement(command.hostName)
+        return { kind: 'retirementHeld' }
+    }
+  }
+
+  snapshot (): RoutingSnapshot {
+    return {
+      routing: this.routing,
+      document: this.document,
+      weights: this.namedWeights(),
+      storeGroup: this.storeGroup,
+      retirements: this.retirements()
+    }
+  }
+
+  restore (snapshot: unknown): void {
+    const { routing, document, weights, storeGroup, retirements } = snapshot as RoutingSnapshot
+    this.routing = routing ?? undefined
+    this.document = document ?? undefined
+    this.storeGroup = storeGroup ?? undefined
+    this._weights.clear()
+    for (const { model, version } of weights) this._weights.set(model, version)
+    this._retirements.clear()
+    for (const retirement of retirements) this._retirements.set(retirement.hostName, retirement)
+  }
+
+  /** An equal version changes nothing either: the first document of a version is the only one. */
+  private _replace (routing: Routing, document: string): RoutingResult {
+    if (routing.version > this.version) {
+      this.routing = routing
+      this.document = document
+    }
+    return { kind: 'routingHeld', version: this.version }
+  }
+
+  private _nameWeights (model: string, version: number): RoutingResult {
+    const known = this._weights.get(model) ?? 0
+    this._weights.set(model, Math.max(known, version))
+    return { kind: 'weightsNamed', version: Math.max(known, version) }
+  }
+
+  private _beginRetirement (hostName: string, hostId: string): void {
+    if (this._retirements.has(hostName)) return
+    this._retirements.set(hostName, { hostName, hostId, state: RetirementState.Serving })
+  }
+
+  private _endRetirement (hostName: string): void {
+    const retirement = this._retirements.get(hostName)
+    if (retirement) this._retirements.set(hostName, { ...retirement, state: RetirementState.Completed })
+  }
+}
--- /dev/null
+++ b/src/endpoints/endpointHealth.ts
@@ -0,0 +1,88 @@
+/**
+ * What this host knows of one endpoint from its own calls: how many run, how
+ * long they take, what load was reported, and whether it is worth trying.
+ */
+import type { Clock } from '../utils/clock.js'
+import type { ReportedLoad } from './endpointClient.js'
+
+/** A first failure leaves the endpoint out for this long; each further one twice as long. */
+const FIRST_SUSPICION_MS = 500
+const MAX_SUSPICION_MS = 8_000
+/** A refusal for want of room is soon over. */
+const FULL_PAUSE_MS = 40
+/** Weight of a new duration in the running mean. */
+const MEAN_WEIGHT = 0.2
+/** A mean that was not renewed for so long says nothing of the endpoint any more. */
+const MEAN_LIFETIME_MS = 5_000
+/** Reported load is out of date after about the time of one request. */
+const LOAD_LIFETIME_MS = 150
+
+export class EndpointHealth {
+  runningCount = 0
+  private readonly _clock: Clock
+  private _failuresCount = 0
+  private _suspectUntilMs = Number.NEGATIVE_INFINITY
+  private _fullUntilMs = Number.NEGATIVE_INFINITY
+  private _meanMs: number | undefined
+  private _meanAtMs = Number.NEGATIVE_INFINITY
+  private _load: ReportedLoad | undefined
+  private _loadAtMs = Number.NEGATIVE_INFINITY
+
+  constructor (clock: Clock) {
+    this._clock = clock
+  }
+
+  get isSuspect (): boolean {
+    return this._clock.nowMs() < this._suspectUntilMs
+  }
+
+  get isFull (): boolean {
+    return this._clock.nowMs() < this._fullUntilMs
+  }
+
+  get suspectUntilMs (): number {
+    return this._suspectUntilMs
+  }
+
+  /** Mean duration of recent calls; undefined when there were none lately. */
+  get meanMs (): number | undefined {
+    return this._clock.nowMs() - this._meanAtMs < MEAN_LIFETIME_MS ? this._meanMs : undefined
+  }
+
+  /** Requests at the endpoint as far as known: its own word, or ours if that is more. */
+  get busyCount (): number {
+    const isFresh = this._clock.nowMs() - this._loadAtMs < LOAD_LIFETIME_MS
+    const reportedCount = isFresh && this._load ? this._load.runningCount + this._load.waitingCount : 0
+    return Math.max(this.runningCount, reportedCount)
+  }
+
+  succeeded (durationMs: number, load: ReportedLoad | undefined): void {
+    this._failuresCount = 0
+    this._suspectUntilMs = Number.NEGATIVE_INFINITY
+    this.took(durationMs)
+    this.reported(load)
+  }
+
+  /** A call took at least so long, whatever came of it. */
+  took (durationMs: number): void {
+    this._meanMs = this.meanMs === undefined ? durationMs : this.meanMs + MEAN_WEIGHT * (durationMs - this.meanMs)
+    this._meanAtMs = this._clock.nowMs()
+  }
+
+  reported (load: ReportedLoad | undefined): void {
+    if (!load) return
+    this._load = load
+    this._loadAtMs = this._clock.nowMs()
+  }
+
+  failed (): void {
+    const suspicionMs = Math.min(MAX_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** this._failuresCount)
+    this._failuresCount++
+    this._suspectUntilMs = this._clock.nowMs() + suspicionMs
+  }
+
+  wasFull (load: ReportedLoad | undefined): void {
+    this._fullUntilMs = this._clock.nowMs() + FULL_PAUSE_MS
+    this.reported(load)
+  }
+}
--- /dev/null
+++ b/src/endpoints/endpointPool.ts
@@ -0,0 +1,87 @@
+/**
+ * The endpoints of all services with their health, and the choice among them:
+ * the one where a request should be done first, by the requests there and the
+ * time that its recent ones took.
+ */
+import type { FleetEndpoint } from '../protocol/fleet.js'
+import type { FleetView } from '../fleet/fleetView.js'
+import type { Clock } from '../utils/clock.js'
+import type { RandomSource } from '../utils/randomSource.js'
+import { EndpointHealth } from './endpointHealth.js'
+
+/** A request to another data centre costs its transfer; below this gain it stays. */
+const FOREIGN_PENALTY = 1.1
+/** Stands in for the duration of calls to an endpoint that had none lately, in milliseconds. */
+const UNKNOWN_MEAN_MS = 30
+/** Breaks ties, so that hosts do not all choose the same endpoint. */
+const JITTER = 0.1
+
+export interface EndpointPoolParts {
+  view: FleetView
+  clock: Clock
+  random: RandomSource
+  dataCentre: string
+}
+
+export class EndpointPool {
+  private readonly _parts: EndpointPoolParts
+  private readonly _health = new Map<string, EndpointHealth>()
+
+  constructor (parts: EndpointPoolParts) {
+    this._parts = parts
+  }
+
+  /** Ready endpoints of a service. */
+  ofService (service: string): FleetEndpoint[] {
+    return this._parts.view.ready().filter(endpoint => endpoint.service === service)
+  }
+
+  health (endpointId: string): EndpointHealth {
+    let health = this._health.get(endpointId)
+    if (!health) {
+      health = new EndpointHealth(this._parts.clock)
+      this._health.set(endpointId, health)
+    }
+    return health
+  }
+
+  /**
+   * The endpoint to try next.
+   * @param avoided endpoints that were tried already; chosen only if there is no other
+   */
+  choose (service: string, avoided: ReadonlySet<string>): FleetEndpoint | undefined {
+    const all = this.ofService(service).filter(({ endpointId }) => !this.health(endpointId).isFull)
+    const fresh = all.filter(({ endpointId }) => !avoided.has(endpointId))
+    const candidates = fresh.length > 0 ? fresh : all
+    const sound = candidates.filter(({ endpointId }) => !this.health(endpointId).isSuspect)
+    if (sound.length > 0) return this._lowest(sound, endpoint => this._expectedMs(endpoint))
+    return this._lowest(candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
+  }
+
+  /** Forgets endpoints that are known no more. */
+  prune (): void {
+    for (const [endpointId, health] of this._health) {
+      if (health.runningCount === 0 && !this._parts.view.endpoint(endpointId)) this._health.delete(endpointId)
+    }
+  }
+
+  private _expectedMs (endpoint: FleetEndpoint): number {
+    const health = this.health(endpoint.endpointId)
+    const queueFactor = 1 + health.busyCount / Math.max(1, endpoint.slotsCount)
+    const distanceFactor = endpoint.dataCentre === this._parts.dataCentre ? 1 : FOREIGN_PENALTY
+    const jitter = 1 + JITTER * this._parts.random.real()
+    return (health.meanMs ?? UNKNOWN_MEAN_MS) * queueFactor * distanceFactor * jitter
+  }
+
+  private _lowest (endpoints: FleetEndpoint[], valueOf: (endpoint: FleetEndpoint) => number): FleetEndpoint | undefined {
+    let lowest: FleetEndpoint | undefined
+    let lowestValue = Number.POSITIVE_INFINITY
+    for (const endpoint of endpoints) {
+      const value = valueOf(endpoint)
+      if (lowest && value >= lowestValue) continue
+      lowest = endpoint
+      lowestValue = value
+    }
+    return lowest
+  }
+}
--- /dev/null
+++ b/src/fleet/fleetEvents.ts
@@ -0,0 +1,26 @@
+/**
+ * Log events of hosts that follow the control hosts: 1100 to 1149.
+ */
+import { LogLevel, type EventCatalogue } from '../utils/logger.js'
+
+export enum FleetEvent {
+  ControlHostFollowed = 1100,
+  ControlHostLost = 1101,
+  RoutingInForce = 1102,
+  RoutingUnconfirmed = 1103,
+  EndpointKnown = 1104,
+  EndpointLeft = 1105,
+  EndpointSilent = 1106,
+  WeightsNamed = 1107
+}
+
+export const fleetEventCatalogue: EventCatalogue = {
+  [FleetEvent.ControlHostFollowed]: { level: LogLevel.Info, text: 'This host follows a control host.', advice: 'None.' },
+  [FleetEvent.ControlHostLost]: { level: LogLevel.Warn, text: 'A control host does not answer any more.', advice: 'Look at the control host and the network between. This host goes on with what it knows.' },
+  [FleetEvent.RoutingInForce]: { level: LogLevel.Info, text: 'A routing configuration is in force on this host.', advice: 'None.' },
+  [FleetEvent.RoutingUnconfirmed]: { level: LogLevel.Warn, text: 'A routing configuration is in force that no quorum has confirmed.', advice: 'Look for a lost quorum of the control hosts.' },
+  [FleetEvent.EndpointKnown]: { level: LogLevel.Info, text: 'An endpoint is known, or has changed.', advice: 'None.' },
+  [FleetEvent.EndpointLeft]: { level: LogLevel.Info, text: 'An endpoint leaves; it gets nothing new.', advice: 'None.' },
+  [FleetEvent.EndpointSilent]: { level: LogLevel.Warn, text: 'An endpoint fell silent and is no longer used.', advice: 'Look at the endpoint.' },
+  [FleetEvent.WeightsNamed]: { level: LogLevel.Info, text: 'A newer version of weights was named.', advice: 'None.' }
+}
--- /dev/null
+++ b/src/fleet/fleetFollower.ts
@@ -0,0 +1,203 @@
+/**
+ * Follows every control host at once: one task and one connection each. What
+ * any of them tells is merged into the view, so that no single control host
+ * that is cut off, slow or behind holds this host back.
+ */
+import type { FleetHost, FleetUpdate, FollowReply } from '../protocol/fleet.js'
+import type { Routing } from '../protocol/routing.js'
+import type { Transport } from '../transport/connection.js'
+import { fleetUpdateMethod, followMethod } from '../transport/fleetMethods.js'
+import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import { ScopeClosedError } from '../utils/errors.js'
+import type { Logger } from '../utils/logger.js'
+import { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import { Signal } from '../utils/signal.js'
+import type { Supervisor } from '../utils/supervisor.js'
+import { FleetEvent } from './fleetEvents.js'
+import type { FleetView } from './fleetView.js'
+
+/** Three of these within the time after which a control host calls a follower silent. */
+const FOLLOW_INTERVAL_MS = 500
+const FOLLOW_TIMEOUT_MS = 600
+const CONNECT_TIMEOUT_MS = 600
+const RECONNECT_PAUSE_MS = 150
+/** Calls in a row without a reply after which a connection is replaced. */
+const MAX_UNANSWERED_COUNT = 2
+/** A host that waited so long for a confirmed routing configuration takes an unconfirmed one: without a quorum none will come. */
+const UNCONFIRMED_AFTER_MS = 3_000
+/** A control host that is in no list of members any more is given up after so long. */
+const FORGET_ADDRESS_AFTER_MS = 30_000
+
+export interface FleetFollowerParts {
+  clock: Clock
+  transport: Transport
+  logger: Logger
+  supervisor: Supervisor
+  view: FleetView
+  /** Control hosts as the settings name them. */
+  seedAddresses: string[]
+  /** This host as it is at the moment. */
+  describe: () => FleetHost
+  onFatal: (error: unknown) => void
+}
+
+interface Followed {
+  scope: Scope
+  /** When it last was in a list of members, or answered. */
+  namedAtMs: number
+}
+
+export class FleetFollower {
+  private readonly _parts: FleetFollowerParts
+  private readonly _followed = new Map<string, Followed>()
+  private readonly _describe = new Signal()
+  private readonly _startedAtMs: number
+  private _unconfirmed: Routing | undefined
+  private _lastReplyAtMs = Number.NEGATIVE_INFINITY
+
+  constructor (parts: FleetFollowerParts) {
+    this._parts = parts
+    this._startedAtMs = parts.clock.nowMs()
+  }
+
+  start (): void {
+    this.follow(this._parts.seedAddresses)
+  }
+
+  /** When any control host last answered. */
+  get lastReplyAtMs (): number {
+    return this._lastReplyAtMs
+  }
+
+  /** Control hosts followed now. */
+  get addresses (): string[] {
+    return [...this._followed.keys()]
+  }
+
+  /** Tells all control hosts at once that this host has changed. */
+  announceChange (): void {
+    this._describe.notify()
+  }
+
+  /** Follows these control hosts too. */
+  follow (addresses: string[]): void {
+    const nowMs = this._parts.clock.nowMs()
+    for (const address of addresses) {
+      const followed = this._followed.get(address)
+      if (followed) followed.namedAtMs = nowMs
+      else this._begin(address)
+    }
+  }
+
+  private _begin (address: string): void {
+    const { supervisor, clock } = this._parts
+    const scope = supervisor.spawn(`control host ${address}`, taskScope => this._run(address, taskScope))
+    this._followed.set(address, { scope, namedAtMs: clock.nowMs() })
+  }
+
+  private async _run (address: string, scope: Scope): Promise<void> {
+    const { clock, view, logger } = this._parts
+    for (;;) {
+      const peer = await this._connect(address, scope)
+      if (peer) {
+        logger.event(FleetEvent.ControlHostFollowed, { address })
+        await this._followOver(peer, address, scope)
+        view.forgetHostsOf(address)
+        logger.event(FleetEvent.ControlHostLost, { address, reason: peer.connection.scope.closeReason ?? '' })
+      }
+      await sleepUntil(clock, scope, clock.nowMs() + RECONNECT_PAUSE_MS)
+    }
+  }
+
+  /** Repeats the call until the connection is lost, or calls over it go unanswered. */
+  private async _followOver (peer: RpcPeer, address: string, scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    let unansweredCount = 0
+    while (!peer.connection.scope.isClosed && unansweredCount < MAX_UNANSWERED_COUNT) {
+      const nextAtMs = clock.nowMs() + FOLLOW_INTERVAL_MS
+      const isAnswered = await this._callOnce(peer, address, scope)
+      unansweredCount = isAnswered ? 0 : unansweredCount + 1
+      if (isAnswered) await this._describe.wait(scope, { clock, deadlineMs: nextAtMs })
+    }
+    peer.connection.close('calls go unanswered')
+  }
+
+  private async _callOnce (peer: RpcPeer, address: string, scope: Scope): Promise<boolean> {
+    const { clock, view } = this._parts
+    const request = { host: this._parts.describe(), routingVersion: view.routing?.version }
+    const progress = new Progress(clock, scope, clock.nowMs() + FOLLOW_TIMEOUT_MS)
+    const outcome = await peer.call(followMethod, request, progress)
+    if (outcome.kind !== 'replied') return false
+    this._lastReplyAtMs = clock.nowMs()
+    this._onReply(address, outcome.body)
+    return true
+  }
+
+  private _onReply (address: string, reply: FollowReply): void {
+    this.follow(reply.controlAddresses)
+    const followed = this._followed.get(address)
+    if (followed && reply.controlAddresses.includes(address)) followed.namedAtMs = this._parts.clock.nowMs()
+    this._merge(address, reply.update, reply.isRoutingConfirmed)
+    this._forgetOldAddresses()
+  }
+
+  /** The first routing configuration has to be confirmed; later ones can only be newer. */
+  private _merge (address: string, update: FleetUpdate, isRoutingConfirmed: boolean): void {
+    const { view, clock, logger } = this._parts
+    const isFirst = view.routing === undefined
+    if (update.routing && isFirst && !isRoutingConfirmed) {
+      this._unconfirmed = newer(this._unconfirmed, update.routing)
+      view.merge(address, { ...update, routing: undefined })
+    } else {
+      view.merge(address, update)
+    }
+    const waitedTooLong = clock.nowMs() - this._startedAtMs > UNCONFIRMED_AFTER_MS
+    if (view.routing || !this._unconfirmed || !waitedTooLong) return
+    logger.event(FleetEvent.RoutingUnconfirmed, { routingVersion: this._unconfirmed.version })
+    view.merge(address, { routing: this._unconfirmed })
+  }
+
+  private _forgetOldAddresses (): void {
+    const nowMs = this._parts.clock.nowMs()
+    for (const [address, { scope, namedAtMs }] of this._followed) {
+      if (nowMs - namedAtMs < FORGET_ADDRESS_AFTER_MS || this._followed.size <= 1) continue
+      this._followed.delete(address)
+      this._parts.view.forgetHostsOf(address)
+      scope.close('no longer a control host')
+    }
+  }
+
+  private async _connect (address: string, scope: Scope): Promise<RpcPeer | undefined> {
+    const { clock, transport, onFatal } = this._parts
+    const connectScope = scope.child('connection')
+    const cancelTimer = clock.callAt(clock.nowMs() + CONNECT_TIMEOUT_MS, () => connectScope.close('connecting takes too long'))
+    try {
+      const outcome = await transport.connect(address, connectScope)
+      if (outcome.kind === 'connected') {
+        outcome.connection.scope.onClose(() => connectScope.close('connection closed'))
+        return new RpcPeer(outcome.connection, this._handlers(address), onFatal)
+      }
+    } catch (error) {
+      if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
+    } finally {
+      cancelTimer()
+    }
+    connectScope.close('not connected')
+    return undefined
+  }
+
+  private _handlers (address: string): RpcHandlers {
+    const handlers = new RpcHandlers()
+    handlers.on(fleetUpdateMethod, update => {
+      this._merge(address, update, false)
+      return {}
+    })
+    return handlers
+  }
+}
+
+function newer (left: Routing | undefined, right: Routing): Routing {
+  return left && left.version >= right.version ? left : right
+}
--- /dev/null
+++ b/src/fleet/fleetView.ts
@@ -0,0 +1,166 @@
+/**
+ * What this host knows of the fleet, merged from all control hosts that it
+ * follows. Nothing here goes back: not the routing version, not the lifecycle
+ * of an endpoint, not a named version of weights.
+ */
+import { EndpointLifecycle, HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate } from '../protocol/fleet.js'
+import { RetirementState, type Retirement, type StoreGroup } from '../protocol/routingCommands.js'
+import type { Routing } from '../protocol/routing.js'
+import type { Logger } from '../utils/logger.js'
+import { Signal } from '../utils/signal.js'
+import { FleetEvent } from './fleetEvents.js'
+
+/** Endpoints that left are remembered, so that an outdated control host does not bring them back. */
+const MAX_REMEMBERED_GONE_COUNT = 4_096
+
+export class FleetView {
+  /** Notified after anything changed. */
+  readonly changed = new Signal()
+  routing: Routing | undefined
+  storeGroup: StoreGroup | undefined
+  private readonly _logger: Logger
+  private readonly _endpoints = new Map<string, FleetEndpoint>()
+  private readonly _goneIds = new Set<string>()
+  private readonly _hosts = new Map<string, FleetHost[]>()
+  private readonly _weights = new Map<string, number>()
+  private readonly _retirements = new Map<string, Retirement>()
+  private readonly _listeners = new Set<() => void>()
+
+  constructor (logger: Logger) {
+    this._logger = logger
+  }
+
+  /** Calls back at once after every change, before anything else happens; the returned function ends that. */
+  onChange (listener: () => void): () => void {
+    this._listeners.add(listener)
+    return () => this._listeners.delete(listener)
+  }
+
+  /** Endpoints that take new work. */
+  ready (): FleetEndpoint[] {
+    return [...this._endpoints.values()].filter(({ lifecycle }) => lifecycle === EndpointLifecycle.Ready)
+  }
+
+  endpoint (endpointId: string): FleetEndpoint | undefined {
+    return this._endpoints.get(endpointId)
+  }
+
+  /** Hosts that any control host hears of. */
+  hosts (role: HostRole): FleetHost[] {
+    const known = new Map<string, FleetHost>()
+    for (const host of [...this._hosts.values()].flat()) {
+      if (host.role !== role) continue
+      const other = known.get(host.hostId)
+      if (!other || termOf(host) >= termOf(other)) known.set(host.hostId, host)
+    }
+    return [...known.values()]
+  }
+
+  /** The leader of the batch store, by the latest term that was told. */
+  storeLeader (): FleetHost | undefined {
+    const leading = this.hosts(HostRole.Store).filter(({ store }) => store?.isLeader === true)
+    return leading.sort((left, right) => termOf(right) - termOf(left))[0]
+  }
+
+  namedVersion (model: string): number {
+    return this._weights.get(model) ?? 1
+  }
+
+  /** Models that a version was named of. */
+  namedModels (): string[] {
+    return [...this._weights.keys()]
+  }
+
+  retirementOf (hostId: string): Retirement | undefined {
+    return [...this._retirements.values()].find(retirement => retirement.hostId === hostId)
+  }
+
+  openRetirements (): Retirement[] {
+    return [...this._retirements.values()].filter(({ state }) => state === RetirementState.Serving)
+  }
+
+  /** Takes over what a control host told. */
+  merge (controlAddress: string, update: FleetUpdate): void {
+    if (update.routing) this.replaceRouting(update.routing)
+    if (update.hosts) this._hosts.set(controlAddress, update.hosts)
+    this.storeGroup ??= update.storeGroup
+    for (const { model, version } of update.weights ?? []) this._nameWeights(model, version)
+    for (const retirement of update.retirements ?? []) this._retire(retirement)
+    for (const endpoint of update.endpoints ?? []) this._learn(endpoint)
+    for (const { endpointId, sequence } of update.silent ?? []) this._forgetSilent(endpointId, sequence)
+    this._notify()
+  }
+
+  /** The control host is out of reach: what it said of hosts counts no more. */
+  forgetHostsOf (controlAddress: string): void {
+    if (this._hosts.delete(controlAddress)) this._notify()
+  }
+
+  /** The endpoint at the address is another one now. */
+  markGone (endpointId: string): void {
+    const known = this._endpoints.get(endpointId)
+    if (known) this._learn({ ...known, lifecycle: EndpointLifecycle.Gone })
+    this._notify()
+  }
+
+  replaceRouting (routing: Routing): void {
+    if (this.routing && routing.version <= this.routing.version) return
+    this.routing = routing
+    this._logger.event(FleetEvent.RoutingInForce, { routingVersion: routing.version, routesCount: routing.routes.length })
+  }
+
+  private _notify (): void {
+    for (const listener of this._listeners) listener()
+    this.changed.notify()
+  }
+
+  private _nameWeights (model: string, version: number): void {
+    if (version <= (this._weights.get(model) ?? 0)) return
+    this._weights.set(model, version)
+    this._logger.event(FleetEvent.WeightsNamed, { model, version })
+  }
+
+  private _retire (retirement: Retirement): void {
+    const known = this._retirements.get(retirement.hostName)
+    if (known?.state !== RetirementState.Completed) this._retirements.set(retirement.hostName, retirement)
+  }
+
+  private _learn (told: FleetEndpoint): void {
+    const { endpointId } = told
+    if (this._goneIds.has(endpointId)) return
+    const known = this._endpoints.get(endpointId)
+    const lifecycle = Math.max(known?.lifecycle ?? EndpointLifecycle.Ready, told.lifecycle)
+    const newest = known && known.sequence > told.sequence ? known : told
+    const endpoint = { ...newest, lifecycle }
+    if (lifecycle === EndpointLifecycle.Gone) this._forgetGone(endpointId)
+    else this._endpoints.set(endpointId, endpoint)
+    this._logLearned(known, endpoint)
+  }
+
+  private _logLearned (known: FleetEndpoint | undefined, endpoint: FleetEndpoint): void {
+    const { endpointId, service, address, sequence, lifecycle } = endpoint
+    const event = lifecycle === EndpointLifecycle.Ready ? FleetEvent.EndpointKnown : FleetEvent.EndpointLeft
+    const isNews = known?.lifecycle !== lifecycle || JSON.stringify(known.weights) !== JSON.stringify(endpoint.weights)
+    if (isNews) this._logger.event(event, { endpointId, service, address, sequence, weights: endpoint.weights.map(({ model, version }) => `${model}@${version}`) })
+  }
+
+  private _forgetGone (endpointId: string): void {
+    this._endpoints.delete(endpointId)
+    this._goneIds.add(endpointId)
+    if (this._goneIds.size <= MAX_REMEMBERED_GONE_COUNT) return
+    const [oldest] = this._goneIds
+    if (oldest !== undefined) this._goneIds.delete(oldest)
+  }
+
+  /** Another control host may have heard of it since. */
+  private _forgetSilent (endpointId: string, sequence: number): void {
+    const known = this._endpoints.get(endpointId)
+    if (!known || known.sequence > sequence) return
+    this._endpoints.delete(endpointId)
+    this._logger.event(FleetEvent.EndpointSilent, { endpointId, service: known.service, sequence })
+  }
+}
+
+function termOf (host: FleetHost): number {
+  return host.store?.term ?? 0
+}
--- /dev/null
+++ b/src/gateway/requestForwarder.ts
@@ -0,0 +1,225 @@
+/**
+ * Passes one request on to an endpoint of its route's service, and to others
+ * if that fails and the request may run more than once. A second try starts
+ * beside the first when that takes unusually long (the reissue of Dean and
+ * Barroso, "The Tail at Scale", 2013).
+ */
+import type { EndpointClient, EndpointOutcome } from '../endpoints/endpointClient.js'
+import type { EndpointPool } from '../endpoints/endpointPool.js'
+import type { FleetView } from '../fleet/fleetView.js'
+import type { FleetEndpoint } from '../protocol/fleet.js'
+import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
+import { RouteKind, type RoutingRoute } from '../protocol/routing.js'
+import { ScopeClosedError, unreachable } from '../utils/errors.js'
+import type { Logger } from '../utils/logger.js'
+import { MetricName } from '../utils/metricNames.js'
+import type { Metrics } from '../utils/metrics.js'
+import type { Progress } from '../utils/progress.js'
+import type { RandomSource } from '../utils/randomSource.js'
+import type { Scope } from '../utils/scope.js'
+import { Signal } from '../utils/signal.js'
+import { GatewayEvent } from './gatewayEvents.js'
+import { chooseService } from './routeTable.js'
+
+/** A try that takes longer than this share of the route's objective gets a second one beside it. */
+const HEDGE_AFTER_OBJECTIVE_SHARE = 0.55
+/** Pause before endpoints that were all full are asked again. */
+const FULL_RETRY_MS = 20
+/** A request that no endpoint has taken within this share of its objective is refused, so that its caller can turn elsewhere. */
+const REFUSE_AFTER_OBJECTIVE_SHARE = 0.22
+/** When a caller whose request was refused may come back. */
+const RETRY_AFTER_MS = 50
+
+export interface ForwardRequest {
+  route: RoutingRoute
+  method: string
+  path: string
+  host: string
+  headers: string[]
+  body: Uint8Array
+  attemptId: string
+  progress: Progress
+  /** A refusal is of no use to whoever asks: keep trying until the deadline. */
+  isPersistent?: boolean
+}
+
+export type ForwardOutcome =
+  /** What an endpoint answered; `failedAnswersCount` tells how many answers of 5xx there were. */
+  | { kind: 'answered', status: number, headers: string[], body: Uint8Array, receipt: string | undefined, failedAnswersCount: number }
+  | { kind: 'refused', executed: Executed, reason: RefusalReason, retryAfterMs: number }
+
+export interface RequestForwarderParts {
+  view: FleetView
+  pool: EndpointPool
+  client: EndpointClient
+  random: RandomSource
+  logger: Logger
+  metrics: Metrics
+}
+
+export class RequestForwarder {
+  private readonly _parts: RequestForwarderParts
+
+  constructor (parts: RequestForwarderParts) {
+    this._parts = parts
+  }
+
+  /** @throws ScopeClosedError when the caller leaves first. */
+  async forward (request: ForwardRequest): Promise<ForwardOutcome> {
+    const scope = request.progress.scope.child('tries')
+    const run = new ForwardRun(this._parts, request, scope)
+    try {
+      return await run.run()
+    } finally {
+      scope.close('forwarded')
+    }
+  }
+}
+
+type Settled = Extract<ForwardOutcome, { kind: 'answered' }>
+
+class ForwardRun {
+  private readonly _parts: RequestForwarderParts
+  private readonly _request: ForwardRequest
+  private readonly _scope: Scope
+  private readonly _service: string
+  private readonly _tried = new Set<string>()
+  private readonly _settled = new Signal()
+  private readonly _startedAtMs: number
+  private _openCount = 0
+  /** Tries that may have run. */
+  private _ranCount = 0
+  private _failedAnswersCount = 0
+  private _answer: Settled | undefined
+  private _failure: Settled | undefined
+
+  constructor (parts: RequestForwarderParts, request: ForwardRequest, scope: Scope) {
+    this._parts = parts
+    this._request = request
+    this._scope = scope
+    this._service = chooseService(request.route, parts.random)
+    this._startedAtMs = request.progress.clock.nowMs()
+  }
+
+  async run (): Promise<ForwardOutcome> {
+    const { progress } = this._request
+    while (!this._answer && !progress.isOver()) {
+      if (this._openCount === 0) {
+        const ended = this._tryNext()
+        if (ended) return ended
+      }
+      const isNews = await this._settled.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextLookAtMs() })
+      if (!isNews && this._isHedgeDue()) this._startTry()
+    }
+    return this._answer ?? this._giveUp(RefusalReason.DeadlinePassed)
+  }
+
+  /** Starts a try, or ends the request when no further one is allowed or of use. */
+  private _tryNext (): ForwardOutcome | undefined {
+    const { route } = this._request
+    const mayRunAgain = this._ranCount === 0 || (route.kind !== RouteKind.AtMostOnce && this._ranCount < route.maxAttemptsCount)
+    if (!mayRunAgain) return this._failure ?? this._giveUp(RefusalReason.EndpointFailed)
+    if (this._startTry()) return undefined
+    return this._isRefusalDue() ? this._giveUp(RefusalReason.NoEndpoint) : undefined
+  }
+
+  private _isRefusalDue (): boolean {
+    const { route, progress, isPersistent } = this._request
+    if (isPersistent === true) return false
+    return progress.clock.nowMs() - this._startedAtMs >= REFUSE_AFTER_OBJECTIVE_SHARE * route.objectiveMs
+  }
+
+  private _nextLookAtMs (): number {
+    const { route, progress } = this._request
+    const nowMs = progress.clock.nowMs()
+    const lookAtMs = this._openCount === 0 ? nowMs + FULL_RETRY_MS : nowMs + HEDGE_AFTER_OBJECTIVE_SHARE * route.objectiveMs
+    return Math.min(progress.deadlineMs, lookAtMs)
+  }
+
+  private _isHedgeDue (): boolean {
+    const { route, progress } = this._request
+    const mayRepeat = route.kind !== RouteKind.AtMostOnce
+    return mayRepeat && !progress.isOver() && this._openCount === 1 && this._ranCount + this._openCount < route.maxAttemptsCount
+  }
+
+  private _startTry (): boolean {
+    const endpoint = this._parts.pool.choose(this._service, this._tried)
+    if (!endpoint) return false
+    this._tried.add(endpoint.endpointId)
+    this._openCount++
+    this._try(endpoint).catch(error => {
+      if (!(error instanceof ScopeClosedError)) throw error
+    })
+    return true
+  }
+
+  private async _try (endpoint: FleetEndpoint): Promise<void> {
+    const { method, path, host, headers, body, attemptId, progress } = this._request
+    const { clock } = progress
+    const health = this._parts.pool.health(endpoint.endpointId)
+    const startedAtMs = clock.nowMs()
+    health.runningCount++
+    try {
+      const request = { endpoint, method, path, host, headers, body, attemptId, deadlineMs: progress.deadlineMs }
+      const outcome = await this._parts.client.call(request, this._scope)
+      this._openCount--
+      this._onOutcome(endpoint, outcome, clock.nowMs() - startedAtMs)
+      this._settled.notify()
+    } finally {
+      health.runningCount--
+      if (this._scope.isClosed) health.took(clock.nowMs() - startedAtMs)
+    }
+  }
+
+  private _onOutcome (endpoint: FleetEndpoint, outcome: EndpointOutcome, durationMs: number): void {
+    const health = this._parts.pool.health(endpoint.endpointId)
+    switch (outcome.kind) {
+      case 'answered':
+        health.succeeded(durationMs, outcome.load)
+        return this._onAnswer(endpoint, outcome)
+      case 'notExecuted':
+        health.wasFull(outcome.load)
+        // It may be asked again when all the others were.
+        this._tried.delete(endpoint.endpointId)
+        return this._logFailure(endpoint, RetryReason.EndpointRefused, `status ${outcome.status}`)
+      case 'misdirected':
+        this._parts.view.markGone(endpoint.endpointId)
+        return this._logFailure(endpoint, RetryReason.EndpointRefused, 'another endpoint has the address')
+      case 'unreached':
+        health.failed()
+        return this._logFailure(endpoint, RetryReason.ConnectFailed, outcome.reason)
+      case 'broken':
+        this._ranCount++
+        health.failed()
+        return this._logFailure(endpoint, RetryReason.ConnectionLost, outcome.reason)
+      default:
+        return unreachable(outcome)
+    }
+  }
+
+  private _onAnswer (endpoint: FleetEndpoint, outcome: Extract<EndpointOutcome, { kind: 'answered' }>): void {
+    const { status, headers, body, receipt } = outcome
+    this._ranCount++
+    if (status >= 500) this._failedAnswersCount++
+    const answer: Settled = { kind: 'answered', status, headers, body, receipt, failedAnswersCount: this._failedAnswersCount }
+    if (status < 500) {
+      this._answer ??= answer
+      return
+    }
+    this._failure = answer
+    this._logFailure(endpoint, RetryReason.EndpointError, `status ${status}`)
+  }
+
+  private _giveUp (reason: RefusalReason): ForwardOutcome {
+    if (this._failure) return this._failure
+    const mayHaveRun = this._ranCount + this._openCount > 0
+    const executed = mayHaveRun ? Executed.Unknown : Executed.No
+    return { kind: 'refused', executed, reason, retryAfterMs: RETRY_AFTER_MS }
+  }
+
+  private _logFailure (endpoint: FleetEndpoint, reason: RetryReason, detail: string): void {
+    const { attemptId, route } = this._request
+    this._parts.metrics.count(MetricName.RequestRetried, { reason, pool: endpoint.service })
+    this._parts.logger.event(GatewayEvent.TryFailed, { attemptId, route: route.name, endpointId: endpoint.endpointId, reason, detail })
+  }
+}
--- /dev/null
+++ b/src/gateway/routeTable.ts
@@ -0,0 +1,48 @@
+/**
+ * Finds the route of a request: of the routes of its host, the one with the
+ * longest prefix that begins its path.
+ */
+import type { RandomSource } from '../utils/randomSource.js'
+import type { Routing, RoutingRoute } from '../protocol/routing.js'
+
+export class RouteTable {
+  readonly version: number
+  private readonly _byHost = new Map<string, RoutingRoute[]>()
+
+  constructor (routing: Routing) {
+    this.version = routing.version
+    for (const route of routing.routes) {
+      const routes = this._byHost.get(route.host) ?? []
+      routes.push(route)
+      this._byHost.set(route.host, routes)
+    }
+    for (const routes of this._byHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+  }
+
+  /** @param path without its query */
+  find (host: string, path: string): RoutingRoute | undefined {
+    return this._byHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+  }
+}
+
+/** Keeps the table of the routing configuration in force. */
+export class CurrentRoutes {
+  private _table: RouteTable | undefined
+
+  /** The table of a routing configuration; made anew when its version has changed. */
+  of (routing: Routing): RouteTable {
+    if (this._table?.version !== routing.version) this._table = new RouteTable(routing)
+    return this._table
+  }
+}
+
+/** One of a route's services, by weight. */
+export function chooseService (route: RoutingRoute, random: RandomSource): string {
+  const totalWeight = route.services.reduce((sum, { weight }) => sum + weight, 0)
+  let left = random.real() * totalWeight
+  for (const { service, weight } of route.services) {
+    left -= weight
+    if (left < 0 && weight > 0) return service
+  }
+  return route.services.findLast(({ weight }) => weight > 0)?.service ?? ''
+}
--- /dev/null
+++ b/src/protocol/batches.ts
@@ -0,0 +1,91 @@
+/**
+ * Batches of rollout items: what is submitted, the results that are listed,
+ * and the commands that the batch store's log carries.
+ */
+import { z } from 'zod'
+
+/** The call that scores a sample once its text is whole. */
+export const rewardCallSchema = z.object({
+  rewardId: z.string(),
+  host: z.string(),
+  path: z.string(),
+  body: z.instanceof(Uint8Array)
+})
+export type RewardCall = z.infer<typeof rewardCallSchema>
+
+export const batchItemSchema = z.object({
+  itemId: z.string(),
+  path: z.string(),
+  /** Names and values in turn, passed on as they are. */
+  headers: z.array(z.string()),
+  body: z.instanceof(Uint8Array),
+  /** Items of a group share their prompt and count only together. */
+  groupId: z.string(),
+  model: z.string(),
+  promptTokensCount: z.number(),
+  /** The submitter's guess of the tokens that it will make. */
+  expectedTokensCount: z.number(),
+  reward: rewardCallSchema.optional()
+})
+export type BatchItem = z.infer<typeof batchItemSchema>
+
+export const batchSubmissionSchema = z.object({
+  batchId: z.string(),
+  /** Host and path that it was sent to, which tell its route. */
+  host: z.string(),
+  path: z.string(),
+  step: z.int(),
+  model: z.string(),
+  /** The oldest version of the weights that may make its samples. */
+  minVersion: z.int(),
+  /** Whole groups that the trainer waits for. */
+  wantedGroupsCount: z.int(),
+  items: z.array(batchItemSchema)
+})
+export type BatchSubmission = z.infer<typeof batchSubmissionSchema>
+
+export enum ResultState {
+  Completed = 'completed',
+  /** Given up for good. */
+  GivenUp = 'given_up'
+}
+
+export const itemResultSchema = z.object({
+  itemId: z.string(),
+  state: z.enum(ResultState),
+  /** Data of all events, parted by line feeds. */
+  text: z.string(),
+  /** Versions of the weights that made any of its events, in order. */
+  versions: z.array(z.int()),
+  /** Receipt of the reward call. */
+  score: z.string().optional()
+})
+export type ItemResult = z.infer<typeof itemResultSchema>
+
+export enum BatchCommandKind {
+  Submit = 'batch.submit',
+  Finish = 'batch.finish',
+  End = 'batch.end'
+}
+
+export const batchCommandSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(BatchCommandKind.Submit),
+    submission: batchSubmissionSchema,
+    /** How long its results can be read after it was accepted. */
+    keepMs: z.number()
+  }),
+  z.object({ kind: z.literal(BatchCommandKind.Finish), batchId: z.string(), result: itemResultSchema }),
+  z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string() })
+])
+export type BatchCommand = z.infer<typeof batchCommandSchema>
+
+export type BatchCommandResult =
+  /** Taken, now or before. */
+  | { kind: 'accepted' }
+  /** The result has a position in the list. */
+  | { kind: 'listed', position: number }
+  /** The batch has ended, or is not known: nothing is listed any more. */
+  | { kind: 'closed' }
+  | { kind: 'ended' }
+  | { kind: 'unknownBatch' }
--- a/src/protocol/commands.ts
+++ b/src/protocol/commands.ts
@@ -5,18 +5,20 @@
 import { hostCommandSchema, hostResultSchema, type HostCommand, type HostResult } from './hostCommands.js'
 import { resourceCommandSchema, resourceResultSchema, type ResourceCommand, type ResourceResult } from './resourceCommands.js'
 import { rolloutCommandSchema, rolloutResultSchema, type RolloutCommand, type RolloutResult } from './rolloutCommands.js'
+import { routingCommandSchema, routingResultSchema, type RoutingCommand, type RoutingResult } from './routingCommands.js'
 import { unrepeatableCommandSchema, unrepeatableResultSchema, type UnrepeatableCommand, type UnrepeatableResult } from './unrepeatableCommands.js'
 
-export const commandSchema = z.union([resourceCommandSchema, hostCommandSchema, unrepeatableCommandSchema, rolloutCommandSchema])
+export const commandSchema = z.union([resourceCommandSchema, hostCommandSchema, unrepeatableCommandSchema, rolloutCommandSchema, routingCommandSchema])
 export type Command = z.infer<typeof commandSchema>
 
-export const commandResultSchema = z.union([resourceResultSchema, hostResultSchema, unrepeatableResultSchema, rolloutResultSchema])
+export const commandResultSchema = z.union([resourceResultSchema, hostResultSchema, unrepeatableResultSchema, rolloutResultSchema, routingResultSchema])
 
 export type CommandResult<C extends Command> =
   C extends ResourceCommand ? ResourceResult
     : C extends HostCommand ? HostResult
       : C extends UnrepeatableCommand ? UnrepeatableResult
         : C extends RolloutCommand ? RolloutResult
-          : never
+          : C extends RoutingCommand ? RoutingResult
+            : never
 
 export type AnyCommandResult = z.infer<typeof commandResultSchema>
--- a/src/protocol/controlMessages.ts
+++ b/src/protocol/controlMessages.ts
@@ -75,3 +75,11 @@
   changes: z.array(configurationChangeSchema)
 })
 export type ChangesNotice = z.infer<typeof changesNoticeSchema>
+
+export const readIndexReplySchema = z.discriminatedUnion('kind', [
+  /** Whoever has applied the log up to the index reads nothing out of date. */
+  z.object({ kind: z.literal('confirmed'), index: z.int() }),
+  z.object({ kind: z.literal('unavailable'), reason: z.string() }),
+  notLeaderSchema
+])
+export type ReadIndexReply = z.infer<typeof readIndexReplySchema>
--- /dev/null
+++ b/src/protocol/routingCommands.ts
@@ -0,0 +1,70 @@
+/**
+ * Commands about the routing configuration, the versions of model weights
+ * that trainers named, and the members of the batch store.
+ */
+import { z } from 'zod'
+import { routingSchema } from './routing.js'
+
+export enum RoutingCommandKind {
+  Replace = 'routing.replace',
+  NameWeights = 'weights.name',
+  FormStore = 'store.form',
+  BeginRetirement = 'store.retire',
+  EndRetirement = 'store.retired'
+}
+
+/** A replica of the batch store, by the random id on its disk. */
+export const storeReplicaSchema = z.object({
+  replicaId: z.string(),
+  hostId: z.string(),
+  peerAddress: z.string()
+})
+export type StoreReplica = z.infer<typeof storeReplicaSchema>
+
+/** The first members of the batch store; decided once. */
+export const storeGroupSchema = z.object({
+  clusterId: z.string(),
+  initialReplicas: z.array(storeReplicaSchema).min(1)
+})
+export type StoreGroup = z.infer<typeof storeGroupSchema>
+
+export enum RetirementState {
+  /** The host still holds data that others may lack. */
+  Serving = 'serving',
+  /** The host holds nothing that is needed any more. */
+  Completed = 'completed'
+}
+
+export const retirementSchema = z.object({
+  hostName: z.string(),
+  hostId: z.string(),
+  state: z.enum(RetirementState)
+})
+export type Retirement = z.infer<typeof retirementSchema>
+
+export const routingCommandSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(RoutingCommandKind.Replace),
+    routing: routingSchema,
+    /** The document as the operator sent it, which a read gives back. */
+    document: z.string()
+  }),
+  z.object({ kind: z.literal(RoutingCommandKind.NameWeights), model: z.string(), version: z.int() }),
+  z.object({ kind: z.literal(RoutingCommandKind.FormStore), group: storeGroupSchema }),
+  z.object({ kind: z.literal(RoutingCommandKind.BeginRetirement), hostName: z.string(), hostId: z.string() }),
+  z.object({ kind: z.literal(RoutingCommandKind.EndRetirement), hostName: z.string() })
+])
+export type RoutingCommand = z.infer<typeof routingCommandSchema>
+
+export const routingResultSchema = z.discriminatedUnion('kind', [
+  /** In force, or already overtaken by a version at least as high. */
+  z.object({ kind: z.literal('routingHeld'), version: z.int() }),
+  z.object({ kind: z.literal('weightsNamed'), version: z.int() }),
+  z.object({ kind: z.literal('storeFormed') }),
+  z.object({ kind: z.literal('retirementHeld') })
+])
+export type RoutingResult = z.infer<typeof routingResultSchema>
+
+/** A model and the newest version of its weights that a trainer named. */
+export const namedWeightsSchema = z.object({ model: z.string(), version: z.int() })
+export type NamedWeights = z.infer<typeof namedWeightsSchema>
--- a/src/replication/log/clusterFormation.ts
+++ b/src/replication/log/clusterFormation.ts
@@ -14,7 +14,7 @@
 import { decodeMembership, encodeMembership } from './membershipHistory.js'
 import type { PeerLinks } from './peerLinks.js'
 import { identifyMethod, type IdentifyReply } from './raftMethods.js'
-import type { ReplicaCore } from './replicaCore.js'
+import { ReplicaRole, type ReplicaCore } from './replicaCore.js'
 
 export interface InitialMember {
   hostId: string
@@ -27,39 +27,63 @@
   operatorAddress: string
 }
 
+export interface FormationOptions {
+  /** Hosts to ask for the cluster; those of the first start, who form it. */
+  initialMembers: InitialMember[]
+  /** False for a host that must only ever join. */
+  mayForm: boolean
+}
+
 /** Asks the cluster that a host belongs to to take the replica in. */
 export type JoinCall = (via: IdentifyReply, newcomer: Omit<Member, 'role'>, progress: Progress) => Promise<string>
 
 const RETRY_MS = 250
 const ASK_TIMEOUT_MS = 1_000
 const LOG_EVERY_TRIES_COUNT = 20
+/** A member that hears of no leader for so long asks whether it still is one. */
+const LEADERLESS_MS = 3_000
 
 export class ClusterFormation {
   private readonly _core: ReplicaCore
   private readonly _links: PeerLinks
   private readonly _own: OwnAddresses
-  private readonly _initialMembers: InitialMember[]
+  private readonly _options: FormationOptions
   private readonly _join: JoinCall
   private _triesCount = 0
 
-  constructor (core: ReplicaCore, links: PeerLinks, own: OwnAddresses, initialMembers: InitialMember[], join: JoinCall) {
+  constructor (core: ReplicaCore, links: PeerLinks, own: OwnAddresses, options: FormationOptions, join: JoinCall) {
     this._core = core
     this._links = links
     this._own = own
-    this._initialMembers = initialMembers
+    this._options = options
     this._join = join
   }
 
-  /** Returns once the replica finds itself among the members of a cluster. */
+  /** Sees to it that the replica is among the members of a cluster, also after it was struck from them. */
   async run (scope: Scope): Promise<void> {
     const { clock } = this._core.parts
     await this._finishFormation(scope)
-    while (!this._isMember()) {
-      await this._tryOnce(scope)
+    for (;;) {
+      if (!this._isMember()) await this._tryOnce(scope)
+      else if (this._isLeaderless()) await this._askWhetherStruck(scope)
       await sleepUntil(clock, scope, clock.nowMs() + RETRY_MS)
     }
   }
 
+  private _isLeaderless (): boolean {
+    const { clock } = this._core.parts
+    return this._core.role !== ReplicaRole.Leader && clock.nowMs() - this._core.quietSinceMs > LEADERLESS_MS
+  }
+
+  /** The others know a leader that does not call: it has struck this replica while it was silent. */
+  private async _askWhetherStruck (scope: Scope): Promise<void> {
+    const known = [...this._core.members, ...this._options.initialMembers]
+    const others = known.filter(({ hostId }, position) => hostId !== this._own.hostId && known.findIndex(other => other.hostId === hostId) === position)
+    const answers = await Promise.all(others.map(member => this._identify(member, scope)))
+    const led = answers.find(answer => answer?.clusterId === this._core.clusterId && answer.leader !== undefined && answer.leader.hostId !== this._own.hostId)
+    if (led) await this._askToJoin(led, scope)
+  }
+
   /** Only a committed entry counts: a leader may have taken the replica in and lost that again. */
   private _isMember (): boolean {
     const { clusterId, replicaId, commitIndex, state } = this._core
@@ -74,15 +98,15 @@
   }
 
   private async _tryOnce (scope: Scope): Promise<void> {
-    const others = this._initialMembers.filter(member => member.hostId !== this._own.hostId)
+    const others = this._options.initialMembers.filter(member => member.hostId !== this._own.hostId)
     const answers = (await Promise.all(others.map(member => this._identify(member, scope)))).filter(answer => answer !== undefined)
     const { clusterId } = this._core
     const member = answers.find(answer => answer.clusterId !== null && answer.clusterId === (clusterId ?? answer.clusterId))
     if (clusterId !== null && !member) return
     if (member) return await this._askToJoin(member, scope)
-    const isComplete = answers.length === others.length && others.length + 1 === this._initialMembers.length
-    if (!isComplete) return this._logWaiting(others, answers)
-    if (this._initialMembers.every(member => this._own.hostId <= member.hostId)) await this._form(answers, scope)
+    const isComplete = answers.length === others.length && others.length + 1 === this._options.initialMembers.length
+    if (!isComplete || !this._options.mayForm) return this._logWaiting(others, answers)
+    if (this._options.initialMembers.every(member => this._own.hostId <= member.hostId)) await this._form(answers, scope)
   }
 
   private async _identify (member: InitialMember, scope: Scope): Promise<IdentifyReply | undefined> {
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -92,6 +92,12 @@
     return progress !== undefined && progress.ackedRound > 0 && progress.ackedSentAtMs >= clock.nowMs() - timings.electionMaxMs
   }
 
+  /** When a replica last answered; the start of the leadership for one that has not. */
+  heardAtMs (replicaId: string): number {
+    if (replicaId === this._core.replicaId) return Number.POSITIVE_INFINITY
+    return this.progressOf(replicaId)?.ackedSentAtMs ?? this._startedAtMs
+  }
+
   /** Until when no other leader can have been elected, by this host's clock. */
   get leaseEndsAtMs (): number {
     const sentAtMs = this._quorumValue(progress => (progress.ackedRound > 0 ? progress.ackedSentAtMs : Number.NEGATIVE_INFINITY))
--- a/src/replication/log/membershipChanges.ts
+++ b/src/replication/log/membershipChanges.ts
@@ -20,14 +20,18 @@
 const CAUGHT_UP_ENTRIES_COUNT = 64
 const MAX_MEMBERS_COUNT = 9
 const REVIEW_INTERVAL_MS = 100
+/** Fewer voters than this bear no loss, so nobody is struck below it. */
+const MIN_VOTERS_COUNT = 3
 
 export class MembershipChanges {
   private readonly _core: ReplicaCore
   private readonly _leadership: Leadership
+  private readonly _strikeSilentAfterMs: number | undefined
 
-  constructor (core: ReplicaCore, leadership: Leadership) {
+  constructor (core: ReplicaCore, leadership: Leadership, strikeSilentAfterMs?: number) {
     this._core = core
     this._leadership = leadership
+    this._strikeSilentAfterMs = strikeSilentAfterMs
   }
 
   /** Takes a replica in as a learner. */
@@ -71,12 +75,26 @@
   private _reviewOnce (): void {
     const members = this._core.members
     const ready = members.find(member => member.role === MemberRole.Learner && this._isCaughtUp(member))
-    if (!ready) return
+    if (!ready) return this._strikeSilent()
     const predecessor = members.find(member => member.hostId === ready.hostId && member.role === MemberRole.Voter)
     if (predecessor) this._replace(predecessor)
     else this._promote(ready)
   }
 
+  /** A host that is gone for good is never announced; its dead vote would only raise the quorum. */
+  private _strikeSilent (): void {
+    const members = this._core.members
+    if (this._strikeSilentAfterMs === undefined) return
+    const silentSinceMs = this._core.parts.clock.nowMs() - this._strikeSilentAfterMs
+    const silent = members.filter(member => this._leadership.heardAtMs(member.replicaId) < silentSinceMs)
+    const [longest] = silent.sort((left, right) => this._leadership.heardAtMs(left.replicaId) - this._leadership.heardAtMs(right.replicaId))
+    if (!longest) return
+    const remaining = members.filter(member => member !== longest)
+    const isVoting = longest.role === MemberRole.Voter
+    if (isVoting && (votersOf(remaining).length < MIN_VOTERS_COUNT || !this._hasLiveQuorum(remaining))) return
+    this._change(remaining, ReplicationEvent.MemberRemoved, longest.hostId)
+  }
+
   private _replace (predecessor: Member): void {
     const remaining = this._core.members.filter(member => member.replicaId !== predecessor.replicaId)
     if (this._leadership.isLive(predecessor.replicaId) || !this._hasLiveQuorum(remaining)) return
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -43,6 +43,8 @@
   state: ReplicatedState<unknown, unknown>
   snapshotPolicy: SnapshotPolicy
   observer?: ApplyObserver
+  /** A voter that was silent for so long is struck, as long as enough others are left; never when absent. */
+  strikeSilentAfterMs?: number | undefined
 }
 
 export type ReadOutcome = { kind: 'confirmed' } | { kind: 'notLeader' } | { kind: 'unavailable', reason: string }
@@ -184,7 +186,7 @@
   private async _lead (): Promise<void> {
     const supervisor = this._parts.supervisor.child(`leadership of term ${this.core.term}`)
     const leadership = new Leadership(this.core, this.links, supervisor)
-    const changes = new MembershipChanges(this.core, leadership)
+    const changes = new MembershipChanges(this.core, leadership, this._parts.strikeSilentAfterMs)
     this.core.becomeLeader(reason => supervisor.scope.close(reason))
     this._leadership = leadership
     this._membershipChanges = changes
--- /dev/null
+++ b/src/transport/batchMethods.ts
@@ -0,0 +1,73 @@
+/**
+ * The calls of entry hosts to the leader of the batch store, and of a store
+ * host that wants to become a member.
+ */
+import { z } from 'zod'
+import { batchSubmissionSchema, itemResultSchema } from '../protocol/batches.js'
+import { rpcMethod } from './rpcPeer.js'
+
+const notLeader = z.object({ kind: z.literal('notLeader'), leaderAddress: z.string().optional() })
+/** Nothing is known to have happened; the caller may ask again. */
+const unavailable = z.object({ kind: z.literal('unavailable'), reason: z.string() })
+const unknownBatch = z.object({ kind: z.literal('unknownBatch') })
+
+export const submitBatchReplySchema = z.discriminatedUnion('kind', [
+  /** On the disks of a quorum. */
+  z.object({ kind: z.literal('accepted') }),
+  /** None of it will run. */
+  z.object({ kind: z.literal('refused'), reason: z.string() }),
+  /** It may have been taken. */
+  z.object({ kind: z.literal('unknown'), reason: z.string() }),
+  notLeader
+])
+export type SubmitBatchReply = z.infer<typeof submitBatchReplySchema>
+
+export const readResultsReplySchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('results'),
+    totalCount: z.int(),
+    nextPosition: z.int(),
+    results: z.array(itemResultSchema)
+  }),
+  unknownBatch,
+  unavailable,
+  notLeader
+])
+export type ReadResultsReply = z.infer<typeof readResultsReplySchema>
+
+export const readItemReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('body'), body: z.instanceof(Uint8Array) }),
+  /** The batch or the item is not known, is listed, or has ended. */
+  z.object({ kind: z.literal('absent') }),
+  unavailable,
+  notLeader
+])
+export type ReadItemReply = z.infer<typeof readItemReplySchema>
+
+export const endBatchReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('ended') }),
+  unknownBatch,
+  unavailable,
+  notLeader
+])
+export type EndBatchReply = z.infer<typeof endBatchReplySchema>
+
+export const joinStoreReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('answered'), outcome: z.string() }),
+  notLeader
+])
+
+export const submitBatchMethod = rpcMethod('batch.submit', z.object({ submission: batchSubmissionSchema }), submitBatchReplySchema)
+export const readResultsMethod = rpcMethod('batch.results', z.object({
+  batchId: z.string(),
+  fromPosition: z.int().min(0),
+  /** How long to wait until there is a result at the position. */
+  waitMs: z.number().min(0)
+}), readResultsReplySchema)
+export const readItemMethod = rpcMethod('batch.item', z.object({ batchId: z.string(), itemId: z.string() }), readItemReplySchema)
+export const endBatchMethod = rpcMethod('batch.end', z.object({ batchId: z.string() }), endBatchReplySchema)
+export const joinStoreMethod = rpcMethod('store.join', z.object({
+  replicaId: z.string(),
+  hostId: z.string(),
+  peerAddress: z.string()
+}), joinStoreReplySchema)
--- a/src/transport/controlMethods.ts
+++ b/src/transport/controlMethods.ts
@@ -3,8 +3,8 @@
  */
 import { z } from 'zod'
 import {
-  changesNoticeSchema, findLeaderReplySchema, queryReplySchema, queryRequestSchema, renewReplySchema,
-  renewRequestSchema, submitReplySchema, submitRequestSchema
+  changesNoticeSchema, findLeaderReplySchema, queryReplySchema, queryRequestSchema, readIndexReplySchema,
+  renewReplySchema, renewRequestSchema, submitReplySchema, submitRequestSchema
 } from '../protocol/controlMessages.js'
 import { rpcMethod } from './rpcPeer.js'
 
@@ -12,5 +12,7 @@
 export const submitMethod = rpcMethod('control.submit', submitRequestSchema, submitReplySchema)
 export const queryMethod = rpcMethod('control.query', queryRequestSchema, queryReplySchema)
 export const renewMethod = rpcMethod('control.renew', renewRequestSchema, renewReplySchema)
+/** The index that a host which does not lead has to have applied before it answers a read. */
+export const readIndexMethod = rpcMethod('control.readIndex', z.object({}), readIndexReplySchema)
 /** From the leader to entry hosts, one-way. */
 export const changesMethod = rpcMethod('control.changes', changesNoticeSchema, z.void())
--- a/src/transport/rpcPeer.ts
+++ b/src/transport/rpcPeer.ts
@@ -97,7 +97,7 @@
   }
 
   /** Sends a one-way message; it may be lost with the connection. */
-  notify<Request> (method: RpcMethod<Request, void>, body: Request): void {
+  notify<Request> (method: RpcMethod<Request, unknown>, body: Request): void {
     this.connection.send({ kind: FrameKind.Notice, method: method.name, body })
   }
 
