Run items by the time they have to spare, and move runs off slow engines

Cause: with two batches open, every item of the first went before any of the second, so the second one's long items began three seconds late and its step ended at 7 s instead of 5; and items that an engine ran at 1.3 to 4 times the others' pace stayed there (9.3 s for 165 events). Change: the waiting item with the earliest latest start goes first, whatever its batch; a run that made four events looks for an engine with room that is 1.25 times as fast and goes on there behind its last event. Ruled out: engines being full (96 places, no preemption seen).

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -9,7 +9,7 @@
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
 import type { BatchItem, ItemResult } from '../protocol/batches.js'
-import type { RoutingRoute } from '../protocol/routing.js'
+import type { ModelEngine, RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
@@ -18,7 +18,7 @@
 import { BatchEvent } from './batchEvents.js'
 import type { Batch, BatchState } from './batchState.js'
 import { EngineFleet, type Engine } from './engineFleet.js'
-import { compareWaiting, fastestEngine } from './itemOrder.js'
+import { ASSUMED_TOKEN_MS, compareWaiting, fastestEngine, isWorthMoving } from './itemOrder.js'
 import { ItemRun, type ItemRunParts } from './itemRun.js'
 import type { ItemOutput } from './itemOutput.js'
 
@@ -62,7 +62,7 @@
 
   constructor (parts: BatchDispatcherParts) {
     this._parts = parts
-    this.engines = new EngineFleet(parts.pool)
+    this.engines = new EngineFleet(parts.pool, parts.clock)
   }
 
   /** Open batches that this host runs. */
@@ -139,6 +139,8 @@
       replica,
       acquire: (run, scope) => this._acquire(run, scope),
       release: (run, engine) => this._release(run, engine),
+      shouldMove: (run, engine) => this._shouldMove(run, engine),
+      tokensPerEvent: run => this._modelEngineOf(run)?.tokensPerEvent ?? 1,
       routeOf: (host, path) => this.routeOf(host, path)
     }
     const run = new ItemRun(parts, batch, item, dueAtMs, giveUpAtMs, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
@@ -193,7 +195,7 @@
 
   private _giveTurns (): void {
     if (this._waiting.length === 0) return
-    this._waiting.sort((left, right) => compareWaiting(left.run, right.run))
+    this._waiting.sort((left, right) => compareWaiting(left.run, right.run, ASSUMED_TOKEN_MS))
     const left: Waiting[] = []
     for (const waiting of this._waiting) {
       const engine = this._engineFor(waiting.run)
@@ -209,13 +211,36 @@
   }
 
   private _engineFor (run: ItemRun): Engine | undefined {
-    const { host, path, minVersion } = run.batch.submission
-    const route = this.routeOf(host, path)
-    const service = route?.services.find(({ weight }) => weight > 0)?.service
-    if (service === undefined) return undefined
-    const fitting = this.engines.ofService(service).filter(engine => engine.mayRun() && engine.version(run.item.model) >= minVersion)
-    const capacity = this._parts.view.routing?.services.find(({ name }) => name === service)?.engine?.kvCapacityTokens
-    return fastestEngine(fitting, capacity ?? Number.POSITIVE_INFINITY)
+    const engines = this._fittingEngines(run)
+    const modelEngine = this._modelEngineOf(run)
+    const assumedGapMs = ASSUMED_TOKEN_MS * (modelEngine?.tokensPerEvent ?? 1)
+    return fastestEngine(engines, assumedGapMs, modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
+  }
+
+  /** Engines with room whose weights may make the item. */
+  private _fittingEngines (run: ItemRun): Engine[] {
+    const service = this._serviceOf(run)
+    if (service === undefined) return []
+    return this.engines.ofService(service).filter(engine => engine.mayRun() && engine.version(run.item.model) >= run.batch.submission.minVersion)
+  }
+
+  /** Room is only left for moves when nothing waits for it. */
+  private _shouldMove (run: ItemRun, engine: Engine): boolean {
+    if (this._waiting.length > 0) return false
+    const others = this._fittingEngines(run).filter(other => other !== engine && other.meanGapMs !== undefined)
+    const fastest = fastestEngine(others, Number.POSITIVE_INFINITY, this._modelEngineOf(run)?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
+    if (!fastest) return false
+    const remainingEventsCount = run.remainingTokensCount / (this._modelEngineOf(run)?.tokensPerEvent ?? 1)
+    return isWorthMoving(engine, fastest, run.output.lastEventId, remainingEventsCount)
+  }
+
+  private _serviceOf ({ batch }: ItemRun): string | undefined {
+    return this.routeOf(batch.submission.host, batch.submission.path)?.services.find(({ weight }) => weight > 0)?.service
+  }
+
+  private _modelEngineOf (run: ItemRun): ModelEngine | undefined {
+    const service = this._serviceOf(run)
+    return this._parts.view.routing?.services.find(({ name }) => name === service)?.engine
   }
 }
 
--- a/src/batches/engineFleet.ts
+++ b/src/batches/engineFleet.ts
@@ -7,9 +7,12 @@
 import type { EndpointPool } from '../endpoints/endpointPool.js'
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import type { NamedWeights } from '../protocol/routingCommands.js'
+import type { Clock } from '../utils/clock.js'
 
 /** Weight of a new gap between events in the running mean. */
-const GAP_WEIGHT = 0.1
+const GAP_WEIGHT = 0.05
+/** A pace that was not seen for so long may have changed. */
+const GAP_LIFETIME_MS = 4_000
 /** Engines start with the first version. */
 const FIRST_VERSION = 1
 
@@ -20,14 +23,16 @@
   heldTokensCount = 0
   /** A load is under way, or its outcome is not known yet. */
   isLoading = false
-  /** Mean time between two events of a run; undefined before any. */
-  meanGapMs: number | undefined
   readonly health: EndpointHealth
   private readonly _versions = new Map<string, number>()
+  private readonly _clock: Clock
+  private _meanGapMs: number | undefined
+  private _gapAtMs = Number.NEGATIVE_INFINITY
 
-  constructor (endpoint: FleetEndpoint, health: EndpointHealth) {
+  constructor (endpoint: FleetEndpoint, health: EndpointHealth, clock: Clock) {
     this.endpoint = endpoint
     this.health = health
+    this._clock = clock
     this.learnWeights(endpoint.weights)
   }
 
@@ -57,8 +62,15 @@
     this._versions.set(model, version)
   }
 
+  /** Mean time between two events of a run; undefined when none was seen lately. */
+  get meanGapMs (): number | undefined {
+    return this._clock.nowMs() - this._gapAtMs < GAP_LIFETIME_MS ? this._meanGapMs : undefined
+  }
+
   sawGap (gapMs: number): void {
-    this.meanGapMs = this.meanGapMs === undefined ? gapMs : this.meanGapMs + GAP_WEIGHT * (gapMs - this.meanGapMs)
+    const meanGapMs = this.meanGapMs
+    this._meanGapMs = meanGapMs === undefined ? gapMs : meanGapMs + GAP_WEIGHT * (gapMs - meanGapMs)
+    this._gapAtMs = this._clock.nowMs()
   }
 
   mayRun (): boolean {
@@ -68,10 +80,12 @@
 
 export class EngineFleet {
   private readonly _pool: EndpointPool
+  private readonly _clock: Clock
   private readonly _engines = new Map<string, Engine>()
 
-  constructor (pool: EndpointPool) {
+  constructor (pool: EndpointPool, clock: Clock) {
     this._pool = pool
+    this._clock = clock
   }
 
   /** The ready engines of a service. */
@@ -82,7 +96,7 @@
   private _engineOf (endpoint: FleetEndpoint): Engine {
     let engine = this._engines.get(endpoint.endpointId)
     if (!engine) {
-      engine = new Engine(endpoint, this._pool.health(endpoint.endpointId))
+      engine = new Engine(endpoint, this._pool.health(endpoint.endpointId), this._clock)
       this._engines.set(endpoint.endpointId, engine)
     }
     if (engine.endpoint !== endpoint) {
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -21,6 +21,10 @@
 
 /** An engine that makes no event for so long is left for another one. */
 const SILENT_RUN_MS = 900
+/** A run looks for a faster engine after every so many events. */
+const MOVE_CHECK_EVENTS_COUNT = 4
+/** Why the scope of a run closes that goes on elsewhere. */
+const MOVED = 'moved to a faster engine'
 /** Pause after a run that failed at once, so that a broken engine is not asked in a loop. */
 const RETRY_PAUSE_MS = 30
 /** One try of the reward call, with its retries. */
@@ -30,6 +34,9 @@
 const HTTP_OK_MIN = 200
 const HTTP_OK_MAX = 299
 
+type RunOutcome = ItemOutcome | { kind: 'moved' }
+type FailedRun = Exclude<ItemOutcome, { kind: 'finished' } | { kind: 'impossible' }>
+
 export interface ItemRunParts {
   clock: Clock
   logger: Logger
@@ -39,6 +46,9 @@
   /** Waits until an engine has room for the item. */
   acquire: (run: ItemRun, scope: Scope) => Promise<Engine>
   release: (run: ItemRun, engine: Engine) => void
+  /** Whether a run had better go on at another engine, which has room. */
+  shouldMove: (run: ItemRun, engine: Engine) => boolean
+  tokensPerEvent: (run: ItemRun) => number
   /** The route of a request, in the routing configuration of the moment. */
   routeOf: (host: string, path: string) => RoutingRoute | undefined
 }
@@ -69,8 +79,9 @@
     return this.output.lastEventId > 0
   }
 
-  get expectedTokensCount (): number {
-    return this.item.expectedTokensCount
+  /** Events are counted by their tokens once the dispatcher has said how many one holds. */
+  get remainingTokensCount (): number {
+    return Math.max(0, this.item.expectedTokensCount - this.output.lastEventId * this._parts.tokensPerEvent(this))
   }
 
   /** Returns once the item is listed. */
@@ -93,47 +104,60 @@
     for (;;) {
       const engine = await this._parts.acquire(this, scope)
       const outcome = await this._runOn(engine, scope)
-      switch (outcome.kind) {
-        case 'finished':
-          this._log(BatchEvent.ItemFinished, { endpointId: engine.id, eventsCount: this.output.lastEventId, versions: this.output.versions.map(String) })
-          return true
-        case 'impossible':
-          return false
-        case 'failed':
-          this._failuresCount++
-          break
-        case 'notExecuted':
-          engine.health.wasFull(undefined)
-          break
-        case 'misdirected':
-        case 'unreached':
-        case 'broken':
-          engine.health.failed()
-          break
-        default:
-          return unreachable(outcome)
-      }
-      this._log(BatchEvent.ItemBroken, { endpointId: engine.id, outcome: outcome.kind, reason: reasonOf(outcome), eventsCount: this.output.lastEventId })
+      this._logRun(engine, outcome)
+      if (outcome.kind === 'finished') return true
+      if (outcome.kind === 'impossible') return false
+      if (outcome.kind === 'moved') continue
+      this._blame(engine, outcome)
       if (this._isHopeless()) return false
       await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
     }
   }
 
+  /** What a run that failed says of its engine. */
+  private _blame (engine: Engine, outcome: FailedRun): void {
+    switch (outcome.kind) {
+      case 'failed':
+        this._failuresCount++
+        return
+      case 'notExecuted':
+        engine.health.wasFull(undefined)
+        return
+      case 'misdirected':
+      case 'unreached':
+      case 'broken':
+        engine.health.failed()
+        return
+      default:
+        unreachable(outcome)
+    }
+  }
+
+  private _logRun (engine: Engine, outcome: RunOutcome): void {
+    const fields = { endpointId: engine.id, eventsCount: this.output.lastEventId }
+    if (outcome.kind === 'finished') return this._log(BatchEvent.ItemFinished, { ...fields, versions: this.output.versions.map(String) })
+    if (outcome.kind === 'moved') return this._log(BatchEvent.ItemMoved, { ...fields, meanGapMs: Math.round(engine.meanGapMs ?? 0) })
+    this._log(BatchEvent.ItemBroken, { ...fields, outcome: outcome.kind, reason: reasonOf(outcome) })
+  }
+
   private _isHopeless (): boolean {
     const route = this._parts.routeOf(this.batch.submission.host, this.batch.submission.path)
     const hasFailedOften = route !== undefined && this._failuresCount >= route.maxAttemptsCount
     return hasFailedOften || this._parts.clock.nowMs() >= this._giveUpAtMs
   }
 
-  private async _runOn (engine: Engine, scope: Scope): Promise<ItemOutcome> {
+  private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
     const { clock, client, release } = this._parts
     const runScope = scope.child(`run on ${engine.id}`)
     let eventAtMs = clock.nowMs()
+    let eventsCount = 0
     const onEvent = (event: ItemEvent): void => {
-      engine.sawGap(clock.nowMs() - eventAtMs)
+      // The first event comes after the prompt was read, which says nothing of the pace.
+      if (eventsCount++ > 0) engine.sawGap(clock.nowMs() - eventAtMs)
       eventAtMs = clock.nowMs()
       const problem = this._take(event, engine)
       if (problem !== undefined) runScope.close(problem)
+      else if (eventsCount % MOVE_CHECK_EVENTS_COUNT === 0 && this._parts.shouldMove(this, engine)) runScope.close(MOVED)
     }
     const cancelWatch = this._watch(runScope, () => eventAtMs)
     this._log(BatchEvent.ItemStarted, { endpointId: engine.id, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
@@ -141,7 +165,7 @@
       return await client.runItem(this._request(engine), runScope, onEvent)
     } catch (error) {
       if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
-      return { kind: 'broken', reason: runScope.closeReason ?? '' }
+      return runScope.closeReason === MOVED ? { kind: 'moved' } : { kind: 'broken', reason: runScope.closeReason ?? '' }
     } finally {
       cancelWatch()
       runScope.close('run over')
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -128,13 +128,29 @@
     this._learn(engine, before)
     if (before.isBusy || engine.version(model) >= version) return await this._pause(scope)
     const outcome = await this._order(wanted, before, scope)
-    if (outcome?.kind === 'misdirected') this._parts.view.markGone(engine.id)
-    const isLoaded = outcome?.kind === 'underWay' || outcome?.kind === 'unknown' ? await this._untilLoaded(wanted, scope) : outcome?.kind === 'alreadyHolds'
-    if (outcome?.kind === 'alreadyHolds') engine.learnVersion(model, version)
+    const isLoaded = await this._settle(wanted, outcome, scope)
     this._parts.logger.event(BatchEvent.OrderSettled, { endpointId: engine.id, model, version, outcome: outcome?.kind ?? 'not sent', isLoaded })
     if (!isLoaded) await this._pause(scope)
   }
 
+  /** Waits for what comes of an order; true once the engine holds the version. */
+  private async _settle (wanted: WantedLoad, outcome: OrderOutcome | undefined, scope: Scope): Promise<boolean> {
+    const { engine, model, version } = wanted
+    switch (outcome?.kind) {
+      case 'underWay':
+      case 'unknown':
+        return await this._untilLoaded(wanted, scope)
+      case 'alreadyHolds':
+        engine.learnVersion(model, version)
+        return true
+      case 'misdirected':
+        this._parts.view.markGone(engine.id)
+        return false
+      default:
+        return false
+    }
+  }
+
   private async _order ({ engine, model, version, isNeeded }: WantedLoad, before: EndpointReport, scope: Scope): Promise<OrderOutcome | undefined> {
     const { clock, client, leadership, holder, logger } = this._parts
     // Checked at the last moment: a host that was frozen may have a successor by now.
--- a/src/protocol/routing.ts
+++ b/src/protocol/routing.ts
@@ -56,8 +56,11 @@
 export const modelEngineSchema = z.object({
   slotsCount: z.int().min(1),
   kvCapacityTokens: z.number(),
+  /** Tokens that one event of a stream holds. */
+  tokensPerEvent: z.number().positive(),
   models: z.array(z.string())
 })
+export type ModelEngine = z.infer<typeof modelEngineSchema>
 
 export const serviceSchema = z.object({
   name: z.string(),
