Answer reads of batches in the reader's data centre; deflate texts of results

Ruled out: a cache of results at entry hosts (reads spread over all of them), a search for repeats (random letters: nothing to find).

--- a/src/batches/batchClient.ts
+++ b/src/batches/batchClient.ts
@@ -1,6 +1,7 @@
 /**
- * The batch store as an entry host sees it: calls go to its leader, which is
- * looked up in the fleet and in the answers of replicas that do not lead.
+ * The batch store as an entry host sees it: changes go to its leader, which is
+ * looked up in the fleet and in the answers of replicas that do not lead;
+ * reads go to a replica close by first.
  */
 import type { FleetView } from '../fleet/fleetView.js'
 import { HostRole } from '../protocol/fleet.js'
@@ -36,12 +37,14 @@
 
 export class BatchClient {
   private readonly _view: FleetView
+  private readonly _dataCentre: string
   private readonly _links: PeerLinks
   private _hint: string | undefined
   private _nextReplica = 0
 
-  constructor (view: FleetView, transport: Transport, scope: Scope, onFatal: (error: unknown) => void) {
+  constructor (view: FleetView, dataCentre: string, transport: Transport, scope: Scope, onFatal: (error: unknown) => void) {
     this._view = view
+    this._dataCentre = dataCentre
     this._links = new PeerLinks(transport, scope, onFatal)
   }
 
@@ -68,15 +71,29 @@
   }
 
   async end (batchId: string, progress: Progress): Promise<Exclude<EndBatchReply, NotLeader>> {
-    return await this._read<{ batchId: string }, EndBatchReply>(endBatchMethod, { batchId }, progress, TRY_TIMEOUT_MS)
+    const asked = await this._ask<{ batchId: string }, EndBatchReply>(endBatchMethod, { batchId }, progress, TRY_TIMEOUT_MS)
+    return asked.kind === 'answered' ? asked.reply : unavailableFor(asked)
   }
 
   private async _read<Request, Reply extends { kind: string }> (
     method: RpcMethod<Request, Reply>, body: Request, progress: Progress, tryTimeoutMs: number
   ): Promise<Exclude<Reply, NotLeader> | Unavailable> {
+    const nearby = await this._askNearby<Request, Reply>(method, body, progress, tryTimeoutMs)
+    if (nearby) return nearby
     const asked = await this._ask<Request, Reply>(method, body, progress, tryTimeoutMs)
     if (asked.kind === 'answered') return asked.reply
-    return { kind: 'unavailable', reason: asked.kind === 'lost' ? asked.reason : 'no leader of the batch store is known' }
+    return unavailableFor(asked)
+  }
+
+  /** What a replica close by answers; undefined when it cannot, and the leader has to be asked. */
+  private async _askNearby<Request, Reply extends { kind: string }> (
+    method: RpcMethod<Request, Reply>, body: Request, progress: Progress, tryTimeoutMs: number
+  ): Promise<Exclude<Reply, NotLeader> | undefined> {
+    const address = this._nearbyAddress()
+    if (address === undefined) return undefined
+    const outcome = await this._links.to({ peerAddress: address }).call(method, body, progress.before(progress.clock.nowMs() + tryTimeoutMs))
+    if (outcome.kind !== 'replied' || isNotLeader(outcome.body) || outcome.body.kind === 'unavailable') return undefined
+    return outcome.body as Exclude<Reply, NotLeader>
   }
 
   private async _ask<Request, Reply extends { kind: string }> (
@@ -107,6 +124,12 @@
     return outcome
   }
 
+  /** A replica in this data centre, which answers reads without crossing to another one. */
+  private _nearbyAddress (): string | undefined {
+    const nearby = this._view.hosts(HostRole.Store).filter(({ dataCentre, store }) => dataCentre === this._dataCentre && store?.clusterId !== null)
+    return nearby[0]?.store?.peerAddress
+  }
+
   /** A replica that answered last, the leader that control hosts know, or any replica in turn. */
   private _leaderAddress (): string | undefined {
     if (this._hint !== undefined) return this._hint
@@ -117,6 +140,10 @@
   }
 }
 
+function unavailableFor (asked: { kind: 'unsent' } | { kind: 'lost', reason: string }): Unavailable {
+  return { kind: 'unavailable', reason: asked.kind === 'lost' ? asked.reason : 'no leader of the batch store is known' }
+}
+
 function isNotLeader (reply: { kind: string }): reply is NotLeader {
   return reply.kind === 'notLeader'
 }
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -1,22 +1,25 @@
 /**
- * What entry hosts ask of the batch store, answered by its leader. A read
- * counts only while the leader's lease or a quorum confirms that it leads.
+ * What entry hosts ask of the batch store. Its leader takes changes; every
+ * replica answers reads, once the leader has confirmed how far the log was
+ * committed when the read began. Results then leave the data centre once, by
+ * replication, however often they are read.
  */
 import { BatchCommandKind, type BatchCommandResult, type BatchSubmission, type ItemResult } from '../protocol/batches.js'
 import { ReadMode, type Replica } from '../replication/log/replica.js'
 import {
-  endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod,
-  type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
+  batchReadIndexMethod, endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod,
+  type BatchReadIndexReply, type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
 } from '../transport/batchMethods.js'
 import type { RpcHandlers } from '../transport/rpcPeer.js'
 import type { Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
+import type { NotLeader } from './batchClient.js'
 import { BatchEvent } from './batchEvents.js'
 import type { Batch, BatchState } from './batchState.js'
 
-/** Results of one read, by the bytes of their texts. */
+/** Results of one read, by the bytes of their texts, so that a page stays under a megabyte with all its fields. */
 const MAX_RESULT_BYTES = 900_000
 /** Bounds what a caller may ask a handler to wait. */
 const MAX_WAIT_MS = 10_000
@@ -46,6 +49,7 @@
       this._readResults(batchId, fromPosition, waitMs, this._progress(remainingMs))
     ))
     handlers.on(readItemMethod, ({ batchId, itemId }, remainingMs) => this._readItem(batchId, itemId, this._progress(remainingMs)))
+    handlers.on(batchReadIndexMethod, (_request, remainingMs) => this._readIndex(this._progress(remainingMs)))
     handlers.on(endBatchMethod, ({ batchId }, remainingMs) => this._end(batchId, this._progress(remainingMs)))
   }
 
@@ -65,11 +69,12 @@
   private async _readResults (batchId: string, fromPosition: number, waitMs: number, progress: Progress): Promise<ReadResultsReply> {
     const { clock, replica, state } = this._parts
     const waiting = progress.before(Math.min(clock.nowMs() + waitMs, progress.deadlineMs - WAIT_MARGIN_MS))
+    const failure = await this._confirm(progress)
+    if (failure) return failure
     for (;;) {
-      const failure = await this._confirm(progress)
-      if (failure) return failure
       const batch = state.get(batchId)
       if (!batch) return { kind: 'unknownBatch' }
+      // The list only grows, so what is here after the confirmation is never out of date.
       if (batch.results.length > fromPosition || batch.isEnded || waiting.isOver()) return pageOf(batch, fromPosition)
       await replica.applied.wait(progress.scope, waiting)
     }
@@ -91,12 +96,11 @@
     return (outcome.result as BatchCommandResult).kind === 'ended' ? { kind: 'ended' } : { kind: 'unknownBatch' }
   }
 
-  /** What keeps this host from answering; undefined when its state is current. */
-  private async _confirm (progress: Progress): Promise<{ kind: 'notLeader', leaderAddress: string | undefined } | { kind: 'unavailable', reason: string } | undefined> {
+  private async _readIndex (progress: Progress): Promise<BatchReadIndexReply> {
     const read = await this._parts.replica.read(ReadMode.Lease, progress)
     switch (read.kind) {
       case 'confirmed':
-        return undefined
+        return { kind: 'confirmed', index: this._parts.replica.appliedIndex }
       case 'notLeader':
         return this._notLeader()
       case 'unavailable':
@@ -104,7 +108,24 @@
     }
   }
 
-  private _notLeader (): { kind: 'notLeader', leaderAddress: string | undefined } {
+  /** What keeps this host from answering; undefined when its state is current. */
+  private async _confirm (progress: Progress): Promise<NotLeader | { kind: 'unavailable', reason: string } | undefined> {
+    const { replica } = this._parts
+    const reply = replica.leadership ? await this._readIndex(progress) : await this._askLeader(progress)
+    if (reply.kind !== 'confirmed') return reply
+    const applied = await progress.race(replica.whenApplied(reply.index))
+    return applied.kind === 'done' ? undefined : { kind: 'unavailable', reason: 'this replica has not caught up in time' }
+  }
+
+  private async _askLeader (progress: Progress): Promise<BatchReadIndexReply> {
+    const { replica } = this._parts
+    const { leader } = replica.core
+    if (!leader) return this._notLeader()
+    const outcome = await replica.links.to(leader).call(batchReadIndexMethod, {}, progress)
+    return outcome.kind === 'replied' ? outcome.body : { kind: 'unavailable', reason: `the leader did not answer: ${outcome.reason}` }
+  }
+
+  private _notLeader (): NotLeader {
     return { kind: 'notLeader', leaderAddress: this._parts.replica.core.leader?.peerAddress }
   }
 
@@ -119,7 +140,7 @@
   const results: ItemResult[] = []
   let lengthBytes = 0
   for (const result of batch.results.slice(fromPosition)) {
-    lengthBytes += Buffer.byteLength(result.text)
+    lengthBytes += result.textLengthBytes
     if (results.length > 0 && lengthBytes > MAX_RESULT_BYTES) break
     results.push(result)
   }
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -18,6 +18,7 @@
 import type { Engine } from './engineFleet.js'
 import { ItemOutput } from './itemOutput.js'
 import type { WaitingItem } from './itemOrder.js'
+import { deflateText } from './resultText.js'
 
 /** An engine that makes no event for so long is left for another one. */
 const SILENT_RUN_MS = 900
@@ -219,14 +220,14 @@
 
   private _givenUp (): ItemResult {
     this._log(BatchEvent.ItemGivenUp, { failuresCount: this._failuresCount })
-    return { itemId: this.item.itemId, state: ResultState.GivenUp, text: this.output.text, versions: this.output.versions }
+    return { itemId: this.item.itemId, state: ResultState.GivenUp, ...deflateText(this.output.text), versions: this.output.versions }
   }
 
   /** Asks for the score until there is one, or the reward call has failed for good. */
   private async _scored (scope: Scope): Promise<ItemResult> {
     const { clock } = this._parts
     const { reward, itemId } = this.item
-    const whole = { itemId, text: this.output.text, versions: this.output.versions }
+    const whole = { itemId, ...deflateText(this.output.text), versions: this.output.versions }
     if (!reward) return { ...whole, state: ResultState.Completed }
     let failuresCount = 0
     for (;;) {
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -53,8 +53,10 @@
 export const itemResultSchema = z.object({
   itemId: z.string(),
   state: z.enum(ResultState),
-  /** Data of all events, parted by line feeds. */
-  text: z.string(),
+  /** Data of all events, parted by line feeds, in UTF-8 and deflated: it crosses to every replica and every reader. */
+  deflatedText: z.instanceof(Uint8Array),
+  /** Bytes of the text itself. */
+  textLengthBytes: z.int(),
   /** Versions of the weights that made any of its events, in order. */
   versions: z.array(z.int()),
   /** Receipt of the reward call. */
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -36,6 +36,7 @@
   private readonly _followers = new Map<string, FollowerTasks>()
   private readonly _startedAtMs: number
   private _round = 0
+  private _isNoticePlanned = false
   private _firstIndex = 0
   /** Ticket of this term's first entry: before it, what the writer says belongs to earlier leaders. */
   private _firstTicket = 0
@@ -192,9 +193,23 @@
     // Only entries of the own term are committed by counting; earlier ones go with them.
     if (index <= this._core.commitIndex || log.termAt(index) !== this.term) return
     this._core.commitTo(index)
+    this._noticeCommit()
     this._resignIfRemoved()
   }
 
+  /** Followers that get no further entries learn of the commit soon, for they answer reads. */
+  private _noticeCommit (): void {
+    if (this._isNoticePlanned) return
+    this._isNoticePlanned = true
+    const { clock, timings } = this._core.parts
+    clock.callAt(clock.nowMs() + timings.commitNoticeMs, () => {
+      this._isNoticePlanned = false
+      if (this.scope.isClosed) return
+      this.wantedRound = this._round + 1
+      for (const { progress } of this._followers.values()) progress.wanted.notify()
+    })
+  }
+
   private _resignIfRemoved (): void {
     if (this.mayChangeMembers() && !isVoter(this._core.members, this._core.replicaId)) this._core.stepDown('removed from the members')
   }
--- a/src/replication/log/timings.ts
+++ b/src/replication/log/timings.ts
@@ -13,6 +13,8 @@
   /** A call that carries entries, with their sync at the other side. */
   callTimeoutMs: number
   retryPauseMs: number
+  /** After a commit, followers are told within this time also when no entries follow. */
+  commitNoticeMs: number
 }
 
 export const defaultTimings: LogTimings = {
@@ -21,5 +23,6 @@
   electionMaxMs: 1_000,
   leaderLeaseMs: 450,
   callTimeoutMs: 1_000,
-  retryPauseMs: 50
+  retryPauseMs: 50,
+  commitNoticeMs: 20
 }
--- a/src/transport/batchMethods.ts
+++ b/src/transport/batchMethods.ts
@@ -52,6 +52,14 @@
 ])
 export type EndBatchReply = z.infer<typeof endBatchReplySchema>
 
+export const batchReadIndexReplySchema = z.discriminatedUnion('kind', [
+  /** Whoever has applied the log up to the index reads nothing out of date. */
+  z.object({ kind: z.literal('confirmed'), index: z.int() }),
+  unavailable,
+  notLeader
+])
+export type BatchReadIndexReply = z.infer<typeof batchReadIndexReplySchema>
+
 export const joinStoreReplySchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('answered'), outcome: z.string() }),
   notLeader
@@ -66,6 +74,8 @@
 }), readResultsReplySchema)
 export const readItemMethod = rpcMethod('batch.item', z.object({ batchId: z.string(), itemId: z.string() }), readItemReplySchema)
 export const endBatchMethod = rpcMethod('batch.end', z.object({ batchId: z.string() }), endBatchReplySchema)
+/** Between replicas of the store: lets one that does not lead answer a read. */
+export const batchReadIndexMethod = rpcMethod('batch.readIndex', z.object({}), batchReadIndexReplySchema)
 export const joinStoreMethod = rpcMethod('store.join', z.object({
   replicaId: z.string(),
   hostId: z.string(),
