--- /dev/null
+++ b/tests/gateway/requestForwarder.test.ts
@@ -0,0 +1,123 @@
+import test from 'ava'
+import { EndpointPool } from '../../src/endpoints/endpointPool.js'
+import { RequestForwarder, type ForwardOutcome } from '../../src/gateway/requestForwarder.js'
+import type { FleetView } from '../../src/fleet/fleetView.js'
+import { Executed } from '../../src/protocol/refusals.js'
+import { RouteKind, type RoutingRoute } from '../../src/protocol/routing.js'
+import { silentLogger } from '../../src/utils/logger.js'
+import { memoryMetrics } from '../../src/utils/metrics.js'
+import { Progress } from '../../src/utils/progress.js'
+import { seededRandom } from '../../src/utils/randomSource.js'
+import { Scope } from '../../src/utils/scope.js'
+import { DATA_CENTRE, endpoint, HOST, route, viewOf } from '../fixtures/fleet/fleetFixtures.js'
+import { answered, ScriptedEndpoints } from '../fixtures/fleet/scriptedEndpoints.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+interface World {
+  clock: VirtualClock
+  view: FleetView
+  endpoints: ScriptedEndpoints
+  forward: (target?: RoutingRoute, waitMs?: number, scope?: Scope) => Promise<ForwardOutcome>
+}
+
+function world (endpointsCount = 3): World {
+  const clock = new VirtualClock()
+  const random = seededRandom(5)
+  const view = viewOf(Array.from({ length: endpointsCount }, (_value, position) => endpoint(`e${position}`)))
+  const endpoints = new ScriptedEndpoints(clock)
+  const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE })
+  const forwarder = new RequestForwarder({ view, pool, client: endpoints, random, logger: silentLogger, metrics: memoryMetrics() })
+  const forward = (target = route(), waitMs = 1_500, scope = new Scope('caller')): Promise<ForwardOutcome> => forwarder.forward({
+    route: target,
+    method: 'POST',
+    path: '/open/7',
+    host: HOST,
+    headers: [],
+    body: new Uint8Array(),
+    attemptId: 'a1',
+    progress: new Progress(clock, scope, clock.nowMs() + waitMs)
+  })
+  return { clock, view, endpoints, forward }
+}
+
+test('should try another endpoint when the answer of the first is broken', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 5, outcome: endpoints.calls.length === 1 ? { kind: 'broken', reason: 'reset' } : answered() })
+  const outcome = await clock.advanceUntil(forward())
+  t.is(outcome.kind, 'answered')
+  t.is(new Set(endpoints.calls.map(call => call.endpoint.endpointId)).size, 2)
+})
+
+test('should never send a request that may run once to a second endpoint after it may have run', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 5, outcome: { kind: 'broken', reason: 'reset' } })
+  const outcome = await clock.advanceUntil(forward(route({ kind: RouteKind.AtMostOnce })))
+  t.is(endpoints.calls.length, 1)
+  t.like(outcome, { kind: 'refused', executed: Executed.Unknown })
+})
+
+test('should not hedge a request that may run once', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 900, outcome: answered() })
+  t.is((await clock.advanceUntil(forward(route({ kind: RouteKind.AtMostOnce })))).kind, 'answered')
+  t.is(endpoints.calls.length, 1)
+})
+
+test('should start a second try beside one that takes unusually long, and answer with the faster', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: endpoints.calls.length === 1 ? 1_400 : 20, outcome: answered(200, `try ${endpoints.calls.length}`) })
+  const outcome = await clock.advanceUntil(forward())
+  t.is(outcome.kind === 'answered' && Buffer.from(outcome.body).toString(), 'try 2')
+  t.true(clock.nowMs() < 200, `${clock.nowMs()} ms`)
+})
+
+test('should send one try to no more endpoints than the route allows', async t => {
+  const { clock, endpoints, forward } = world(5)
+  endpoints.onCall = () => ({ afterMs: 5, outcome: answered(500) })
+  const outcome = await clock.advanceUntil(forward(route({ maxAttemptsCount: 2 })))
+  t.is(endpoints.calls.length, 2)
+  t.like(outcome, { kind: 'answered', status: 500, failedAnswersCount: 2 })
+})
+
+test('should refuse as not run, within a quarter of the objective, what every endpoint has no room for', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 1, outcome: { kind: 'notExecuted', status: 503, load: undefined } })
+  const outcome = await clock.advanceUntil(forward())
+  t.like(outcome, { kind: 'refused', executed: Executed.No })
+  t.true(clock.nowMs() <= 70, `${clock.nowMs()} ms`)
+})
+
+test('should leave out an endpoint whose address another one has taken over', async t => {
+  const { clock, view, endpoints, forward } = world(2)
+  endpoints.onCall = () => ({ afterMs: 1, outcome: endpoints.calls.length === 1 ? { kind: 'misdirected' } : answered() })
+  t.is((await clock.advanceUntil(forward())).kind, 'answered')
+  t.is(view.ready().length, 1)
+})
+
+test('should say that it is not known whether a request ran whose time is up', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 10_000, outcome: answered() })
+  const outcome = await clock.advanceUntil(forward(route(), 300))
+  t.like(outcome, { kind: 'refused', executed: Executed.Unknown })
+  t.is(clock.nowMs(), 300)
+})
+
+test('should tell endpoints the deadline of the caller, also at a later try', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 50, outcome: endpoints.calls.length === 1 ? { kind: 'broken', reason: 'reset' } : answered() })
+  await clock.advanceUntil(forward(route(), 800))
+  t.deepEqual(endpoints.calls.map(({ deadlineMs }) => deadlineMs), [800, 800])
+})
+
+test('should end every try when the caller leaves', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 1_000, outcome: answered() })
+  const scope = new Scope('caller')
+  const forwarded = forward(route(), 1_500, scope)
+  await clock.advance(20)
+  scope.close('the caller hung up')
+  await t.throwsAsync(clock.advanceUntil(forwarded))
+  const callsCount = endpoints.calls.length
+  await clock.advance(2_000)
+  t.is(endpoints.calls.length, callsCount)
+})
