Wait out a full disk instead of ending the process; keep events of runs in the log

Change: a refused write is repeated until there is room; nothing is durable meanwhile, so nothing is confirmed that relies on it. A batch is written at its place instead of the file's end, so that a piece left there is written over.

Change: after every 16 events of a run they go into the log; a new leader, and a later batch with the same item, go on behind them; the result brings only the rest. What is kept may differ from what a host believes: then everything is sent again.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -20,7 +20,7 @@
 import { EngineFleet, type Engine } from './engineFleet.js'
 import { ASSUMED_TOKEN_MS, compareWaiting, fastestEngine, isWorthMoving } from './itemOrder.js'
 import { ItemRun, type ItemRunParts } from './itemRun.js'
-import type { ItemOutput } from './itemOutput.js'
+import { ItemOutput } from './itemOutput.js'
 
 /** How often waiting items are looked at when nothing is heard: suspicions and pauses of engines end by time. */
 const LOOK_INTERVAL_MS = 50
@@ -162,7 +162,8 @@
   private _keptOutputOf (batch: Batch, item: BatchItem): ItemOutput | undefined {
     const kept = this._keptOutputs.get(item.itemId)
     this._keptOutputs.delete(item.itemId)
-    return kept?.isMadeSince(batch.submission.minVersion) === true ? kept : undefined
+    const output = kept ?? new ItemOutput(this._parts.state.unfinishedParts(item.itemId))
+    return output.isMadeSince(batch.submission.minVersion) ? output : undefined
   }
 
   private _keepOutput (run: ItemRun): void {
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -18,6 +18,7 @@
 import type { NotLeader } from './batchClient.js'
 import { BatchEvent } from './batchEvents.js'
 import type { Batch, BatchState } from './batchState.js'
+import { textLengthBytes } from './outputParts.js'
 
 /** Results of one read, by the bytes of their texts, so that a page stays under a megabyte with all its fields. */
 const MAX_RESULT_BYTES = 900_000
@@ -140,7 +141,7 @@
   const results: ItemResult[] = []
   let lengthBytes = 0
   for (const result of batch.results.slice(fromPosition)) {
-    lengthBytes += result.textLengthBytes
+    lengthBytes += textLengthBytes(result.parts)
     if (results.length > 0 && lengthBytes > MAX_RESULT_BYTES) break
     results.push(result)
   }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -2,8 +2,11 @@
  * The replicated state of the batch store: batches with their items, and their
  * lists of results. A result's position and content never change.
  */
-import { BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type BatchSubmission, type ItemResult } from '../protocol/batches.js'
+import {
+  BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type BatchSubmission, type ItemResult, type OutputPart
+} from '../protocol/batches.js'
 import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
+import { eventsCountOf } from './outputParts.js'
 
 /** A batch that nobody ends is kept open no longer than this beyond its time. */
 const MAX_OPEN_FACTOR = 2
@@ -83,15 +86,37 @@
   }
 }
 
+interface BatchStateSnapshot {
+  batches: BatchFields[]
+  unfinished: UnfinishedOutput[]
+}
+
+/** What is kept of an item that is not listed yet; a later leader goes on behind it. */
+interface UnfinishedOutput {
+  itemId: string
+  parts: OutputPart[]
+  keptAtMs: number
+}
+
+/** Output that nobody finished for so long is forgotten. */
+const KEEP_UNFINISHED_MS = 30_000
+
 export class BatchState implements ReplicatedState<BatchCommand, BatchCommandResult> {
   private readonly _batches = new Map<string, Batch>()
   /** Completed results by item, for items that return in a later batch. */
   private readonly _completed = new Map<string, CompletedItem>()
 
+  private readonly _unfinished = new Map<string, UnfinishedOutput>()
+
   get (batchId: string): Batch | undefined {
     return this._batches.get(batchId)
   }
 
+  /** The output kept of an item that was not finished, in whatever batch it was last. */
+  unfinishedParts (itemId: string): OutputPart[] {
+    return this._unfinished.get(itemId)?.parts ?? []
+  }
+
   open (): Batch[] {
     return [...this._batches.values()].filter(batch => !batch.isEnded)
   }
@@ -110,21 +135,26 @@
     switch (command.kind) {
       case BatchCommandKind.Submit:
         return this._submit(command.submission, command.keepMs, atMs)
+      case BatchCommandKind.Progress:
+        return this._keep(command.batchId, command.itemId, command.afterEventId, command.parts, atMs)
       case BatchCommandKind.Finish:
-        return this._finish(command.batchId, command.result)
+        return this._finish(command.batchId, command.afterEventId, command.result)
       case BatchCommandKind.End:
         return this._end(command.batchId)
     }
   }
 
-  snapshot (): BatchFields[] {
-    return [...this._batches.values()].map(({ fields }) => fields)
+  snapshot (): BatchStateSnapshot {
+    return { batches: [...this._batches.values()].map(({ fields }) => fields), unfinished: [...this._unfinished.values()] }
   }
 
   restore (snapshot: unknown): void {
     this._batches.clear()
     this._completed.clear()
-    for (const fields of snapshot as BatchFields[]) {
+    this._unfinished.clear()
+    const { batches, unfinished } = snapshot as BatchStateSnapshot
+    for (const output of unfinished) this._unfinished.set(output.itemId, output)
+    for (const fields of batches) {
       const batch = new Batch(fields)
       this._batches.set(batch.batchId, batch)
       for (const result of fields.results) this._remember(batch, result)
@@ -140,11 +170,23 @@
     return { kind: 'accepted' }
   }
 
-  private _finish (batchId: string, result: ItemResult): BatchCommandResult {
+  private _keep (batchId: string, itemId: string, afterEventId: number, parts: OutputPart[], atMs: number): BatchCommandResult {
+    if (!this._batches.get(batchId)?.openItem(itemId)) return { kind: 'closed' }
+    const kept = afterEventId === 0 ? [] : this.unfinishedParts(itemId)
+    if (eventsCountOf(kept) !== afterEventId) return { kind: 'mismatch' }
+    this._unfinished.set(itemId, { itemId, parts: [...kept, ...parts], keptAtMs: atMs })
+    return { kind: 'kept' }
+  }
+
+  private _finish (batchId: string, afterEventId: number, { parts, ...rest }: ItemResult): BatchCommandResult {
     const batch = this._batches.get(batchId)
     if (!batch || batch.isEnded) return { kind: 'closed' }
+    const kept = afterEventId === 0 ? [] : this.unfinishedParts(rest.itemId)
+    if (eventsCountOf(kept) !== afterEventId) return { kind: 'mismatch' }
+    const result = { ...rest, parts: [...kept, ...parts] }
     const position = batch.list(result)
     if (position === undefined) return { kind: 'closed' }
+    this._unfinished.delete(result.itemId)
     this._remember(batch, result)
     return { kind: 'listed', position }
   }
@@ -162,6 +204,9 @@
   }
 
   private _forgetOutdated (atMs: number): void {
+    for (const [itemId, { keptAtMs }] of this._unfinished) {
+      if (atMs - keptAtMs > KEEP_UNFINISHED_MS) this._unfinished.delete(itemId)
+    }
     for (const [batchId, batch] of this._batches) {
       if (!batch.isOutdated(atMs)) continue
       this._batches.delete(batchId)
--- a/src/batches/itemOutput.ts
+++ b/src/batches/itemOutput.ts
@@ -1,41 +1,99 @@
 /**
  * The output of an item as it grows: the data of its events, and the versions
- * of the weights that made them. Events count from 1 without a gap.
+ * of the weights that made them. Events count from 1 without a gap. The first
+ * ones may be kept in the replicated state already; all are held here too, so
+ * that they can be sent again should the state keep something else.
  */
 import type { ItemEvent } from '../endpoints/endpointClient.js'
+import type { OutputPart } from '../protocol/batches.js'
 import { invariant } from '../utils/errors.js'
+import { eventsCountOf, toPart } from './outputParts.js'
+
+interface MadeEvent {
+  data: string
+  version: number
+}
 
 export class ItemOutput {
-  private _data: string[] = []
-  private _versions: number[] = []
+  /** What the replicated state kept when this host began. */
+  private _base: readonly OutputPart[]
+  private _baseCount: number
+  private _events: MadeEvent[] = []
+  private _keptCount: number
+  private _generation = 0
+
+  /** @param base what the replicated state keeps of the item */
+  constructor (base: readonly OutputPart[] = []) {
+    this._base = base
+    this._baseCount = eventsCountOf(base)
+    this._keptCount = this._baseCount
+  }
 
   /** Id of the last event held; 0 before the first. */
   get lastEventId (): number {
-    return this._data.length
+    return this._baseCount + this._events.length
   }
 
-  get text (): string {
-    return this._data.join('\n')
+  /** Events that the replicated state keeps. */
+  get keptCount (): number {
+    return this._keptCount
+  }
+
+  /** Events that it does not keep yet. */
+  get freshCount (): number {
+    return this.lastEventId - this._keptCount
+  }
+
+  /** Changes when the output begins anew. */
+  get generation (): number {
+    return this._generation
   }
 
   /** Each version once, in order. */
   get versions (): number[] {
-    return [...new Set(this._versions)].sort((left, right) => left - right)
+    const all = new Set([...this._base.flatMap(({ versions }) => versions), ...versionsOf(this._events)])
+    return [...all].sort((left, right) => left - right)
   }
 
   add ({ id, data, version }: ItemEvent): void {
     invariant(id === this.lastEventId + 1, `event ${id} after ${this.lastEventId}`)
-    this._data.push(data)
-    if (this._versions.at(-1) !== version) this._versions.push(version)
+    this._events.push({ data, version })
+  }
+
+  /** The events that the replicated state does not keep yet. */
+  freshParts (): OutputPart[] {
+    if (this._keptCount < this._baseCount) return [...this._base, partOf(this._events)]
+    return [partOf(this._events.slice(this._keptCount - this._baseCount))]
+  }
+
+  /** The replicated state keeps the events up to this one. */
+  markKept (lastEventId: number): void {
+    this._keptCount = lastEventId
+  }
+
+  /** The replicated state keeps something else than was believed: everything has to be sent again. */
+  distrustKept (): void {
+    this._keptCount = 0
   }
 
   /** Whether every event was made by a version at least this new. */
   isMadeSince (version: number): boolean {
-    return this._versions.every(made => made >= version)
+    return this.versions.every(made => made >= version)
   }
 
   clear (): void {
-    this._data = []
-    this._versions = []
+    this._base = []
+    this._baseCount = 0
+    this._events = []
+    this._keptCount = 0
+    this._generation++
   }
 }
+
+function partOf (events: readonly MadeEvent[]): OutputPart {
+  return toPart(events.map(({ data }) => data), versionsOf(events))
+}
+
+function versionsOf (events: readonly MadeEvent[]): number[] {
+  return [...new Set(events.map(({ version }) => version))]
+}
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -5,7 +5,7 @@
  */
 import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
 import type { ForwardOutcome, RequestForwarder } from '../gateway/requestForwarder.js'
-import { BatchCommandKind, ResultState, type BatchItem, type ItemResult, type RewardCall } from '../protocol/batches.js'
+import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult, type RewardCall } from '../protocol/batches.js'
 import type { RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
@@ -18,10 +18,11 @@
 import type { Engine } from './engineFleet.js'
 import { ItemOutput } from './itemOutput.js'
 import type { WaitingItem } from './itemOrder.js'
-import { deflateText } from './resultText.js'
 
 /** An engine that makes no event for so long is left for another one. */
 const SILENT_RUN_MS = 900
+/** So many events are put into the replicated state together: under a second of a run, which a new leader would have to repeat. */
+const KEEP_EVENTS_COUNT = 16
 /** A run looks for a faster engine after every so many events. */
 const MOVE_CHECK_EVENTS_COUNT = 4
 /** Why the scope of a run closes that goes on elsewhere. */
@@ -64,6 +65,7 @@
   private readonly _giveUpAtMs: number
   /** Runs that engines answered as failed. */
   private _failuresCount = 0
+  private _keeping: Promise<void> | undefined
 
   /** @param kept output that an earlier batch had of the item */
   constructor (parts: ItemRunParts, batch: Batch, item: BatchItem, dueAtMs: number, giveUpAtMs: number, kept: ItemOutput | undefined, isCarriedOver: boolean) {
@@ -157,6 +159,7 @@
       if (eventsCount++ > 0) engine.sawGap(clock.nowMs() - eventAtMs)
       eventAtMs = clock.nowMs()
       const problem = this._take(event, engine)
+      if (this.output.freshCount >= KEEP_EVENTS_COUNT) this._keepProgress(scope)
       if (problem !== undefined) runScope.close(problem)
       else if (eventsCount % MOVE_CHECK_EVENTS_COUNT === 0 && this._parts.shouldMove(this, engine)) runScope.close(MOVED)
     }
@@ -218,16 +221,38 @@
     return () => cancel()
   }
 
+  /** Puts fresh events into the replicated state, without holding the run up. */
+  private _keepProgress (scope: Scope): void {
+    if (this._keeping) return
+    this._keeping = this._keepFresh(scope).catch(error => {
+      if (!(error instanceof ScopeClosedError)) throw error
+    }).finally(() => { this._keeping = undefined })
+  }
+
+  private async _keepFresh (scope: Scope): Promise<void> {
+    const { clock, replica } = this._parts
+    const { output } = this
+    const { keptCount: afterEventId, lastEventId, generation } = output
+    const command = { kind: BatchCommandKind.Progress, batchId: this.batch.batchId, itemId: this.item.itemId, afterEventId, parts: output.freshParts() }
+    const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
+    const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
+    if (output.generation !== generation) return
+    if (answer === 'kept') return output.markKept(lastEventId)
+    this._log(BatchEvent.ProgressNotKept, { afterEventId, outcome: answer })
+    // Whether it was kept is not known, or it was not: the next part brings everything.
+    output.distrustKept()
+  }
+
   private _givenUp (): ItemResult {
     this._log(BatchEvent.ItemGivenUp, { failuresCount: this._failuresCount })
-    return { itemId: this.item.itemId, state: ResultState.GivenUp, ...deflateText(this.output.text), versions: this.output.versions }
+    return { itemId: this.item.itemId, state: ResultState.GivenUp, parts: [], versions: [] }
   }
 
   /** Asks for the score until there is one, or the reward call has failed for good. */
   private async _scored (scope: Scope): Promise<ItemResult> {
     const { clock } = this._parts
     const { reward, itemId } = this.item
-    const whole = { itemId, ...deflateText(this.output.text), versions: this.output.versions }
+    const whole = { itemId, parts: [], versions: this.output.versions }
     if (!reward) return { ...whole, state: ResultState.Completed }
     let failuresCount = 0
     for (;;) {
@@ -240,7 +265,7 @@
         failuresCount += failedAnswersCount
       }
       const isLost = route !== undefined && failuresCount >= route.maxAttemptsCount
-      if (isLost) return { ...whole, state: ResultState.GivenUp }
+      if (isLost) return this._givenUp()
       await sleepUntil(clock, scope, clock.nowMs() + REWARD_RETRY_PAUSE_MS)
     }
   }
@@ -260,18 +285,28 @@
     })
   }
 
+  /** Lists the result; its text is what the replicated state keeps and what is only here. */
   private async _commit (result: ItemResult, scope: Scope): Promise<void> {
     const { clock, replica } = this._parts
-    const command = { kind: BatchCommandKind.Finish, batchId: this.batch.batchId, result }
+    const { batchId } = this.batch
     while (!this.batch.isListed(this.item.itemId)) {
-      const progress = new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS)
-      const outcome = await replica.propose(command, progress)
-      this._log(BatchEvent.ItemListed, { state: result.state, outcome: outcome.kind })
-      if (outcome.kind === 'committed') return
+      if (this._keeping) await scope.race(this._keeping)
+      const command = { kind: BatchCommandKind.Finish, batchId, ...this._finishing(result) }
+      const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
+      const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
+      this._log(BatchEvent.ItemListed, { state: result.state, outcome: answer })
+      if (answer === 'listed' || answer === 'closed') return
+      this.output.distrustKept()
       await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
     }
   }
 
+  private _finishing (result: ItemResult): { afterEventId: number, result: ItemResult } {
+    const isOwnOutput = result.state === ResultState.Completed && result.parts.length === 0
+    if (!isOwnOutput) return { afterEventId: 0, result }
+    return { afterEventId: this.output.keptCount, result: { ...result, parts: this.output.freshParts() } }
+  }
+
   private _log (event: BatchEvent, fields: Record<string, string | number | boolean | string[] | undefined>): void {
     this._parts.logger.event(event, { batchId: this.batch.batchId, itemId: this.item.itemId, ...fields })
   }
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -50,13 +50,23 @@
   GivenUp = 'given_up'
 }
 
-export const itemResultSchema = z.object({
-  itemId: z.string(),
-  state: z.enum(ResultState),
-  /** Data of all events, parted by line feeds, in UTF-8 and deflated: it crosses to every replica and every reader. */
+/** Some consecutive events of an item's output. */
+export const outputPartSchema = z.object({
+  eventsCount: z.int().min(0),
+  /** Data of the events, parted by line feeds, in UTF-8 and deflated: it crosses to every replica and every reader. */
   deflatedText: z.instanceof(Uint8Array),
   /** Bytes of the text itself. */
   textLengthBytes: z.int(),
+  /** Versions of the weights that made any of the events. */
+  versions: z.array(z.int())
+})
+export type OutputPart = z.infer<typeof outputPartSchema>
+
+export const itemResultSchema = z.object({
+  itemId: z.string(),
+  state: z.enum(ResultState),
+  /** The whole output, in order. */
+  parts: z.array(outputPartSchema),
   /** Versions of the weights that made any of its events, in order. */
   versions: z.array(z.int()),
   /** Receipt of the reward call. */
@@ -66,6 +76,7 @@
 
 export enum BatchCommandKind {
   Submit = 'batch.submit',
+  Progress = 'batch.progress',
   Finish = 'batch.finish',
   End = 'batch.end'
 }
@@ -77,7 +88,21 @@
     /** How long its results can be read after it was accepted. */
     keepMs: z.number()
   }),
-  z.object({ kind: z.literal(BatchCommandKind.Finish), batchId: z.string(), result: itemResultSchema }),
+  z.object({
+    kind: z.literal(BatchCommandKind.Progress),
+    batchId: z.string(),
+    itemId: z.string(),
+    /** Events that are kept already; 0 begins anew. */
+    afterEventId: z.int().min(0),
+    parts: z.array(outputPartSchema)
+  }),
+  z.object({
+    kind: z.literal(BatchCommandKind.Finish),
+    batchId: z.string(),
+    /** Events that are kept already and that the result's parts follow on. */
+    afterEventId: z.int().min(0),
+    result: itemResultSchema
+  }),
   z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string() })
 ])
 export type BatchCommand = z.infer<typeof batchCommandSchema>
@@ -89,5 +114,8 @@
   | { kind: 'listed', position: number }
   /** The batch has ended, or is not known: nothing is listed any more. */
   | { kind: 'closed' }
+  | { kind: 'kept' }
+  /** Other events are kept than the command follows on. */
+  | { kind: 'mismatch' }
   | { kind: 'ended' }
   | { kind: 'unknownBatch' }
--- a/src/replication/log/durableWriter.ts
+++ b/src/replication/log/durableWriter.ts
@@ -3,17 +3,22 @@
  * is under way go out together in the next one, with one sync for all of
  * them; whoever has to answer for a record waits for its ticket.
  */
-import type { Clock } from '../../utils/clock.js'
+import { sleepUntil, type Clock } from '../../utils/clock.js'
+import { DiskFullError } from '../../utils/errors.js'
+import type { Logger } from '../../utils/logger.js'
 import { MetricName } from '../../utils/metricNames.js'
 import type { Metrics } from '../../utils/metrics.js'
 import type { Scope } from '../../utils/scope.js'
 import { Signal } from '../../utils/signal.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import type { LogRecord } from '../storage/logRecords.js'
 import type { Compaction, ReplicaStorage } from '../storage/replicaStorage.js'
 import { entryBytes } from './logEntry.js'
 
 /** One write takes no more than about this. */
 const MAX_BATCH_BYTES = 4 * 1024 * 1024
+/** Pause before a write that a full disk has refused is tried again. */
+const FULL_RETRY_MS = 100
 
 type Job =
   | { kind: 'records', records: LogRecord[] }
@@ -25,16 +30,18 @@
   private readonly _storage: ReplicaStorage
   private readonly _clock: Clock
   private readonly _metrics: Metrics
+  private readonly _logger: Logger
   private readonly _work = new Signal()
   private readonly _jobs: Job[] = []
   private _enqueuedCount = 0
   private _durableCount = 0
   private _lastEntryIndex = 0
 
-  constructor (storage: ReplicaStorage, clock: Clock, metrics: Metrics) {
+  constructor (storage: ReplicaStorage, clock: Clock, metrics: Metrics, logger: Logger) {
     this._storage = storage
     this._clock = clock
     this._metrics = metrics
+    this._logger = logger
   }
 
   /** The ticket of everything that was enqueued so far. */
@@ -88,20 +95,35 @@
 
   private async _compact (compaction: Compaction, scope: Scope): Promise<void> {
     this._jobs.shift()
-    await scope.race(this._storage.compact(compaction))
+    await this._untilThereIsRoom(scope, () => this._storage.compact(compaction))
     this._durableCount++
   }
 
   private async _writeBatch (scope: Scope): Promise<void> {
     const { records, jobsCount } = this._takeBatch()
     const startedAtMs = this._clock.nowMs()
-    await scope.race(this._storage.append(records))
+    await this._untilThereIsRoom(scope, () => this._storage.append(records))
     this._metrics.timing(MetricName.LogSyncMs, this._clock.nowMs() - startedAtMs)
     this._durableCount += jobsCount
     const lastEntry = records.findLast(record => record.kind === 'entry')
     if (lastEntry?.kind === 'entry') this._lastEntryIndex = lastEntry.entry.index
   }
 
+  /** Repeats a write that a full disk refuses. Meanwhile nothing is durable here, so nothing is answered that relies on it. */
+  private async _untilThereIsRoom (scope: Scope, write: () => Promise<void>): Promise<void> {
+    let isLogged = false
+    for (;;) {
+      try {
+        return await scope.race(write())
+      } catch (error) {
+        if (!(error instanceof DiskFullError)) throw error
+        if (!isLogged) this._logger.event(ReplicationEvent.DiskFull, { error: error.message })
+        isLogged = true
+      }
+      await sleepUntil(this._clock, scope, this._clock.nowMs() + FULL_RETRY_MS)
+    }
+  }
+
   private _takeBatch (): { records: LogRecord[], jobsCount: number } {
     const records: LogRecord[] = []
     let bytes = 0
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -77,7 +77,7 @@
     const { clock, random, metrics, logger, timings, opened, supervisor } = parts
     this._parts = parts
     this._scope = supervisor.scope
-    const writer = new DurableWriter(opened.storage, clock, metrics)
+    const writer = new DurableWriter(opened.storage, clock, metrics, logger)
     const state = new PersistentState(opened.loaded, writer)
     const snapshot = opened.loaded.snapshot
     if (snapshot) parts.state.restore(snapshot.state)
--- a/src/replication/replicationEvents.ts
+++ b/src/replication/replicationEvents.ts
@@ -17,7 +17,8 @@
   MemberAdded = 1032,
   MemberPromoted = 1033,
   MemberRemoved = 1034,
-  WaitingForMembers = 1035
+  WaitingForMembers = 1035,
+  DiskFull = 1036
 }
 
 export const replicationEventCatalogue: EventCatalogue = {
@@ -34,5 +35,6 @@
   [ReplicationEvent.MemberAdded]: { level: LogLevel.Info, text: 'A replica was added as a learner.', advice: 'None.' },
   [ReplicationEvent.MemberPromoted]: { level: LogLevel.Info, text: 'A learner has caught up and votes.', advice: 'None.' },
   [ReplicationEvent.MemberRemoved]: { level: LogLevel.Info, text: 'A replica was removed.', advice: 'None.' },
-  [ReplicationEvent.WaitingForMembers]: { level: LogLevel.Info, text: 'The first start waits until all initial members answer.', advice: 'Start the control hosts that are named.' }
+  [ReplicationEvent.WaitingForMembers]: { level: LogLevel.Info, text: 'The first start waits until all initial members answer.', advice: 'Start the control hosts that are named.' },
+  [ReplicationEvent.DiskFull]: { level: LogLevel.Error, text: 'The disk is full; the replica waits for room and confirms nothing meanwhile.', advice: 'Make room on the disk. The replica goes on by itself.' }
 }
--- a/src/replication/storage/fileDisk.ts
+++ b/src/replication/storage/fileDisk.ts
@@ -3,7 +3,7 @@
  */
 import { mkdir, open, readdir, readFile, rename, rm, type FileHandle } from 'node:fs/promises'
 import { join } from 'node:path'
-import { StorageError } from '../../utils/errors.js'
+import { DiskFullError, StorageError } from '../../utils/errors.js'
 import type { Disk, DiskFile } from './disk.js'
 
 export class FileDisk implements Disk {
@@ -122,5 +122,7 @@
 }
 
 function storageError (what: string, error: unknown): Error {
+  const { code } = error as NodeJS.ErrnoException
+  if (code === 'ENOSPC' || code === 'EDQUOT') return new DiskFullError(`cannot ${what}: ${(error as Error).message}`)
   return new StorageError(`cannot ${what}: ${(error as Error).message}`)
 }
--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -2,9 +2,10 @@
  * The files of one replica: its identity, the current log file and the latest
  * snapshot. Whatever a method has returned from is synced. A failed write or
  * sync throws a StorageError and leaves the storage unusable, because what
- * reached the disk is unknown then.
+ * reached the disk is unknown then; a full disk throws a DiskFullError, and the
+ * same call may be made again.
  */
-import { invariant, StorageError } from '../../utils/errors.js'
+import { DiskFullError, invariant, StorageError } from '../../utils/errors.js'
 import type { HardState, LogEntry } from '../log/logEntry.js'
 import { TEMPORARY_SUFFIX, writeWhole, type Disk, type DiskFile } from './disk.js'
 import { encodeHead, encodeMark, encodeRecord, HEAD_BYTES, type LogRecord } from './logRecords.js'
@@ -98,15 +99,24 @@
   async append (records: LogRecord[]): Promise<void> {
     const batch = Buffer.concat([{ kind: 'batchStart', syncedBytes: this._logBytes } as const, ...records].map(encodeRecord))
     await this._guarded(async () => {
-      await this._log.append(batch)
+      // At its place, not at the end of the file: a batch that a full disk refused may have left a piece there.
+      await this._log.writeAt(this._logBytes, batch)
       if (this._options.syncs) await this._log.sync()
       this._logBytes += batch.length
-      // Not synced itself: it outlives the process, and a loss of power only makes it older.
-      const mark = encodeMark(this._logBytes)
-      await this._log.writeAt(mark.positionBytes, mark.bytes)
+      await this._writeMark()
     })
   }
 
+  /** Not synced itself: it outlives the process, and a loss of power, or a disk that is full by now, only makes it older. */
+  private async _writeMark (): Promise<void> {
+    const mark = encodeMark(this._logBytes)
+    try {
+      await this._log.writeAt(mark.positionBytes, mark.bytes)
+    } catch (error) {
+      if (!(error instanceof DiskFullError)) throw error
+    }
+  }
+
   /** Replaces snapshot and log in one step: after a crash there is the old pair or the new one. */
   async compact (compaction: Compaction): Promise<void> {
     await this._guarded(async () => {
@@ -145,7 +155,8 @@
     try {
       await work()
     } catch (error) {
-      this._failed = true
+      // A full disk has refused the write; whatever part of it arrived lies behind the end of the log and is written over.
+      this._failed = !(error instanceof DiskFullError)
       throw error
     }
   }
--- a/src/utils/errors.ts
+++ b/src/utils/errors.ts
@@ -17,6 +17,9 @@
 /** The disk holds damage that must not be repaired by guessing. */
 export const StorageError = BaseError.subclass('StorageError')
 
+/** The disk takes no more bytes. Nothing was lost; the same write may be tried again. */
+export const DiskFullError = StorageError.subclass('DiskFullError')
+
 /** Thrown into the awaits of a scope when the scope closes. */
 export const ScopeClosedError = BaseError.subclass('ScopeClosedError', {
   props: { reason: '' }
