--- /dev/null
+++ b/tests/batches/batchState.test.ts
@@ -0,0 +1,99 @@
+import test from 'ava'
+import { BatchState } from '../../src/batches/batchState.js'
+import { textOf, toPart } from '../../src/batches/outputParts.js'
+import { BatchCommandKind, ResultState, type BatchCommand, type BatchSubmission, type ItemResult } from '../../src/protocol/batches.js'
+import { submission } from '../fixtures/fleet/batchFixtures.js'
+
+const KEEP_MS = 60_000
+
+function submit (batch: BatchSubmission): BatchCommand {
+  return { kind: BatchCommandKind.Submit, submission: batch, keepMs: KEEP_MS }
+}
+
+function result (itemId: string, text: string, changes: Partial<ItemResult> = {}): ItemResult {
+  return { itemId, state: ResultState.Completed, parts: [toPart(text.split('\n'), [1])], versions: [1], score: 'receipt', ...changes }
+}
+
+function finish (batchId: string, itemResult: ItemResult, afterEventId = 0): BatchCommand {
+  return { kind: BatchCommandKind.Finish, batchId, afterEventId, result: itemResult }
+}
+
+function applyAll (state: BatchState, commands: BatchCommand[], atMs = 0) {
+  return commands.map((command, position) => state.apply(command, { index: position + 1, atMs }))
+}
+
+test('should take a batch once that is submitted twice', t => {
+  const state = new BatchState()
+  applyAll(state, [submit(submission('b1', ['i1'])), finish('b1', result('i1', 'one')), submit(submission('b1', ['i1']))])
+  t.is(state.get('b1')?.results.length, 1)
+})
+
+test('should give an item one position, and keep it and its content for good', t => {
+  const state = new BatchState()
+  const [, first, , again] = applyAll(state, [
+    submit(submission('b1', ['i1', 'i2'])), finish('b1', result('i2', 'one')), finish('b1', result('i1', 'two')), finish('b1', result('i2', 'other'))
+  ])
+  t.deepEqual(first, { kind: 'listed', position: 0 })
+  t.deepEqual(again, { kind: 'closed' })
+  t.deepEqual(state.get('b1')?.results.map(({ itemId, parts }) => [itemId, textOf(parts)]), [['i2', 'one'], ['i1', 'two']])
+})
+
+test('should list nothing of another batch, and nothing after the end', t => {
+  const state = new BatchState()
+  const outcomes = applyAll(state, [
+    submit(submission('b1', ['i1'])), finish('b1', result('foreign', 'x')), { kind: BatchCommandKind.End, batchId: 'b1' }, finish('b1', result('i1', 'late'))
+  ])
+  t.deepEqual(outcomes.map(({ kind }) => kind), ['accepted', 'closed', 'ended', 'closed'])
+  t.is(state.get('b1')?.results.length, 0)
+  t.is(state.get('b1')?.openItem('i1'), undefined)
+})
+
+test('should put a result together from what was kept and what came last', t => {
+  const state = new BatchState()
+  const keep = (afterEventId: number, data: string[]): BatchCommand => (
+    { kind: BatchCommandKind.Progress, batchId: 'b1', itemId: 'i1', afterEventId, parts: [toPart(data, [1])] }
+  )
+  const outcomes = applyAll(state, [
+    submit(submission('b1', ['i1'])), keep(0, ['a', 'b']), keep(2, ['c']), keep(2, ['wrong']), finish('b1', result('i1', 'd'), 2), finish('b1', result('i1', 'd'), 3)
+  ])
+  t.deepEqual(outcomes.map(({ kind }) => kind), ['accepted', 'kept', 'kept', 'mismatch', 'mismatch', 'listed'])
+  t.is(textOf(state.get('b1')?.results[0]?.parts ?? []), 'a\nb\nc\nd')
+  t.deepEqual(state.unfinishedParts('i1'), [])
+})
+
+test('should keep what an item made for its return in a later batch', t => {
+  const state = new BatchState()
+  const keep: BatchCommand = { kind: BatchCommandKind.Progress, batchId: 'b1', itemId: 'i1', afterEventId: 0, parts: [toPart(['a'], [1])] }
+  applyAll(state, [submit(submission('b1', ['i1', 'i2'])), keep, finish('b1', result('i2', 'x')), { kind: BatchCommandKind.End, batchId: 'b1' }, submit(submission('b2', ['i1', 'i2']))])
+  t.is(textOf(state.unfinishedParts('i1')), 'a')
+  const item = state.get('b2')?.openItem('i2')
+  t.is(item && textOf(state.completedResult(item)?.parts ?? []), 'x')
+})
+
+test('should not reuse a score that another reward call gave', t => {
+  const state = new BatchState()
+  applyAll(state, [submit(submission('b1', ['i1'])), finish('b1', result('i1', 'x')), submit(submission('b2', ['i1'], { rewardSuffix: 'new' }))])
+  const item = state.get('b2')?.openItem('i1')
+  t.truthy(item)
+  t.is(item && state.completedResult(item), undefined)
+})
+
+test('should forget batches when their time is over, and not before', t => {
+  const state = new BatchState()
+  applyAll(state, [submit(submission('b1', ['i1'])), { kind: BatchCommandKind.End, batchId: 'b1' }], 0)
+  applyAll(state, [submit(submission('b2', ['i2']))], KEEP_MS)
+  t.truthy(state.get('b1'))
+  applyAll(state, [submit(submission('b3', ['i3']))], KEEP_MS + 1)
+  t.is(state.get('b1'), undefined)
+})
+
+test('should be the same after a snapshot was restored', t => {
+  const state = new BatchState()
+  const keep: BatchCommand = { kind: BatchCommandKind.Progress, batchId: 'b1', itemId: 'i2', afterEventId: 0, parts: [toPart(['a'], [1])] }
+  applyAll(state, [submit(submission('b1', ['i1', 'i2'])), finish('b1', result('i1', 'x')), keep])
+  const copy = new BatchState()
+  copy.restore(state.snapshot())
+  t.deepEqual(copy.snapshot(), state.snapshot())
+  t.truthy(copy.get('b1')?.isListed('i1'))
+  t.is(textOf(copy.unfinishedParts('i2')), 'a')
+})
--- /dev/null
+++ b/tests/batches/dispatching.test.ts
@@ -0,0 +1,139 @@
+import test from 'ava'
+import { textOf } from '../../src/batches/outputParts.js'
+import { EndpointLifecycle } from '../../src/protocol/fleet.js'
+import { ResultState } from '../../src/protocol/batches.js'
+import { submission } from '../fixtures/fleet/batchFixtures.js'
+import { engine } from '../fixtures/fleet/fleetFixtures.js'
+import { answered } from '../fixtures/fleet/scriptedEndpoints.js'
+import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
+
+function events (count: number, from = 1): string {
+  return Array.from({ length: count }, (_value, position) => `event ${from + position}`).join('\n')
+}
+
+test('should run every item, score it once its text is whole, and list it', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1), engine('e2', 1)] }).start()
+  await world.submit(submission('b1', ['i1', 'i2', 'i3', 'i4', 'i5']))
+  await world.untilListed('b1', 5)
+  for (const { state, parts, score, versions } of world.state.get('b1')?.results ?? []) {
+    t.is(state, ResultState.Completed)
+    t.is(textOf(parts), events(3))
+    t.is(score, 'receipt')
+    t.deepEqual(versions, [1])
+  }
+  t.deepEqual(world.failures, [])
+  world.close()
+})
+
+test('should go on behind the last event at another engine when a stream breaks off', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1), engine('e2', 1)] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 6, gapMs: 10, version: 1, ...(world.endpoints.runs.length === 1 ? { breaksAfterEventId: 4 } : {}) })
+  await world.submit(submission('b1', ['i1']))
+  await world.untilListed('b1', 1)
+  t.deepEqual(world.endpoints.runs.map(({ afterEventId }) => afterEventId), [undefined, 4])
+  t.not(world.endpoints.runs[0]?.endpoint.endpointId, world.endpoints.runs[1]?.endpoint.endpointId)
+  t.is(textOf(world.state.get('b1')?.results[0]?.parts ?? []), events(6))
+  world.close()
+})
+
+test('should leave an engine that falls silent in the middle of a run', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1), engine('e2', 1)] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 4, gapMs: world.endpoints.runs.length === 1 ? 60_000 : 10, version: 1 })
+  await world.submit(submission('b1', ['i1']))
+  await world.untilListed('b1', 1, 5_000)
+  t.deepEqual(world.endpoints.abandonedRuns, ['i1'])
+  world.close()
+})
+
+test('should go on behind what was kept after a change of leader', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 40, gapMs: 20, version: 1 })
+  await world.submit(submission('b1', ['i1']))
+  await world.clock.advance(500)
+  world.stopDispatching()
+  world.dispatch()
+  await world.untilListed('b1', 1)
+  const [, second] = world.endpoints.runs
+  t.true((second?.afterEventId ?? 0) >= 16, `goes on behind ${second?.afterEventId}`)
+  t.is(textOf(world.state.get('b1')?.results[0]?.parts ?? []), events(40))
+  world.close()
+})
+
+test('should keep nothing of an engine whose weights are older than the batch allows', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 3), engine('e2', 3)] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 3, gapMs: 10, version: world.endpoints.runs.length === 1 ? 1 : 3 })
+  await world.submit(submission('b1', ['i1'], { minVersion: 2 }))
+  await world.untilListed('b1', 1)
+  t.deepEqual(world.state.get('b1')?.results[0]?.versions, [3])
+  world.close()
+})
+
+test('should send nothing to an engine that leaves, nor to one with weights too old', async t => {
+  const leaving = engine('e1', 5, { lifecycle: EndpointLifecycle.Leaving })
+  const world = await new StoreWorld({ engines: [leaving, engine('e2', 1), engine('e3', 5)], orderLeaseMs: 1_000_000 }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 3, gapMs: 10, version: 5 })
+  await world.submit(submission('b1', ['i1', 'i2', 'i3'], { minVersion: 4 }))
+  await world.untilListed('b1', 3)
+  t.deepEqual([...new Set(world.endpoints.runs.map(run => run.endpoint.endpointId))], ['e3'])
+  world.close()
+})
+
+test('should send no item of a batch that has ended, and leave what runs', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 100, gapMs: 50, version: 1 })
+  await world.submit(submission('b1', ['i1', 'i2', 'i3', 'i4']))
+  await world.clock.advance(200)
+  await world.end('b1')
+  const runsCount = world.endpoints.runs.length
+  await world.clock.advance(10_000)
+  t.is(world.endpoints.runs.length, runsCount)
+  t.is(world.endpoints.abandonedRuns.length, 2)
+  world.close()
+})
+
+test('should give an item up after as many failures as the route allows, and at once when it can never be done', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)] }).start()
+  world.endpoints.onRun = ({ attemptId }) => (
+    { eventsCount: 1, gapMs: 1, version: 1, refuses: attemptId === 'i1' ? { kind: 'failed', status: 500 } : { kind: 'impossible' } }
+  )
+  await world.submit(submission('b1', ['i1', 'i2']))
+  await world.untilListed('b1', 2)
+  t.deepEqual(world.state.get('b1')?.results.map(({ state }) => state), [ResultState.GivenUp, ResultState.GivenUp])
+  t.is(world.endpoints.runs.filter(({ attemptId }) => attemptId === 'i1').length, 3)
+  t.is(world.endpoints.runs.filter(({ attemptId }) => attemptId === 'i2').length, 1)
+  world.close()
+})
+
+test('should list a sample only with a score, and give it up when its reward call has failed for good', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)] }).start()
+  world.endpoints.onCall = ({ attemptId }) => ({ afterMs: 5, outcome: answered(attemptId === 'reward of i1' ? 500 : 200) })
+  await world.submit(submission('b1', ['i1', 'i2']))
+  await world.untilListed('b1', 2)
+  const byItem = new Map(world.state.get('b1')?.results.map(result => [result.itemId, result]))
+  t.is(byItem.get('i1')?.state, ResultState.GivenUp)
+  t.is(byItem.get('i2')?.score, 'receipt')
+  world.close()
+})
+
+test('should let an item that returns keep its result, and its score, when its versions fit', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)] }).start()
+  await world.submit(submission('b1', ['i1']))
+  await world.untilListed('b1', 1)
+  await world.end('b1')
+  await world.submit(submission('b2', ['i1']))
+  await world.untilListed('b2', 1)
+  t.is(world.endpoints.runs.length, 1)
+  t.is(world.endpoints.calls.length, 1)
+  world.close()
+})
+
+test('should move a run from an engine that turned slow to a faster one with room', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1), engine('e2', 1)] }).start()
+  const slowId = (): string | undefined => world.endpoints.runs[0]?.endpoint.endpointId
+  world.endpoints.onRun = ({ endpoint }) => ({ eventsCount: 60, gapMs: endpoint.endpointId === slowId() ? 150 : 30, version: 1 })
+  await world.submit(submission('b1', ['i1', 'i2'], { expectedTokensCount: 3_000 }))
+  await world.untilListed('b1', 2, 6_000)
+  t.true(world.endpoints.runs.length > 2)
+  for (const { parts } of world.state.get('b1')?.results ?? []) t.is(textOf(parts), events(60))
+  world.close()
+})
--- /dev/null
+++ b/tests/batches/itemOrder.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava'
+import { EndpointHealth } from '../../src/endpoints/endpointHealth.js'
+import { Engine } from '../../src/batches/engineFleet.js'
+import { compareWaiting, fastestEngine, isWorthMoving, type WaitingItem } from '../../src/batches/itemOrder.js'
+import { engine } from '../fixtures/fleet/fleetFixtures.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+const TOKEN_MS = 1
+const clock = new VirtualClock()
+
+function waiting (changes: Partial<WaitingItem>): WaitingItem {
+  return { dueAtMs: 7_000, isBegun: false, isCarriedOver: false, remainingTokensCount: 100, ...changes }
+}
+
+function paced (endpointId: string, gapMs?: number): Engine {
+  const made = new Engine(engine(endpointId, 1), new EndpointHealth(clock), clock)
+  if (gapMs !== undefined) made.sawGap(gapMs)
+  return made
+}
+
+test('should let a long item of a later batch go before a short one of an earlier batch', t => {
+  const long = waiting({ dueAtMs: 7_500, remainingTokensCount: 6_000 })
+  const short = waiting({ dueAtMs: 7_000, remainingTokensCount: 200 })
+  t.true(compareWaiting(long, short, TOKEN_MS) < 0)
+})
+
+test('should let what is begun, then what has returned, go before all else', t => {
+  const items = [waiting({ remainingTokensCount: 6_000 }), waiting({ isCarriedOver: true }), waiting({ isBegun: true })]
+  const [first, second] = [...items].sort((left, right) => compareWaiting(left, right, TOKEN_MS))
+  t.is(first, items[2])
+  t.is(second, items[1])
+})
+
+test('should choose the faster engine, and spread what fills their memory', t => {
+  const fast = paced('e1', 30)
+  const slow = paced('e2', 60)
+  t.is(fastestEngine([slow, fast], 40, 10_000), fast)
+  const equal = paced('e3', 30)
+  fast.heldTokensCount = 5_000
+  t.is(fastestEngine([fast, equal], 40, 10_000), equal)
+})
+
+test('should move a run to an engine that is much faster, not to one that is a little', t => {
+  t.true(isWorthMoving(paced('e1', 150), paced('e2', 40), 10, 50))
+  t.false(isWorthMoving(paced('e1', 44), paced('e2', 40), 10, 500))
+})
+
+test('should not move a run that is nearly done, nor to an engine whose pace is not known', t => {
+  t.false(isWorthMoving(paced('e1', 150), paced('e2', 40), 2, 2))
+  t.false(isWorthMoving(paced('e1', 150), paced('e2'), 10, 50))
+})
+
+test('should forget a pace that was not seen for a while', async t => {
+  const seen = paced('e1', 150)
+  t.is(seen.meanGapMs, 150)
+  await clock.advance(4_000)
+  t.is(seen.meanGapMs, undefined)
+})
