--- /dev/null
+++ b/tests/platform/boundaries.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava'
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { WireHeader } from '../../platform/wireNames.js'
+import { platformSettingsSchema } from '../../platform/platformSettings.js'
+import { SettingsError } from '../../src/utils/errors.js'
+import { checkSettings } from '../../src/utils/settings.js'
+
+/** Names on the platform's wire that mean something else, or nothing, in the product. */
+const FOREIGN_NAMES = [
+  ...Object.values(WireHeader).filter(name => name.startsWith('x-threaddrum-')),
+  'path-prefix', 'route-type', 'slo-ms', 'max-queue-s', 'cold-left-ms', 'min-version', 'after-rev', 'next-token', "'expected-rev'",
+  'fencing-token', '/v1/lots', "'/v1/order'", '/v1/version-put', '/v1/config/replace', '/deregister', 'internal-ports'
+]
+
+function sourcesIn (folder: string): string[] {
+  return readdirSync(folder, { recursive: true, encoding: 'utf8' }).filter(path => path.endsWith('.ts')).map(path => join(folder, path))
+}
+
+test('should know the names of the platform\'s wire in one folder only', t => {
+  const found = sourcesIn('src').flatMap(path => {
+    const text = readFileSync(path, 'utf8').toLowerCase()
+    return FOREIGN_NAMES.filter(name => text.includes(name)).map(name => `${path}: ${name}`)
+  })
+  t.deepEqual(found, [])
+})
+
+test('should keep the adapter under a tenth of the product', t => {
+  const linesIn = (folder: string): number => sourcesIn(folder).reduce((sum, path) => sum + readFileSync(path, 'utf8').split('\n').length, 0)
+  const share = linesIn('platform') / linesIn('src')
+  t.true(share < 0.1, `${share}`)
+})
+
+const settings = `
+[host]
+name = "edge-north-1"
+ip = "10.1.0.10"
+dataCentre = "north"
+isFirstStart = true
+[listen]
+callers = "10.1.0.10:8161"
+[cluster]
+seedAddresses = ["10.1.0.10:8166"]
+internalPorts = [7720, 7735]
+[bounds]
+heartbeatMs = 1200
+`
+
+test('should take settings that leave bounds out, with their defaults', t => {
+  const checked = checkSettings('settings.toml', settings, platformSettingsSchema)
+  t.is(checked.bounds.orderLeaseMs, 3_000)
+  t.is(checked.host.dataFolder, undefined)
+})
+
+const mistakes: Array<[string, string, string, RegExp]> = [
+  ['an address', '"10.1.0.10:8161"', '"nowhere"', /settings\.toml: listen\.callers: .*nowhere/],
+  ['a first start', 'isFirstStart = true', 'isFirstStart = 3', /host\.isFirstStart: .*\(value: 3\)/],
+  ['a port', '[7720, 7735]', '[7720, 99999]', /cluster\.internalPorts\.1: .*99999/],
+  ['an interval', 'heartbeatMs = 1200', 'heartbeatMs = 0', /bounds\.heartbeatMs: .*\(value: 0\)/],
+  ['a key', '[bounds]', '[bounds]\nunheardOf = 1', /bounds: unknown key "unheardOf"/]
+]
+
+for (const [what, from, to, message] of mistakes) {
+  test(`should name the file, the key and the value of ${what} that is wrong`, t => {
+    const error = t.throws(() => checkSettings('settings.toml', settings.replace(from, to), platformSettingsSchema), { instanceOf: SettingsError })
+    t.regex(error?.message ?? '', message)
+  })
+}
--- /dev/null
+++ b/tests/platform/codecs.test.ts
@@ -0,0 +1,122 @@
+import test from 'ava'
+import { decodeHeartbeat } from '../../platform/announcementCodec.js'
+import { decodeSubmission, encodeResults } from '../../platform/batchCodec.js'
+import { decodeRouting } from '../../platform/routingCodec.js'
+import { toPart } from '../../src/batches/outputParts.js'
+import { ResultState } from '../../src/protocol/batches.js'
+import { EndpointLifecycle } from '../../src/protocol/fleet.js'
+import { RouteKind } from '../../src/protocol/routing.js'
+
+const routingDocument = {
+  version: 7,
+  routes: [
+    { name: 'r-1', host: 'decks.example', 'path-prefix': '/score/', 'route-type': 'idempotent', 'timeout-ms': 1_500, 'slo-ms': 192, priority: 2, service: 'plain', 'max-attempts': 4 },
+    { name: 'r-2', host: 'decks.example', 'path-prefix': '/open/', 'route-type': 'non_idempotent', 'timeout-ms': 2_000, backends: [{ service: 'engines', weight: 90 }, { service: 'plain', weight: 10 }] },
+    { name: 'r-3', host: 'decks.example', 'path-prefix': '/hints/', 'route-type': 'rollout', 'timeout-ms': 10_000, 'due-ms': 7_500, 'max-queue-s': 40, service: 'engines', 'max-attempts': 3 }
+  ],
+  services: [
+    { name: 'engines', 'health-path': '/healthz', 'max-conns': 170, protocol: 'h1', tls: false, engine: { slots: 12, 'kv-capacity': 36_982, stride: 54, models: [{ name: 'm1' }, { name: 'm2' }] } },
+    { name: 'plain', 'health-path': '/healthz', 'max-conns': 110, protocol: 'h1', tls: false }
+  ],
+  limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 33_554_432, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
+}
+
+test('should decode a routing configuration into the product\'s terms', t => {
+  const decoded = decodeRouting(routingDocument)
+  if (decoded.kind !== 'valid') return t.fail(decoded.problem)
+  const { version, routes, services, bounds } = decoded.routing
+  t.is(version, 7)
+  t.like(routes[0], { kind: RouteKind.Idempotent, objectiveMs: 192, maxAttemptsCount: 4, services: [{ service: 'plain', weight: 1 }] })
+  t.like(routes[1], { kind: RouteKind.AtMostOnce, maxAttemptsCount: 1, services: [{ service: 'engines', weight: 90 }, { service: 'plain', weight: 10 }] })
+  t.deepEqual(routes[2]?.batch, { dueMs: 7_500, maxQueueMs: 40_000, isSingleVersion: false })
+  t.deepEqual(services[0]?.engine, { slotsCount: 12, kvCapacityTokens: 36_982, tokensPerEvent: 54, models: ['m1', 'm2'] })
+  t.is(bounds.idleTimeoutMs, 15_000)
+})
+
+const invalidChanges: Array<[string, (document: typeof routingDocument) => unknown, RegExp]> = [
+  ['is no object', () => 'x', /body/],
+  ['lacks its services', ({ services, ...rest }) => rest, /services/],
+  ['names an unknown service', document => ({ ...document, services: document.services.slice(1) }), /routes\.1: unknown service engines/],
+  ['has two routes in one place', document => ({ ...document, routes: [...document.routes, { ...document.routes[0], name: 'r-4' }] }), /routes\.3: another route/],
+  ['has weights that add up to 0', document => ({ ...document, routes: [{ ...document.routes[1], backends: [{ service: 'plain', weight: 0 }] }] }), /weights add up to 0/],
+  ['has a route without time', document => ({ ...document, routes: [{ ...document.routes[0], 'timeout-ms': 0 }] }), /timeout-ms/],
+  ['has a route without a service', document => ({ ...document, routes: [{ ...document.routes[0], service: undefined }] }), /weights add up to 0/]
+]
+
+for (const [what, change, problem] of invalidChanges) {
+  test(`should refuse a routing configuration that ${what}, and say where`, t => {
+    const decoded = decodeRouting(change(routingDocument))
+    t.is(decoded.kind, 'invalid')
+    t.regex(decoded.kind === 'invalid' ? decoded.problem : '', problem)
+  })
+}
+
+const heartbeat = { service: 'engines', address: '10.128.0.9:8080', zone: 'north', version: 'v1', slots: 12, state: 'draining', 'cold-left-ms': 0, stage: 'hybrid', models: [{ name: 'm1', version: 4, adapters: [] }], seq: 4 }
+
+test('should decode what an endpoint announces', t => {
+  const decoded = decodeHeartbeat('i-1', heartbeat)
+  t.like(decoded, { kind: 'valid', endpoint: { endpointId: 'i-1', dataCentre: 'north', lifecycle: EndpointLifecycle.Leaving, sequence: 4, weights: [{ model: 'm1', version: 4 }] } })
+})
+
+test('should refuse a heartbeat without an address or of an unknown state', t => {
+  t.is(decodeHeartbeat('i-1', { ...heartbeat, address: 'nowhere' }).kind, 'invalid')
+  t.is(decodeHeartbeat('i-1', { ...heartbeat, state: 'asleep' }).kind, 'invalid')
+})
+
+const submission = {
+  step: 7,
+  model: 'm1',
+  'min-version': 6,
+  desired: 12,
+  items: [{
+    id: 'i1',
+    path: '/hints/3/91c4',
+    headers: { 'X-Threaddrum-Model': 'm1', 'X-Threaddrum-Token-Count': '540,400', 'X-Threaddrum-Length-Hint': '250' },
+    body: 'q83vEjRWeJA=',
+    tokens: 940,
+    group: 'g1',
+    scorer: { id: 's1', host: 'decks.example', path: '/score/5e07', body: '3q2+7w==' }
+  }]
+}
+
+test('should decode a batch with its items, hints and reward calls', t => {
+  const decoded = decodeSubmission('b1', 'decks.example', '/hints/b1', submission)
+  if (decoded.kind !== 'valid') return t.fail(String(decoded.error))
+  const [item] = decoded.submission.items
+  t.like(decoded.submission, { batchId: 'b1', step: 7, minVersion: 6, wantedGroupsCount: 12 })
+  t.like(item, { itemId: 'i1', groupId: 'g1', promptTokensCount: 540, expectedTokensCount: 250, model: 'm1' })
+  t.is(Buffer.from(item?.body ?? []).toString('base64'), 'q83vEjRWeJA=')
+  t.is(Buffer.from(item?.reward?.body ?? []).toString('base64'), '3q2+7w==')
+  t.deepEqual(item?.headers, Object.entries(submission.items[0]?.headers ?? {}).flat())
+})
+
+test('should expect the most tokens of an item without a hint', t => {
+  const [item] = submission.items
+  const decoded = decodeSubmission('b1', 'h', '/p/', { ...submission, items: [{ ...item, headers: { 'X-Threaddrum-Token-Count': '540,400' } }] })
+  t.is(decoded.kind === 'valid' && decoded.submission.items[0]?.expectedTokensCount, 400)
+})
+
+test('should refuse a batch without items, or with a body that is no base64', t => {
+  t.is(decodeSubmission('b1', 'h', '/p/', { ...submission, items: [] }).kind, 'invalid')
+  t.is(decodeSubmission('b1', 'h', '/p/', { ...submission, items: [{ ...submission.items[0], body: '%%' }] }).kind, 'invalid')
+})
+
+test('should encode results with their texts put together', t => {
+  const parts = [toPart(['one', 'two'], [1]), toPart(['three'], [2])]
+  const page = encodeResults({
+    totalCount: 3,
+    nextPosition: 2,
+    results: [
+      { itemId: 'i1', state: ResultState.Completed, parts, versions: [1, 2], score: 's' },
+      { itemId: 'i2', state: ResultState.GivenUp, parts: [], versions: [] }
+    ]
+  })
+  t.deepEqual(page, {
+    total: 3,
+    'next-token': 2,
+    results: [
+      { id: 'i1', state: 'completed', text: 'one\ntwo\nthree', versions: [1, 2], score: 's' },
+      { id: 'i2', state: 'terminated', text: '', versions: [], score: undefined }
+    ]
+  })
+})
--- /dev/null
+++ b/tests/platform/endpointClient.test.ts
@@ -0,0 +1,163 @@
+import test from 'ava'
+import { PlatformEndpointClient } from '../../platform/endpointClient.js'
+import type { EndpointOutcome, ItemEvent, ItemOutcome } from '../../src/endpoints/endpointClient.js'
+import type { FleetEndpoint } from '../../src/protocol/fleet.js'
+import { systemClock } from '../../src/utils/clock.js'
+import { Scope } from '../../src/utils/scope.js'
+import { endpoint } from '../fixtures/fleet/fleetFixtures.js'
+import { rawEndpoint, wholeAnswer, type RawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
+
+const WAIT_MS = 20_000
+
+const client = new PlatformEndpointClient(systemClock)
+
+async function call (target: FleetEndpoint, attemptId = 'a1', scope = new Scope('test')): Promise<EndpointOutcome> {
+  return await client.call({
+    endpoint: target,
+    method: 'POST',
+    path: '/open/7?x=1',
+    host: 'decks.example',
+    headers: ['X-Custom', 'one', 'X-Custom', 'two', 'Connection', 'keep-alive, X-Hop', 'X-Hop', 'dropped', 'X-Threaddrum-Deadline-Ms', '5'],
+    body: Buffer.from('the body'),
+    attemptId,
+    deadlineMs: systemClock.nowMs() + WAIT_MS
+  }, scope)
+}
+
+async function withEndpoint<T> (answer: (request: RawRequest, number: number) => void, use: (raw: RawEndpoint) => Promise<T>): Promise<T> {
+  const raw = await rawEndpoint(answer)
+  try {
+    return await use(raw)
+  } finally {
+    raw.close()
+  }
+}
+
+test('should pass method, path, body and end-to-end headers on untouched, and nothing of the connection', async t => {
+  await withEndpoint(({ socket, attemptId }) => { socket.write(wholeAnswer(attemptId)) }, async raw => {
+    const outcome = await call(raw.endpoint)
+    t.like(outcome, { kind: 'answered', status: 200, receipt: 'stamp' })
+    const [text = ''] = raw.requests
+    t.true(text.startsWith('POST /open/7?x=1 HTTP/1.1\r\n'))
+    t.true(text.endsWith('\r\n\r\nthe body'))
+    t.regex(text, /host: decks\.example\r\n/i)
+    t.is(text.match(/X-Custom: (one|two)\r\n/g)?.length, 2)
+    t.notRegex(text, /X-Hop/i)
+    t.true(text.includes(`x-threaddrum-expect-instance: ${raw.endpoint.endpointId}\r\n`))
+    const remainingMs = Number(/x-threaddrum-deadline-ms: (\d+)/i.exec(text)?.[1])
+    t.true(remainingMs > 5 && remainingMs <= WAIT_MS)
+  })
+})
+
+test('should take no answer that belongs to another request, and leave its connection', async t => {
+  await withEndpoint(({ socket, attemptId }, number) => { socket.write(wholeAnswer(number === 1 ? 'foreign' : attemptId)) }, async raw => {
+    t.is((await call(raw.endpoint, 'a1')).kind, 'broken')
+    t.is((await call(raw.endpoint, 'a2')).kind, 'answered')
+    t.is(raw.connectionsCount(), 2)
+  })
+})
+
+test('should not give a surplus answer to the next request on the connection', async t => {
+  await withEndpoint(({ socket, attemptId }, number) => {
+    socket.write(number === 1 ? wholeAnswer(attemptId, 'first') + wholeAnswer(attemptId, 'surplus') : wholeAnswer(attemptId, 'second'))
+  }, async raw => {
+    await call(raw.endpoint, 'a1')
+    const outcome = await call(raw.endpoint, 'a2')
+    t.false(outcome.kind === 'answered' && Buffer.from(outcome.body).toString() === 'surplus')
+  })
+})
+
+test('should call an answer broken that ends before its length, is no HTTP, or lacks a receipt', async t => {
+  const answers = [
+    (attemptId: string) => wholeAnswer(attemptId).slice(0, -2),
+    () => 'neither head nor tail\r\n\r\n',
+    (attemptId: string) => `HTTP/1.1 200 OK\r\nX-Threaddrum-Attempt-Id: ${attemptId}\r\nContent-Length: 2\r\n\r\nok`,
+    (attemptId: string) => wholeAnswer(attemptId, 'zip', 'Content-Encoding: gzip\r\n'),
+    () => wholeAnswer('').replace(/X-Threaddrum-Attempt-Id: \r\n/, '')
+  ]
+  for (const [position, answer] of answers.entries()) {
+    await withEndpoint(({ socket, attemptId }) => { socket.end(answer(attemptId)) }, async raw => {
+      t.is((await call(raw.endpoint)).kind, 'broken', `answer ${position}`)
+    })
+  }
+})
+
+test('should believe an endpoint that says it did not run a request, and only that', async t => {
+  const refusal = (status: string, extra = '') => (attemptId: string): string => `HTTP/1.1 ${status}\r\nX-Threaddrum-Attempt-Id: ${attemptId}\r\n${extra}Content-Length: 0\r\n\r\n`
+  const cases: Array<[(attemptId: string) => string, EndpointOutcome['kind']]> = [
+    [refusal('503 Service Unavailable', 'X-Threaddrum-Not-Executed: 1\r\n'), 'notExecuted'],
+    [refusal('429 Too Many Requests', 'X-Threaddrum-Not-Executed: 1\r\n'), 'notExecuted'],
+    [refusal('421 Misdirected Request', 'X-Threaddrum-Instance-Id: e9\r\n'), 'misdirected'],
+    [refusal('503 Service Unavailable', 'X-Threaddrum-Server-Stamp: s\r\n'), 'answered'],
+    [refusal('500 Internal Server Error', 'X-Threaddrum-Server-Stamp: s\r\n'), 'answered']
+  ]
+  for (const [answer, kind] of cases) {
+    await withEndpoint(({ socket, attemptId }) => { socket.write(answer(attemptId)) }, async raw => {
+      t.is((await call(raw.endpoint)).kind, kind)
+    })
+  }
+})
+
+test('should say that nothing ran when no connection comes about', async t => {
+  const raw = await rawEndpoint(() => {})
+  raw.close()
+  t.is((await call(endpoint('e2', { address: raw.endpoint.address }))).kind, 'unreached')
+})
+
+test('should close the connection of a request whose caller left', async t => {
+  let onClosed = (): void => {}
+  const closed = new Promise<void>(resolve => { onClosed = resolve })
+  await withEndpoint(({ socket }) => { socket.on('close', () => onClosed()) }, async raw => {
+    const scope = new Scope('caller')
+    const outcome = call(raw.endpoint, 'a1', scope)
+    while (raw.requests.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
+    scope.close('the caller hung up')
+    await t.throwsAsync(outcome)
+    await closed
+    t.pass()
+  })
+})
+
+async function runItem (raw: RawEndpoint, afterEventId?: number): Promise<{ outcome: ItemOutcome, events: ItemEvent[] }> {
+  const events: ItemEvent[] = []
+  const request = { endpoint: raw.endpoint, path: '/hints/1', host: 'decks.example', headers: [], body: Buffer.from('x'), attemptId: 'i1', deadlineMs: systemClock.nowMs() + WAIT_MS, afterEventId }
+  const outcome = await client.runItem(request, new Scope('test'), event => events.push(event))
+  return { outcome, events }
+}
+
+function streamHead (version: number): string {
+  return `HTTP/1.1 200 OK\r\nX-Threaddrum-Attempt-Id: i1\r\nX-Threaddrum-Server-Stamp: s\r\nX-Threaddrum-Weight-Versions: ${version}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`
+}
+
+function chunk (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+const END = '0\r\n\r\n'
+
+test('should name the version that made each event, also when it changes in the middle', async t => {
+  await withEndpoint(({ socket }) => {
+    socket.write(streamHead(6) + chunk('id: 1\ndata: a\n\n') + chunk('x-threaddrum-weight-versions: 7\nid: 2\ndata: b\n\n') + chunk('id: 3\ndata: c\n\n') + END)
+  }, async raw => {
+    const { outcome, events } = await runItem(raw)
+    t.is(outcome.kind, 'finished')
+    t.deepEqual(events, [{ id: 1, data: 'a', version: 6 }, { id: 2, data: 'b', version: 7 }, { id: 3, data: 'c', version: 7 }])
+  })
+})
+
+test('should ask to go on behind an event, and take no other one for the next', async t => {
+  await withEndpoint(({ socket }) => { socket.write(streamHead(1) + chunk('id: 5\ndata: e\n\n') + chunk('id: 7\ndata: g\n\n') + END) }, async raw => {
+    const { outcome, events } = await runItem(raw, 4)
+    t.regex(raw.requests[0] ?? '', /last-event-id: 4\r\n/i)
+    t.is(outcome.kind, 'broken')
+    t.deepEqual(events.map(({ id }) => id), [5])
+  })
+})
+
+test('should never take a stream for whole that breaks off, and keep its whole events', async t => {
+  await withEndpoint(({ socket }) => { socket.end(streamHead(1) + chunk('id: 1\ndata: a\n\n') + chunk('id: 2\nda')) }, async raw => {
+    const { outcome, events } = await runItem(raw)
+    t.is(outcome.kind, 'broken')
+    t.deepEqual(events.map(({ id }) => id), [1])
+  })
+})
