--- /dev/null
+++ b/tests/fleet/fleetFollower.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava'
+import { FleetFollower } from '../../src/fleet/fleetFollower.js'
+import { FleetView } from '../../src/fleet/fleetView.js'
+import { HostRole, type FollowReply, type FollowRequest } from '../../src/protocol/fleet.js'
+import { followMethod, fleetUpdateMethod } from '../../src/transport/fleetMethods.js'
+import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
+import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
+import { silentLogger } from '../../src/utils/logger.js'
+import { Scope } from '../../src/utils/scope.js'
+import { Supervisor } from '../../src/utils/supervisor.js'
+import { endpoint, routing } from '../fixtures/fleet/fleetFixtures.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+interface ControlHost {
+  address: string
+  peers: RpcPeer[]
+  requests: FollowRequest[]
+  reply: FollowReply
+}
+
+class World {
+  readonly clock = new VirtualClock()
+  readonly network = new MemoryNetwork(this.clock)
+  readonly view = new FleetView(silentLogger)
+  private readonly _scope = new Scope('world')
+
+  async control (ip: string, reply: Partial<FollowReply>): Promise<ControlHost> {
+    const address = `${ip}:1`
+    const host: ControlHost = { address, peers: [], requests: [], reply: { controlAddresses: [address], isRoutingConfirmed: false, update: {}, ...reply } }
+    const handlers = new RpcHandlers()
+    handlers.on(followMethod, request => {
+      host.requests.push(request)
+      return host.reply
+    })
+    await this.network.host(ip).listen(address, this._scope, connection => { host.peers.push(new RpcPeer(connection, handlers, () => {})) })
+    return host
+  }
+
+  follow (seedAddresses: string[]): FleetFollower {
+    const supervisor = new Supervisor(this._scope, (_task, error) => { throw error })
+    const follower = new FleetFollower({
+      clock: this.clock,
+      transport: this.network.host('10.0.0.9'),
+      logger: silentLogger,
+      supervisor,
+      view: this.view,
+      seedAddresses,
+      describe: () => ({ hostId: '10.0.0.9', hostName: 'edge-9', dataCentre: 'north', role: HostRole.Entry, isServing: true }),
+      onFatal: error => { throw error }
+    })
+    follower.start()
+    return follower
+  }
+}
+
+test('should put a first routing configuration into force only when a quorum has confirmed it', async t => {
+  const world = new World()
+  const control = await world.control('10.0.0.1', { update: { routing: routing(3) } })
+  world.follow([control.address])
+  await world.clock.advance(1_500)
+  t.is(world.view.routing, undefined)
+  control.reply = { ...control.reply, isRoutingConfirmed: true }
+  await world.clock.advance(600)
+  t.is(world.view.routing?.version, 3)
+})
+
+test('should take an unconfirmed configuration when no quorum confirms one for long, and a newer one at once', async t => {
+  const world = new World()
+  const control = await world.control('10.0.0.1', { update: { routing: routing(3) } })
+  world.follow([control.address])
+  await world.clock.advance(4_000)
+  t.is(world.view.routing?.version, 3)
+  control.peers[0]?.notify(fleetUpdateMethod, { routing: routing(4) })
+  await world.clock.advance(5)
+  t.is(world.view.routing?.version, 4)
+})
+
+test('should follow control hosts that it is told of, besides the seeds', async t => {
+  const world = new World()
+  const told = await world.control('10.0.0.2', { update: { endpoints: [endpoint('e1')] } })
+  const seed = await world.control('10.0.0.1', { controlAddresses: ['10.0.0.1:1', told.address] })
+  world.follow([seed.address])
+  await world.clock.advance(1_500)
+  t.true(told.requests.length > 0)
+  t.deepEqual(world.view.ready().map(({ endpointId }) => endpointId), ['e1'])
+})
+
+test('should replace a connection over which nothing is answered, and keep what it knows', async t => {
+  const world = new World()
+  const control = await world.control('10.0.0.1', { isRoutingConfirmed: true, update: { routing: routing(3), endpoints: [endpoint('e1')] } })
+  world.follow([control.address])
+  await world.clock.advance(1_000)
+  world.network.cut('10.0.0.9', '10.0.0.1')
+  await world.clock.advance(3_000)
+  t.is(world.view.routing?.version, 3)
+  t.is(world.view.ready().length, 1)
+  const requestsCount = control.requests.length
+  world.network.heal()
+  await world.clock.advance(3_000)
+  t.true(control.requests.length > requestsCount)
+  t.true(control.peers.length > 1)
+})
