--- a/src/entry/http/requestBody.ts
+++ b/src/entry/http/requestBody.ts
@@ -20,10 +20,13 @@
   return { kind: 'read', body: collected.value }
 }
 
-/** The body as JSON, or undefined if it is none. */
+/** Replaces nothing: a prompt with bytes put in by the decoder is one that its caller never sent. */
+const utf8 = new TextDecoder('utf-8', { fatal: true })
+
+/** The body as JSON, or undefined if it is none, or no UTF-8. */
 export function parseJson (body: Buffer): unknown {
   try {
-    return JSON.parse(body.toString('utf8'))
+    return JSON.parse(utf8.decode(body))
   } catch {
     return undefined
   }
--- /dev/null
+++ b/tests/batches/batchStateFuzz.test.ts
@@ -0,0 +1,125 @@
+/**
+ * Random commands against the state of the batch store and a plain oracle:
+ * a list of results never changes or loses anything, and a replica that came
+ * up from a snapshot is the same as one that applied everything.
+ */
+import test from 'ava'
+import fc from 'fast-check'
+import { BatchState } from '../../src/batches/batchState.js'
+import { textOf, toPart } from '../../src/batches/outputParts.js'
+import { BatchCommandKind, ResultState, type BatchCommand } from '../../src/protocol/batches.js'
+import { submission } from '../fixtures/fleet/batchFixtures.js'
+
+const RUNS_COUNT = 600
+const KEEP_MS = 1_000_000
+const ITEM_IDS = ['i0', 'i1', 'i2', 'i3']
+
+type Step =
+  | { kind: 'submit', batch: number, items: number[] }
+  | { kind: 'progress', batch: number, item: number, afterEventId: number, count: number }
+  | { kind: 'finish', batch: number, item: number, afterEventId: number, count: number }
+  | { kind: 'end', batch: number }
+  | { kind: 'restart' }
+
+const batch = fc.nat({ max: 2 })
+const item = fc.nat({ max: ITEM_IDS.length - 1 })
+const afterEventId = fc.nat({ max: 6 })
+const count = fc.integer({ min: 1, max: 3 })
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('submit' as const), batch, items: fc.uniqueArray(item, { minLength: 1 }) }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('progress' as const), batch, item, afterEventId, count }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('finish' as const), batch, item, afterEventId, count }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('end' as const), batch }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('restart' as const) }) }
+)
+
+function batchIdOf (number: number): string {
+  return `b${number}`
+}
+
+function itemIdOf (number: number): string {
+  return ITEM_IDS[number] ?? ''
+}
+
+/** Data of an event says which item and place it belongs to. */
+function dataOf (itemId: string, from: number, eventsCount: number): string[] {
+  return Array.from({ length: eventsCount }, (_value, position) => `${itemId}.${from + position + 1}`)
+}
+
+function commandOf (taken: Exclude<Step, { kind: 'restart' }>): BatchCommand {
+  const batchId = batchIdOf(taken.batch)
+  switch (taken.kind) {
+    case 'submit':
+      return { kind: BatchCommandKind.Submit, submission: submission(batchId, taken.items.map(itemIdOf)), keepMs: KEEP_MS }
+    case 'end':
+      return { kind: BatchCommandKind.End, batchId }
+    case 'progress': {
+      const itemId = itemIdOf(taken.item)
+      return { kind: BatchCommandKind.Progress, batchId, itemId, afterEventId: taken.afterEventId, parts: [toPart(dataOf(itemId, taken.afterEventId, taken.count), [1])] }
+    }
+    case 'finish': {
+      const itemId = itemIdOf(taken.item)
+      const parts = [toPart(dataOf(itemId, taken.afterEventId, taken.count), [1])]
+      return { kind: BatchCommandKind.Finish, batchId, afterEventId: taken.afterEventId, result: { itemId, state: ResultState.Completed, parts, versions: [1], score: 's' } }
+    }
+  }
+}
+
+function restarted (state: BatchState): BatchState {
+  const copy = new BatchState()
+  copy.restore(structuredClone(state.snapshot()))
+  return copy
+}
+
+/** Lists of results as their readers have seen them. */
+class Readers {
+  private readonly _seen = new Map<string, string[]>()
+
+  /** What contradicts an earlier read. */
+  read (state: BatchState): string | undefined {
+    for (const batchId of [0, 1, 2].map(batchIdOf)) {
+      const list = (state.get(batchId)?.results ?? []).map(({ itemId, parts }) => `${itemId}=${textOf(parts)}`)
+      const seen = this._seen.get(batchId) ?? []
+      if (seen.some((entry, position) => list[position] !== entry)) return `${batchId}: ${seen.join(' ')} became ${list.join(' ')}`
+      this._seen.set(batchId, list)
+    }
+    return undefined
+  }
+
+  lists (): string[][] {
+    return [...this._seen.values()]
+  }
+}
+
+test('should never change or lose what was listed, nor list an item twice or with a gap in its text', t => {
+  fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+    let state = new BatchState()
+    const whole = new BatchState()
+    const readers = new Readers()
+    for (const [position, taken] of steps.entries()) {
+      if (taken.kind === 'restart') {
+        state = restarted(state)
+      } else {
+        const context = { index: position + 1, atMs: position }
+        const outcomes = [state, whole].map(replica => replica.apply(commandOf(taken), context))
+        if (JSON.stringify(outcomes[0]) !== JSON.stringify(outcomes[1])) throw new Error(`replicas disagree: ${JSON.stringify(outcomes)}`)
+      }
+      const contradiction = readers.read(state)
+      if (contradiction !== undefined) throw new Error(contradiction)
+    }
+    for (const list of readers.lists()) {
+      const ids = list.map(entry => entry.split('=')[0])
+      if (new Set(ids).size !== ids.length) throw new Error(`twice in ${list.join(' ')}`)
+      for (const entry of list) assertWhole(entry)
+    }
+  }), { numRuns: RUNS_COUNT, seed: 20_261_202 })
+  t.pass()
+})
+
+function assertWhole (entry: string): void {
+  const [itemId = '', text = ''] = entry.split('=')
+  const events = text.split('\n')
+  const expected = dataOf(itemId, 0, events.length)
+  if (events.some((event, position) => event !== expected[position])) throw new Error(`a gap in ${entry}`)
+}
--- a/tests/entry/completions.test.ts
+++ b/tests/entry/completions.test.ts
@@ -66,6 +66,22 @@
   t.deepEqual(fatal, [])
 })
 
+test('should refuse a body with bytes that are no UTF-8, and run nothing', async t => {
+  let runsCount = 0
+  const counting: Handler = async (request, response, body) => {
+    runsCount++
+    await answers(WORDS)(request, response, body)
+  }
+  await withEngines([counting], async host => {
+    const text = JSON.stringify({ model: 'practice-lm', prompt: 'drum?', max_tokens: 8 })
+    const body = Buffer.from(text)
+    body[text.indexOf('?')] = 0xff
+    const answer = await request(`${host.url}/v1/completions`, { method: 'POST', headers: { 'content-type': 'application/json' }, body })
+    t.is(answer.statusCode, 400)
+    t.is(runsCount, 0)
+  })
+})
+
 test('should put chunks that come out of order and twice together once', async t => {
   const shuffled: Handler = (_request, response, body) => {
     const { request_id: id = '' } = completionOf(body)
