Make the runs of the state's fuzz long enough to list an item twice

Cause: the library's default size kept runs to about ten steps; with the check against listing twice taken out of the state the fuzz still passed. Runs have 20 to 60 steps now, and both mutations (no check for listing twice, none for kept events) fail it.

--- a/tests/batches/batchStateFuzz.test.ts
+++ b/tests/batches/batchStateFuzz.test.ts
@@ -93,7 +93,7 @@
 }
 
 test('should never change or lose what was listed, nor list an item twice or with a gap in its text', t => {
-  fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+  fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 60, size: 'max' }), steps => {
     let state = new BatchState()
     const whole = new BatchState()
     const readers = new Readers()
