--- a/bench/bounds.ts
+++ b/bench/bounds.ts
@@ -44,6 +44,11 @@
   return asked.map(bound => checkBound(bound, results.find(result => result.name === bound.name)))
 }
 
+/** Areas of which a check could not fail. */
+export function unboundedAreas (bounds: readonly Bound[], areas: readonly string[]): string[] {
+  return areas.filter(area => !bounds.some(bound => bound.name.startsWith(`${area}.`)))
+}
+
 export function passes (verdict: BoundVerdict): boolean {
   return verdict.kind === 'within'
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,7 +8,7 @@
 import Table from 'cli-table3'
 import { areas } from './areas.js'
 import type { BenchOptions, BenchResult } from './benchResult.js'
-import { checkBounds, describeVerdict, passes, readBounds } from './bounds.js'
+import { BOUNDS_PATH, checkBounds, describeVerdict, passes, readBounds, unboundedAreas } from './bounds.js'
 
 const DEFAULT_SEED = 1
 const EXIT_REGRESSION = 1
@@ -30,7 +30,13 @@
 }
 
 function checkAll (results: readonly BenchResult[], names: readonly string[]): number {
-  const verdicts = checkBounds(readBounds(), results, names)
+  const bounds = readBounds()
+  const unbounded = unboundedAreas(bounds, names)
+  if (unbounded.length > 0) {
+    process.stderr.write(`no bound for ${unbounded.join(', ')} in ${BOUNDS_PATH}: a check of it cannot fail\n`)
+    return EXIT_USAGE
+  }
+  const verdicts = checkBounds(bounds, results, names)
   for (const verdict of verdicts) process.stdout.write(`${describeVerdict(verdict)}\n`)
   const failedCount = verdicts.filter(verdict => !passes(verdict)).length
   process.stdout.write(`${verdicts.length - failedCount} bounds held, ${failedCount} broken\n`)
--- a/tests/figures/bounds.test.ts
+++ b/tests/figures/bounds.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import type { BenchResult } from '../../bench/benchResult.js'
 import { areas } from '../../bench/areas.js'
-import { checkBounds, describeVerdict, passes, readBounds, type Bound } from '../../bench/bounds.js'
+import { checkBounds, describeVerdict, passes, readBounds, unboundedAreas, type Bound } from '../../bench/bounds.js'
 
 const bound: Bound = { name: 'transport.bytes', max: 100, reading: 90, commit: '0123abc' }
 
@@ -33,3 +33,11 @@
   t.true(bounds.length > 0)
   for (const { name } of bounds) t.true((name.split('.')[0] ?? '') in areas, name)
 })
+
+test('should name the areas of which a check could not fail', t => {
+  t.deepEqual(unboundedAreas([bound], ['transport', 'rollouts']), ['rollouts'])
+})
+
+test('should bound the rollouts', t => {
+  t.deepEqual(unboundedAreas(readBounds(), ['rollouts']), [])
+})
