--- a/src/batches/batchEvents.ts
+++ b/src/batches/batchEvents.ts
@@ -1,31 +1,31 @@
 /**
- * Log events of the batch store: 3000 to 3099.
+ * Log events of the batch store: 3200 to 3299.
  */
 import { LogLevel, type EventCatalogue } from '../utils/logger.js'
 
 export enum BatchEvent {
-  Started = 3000,
-  Stopping = 3001,
-  BrokenInvariant = 3002,
-  StoreAdopted = 3010,
-  StoreJoinAsked = 3011,
-  BatchAccepted = 3020,
-  BatchRefused = 3021,
-  BatchEnded = 3022,
-  ItemStarted = 3030,
-  ItemBroken = 3031,
-  ItemFinished = 3032,
-  ItemScored = 3033,
-  ItemListed = 3034,
-  ItemGivenUp = 3035,
-  ItemReused = 3036,
-  ItemMoved = 3037,
-  ProgressNotKept = 3038,
-  DispatchBegun = 3040,
-  DispatchEnded = 3041,
-  OrderGiven = 3050,
-  OrderSettled = 3051,
-  HostRetired = 3060
+  Started = 3200,
+  Stopping = 3201,
+  BrokenInvariant = 3202,
+  StoreAdopted = 3210,
+  StoreJoinAsked = 3211,
+  BatchAccepted = 3220,
+  BatchRefused = 3221,
+  BatchEnded = 3222,
+  ItemStarted = 3230,
+  ItemBroken = 3231,
+  ItemFinished = 3232,
+  ItemScored = 3233,
+  ItemListed = 3234,
+  ItemGivenUp = 3235,
+  ItemReused = 3236,
+  ItemMoved = 3237,
+  ProgressNotKept = 3238,
+  DispatchBegun = 3240,
+  DispatchEnded = 3241,
+  OrderGiven = 3250,
+  OrderSettled = 3251,
+  HostRetired = 3260
 }
 
 export const batchEventCatalogue: EventCatalogue = {
