--- a/tests/platform/endpointClient.test.ts
+++ b/tests/platform/endpointClient.test.ts
@@ -5,6 +5,7 @@
 import { systemClock } from '../../src/utils/clock.js'
 import { Scope } from '../../src/utils/scope.js'
 import { endpoint } from '../fixtures/fleet/fleetFixtures.js'
+import { until } from '../fixtures/until.js'
 import { rawEndpoint, wholeAnswer, type RawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
 
 const WAIT_MS = 20_000
@@ -110,7 +111,7 @@
   await withEndpoint(({ socket }) => { socket.on('close', () => onClosed()) }, async raw => {
     const scope = new Scope('caller')
     const outcome = call(raw.endpoint, 'a1', scope)
-    while (raw.requests.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
+    await until(() => raw.requests.length > 0)
     scope.close('the caller hung up')
     await t.throwsAsync(outcome)
     await closed
