Do not promise that a batch was refused once a call for it was lost

Cause: BatchClient.submit answered with whatever the last call to the store's leader said. When the first call was lost (its leader was cut off or died) it may still commit; a later "not committed" of another leader concerns only the second entry. The sender got 503, which promises that nothing runs.

Change: the first lost call, or one whose effect the leader could not tell, makes the outcome unknown unless a later call is accepted. A refusal alone is asked again elsewhere until the deadline instead of being passed on at once: a leader that was overtaken refuses what its successor takes. The replies of reads and ends go the same way.

Ruled out: giving the batch up at the first lost call; submitting twice takes a batch once, so asking again costs nothing.

--- a/src/batches/batchClient.ts
+++ b/src/batches/batchClient.ts
@@ -33,7 +33,12 @@
   reason: string
 }
 
-type Asked<Reply> = { kind: 'answered', reply: Exclude<Reply, NotLeader> } | { kind: 'unsent' } | { kind: 'lost', reason: string }
+type Asked<Reply> =
+  | { kind: 'answered', reply: Exclude<Reply, NotLeader> }
+  /** Nothing came of any call. */
+  | { kind: 'refused', reason: string }
+  /** A call was lost, or its effect is not known: it may still take effect. */
+  | { kind: 'lost', reason: string }
 
 export class BatchClient {
   private readonly _view: FleetView
@@ -54,8 +59,8 @@
     switch (asked.kind) {
       case 'answered':
         return asked.reply
-      case 'unsent':
-        return { kind: 'refused', reason: 'no leader of the batch store is known' }
+      case 'refused':
+        return { kind: 'refused', reason: asked.reason }
       case 'lost':
         return { kind: 'unknown', reason: asked.reason }
     }
@@ -96,20 +101,20 @@
     return outcome.body as Exclude<Reply, NotLeader>
   }
 
+  /** Asks the leader, and again wherever it may be, until a reply is final. */
   private async _ask<Request, Reply extends { kind: string }> (
     method: RpcMethod<Request, Reply>, body: Request, progress: Progress, tryTimeoutMs: number
   ): Promise<Asked<Reply>> {
-    let last: Asked<Reply> = { kind: 'unsent' }
+    let last: Asked<Reply> = { kind: 'refused', reason: 'no leader of the batch store is known' }
     while (!progress.isOver()) {
       const address = this._leaderAddress()
-      if (address !== undefined) {
-        const outcome = await this._askAt(address, method, body, progress.before(progress.clock.nowMs() + tryTimeoutMs))
-        if (outcome.kind === 'replied' && !isNotLeader(outcome.body)) {
-          if (outcome.body.kind !== 'unavailable') return { kind: 'answered', reply: outcome.body as Exclude<Reply, NotLeader> }
-        } else if (outcome.kind === 'lost') {
-          last = { kind: 'lost', reason: outcome.reason }
-        }
-      }
+      const outcome = address === undefined
+        ? undefined
+        : await this._askAt(address, method, body, progress.before(progress.clock.nowMs() + tryTimeoutMs))
+      const asked = outcome && meaningOf(outcome)
+      if (asked?.kind === 'answered') return asked
+      // Once a call was lost, no later refusal can promise that nothing runs.
+      if (asked && last.kind !== 'lost') last = asked
       await sleepUntil(progress.clock, progress.scope, Math.min(progress.deadlineMs, progress.clock.nowMs() + RETRY_PAUSE_MS))
     }
     return last
@@ -140,8 +145,25 @@
   }
 }
 
-function unavailableFor (asked: { kind: 'unsent' } | { kind: 'lost', reason: string }): Unavailable {
-  return { kind: 'unavailable', reason: asked.kind === 'lost' ? asked.reason : 'no leader of the batch store is known' }
+function unavailableFor ({ reason }: { reason: string }): Unavailable {
+  return { kind: 'unavailable', reason }
+}
+
+/** Undefined for what says nothing of the call: the host does not lead, or was not reached. */
+function meaningOf<Reply extends { kind: string }> (outcome: CallOutcome<Reply>): Asked<Reply> | undefined {
+  if (outcome.kind === 'lost') return outcome
+  if (outcome.kind === 'unserved' || isNotLeader(outcome.body)) return undefined
+  const reply = outcome.body as Exclude<Reply, NotLeader>
+  const reason = 'reason' in reply ? String(reply.reason) : reply.kind
+  switch (reply.kind) {
+    case 'refused':
+    case 'unavailable':
+      return { kind: 'refused', reason }
+    case 'unknown':
+      return { kind: 'lost', reason }
+    default:
+      return { kind: 'answered', reply }
+  }
 }
 
 function isNotLeader (reply: { kind: string }): reply is NotLeader {
