Hand leadership over on a planned stop; announce orders so that a successor need not wait

The others noticed after an election time-out of 0.6 to 1 s, and the new leader of the store then let no engine load for 3.3 s, because it could not know what its predecessor had ordered last. The last events of every run were made again.

Change: (1) Replica.handOver, the leadership transfer of Raft: no more proposals, a live voter holds the whole log, the lease is given up, that voter stands for election at once. Used by both control and store on SIGTERM; control finishes the calls from outside meanwhile. (2) The store's leader keeps the output of all runs before it hands over. (3) Each order to an engine is announced in the store's log before it is sent; a new leader waits out the lease at the engines that another host ordered lately, by its own clock, and orders all others at once.

Ruled out: telling the successor of orders in the handover message (lost when the leader dies instead); shorter election time-outs (hosts that turn slow would lose their leadership).

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -13,6 +13,7 @@
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
+import type { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { Supervisor } from '../utils/supervisor.js'
 import { BatchEvent } from './batchEvents.js'
@@ -58,6 +59,7 @@
   private readonly _tracked = new Map<string, TrackedBatch>()
   private readonly _keptOutputs = new Map<string, ItemOutput>()
   private readonly _seenItemIds = new Set<string>()
+  private readonly _runs = new Set<ItemRun>()
   private _waiting: Waiting[] = []
 
   constructor (parts: BatchDispatcherParts) {
@@ -89,6 +91,11 @@
     }
   }
 
+  /** Puts all output that only this host holds into the replicated state, for whoever leads next. */
+  async keepOutputs (progress: Progress): Promise<void> {
+    await progress.race(Promise.all([...this._runs].map(run => run.keepOutput(progress))))
+  }
+
   /** An engine has changed: somebody may get a turn. */
   enginesChanged (): void {
     this._giveTurns()
@@ -146,8 +153,12 @@
     const run = new ItemRun(parts, batch, item, dueAtMs, giveUpAtMs, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
     this._seenItemIds.add(item.itemId)
     const completed = this._completedResultOf(batch, item)
+    this._runs.add(run)
     supervisor.spawn(`item ${item.itemId}`, async scope => {
-      scope.onClose(() => this._keepOutput(run))
+      scope.onClose(() => {
+        this._runs.delete(run)
+        this._keepOutput(run)
+      })
       await run.run(scope, completed)
     })
   }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -89,8 +89,18 @@
 interface BatchStateSnapshot {
   batches: BatchFields[]
   unfinished: UnfinishedOutput[]
+  orders: AnnouncedOrder[]
 }
 
+/** The latest order to an engine that a leader announced. */
+interface AnnouncedOrder {
+  endpointId: string
+  holder: string
+}
+
+/** Engines whose latest order is remembered: many times those of any deployment. */
+const MAX_ORDERS_COUNT = 4_096
+
 /** What is kept of an item that is not listed yet; a later leader goes on behind it. */
 interface UnfinishedOutput {
   itemId: string
@@ -101,12 +111,22 @@
 /** Output that nobody finished for so long is forgotten. */
 const KEEP_UNFINISHED_MS = 30_000
 
+/** Told of every announcement that this replica learns of, in a snapshot too. */
+export type OrderListener = (endpointId: string, holder: string) => void
+
 export class BatchState implements ReplicatedState<BatchCommand, BatchCommandResult> {
   private readonly _batches = new Map<string, Batch>()
   /** Completed results by item, for items that return in a later batch. */
   private readonly _completed = new Map<string, CompletedItem>()
 
   private readonly _unfinished = new Map<string, UnfinishedOutput>()
+  /** Hosts by engine, the engine ordered last at the end. */
+  private readonly _orders = new Map<string, string>()
+  private readonly _onOrder: OrderListener
+
+  constructor (onOrder: OrderListener = () => {}) {
+    this._onOrder = onOrder
+  }
 
   get (batchId: string): Batch | undefined {
     return this._batches.get(batchId)
@@ -141,18 +161,26 @@
         return this._finish(command.batchId, command.afterEventId, command.result)
       case BatchCommandKind.End:
         return this._end(command.batchId)
+      case BatchCommandKind.AnnounceOrder:
+        return this._announce(command.endpointId, command.holder)
     }
   }
 
   snapshot (): BatchStateSnapshot {
-    return { batches: [...this._batches.values()].map(({ fields }) => fields), unfinished: [...this._unfinished.values()] }
+    return {
+      batches: [...this._batches.values()].map(({ fields }) => fields),
+      unfinished: [...this._unfinished.values()],
+      orders: [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder }))
+    }
   }
 
   restore (snapshot: unknown): void {
     this._batches.clear()
     this._completed.clear()
     this._unfinished.clear()
-    const { batches, unfinished } = snapshot as BatchStateSnapshot
+    this._orders.clear()
+    const { batches, unfinished, orders } = snapshot as BatchStateSnapshot
+    for (const { endpointId, holder } of orders) this._announce(endpointId, holder)
     for (const output of unfinished) this._unfinished.set(output.itemId, output)
     for (const fields of batches) {
       const batch = new Batch(fields)
@@ -198,6 +226,15 @@
     return { kind: 'ended' }
   }
 
+  private _announce (endpointId: string, holder: string): BatchCommandResult {
+    this._orders.delete(endpointId)
+    this._orders.set(endpointId, holder)
+    const [oldest] = this._orders.keys()
+    if (this._orders.size > MAX_ORDERS_COUNT && oldest !== undefined) this._orders.delete(oldest)
+    this._onOrder(endpointId, holder)
+    return { kind: 'announced' }
+  }
+
   private _remember (batch: Batch, result: ItemResult): void {
     if (result.state !== ResultState.Completed) return
     this._completed.set(result.itemId, { result, rewardId: batch.rewardIdOf(result.itemId) })
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -229,6 +229,12 @@
     }).finally(() => { this._keeping = undefined })
   }
 
+  /** Puts what the replicated state lacks of the output into it. */
+  async keepOutput (progress: Progress): Promise<void> {
+    if (this._keeping) await progress.race(this._keeping)
+    if (this.output.freshCount > 0) await this._keepFresh(progress.scope)
+  }
+
   private async _keepFresh (scope: Scope): Promise<void> {
     const { clock, replica } = this._parts
     const { output } = this
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -33,6 +33,7 @@
 import { BatchEvent } from './batchEvents.js'
 import { BatchService } from './batchService.js'
 import { BatchState } from './batchState.js'
+import { OrderHistory } from './orderHistory.js'
 import { StoreMembership } from './storeMembership.js'
 import { StoreRetirement } from './storeRetirement.js'
 import { WeightRollout } from './weightRollout.js'
@@ -68,18 +69,23 @@
 const snapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 24 * 1024 * 1024, keptEntriesCount: 256 }
 const READY_TIMEOUT_MS = 1_000
 const READY_PAUSE_MS = 20
+/** A handover takes a few messages and syncs; a host that cannot hand over stops all the same. */
+const HANDOVER_TIMEOUT_MS = 800
 
 export class StoreProgram {
   private readonly _parts: StoreProgramParts
   private readonly _scope = new Scope('store')
   private readonly _supervisor: Supervisor
   private readonly _transport = new TcpTransport()
-  private readonly _state = new BatchState()
+  private readonly _orders = new OrderHistory(systemClock)
+  private readonly _state = new BatchState((endpointId, holder) => this._orders.learn(endpointId, holder))
   private readonly _replica: Replica
   private readonly _view: FleetView
   private readonly _follower: FleetFollower
   private readonly _service: BatchService
   private readonly _commands: ControlCommands
+  /** While this host leads. */
+  private _dispatcher: BatchDispatcher | undefined
 
   private constructor (parts: StoreProgramParts, opened: OpenedReplica) {
     this._parts = parts
@@ -131,9 +137,12 @@
     return program
   }
 
-  /** Stops as planned; what was accepted is on disk already. */
+  /** Stops as planned: keeps what is under way and lets another host lead first. */
   async stop (): Promise<void> {
     this._parts.logger.event(BatchEvent.Stopping)
+    const progress = new Progress(systemClock, this._scope, systemClock.nowMs() + HANDOVER_TIMEOUT_MS)
+    await this._dispatcher?.keepOutputs(progress)
+    await this._replica.handOver(progress)
     await this._supervisor.stop('planned stop')
   }
 
@@ -198,6 +207,8 @@
     await this._untilCurrent(scope)
     this._follower.announceChange()
     const dispatcher = this._createDispatcher(supervisor)
+    this._dispatcher = dispatcher
+    scope.onClose(() => { this._dispatcher = undefined })
     const { settings, client, logger } = this._parts
     const rollout = new WeightRollout({
       clock: systemClock,
@@ -206,6 +217,8 @@
       view: this._view,
       dispatcher,
       leadership,
+      replica: this._replica,
+      orders: this._orders,
       supervisor,
       holder: settings.hostName,
       orderLeaseMs: settings.orderLeaseMs,
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -1,26 +1,33 @@
 /**
  * Brings engines to the versions of weights that trainers named. Only the
- * leader of the batch store gives orders, and only once every order of a
- * predecessor is older than the lease within which two hosts may not both
- * order. Each order names the count of orders that the engine had taken, so
- * that one which is carried out late, after newer ones, is void.
+ * leader of the batch store gives orders. It announces each in the replicated
+ * log first, and leaves an engine alone that another host ordered within the
+ * lease in which two hosts may not both order. Each order names the count of
+ * orders that the engine had taken, so that one which is carried out late,
+ * after newer ones, is void.
  */
 import { LoadMode, type EndpointClient, type EndpointReport, type OrderOutcome } from '../endpoints/endpointClient.js'
 import type { FleetView } from '../fleet/fleetView.js'
+import { BatchCommandKind } from '../protocol/batches.js'
 import type { Leadership } from '../replication/log/leadership.js'
+import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
+import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { Supervisor } from '../utils/supervisor.js'
 import { BatchEvent } from './batchEvents.js'
 import type { BatchDispatcher } from './batchDispatcher.js'
 import type { Engine } from './engineFleet.js'
+import type { OrderHistory } from './orderHistory.js'
 
-/** On top of the lease: an order of the predecessor may have been on its way when its leadership ended. */
-const LEASE_MARGIN_MS = 300
 const LOOK_INTERVAL_MS = 30
 const REPORT_TIMEOUT_MS = 400
 const ORDER_TIMEOUT_MS = 500
+/** An order is sent within this time of its announcement or not at all; a commit takes a few milliseconds. */
+const ANNOUNCED_FOR_MS = 300
+/** An order may reach its engine this much after its announcement, with some slack for clocks that run at different rates. */
+const LEASE_MARGIN_MS = ANNOUNCED_FOR_MS + ORDER_TIMEOUT_MS + 200
 /** A load takes about a second; the engine is asked from then on. */
 const FIRST_CHECK_MS = 900
 const CHECK_INTERVAL_MS = 150
@@ -38,6 +45,8 @@
   view: FleetView
   dispatcher: BatchDispatcher
   leadership: Leadership
+  replica: Replica
+  orders: OrderHistory
   supervisor: Supervisor
   /** This host, as engines are told. */
   holder: string
@@ -63,8 +72,7 @@
   }
 
   async run (scope: Scope): Promise<void> {
-    const { clock, orderLeaseMs } = this._parts
-    await sleepUntil(clock, scope, clock.nowMs() + orderLeaseMs + LEASE_MARGIN_MS)
+    const { clock } = this._parts
     for (;;) {
       this._startLoads()
       await sleepUntil(clock, scope, clock.nowMs() + LOOK_INTERVAL_MS)
@@ -76,7 +84,7 @@
     if (this._loadsCount >= maxLoadsCount) return
     for (const wanted of this._wantedLoads()) {
       if (this._loadsCount >= maxLoadsCount) return
-      if (wanted.engine.isLoading) continue
+      if (wanted.engine.isLoading || !this._mayOrder(wanted.engine)) continue
       wanted.engine.isLoading = true
       this._loadsCount++
       supervisor.spawn(`load on ${wanted.engine.id}`, async scope => {
@@ -90,6 +98,12 @@
     }
   }
 
+  /** Whether every order of another host to the engine is older than the lease. */
+  private _mayOrder (engine: Engine): boolean {
+    const { clock, orders, holder, orderLeaseMs } = this._parts
+    return clock.nowMs() >= orders.foreignOrderAtMs(engine.id, holder) + orderLeaseMs + LEASE_MARGIN_MS
+  }
+
   /** What engines lack, the most urgent first. */
   private _wantedLoads (): WantedLoad[] {
     const { view, dispatcher } = this._parts
@@ -153,13 +167,23 @@
 
   private async _order ({ engine, model, version, isNeeded }: WantedLoad, before: EndpointReport, scope: Scope): Promise<OrderOutcome | undefined> {
     const { clock, client, leadership, holder, logger } = this._parts
+    const sendBeforeMs = clock.nowMs() + ANNOUNCED_FOR_MS
+    const isAnnounced = await this._announce(engine, sendBeforeMs, scope)
     // Checked at the last moment: a host that was frozen may have a successor by now.
-    if (!leadership.holdsLease()) return undefined
+    if (!isAnnounced || clock.nowMs() > sendBeforeMs || !leadership.holdsLease()) return undefined
     const order = { model, version, mode: LoadMode.Retain, holder, fencingNumber: leadership.term, expectedOrdersCount: before.ordersCount }
     logger.event(BatchEvent.OrderGiven, { endpointId: engine.id, model, version, heldVersion: engine.version(model), isNeeded, ordersCount: before.ordersCount, term: leadership.term })
     return await client.orderLoad(engine.endpoint, order, clock.nowMs() + ORDER_TIMEOUT_MS, scope)
   }
 
+  /** True once every leader to come will know of the order. */
+  private async _announce (engine: Engine, deadlineMs: number, scope: Scope): Promise<boolean> {
+    const { clock, replica, holder } = this._parts
+    const command = { kind: BatchCommandKind.AnnounceOrder, endpointId: engine.id, holder }
+    const outcome = await replica.propose(command, new Progress(clock, scope, deadlineMs))
+    return outcome.kind === 'committed'
+  }
+
   private async _untilLoaded ({ engine, model, version }: WantedLoad, scope: Scope): Promise<boolean> {
     const { clock } = this._parts
     const giveUpAtMs = clock.nowMs() + LOAD_TIMEOUT_MS
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -64,6 +64,8 @@
 const DEFAULT_HEARTBEAT_MS = 1_200
 /** What a follower may wait for its first routing configuration to be confirmed. */
 const CONFIRM_TIMEOUT_MS = 350
+/** A handover takes a few messages and syncs; a host that cannot hand over stops all the same. */
+const HANDOVER_TIMEOUT_MS = 800
 
 export class ControlProgram {
   readonly transport = new TcpTransport()
@@ -126,9 +128,10 @@
     return program
   }
 
-  /** Stops as planned; what was accepted is on disk already. */
+  /** Stops as planned: lets another host lead first; what was accepted is on disk already. */
   async stop (): Promise<void> {
     this._parts.logger.event(ControlEvent.Stopping)
+    await this.handOver()
     for (const server of this._servers) {
       server.close()
       server.closeAllConnections()
@@ -136,6 +139,11 @@
     await this._supervisor.stop('planned stop')
   }
 
+  /** Lets another host lead, if this one does; calls that come meanwhile are passed on to it. */
+  async handOver (): Promise<void> {
+    await this.node.replica.handOver(new Progress(systemClock, this._scope, systemClock.nowMs() + HANDOVER_TIMEOUT_MS))
+  }
+
   /** Hosts to ask for the cluster from now on. */
   askAt (initialMembers: InitialMember[]): void {
     this._formationOptions.initialMembers = initialMembers
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -78,7 +78,8 @@
   Submit = 'batch.submit',
   Progress = 'batch.progress',
   Finish = 'batch.finish',
-  End = 'batch.end'
+  End = 'batch.end',
+  AnnounceOrder = 'batch.announceOrder'
 }
 
 export const batchCommandSchema = z.discriminatedUnion('kind', [
@@ -103,7 +104,14 @@
     afterEventId: z.int().min(0),
     result: itemResultSchema
   }),
-  z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string() })
+  z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string() }),
+  /** The leader is about to order an engine. */
+  z.object({
+    kind: z.literal(BatchCommandKind.AnnounceOrder),
+    endpointId: z.string(),
+    /** The host that gives the order, as the engine is told. */
+    holder: z.string()
+  })
 ])
 export type BatchCommand = z.infer<typeof batchCommandSchema>
 
@@ -118,4 +126,5 @@
   /** Other events are kept than the command follows on. */
   | { kind: 'mismatch' }
   | { kind: 'ended' }
+  | { kind: 'announced' }
   | { kind: 'unknownBatch' }
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -30,6 +30,8 @@
   /** Notified whenever a follower has answered. */
   readonly acknowledged = new Signal()
   wantedRound = 0
+  /** It ends as planned: no further entry is taken, so that a follower can hold all of them. */
+  isHandingOver = false
   private readonly _core: ReplicaCore
   private readonly _links: PeerLinks
   private readonly _supervisor: Supervisor
@@ -71,7 +73,7 @@
 
   /** True when neither an earlier change of members nor this term's first entry is open. */
   mayChangeMembers (): boolean {
-    return this._core.commitIndex >= this._firstIndex && this._core.commitIndex >= this._core.state.members.latestIndex
+    return !this.isHandingOver && this._core.commitIndex >= this._firstIndex && this._core.commitIndex >= this._core.state.members.latestIndex
   }
 
   /** Puts new members into the log; they count at once. */
--- a/src/replication/log/raftMethods.ts
+++ b/src/replication/log/raftMethods.ts
@@ -34,6 +34,8 @@
   ...address,
   /** Asks whether a vote would be given, and changes nothing. */
   isPreVote: z.boolean(),
+  /** The leader of the term before has given its lease up and asked for this election. */
+  isHandover: z.boolean(),
   lastIndex: z.int(),
   lastTerm: z.int()
 })
@@ -78,6 +80,15 @@
 ])
 export type HeartbeatReply = z.infer<typeof heartbeatReplySchema>
 
+/** Asks a follower to stand for election at once; its term is that of the leader that hands over. */
+export const campaignReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('campaigning') }),
+  /** It does not vote, or follows another term. */
+  z.object({ kind: z.literal('declined') }),
+  wrongReplica
+])
+export type CampaignReply = z.infer<typeof campaignReplySchema>
+
 export const snapshotRequestSchema = z.object({
   ...address,
   lastIndex: z.int(),
@@ -112,4 +123,5 @@
 export const voteMethod = rpcMethod('log.vote', voteRequestSchema, voteReplySchema)
 export const appendMethod = rpcMethod('log.append', appendRequestSchema, appendReplySchema)
 export const heartbeatMethod = rpcMethod('log.heartbeat', heartbeatRequestSchema, heartbeatReplySchema)
+export const campaignMethod = rpcMethod('log.campaign', addressSchema, campaignReplySchema)
 export const snapshotMethod = rpcMethod('log.snapshot', snapshotRequestSchema, snapshotReplySchema)
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -3,14 +3,14 @@
  * replicas, and offers proposing and reading to the rest of the program.
  */
 import { Encoder } from 'cbor-x'
-import { sleepUntil, type Clock } from '../../utils/clock.js'
+import type { Clock } from '../../utils/clock.js'
 import { ScopeClosedError } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
 import type { Metrics } from '../../utils/metrics.js'
 import { Progress } from '../../utils/progress.js'
 import type { RandomSource } from '../../utils/randomSource.js'
 import type { Scope } from '../../utils/scope.js'
-import type { Signal } from '../../utils/signal.js'
+import { Signal } from '../../utils/signal.js'
 import type { Supervisor } from '../../utils/supervisor.js'
 import type { Transport } from '../../transport/connection.js'
 import type { RpcHandlers } from '../../transport/rpcPeer.js'
@@ -18,6 +18,7 @@
 import type { OpenedReplica } from '../storage/replicaStorage.js'
 import { DurableWriter } from './durableWriter.js'
 import { Following } from './following.js'
+import { Handover } from './handover.js'
 import { Leadership } from './leadership.js'
 import { LogApplier, type ApplyObserver, type SnapshotPolicy } from './logApplier.js'
 import type { Member } from './members.js'
@@ -25,7 +26,7 @@
 import { PeerLinks } from './peerLinks.js'
 import { PersistentState } from './persistentState.js'
 import { Proposals, type ProposalOutcome } from './proposals.js'
-import { appendMethod, heartbeatMethod, snapshotMethod, voteMethod } from './raftMethods.js'
+import { appendMethod, campaignMethod, heartbeatMethod, snapshotMethod, voteMethod, type Addressed, type CampaignReply } from './raftMethods.js'
 import { ReplicaCore } from './replicaCore.js'
 import type { LogTimings } from './timings.js'
 import { Voting } from './voting.js'
@@ -72,6 +73,10 @@
   private readonly _encoder = new Encoder({ useRecords: false })
   private _leadership: Leadership | undefined
   private _membershipChanges: MembershipChanges | undefined
+  /** Notified when a leader hands over to this replica. */
+  private readonly _campaignAsked = new Signal()
+  /** Term of the leader that handed over. */
+  private _handedOverTerm: number | undefined
 
   constructor (parts: ReplicaParts) {
     const { clock, random, metrics, logger, timings, opened, supervisor } = parts
@@ -108,6 +113,7 @@
     handlers.on(appendMethod, request => this._following.onAppend(request))
     handlers.on(heartbeatMethod, request => this._following.onHeartbeat(request))
     handlers.on(snapshotMethod, request => this._following.onSnapshot(request))
+    handlers.on(campaignMethod, request => this._onCampaign(request))
   }
 
   start (): void {
@@ -120,6 +126,7 @@
   async propose (command: unknown, progress: Progress): Promise<ProposalOutcome> {
     const leadership = this.leadership
     if (!leadership) return { kind: 'notCommitted', reason: 'not the leader' }
+    if (leadership.isHandingOver) return { kind: 'notCommitted', reason: 'the leader hands over' }
     if (this._proposals.count >= MAX_PROPOSALS_COUNT) return { kind: 'notCommitted', reason: 'too many proposals wait' }
     // A copy of the encoder's buffer, which is shared.
     const index = leadership.propose(Uint8Array.from(this._encoder.encode(command)))
@@ -153,6 +160,12 @@
     await this._applier.whenApplied(index, this._scope)
   }
 
+  /** Ends this replica's leadership, if it leads, so that another one begins at once. */
+  async handOver (progress: Progress): Promise<void> {
+    const { leadership } = this
+    if (leadership) await new Handover(this.core, this.links, leadership).run(progress)
+  }
+
   join (newcomer: Omit<Member, 'role'>): MembershipOutcome {
     return this._activeChanges?.join(newcomer) ?? { kind: 'refused', reason: 'not the leader' }
   }
@@ -168,17 +181,27 @@
   private async _standForElections (scope: Scope): Promise<void> {
     for (;;) {
       await this._untilElectionIsDue(scope)
-      if (this.core.isVoter() && await this._voting.campaign()) await this._lead()
+      const isHandover = this._handedOverTerm === this.core.term
+      this._handedOverTerm = undefined
+      if (this.core.isVoter() && await this._voting.campaign(isHandover)) await this._lead()
     }
   }
 
-  /** Returns when nobody was heard from for a random election timeout. */
+  private async _onCampaign (request: Addressed): Promise<CampaignReply> {
+    if (!(await this.core.accepts(request))) return { kind: 'wrongReplica' }
+    if (request.term !== this.core.term || !this.core.isVoter() || this.leadership) return { kind: 'declined' }
+    this._handedOverTerm = request.term
+    this._campaignAsked.notify()
+    return { kind: 'campaigning' }
+  }
+
+  /** Returns when nobody was heard from for a random election timeout, or when a leader hands over. */
   private async _untilElectionIsDue (scope: Scope): Promise<void> {
     const { clock, random, timings } = this._parts
     const timeoutMs = random.int(timings.electionMinMs, timings.electionMaxMs)
     let dueAtMs = clock.nowMs() + timeoutMs
-    while (clock.nowMs() < dueAtMs) {
-      await sleepUntil(clock, scope, dueAtMs)
+    while (clock.nowMs() < dueAtMs && this._handedOverTerm === undefined) {
+      await this._campaignAsked.wait(scope, { clock, deadlineMs: dueAtMs })
       dueAtMs = Math.max(dueAtMs, this.core.quietSinceMs + timeoutMs)
     }
   }
--- a/src/replication/log/voting.ts
+++ b/src/replication/log/voting.ts
@@ -14,6 +14,14 @@
 import { voteMethod, type VoteReply, type VoteRequest } from './raftMethods.js'
 import { ReplicaRole, type ReplicaCore } from './replicaCore.js'
 
+enum BallotKind {
+  /** Whether a vote would be given. */
+  PreVote,
+  Vote,
+  /** A vote that followers of the leader which handed over may give too. */
+  Handover
+}
+
 export class Voting {
   private readonly _core: ReplicaCore
   private readonly _links: PeerLinks
@@ -29,7 +37,7 @@
   async onVote (request: VoteRequest): Promise<VoteReply> {
     const core = this._core
     if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
-    if (core.isBoundToLeader() || request.term < core.term) return { kind: 'refused', term: core.term }
+    if (this._isBound(request) || request.term < core.term) return { kind: 'refused', term: core.term }
     const isUpToDate = this._isUpToDate(request)
     if (request.isPreVote) {
       return isUpToDate && request.term > core.term ? { kind: 'granted' } : { kind: 'refused', term: core.term }
@@ -45,18 +53,28 @@
     return isGiven ? { kind: 'granted' } : { kind: 'refused', term: core.term }
   }
 
-  /** Tries to become leader of a new term; true when the votes are there. */
-  async campaign (): Promise<boolean> {
+  /** Whether the lease of a leader forbids a vote; one that hands over has given its own up. */
+  private _isBound ({ isHandover, term }: VoteRequest): boolean {
+    const core = this._core
+    const isReleased = isHandover && term === core.term + 1 && core.role !== ReplicaRole.Leader
+    return core.isBoundToLeader() && !isReleased
+  }
+
+  /**
+   * Tries to become leader of a new term; true when the votes are there.
+   * @param isHandover the present leader has given its lease up: nobody has to be asked first
+   */
+  async campaign (isHandover: boolean): Promise<boolean> {
     const core = this._core
     const term = core.term + 1
-    if (!(await this._collect(term, true))) return false
-    if (core.term + 1 !== term || core.isBoundToLeader()) return false
+    if (!isHandover && !(await this._collect(term, BallotKind.PreVote))) return false
+    if (core.term + 1 !== term || (core.isBoundToLeader() && !isHandover)) return false
     core.becomeCandidate()
     core.state.setHardState({ term, votedFor: core.replicaId })
     core.parts.logger.event(ReplicationEvent.ElectionBegun, { term })
     await core.settled(this._scope)
     if (!this._isCandidateOf(term)) return false
-    return await this._collect(term, false) && this._isCandidateOf(term)
+    return await this._collect(term, isHandover ? BallotKind.Handover : BallotKind.Vote) && this._isCandidateOf(term)
   }
 
   private _isCandidateOf (term: number): boolean {
@@ -69,7 +87,7 @@
   }
 
   /** Asks all voters at once; false as soon as the votes cannot suffice. */
-  private async _collect (term: number, isPreVote: boolean): Promise<boolean> {
+  private async _collect (term: number, kind: BallotKind): Promise<boolean> {
     const { clock, timings } = this._core.parts
     const voters = votersOf(this._core.members)
     const others = voters.filter(member => member.replicaId !== this._core.replicaId)
@@ -78,7 +96,7 @@
     const counted = new Signal()
     const ballot = { grantedCount: 1, openCount: others.length }
     for (const member of others) {
-      this._ask(member, term, isPreVote, progress).then(isGranted => {
+      this._ask(member, term, kind, progress).then(isGranted => {
         ballot.openCount--
         if (isGranted) ballot.grantedCount++
         counted.notify()
@@ -90,10 +108,11 @@
     return ballot.grantedCount >= neededCount
   }
 
-  private async _ask (member: Member, term: number, isPreVote: boolean, progress: Progress): Promise<boolean> {
+  private async _ask (member: Member, term: number, kind: BallotKind, progress: Progress): Promise<boolean> {
     const { lastIndex, lastTerm } = this._core.state.log
     const address = { clusterId: this._core.clusterId ?? '', fromReplicaId: this._core.replicaId, toReplicaId: member.replicaId, term }
-    const outcome = await this._links.to(member).call(voteMethod, { ...address, isPreVote, lastIndex, lastTerm }, progress)
+    const ballot = { isPreVote: kind === BallotKind.PreVote, isHandover: kind === BallotKind.Handover, lastIndex, lastTerm }
+    const outcome = await this._links.to(member).call(voteMethod, { ...address, ...ballot }, progress)
     return this._isGranted(outcome)
   }
 
--- a/tests/batches/dispatching.test.ts
+++ b/tests/batches/dispatching.test.ts
@@ -59,6 +59,21 @@
   world.close()
 })
 
+test('should go on behind the very last event after a planned change of leader', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 40, gapMs: 20, version: 1 })
+  await world.submit(submission('b1', ['i1', 'i2']))
+  await world.clock.advance(250)
+  await world.keepOutputs()
+  world.stopDispatching()
+  world.dispatch()
+  await world.untilListed('b1', 2)
+  const returned = world.endpoints.runs.slice(2).map(({ afterEventId }) => afterEventId)
+  t.deepEqual(returned, [12, 12])
+  for (const { parts } of world.state.get('b1')?.results ?? []) t.is(textOf(parts), events(40))
+  world.close()
+})
+
 test('should keep nothing of an engine whose weights are older than the batch allows', async t => {
   const world = await new StoreWorld({ engines: [engine('e1', 3), engine('e2', 3)] }).start()
   world.endpoints.onRun = () => ({ eventsCount: 3, gapMs: 10, version: world.endpoints.runs.length === 1 ? 1 : 3 })
--- a/tests/batches/weightRollout.test.ts
+++ b/tests/batches/weightRollout.test.ts
@@ -10,13 +10,50 @@
   return Array.from({ length: count }, (_value, position) => engine(`e${position}`, 1))
 }
 
-test('should give no order before every order of a predecessor is older than the lease', async t => {
+test('should leave an engine alone that another host ordered within the lease, and order the others at once', async t => {
   const world = await new StoreWorld({ engines: engines(2), orderLeaseMs: LEASE_MS }).start()
+  world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 2 }] })
+  await world.clock.advance(2_000)
+  const [first] = world.endpoints.orders
+  t.is(world.endpoints.orders.length, 1)
+  world.stopDispatching()
+  world.dispatch('h2')
+  const ledSinceMs = world.clock.nowMs()
+  world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 4 }] })
+  await world.clock.advance(8_000)
+  const [second, third] = world.endpoints.orders.slice(1)
+  t.not(second?.endpointId, first?.endpointId)
+  t.true((second?.atMs ?? 0) - ledSinceMs < 100, 'the engine that nobody ordered is ordered at once')
+  t.is(third?.endpointId, first?.endpointId)
+  t.true((third?.atMs ?? 0) - (first?.atMs ?? 0) >= LEASE_MS)
+  world.close()
+})
+
+test('should leave an engine alone whose order is known from a snapshot only', async t => {
+  const world = await new StoreWorld({ engines: engines(1), orderLeaseMs: LEASE_MS }).start()
+  world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 3 }] })
+  await world.clock.advance(2_000)
+  world.stopDispatching()
+  await world.clock.advance(10_000)
+  world.state.restore(world.state.snapshot())
+  world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 5 }] })
+  world.dispatch('h2')
   const ledSinceMs = world.clock.nowMs()
+  await world.clock.advance(8_000)
+  t.is(world.endpoints.orders.length, 2)
+  t.true((world.endpoints.orders[1]?.atMs ?? 0) >= ledSinceMs + LEASE_MS)
+  world.close()
+})
+
+test('should send no order whose announcement is not on the disks of a quorum in time', async t => {
+  const world = await new StoreWorld({ engines: engines(1), orderLeaseMs: LEASE_MS }).start()
+  world.disk.syncMs = 700
   world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 3 }] })
-  await world.clock.advance(6_000)
-  t.true(world.endpoints.orders.length > 0)
-  t.true(world.endpoints.orders.every(({ atMs }) => atMs >= ledSinceMs + LEASE_MS))
+  await world.clock.advance(10_000)
+  t.deepEqual(world.endpoints.orders, [])
+  world.disk.syncMs = 1
+  await world.clock.advance(2_000)
+  t.is(world.endpoints.orders.length, 1)
   world.close()
 })
 
