Count a process's start towards its election time-out; ask again soon when too few would vote

Of that, a restarted replica waited a whole election time-out from the moment when its replica was made, although nothing it answered can be younger than its process, which by then had run for 0.3 to 0.7 s; and one that asked for pre-votes while the others were still bound waited a whole time-out again.

Change: the last contact of a restarted replica is the start of its process. After a refused pre-vote, which changes nothing anywhere, it asks again after 80 to 240 ms; after a lost election as before.

Ruled out: shorter election time-outs (not needed for this, and hosts that turn slow would lose their leadership).

--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -22,7 +22,7 @@
 import { joinStoreMethod } from '../transport/batchMethods.js'
 import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { TcpTransport } from '../transport/tcpTransport.js'
-import { sleepUntil, systemClock } from '../utils/clock.js'
+import { PROCESS_STARTED_AT_MS, sleepUntil, systemClock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
 import type { Metrics } from '../utils/metrics.js'
 import { Progress } from '../utils/progress.js'
@@ -103,6 +103,7 @@
       opened,
       state: this._state as ReplicatedState<unknown, unknown>,
       snapshotPolicy,
+      startedAtMs: PROCESS_STARTED_AT_MS,
       strikeSilentAfterMs: settings.strikeSilentAfterMs
     })
     this._view = new FleetView(logger)
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -6,7 +6,7 @@
 import { followMethod } from '../transport/fleetMethods.js'
 import { TcpTransport } from '../transport/tcpTransport.js'
 import type { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
-import { systemClock } from '../utils/clock.js'
+import { PROCESS_STARTED_AT_MS, systemClock } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
 import { Progress } from '../utils/progress.js'
 import type { Logger } from '../utils/logger.js'
@@ -97,6 +97,7 @@
       opened,
       state: state as ReplicatedState<unknown, unknown>,
       snapshotPolicy: defaultSnapshotPolicy,
+      startedAtMs: PROCESS_STARTED_AT_MS,
       strikeSilentAfterMs: parts.fleet?.strikeSilentAfterMs
     })
     this.node = new ControlNode(replica, state, systemClock)
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -29,7 +29,7 @@
 import { appendMethod, campaignMethod, heartbeatMethod, snapshotMethod, voteMethod, type Addressed, type CampaignReply } from './raftMethods.js'
 import { ReplicaCore } from './replicaCore.js'
 import type { LogTimings } from './timings.js'
-import { Voting } from './voting.js'
+import { CampaignOutcome, Voting } from './voting.js'
 
 export interface ReplicaParts {
   clock: Clock
@@ -44,6 +44,8 @@
   state: ReplicatedState<unknown, unknown>
   snapshotPolicy: SnapshotPolicy
   observer?: ApplyObserver
+  /** Instant before which this process answered nobody; when absent, the making of the replica. */
+  startedAtMs?: number
   /** A voter that was silent for so long is struck, as long as enough others are left; never when absent. */
   strikeSilentAfterMs?: number | undefined
 }
@@ -86,7 +88,8 @@
     const state = new PersistentState(opened.loaded, writer)
     const snapshot = opened.loaded.snapshot
     if (snapshot) parts.state.restore(snapshot.state)
-    this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state }, snapshot?.lastIndex ?? 0)
+    const startedAtMs = parts.startedAtMs ?? clock.nowMs()
+    this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state, startedAtMs }, snapshot?.lastIndex ?? 0)
     this.links = new PeerLinks(parts.transport, this._scope, parts.onFatal)
     this._applier = new LogApplier(this.core, parts.state, this._proposals, parts.snapshotPolicy, parts.observer)
     this._following = new Following(this.core, this._applier, this._scope)
@@ -179,14 +182,23 @@
   }
 
   private async _standForElections (scope: Scope): Promise<void> {
+    let pauseMs = 0
     for (;;) {
-      await this._untilElectionIsDue(scope)
+      await this._untilElectionIsDue(scope, pauseMs)
       const isHandover = this._handedOverTerm === this.core.term
       this._handedOverTerm = undefined
-      if (this.core.isVoter() && await this._voting.campaign(isHandover)) await this._lead()
+      const outcome = this.core.isVoter() ? await this._voting.campaign(isHandover) : CampaignOutcome.NotWanted
+      if (outcome === CampaignOutcome.Won) await this._lead()
+      pauseMs = this._pauseAfter(outcome)
     }
   }
 
+  private _pauseAfter (outcome: CampaignOutcome): number {
+    const { random, timings } = this._parts
+    if (outcome === CampaignOutcome.NotWanted) return random.int(timings.preVoteRetryMinMs, timings.preVoteRetryMaxMs)
+    return random.int(timings.electionMinMs, timings.electionMaxMs)
+  }
+
   private async _onCampaign (request: Addressed): Promise<CampaignReply> {
     if (!(await this.core.accepts(request))) return { kind: 'wrongReplica' }
     if (request.term !== this.core.term || !this.core.isVoter() || this.leadership) return { kind: 'declined' }
@@ -195,14 +207,14 @@
     return { kind: 'campaigning' }
   }
 
-  /** Returns when nobody was heard from for a random election timeout, or when a leader hands over. */
-  private async _untilElectionIsDue (scope: Scope): Promise<void> {
+  /** Returns after a pause, when nobody was heard from for a random election timeout, or when a leader hands over. */
+  private async _untilElectionIsDue (scope: Scope, pauseMs: number): Promise<void> {
     const { clock, random, timings } = this._parts
     const timeoutMs = random.int(timings.electionMinMs, timings.electionMaxMs)
-    let dueAtMs = clock.nowMs() + timeoutMs
-    while (clock.nowMs() < dueAtMs && this._handedOverTerm === undefined) {
-      await this._campaignAsked.wait(scope, { clock, deadlineMs: dueAtMs })
-      dueAtMs = Math.max(dueAtMs, this.core.quietSinceMs + timeoutMs)
+    const pauseEndsAtMs = clock.nowMs() + pauseMs
+    const dueAtMs = (): number => Math.max(pauseEndsAtMs, this.core.quietSinceMs + timeoutMs)
+    while (clock.nowMs() < dueAtMs() && this._handedOverTerm === undefined) {
+      await this._campaignAsked.wait(scope, { clock, deadlineMs: dueAtMs() })
     }
   }
 
--- a/src/replication/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -31,6 +31,8 @@
   timings: LogTimings
   storage: ReplicaStorage
   state: PersistentState
+  /** Instant before which this process answered nobody. */
+  startedAtMs: number
 }
 
 export class ReplicaCore {
@@ -53,8 +55,9 @@
     this.state = parts.state
     this.commitIndex = commitIndex
     // After a restart it cannot know whom it heard from; it votes for nobody
-    // until any lease that its last answers gave has ended.
-    this._lastContactMs = parts.clock.nowMs()
+    // until any lease that its last answers gave has ended. They were given
+    // before this process began.
+    this._lastContactMs = parts.startedAtMs
   }
 
   get replicaId (): string {
--- a/src/replication/log/timings.ts
+++ b/src/replication/log/timings.ts
@@ -8,6 +8,9 @@
   /** A follower that heard from its leader within this time votes for nobody else. */
   electionMinMs: number
   electionMaxMs: number
+  /** Before a replica whom too few would vote for asks again; asking changes nothing at the others. */
+  preVoteRetryMinMs: number
+  preVoteRetryMaxMs: number
   /** The leader's lease, from the sending of a heartbeat that a quorum confirmed. */
   leaderLeaseMs: number
   /** A call that carries entries, with their sync at the other side. */
@@ -21,6 +24,8 @@
   heartbeatMs: 150,
   electionMinMs: 600,
   electionMaxMs: 1_000,
+  preVoteRetryMinMs: 80,
+  preVoteRetryMaxMs: 240,
   leaderLeaseMs: 450,
   callTimeoutMs: 1_000,
   retryPauseMs: 50,
--- a/src/replication/log/voting.ts
+++ b/src/replication/log/voting.ts
@@ -14,6 +14,13 @@
 import { voteMethod, type VoteReply, type VoteRequest } from './raftMethods.js'
 import { ReplicaRole, type ReplicaCore } from './replicaCore.js'
 
+export enum CampaignOutcome {
+  Won,
+  /** Too few would vote for this replica: nothing has changed anywhere. */
+  NotWanted,
+  Lost
+}
+
 enum BallotKind {
   /** Whether a vote would be given. */
   PreVote,
@@ -61,20 +68,20 @@
   }
 
   /**
-   * Tries to become leader of a new term; true when the votes are there.
+   * Tries to become leader of a new term.
    * @param isHandover the present leader has given its lease up: nobody has to be asked first
    */
-  async campaign (isHandover: boolean): Promise<boolean> {
+  async campaign (isHandover: boolean): Promise<CampaignOutcome> {
     const core = this._core
     const term = core.term + 1
-    if (!isHandover && !(await this._collect(term, BallotKind.PreVote))) return false
-    if (core.term + 1 !== term || (core.isBoundToLeader() && !isHandover)) return false
+    if (!isHandover && !(await this._collect(term, BallotKind.PreVote))) return CampaignOutcome.NotWanted
+    if (core.term + 1 !== term || (core.isBoundToLeader() && !isHandover)) return CampaignOutcome.NotWanted
     core.becomeCandidate()
     core.state.setHardState({ term, votedFor: core.replicaId })
     core.parts.logger.event(ReplicationEvent.ElectionBegun, { term })
     await core.settled(this._scope)
-    if (!this._isCandidateOf(term)) return false
-    return await this._collect(term, isHandover ? BallotKind.Handover : BallotKind.Vote) && this._isCandidateOf(term)
+    const isElected = this._isCandidateOf(term) && await this._collect(term, isHandover ? BallotKind.Handover : BallotKind.Vote)
+    return isElected && this._isCandidateOf(term) ? CampaignOutcome.Won : CampaignOutcome.Lost
   }
 
   private _isCandidateOf (term: number): boolean {
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -14,6 +14,9 @@
   callAt (deadlineMs: number, callback: () => void): () => void
 }
 
+/** The start of this process by the system clock, which counts from there. */
+export const PROCESS_STARTED_AT_MS = 0
+
 export const systemClock: Clock = {
   nowMs: () => performance.now(),
   wallMs: () => Date.now(),
