Leave a replica that does not answer reads, and wait for results in short pieces

Change: a read is held at a replica 300 ms at once and repeated until its caller's wait is over; a replica that does not answer within 300 ms more is left out for 2 s. The reply says whether the batch has ended, so that the repetition ends too.

--- a/src/batches/batchClient.ts
+++ b/src/batches/batchClient.ts
@@ -21,6 +21,12 @@
 const RETRY_PAUSE_MS = 50
 /** A leader that has not answered within this time may be cut off: look whether there is another. */
 const TRY_TIMEOUT_MS = 700
+/** A read takes two short hops and no disk; a replica that needs longer is down, cut off or behind. */
+const READ_TIMEOUT_MS = 300
+/** A read that waits for results is held at a replica no longer than this at once. */
+const MAX_HELD_MS = 300
+/** A replica that did not answer a read is left out this long: as long as control hosts need to notice that it is silent. */
+const SUSPICION_MS = 2_000
 
 /** Answered by replicas; resolved here and never passed on. */
 export interface NotLeader {
@@ -46,6 +52,8 @@
   private readonly _links: PeerLinks
   private _hint: string | undefined
   private _nextReplica = 0
+  /** Replicas close by that did not answer a read. */
+  private readonly _suspectUntilMs = new Map<string, number>()
 
   constructor (view: FleetView, dataCentre: string, transport: Transport, scope: Scope, onFatal: (error: unknown) => void) {
     this._view = view
@@ -66,13 +74,21 @@
     }
   }
 
+  /** Waits in short pieces, so that a replica which dies meanwhile is left for another one soon. */
   async readResults (batchId: string, fromPosition: number, waitMs: number, progress: Progress): Promise<Exclude<ReadResultsReply, NotLeader>> {
-    const request = { batchId, fromPosition, waitMs }
-    return await this._read<typeof request, ReadResultsReply>(readResultsMethod, request, progress, waitMs + TRY_TIMEOUT_MS)
+    const { clock } = progress
+    const waitUntilMs = clock.nowMs() + waitMs
+    for (;;) {
+      const pieceMs = Math.min(MAX_HELD_MS, Math.max(0, waitUntilMs - clock.nowMs()))
+      const request = { batchId, fromPosition, waitMs: pieceMs }
+      const reply = await this._read<typeof request, ReadResultsReply>(readResultsMethod, request, progress, pieceMs + READ_TIMEOUT_MS)
+      const mayWait = reply.kind === 'results' && reply.results.length === 0 && !reply.isEnded
+      if (!mayWait || clock.nowMs() >= waitUntilMs) return reply
+    }
   }
 
   async readItem (batchId: string, itemId: string, progress: Progress): Promise<Exclude<ReadItemReply, NotLeader>> {
-    return await this._read<{ batchId: string, itemId: string }, ReadItemReply>(readItemMethod, { batchId, itemId }, progress, TRY_TIMEOUT_MS)
+    return await this._read<{ batchId: string, itemId: string }, ReadItemReply>(readItemMethod, { batchId, itemId }, progress, READ_TIMEOUT_MS)
   }
 
   async end (batchId: string, progress: Progress): Promise<Exclude<EndBatchReply, NotLeader>> {
@@ -94,10 +110,15 @@
   private async _askNearby<Request, Reply extends { kind: string }> (
     method: RpcMethod<Request, Reply>, body: Request, progress: Progress, tryTimeoutMs: number
   ): Promise<Exclude<Reply, NotLeader> | undefined> {
-    const address = this._nearbyAddress()
+    const { clock } = progress
+    const address = this._nearbyAddress(clock.nowMs())
     if (address === undefined) return undefined
-    const outcome = await this._links.to({ peerAddress: address }).call(method, body, progress.before(progress.clock.nowMs() + tryTimeoutMs))
-    if (outcome.kind !== 'replied' || isNotLeader(outcome.body) || outcome.body.kind === 'unavailable') return undefined
+    const outcome = await this._links.to({ peerAddress: address }).call(method, body, progress.before(clock.nowMs() + tryTimeoutMs))
+    if (outcome.kind !== 'replied') {
+      this._suspectUntilMs.set(address, clock.nowMs() + SUSPICION_MS)
+      return undefined
+    }
+    if (isNotLeader(outcome.body) || outcome.body.kind === 'unavailable') return undefined
     return outcome.body as Exclude<Reply, NotLeader>
   }
 
@@ -130,9 +151,10 @@
   }
 
   /** A replica in this data centre, which answers reads without crossing to another one. */
-  private _nearbyAddress (): string | undefined {
+  private _nearbyAddress (nowMs: number): string | undefined {
     const nearby = this._view.hosts(HostRole.Store).filter(({ dataCentre, store }) => dataCentre === this._dataCentre && store?.clusterId !== null)
-    return nearby[0]?.store?.peerAddress
+    const addresses = nearby.flatMap(({ store }) => store?.peerAddress ?? [])
+    return addresses.find(address => nowMs >= (this._suspectUntilMs.get(address) ?? Number.NEGATIVE_INFINITY))
   }
 
   /** A replica that answered last, the leader that control hosts know, or any replica in turn. */
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -145,5 +145,5 @@
     if (results.length > 0 && lengthBytes > MAX_RESULT_BYTES) break
     results.push(result)
   }
-  return { kind: 'results', totalCount: batch.submission.items.length, nextPosition: fromPosition + results.length, results }
+  return { kind: 'results', totalCount: batch.submission.items.length, nextPosition: fromPosition + results.length, results, isEnded: batch.isEnded }
 }
--- a/src/transport/batchMethods.ts
+++ b/src/transport/batchMethods.ts
@@ -27,7 +27,9 @@
     kind: z.literal('results'),
     totalCount: z.int(),
     nextPosition: z.int(),
-    results: z.array(itemResultSchema)
+    results: z.array(itemResultSchema),
+    /** Nothing will be listed any more that a reader has to wait for. */
+    isEnded: z.boolean()
   }),
   unknownBatch,
   unavailable,
--- a/tests/batches/batchClient.test.ts
+++ b/tests/batches/batchClient.test.ts
@@ -51,3 +51,30 @@
   t.deepEqual(store.askedHosts, [])
   store.close()
 })
+
+test('should go on reading at the leader soon after a replica close by has died, and leave that one out for a while', async t => {
+  const store = new FakeStore()
+  const nearby = await store.addReader('10.0.0.1', 'north')
+  const leader = await store.addReader('10.0.0.2', 'south')
+  t.is((await store.read(1_000, 2_000)).kind, 'results')
+  t.is(leader.readsCount, 0)
+  nearby.isSilent = true
+  const first = await store.read(1_000, 2_000)
+  t.is(first.kind, 'results')
+  t.true(first.tookMs <= 1_300, `${first.tookMs} ms`)
+  const readsCount = nearby.readsCount
+  const second = await store.read(1_000, 2_000)
+  t.is(second.kind, 'results')
+  t.true(second.tookMs <= 1_020, `${second.tookMs} ms`)
+  t.is(nearby.readsCount, readsCount)
+  store.close()
+})
+
+test('should wait for results as long as its caller does, and no longer', async t => {
+  const store = new FakeStore()
+  await store.addReader('10.0.0.1', 'north')
+  const { kind, tookMs } = await store.read(1_000, 2_000)
+  t.is(kind, 'results')
+  t.true(tookMs >= 1_000 && tookMs <= 1_020, `${tookMs} ms`)
+  store.close()
+})
