Explain an id from collected log files; check the settings of a process of the fleet

Cause (the users' request): whoever is on call has files of logs and an id; explain asked running hosts only. check knew the settings of the project's own deployment.

'threaddrum check fleet-host' checks a filled template; the schema of these settings has no word of the platform and moves to src/fleet. A reader of the output that has seen enough ends it quietly.

--- a/importBoundaries.js
+++ b/importBoundaries.js
@@ -16,7 +16,7 @@
   batches: ['utils', 'protocol', 'transport', 'replication', 'fleet', 'endpoints', 'gateway'],
   cli: ['utils', 'protocol'],
   load: ['utils', 'protocol'],
-  bin: ['utils', 'protocol', 'transport', 'replication', 'control', 'controlClient', 'entry', 'cli', 'load']
+  bin: ['utils', 'protocol', 'transport', 'replication', 'control', 'controlClient', 'entry', 'fleet', 'cli', 'load']
 }
 
 /** The boundaries as zones of import-x/no-restricted-paths. */
--- a/src/cli/checkCommand.ts
+++ b/src/cli/checkCommand.ts
@@ -10,11 +10,13 @@
 export enum CheckedAs {
   Entry = 'entry',
   Control = 'control',
+  /** A process of the fleet: edge, control or store on the users' platform. */
+  FleetHost = 'fleet-host',
   Resources = 'resources'
 }
 
 /** Schemas of the programs' settings, handed in because this folder does not know the programs. */
-export type SettingsSchemas = Record<CheckedAs.Entry | CheckedAs.Control, z.ZodType>
+export type SettingsSchemas = Record<Exclude<CheckedAs, CheckedAs.Resources>, z.ZodType>
 
 export function runCheck (output: Output, schemas: SettingsSchemas, checkedAs: CheckedAs, files: string[]): ExitCode {
   let exitCode = ExitCode.Done
--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -13,6 +13,7 @@
 import { runDrainEndpoint, runDrainHost } from './drainCommand.js'
 import { ExitCode } from './exitCode.js'
 import { runExplain } from './explainCommand.js'
+import { explainFromLogs } from './logExplanation.js'
 import { runGet } from './getCommand.js'
 import { OperatorClient } from './operatorClient.js'
 import type { Output } from './output.js'
@@ -110,7 +111,10 @@
       ? await runStatus(context(parts, options))
       : await runJobStatus(context(parts, options), String(options.job), options.follow === true))
   cli.command('explain <id>', 'Say why a request or a sample went where it did')
-    .action(async (id: string, options: Options) => await runExplain(context(parts, options), id))
+    .option('--logs <files>', 'Look into these collected log files instead of asking the hosts, comma-separated')
+    .action(async (id: string, options: Options) => options.logs === undefined
+      ? await runExplain(context(parts, options), id)
+      : explainFromLogs({ id, files: String(options.logs).split(','), output: parts.output, asJson: options.json === true }))
 }
 
 function defineOperations (cli: CAC, parts: CommandLineParts): void {
--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -6,6 +6,12 @@
   error (line: string): void
 }
 
+// Whoever reads the output may have seen enough, as `head` does.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code !== 'EPIPE') throw error
+  process.exit()
+})
+
 export const processOutput: Output = {
   print: line => { process.stdout.write(`${line}\n`) },
   error: line => { process.stderr.write(`${line}\n`) }
--- a/platform/platformSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -1,17 +1,18 @@
 /**
- * Settings of a process on the users' platform, as the filled template
- * settings.toml has them, and what follows from them: the ports on which the
- * system's own processes reach each other are the same on all hosts.
+ * Settings of a process of the fleet, in TOML: where it runs, where it listens,
+ * the control hosts to begin with, and the bounds of the deployment. The ports
+ * on which the system's own processes reach each other are the same on all
+ * hosts, and follow from the first of a range.
  */
 import { z } from 'zod'
-import { addressSchema, parseAddress } from '../src/utils/settings.js'
+import { addressSchema, parseAddress } from '../utils/settings.js'
 
 /** The programs that run on the platform. */
 export type ProgramName = 'edge' | 'control' | 'store'
 
 const portSchema = z.int().min(1).max(65_535)
 
-export const platformSettingsSchema = z.strictObject({
+export const fleetHostSettingsSchema = z.strictObject({
   host: z.strictObject({
     name: z.string().min(1),
     ip: z.string().min(1),
@@ -49,7 +50,7 @@
     drainMs: z.number().positive().default(2_000)
   })
 })
-export type PlatformSettings = z.infer<typeof platformSettingsSchema>
+export type FleetHostSettings = z.infer<typeof fleetHostSettingsSchema>
 
 /** Which of the internal ports serves what. */
 enum InternalPort {
@@ -68,12 +69,12 @@
 }
 
 /** Where a program of this host serves its metrics. */
-export function metricsAddress ({ host, metricsPorts }: PlatformSettings, program: ProgramName): string {
+export function metricsAddress ({ host, metricsPorts }: FleetHostSettings, program: ProgramName): string {
   return `${host.ip}:${metricsPorts[program]}`
 }
 
 /** Internal addresses at a host. */
-export function internalAddresses (settings: PlatformSettings, ip: string): InternalAddresses {
+export function internalAddresses (settings: FleetHostSettings, ip: string): InternalAddresses {
   const [firstPort] = settings.cluster.internalPorts
   const at = (offset: InternalPort): string => `${ip}:${firstPort + offset}`
   return {
@@ -84,11 +85,11 @@
 }
 
 /** Where the seeds take calls of the system's own processes. */
-export function seedPeerAddresses (settings: PlatformSettings): string[] {
+export function seedPeerAddresses (settings: FleetHostSettings): string[] {
   return seedIps(settings).map(ip => internalAddresses(settings, ip).controlPeers)
 }
 
 /** IP numbers of the seeds. */
-export function seedIps (settings: PlatformSettings): string[] {
+export function seedIps (settings: FleetHostSettings): string[] {
   return settings.cluster.seedAddresses.map(address => parseAddress(address).host)
 }
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -46,7 +46,7 @@
   const exitCode = await runCommandLine(argv, {
     version: '0.0.0',
     output: { print: line => out.push(line), error: line => err.push(line) },
-    settingsSchemas: { entry: settingsSchema, control: settingsSchema },
+    settingsSchemas: { entry: settingsSchema, control: settingsSchema, 'fleet-host': settingsSchema },
     environment: { THREADDRUM_CONTROL: control?.address },
     clock
   })
--- /dev/null
+++ b/tests/cli/logExplanation.test.ts
@@ -0,0 +1,73 @@
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import test from 'ava'
+import { ExitCode } from '../../src/cli/exitCode.js'
+import { explainFromLogs } from '../../src/cli/logExplanation.js'
+
+const STARTED_AT_MS = 1_700_000_000_000
+
+function line (atMs: number, host: string, eventNumber: number, fields: Record<string, unknown>): string {
+  const context = { program: 'store', host, eventNumber, ...fields, logLevel: 30 }
+  return JSON.stringify({ context, message: `text of ${eventNumber}`, sequence: '1', time: STARTED_AT_MS + atMs, version: '2.0.0' })
+}
+
+const storeLog = [
+  line(-60_000, 'store-1', 1011, { term: 1 }),
+  line(0, 'store-1', 3230, { batchId: 'b1', itemId: 'i1', endpointId: 'e1' }),
+  line(900, 'store-2', 1011, { term: 2 }),
+  line(950, 'store-2', 3230, { batchId: 'b1', itemId: 'i1', endpointId: 'e2' }),
+  line(960, 'store-2', 3230, { batchId: 'b1', itemId: 'other', endpointId: 'e2' }),
+  line(1_000, 'store-2', 1105, { endpointId: 'e2' }),
+  line(1_001, 'store-2', 1105, { endpointId: 'e9' }),
+  line(1_500, 'store-2', 3233, { batchId: 'b1', itemId: 'i1', rewardId: 'r1', status: 500 }),
+  line(1_600, 'store-2', 3235, { batchId: 'b1', itemId: 'i1' }),
+  line(9_000, 'store-1', 1011, { term: 3 })
+]
+const collected = storeLog.map(text => `   1.234 store-1 ${text}`)
+
+function explain (id: string, logs: string[][], asJson = false): { exitCode: ExitCode, out: string[], err: string[] } {
+  const folder = mkdtempSync(join(tmpdir(), 'threaddrum-logs-'))
+  const files = logs.map((lines, position) => {
+    const file = join(folder, `${position}.log`)
+    writeFileSync(file, lines.join('\n'))
+    return file
+  })
+  const out: string[] = []
+  const err: string[] = []
+  const exitCode = explainFromLogs({ id, files, output: { print: text => out.push(text), error: text => err.push(text) }, asJson })
+  return { exitCode, out, err }
+}
+
+test('should tell what became of an item, in order, with the leaders and engines that changed meanwhile', t => {
+  const { exitCode, out } = explain('i1', [collected.toReversed()])
+  t.is(exitCode, ExitCode.Done)
+  t.deepEqual(out.map(text => text.trim().split(/\s+/).slice(0, 5).join(' ')), [
+    '0.000 * store-1 store 3230', '0.900 store-2 store 1011 text', '0.950 * store-2 store 3230',
+    '1.000 store-2 store 1105 text', '1.500 * store-2 store 3233', '1.600 * store-2 store 3235'
+  ])
+})
+
+test('should follow an item to its reward call in the log of another process', t => {
+  const gateway = [line(1_400, 'store-2', 2602, { attemptId: 'r1', endpointId: 'e7', reason: 'endpoint_error' })]
+  const { out } = explain('i1', [storeLog, gateway])
+  t.true(out.some(text => /^ +1\.400 \+ store-2 store 2602 .*endpointId=e7 reason=endpoint_error$/.test(text)))
+})
+
+test('should pass over lines that were cut off, and lines of something else', t => {
+  const { exitCode } = explain('i1', [[...storeLog, storeLog[1]?.slice(0, 60) ?? '', 'something else', '']])
+  t.is(exitCode, ExitCode.Done)
+})
+
+test('should say that no line names an id', t => {
+  const { exitCode, err } = explain('unheard-of', [storeLog])
+  t.is(exitCode, ExitCode.NotFound)
+  t.regex(err.join(), /none of 10 lines in 1 files names "unheard-of"/)
+})
+
+test('should print JSON for scripts', t => {
+  const { out } = explain('i1', [storeLog], true)
+  const shown = JSON.parse(out.join('\n')) as Array<{ eventNumber: number, relation: string }>
+  t.is(shown.length, 6)
+  t.is(shown[0]?.relation, 'own')
+})
--- a/tests/examples/examples.test.ts
+++ b/tests/examples/examples.test.ts
@@ -1,7 +1,9 @@
+import { readFileSync } from 'node:fs'
 import test from 'ava'
 import { readResourceFile } from '../../src/cli/resourceFile.js'
 import { controlSettingsSchema } from '../../src/control/controlSettings.js'
 import { defaultLimits, entrySettingsSchema } from '../../src/entry/entrySettings.js'
+import { fleetHostSettingsSchema } from '../../src/fleet/fleetHostSettings.js'
 import { ResourceKind } from '../../src/protocol/resources.js'
 import { readSettings } from '../../src/utils/settings.js'
 
@@ -14,9 +16,18 @@
 test('should ship annotated settings that are valid', t => {
   t.notThrows(() => readSettings('examples/entry.toml', entrySettingsSchema))
   t.notThrows(() => readSettings('examples/control.toml', controlSettingsSchema))
+  t.notThrows(() => readSettings('examples/fleet-host.toml', fleetHostSettingsSchema))
 })
 
 test('should ship settings whose limits are the defaults, as they say', t => {
   const { limits } = readSettings('examples/entry.toml', entrySettingsSchema)
   t.deepEqual(limits, defaultLimits)
 })
+
+test('should fill the same sections and keys from the template as the example has', t => {
+  const keysOf = (path: string): string[] => {
+    const lines = readFileSync(path, 'utf8').split('\n').map(line => line.replace(/^\{\{#[^}]+\}\}/, ''))
+    return lines.flatMap(line => /^(\[\w+\]|\w+ =)/.exec(line)?.[0] ?? [])
+  }
+  t.deepEqual(keysOf('platform/settings.toml'), keysOf('examples/fleet-host.toml'))
+})
--- a/tests/platform/boundaries.test.ts
+++ b/tests/platform/boundaries.test.ts
@@ -2,7 +2,7 @@
 import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { WireHeader } from '../../platform/wireNames.js'
-import { platformSettingsSchema } from '../../platform/platformSettings.js'
+import { fleetHostSettingsSchema } from '../../src/fleet/fleetHostSettings.js'
 import { SettingsError } from '../../src/utils/errors.js'
 import { checkSettings } from '../../src/utils/settings.js'
 
@@ -51,7 +51,7 @@
 `
 
 test('should take settings that leave bounds out, with their defaults', t => {
-  const checked = checkSettings('settings.toml', settings, platformSettingsSchema)
+  const checked = checkSettings('settings.toml', settings, fleetHostSettingsSchema)
   t.is(checked.bounds.orderLeaseMs, 3_000)
   t.is(checked.host.dataFolder, undefined)
 })
@@ -66,7 +66,7 @@
 
 for (const [what, from, to, message] of mistakes) {
   test(`should name the file, the key and the value of ${what} that is wrong`, t => {
-    const error = t.throws(() => checkSettings('settings.toml', settings.replace(from, to), platformSettingsSchema), { instanceOf: SettingsError })
+    const error = t.throws(() => checkSettings('settings.toml', settings.replace(from, to), fleetHostSettingsSchema), { instanceOf: SettingsError })
     t.regex(error?.message ?? '', message)
   })
 }
