Go on leading when a handover finds no successor

Change: the leadership takes proposals again when no successor was found.

Test: handover, 'should go on leading when nobody could take over and the process goes on'; fails with the change taken out of a copy.

--- a/src/replication/log/handover.ts
+++ b/src/replication/log/handover.ts
@@ -30,6 +30,8 @@
     this._leadership.isHandingOver = true
     const successor = await this._untilOneIsWhole(progress)
     if (!successor) {
+      // Nobody else can lead: going on is better than nobody leading.
+      this._leadership.isHandingOver = false
       logger.event(ReplicationEvent.HandoverFailed, { term: this._leadership.term, reason: 'no other voter holds the whole log' })
       return
     }
--- a/tests/control/handover.test.ts
+++ b/tests/control/handover.test.ts
@@ -84,3 +84,15 @@
   await cluster.until(() => otherLeader(cluster, leader) !== undefined, 'another one leads', 5_000)
   t.deepEqual(cluster.violations, [])
 })
+
+test('should go on leading when nobody could take over and the process goes on', async t => {
+  const { cluster, leader } = await startedCluster(6)
+  for (const host of cluster.hosts) if (host !== leader) cluster.network.cut(leader.ip, host.ip)
+  leader.running?.replica.propose({}, progressOf(cluster)).catch(() => {})
+  await cluster.clock.advanceUntil(leader.running?.replica.handOver(progressOf(cluster, SOON_MS)) ?? Promise.resolve())
+  t.truthy(leader.running?.replica.leadership)
+  cluster.network.heal()
+  const next = await cluster.untilLeader()
+  const outcome = next.running?.replica.propose({}, progressOf(cluster))
+  t.is((await cluster.clock.advanceUntil(outcome ?? Promise.resolve({ kind: 'none' }))).kind, 'committed')
+})
