--- a/src/replication/log/timings.ts
+++ b/src/replication/log/timings.ts
@@ -20,13 +20,14 @@
   commitNoticeMs: number
 }
 
+/** Hosts of one region: a call takes a few milliseconds, a sync one or two; a stall of the processor up to 200 ms was seen. */
 export const defaultTimings: LogTimings = {
-  heartbeatMs: 150,
-  electionMinMs: 600,
-  electionMaxMs: 1_000,
+  heartbeatMs: 100,
+  electionMinMs: 400,
+  electionMaxMs: 700,
   preVoteRetryMinMs: 80,
   preVoteRetryMaxMs: 240,
-  leaderLeaseMs: 450,
+  leaderLeaseMs: 300,
   callTimeoutMs: 1_000,
   retryPauseMs: 50,
   commitNoticeMs: 20
