--- a/src/utils/logOutput.ts
+++ b/src/utils/logOutput.ts
@@ -8,7 +8,7 @@
 import { LogBudget, type LeftOutReason } from './logBudget.js'
 import { writeLogsTo } from './logger.js'
 
-/** A store host that leads writes about 250 lines a second on a busy day; see docs/OPERATIONS.md. */
+/** A store host that leads wrote 415 lines in the busiest second of a day of high load; see docs/OPERATIONS.md. */
 const LINES_PER_SECOND = 500
 /** What comes at once after a start or a change of leader. */
 const BURST_COUNT = 2_000
