Let a host that leads again wait until its earlier orders have arrived; fuzz the orders

Only another host's orders had been waited out.

Change: an order that was announced before the present leadership is waited out: a lease and a second for another host's, a second for the own. The wait for the state to be current moves to the replica, so that the fuzz uses the same.

--- a/src/batches/orderHistory.ts
+++ b/src/batches/orderHistory.ts
@@ -6,15 +6,15 @@
  */
 import type { Clock } from '../utils/clock.js'
 
-interface Announced {
+export interface AnnouncedOrder {
   holder: string
-  /** No earlier than the announcement itself. */
+  /** When this replica learned of it: no earlier than the announcement itself. */
   learnedAtMs: number
 }
 
 export class OrderHistory {
   private readonly _clock: Clock
-  private readonly _announced = new Map<string, Announced>()
+  private readonly _announced = new Map<string, AnnouncedOrder>()
 
   constructor (clock: Clock) {
     this._clock = clock
@@ -25,9 +25,8 @@
     this._announced.set(endpointId, { holder, learnedAtMs: this._clock.nowMs() })
   }
 
-  /** When the latest order to an engine was announced, if it was another host's. */
-  foreignOrderAtMs (endpointId: string, holder: string): number {
-    const announced = this._announced.get(endpointId)
-    return announced && announced.holder !== holder ? announced.learnedAtMs : Number.NEGATIVE_INFINITY
+  /** The latest order to an engine that was announced. */
+  latest (endpointId: string): AnnouncedOrder | undefined {
+    return this._announced.get(endpointId)
   }
 }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -12,7 +12,7 @@
 import type { Leadership } from '../replication/log/leadership.js'
 import type { SnapshotPolicy } from '../replication/log/logApplier.js'
 import { votersOf } from '../replication/log/members.js'
-import { ReadMode, Replica } from '../replication/log/replica.js'
+import { Replica } from '../replication/log/replica.js'
 import { defaultTimings } from '../replication/log/timings.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { ReplicationEvent } from '../replication/replicationEvents.js'
@@ -22,7 +22,7 @@
 import { joinStoreMethod } from '../transport/batchMethods.js'
 import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { TcpTransport } from '../transport/tcpTransport.js'
-import { PROCESS_STARTED_AT_MS, sleepUntil, systemClock } from '../utils/clock.js'
+import { PROCESS_STARTED_AT_MS, systemClock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
 import type { Metrics } from '../utils/metrics.js'
 import { Progress } from '../utils/progress.js'
@@ -67,8 +67,6 @@
 
 /** Batches are a few hundred kilobytes each; a snapshot holds all that are kept. */
 const snapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 24 * 1024 * 1024, keptEntriesCount: 256 }
-const READY_TIMEOUT_MS = 1_000
-const READY_PAUSE_MS = 20
 /** A handover takes a few messages and syncs; a host that cannot hand over stops all the same. */
 const HANDOVER_TIMEOUT_MS = 800
 
@@ -205,7 +203,7 @@
   }
 
   private async _dispatch (leadership: Leadership, supervisor: Supervisor, scope: Scope): Promise<void> {
-    await this._untilCurrent(scope)
+    await this._replica.whenCurrent(scope)
     this._follower.announceChange()
     const dispatcher = this._createDispatcher(supervisor)
     this._dispatcher = dispatcher
@@ -240,16 +238,6 @@
     const forwarder = new RequestForwarder({ view, pool, client, random, logger, metrics })
     return new BatchDispatcher({ clock: systemClock, logger, metrics, client, forwarder, pool, view, replica: this._replica, state: this._state, supervisor })
   }
-
-  /** Waits until the state holds everything that earlier leaders committed. */
-  private async _untilCurrent (scope: Scope): Promise<void> {
-    for (;;) {
-      const progress = new Progress(systemClock, scope, systemClock.nowMs() + READY_TIMEOUT_MS)
-      const read = await this._replica.read(ReadMode.Quorum, progress)
-      if (read.kind === 'confirmed') return
-      await sleepUntil(systemClock, scope, systemClock.nowMs() + READY_PAUSE_MS)
-    }
-  }
 }
 
 function serveOver (connection: Connection, handlers: RpcHandlers, onFatal: (error: unknown) => void): RpcPeer {
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -29,7 +29,7 @@
 /** An order is sent within this time of its announcement or not at all; a commit takes a few milliseconds. */
 const ANNOUNCED_FOR_MS = 300
 /** An order may reach its engine this much after its announcement, with some slack for clocks that run at different rates. */
-const LEASE_MARGIN_MS = ANNOUNCED_FOR_MS + ORDER_TIMEOUT_MS + 200
+const UNDER_WAY_MS = ANNOUNCED_FOR_MS + ORDER_TIMEOUT_MS + 200
 /** A load takes about a second; the engine is asked from then on. */
 const FIRST_CHECK_MS = 900
 const CHECK_INTERVAL_MS = 150
@@ -68,10 +68,13 @@
 
 export class WeightRollout {
   private readonly _parts: WeightRolloutParts
+  private readonly _startedAtMs: number
   private _loadsCount = 0
 
+  /** Made once the state holds everything that earlier leaders committed, their announcements among it. */
   constructor (parts: WeightRolloutParts) {
     this._parts = parts
+    this._startedAtMs = parts.clock.nowMs()
   }
 
   async run (scope: Scope): Promise<void> {
@@ -101,10 +104,17 @@
     }
   }
 
-  /** Whether every order of another host to the engine is older than the lease. */
+  /**
+   * Whether no order of an earlier leadership can meet one of this: another
+   * host's has to be older than the lease, this host's own must have arrived,
+   * so that no lower fencing number comes after a higher one.
+   */
   private _mayOrder (engine: Engine): boolean {
     const { clock, orders, holder, orderLeaseMs } = this._parts
-    return clock.nowMs() >= orders.foreignOrderAtMs(engine.id, holder) + orderLeaseMs + LEASE_MARGIN_MS
+    const latest = orders.latest(engine.id)
+    if (!latest || latest.learnedAtMs > this._startedAtMs) return true
+    const leaseMs = latest.holder === holder ? 0 : orderLeaseMs
+    return clock.nowMs() >= latest.learnedAtMs + leaseMs + UNDER_WAY_MS
   }
 
   /** What engines lack, the most urgent first. */
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -3,7 +3,7 @@
  * replicas, and offers proposing and reading to the rest of the program.
  */
 import { Encoder } from 'cbor-x'
-import type { Clock } from '../../utils/clock.js'
+import { sleepUntil, type Clock } from '../../utils/clock.js'
 import { ScopeClosedError } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
 import type { Metrics } from '../../utils/metrics.js'
@@ -62,6 +62,9 @@
 
 /** Proposals that may wait for a commit at once. */
 const MAX_PROPOSALS_COUNT = 10_000
+/** One try to be confirmed as leader, and the pause before the next. */
+const CURRENT_TIMEOUT_MS = 1_000
+const CURRENT_RETRY_MS = 20
 
 export class Replica {
   readonly core: ReplicaCore
@@ -158,6 +161,16 @@
     }
   }
 
+  /** Waits until the state holds everything that earlier leaders committed; for a replica that has begun to lead. */
+  async whenCurrent (scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    for (;;) {
+      const read = await this.read(ReadMode.Quorum, new Progress(clock, scope, clock.nowMs() + CURRENT_TIMEOUT_MS))
+      if (read.kind === 'confirmed') return
+      await sleepUntil(clock, scope, clock.nowMs() + CURRENT_RETRY_MS)
+    }
+  }
+
   /** Waits until the state holds an entry. */
   async whenApplied (index: number): Promise<void> {
     await this._applier.whenApplied(index, this._scope)
--- /dev/null
+++ b/tests/batches/orderingFuzz.test.ts
@@ -0,0 +1,8 @@
+import test from 'ava'
+import { fuzzOrders } from '../fixtures/orderingFuzz.js'
+
+test('should let no two hosts order an engine within the lease in 500 random runs of three store hosts', async t => {
+  const { ordersCount, holderChangesCount } = await fuzzOrders(500)
+  t.true(ordersCount > 1_000, `${ordersCount} orders`)
+  t.true(holderChangesCount > 100, `${holderChangesCount} changes of the host that orders`)
+})
--- a/tests/batches/weightRollout.test.ts
+++ b/tests/batches/weightRollout.test.ts
@@ -115,3 +115,18 @@
   t.is(world.endpoints.orders.length, 2)
   world.close()
 })
+
+test('should wait until its own orders of an earlier leadership have arrived, so that no lower fencing number comes after a higher one', async t => {
+  const world = await new StoreWorld({ engines: engines(1), orderLeaseMs: LEASE_MS }).start()
+  world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 3 }] })
+  await world.clock.advance(1_000)
+  const [first] = world.endpoints.orders
+  world.stopDispatching()
+  world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 5 }] })
+  world.endpoints.reports.delete('e0')
+  world.dispatch()
+  await world.clock.advance(4_000)
+  const gapMs = (world.endpoints.orders[1]?.atMs ?? 0) - (first?.atMs ?? 0)
+  t.true(gapMs >= 1_000 && gapMs < LEASE_MS, `${gapMs} ms`)
+  world.close()
+})
