Move the scoring of a sample and the blame for a failed try into modules of their own

What a failed try says of its endpoint stood twice, in the forwarders of plain and of streamed requests.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -4,13 +4,13 @@
  * breaks off, is scored, and is committed. One task, written straight down.
  */
 import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
-import type { ForwardOutcome, RequestForwarder } from '../gateway/requestForwarder.js'
-import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult, type RewardCall } from '../protocol/batches.js'
+import type { RequestForwarder } from '../gateway/requestForwarder.js'
+import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult } from '../protocol/batches.js'
 import type { RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import { ScopeClosedError, unreachable } from '../utils/errors.js'
-import type { Logger } from '../utils/logger.js'
+import type { LogFields, Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
 import { Progress } from '../utils/progress.js'
@@ -20,6 +20,7 @@
 import type { Engine } from './engineFleet.js'
 import { ItemOutput } from './itemOutput.js'
 import type { WaitingItem } from './itemOrder.js'
+import { RewardScoring } from './rewardScoring.js'
 
 /** An engine that makes no event for so long is left for another one. */
 const SILENT_RUN_MS = 900
@@ -31,12 +32,7 @@
 const MOVED = 'moved to a faster engine'
 /** Pause after a run that failed at once, so that a broken engine is not asked in a loop. */
 const RETRY_PAUSE_MS = 30
-/** One try of the reward call, with its retries. */
-const REWARD_TIMEOUT_MS = 2_000
-const REWARD_RETRY_PAUSE_MS = 50
 const COMMIT_TIMEOUT_MS = 2_000
-const HTTP_OK_MIN = 200
-const HTTP_OK_MAX = 299
 
 type RunOutcome = ItemOutcome | { kind: 'moved' }
 type FailedRun = Exclude<ItemOutcome, { kind: 'finished' } | { kind: 'impossible' }>
@@ -274,43 +270,15 @@
     return { itemId: this.item.itemId, state: ResultState.GivenUp, parts: [], versions: [] }
   }
 
-  /** Asks for the score until there is one, or the reward call has failed for good. */
+  /** The result with its score, once there is one. */
   private async _scored (scope: Scope): Promise<ItemResult> {
-    const { clock } = this._parts
     const { reward, itemId } = this.item
-    const whole = { itemId, parts: [], versions: this.output.versions }
-    if (!reward) return { ...whole, state: ResultState.Completed }
-    let failuresCount = 0
-    for (;;) {
-      const route = this._parts.routeOf(reward.host, reward.path)
-      const outcome = route && await this._askReward(reward, route, scope)
-      if (outcome?.kind === 'answered') {
-        if (isSuccess(outcome.status) && outcome.receipt !== undefined) return { ...whole, state: ResultState.Completed, score: outcome.receipt }
-        failuresCount += outcome.failedAnswersCount
-      }
-      const isLost = route !== undefined && failuresCount >= route.maxAttemptsCount
-      if (isLost) return this._givenUp()
-      await sleepUntil(clock, scope, clock.nowMs() + REWARD_RETRY_PAUSE_MS)
-    }
-  }
-
-  private async _askReward (reward: RewardCall, route: RoutingRoute, scope: Scope): Promise<ForwardOutcome> {
-    const { clock, forwarder, metrics } = this._parts
-    const outcome = await forwarder.forward({
-      route,
-      method: 'POST',
-      path: reward.path,
-      host: reward.host,
-      headers: [],
-      body: reward.body,
-      attemptId: reward.rewardId,
-      progress: new Progress(clock, scope, clock.nowMs() + REWARD_TIMEOUT_MS),
-      isPersistent: true
-    })
-    metrics.count(MetricName.RewardCalled, { outcome: outcome.kind })
-    const seen = outcome.kind === 'answered' ? { status: outcome.status, failedAnswersCount: outcome.failedAnswersCount } : { reason: outcome.reason }
-    this._log(BatchEvent.ItemScored, { rewardId: reward.rewardId, outcome: outcome.kind, ...seen })
-    return outcome
+    const whole = { itemId, parts: [], versions: this.output.versions, state: ResultState.Completed }
+    if (!reward) return whole
+    const { clock, metrics, forwarder, routeOf } = this._parts
+    const onCalled = (fields: LogFields): void => this._log(BatchEvent.ItemScored, fields)
+    const score = await new RewardScoring({ clock, metrics, forwarder, routeOf, onCalled }).score(reward, scope)
+    return score.kind === 'scored' ? { ...whole, score: score.receipt } : this._givenUp()
   }
 
   /** Lists the result; its text is what the replicated state keeps and what is only here. */
@@ -342,15 +310,11 @@
     metrics.timing(MetricName.ItemDurationMs, clock.nowMs() - this._startedAtMs, { state })
   }
 
-  private _log (event: BatchEvent, fields: Record<string, string | number | boolean | string[] | undefined>): void {
+  private _log (event: BatchEvent, fields: LogFields): void {
     this._parts.logger.event(event, { batchId: this.batch.batchId, itemId: this.item.itemId, ...fields })
   }
 }
 
-function isSuccess (status: number): boolean {
-  return status >= HTTP_OK_MIN && status <= HTTP_OK_MAX
-}
-
 function reasonOf (outcome: ItemOutcome): string {
   if ('reason' in outcome) return outcome.reason
   return 'status' in outcome ? `status ${outcome.status}` : ''
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -10,7 +10,7 @@
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
 import { RouteKind, type RoutingRoute } from '../protocol/routing.js'
-import { ScopeClosedError, unreachable } from '../utils/errors.js'
+import { ScopeClosedError } from '../utils/errors.js'
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
@@ -18,6 +18,7 @@
 import type { RandomSource } from '../utils/randomSource.js'
 import type { Scope } from '../utils/scope.js'
 import { Signal } from '../utils/signal.js'
+import { noteFailedTry, type FailedOutcome } from './failedTry.js'
 import { GatewayEvent } from './gatewayEvents.js'
 import { chooseService } from './routeTable.js'
 
@@ -180,26 +181,19 @@
       case 'answered':
         health.succeeded(durationMs, outcome.load)
         return this._onAnswer(endpoint, outcome)
-      case 'notExecuted':
-        health.wasFull(outcome.load)
-        // It may be asked again when all the others were.
-        this._tried.delete(endpoint.endpointId)
-        return this._logFailure(endpoint, RetryReason.EndpointRefused, `status ${outcome.status}`)
-      case 'misdirected':
-        this._parts.view.markGone(endpoint.endpointId)
-        return this._logFailure(endpoint, RetryReason.EndpointRefused, 'another endpoint has the address')
-      case 'unreached':
-        health.failed()
-        return this._logFailure(endpoint, RetryReason.ConnectFailed, outcome.reason)
-      case 'broken':
-        this._ranCount++
-        health.failed()
-        return this._logFailure(endpoint, RetryReason.ConnectionLost, outcome.reason)
       default:
-        return unreachable(outcome)
+        return this._onFailed(endpoint, outcome)
     }
   }
 
+  private _onFailed (endpoint: FleetEndpoint, outcome: FailedOutcome): void {
+    const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, outcome, this._parts)
+    if (mayHaveRun) this._ranCount++
+    // It may be asked again when all the others were.
+    if (wasFull) this._tried.delete(endpoint.endpointId)
+    this._logFailure(endpoint, reason, detail)
+  }
+
   private _onAnswer (endpoint: FleetEndpoint, outcome: Extract<EndpointOutcome, { kind: 'answered' }>): void {
     const { status, headers, body, receipt } = outcome
     this._ranCount++
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -9,12 +9,13 @@
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
 import { sleepUntil } from '../utils/clock.js'
-import { ScopeClosedError, unreachable } from '../utils/errors.js'
+import { ScopeClosedError } from '../utils/errors.js'
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
 import type { RandomSource } from '../utils/randomSource.js'
 import { EventCutter } from './eventCutter.js'
+import { noteFailedTry, type FailedOutcome } from './failedTry.js'
 import { GatewayEvent } from './gatewayEvents.js'
 import type { ForwardOutcome, ForwardRequest } from './requestForwarder.js'
 import { chooseService } from './routeTable.js'
@@ -161,7 +162,6 @@
   }
 
   private _onOutcome (endpoint: FleetEndpoint, outcome: StreamOutcome): StreamForwardOutcome | undefined {
-    const health = this._parts.pool.health(endpoint.endpointId)
     switch (outcome.kind) {
       case 'ended':
         return { kind: 'ended', endpointId: endpoint.endpointId }
@@ -169,23 +169,20 @@
         this._ranCount++
         if (this._isHeadSent || (outcome.status >= 500 && this._mayResume())) return this._onBroken(endpoint, `status ${outcome.status}`)
         return { ...outcome, endpointId: endpoint.endpointId, failedAnswersCount: 0 }
-      case 'notExecuted':
-        health.wasFull(outcome.load)
-        this._tried.delete(endpoint.endpointId)
-        return this._logFailure(endpoint, RetryReason.EndpointRefused, `status ${outcome.status}`)
-      case 'misdirected':
-        this._parts.view.markGone(endpoint.endpointId)
-        return this._logFailure(endpoint, RetryReason.EndpointRefused, 'another endpoint has the address')
-      case 'unreached':
-        health.failed()
-        return this._logFailure(endpoint, RetryReason.ConnectFailed, outcome.reason)
-      case 'broken':
-        this._ranCount++
-        health.failed()
-        return this._onBroken(endpoint, outcome.reason)
       default:
-        return unreachable(outcome)
+        return this._onFailed(endpoint, outcome)
+    }
+  }
+
+  private _onFailed (endpoint: FleetEndpoint, outcome: FailedOutcome): StreamForwardOutcome | undefined {
+    const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, outcome, this._parts)
+    if (mayHaveRun) {
+      this._ranCount++
+      return this._onBroken(endpoint, detail)
     }
+    // It may be asked again when all the others were.
+    if (wasFull) this._tried.delete(endpoint.endpointId)
+    return this._logFailure(endpoint, reason, detail)
   }
 
   private _onBroken (endpoint: FleetEndpoint, reason: string): StreamForwardOutcome | undefined {
