--- a/src/replication/log/timings.ts
+++ b/src/replication/log/timings.ts
@@ -20,14 +20,18 @@
   commitNoticeMs: number
 }
 
-/** Hosts of one region: a call takes a few milliseconds, a sync one or two; a stall of the processor up to 200 ms was seen. */
+/**
+ * Hosts of one region: a call takes a few milliseconds, a sync one or two, and
+ * a busy host stalls for a few hundred. 400 to 700 ms were tried and taken
+ * back (docs/design/log.md).
+ */
 export const defaultTimings: LogTimings = {
-  heartbeatMs: 100,
-  electionMinMs: 400,
-  electionMaxMs: 700,
+  heartbeatMs: 150,
+  electionMinMs: 600,
+  electionMaxMs: 1_000,
   preVoteRetryMinMs: 80,
   preVoteRetryMaxMs: 240,
-  leaderLeaseMs: 300,
+  leaderLeaseMs: 450,
   callTimeoutMs: 1_000,
   retryPauseMs: 50,
   commitNoticeMs: 20
