Order an engine again soon when it left an order unanswered and did not take it

Engine i-fe0f32e779 was ordered five times in 7 s; a batch at 24.2 s found no engine with weights new enough for 3 s.

Change: 0.3 s for the answer and 0.2 s more (a report lags some hundred milliseconds), then the engine's report decides: busy, or more orders taken, means under way; else it is ordered again at once. The first order is void if it is carried out after the second (expected count).

Ruled out: two orders at once; treating an unanswered order as not taken without asking.

--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -25,7 +25,10 @@
 
 const LOOK_INTERVAL_MS = 30
 const REPORT_TIMEOUT_MS = 400
-const ORDER_TIMEOUT_MS = 500
+/** An engine answers within some milliseconds, or not at all. */
+const ORDER_TIMEOUT_MS = 300
+/** A report shows what the engine did some hundred milliseconds ago. */
+const REPORT_LAG_MS = 200
 /** An order is sent within this time of its announcement or not at all; a commit takes a few milliseconds. */
 const ANNOUNCED_FOR_MS = 300
 /** An order may reach its engine this much after its announcement, with some slack for clocks that run at different rates. */
@@ -155,6 +158,11 @@
     this._learn(engine, before)
     if (before.isBusy || engine.version(model) >= version) return await this._pause(scope)
     const outcome = await this._order(wanted, before, scope)
+    if (outcome?.kind === 'unknown' && !(await this._wasTaken(wanted, before, scope))) {
+      // Ordered again at once; the count of orders makes the first one void should it come later.
+      this._parts.logger.event(BatchEvent.OrderSettled, { endpointId: engine.id, model, version, outcome: outcome.kind, isLoaded: false, wasTaken: false })
+      return
+    }
     const isLoaded = await this._settle(wanted, outcome, scope)
     this._parts.metrics.count(MetricName.OrderSettled, { outcome: outcome?.kind ?? 'not_sent' })
     this._parts.logger.event(BatchEvent.OrderSettled, { endpointId: engine.id, model, version, outcome: outcome?.kind ?? 'not sent', isLoaded })
@@ -179,6 +187,16 @@
     }
   }
 
+  /** Whether an engine has taken an order that it did not answer, as far as its report shows. */
+  private async _wasTaken ({ engine, model, version }: WantedLoad, before: EndpointReport, scope: Scope): Promise<boolean> {
+    const { clock } = this._parts
+    await sleepUntil(clock, scope, clock.nowMs() + REPORT_LAG_MS)
+    const report = await this._report(engine, scope)
+    if (!report) return true
+    this._learn(engine, report)
+    return report.isBusy || report.ordersCount > before.ordersCount || engine.version(model) >= version
+  }
+
   private async _order ({ engine, model, version, isNeeded }: WantedLoad, before: EndpointReport, scope: Scope): Promise<OrderOutcome | undefined> {
     const { clock, client, leadership, holder, logger } = this._parts
     const sendBeforeMs = clock.nowMs() + ANNOUNCED_FOR_MS
