Move no run to an engine that leaves

The offer looked at the engine's own state only, not at whether it is still ready.

Change: a slot is offered, and a reserved one taken, only while the engine is ready.

Test: dispatching, 'should move no run to an engine that leaves, when a slot there becomes free'; fails with both checks taken out of a copy.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -9,6 +9,7 @@
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
 import type { BatchItem, ItemResult } from '../protocol/batches.js'
+import { EndpointLifecycle } from '../protocol/fleet.js'
 import type { ModelEngine, RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
@@ -192,7 +193,7 @@
 
   private async _acquire (run: ItemRun, scope: Scope): Promise<Engine> {
     const reserved = this._reserved.get(run)
-    if (reserved && reserved.isSound) {
+    if (reserved && reserved.isSound && this._isReady(reserved)) {
       this._reserved.delete(run)
       return reserved
     }
@@ -223,7 +224,7 @@
    * samples decide when a step ends.
    */
   private _offerToRunning (engine: Engine): void {
-    if (!engine.mayRun()) return
+    if (!engine.mayRun() || !this._isReady(engine)) return
     let mover: ItemRun | undefined
     let mostGainMs = 0
     for (const run of this._runs) {
@@ -238,6 +239,11 @@
     mover.move()
   }
 
+  /** An engine that leaves finishes its runs, and gives up their slots, but gets nothing new. */
+  private _isReady (engine: Engine): boolean {
+    return this._parts.view.endpoint(engine.id)?.lifecycle === EndpointLifecycle.Ready
+  }
+
   /** What a run saves by going on at an engine; 0 when it does not run, or had better stay. */
   private _gainMs (run: ItemRun, to: Engine): number {
     if (!run.engine || this._reserved.has(run) || !this._fits(run, to)) return 0
--- a/tests/batches/dispatching.test.ts
+++ b/tests/batches/dispatching.test.ts
@@ -173,3 +173,18 @@
   t.deepEqual(world.engineLoads(), [0, 0])
   world.close()
 })
+
+test('should move no run to an engine that leaves, when a slot there becomes free', async t => {
+  const leaving = engine('e2', 1)
+  const world = await new StoreWorld({ engines: [engine('e1', 1), leaving] }).start()
+  world.endpoints.onRun = ({ endpoint }) => ({ eventsCount: 100, gapMs: endpoint.endpointId === 'e1' ? 90 : 40, version: 1 })
+  await world.submit(submission('b1', ['i1', 'i2', 'i3', 'i4']))
+  await world.clock.advance(1_000)
+  const runsCount = world.endpoints.runs.length
+  world.view.merge('control-1', { endpoints: [{ ...leaving, lifecycle: EndpointLifecycle.Leaving, sequence: 2 }] })
+  await world.clock.advance(5_000)
+  const later = world.endpoints.runs.slice(runsCount)
+  t.deepEqual(later.filter(run => run.endpoint.endpointId === 'e2'), [])
+  await world.untilListed('b1', 4, 20_000)
+  world.close()
+})
