--- a/tests/utils/logOutput.test.ts
+++ b/tests/utils/logOutput.test.ts
@@ -17,7 +17,8 @@
   disturb(child.stdout)
   let text = ''
   child.stderr.on('data', (chunk: Buffer) => { text += chunk.toString() })
-  const [exitCode] = await once(child, 'exit') as [number | null]
+  // The process may be gone before all that it wrote has been read.
+  const [[exitCode]] = await Promise.all([once(child, 'exit') as Promise<[number | null]>, once(child.stderr, 'end')])
   return { exitCode, report: JSON.parse(text) as Report }
 }
 
