Give up no item by a time of its own when a new leader knows no route yet

Its leader had started after the final fault; a batch that is taken over before the host has a routing configuration got 10 s (DEFAULT_DUE_MS) for both its due time and its giving up, and its run was handed that deadline: the engine ended it 10.0 s after the leader took over. Change: batches are taken over once a routing configuration is known, at once when it comes. Test: fails without the change ('given_up' for 'completed').

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -87,7 +87,10 @@
   async run (scope: Scope): Promise<void> {
     const { clock, replica, view } = this._parts
     this._parts.logger.event(BatchEvent.DispatchBegun, { term: replica.core.term, openBatchesCount: this._parts.state.open().length })
-    scope.onClose(view.onChange(() => this._giveTurns()))
+    scope.onClose(view.onChange(() => {
+      this._track()
+      this._giveTurns()
+    }))
     scope.onClose(() => this._parts.logger.event(BatchEvent.DispatchEnded, { reason: scope.closeReason ?? '' }))
     this._parts.supervisor.spawn('turns', turnsScope => this._lookRegularly(turnsScope))
     for (;;) {
@@ -120,12 +123,14 @@
   }
 
   private _track (): void {
-    const { state } = this._parts
+    const { state, view } = this._parts
     for (const [batchId, { batch, supervisor }] of this._tracked) {
       if (!batch.isEnded && state.get(batchId) === batch) continue
       supervisor.scope.close('the batch has ended')
       this._tracked.delete(batchId)
     }
+    // Without a routing configuration, nothing tells when an item may be given up; a host that has just started gets one within seconds.
+    if (!view.routing) return
     for (const batch of state.open()) {
       if (!this._tracked.has(batch.batchId)) this._begin(batch)
     }
--- a/tests/batches/dispatching.test.ts
+++ b/tests/batches/dispatching.test.ts
@@ -3,7 +3,7 @@
 import { EndpointLifecycle } from '../../src/protocol/fleet.js'
 import { ResultState } from '../../src/protocol/batches.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
-import { engine } from '../fixtures/fleet/fleetFixtures.js'
+import { batchRoute, engine, route, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { answered } from '../fixtures/fleet/scriptedEndpoints.js'
 import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
 
@@ -188,3 +188,18 @@
   await world.untilListed('b1', 4, 20_000)
   world.close()
 })
+
+test('should give no item up by a time of its own while a leader that has just started knows no route yet', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)], isWithoutRouting: true }).start()
+  const soundAtMs = world.clock.nowMs() + 20_000
+  world.endpoints.onRun = () => (
+    { eventsCount: 3, gapMs: 10, version: 1, ...(world.clock.nowMs() < soundAtMs ? { refuses: { kind: 'broken', reason: 'scripted' } } : {}) }
+  )
+  await world.submit(submission('b1', ['i1']))
+  await world.clock.advance(500)
+  const batch = { dueMs: 7_500, maxQueueMs: 40_000, isSingleVersion: false }
+  world.view.merge('control-1', { routing: routing(1, [route(), batchRoute({ batch })]) })
+  await world.untilListed('b1', 1, 30_000)
+  t.is(world.state.get('b1')?.results[0]?.state, ResultState.Completed)
+  world.close()
+})
