Plan loads of weights: a set of engines for each model, the next load where samples cannot start

Change: weightPlanner (pure) sizes a set for each model to its step and to what the loads can renew while a version lasts, and chooses the next load by what lacks engines most, on the engine that is fast, shared by few and free. loadLanes finds how many loads the weight store feeds from how long they take (a constant of two before); modelDemand observes the naming interval, the staleness that steps allow and their size. A test that held the constant two is replaced by one in which the store's own stretch bounds the loads; another names its version before the second leader begins, so that the leader's order of looking does not matter.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -24,6 +24,7 @@
 import { ASSUMED_TOKEN_MS, compareWaiting, fastestEngine, movingGainMs } from './itemOrder.js'
 import { ItemRun, type ItemRunParts } from './itemRun.js'
 import { ItemOutput } from './itemOutput.js'
+import { ModelDemand } from './modelDemand.js'
 
 /** How often waiting items are looked at when nothing is heard: suspicions and pauses of engines end by time. */
 const LOOK_INTERVAL_MS = 50
@@ -57,6 +58,7 @@
 
 export class BatchDispatcher {
   readonly engines: EngineFleet
+  readonly demand: ModelDemand
   private readonly _parts: BatchDispatcherParts
   private readonly _routes = new CurrentRoutes()
   private readonly _tracked = new Map<string, TrackedBatch>()
@@ -70,6 +72,7 @@
   constructor (parts: BatchDispatcherParts) {
     this._parts = parts
     this.engines = new EngineFleet(parts.pool, parts.clock)
+    this.demand = new ModelDemand(parts.clock)
   }
 
   /** Open batches that this host runs. */
@@ -83,6 +86,11 @@
     return Math.max(0, ...versions)
   }
 
+  /** Items of a model that wait for an engine. */
+  waitingCount (model: string): number {
+    return this._waiting.filter(({ run }) => run.item.model === model).length
+  }
+
   /** Follows the list of batches until the scope closes. */
   async run (scope: Scope): Promise<void> {
     const { clock, replica, view } = this._parts
@@ -140,6 +148,7 @@
     const { clock, supervisor: parent } = this._parts
     const supervisor = parent.child(`batch ${batch.batchId}`)
     this._tracked.set(batch.batchId, { batch, supervisor })
+    this.demand.asked(batch.submission, this._parts.view.namedVersion(batch.submission.model))
     const promise = this.routeOf(batch.submission.host, batch.submission.path)?.batch
     const dueAtMs = clock.nowMs() + (promise?.dueMs ?? DEFAULT_DUE_MS)
     const giveUpAtMs = clock.nowMs() + (promise?.maxQueueMs ?? DEFAULT_DUE_MS)
@@ -198,7 +207,7 @@
 
   private async _acquire (run: ItemRun, scope: Scope): Promise<Engine> {
     const reserved = this._reserved.get(run)
-    if (reserved && reserved.isSound && this._isReady(reserved)) {
+    if (reserved && reserved.mayBegin(run.item.model) && this._isReady(reserved)) {
       this._reserved.delete(run)
       return reserved
     }
@@ -229,7 +238,7 @@
    * samples decide when a step ends.
    */
   private _offerToRunning (engine: Engine): void {
-    if (!engine.mayRun() || !this._isReady(engine)) return
+    if (!engine.isSound || engine.freeSlotsCount === 0 || !this._isReady(engine)) return
     let mover: ItemRun | undefined
     let mostGainMs = 0
     for (const run of this._runs) {
@@ -251,7 +260,7 @@
 
   /** What a run saves by going on at an engine; 0 when it does not run, or had better stay. */
   private _gainMs (run: ItemRun, to: Engine): number {
-    if (!run.engine || this._reserved.has(run) || !this._fits(run, to)) return 0
+    if (!run.engine || this._reserved.has(run) || !to.mayBegin(run.item.model) || !this._fits(run, to)) return 0
     return movingGainMs(run.engine, to, run.output.lastEventId, this._remainingEventsCount(run))
   }
 
@@ -289,7 +298,7 @@
   private _fittingEngines (run: ItemRun): Engine[] {
     const service = this._serviceOf(run)
     if (service === undefined) return []
-    return this.engines.ofService(service).filter(engine => engine.mayRun() && this._fits(run, engine))
+    return this.engines.ofService(service).filter(engine => engine.mayRun(run.item.model) && this._fits(run, engine))
   }
 
   /** Whether an engine belongs to the run's service, with weights that may go on with it. */
@@ -301,7 +310,7 @@
   /** Room is only left for moves when nothing waits for it. */
   private _shouldMove (run: ItemRun, engine: Engine): boolean {
     if (this._waiting.length > 0) return false
-    const others = this._fittingEngines(run).filter(other => other !== engine && other.meanGapMs !== undefined)
+    const others = this._fittingEngines(run).filter(other => other !== engine && other.pace.presentGapMs !== undefined)
     const fastest = fastestEngine(others, Number.POSITIVE_INFINITY, this._modelEngineOf(run)?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
     if (!fastest) return false
     return movingGainMs(engine, fastest, run.output.lastEventId, this._remainingEventsCount(run)) > 0
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -57,10 +57,10 @@
   private async _submit (submission: BatchSubmission, progress: Progress): Promise<SubmitBatchReply> {
     const { replica, logger, keepMs } = this._parts
     if (!replica.leadership) return this._notLeader()
-    const { batchId, step, items } = submission
+    const { batchId, step, items, model, minVersion } = submission
     const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission, keepMs }, progress)
     if (outcome.kind === 'committed') {
-      logger.event(BatchEvent.BatchAccepted, { batchId, step, itemsCount: items.length, index: outcome.index })
+      logger.event(BatchEvent.BatchAccepted, { batchId, step, model, minVersion, itemsCount: items.length, index: outcome.index })
       return { kind: 'accepted' }
     }
     logger.event(BatchEvent.BatchRefused, { batchId, step, outcome: outcome.kind, reason: outcome.reason })
--- a/src/batches/engineFleet.ts
+++ b/src/batches/engineFleet.ts
@@ -8,11 +8,8 @@
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import type { NamedWeights } from '../protocol/routingCommands.js'
 import type { Clock } from '../utils/clock.js'
+import { EnginePace } from './enginePace.js'
 
-/** Weight of a new gap between events in the running mean. */
-const GAP_WEIGHT = 0.05
-/** A pace that was not seen for so long may have changed. */
-const GAP_LIFETIME_MS = 4_000
 /** Engines start with the first version. */
 const FIRST_VERSION = 1
 
@@ -21,18 +18,16 @@
   runningCount = 0
   /** Tokens that its runs are expected to hold in its memory. */
   heldTokensCount = 0
-  /** A load is under way, or its outcome is not known yet. */
-  isLoading = false
+  /** The load that is under way, or whose outcome is not known yet. */
+  load: { model: string, version: number } | undefined
+  readonly pace: EnginePace
   readonly health: EndpointHealth
   private readonly _versions = new Map<string, number>()
-  private readonly _clock: Clock
-  private _meanGapMs: number | undefined
-  private _gapAtMs = Number.NEGATIVE_INFINITY
 
   constructor (endpoint: FleetEndpoint, health: EndpointHealth, clock: Clock) {
     this.endpoint = endpoint
     this.health = health
-    this._clock = clock
+    this.pace = new EnginePace(clock)
     this.learnWeights(endpoint.weights)
   }
 
@@ -62,24 +57,19 @@
     this._versions.set(model, version)
   }
 
-  /** Mean time between two events of a run; undefined when none was seen lately. */
-  get meanGapMs (): number | undefined {
-    return this._clock.nowMs() - this._gapAtMs < GAP_LIFETIME_MS ? this._meanGapMs : undefined
-  }
-
-  sawGap (gapMs: number): void {
-    const meanGapMs = this.meanGapMs
-    this._meanGapMs = meanGapMs === undefined ? gapMs : meanGapMs + GAP_WEIGHT * (gapMs - meanGapMs)
-    this._gapAtMs = this._clock.nowMs()
-  }
-
   /** Whether it takes new runs, apart from room. */
   get isSound (): boolean {
-    return !this.isLoading && !this.health.isSuspect && !this.health.isFull
+    return !this.health.isSuspect && !this.health.isFull
+  }
+
+  /** Whether it takes new runs of a model, apart from room: while one loads, the others go on. */
+  mayBegin (model: string): boolean {
+    return this.isSound && this.load?.model !== model
   }
 
-  mayRun (): boolean {
-    return this.isSound && this.freeSlotsCount > 0
+  /** Whether a run of the model may begin now. */
+  mayRun (model: string): boolean {
+    return this.mayBegin(model) && this.freeSlotsCount > 0
   }
 
   /** A run takes a slot. */
--- a/src/batches/itemOrder.ts
+++ b/src/batches/itemOrder.ts
@@ -41,7 +41,7 @@
 
 /** What an item costs on an engine, in milliseconds for an event: its pace, its runs, and the memory that is left. */
 export function eventCostMs (engine: Engine, assumedGapMs: number, kvCapacityTokens: number): number {
-  const gapMs = engine.meanGapMs ?? assumedGapMs
+  const gapMs = engine.pace.presentGapMs ?? assumedGapMs
   const busyShare = engine.runningCount / Math.max(1, engine.endpoint.slotsCount)
   const memoryShare = engine.heldTokensCount / Math.max(1, kvCapacityTokens)
   return gapMs * (1 + FULL_BATCH_SLOWDOWN * busyShare + memoryShare)
@@ -73,8 +73,10 @@
  * @param remainingEventsCount events that its submitter still expects
  */
 export function movingGainMs (from: Engine, to: Engine, madeEventsCount: number, remainingEventsCount: number): number {
-  if (from.meanGapMs === undefined || to.meanGapMs === undefined || from.meanGapMs < MOVE_RATIO * to.meanGapMs) return 0
+  const fromGapMs = from.pace.presentGapMs
+  const toGapMs = to.pace.presentGapMs
+  if (fromGapMs === undefined || toGapMs === undefined || fromGapMs < MOVE_RATIO * toGapMs) return 0
   const expectedEventsCount = Math.max(remainingEventsCount, EXPECTED_MORE_SHARE * madeEventsCount)
-  const gainMs = expectedEventsCount * (from.meanGapMs - to.meanGapMs)
+  const gainMs = expectedEventsCount * (fromGapMs - toGapMs)
   return gainMs > MIN_MOVING_GAIN_MS ? gainMs : 0
 }
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -153,7 +153,7 @@
     this._parts.metrics.count(MetricName.ItemRunEnded, { outcome: outcome.kind })
     const fields = { endpointId: engine.id, eventsCount: this.output.lastEventId }
     if (outcome.kind === 'finished') return this._log(BatchEvent.ItemFinished, { ...fields, versions: this.output.versions.map(String) })
-    if (outcome.kind === 'moved') return this._log(BatchEvent.ItemMoved, { ...fields, meanGapMs: Math.round(engine.meanGapMs ?? 0) })
+    if (outcome.kind === 'moved') return this._log(BatchEvent.ItemMoved, { ...fields, meanGapMs: Math.round(engine.pace.presentGapMs ?? 0) })
     this._log(BatchEvent.ItemBroken, { ...fields, outcome: outcome.kind, reason: reasonOf(outcome) })
   }
 
@@ -170,7 +170,7 @@
     let eventsCount = 0
     const onEvent = (event: ItemEvent): void => {
       // The first event comes after the prompt was read, which says nothing of the pace.
-      if (eventsCount++ > 0) engine.sawGap(clock.nowMs() - eventAtMs)
+      if (eventsCount++ > 0) engine.pace.sawGap(clock.nowMs() - eventAtMs)
       eventAtMs = clock.nowMs()
       const problem = this._take(event, engine)
       if (this.output.freshCount >= KEEP_EVENTS_COUNT) this._keepProgress(scope)
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -51,8 +51,6 @@
   keepBatchesMs: number
   /** Two hosts may not both order an engine within this time. */
   orderLeaseMs: number
-  /** Engines that load weights at once. */
-  maxLoadsCount: number
   /** A replica that was silent for so long is struck from the members. */
   strikeSilentAfterMs: number
 }
@@ -221,8 +219,7 @@
       orders: this._orders,
       supervisor,
       holder: settings.hostName,
-      orderLeaseMs: settings.orderLeaseMs,
-      maxLoadsCount: settings.maxLoadsCount
+      orderLeaseMs: settings.orderLeaseMs
     })
     const retirement = new StoreRetirement({ replica: this._replica, leadership, view: this._view, commands: this._commands, clock: systemClock, logger })
     supervisor.spawn('weights', taskScope => rollout.run(taskScope))
