Note versions of weights in whichever log has a quorum: that of control or that of the store

Change: a control host passes a named version to both logs at once and confirms what the first has on the disks of a quorum. A version only grows; the store's leader, the only one who acts on it, takes the newest that either log tells. Ruled out: one log alone (the store's can be split as well); an entry host as the place to name.

--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -5,10 +5,11 @@
  * replication, however often they are read.
  */
 import { BatchCommandKind, type BatchCommandResult, type BatchSubmission, type ItemResult } from '../protocol/batches.js'
+import type { NamedWeights } from '../protocol/routingCommands.js'
 import { ReadMode, type Replica } from '../replication/log/replica.js'
 import {
-  batchReadIndexMethod, endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod,
-  type BatchReadIndexReply, type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
+  batchReadIndexMethod, endBatchMethod, nameWeightsMethod, readItemMethod, readResultsMethod, submitBatchMethod,
+  type BatchReadIndexReply, type EndBatchReply, type NameWeightsReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
 } from '../transport/batchMethods.js'
 import type { RpcHandlers } from '../transport/rpcPeer.js'
 import type { Clock } from '../utils/clock.js'
@@ -51,6 +52,7 @@
     ))
     handlers.on(readItemMethod, ({ batchId, itemId }, remainingMs) => this._readItem(batchId, itemId, this._progress(remainingMs)))
     handlers.on(batchReadIndexMethod, (_request, remainingMs) => this._readIndex(this._progress(remainingMs)))
+    handlers.on(nameWeightsMethod, (weights, remainingMs) => this._nameWeights(weights, this._progress(remainingMs)))
     handlers.on(endBatchMethod, ({ batchId }, remainingMs) => this._end(batchId, this._progress(remainingMs)))
   }
 
@@ -97,6 +99,13 @@
     return (outcome.result as BatchCommandResult).kind === 'ended' ? { kind: 'ended' } : { kind: 'unknownBatch' }
   }
 
+  private async _nameWeights (weights: NamedWeights, progress: Progress): Promise<NameWeightsReply> {
+    const { replica } = this._parts
+    if (!replica.leadership) return this._notLeader()
+    const outcome = await replica.propose({ kind: BatchCommandKind.NameWeights, ...weights }, progress)
+    return outcome.kind === 'committed' ? { kind: 'committed' } : { kind: 'unavailable', reason: outcome.reason }
+  }
+
   private async _readIndex (progress: Progress): Promise<BatchReadIndexReply> {
     const read = await this._parts.replica.read(ReadMode.Lease, progress)
     switch (read.kind) {
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -5,6 +5,7 @@
 import {
   BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type BatchSubmission, type ItemResult, type OutputPart
 } from '../protocol/batches.js'
+import type { NamedWeights } from '../protocol/routingCommands.js'
 import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
 import { eventsCountOf } from './outputParts.js'
 
@@ -90,6 +91,7 @@
   batches: BatchFields[]
   unfinished: UnfinishedOutput[]
   orders: AnnouncedOrder[]
+  weights: NamedWeights[]
 }
 
 /** The latest order to an engine that a leader announced. */
@@ -111,8 +113,15 @@
 /** Output that nobody finished for so long is forgotten. */
 const KEEP_UNFINISHED_MS = 30_000
 
-/** Told of every announcement that this replica learns of, in a snapshot too. */
-export type OrderListener = (endpointId: string, holder: string) => void
+/** Told of what this replica learns, in a snapshot too. */
+export interface BatchStateListener {
+  /** A leader announced an order. */
+  onOrder: (endpointId: string, holder: string) => void
+  /** A trainer named a version. */
+  onNamed: (weights: NamedWeights) => void
+}
+
+const noListener: BatchStateListener = { onOrder: () => {}, onNamed: () => {} }
 
 export class BatchState implements ReplicatedState<BatchCommand, BatchCommandResult> {
   private readonly _batches = new Map<string, Batch>()
@@ -122,10 +131,12 @@
   private readonly _unfinished = new Map<string, UnfinishedOutput>()
   /** Hosts by engine, the engine ordered last at the end. */
   private readonly _orders = new Map<string, string>()
-  private readonly _onOrder: OrderListener
+  /** The newest version named of each model. */
+  private readonly _weights = new Map<string, number>()
+  private readonly _listener: BatchStateListener
 
-  constructor (onOrder: OrderListener = () => {}) {
-    this._onOrder = onOrder
+  constructor (listener = noListener) {
+    this._listener = listener
   }
 
   get (batchId: string): Batch | undefined {
@@ -159,6 +170,8 @@
         return this._end(command.batchId)
       case BatchCommandKind.AnnounceOrder:
         return this._announce(command.endpointId, command.holder)
+      case BatchCommandKind.NameWeights:
+        return this._name(command)
     }
   }
 
@@ -166,7 +179,8 @@
     return {
       batches: [...this._batches.values()].map(({ fields }) => fields),
       unfinished: [...this._unfinished.values()],
-      orders: [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder }))
+      orders: [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder })),
+      weights: [...this._weights].map(([model, version]) => ({ model, version }))
     }
   }
 
@@ -175,14 +189,16 @@
     this._completed.clear()
     this._unfinished.clear()
     this._orders.clear()
-    const { batches, unfinished, orders } = snapshot as BatchStateSnapshot
-    for (const { endpointId, holder } of orders) this._announce(endpointId, holder)
+    this._weights.clear()
+    const { batches, unfinished, orders, weights } = snapshot as BatchStateSnapshot
     for (const output of unfinished) this._unfinished.set(output.itemId, output)
     for (const fields of batches) {
       const batch = new Batch(fields)
       this._batches.set(batch.batchId, batch)
       for (const result of fields.results) this._remember(batch, result)
     }
+    for (const { endpointId, holder } of orders) this._announce(endpointId, holder)
+    for (const named of weights) this._name(named)
   }
 
   private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
@@ -227,10 +243,18 @@
     this._orders.set(endpointId, holder)
     const [oldest] = this._orders.keys()
     if (this._orders.size > MAX_ORDERS_COUNT && oldest !== undefined) this._orders.delete(oldest)
-    this._onOrder(endpointId, holder)
+    this._listener.onOrder(endpointId, holder)
     return { kind: 'announced' }
   }
 
+  /** An older version that is named again changes nothing. */
+  private _name ({ model, version }: NamedWeights): BatchCommandResult {
+    const newest = Math.max(version, this._weights.get(model) ?? 0)
+    this._weights.set(model, newest)
+    this._listener.onNamed({ model, version: newest })
+    return { kind: 'named' }
+  }
+
   private _remember (batch: Batch, result: ItemResult): void {
     if (result.state !== ResultState.Completed) return
     this._completed.set(result.itemId, { result, rewardId: batch.rewardIdOf(result.itemId) })
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -65,6 +65,8 @@
 
 /** Batches are a few hundred kilobytes each; a snapshot holds all that are kept. */
 const snapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 24 * 1024 * 1024, keptEntriesCount: 256 }
+/** Where the view has versions from that stand in the log of the store itself. */
+const NAMED_IN_LOG = 'log of the store'
 /** A handover takes a few messages and syncs; a host that cannot hand over stops all the same. */
 const HANDOVER_TIMEOUT_MS = 800
 
@@ -74,9 +76,13 @@
   private readonly _supervisor: Supervisor
   private readonly _transport = new TcpTransport()
   private readonly _orders = new OrderHistory(systemClock)
-  private readonly _state = new BatchState((endpointId, holder) => this._orders.learn(endpointId, holder))
-  private readonly _replica: Replica
   private readonly _view: FleetView
+  private readonly _state = new BatchState({
+    onOrder: (endpointId, holder) => this._orders.learn(endpointId, holder),
+    onNamed: weights => this._view.merge(NAMED_IN_LOG, { weights: [weights] })
+  })
+
+  private readonly _replica: Replica
   private readonly _follower: FleetFollower
   private readonly _service: BatchService
   private readonly _commands: ControlCommands
@@ -87,6 +93,7 @@
     this._parts = parts
     const { settings, logger, metrics, onFatal } = parts
     this._supervisor = new Supervisor(this._scope, (_task, error) => onFatal(error))
+    this._view = new FleetView(logger)
     this._replica = new Replica({
       clock: systemClock,
       random: systemRandom(),
@@ -102,7 +109,6 @@
       startedAtMs: PROCESS_STARTED_AT_MS,
       strikeSilentAfterMs: settings.strikeSilentAfterMs
     })
-    this._view = new FleetView(logger)
     this._follower = new FleetFollower({
       clock: systemClock,
       transport: this._transport,
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -35,6 +35,7 @@
 import { defaultTimings } from '../replication/log/timings.js'
 import { OperatorApi } from './operatorApi/operatorApi.js'
 import { WatchStreams } from './operatorApi/watchStream.js'
+import { WeightNaming } from './fleet/weightNaming.js'
 import { LeaderCalls } from './routing/leaderCalls.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { FileDisk } from '../replication/storage/fileDisk.js'
@@ -76,6 +77,7 @@
   readonly leaderCalls: LeaderCalls
   readonly directory: EndpointDirectory
   readonly followers: FollowerSessions
+  readonly weightNaming: WeightNaming
   private readonly _sessions: ClientSessions
   private readonly _servers: Server[] = []
   private readonly _formationOptions: FormationOptions
@@ -111,6 +113,7 @@
       logger: parts.logger,
       confirm: async progress => (await this.leaderCalls.read(progress)).kind === 'confirmed'
     })
+    this.weightNaming = new WeightNaming({ leaderCalls: this.leaderCalls, followers: this.followers, links: replica.links })
   }
 
   /**
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -79,7 +79,8 @@
   Progress = 'batch.progress',
   Finish = 'batch.finish',
   End = 'batch.end',
-  AnnounceOrder = 'batch.announceOrder'
+  AnnounceOrder = 'batch.announceOrder',
+  NameWeights = 'batch.nameWeights'
 }
 
 export const batchCommandSchema = z.discriminatedUnion('kind', [
@@ -111,7 +112,9 @@
     endpointId: z.string(),
     /** The host that gives the order, as the engine is told. */
     holder: z.string()
-  })
+  }),
+  /** A trainer named a version of its model's weights. */
+  z.object({ kind: z.literal(BatchCommandKind.NameWeights), model: z.string(), version: z.int() })
 ])
 export type BatchCommand = z.infer<typeof batchCommandSchema>
 
@@ -127,4 +130,5 @@
   | { kind: 'mismatch' }
   | { kind: 'ended' }
   | { kind: 'announced' }
+  | { kind: 'named' }
   | { kind: 'unknownBatch' }
--- a/src/transport/batchMethods.ts
+++ b/src/transport/batchMethods.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod'
 import { batchSubmissionSchema, itemResultSchema } from '../protocol/batches.js'
+import { namedWeightsSchema } from '../protocol/routingCommands.js'
 import { rpcMethod } from './rpcPeer.js'
 
 const notLeader = z.object({ kind: z.literal('notLeader'), leaderAddress: z.string().optional() })
@@ -78,6 +79,16 @@
 export const endBatchMethod = rpcMethod('batch.end', z.object({ batchId: z.string() }), endBatchReplySchema)
 /** Between replicas of the store: lets one that does not lead answer a read. */
 export const batchReadIndexMethod = rpcMethod('batch.readIndex', z.object({}), batchReadIndexReplySchema)
+export const nameWeightsReplySchema = z.discriminatedUnion('kind', [
+  /** On the disks of a quorum. */
+  z.object({ kind: z.literal('committed') }),
+  unavailable,
+  notLeader
+])
+export type NameWeightsReply = z.infer<typeof nameWeightsReplySchema>
+
+/** From a control host: a trainer named a version. */
+export const nameWeightsMethod = rpcMethod('batch.nameWeights', namedWeightsSchema, nameWeightsReplySchema)
 export const joinStoreMethod = rpcMethod('store.join', z.object({
   replicaId: z.string(),
   hostId: z.string(),
--- a/tests/batches/batchState.test.ts
+++ b/tests/batches/batchState.test.ts
@@ -2,6 +2,7 @@
 import { BatchState } from '../../src/batches/batchState.js'
 import { textOf, toPart } from '../../src/batches/outputParts.js'
 import { BatchCommandKind, ResultState, type BatchCommand, type BatchSubmission, type ItemResult } from '../../src/protocol/batches.js'
+import type { NamedWeights } from '../../src/protocol/routingCommands.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 
 const KEEP_MS = 60_000
@@ -97,3 +98,17 @@
   t.truthy(copy.get('b1')?.isListed('i1'))
   t.is(textOf(copy.unfinishedParts('i2')), 'a')
 })
+
+test('should keep the newest version named of each model, and tell of it again after a snapshot', t => {
+  const named: string[] = []
+  const listener = { onOrder: () => {}, onNamed: ({ model, version }: NamedWeights) => named.push(`${model}@${version}`) }
+  const state = new BatchState(listener)
+  const name = (model: string, version: number): BatchCommand => ({ kind: BatchCommandKind.NameWeights, model, version })
+  t.deepEqual(applyAll(state, [name('m', 2), name('m', 3), name('other', 7), name('m', 2)]).map(({ kind }) => kind), ['named', 'named', 'named', 'named'])
+  t.deepEqual(named, ['m@2', 'm@3', 'other@7', 'm@3'])
+  named.length = 0
+  const copy = new BatchState(listener)
+  copy.restore(state.snapshot())
+  t.deepEqual(named, ['m@3', 'other@7'])
+  t.deepEqual(copy.snapshot(), state.snapshot())
+})
