Decide about untaken requests by forecast: wait, refuse at once, or a second try

Cause: a request was refused after 0.22 of its route's objective, told to come back after 50 ms, and got a second try after 0.55 of the objective: shares of the target, whatever the service did. Change: requestPolicy (pure, for plain and streamed requests) refuses at once what cannot be served in the time that is left or has no endpoint, waits while room is forecast, and not beyond twice the forecast; Retry-After is the forecast wait, spread over as long again. A second try starts when 95 of 100 of the service's own requests would have been answered, within a budget of a tenth of its load; the budget is the one of the product's own scheduler, moved to utils.

--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -49,6 +49,13 @@
     return this._clock.nowMs() - this._meanAtMs < MEAN_LIFETIME_MS ? this._meanMs : undefined
   }
 
+  /** Time until there is room, if it said lately that there was none: what waits there goes first, a slot after the other. */
+  expectedWaitMs (typicalMs: number): number {
+    if (!this.isFull) return 0
+    const waitingCount = this._load?.waitingCount ?? 0
+    return typicalMs * (1 + waitingCount) / Math.max(1, this._load?.slotsCount ?? 1)
+  }
+
   /** Age of the load that the endpoint told last. */
   get loadAgeMs (): number {
     return this._clock.nowMs() - this._loadAtMs
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -13,6 +13,8 @@
 const FOREIGN_PENALTY = 1.1
 /** Stands in for the duration of calls to an endpoint that had none lately, in milliseconds. */
 const UNKNOWN_MEAN_MS = 30
+/** Answers of a service that are remembered: enough for a quantile of 0.95, few enough to follow a change. */
+const MAX_DURATIONS_COUNT = 100
 /** Breaks ties, so that hosts do not all choose the same endpoint. */
 const JITTER = 0.1
 
@@ -26,6 +28,8 @@
 export class EndpointPool {
   private readonly _parts: EndpointPoolParts
   private readonly _health = new Map<string, EndpointHealth>()
+  /** Durations of recent answers by service, the oldest first. */
+  private readonly _durations = new Map<string, number[]>()
 
   constructor (parts: EndpointPoolParts) {
     this._parts = parts
@@ -58,6 +62,33 @@
     return this._lowest(candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
   }
 
+  /** What a service can do for a request now; undefined when no endpoint of it is known. */
+  forecast (service: string): { waitMs: number, typicalMs: number } | undefined {
+    const endpoints = this.ofService(service)
+    if (endpoints.length === 0) return undefined
+    const typicalMs = this.typicalMs(service)
+    return { waitMs: Math.min(...endpoints.map(({ endpointId }) => this.health(endpointId).expectedWaitMs(typicalMs))), typicalMs }
+  }
+
+  /** An endpoint of the service answered after this time. */
+  answeredAfter (service: string, durationMs: number): void {
+    const durations = this._durations.get(service) ?? []
+    durations.push(durationMs)
+    if (durations.length > MAX_DURATIONS_COUNT) durations.shift()
+    this._durations.set(service, durations)
+  }
+
+  /** Mean duration of recent answers. */
+  typicalMs (service: string): number {
+    const durations = this._durations.get(service) ?? []
+    return durations.length === 0 ? UNKNOWN_MEAN_MS : durations.reduce((sum, durationMs) => sum + durationMs, 0) / durations.length
+  }
+
+  /** Durations of recent answers, the shortest first. */
+  sortedDurationsMs (service: string): number[] {
+    return [...(this._durations.get(service) ?? [])].sort((left, right) => left - right)
+  }
+
   /** Forgets endpoints that are known no more. */
   prune (): void {
     for (const [endpointId, health] of this._health) {
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -10,26 +10,23 @@
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
 import { RouteKind, type RoutingRoute } from '../protocol/routing.js'
+import type { Clock } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
 import type { Progress } from '../utils/progress.js'
 import type { RandomSource } from '../utils/randomSource.js'
+import { RetryBudget } from '../utils/retryBudget.js'
 import type { Scope } from '../utils/scope.js'
 import { Signal } from '../utils/signal.js'
 import { noteFailedTry, type FailedOutcome } from './failedTry.js'
 import { GatewayEvent } from './gatewayEvents.js'
+import { lateAfterMs, verdictOn } from './requestPolicy.js'
 import { chooseService } from './routeTable.js'
 
-/** A try that takes longer than this share of the route's objective gets a second one beside it. */
-const HEDGE_AFTER_OBJECTIVE_SHARE = 0.55
 /** Pause before endpoints that were all full are asked again. */
 const FULL_RETRY_MS = 20
-/** A request that no endpoint has taken within this share of its objective is refused, so that its caller can turn elsewhere. */
-const REFUSE_AFTER_OBJECTIVE_SHARE = 0.22
-/** When a caller whose request was refused may come back. */
-const RETRY_AFTER_MS = 50
 
 export interface ForwardRequest {
   route: RoutingRoute
@@ -60,6 +57,8 @@
 
 export class RequestForwarder {
   private readonly _parts: RequestForwarderParts
+  /** Second tries beside first ones add at most a tenth to the load of a service. */
+  private readonly _hedgeBudgets = new Map<string, RetryBudget>()
 
   constructor (parts: RequestForwarderParts) {
     this._parts = parts
@@ -68,13 +67,20 @@
   /** @throws ScopeClosedError when the caller leaves first. */
   async forward (request: ForwardRequest): Promise<ForwardOutcome> {
     const scope = request.progress.scope.child('tries')
-    const run = new ForwardRun(this._parts, request, scope)
+    const service = chooseService(request.route, this._parts.random)
+    const run = new ForwardRun(this._parts, request, service, this._hedgeBudgetOf(service, request.progress.clock), scope)
     try {
       return await run.run()
     } finally {
       scope.close('forwarded')
     }
   }
+
+  private _hedgeBudgetOf (service: string, clock: Clock): RetryBudget {
+    const budget = this._hedgeBudgets.get(service) ?? new RetryBudget(clock)
+    this._hedgeBudgets.set(service, budget)
+    return budget
+  }
 }
 
 type Settled = Extract<ForwardOutcome, { kind: 'answered' }>
@@ -84,6 +90,7 @@
   private readonly _request: ForwardRequest
   private readonly _scope: Scope
   private readonly _service: string
+  private readonly _hedgeBudget: RetryBudget
   private readonly _tried = new Set<string>()
   private readonly _settled = new Signal()
   private readonly _startedAtMs: number
@@ -95,23 +102,25 @@
   private _answer: Settled | undefined
   private _failure: Settled | undefined
 
-  constructor (parts: RequestForwarderParts, request: ForwardRequest, scope: Scope) {
+  constructor (parts: RequestForwarderParts, request: ForwardRequest, service: string, hedgeBudget: RetryBudget, scope: Scope) {
     this._parts = parts
     this._request = request
     this._scope = scope
-    this._service = chooseService(request.route, parts.random)
+    this._service = service
+    this._hedgeBudget = hedgeBudget
     this._startedAtMs = request.progress.clock.nowMs()
   }
 
   async run (): Promise<ForwardOutcome> {
     const { progress } = this._request
+    this._hedgeBudget.depositFirstTry()
     while (!this._answer && !progress.isOver()) {
       if (this._openCount === 0) {
         const ended = this._tryNext()
         if (ended) return ended
       }
       const isNews = await this._settled.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextLookAtMs() })
-      if (!isNews && this._isHedgeDue() && this._startTry()) this._countRetry(RetryReason.Hedged)
+      if (!isNews && this._mayHedge() && this._startTry()) this._countRetry(RetryReason.Hedged)
     }
     return this._answer ?? this._giveUp(RefusalReason.DeadlinePassed)
   }
@@ -122,26 +131,24 @@
     const mayRunAgain = this._ranCount === 0 || (route.kind !== RouteKind.AtMostOnce && this._ranCount < route.maxAttemptsCount)
     if (!mayRunAgain) return this._failure ?? this._giveUp(RefusalReason.EndpointFailed)
     if (this._startTry()) return undefined
-    return this._isRefusalDue() ? this._giveUp(RefusalReason.NoEndpoint) : undefined
-  }
-
-  private _isRefusalDue (): boolean {
-    const { route, progress, isPersistent } = this._request
-    if (isPersistent === true) return false
-    return progress.clock.nowMs() - this._startedAtMs >= REFUSE_AFTER_OBJECTIVE_SHARE * route.objectiveMs
+    const { isPersistent, progress } = this._request
+    if (isPersistent === true) return undefined
+    const untaken = { forecast: this._parts.pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }
+    const verdict = verdictOn(untaken, this._parts.random)
+    return verdict.kind === 'refuse' ? this._giveUp(RefusalReason.NoEndpoint, verdict.retryAfterMs) : undefined
   }
 
   private _nextLookAtMs (): number {
-    const { route, progress } = this._request
-    const nowMs = progress.clock.nowMs()
-    const lookAtMs = this._openCount === 0 ? nowMs + FULL_RETRY_MS : nowMs + HEDGE_AFTER_OBJECTIVE_SHARE * route.objectiveMs
-    return Math.min(progress.deadlineMs, lookAtMs)
+    const { progress } = this._request
+    const { pool } = this._parts
+    const waitMs = this._openCount === 0 ? FULL_RETRY_MS : lateAfterMs(pool.sortedDurationsMs(this._service), pool.typicalMs(this._service))
+    return Math.min(progress.deadlineMs, progress.clock.nowMs() + waitMs)
   }
 
-  private _isHedgeDue (): boolean {
+  private _mayHedge (): boolean {
     const { route, progress } = this._request
-    const mayRepeat = route.kind !== RouteKind.AtMostOnce
-    return mayRepeat && !progress.isOver() && this._openCount === 1 && this._ranCount + this._openCount < route.maxAttemptsCount
+    const mayRepeat = route.kind !== RouteKind.AtMostOnce && this._ranCount + this._openCount < route.maxAttemptsCount
+    return mayRepeat && !progress.isOver() && this._openCount === 1 && this._hedgeBudget.take()
   }
 
   private _startTry (): boolean {
@@ -180,6 +187,7 @@
     switch (outcome.kind) {
       case 'answered':
         health.succeeded(durationMs, outcome.load)
+        this._parts.pool.answeredAfter(this._service, durationMs)
         return this._onAnswer(endpoint, outcome)
       default:
         return this._onFailed(endpoint, outcome)
@@ -207,11 +215,11 @@
     this._logFailure(endpoint, RetryReason.EndpointError, `status ${status}`)
   }
 
-  private _giveUp (reason: RefusalReason): ForwardOutcome {
+  private _giveUp (reason: RefusalReason, retryAfterMs = this._parts.pool.forecast(this._service)?.waitMs ?? 0): ForwardOutcome {
     if (this._failure) return this._failure
     const mayHaveRun = this._ranCount + this._openCount > 0
     const executed = mayHaveRun ? Executed.Unknown : Executed.No
-    return { kind: 'refused', executed, reason, retryAfterMs: RETRY_AFTER_MS }
+    return { kind: 'refused', executed, reason, retryAfterMs }
   }
 
   /** What the choice of the endpoint went by, and how old that was. */
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -18,13 +18,11 @@
 import { noteFailedTry, type FailedOutcome } from './failedTry.js'
 import { GatewayEvent } from './gatewayEvents.js'
 import type { ForwardOutcome, ForwardRequest } from './requestForwarder.js'
+import { verdictOn, type Verdict } from './requestPolicy.js'
 import { chooseService } from './routeTable.js'
 
 /** Pause before endpoints that were all full are asked again. */
 const FULL_RETRY_MS = 20
-/** As for plain requests: refused early, so that the caller can turn elsewhere. */
-const REFUSE_AFTER_OBJECTIVE_SHARE = 0.22
-const RETRY_AFTER_MS = 50
 
 export interface StreamRequest extends ForwardRequest {
   /** Id of the last event that the caller holds already. */
@@ -97,18 +95,21 @@
       if (endpoint) {
         const settled = await this._try(endpoint)
         if (settled) return settled
-      } else if (this._isRefusalDue()) {
-        return this._giveUp(RefusalReason.NoEndpoint)
       } else {
+        const verdict = this._verdict()
+        if (verdict.kind === 'refuse') return this._giveUp(RefusalReason.NoEndpoint, verdict.retryAfterMs)
         await sleepUntil(progress.clock, progress.scope, Math.min(progress.deadlineMs, progress.clock.nowMs() + FULL_RETRY_MS))
       }
     }
     return this._giveUp(RefusalReason.DeadlinePassed)
   }
 
-  private _isRefusalDue (): boolean {
-    const { route, progress } = this._request
-    return !this._isHeadSent && progress.clock.nowMs() - this._startedAtMs >= REFUSE_AFTER_OBJECTIVE_SHARE * route.objectiveMs
+  /** A caller that has part of its answer waits for the rest. */
+  private _verdict (): Verdict {
+    const { progress } = this._request
+    const { pool, random } = this._parts
+    if (this._isHeadSent) return { kind: 'wait' }
+    return verdictOn({ forecast: pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }, random)
   }
 
   /** One endpoint; undefined when another one may be tried. */
@@ -198,10 +199,10 @@
     return route.isResumable && this._ranCount < route.maxAttemptsCount && !progress.isOver()
   }
 
-  private _giveUp (reason: RefusalReason): StreamForwardOutcome {
+  private _giveUp (reason: RefusalReason, retryAfterMs = this._parts.pool.forecast(this._service)?.waitMs ?? 0): StreamForwardOutcome {
     if (this._isHeadSent) return { kind: 'brokenOff', reason }
     const executed = this._ranCount > 0 ? Executed.Unknown : Executed.No
-    return { kind: 'refused', executed, reason, retryAfterMs: RETRY_AFTER_MS }
+    return { kind: 'refused', executed, reason, retryAfterMs }
   }
 
   private _logFailure (endpoint: FleetEndpoint, reason: RetryReason, detail: string): undefined {
--- a/src/utils/retryBudget.ts
+++ b/src/utils/retryBudget.ts
@@ -3,7 +3,7 @@
  * retries add at most a tenth to the load, besides a small steady allowance
  * which lets a pool with little traffic retry at all.
  */
-import type { Clock } from '../../utils/clock.js'
+import type { Clock } from './clock.js'
 
 const DEPOSIT_PER_FIRST_TRY = 0.1
 const STEADY_PER_SECOND = 0.5
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -121,3 +121,26 @@
   await clock.advance(2_000)
   t.is(endpoints.calls.length, callsCount)
 })
+
+test('should refuse at once, with the time to come back, when no endpoint of the service is known', async t => {
+  const { clock, forward } = world(0)
+  const outcome = await clock.advanceUntil(forward())
+  t.is(clock.nowMs(), 0)
+  t.like(outcome, { kind: 'refused', executed: Executed.No, retryAfterMs: 500 })
+})
+
+test('should start second tries beside no more than a tenth of the requests in the long run', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 700, outcome: answered() })
+  for (let count = 0; count < 200; count++) await clock.advanceUntil(forward())
+  t.true(endpoints.calls.length <= 200 + 10 + 20 + 0.5 * clock.nowMs() / 1_000, `${endpoints.calls.length} calls`)
+})
+
+test('should learn from a service how long its requests take before it calls one late', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 300, outcome: answered() })
+  for (let count = 0; count < 40; count++) await clock.advanceUntil(forward())
+  const callsCount = endpoints.calls.length
+  for (let count = 0; count < 20; count++) await clock.advanceUntil(forward())
+  t.is(endpoints.calls.length - callsCount, 20)
+})
