--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -19,22 +19,11 @@
 import { BatchEvent } from './batchEvents.js'
 import type { Engine } from './engineFleet.js'
 import { ItemOutput } from './itemOutput.js'
+import { OutputKeeper } from './outputKeeper.js'
+import { SilenceWatch } from './silenceWatch.js'
 import type { WaitingItem } from './itemOrder.js'
 import { RewardScoring } from './rewardScoring.js'
 
-/** An engine that makes no first event for so long is left for another one: prompts are read in milliseconds, but one may wait behind others. */
-const SILENT_START_MS = 900
-/** From then on, so many of the gaps that are usual there without an event: a prompt of thousands of tokens that is read between two events takes less than three. */
-const SILENT_GAPS_COUNT = 8
-/** Events of an engine on another host may come together after a lost packet; a resent one is there by then. */
-const MIN_SILENCE_MS = 400
-/** A timer that is later than this shows that the host was frozen or had no processor. */
-const OWN_DELAY_MS = 100
-/** So many events are put into the replicated state together: under a second of a run, which a new leader would have to repeat. */
-const KEEP_EVENTS_COUNT = 16
-/** Of a run that has made this many already, fewer at a time: a step ends with its longest samples, and waits for what a dead leader lost of them. */
-const LONG_RUN_EVENTS_COUNT = 64
-const KEEP_LONG_EVENTS_COUNT = 6
 /** A run looks for a faster engine after every so many events. */
 const MOVE_CHECK_EVENTS_COUNT = 4
 /** Why the scope of a run closes that goes on elsewhere. */
@@ -84,7 +73,7 @@
   private readonly _parts: ItemRunParts
   /** Runs that engines answered as failed. */
   private _failuresCount = 0
-  private _keeping: Promise<void> | undefined
+  private readonly _keeper: OutputKeeper
   private readonly _startedAtMs: number
   /** Engine and scope of the run that is under way. */
   private _current: { engine: Engine, scope: Scope } | undefined
@@ -98,6 +87,14 @@
     this.times = times
     this.output = kept ?? new ItemOutput()
     this.isCarriedOver = isCarriedOver
+    this._keeper = new OutputKeeper({
+      clock: parts.clock,
+      replica: parts.replica,
+      batchId: batch.batchId,
+      itemId: item.itemId,
+      output: this.output,
+      onNotKept: (afterEventId, outcome) => this._log(BatchEvent.ProgressNotKept, { afterEventId, outcome })
+    })
   }
 
   get dueAtMs (): number {
@@ -192,18 +189,14 @@
   private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
     const { clock, client, release } = this._parts
     const runScope = scope.child(`run on ${engine.id}`)
-    let eventAtMs = clock.nowMs()
-    let eventsCount = 0
+    const silenceWatch = new SilenceWatch(clock, engine.pace, runScope)
     const onEvent = (event: ItemEvent): void => {
-      // The first event comes after the prompt was read, which says nothing of the pace.
-      if (eventsCount++ > 0) engine.pace.sawGap(clock.nowMs() - eventAtMs)
-      eventAtMs = clock.nowMs()
+      silenceWatch.sawEvent()
       const problem = this._take(event, engine)
-      if (this.output.freshCount >= this._keepCount()) this._keepProgress(scope)
+      this._keeper.outputGrew(scope)
       if (problem !== undefined) runScope.close(problem)
-      else if (eventsCount % MOVE_CHECK_EVENTS_COUNT === 0 && this._parts.shouldMove(this, engine)) runScope.close(MOVED)
+      else if (silenceWatch.eventsCount % MOVE_CHECK_EVENTS_COUNT === 0 && this._parts.shouldMove(this, engine)) runScope.close(MOVED)
     }
-    const cancelWatch = this._watch(runScope, () => eventAtMs + (eventsCount === 0 ? SILENT_START_MS : silenceMs(engine)))
     this._current = { engine, scope: runScope }
     this._log(BatchEvent.ItemStarted, { endpointId: engine.id, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
     try {
@@ -212,17 +205,12 @@
       if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
       return runScope.closeReason === MOVED ? { kind: 'moved' } : { kind: 'broken', reason: runScope.closeReason ?? '' }
     } finally {
-      cancelWatch()
       this._current = undefined
       runScope.close('run over')
       release(this, engine)
     }
   }
 
-  private _keepCount (): number {
-    return this.output.lastEventId < LONG_RUN_EVENTS_COUNT ? KEEP_EVENTS_COUNT : KEEP_LONG_EVENTS_COUNT
-  }
-
   private _request (engine: Engine) {
     const { path, headers, body, itemId } = this.item
     return {
@@ -254,52 +242,9 @@
     return undefined
   }
 
-  /** Ends the run when the engine falls silent. */
-  private _watch (runScope: Scope, silentFromMs: () => number): () => void {
-    const { clock } = this._parts
-    let cancel = (): void => {}
-    let lookAtMs = clock.nowMs()
-    const lookAgainAt = (atMs: number): void => {
-      lookAtMs = atMs
-      cancel = clock.callAt(atMs, look)
-    }
-    const look = (): void => {
-      const nowMs = clock.nowMs()
-      // This host was held up itself: what came meanwhile is read first.
-      if (nowMs - lookAtMs > OWN_DELAY_MS) return lookAgainAt(nowMs + OWN_DELAY_MS)
-      if (nowMs >= silentFromMs()) runScope.close('the engine fell silent')
-      else lookAgainAt(Math.min(silentFromMs(), nowMs + MIN_SILENCE_MS))
-    }
-    look()
-    return () => cancel()
-  }
-
-  /** Puts fresh events into the replicated state, without holding the run up. */
-  private _keepProgress (scope: Scope): void {
-    if (this._keeping) return
-    this._keeping = this._keepFresh(scope).catch(error => {
-      if (!(error instanceof ScopeClosedError)) throw error
-    }).finally(() => { this._keeping = undefined })
-  }
-
   /** Puts what the replicated state lacks of the output into it. */
   async keepOutput (progress: Progress): Promise<void> {
-    if (this._keeping) await progress.race(this._keeping)
-    if (this.output.freshCount > 0) await this._keepFresh(progress.scope)
-  }
-
-  private async _keepFresh (scope: Scope): Promise<void> {
-    const { clock, replica } = this._parts
-    const { output } = this
-    const { keptCount: afterEventId, lastEventId, generation } = output
-    const command = { kind: BatchCommandKind.Progress, batchId: this.batch.batchId, itemId: this.item.itemId, afterEventId, parts: output.freshParts() }
-    const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
-    const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
-    if (output.generation !== generation) return
-    if (answer === 'kept') return output.markKept(lastEventId)
-    this._log(BatchEvent.ProgressNotKept, { afterEventId, outcome: answer })
-    // Whether it was kept is not known, or it was not: the next part brings everything.
-    output.distrustKept()
+    await this._keeper.keepAll(progress)
   }
 
   private _givenUp (): ItemResult {
@@ -323,7 +268,7 @@
     const { clock, replica } = this._parts
     const { batchId } = this.batch
     while (!this.batch.isListed(this.item.itemId)) {
-      if (this._keeping) await scope.race(this._keeping)
+      await this._keeper.settled(scope)
       const command = { kind: BatchCommandKind.Finish, batchId, ...this._finishing(result) }
       const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
       const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
@@ -352,11 +297,6 @@
   }
 }
 
-/** Time without an event after which an engine that has begun to answer is taken for silent. */
-function silenceMs ({ pace }: Engine): number {
-  return Math.min(SILENT_START_MS, Math.max(MIN_SILENCE_MS, SILENT_GAPS_COUNT * (pace.presentGapMs ?? 0)))
-}
-
 function reasonOf (outcome: ItemOutcome): string {
   if ('reason' in outcome) return outcome.reason
   return 'status' in outcome ? `status ${outcome.status}` : ''
--- /dev/null
+++ b/src/batches/silenceWatch.ts
@@ -0,0 +1,69 @@
+/**
+ * Ends a run whose engine has fallen silent. What silence is depends on the
+ * engine: eight of the gaps that are usual there, so that a crash costs a long
+ * sample under half a second, and a slow engine is not left for being slow.
+ */
+import type { Clock } from '../utils/clock.js'
+import type { Scope } from '../utils/scope.js'
+import type { EnginePace } from './enginePace.js'
+
+/** An engine that makes no first event for so long is left for another one: prompts are read in milliseconds, but one may wait behind others. */
+const SILENT_START_MS = 900
+/** From then on, so many of the gaps that are usual there without an event: a prompt of thousands of tokens that is read between two events takes less than three. */
+const SILENT_GAPS_COUNT = 8
+/** Events of an engine on another host may come together after a lost packet; a resent one is there by then. */
+const MIN_SILENCE_MS = 400
+/** A timer that is later than this shows that the host was frozen or had no processor. */
+const OWN_DELAY_MS = 100
+
+export class SilenceWatch {
+  private readonly _clock: Clock
+  private readonly _pace: EnginePace
+  private _eventAtMs: number
+  private _eventsCount = 0
+  private _lookAtMs: number
+  private _cancelTimer = (): void => {}
+
+  /** Begins to watch; closes the scope of the run when the engine is silent. */
+  constructor (clock: Clock, pace: EnginePace, runScope: Scope) {
+    this._clock = clock
+    this._pace = pace
+    this._eventAtMs = clock.nowMs()
+    this._lookAtMs = clock.nowMs()
+    this._look(runScope)
+    runScope.onClose(() => this._cancelTimer())
+  }
+
+  /** Events that came so far. */
+  get eventsCount (): number {
+    return this._eventsCount
+  }
+
+  /** An event has come: the engine is not silent, and its gap tells of the engine's pace. */
+  sawEvent (): void {
+    const nowMs = this._clock.nowMs()
+    // The first event comes after the prompt was read, which says nothing of the pace.
+    if (this._eventsCount > 0) this._pace.sawGap(nowMs - this._eventAtMs)
+    this._eventsCount++
+    this._eventAtMs = nowMs
+  }
+
+  private _look (runScope: Scope): void {
+    const nowMs = this._clock.nowMs()
+    // This host was held up itself: what came meanwhile is read first.
+    if (nowMs - this._lookAtMs > OWN_DELAY_MS) return this._lookAgainAt(nowMs + OWN_DELAY_MS, runScope)
+    const silentAtMs = this._eventAtMs + this._silenceMs()
+    if (nowMs >= silentAtMs) runScope.close('the engine fell silent')
+    else this._lookAgainAt(Math.min(silentAtMs, nowMs + MIN_SILENCE_MS), runScope)
+  }
+
+  private _lookAgainAt (atMs: number, runScope: Scope): void {
+    this._lookAtMs = atMs
+    this._cancelTimer = this._clock.callAt(atMs, () => this._look(runScope))
+  }
+
+  private _silenceMs (): number {
+    if (this._eventsCount === 0) return SILENT_START_MS
+    return Math.min(SILENT_START_MS, Math.max(MIN_SILENCE_MS, SILENT_GAPS_COUNT * (this._pace.presentGapMs ?? 0)))
+  }
+}
