Look once for all items of a batch when slots are given, so that a large step does not cost a leader its lead

Change: a round works out the fitting engines of a batch once and reads each engine's pace and soundness once, passes over a batch that has found no room, and keeps what waits in order; where a batch may run is looked up once for each routing configuration; a free slot is offered to running items only if some engine is slower in kind.

--- /dev/null
+++ b/src/batches/assignmentRound.ts
@@ -0,0 +1,124 @@
+/**
+ * One look at all that waits: which engines may run each item is worked out once
+ * for all items of a batch, and each engine's pace and soundness are read once. Without that, four trainers with 500 items before 31 engines kept
+ * the leader of the store busy for longer than its heartbeats may fail, and it
+ * lost its leadership at every step.
+ */
+import type { ModelEngine } from '../protocol/routing.js'
+import type { Batch } from './batchState.js'
+import type { Engine } from './engineFleet.js'
+import { ASSUMED_TOKEN_MS, eventCostMs, loadOf, shouldWaitForFaster, type EngineLoad } from './itemOrder.js'
+import type { ItemRun } from './itemRun.js'
+import { patientUntilMs } from './slotSharing.js'
+
+/** Where the items of a run's batch may go. */
+export interface RunPlace {
+  service: string
+  modelEngine: ModelEngine | undefined
+}
+
+/** An engine with weights that fit, at the moment of the round. */
+interface Candidate extends EngineLoad {
+  /** Runs up to which another one may begin. */
+  mostRunsCount: number
+}
+
+export interface AssignmentRoundParts {
+  nowMs: number
+  placeOf: (run: ItemRun) => RunPlace | undefined
+  enginesOf: (service: string) => Engine[]
+  /** Slots of an engine up to which items begin that can wait. */
+  patientSlotsOf: (service: string, engines: Engine[]) => number
+}
+
+/** What is the same for all items of a batch. */
+interface BatchChoice {
+  place: RunPlace
+  candidates: Candidate[]
+  /** No engine has room for an item; slots are only taken during a round, so this stays. */
+  isFull: boolean
+  /** The same for items that can wait. */
+  isFullForPatient: boolean
+}
+
+export class AssignmentRound {
+  private readonly _parts: AssignmentRoundParts
+  private readonly _choices = new Map<Batch, BatchChoice | undefined>()
+  private readonly _patientSlots = new Map<string, number>()
+
+  constructor (parts: AssignmentRoundParts) {
+    this._parts = parts
+  }
+
+  /** The engine to begin at now; undefined when none has room, or when one that is worth waiting for will have. */
+  engineFor (run: ItemRun, waitedMs: number): Engine | undefined {
+    const choice = this._choiceFor(run)
+    if (!choice || choice.isFull) return undefined
+    const isPatient = this._isPatient(run, choice.place)
+    if (isPatient && choice.isFullForPatient) return undefined
+    const free = cheapest(choice.candidates, isPatient ? this._patientSlotsOf(choice) : Number.POSITIVE_INFINITY)
+    if (!free) {
+      choice.isFullForPatient = true
+      choice.isFull ||= !isPatient
+      return undefined
+    }
+    const best = cheapest(choice.candidates, undefined) ?? free
+    if (best === free) return free.engine
+    const remainingEventsCount = run.remainingTokensCount / tokensPerEvent(choice.place)
+    return shouldWaitForFaster({ freeGapMs: free.gapMs, fullGapMs: best.gapMs, remainingEventsCount, waitedMs }) ? undefined : free.engine
+  }
+
+  private _choiceFor (run: ItemRun): BatchChoice | undefined {
+    const { batch, item } = run
+    if (this._choices.has(batch)) return this._choices.get(batch)
+    const place = this._parts.placeOf(run)
+    const { minVersion } = batch.submission
+    const engines = place ? this._parts.enginesOf(place.service) : []
+    const candidates = engines.filter(engine => engine.mayBegin(item.model) && engine.version(item.model) >= minVersion)
+    const choice = place && { place, candidates: candidates.map(engine => candidateOf(engine, place)), isFull: false, isFullForPatient: false }
+    this._choices.set(batch, choice)
+    return choice
+  }
+
+  private _isPatient (run: ItemRun, place: RunPlace): boolean {
+    const item = {
+      longestEndsAtMs: Math.min(run.times.longestEndsAtMs, run.dueAtMs),
+      remainingEventsCount: run.remainingTokensCount / tokensPerEvent(place)
+    }
+    return this._parts.nowMs < patientUntilMs(item, ASSUMED_TOKEN_MS * tokensPerEvent(place))
+  }
+
+  private _patientSlotsOf ({ place, candidates }: BatchChoice): number {
+    let slotsCount = this._patientSlots.get(place.service)
+    if (slotsCount === undefined) {
+      slotsCount = this._parts.patientSlotsOf(place.service, candidates.map(({ engine }) => engine))
+      this._patientSlots.set(place.service, slotsCount)
+    }
+    return slotsCount
+  }
+}
+
+export function tokensPerEvent ({ modelEngine }: RunPlace): number {
+  return modelEngine?.tokensPerEvent ?? 1
+}
+
+function candidateOf (engine: Engine, place: RunPlace): Candidate {
+  const load = loadOf(engine, ASSUMED_TOKEN_MS * tokensPerEvent(place), place.modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
+  // One run alone where it has yet to show that slowness has passed.
+  return { ...load, mostRunsCount: load.isInDoubt ? 1 : engine.endpoint.slotsCount }
+}
+
+/** @param mostRunsCount runs up to which an engine counts; undefined counts full ones too */
+function cheapest (candidates: readonly Candidate[], mostRunsCount: number | undefined): Candidate | undefined {
+  let best: Candidate | undefined
+  let lowestCostMs = Number.POSITIVE_INFINITY
+  for (const candidate of candidates) {
+    const { engine } = candidate
+    if (mostRunsCount !== undefined && engine.runningCount >= Math.min(mostRunsCount, candidate.mostRunsCount)) continue
+    const costMs = eventCostMs(candidate)
+    if (costMs >= lowestCostMs) continue
+    best = candidate
+    lowestCostMs = costMs
+  }
+  return best
+}
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -8,7 +8,7 @@
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
 import type { BatchItem, ItemResult } from '../protocol/batches.js'
-import type { RoutingRoute } from '../protocol/routing.js'
+import type { Routing, RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import type { Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
@@ -16,6 +16,7 @@
 import type { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { Supervisor } from '../utils/supervisor.js'
+import type { RunPlace } from './assignmentRound.js'
 import { BatchEvent } from './batchEvents.js'
 import type { Batch, BatchState } from './batchState.js'
 import { EngineFleet } from './engineFleet.js'
@@ -46,6 +47,9 @@
 interface TrackedBatch {
   batch: Batch
   supervisor: Supervisor
+  /** Where its items run, as of this version of the routing configuration. */
+  place?: RunPlace
+  placedUnderVersion?: number
 }
 
 export class BatchDispatcher {
@@ -64,7 +68,7 @@
     this.engines = new EngineFleet(parts.pool, parts.clock)
     this.demand = new ModelDemand(parts.clock)
     const { clock, view } = parts
-    this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, serviceOf: run => this._serviceOf(run) })
+    this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placeOf: run => this._placeOf(run.batch) })
   }
 
   /** Open batches that this host runs. */
@@ -161,7 +165,7 @@
       release: (run, engine) => this._slots.release(run, engine),
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onWhole: run => this.demand.made(run.item.model, run.output.lastEventId),
-      tokensPerEvent: run => this._tokensPerEvent(run),
+      tokensPerEvent: () => this._placeOf(batch)?.modelEngine?.tokensPerEvent ?? 1,
       routeOf: (host, path) => this.routeOf(host, path)
     }
     const run = new ItemRun(parts, batch, item, times, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
@@ -199,12 +203,20 @@
     if (this._keptOutputs.size > MAX_KEPT_OUTPUTS_COUNT && oldest !== undefined) this._keptOutputs.delete(oldest)
   }
 
-  private _serviceOf ({ batch }: ItemRun): string | undefined {
-    return this.routeOf(batch.submission.host, batch.submission.path)?.services.find(({ weight }) => weight > 0)?.service
-  }
-
-  private _tokensPerEvent (run: ItemRun): number {
-    const service = this._serviceOf(run)
-    return this._parts.view.routing?.services.find(({ name }) => name === service)?.engine?.tokensPerEvent ?? 1
+  /** Where the items of a batch may run; looked up once for each routing configuration. */
+  private _placeOf (batch: Batch): RunPlace | undefined {
+    const { routing } = this._parts.view
+    const tracked = this._tracked.get(batch.batchId)
+    if (!routing) return undefined
+    if (tracked?.place && tracked.placedUnderVersion === routing.version) return tracked.place
+    const place = this._findPlace(batch, routing)
+    if (tracked) Object.assign(tracked, { place, placedUnderVersion: routing.version })
+    return place
+  }
+
+  private _findPlace (batch: Batch, routing: Routing): RunPlace | undefined {
+    const service = this.routeOf(batch.submission.host, batch.submission.path)?.services.find(({ weight }) => weight > 0)?.service
+    if (service === undefined) return undefined
+    return { service, modelEngine: routing.services.find(({ name }) => name === service)?.engine }
   }
 }
--- a/src/batches/itemOrder.ts
+++ b/src/batches/itemOrder.ts
@@ -50,15 +50,27 @@
   return engine.runningCount / Math.max(1, engine.endpoint.slotsCount)
 }
 
+/** An engine at one moment, as far as its time for an event depends on it. */
+export interface EngineLoad {
+  /** Time that it is expected to need for an event, whatever runs there. */
+  gapMs: number
+  isInDoubt: boolean
+  engine: Engine
+  kvCapacityTokens: number
+}
+
+export function loadOf (engine: Engine, assumedGapMs: number, kvCapacityTokens: number): EngineLoad {
+  return { gapMs: expectedGapMs(engine, assumedGapMs), isInDoubt: engine.pace.isInDoubt, engine, kvCapacityTokens }
+}
+
 /**
  * What an item costs on an engine, in milliseconds for an event: its pace, its
  * runs, and the memory that is left. Memory weighs little until it runs short,
  * because an engine that runs out of it sets its newest run back to the start.
  */
-export function eventCostMs (engine: Engine, assumedGapMs: number, kvCapacityTokens: number): number {
+export function eventCostMs ({ gapMs, isInDoubt, engine, kvCapacityTokens }: EngineLoad): number {
   const memoryShare = engine.heldTokensCount / Math.max(1, kvCapacityTokens)
-  const doubt = engine.pace.isInDoubt ? DOUBT_COST : 0
-  return expectedGapMs(engine, assumedGapMs) * (1 + FULL_BATCH_SLOWDOWN * busyShareOf(engine) + memoryShare ** 2 + doubt)
+  return gapMs * (1 + FULL_BATCH_SLOWDOWN * busyShareOf(engine) + memoryShare ** 2 + (isInDoubt ? DOUBT_COST : 0))
 }
 
 /** The engine on which an item is expected to end first. */
@@ -66,7 +78,7 @@
   let fastest: Engine | undefined
   let lowestCostMs = Number.POSITIVE_INFINITY
   for (const engine of engines) {
-    const costMs = eventCostMs(engine, assumedGapMs, kvCapacityTokens)
+    const costMs = eventCostMs(loadOf(engine, assumedGapMs, kvCapacityTokens))
     if (costMs >= lowestCostMs) continue
     fastest = engine
     lowestCostMs = costMs
@@ -125,11 +137,16 @@
 
 /** Time that a run saves by going on at another engine; 0 when it had better stay. */
 export function movingGainMs (from: Engine, to: Engine, run: MovingRun): number {
+  const gainMs = expectedEventsCount(run) * gainPerEventMs(from, to)
+  return gainMs > MIN_MOVING_GAIN_MS ? gainMs : 0
+}
+
+/** Time that each event of a run is earlier at another engine; 0 when the two are of one kind. */
+export function gainPerEventMs (from: Engine, to: Engine): number {
   const fromGapMs = from.pace.presentGapMs
   const toGapMs = gapWithOneMoreMs(to)
   if (fromGapMs === undefined || toGapMs === undefined || fromGapMs < MOVE_RATIO * toGapMs) return 0
-  const gainMs = expectedEventsCount(run) * (fromGapMs - toGapMs)
-  return gainMs > MIN_MOVING_GAIN_MS ? gainMs : 0
+  return fromGapMs - toGapMs
 }
 
 /** Undefined when nothing tells of its pace, or what tells may be over. */
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -5,14 +5,14 @@
  */
 import type { FleetView } from '../fleet/fleetView.js'
 import { EndpointLifecycle } from '../protocol/fleet.js'
-import type { ModelEngine } from '../protocol/routing.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { Scope } from '../utils/scope.js'
+import { AssignmentRound, tokensPerEvent, type RunPlace } from './assignmentRound.js'
 import type { Engine, EngineFleet } from './engineFleet.js'
-import { ASSUMED_TOKEN_MS, compareWaiting, expectedEventsCount, expectedGapMs, fastestEngine, movingGainMs, shouldWaitForFaster, type MovingRun } from './itemOrder.js'
+import { ASSUMED_TOKEN_MS, compareWaiting, expectedEventsCount, fastestEngine, gainPerEventMs, movingGainMs, type MovingRun, type WaitingItem } from './itemOrder.js'
 import type { ItemRun } from './itemRun.js'
 import type { ModelDemand } from './modelDemand.js'
-import { patientUntilMs, slotsForPatient } from './slotSharing.js'
+import { slotsForPatient } from './slotSharing.js'
 
 /** How often waiting items are looked at when nothing is heard: suspicions and pauses of engines end by time. */
 const LOOK_INTERVAL_MS = 50
@@ -26,8 +26,8 @@
   demand: ModelDemand
   /** Every item that is not listed yet, whether it waits, runs or is scored. */
   runs: ReadonlySet<ItemRun>
-  /** The service whose engines run an item; undefined while its route is not known. */
-  serviceOf: (run: ItemRun) => string | undefined
+  /** Where an item may run; undefined while its route is not known. */
+  placeOf: (run: ItemRun) => RunPlace | undefined
 }
 
 interface Waiting {
@@ -36,14 +36,12 @@
   resolve: (engine: Engine) => void
 }
 
-/** What is the same for all items that wait at one moment. */
-type PatientSlots = ReadonlyMap<string, number>
-
 export class SlotAssignment {
   private readonly _parts: SlotAssignmentParts
   /** Slots that are kept for runs on their way from a slower engine. */
   private readonly _reserved = new Map<ItemRun, Engine>()
   private _waiting: Waiting[] = []
+  private _isInOrder = true
   private _isHeld = false
 
   constructor (parts: SlotAssignmentParts) {
@@ -84,6 +82,7 @@
     const turn = new Promise<Engine>(resolve => {
       waiting = { run, sinceMs: this._parts.clock.nowMs(), resolve }
       this._waiting.push(waiting)
+      this._isInOrder = false
     })
     const stopWaiting = scope.onClose(() => { this._waiting = this._waiting.filter(other => other !== waiting) })
     this.assign()
@@ -119,11 +118,17 @@
   /** Gives slots to what waits, as far as there is room. */
   assign (): void {
     if (this._waiting.length === 0 || this._isHeld) return
-    const patientSlots = this._patientSlots()
-    this._waiting.sort((left, right) => compareWaiting(left.run, right.run, ASSUMED_TOKEN_MS))
+    const { clock, engines, placeOf } = this._parts
+    const nowMs = clock.nowMs()
+    const round = new AssignmentRound({
+      nowMs,
+      placeOf,
+      enginesOf: service => engines.ofService(service),
+      patientSlotsOf: (service, candidates) => this._patientSlotsOf(service, candidates)
+    })
     const left: Waiting[] = []
-    for (const waiting of this._waiting) {
-      const engine = this._engineFor(waiting, patientSlots)
+    for (const waiting of this._inOrder()) {
+      const engine = round.engineFor(waiting.run, nowMs - waiting.sinceMs)
       if (!engine) {
         left.push(waiting)
         continue
@@ -134,6 +139,15 @@
     this._waiting = left
   }
 
+  /** What the order depends on does not change while an item waits, so it is sorted only after others came. */
+  private _inOrder (): Waiting[] {
+    if (this._isInOrder) return this._waiting
+    const keyed = this._waiting.map(waiting => ({ waiting, key: waitingKey(waiting.run) }))
+    keyed.sort((left, right) => compareWaiting(left.key, right.key, ASSUMED_TOKEN_MS))
+    this._isInOrder = true
+    return keyed.map(({ waiting }) => waiting)
+  }
+
   /**
    * Gives a free slot to the run on a slower engine that gains most by it,
    * ahead of what waits, which gets the slot that the run leaves: the longest
@@ -141,10 +155,13 @@
    */
   private _offerToRunning (engine: Engine): void {
     if (!engine.isSound || engine.freeSlotsCount === 0 || !this._isReady(engine)) return
+    const slower = new Set(this._parts.engines.ofService(engine.endpoint.service).filter(other => gainPerEventMs(other, engine) > 0))
+    if (slower.size === 0) return
     let mover: ItemRun | undefined
     let mostGainMs = 0
     for (const run of this._parts.runs) {
-      const gainMs = this._gainMs(run, engine)
+      if (!run.engine || !slower.has(run.engine)) continue
+      const gainMs = this._gainMs(run, run.engine, engine)
       if (gainMs <= mostGainMs) continue
       mover = run
       mostGainMs = gainMs
@@ -155,72 +172,36 @@
     mover.move()
   }
 
-  /** What a run saves by going on at an engine; 0 when it does not run, or had better stay. */
-  private _gainMs (run: ItemRun, to: Engine): number {
-    if (!run.engine || this._reserved.has(run) || !to.mayBegin(run.item.model) || !this._fits(run, to)) return 0
-    return movingGainMs(run.engine, to, this._movingRun(run))
+  /** What a run saves by going on at an engine; 0 when it had better stay. */
+  private _gainMs (run: ItemRun, from: Engine, to: Engine): number {
+    if (this._reserved.has(run) || !to.mayBegin(run.item.model) || !this._fits(run, to)) return 0
+    return movingGainMs(from, to, this._movingRun(run))
   }
 
-  /** The engine to begin at now; undefined when none has room, or when one that is worth waiting for will have. */
-  private _engineFor (waiting: Waiting, patientSlots: PatientSlots): Engine | undefined {
-    const { run } = waiting
-    const fitting = this._fittingEngines(run)
-    const open = fitting.filter(engine => engine.mayRun(run.item.model) && engine.runningCount < this._slotsFor(run, patientSlots))
-    const assumedGapMs = this._assumedGapMs(run)
-    const free = fastestEngine(open, assumedGapMs, this._kvCapacityTokens(run))
-    const best = fastestEngine(fitting, assumedGapMs, this._kvCapacityTokens(run))
-    if (!free || !best || best === free) return free
-    return this._mayWaitFor(best, free, waiting) ? undefined : free
-  }
-
-  private _mayWaitFor (best: Engine, free: Engine, { run, sinceMs }: Waiting): boolean {
-    const assumedGapMs = this._assumedGapMs(run)
-    return shouldWaitForFaster({
-      freeGapMs: expectedGapMs(free, assumedGapMs),
-      fullGapMs: expectedGapMs(best, assumedGapMs),
-      remainingEventsCount: this._hintedEventsCount(run),
-      waitedMs: this._parts.clock.nowMs() - sinceMs
-    })
-  }
-
-  /** Slots of an engine that an item may fill. */
-  private _slotsFor (run: ItemRun, patientSlots: PatientSlots): number {
-    const item = { longestEndsAtMs: Math.min(run.times.longestEndsAtMs, run.dueAtMs), remainingEventsCount: this._hintedEventsCount(run) }
-    const isPatient = this._parts.clock.nowMs() < patientUntilMs(item, this._assumedGapMs(run))
-    const slotsCount = isPatient ? patientSlots.get(this._parts.serviceOf(run) ?? '') : undefined
-    return slotsCount ?? Number.POSITIVE_INFINITY
-  }
-
-  /** For each service whose items wait. */
-  private _patientSlots (): PatientSlots {
-    const services = new Set(this._waiting.map(({ run }) => this._parts.serviceOf(run)).filter(service => service !== undefined))
-    return new Map([...services].map(service => [service, this._patientSlotsOf(service)]))
-  }
-
-  private _patientSlotsOf (service: string): number {
-    const { runs, serviceOf, engines, demand } = this._parts
-    const waiting = this._waiting.map(({ run }) => run).filter(run => serviceOf(run) === service)
+  private _patientSlotsOf (service: string, candidates: readonly Engine[]): number {
+    const { runs, placeOf, demand } = this._parts
+    const waiting = this._waiting.map(({ run }) => run).filter(run => placeOf(run)?.service === service)
     const running = [...runs].filter(run => run.engine?.endpoint.service === service)
-    const useful = engines.ofService(service).filter(engine => engine.isSound && waiting.some(run => this._fits(run, engine)))
-    const horizonsMs = waiting.map(run => demand.namingIntervalMs(run.item.model)).filter(intervalMs => intervalMs !== undefined)
+    const models = new Set(waiting.map(({ item }) => item.model))
+    const horizonsMs = [...models].map(model => demand.namingIntervalMs(model)).filter(intervalMs => intervalMs !== undefined)
     return slotsForPatient({
       workMs: [...waiting, ...running].reduce((sumMs, run) => sumMs + this._remainingMs(run), 0),
       horizonMs: Math.min(ASSUMED_STEP_INTERVAL_MS, ...horizonsMs),
-      enginesCount: useful.length,
-      slotsCount: Math.max(1, ...useful.map(engine => engine.endpoint.slotsCount))
+      enginesCount: candidates.length,
+      slotsCount: Math.max(1, ...candidates.map(({ endpoint }) => endpoint.slotsCount))
     })
   }
 
   /** Sound engines whose weights may make the item, with room or without. */
   private _fittingEngines (run: ItemRun): Engine[] {
-    const service = this._parts.serviceOf(run)
-    if (service === undefined) return []
-    return this._parts.engines.ofService(service).filter(engine => engine.mayBegin(run.item.model) && this._fits(run, engine))
+    const place = this._parts.placeOf(run)
+    if (!place) return []
+    return this._parts.engines.ofService(place.service).filter(engine => engine.mayBegin(run.item.model) && this._fits(run, engine))
   }
 
   /** Whether an engine belongs to the run's service, with weights that may go on with it. */
   private _fits (run: ItemRun, engine: Engine): boolean {
-    if (engine.endpoint.service !== this._parts.serviceOf(run)) return false
+    if (engine.endpoint.service !== this._parts.placeOf(run)?.service) return false
     return engine.version(run.item.model) >= run.batch.submission.minVersion
   }
 
@@ -252,17 +233,18 @@
   }
 
   private _tokensPerEvent (run: ItemRun): number {
-    return this._modelEngineOf(run)?.tokensPerEvent ?? 1
+    const place = this._parts.placeOf(run)
+    return place ? tokensPerEvent(place) : 1
   }
 
   private _kvCapacityTokens (run: ItemRun): number {
-    return this._modelEngineOf(run)?.kvCapacityTokens ?? Number.POSITIVE_INFINITY
+    return this._parts.placeOf(run)?.modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY
   }
+}
 
-  private _modelEngineOf (run: ItemRun): ModelEngine | undefined {
-    const service = this._parts.serviceOf(run)
-    return this._parts.view.routing?.services.find(({ name }) => name === service)?.engine
-  }
+/** What the order depends on, read once for a round. */
+function waitingKey ({ isBegun, isCarriedOver, dueAtMs, remainingTokensCount }: ItemRun): WaitingItem {
+  return { isBegun, isCarriedOver, dueAtMs, remainingTokensCount }
 }
 
 function tokensOf (run: ItemRun): number {
