--- /dev/null
+++ b/tests/batches/assignmentRound.test.ts
@@ -0,0 +1,89 @@
+import test from 'ava'
+import { AssignmentRound } from '../../src/batches/assignmentRound.js'
+import { Batch } from '../../src/batches/batchState.js'
+import { Engine } from '../../src/batches/engineFleet.js'
+import type { ItemRun } from '../../src/batches/itemRun.js'
+import { EndpointHealth } from '../../src/endpoints/endpointHealth.js'
+import { submission } from '../fixtures/fleet/batchFixtures.js'
+import { engine } from '../fixtures/fleet/fleetFixtures.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+/**
+ * The load that these tests stand for: four trainers whose steps of a hundred
+ * items and more are open two at a time, before 31 engines of eight slots, and a
+ * leader of the store that may not be busy for half a second.
+ */
+const SLOTS_COUNT = 8
+const TOKENS_PER_EVENT = 50
+
+interface World {
+  round: AssignmentRound
+  engines: Engine[]
+  runs: ItemRun[]
+  counts: { engines: number, patient: number, health: number }
+}
+
+function world (batchesCount: number, itemsCount: number, enginesCount = 31): World {
+  const clock = new VirtualClock()
+  const counts = { engines: 0, patient: 0, health: 0 }
+  const engines = Array.from({ length: enginesCount }, (_value, position) => {
+    const health = new EndpointHealth(clock)
+    Object.defineProperty(health, 'isSuspect', { get: () => { counts.health++; return false } })
+    return new Engine(engine(`e${position}`, 1, { slotsCount: SLOTS_COUNT }), health, clock)
+  })
+  const runs = Array.from({ length: batchesCount }, (_value, position) => {
+    const itemIds = Array.from({ length: itemsCount }, (_item, item) => `b${position}i${item}`)
+    const batch = new Batch({ submission: submission(`b${position}`, itemIds), acceptedAtMs: 0, keepMs: 1, results: [], isEnded: false })
+    const times = { dueAtMs: 7_500, giveUpAtMs: 40_000, longestEndsAtMs: 7_000 }
+    return batch.openItems().map(item => ({ batch, item, times, dueAtMs: 7_500, remainingTokensCount: 500 }) as unknown as ItemRun)
+  }).flat()
+  const modelEngine = { slotsCount: SLOTS_COUNT, kvCapacityTokens: 60_000, tokensPerEvent: TOKENS_PER_EVENT, models: ['hints-model'] }
+  const round = new AssignmentRound({
+    nowMs: 0,
+    placeOf: () => ({ service: 'engines', modelEngine }),
+    enginesOf: () => {
+      counts.engines++
+      return engines
+    },
+    patientSlotsOf: () => {
+      counts.patient++
+      return 5
+    }
+  })
+  return { round, engines, runs, counts }
+}
+
+function assignAll ({ round, runs }: World): number {
+  let assignedCount = 0
+  for (const run of runs) {
+    const chosen = round.engineFor(run, 0)
+    if (!chosen) continue
+    chosen.enter(100)
+    assignedCount++
+  }
+  return assignedCount
+}
+
+test('should look at the engines once for each batch, however many items wait', t => {
+  const few = world(8, 10)
+  const many = world(8, 112)
+  assignAll(few)
+  assignAll(many)
+  t.is(many.counts.engines, 8)
+  t.is(many.counts.patient, 1)
+  t.is(many.counts.health, few.counts.health, 'the same looks for ten times the items')
+})
+
+test('should fill no engine beyond what items that can wait may take, and spread them evenly', t => {
+  const all = world(1, 500)
+  t.is(assignAll(all), 31 * 5)
+  t.deepEqual(new Set(all.engines.map(({ runningCount }) => runningCount)), new Set([5]))
+})
+
+test('should give an item that cannot wait a slot that those that can had to leave', t => {
+  const all = world(1, 200)
+  assignAll(all)
+  const [first] = all.runs
+  const urgent = { ...first, remainingTokensCount: 150 * TOKENS_PER_EVENT } as unknown as ItemRun
+  t.truthy(all.round.engineFor(urgent, 0))
+})
