--- a/src/batches/weightPlanner.ts
+++ b/src/batches/weightPlanner.ts
@@ -53,9 +53,7 @@
   /** Fewer engines than the model's share can run what is asked for now. */
   SetIncomplete = 'set_incomplete',
   /** Too few engines will still do once the next version is named. */
-  NextVersion = 'next_version',
-  /** The set is whole, and still has no room for what waits. */
-  MoreRoom = 'more_room'
+  NextVersion = 'next_version'
 }
 
 export interface PlannedLoad {
@@ -145,21 +143,21 @@
 /** What a model lacks most; undefined when it lacks nothing. */
 function wantOf (model: PlannedModel, setSize: number, engines: readonly PlannedEngine[]): Want | undefined {
   const fitting = engines.filter(engine => engine.versionOf(model.model) >= model.neededVersion)
-  const isShort = model.waitingCount > 0 && fitting.every(({ freeSlotsCount }) => freeSlotsCount === 0)
   if (fitting.length < setSize) {
+    const isShort = model.waitingCount > 0 && fitting.every(({ freeSlotsCount }) => freeSlotsCount === 0)
     return { model, reason: isShort ? LoadReason.ItemsWait : LoadReason.SetIncomplete, coverage: fitting.length / setSize }
   }
   const lastingCount = engines.filter(engine => engine.versionOf(model.model) >= model.namedVersion).length
   const lastingWantedCount = Math.ceil(setSize / stepsOfLife(model))
   if (lastingCount < lastingWantedCount) return { model, reason: LoadReason.NextVersion, coverage: lastingCount / lastingWantedCount }
-  return isShort ? { model, reason: LoadReason.MoreRoom, coverage: fitting.length / engines.length } : undefined
+  return undefined
 }
 
 /** The engine that a model gains most by, of those that may be ordered. */
 function engineFor ({ model, reason }: Want, engines: readonly PlannedEngine[], models: readonly PlannedModel[], fastestMs: number): PlannedEngine | undefined {
   const oldest = reason === LoadReason.NextVersion ? model.namedVersion : model.neededVersion
   let candidates = engines.filter(engine => engine.mayBeOrdered && engine.versionOf(model.model) < oldest)
-  if (reason === LoadReason.ItemsWait || reason === LoadReason.MoreRoom) candidates = withRoom(candidates)
+  if (reason === LoadReason.ItemsWait) candidates = withRoom(candidates)
   return lowest(candidates, engine => loadCost(engine, model, models, fastestMs))
 }
 
