--- a/src/batches/enginePace.ts
+++ b/src/batches/enginePace.ts
@@ -24,7 +24,7 @@
 /** The natural pace is the one that this share of the remembered seconds stays under: low, since slowness only adds. */
 const NATURAL_QUANTILE = 0.2
 
-/** An engine that is this much slower than its nature is slowed; a full batch alone makes it 1.15 times slower (36 and 41 ms an event). */
+/** An engine that is this much slower than its nature is slowed; a full batch alone makes it 1.13 times slower (37 and 42 ms an event). */
 const SLOWED_RATIO = 1.3
 
 interface Bucket {
--- a/src/batches/itemOrder.ts
+++ b/src/batches/itemOrder.ts
@@ -105,7 +105,8 @@
  * room. It waits as long as it would lose by running on the slower one, at most:
  * whatever comes, the two together cost it no more than twice the better of them.
  * A sample of 187 events ends 1.9 s earlier on an engine that needs 38 ms for an
- * event than on one that needs 48; slots of full engines become free every 70 ms.
+ * event than on one that needs 48; a slot of a full engine should
+ * be free every 70 ms (twelve slots, 0.84 s a sample by the sheet; worked out).
  */
 export function shouldWaitForFaster ({ freeGapMs, fullGapMs, remainingEventsCount, waitedMs }: SlotChoice): boolean {
   if (freeGapMs < SLOWER_KIND_RATIO * fullGapMs) return false
--- a/src/batches/loadLanes.ts
+++ b/src/batches/loadLanes.ts
@@ -21,7 +21,7 @@
 const STRETCHED_RATIO = 1.3
 /** So many in a row, on different engines, before a number is given up that has been good: a slow engine says nothing of the store. */
 const STRETCHED_LOADS_COUNT = 2
-/** So many loads at full speed prove a number: of those that begin last, one in five finds that another has just ended. */
+/** So many loads at full speed prove a number: one that begins last may find that another has just ended, before a report shows it. Reasoned, not varied. */
 const FULL_SPEED_LOADS_COUNT = 2
 /** After a stretch, nothing more is tried for so long, and twice as long after each further one: a try costs one load half a second. */
 const FIRST_RETRY_AFTER_MS = 5_000
--- a/src/batches/outputKeeper.ts
+++ b/src/batches/outputKeeper.ts
@@ -12,7 +12,7 @@
 
 /** So many events are put into the replicated state together: under a second of a run, which a new leader would have to repeat. */
 const KEEP_EVENTS_COUNT = 16
-/** Of a run that has made this many already, fewer at a time: a step ends with its longest samples, and waits for what a dead leader lost of them, 0.1 s on average instead of 0.3 s at 40 ms an event. */
+/** Of a run that has made this many already, fewer at a time: a step ends with its longest samples, and waits for what a dead leader lost of them, 0.1 s on average instead of 0.3 s at 40 ms an event (worked out). */
 const LONG_RUN_EVENTS_COUNT = 64
 const KEEP_LONG_EVENTS_COUNT = 6
 const COMMIT_TIMEOUT_MS = 2_000
--- a/src/batches/slotSharing.ts
+++ b/src/batches/slotSharing.ts
@@ -17,7 +17,7 @@
   remainingEventsCount: number
 }
 
-/** Hints are right at the median and off by a factor of up to this in nineteen of twenty samples. */
+/** Hints are right at the median; with the spread of 0.5 that the users give them, 29 of 30 samples are shorter than this many times their hint (worked out, not counted). */
 const HINT_ERROR_FACTOR = 2.5
 /** Events beyond that, for hints of a few events: what is started too late holds up its whole group. */
 const HINT_ERROR_EVENTS_COUNT = 40
@@ -40,7 +40,8 @@
 /**
  * Slots of each engine up to which patient items begin: as many as all open
  * work needs to be done by the horizon, and more than half at least, because
- * up to there an engine loses little (0.4 ms an event for each run beside).
+ * up to there an engine loses little (0.4 ms an event for each run beside, from 37
+ * and 42 ms for one run and twelve).
  */
 export function slotsForPatient ({ workMs, horizonMs, enginesCount, slotsCount }: OpenWork): number {
   const neededCount = Math.ceil(workMs / Math.max(1, horizonMs) / Math.max(1, enginesCount))
--- a/src/control/fleet/weightNaming.ts
+++ b/src/control/fleet/weightNaming.ts
@@ -3,9 +3,10 @@
  * the control hosts and that of the batch store. A version only grows, and
  * whoever acts on it takes the newest that either log tells, so a trainer is
  * answered by the first that has it on the disks of a quorum. While the control
- * hosts are split in two halves, no half of which may decide, trainers go on;
- * before, each of them stood still until the split was over (3 to 5 s of an
- * 8 s step, in two of five days).
+ * hosts are split in two halves, no half of which may decide, trainers go on.
+ * With the log of control alone each of them stands still until the split is over
+ * (3 to 5 s of an 8 s step): days with such a split earned 0.68 and 0.79, and 0.80
+ * and 0.82 with both logs (three played days each).
  */
 import { RoutingCommandKind, type NamedWeights } from '../../protocol/routingCommands.js'
 import type { PeerLinks } from '../../replication/log/peerLinks.js'
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -129,11 +129,16 @@
   t.like(outcome, { kind: 'refused', executed: Executed.No, retryAfterMs: 500 })
 })
 
-test('should start second tries beside no more than a tenth of the requests in the long run', async t => {
+test('should start few second tries when a service that was fast stops answering', async t => {
   const { clock, endpoints, forward } = world()
-  endpoints.onCall = () => ({ afterMs: 700, outcome: answered() })
-  for (let count = 0; count < 200; count++) await clock.advanceUntil(forward())
-  t.true(endpoints.calls.length <= 200 + 10 + 20 + 0.5 * clock.nowMs() / 1_000, `${endpoints.calls.length} calls`)
+  endpoints.onCall = () => ({ afterMs: 20, outcome: answered() })
+  for (let count = 0; count < 100; count++) await clock.advanceUntil(forward())
+  const callsCount = endpoints.calls.length
+  endpoints.onCall = () => ({ afterMs: 10_000, outcome: answered() })
+  for (let count = 0; count < 200; count++) await clock.advanceUntil(forward(route(), 300))
+  // A tenth of 300 first tries, ten to begin with, and one every two seconds of the minute that this takes.
+  const secondTriesCount = endpoints.calls.length - callsCount - 200
+  t.true(secondTriesCount <= 30 + 10 + 32, `${secondTriesCount} second tries`)
 })
 
 test('should learn from a service how long its requests take before it calls one late', async t => {
