Hold of a batch only what somebody can still ask for

A store host held every batch as it was submitted until its time was over: the bodies, paths, headers and reward calls of items that were listed long ago, and of batches that had ended, although nobody can read them any more.

Of a listed item the state now holds its result and the id of its reward call, which tells whether an item that returns may reuse it; of an ended batch what it listed. How many items there were is kept as a number.

--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -5,7 +5,7 @@
  * lost its leadership at every step.
  */
 import type { ModelEngine } from '../protocol/routing.js'
-import type { Batch } from './batchState.js'
+import type { Batch } from './batch.js'
 import type { Engine } from './engineFleet.js'
 import { ASSUMED_TOKEN_MS, eventCostMs, loadOf, shouldWaitForFaster, type EngineLoad } from './itemOrder.js'
 import type { ItemRun } from './itemRun.js'
--- /dev/null
+++ b/src/batches/batch.ts
@@ -0,0 +1,120 @@
+/**
+ * A batch as the batch store holds it: what was submitted of it as a whole, its
+ * items until they are listed, and its results. What nobody can ask for any
+ * more is not held: of a listed item only its result and the id of its reward
+ * call, of an ended batch only what it listed.
+ */
+import type { BatchItem, BatchSubmission, ItemResult } from '../protocol/batches.js'
+
+/** A batch that nobody ends is kept open no longer than this beyond its time. */
+const MAX_OPEN_FACTOR = 2
+
+/** What was submitted, with the number of the items in their stead. */
+export interface SubmissionHead extends Omit<BatchSubmission, 'items'> {
+  itemsCount: number
+}
+
+/** All of a batch as plain values. Its arrays are never changed; what they hold is replaced, never changed. */
+export interface BatchRecord {
+  submission: SubmissionHead
+  /** The leader's wall clock when it took the batch. */
+  acceptedAtMs: number
+  keepMs: number
+  isEnded: boolean
+  /** In the order of the submission. */
+  openItems: BatchItem[]
+  results: ItemResult[]
+  /** Reward call of each result. */
+  rewardIds: (string | undefined)[]
+}
+
+export class Batch {
+  readonly submission: SubmissionHead
+  /** The leader's wall clock when it took the batch. */
+  readonly acceptedAtMs: number
+  private readonly _keepMs: number
+  private readonly _openItems: Map<string, BatchItem>
+  private readonly _results: ItemResult[]
+  private readonly _rewardIds: (string | undefined)[]
+  private readonly _listed: Set<string>
+  private _isEnded: boolean
+
+  constructor ({ submission, acceptedAtMs, keepMs, isEnded, openItems, results, rewardIds }: BatchRecord) {
+    this.submission = submission
+    this.acceptedAtMs = acceptedAtMs
+    this._keepMs = keepMs
+    this._isEnded = isEnded
+    this._openItems = new Map(openItems.map(item => [item.itemId, item]))
+    this._results = [...results]
+    this._rewardIds = [...rewardIds]
+    this._listed = new Set(results.map(({ itemId }) => itemId))
+  }
+
+  static accepted ({ items, ...head }: BatchSubmission, acceptedAtMs: number, keepMs: number): Batch {
+    const submission = { ...head, itemsCount: items.length }
+    return new Batch({ submission, acceptedAtMs, keepMs, isEnded: false, openItems: items, results: [], rewardIds: [] })
+  }
+
+  get batchId (): string {
+    return this.submission.batchId
+  }
+
+  get results (): readonly ItemResult[] {
+    return this._results
+  }
+
+  get isEnded (): boolean {
+    return this._isEnded
+  }
+
+  isListed (itemId: string): boolean {
+    return this._listed.has(itemId)
+  }
+
+  /** An item that is not listed yet, and of a batch that has not ended. */
+  openItem (itemId: string): BatchItem | undefined {
+    return this._openItems.get(itemId)
+  }
+
+  openItems (): BatchItem[] {
+    return [...this._openItems.values()]
+  }
+
+  /** The reward call of the result at a position. */
+  rewardIdAt (position: number): string | undefined {
+    return this._rewardIds[position]
+  }
+
+  /** Lists a result; its position, or undefined if the item is listed already, or is not one of the batch. */
+  list (result: ItemResult): number | undefined {
+    const item = this._openItems.get(result.itemId)
+    if (!item) return undefined
+    this._openItems.delete(result.itemId)
+    this._listed.add(result.itemId)
+    this._rewardIds.push(item.reward?.rewardId)
+    return this._results.push(result) - 1
+  }
+
+  end (): void {
+    this._isEnded = true
+    this._openItems.clear()
+  }
+
+  isOutdated (atMs: number): boolean {
+    const keptMs = this._isEnded ? this._keepMs : MAX_OPEN_FACTOR * this._keepMs
+    return atMs - this.acceptedAtMs > keptMs
+  }
+
+  /** The batch as it is now: nothing that happens to it later changes the record. */
+  record (): BatchRecord {
+    return {
+      submission: this.submission,
+      acceptedAtMs: this.acceptedAtMs,
+      keepMs: this._keepMs,
+      isEnded: this._isEnded,
+      openItems: this.openItems(),
+      results: [...this._results],
+      rewardIds: [...this._rewardIds]
+    }
+  }
+}
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -16,9 +16,10 @@
 import type { Logger } from '../utils/logger.js'
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
+import type { Batch } from './batch.js'
 import type { NotLeader } from './batchClient.js'
 import { BatchEvent } from './batchEvents.js'
-import type { Batch, BatchState } from './batchState.js'
+import type { BatchState } from './batchState.js'
 import { textLengthBytes } from './outputParts.js'
 
 /** Results of one read, by the bytes of their texts, so that a page stays under a megabyte with all its fields. */
@@ -154,5 +155,5 @@
     if (results.length > 0 && lengthBytes > MAX_RESULT_BYTES) break
     results.push(result)
   }
-  return { kind: 'results', totalCount: batch.submission.items.length, nextPosition: fromPosition + results.length, results, isEnded: batch.isEnded }
+  return { kind: 'results', totalCount: batch.submission.itemsCount, nextPosition: fromPosition + results.length, results, isEnded: batch.isEnded }
 }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -7,88 +7,16 @@
 } from '../protocol/batches.js'
 import type { NamedWeights } from '../protocol/routingCommands.js'
 import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
+import { Batch, type BatchRecord } from './batch.js'
 import { eventsCountOf } from './outputParts.js'
 
-/** A batch that nobody ends is kept open no longer than this beyond its time. */
-const MAX_OPEN_FACTOR = 2
-
-interface BatchFields {
-  submission: BatchSubmission
-  acceptedAtMs: number
-  keepMs: number
-  results: ItemResult[]
-  isEnded: boolean
-}
-
 interface CompletedItem {
   result: ItemResult
   rewardId: string | undefined
 }
 
-export class Batch {
-  readonly fields: BatchFields
-  private readonly _items: Map<string, BatchItem>
-  private readonly _listed = new Set<string>()
-
-  constructor (fields: BatchFields) {
-    this.fields = fields
-    this._items = new Map(fields.submission.items.map(item => [item.itemId, item]))
-    for (const { itemId } of fields.results) this._listed.add(itemId)
-  }
-
-  get batchId (): string {
-    return this.fields.submission.batchId
-  }
-
-  get submission (): BatchSubmission {
-    return this.fields.submission
-  }
-
-  get results (): readonly ItemResult[] {
-    return this.fields.results
-  }
-
-  get isEnded (): boolean {
-    return this.fields.isEnded
-  }
-
-  /** The leader's wall clock when it took the batch. */
-  get acceptedAtMs (): number {
-    return this.fields.acceptedAtMs
-  }
-
-  isListed (itemId: string): boolean {
-    return this._listed.has(itemId)
-  }
-
-  /** An item that is not listed yet. */
-  openItem (itemId: string): BatchItem | undefined {
-    return this.isEnded || this.isListed(itemId) ? undefined : this._items.get(itemId)
-  }
-
-  rewardIdOf (itemId: string): string | undefined {
-    return this._items.get(itemId)?.reward?.rewardId
-  }
-
-  openItems (): BatchItem[] {
-    return this.isEnded ? [] : this.submission.items.filter(({ itemId }) => !this.isListed(itemId))
-  }
-
-  /** Lists a result; its position, or undefined if the item is listed already, or is not one of the batch. */
-  list (result: ItemResult): number | undefined {
-    if (this.isListed(result.itemId) || !this._items.has(result.itemId)) return undefined
-    this._listed.add(result.itemId)
-    return this.fields.results.push(result) - 1
-  }
-
-  isOutdated (atMs: number): boolean {
-    const keptMs = this.isEnded ? this.fields.keepMs : MAX_OPEN_FACTOR * this.fields.keepMs
-    return atMs - this.fields.acceptedAtMs > keptMs
-  }
-}
-
 interface BatchStateSnapshot {
-  batches: BatchFields[]
+  batches: BatchRecord[]
   unfinished: UnfinishedOutput[]
   orders: AnnouncedOrder[]
   weights: NamedWeights[]
@@ -175,9 +103,15 @@
     }
   }
 
+  /**
+   * One entry per batch, and the rest in lists of small values. The arrays are
+   * copied at the call and what they hold is replaced, never changed, so the
+   * value stays as it is while later commands are applied, and may be encoded
+   * piece by piece meanwhile.
+   */
   snapshot (): BatchStateSnapshot {
     return {
-      batches: [...this._batches.values()].map(({ fields }) => fields),
+      batches: [...this._batches.values()].map(batch => batch.record()),
       unfinished: [...this._unfinished.values()],
       orders: [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder })),
       weights: [...this._weights].map(([model, version]) => ({ model, version }))
@@ -192,10 +126,10 @@
     this._weights.clear()
     const { batches, unfinished, orders, weights } = snapshot as BatchStateSnapshot
     for (const output of unfinished) this._unfinished.set(output.itemId, output)
-    for (const fields of batches) {
-      const batch = new Batch(fields)
+    for (const record of batches) {
+      const batch = new Batch(record)
       this._batches.set(batch.batchId, batch)
-      for (const result of fields.results) this._remember(batch, result)
+      for (const [position, result] of batch.results.entries()) this._remember(batch, result, position)
     }
     for (const { endpointId, holder } of orders) this._announce(endpointId, holder)
     for (const named of weights) this._name(named)
@@ -204,8 +138,7 @@
   private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
     this._forgetOutdated(atMs)
     if (!this._batches.has(submission.batchId)) {
-      const fields = { submission, acceptedAtMs: atMs, keepMs, results: [], isEnded: false }
-      this._batches.set(submission.batchId, new Batch(fields))
+      this._batches.set(submission.batchId, Batch.accepted(submission, atMs, keepMs))
     }
     return { kind: 'accepted' }
   }
@@ -227,14 +160,14 @@
     const position = batch.list(result)
     if (position === undefined) return { kind: 'closed' }
     this._unfinished.delete(result.itemId)
-    this._remember(batch, result)
+    this._remember(batch, result, position)
     return { kind: 'listed', position }
   }
 
   private _end (batchId: string): BatchCommandResult {
     const batch = this._batches.get(batchId)
     if (!batch) return { kind: 'unknownBatch' }
-    batch.fields.isEnded = true
+    batch.end()
     return { kind: 'ended' }
   }
 
@@ -255,9 +188,9 @@
     return { kind: 'named' }
   }
 
-  private _remember (batch: Batch, result: ItemResult): void {
+  private _remember (batch: Batch, result: ItemResult, position: number): void {
     if (result.state !== ResultState.Completed) return
-    this._completed.set(result.itemId, { result, rewardId: batch.rewardIdOf(result.itemId) })
+    this._completed.set(result.itemId, { result, rewardId: batch.rewardIdAt(position) })
   }
 
   private _forgetOutdated (atMs: number): void {
--- a/src/batches/modelDemand.ts
+++ b/src/batches/modelDemand.ts
@@ -4,7 +4,7 @@
  * step may be, how many items a step has, and how long the longest sample was.
  */
 import type { Clock } from '../utils/clock.js'
-import type { BatchSubmission } from '../protocol/batches.js'
+import type { SubmissionHead } from './batch.js'
 
 /** Until a step was seen that allows more or less: trainers that train on the step before. */
 const ASSUMED_STALENESS_VERSIONS = 1
@@ -45,9 +45,9 @@
   }
 
   /** A trainer asked for a step while this version was the newest. */
-  asked ({ model, minVersion, items }: BatchSubmission, namedVersion: number): void {
+  asked ({ model, minVersion, itemsCount }: SubmissionHead, namedVersion: number): void {
     const demand = this._of(model, namedVersion)
-    demand.stepItemsCount = items.length
+    demand.stepItemsCount = itemsCount
     demand.stalenesses.push(Math.max(0, namedVersion - minVersion))
     if (demand.stalenesses.length > REMEMBERED_STEPS_COUNT) demand.stalenesses.shift()
   }
--- a/tests/batches/assignmentRound.test.ts
+++ b/tests/batches/assignmentRound.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { AssignmentRound } from '../../src/batches/assignmentRound.js'
-import { Batch } from '../../src/batches/batchState.js'
+import { Batch } from '../../src/batches/batch.js'
 import { Engine } from '../../src/batches/engineFleet.js'
 import type { ItemRun } from '../../src/batches/itemRun.js'
 import { EndpointHealth } from '../../src/endpoints/endpointHealth.js'
@@ -33,7 +33,7 @@
   })
   const runs = Array.from({ length: batchesCount }, (_value, position) => {
     const itemIds = Array.from({ length: itemsCount }, (_item, item) => `b${position}i${item}`)
-    const batch = new Batch({ submission: submission(`b${position}`, itemIds), acceptedAtMs: 0, keepMs: 1, results: [], isEnded: false })
+    const batch = Batch.accepted(submission(`b${position}`, itemIds), 0, 1)
     const times = { dueAtMs: 7_500, giveUpAtMs: 40_000, longestEndsAtMs: 7_000 }
     return batch.openItems().map(item => ({ batch, item, times, dueAtMs: 7_500, remainingTokensCount: 500 }) as unknown as ItemRun)
   }).flat()
--- a/tests/batches/batchState.test.ts
+++ b/tests/batches/batchState.test.ts
@@ -99,6 +99,34 @@
   t.is(textOf(copy.unfinishedParts('i2')), 'a')
 })
 
+test('should hold of a listed item its result and the id of its reward call only', t => {
+  const state = new BatchState()
+  applyAll(state, [submit(submission('b1', ['i1', 'i2'])), finish('b1', result('i1', 'x'))])
+  const held = JSON.stringify(state.snapshot())
+  t.false(held.includes('/hints/i1'))
+  t.false(held.includes('/open/i1'))
+  t.true(held.includes('/hints/i2'))
+  t.true(held.includes('reward of i1'))
+  t.is(state.get('b1')?.submission.itemsCount, 2)
+  const copy = new BatchState()
+  copy.restore(structuredClone(state.snapshot()))
+  applyAll(copy, [submit(submission('b2', ['i1']))])
+  const item = copy.get('b2')?.openItem('i1')
+  t.is(item && textOf(copy.completedResult(item)?.parts ?? []), 'x')
+})
+
+test('should hold no item of an ended batch, but what it listed, and how many it had', t => {
+  const state = new BatchState()
+  applyAll(state, [submit(submission('b1', ['i1', 'i2', 'i3'])), finish('b1', result('i1', 'x')), { kind: BatchCommandKind.End, batchId: 'b1' }])
+  const held = JSON.stringify(state.snapshot())
+  t.false(held.includes('/hints/i2'))
+  t.false(held.includes('reward of i2'))
+  t.is(state.get('b1')?.submission.itemsCount, 3)
+  t.is(state.get('b1')?.results.length, 1)
+  t.true(state.get('b1')?.isListed('i1'))
+  t.deepEqual(state.get('b1')?.openItems(), [])
+})
+
 test('should keep the newest version named of each model, and tell of it again after a snapshot', t => {
   const named: string[] = []
   const listener = { onOrder: () => {}, onNamed: ({ model, version }: NamedWeights) => named.push(`${model}@${version}`) }
--- a/tests/batches/batchStateFuzz.test.ts
+++ b/tests/batches/batchStateFuzz.test.ts
@@ -1,16 +1,21 @@
 /**
  * Random commands against the state of the batch store and a plain oracle:
- * a list of results never changes or loses anything, and a replica that came
- * up from a snapshot is the same as one that applied everything.
+ * a list of results never changes or loses anything, a body can be read until
+ * its item is listed or its batch has ended, a replica that came up from a
+ * snapshot is the same as one that applied everything, and no command changes a
+ * snapshot that was taken before it.
  */
+import { isDeepStrictEqual } from 'node:util'
 import test from 'ava'
 import fc from 'fast-check'
 import { BatchState } from '../../src/batches/batchState.js'
 import { textOf, toPart } from '../../src/batches/outputParts.js'
-import { BatchCommandKind, ResultState, type BatchCommand } from '../../src/protocol/batches.js'
+import { BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult } from '../../src/protocol/batches.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 
 const RUNS_COUNT = 600
+/** Often enough that each kind of command comes after one. */
+const SNAPSHOT_EVERY_STEPS = 7
 const KEEP_MS = 1_000_000
 const ITEM_IDS = ['i0', 'i1', 'i2', 'i3']
 
@@ -92,6 +97,67 @@
   }
 }
 
+/** Items whose bodies can be asked for, by batch. */
+class Bodies {
+  private readonly _open = new Map<string, Set<string>>()
+
+  note (command: BatchCommand, { kind }: BatchCommandResult): void {
+    if (command.kind === BatchCommandKind.Submit) {
+      const { batchId, items } = command.submission
+      if (!this._open.has(batchId)) this._open.set(batchId, new Set(items.map(({ itemId }) => itemId)))
+    }
+    if (command.kind === BatchCommandKind.End) this._open.get(command.batchId)?.clear()
+    if (command.kind === BatchCommandKind.Finish && kind === 'listed') this._open.get(command.batchId)?.delete(command.result.itemId)
+  }
+
+  /** Where a state answers otherwise. */
+  read (state: BatchState): string | undefined {
+    for (const [batchId, open] of this._open) {
+      for (const itemId of ITEM_IDS) {
+        const body = state.get(batchId)?.openItem(itemId)?.body
+        const text = body && Buffer.from(body).toString()
+        if (text !== (open.has(itemId) ? `body of ${itemId}` : undefined)) return `${batchId}: the body of ${itemId} is ${text}`
+      }
+    }
+    return undefined
+  }
+}
+
+/** Snapshots with what they held when they were taken. */
+class Snapshots {
+  private readonly _taken: { value: unknown, copy: unknown }[] = []
+
+  take (state: BatchState): void {
+    const value = state.snapshot()
+    this._taken.push({ value, copy: structuredClone(value) })
+  }
+
+  haveChanged (): boolean {
+    return this._taken.some(({ value, copy }) => !isDeepStrictEqual(value, copy))
+  }
+}
+
+test('should answer the body of an item until it is listed or its batch has ended, and change no snapshot afterwards', t => {
+  fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 60, size: 'max' }), steps => {
+    let state = new BatchState()
+    const bodies = new Bodies()
+    const snapshots = new Snapshots()
+    for (const [position, taken] of steps.entries()) {
+      if (position % SNAPSHOT_EVERY_STEPS === 0) snapshots.take(state)
+      if (taken.kind === 'restart') {
+        state = restarted(state)
+      } else {
+        const command = commandOf(taken)
+        bodies.note(command, state.apply(command, { index: position + 1, atMs: position }))
+      }
+      const contradiction = bodies.read(state)
+      if (contradiction !== undefined) throw new Error(contradiction)
+    }
+    if (snapshots.haveChanged()) throw new Error('a command changed an earlier snapshot')
+  }), { numRuns: RUNS_COUNT, seed: 20_261_202 })
+  t.pass()
+})
+
 test('should never change or lose what was listed, nor list an item twice or with a gap in its text', t => {
   fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 60, size: 'max' }), steps => {
     let state = new BatchState()
--- a/tests/batches/modelDemand.test.ts
+++ b/tests/batches/modelDemand.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { Batch } from '../../src/batches/batch.js'
 import { ModelDemand } from '../../src/batches/modelDemand.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
@@ -10,7 +11,8 @@
 }
 
 function stepOf (minVersion: number, itemsCount = 2) {
-  return submission(`b${minVersion}`, Array.from({ length: itemsCount }, (_value, position) => `i${position}`), { model: 'm', minVersion })
+  const itemIds = Array.from({ length: itemsCount }, (_value, position) => `i${position}`)
+  return Batch.accepted(submission(`b${minVersion}`, itemIds, { model: 'm', minVersion }), 0, 1).submission
 }
 
 test('should take the time between namings for the interval, not the time since it began to look', async t => {
