Refuse a batch that the store has no room for, instead of ending for lack of memory

A store host took every batch, and the platform ended it when its memory passed the host's limit; it came back with the same state and was ended again, so that nobody could read what had been accepted.

The leader now refuses a submission before it goes to the log when what the state is counted for, what open items are still expected to make, what is under way to the disks and the submission itself would pass a bound. Only what the next submission does not forget counts, so a full store that gets no command takes batches again once old ones are outdated.

--- a/src/batches/batchClient.ts
+++ b/src/batches/batchClient.ts
@@ -42,7 +42,7 @@
 type Asked<Reply> =
   | { kind: 'answered', reply: Exclude<Reply, NotLeader> }
   /** Nothing came of any call. */
-  | { kind: 'refused', reason: string }
+  | { kind: 'refused', reason: string, isFinal?: boolean }
   /** A call was lost, or its effect is not known: it may still take effect. */
   | { kind: 'lost', reason: string }
 
@@ -136,6 +136,7 @@
       if (asked?.kind === 'answered') return asked
       // Once a call was lost, no later refusal can promise that nothing runs.
       if (asked && last.kind !== 'lost') last = asked
+      if (asked?.kind === 'refused' && asked.isFinal === true) return last
       await sleepUntil(progress.clock, progress.scope, Math.min(progress.deadlineMs, progress.clock.nowMs() + RETRY_PAUSE_MS))
     }
     return last
@@ -179,6 +180,7 @@
   const reason = 'reason' in reply ? String(reply.reason) : reply.kind
   switch (reply.kind) {
     case 'refused':
+      return { kind: 'refused', reason, isFinal: 'isFinal' in reply && reply.isFinal === true }
     case 'unavailable':
       return { kind: 'refused', reason }
     case 'unknown':
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -21,6 +21,7 @@
 import { BatchEvent } from './batchEvents.js'
 import type { BatchState } from './batchState.js'
 import { textLengthBytes } from './outputParts.js'
+import { StoreCapacity } from './storeCapacity.js'
 
 /** Results of one read, by the bytes of their texts, so that a page stays under a megabyte with all its fields. */
 const MAX_RESULT_BYTES = 900_000
@@ -37,13 +38,17 @@
   scope: Scope
   /** How long results can be read after their batch was accepted. */
   keepMs: number
+  /** Bytes that the state may be counted for; none: no submission is refused for want of room. */
+  stateCapacityBytes?: number | undefined
 }
 
 export class BatchService {
   private readonly _parts: BatchServiceParts
+  private readonly _capacity: StoreCapacity
 
   constructor (parts: BatchServiceParts) {
     this._parts = parts
+    this._capacity = new StoreCapacity(parts.state, parts.clock, parts.stateCapacityBytes)
   }
 
   serve (handlers: RpcHandlers): void {
@@ -61,7 +66,13 @@
     const { replica, logger, keepMs } = this._parts
     if (!replica.leadership) return this._notLeader()
     const { batchId, step, items, model, minVersion } = submission
+    const fullReason = this._capacity.reserve(submission)
+    if (fullReason !== undefined) {
+      logger.event(BatchEvent.BatchRefused, { batchId, step, outcome: 'full', reason: fullReason })
+      return { kind: 'refused', reason: fullReason, isFinal: true }
+    }
     const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission, keepMs }, progress)
+    if (outcome.kind !== 'unknown') this._capacity.settle(batchId)
     if (outcome.kind === 'committed') {
       logger.event(BatchEvent.BatchAccepted, { batchId, step, model, minVersion, itemsCount: items.length, index: outcome.index })
       return { kind: 'accepted' }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -90,6 +90,21 @@
     return this._unfinished.get(itemId)?.parts ?? []
   }
 
+  /** Bytes that the output kept of an item that was not finished is counted for. */
+  unfinishedBytes (itemId: string): number {
+    const parts = this._unfinished.get(itemId)?.parts
+    return parts ? heldBytesOfUnfinished(itemId, parts) : 0
+  }
+
+  batches (): IterableIterator<Batch> {
+    return this._batches.values()
+  }
+
+  /** Open batches that the next submission at an instant does not forget. */
+  openAt (atMs: number): Batch[] {
+    return this.open().filter(batch => !batch.isOutdated(atMs))
+  }
+
   open (): Batch[] {
     return [...this._batches.values()].filter(batch => !batch.isEnded)
   }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -53,6 +53,8 @@
   orderLeaseMs: number
   /** A replica that was silent for so long is struck from the members. */
   strikeSilentAfterMs: number
+  /** Bytes that the state may be counted for; none: no submission is refused for want of room. */
+  stateCapacityBytes: number | undefined
 }
 
 export interface StoreProgramParts {
@@ -119,8 +121,8 @@
       describe: () => this._describe(),
       onFatal
     })
-    const { keepBatchesMs: keepMs } = settings
-    this._service = new BatchService({ replica: this._replica, state: this._state, clock: systemClock, logger, scope: this._scope, keepMs })
+    const { keepBatchesMs: keepMs, stateCapacityBytes } = settings
+    this._service = new BatchService({ replica: this._replica, state: this._state, clock: systemClock, logger, scope: this._scope, keepMs, stateCapacityBytes })
     this._commands = new ControlCommands(() => this._follower.addresses, this._transport, this._scope, onFatal)
   }
 
--- a/src/transport/batchMethods.ts
+++ b/src/transport/batchMethods.ts
@@ -16,7 +16,12 @@
   /** On the disks of a quorum. */
   z.object({ kind: z.literal('accepted') }),
   /** None of it will run. */
-  z.object({ kind: z.literal('refused'), reason: z.string() }),
+  z.object({
+    kind: z.literal('refused'),
+    reason: z.string(),
+    /** The leader will not take it for the moment: asking again at once is in vain. */
+    isFinal: z.boolean().optional()
+  }),
   /** It may have been taken. */
   z.object({ kind: z.literal('unknown'), reason: z.string() }),
   notLeader
--- a/tests/batches/batchClient.test.ts
+++ b/tests/batches/batchClient.test.ts
@@ -3,6 +3,7 @@
 
 const DEADLINE_MS = 1_500
 const refused = { kind: 'refused', reason: 'another entry took its place' } as const
+const full = { kind: 'refused', reason: 'the batch store is full', isFinal: true } as const
 const unknown = { kind: 'unknown', reason: 'not committed in time' } as const
 
 test('should not say that a batch was refused when an earlier call was lost and may still commit', async t => {
@@ -31,6 +32,22 @@
   store.close()
 })
 
+test('should not ask again when the leader refuses for good, and say why', async t => {
+  const store = new FakeStore()
+  await store.addHost('10.0.0.1', [full, { kind: 'accepted' }], true)
+  t.like(await store.submit(DEADLINE_MS), { kind: 'refused', reason: full.reason })
+  t.deepEqual(store.askedHosts, ['10.0.0.1'])
+  store.close()
+})
+
+test('should not ask again when the leader refuses for good after a lost call, nor say that the batch was refused', async t => {
+  const store = new FakeStore()
+  await store.addHost('10.0.0.1', [SILENT, full, { kind: 'accepted' }], true)
+  t.is((await store.submit(DEADLINE_MS)).kind, 'unknown')
+  t.is(store.askedHosts.length, 2)
+  store.close()
+})
+
 test('should ask again after a lost call, and say that the batch was taken when it was', async t => {
   const store = new FakeStore()
   await store.addHost('10.0.0.1', [SILENT, { kind: 'accepted' }], true)
