--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -16,10 +16,12 @@
 import type { Logger } from '../utils/logger.js'
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
+import type { Batch } from './batch.js'
 import type { NotLeader } from './batchClient.js'
 import { BatchEvent } from './batchEvents.js'
-import type { Batch, BatchState } from './batchState.js'
+import type { BatchState } from './batchState.js'
 import { textLengthBytes } from './outputParts.js'
+import { StoreCapacity } from './storeCapacity.js'
 
 /** Results of one read, by the bytes of their texts, so that a page stays under a megabyte with all its fields. */
 const MAX_RESULT_BYTES = 900_000
@@ -36,13 +38,17 @@
   scope: Scope
   /** How long results can be read after their batch was accepted. */
   keepMs: number
+  /** Bytes that the state may be counted for; none: no submission is refused for want of room. */
+  stateCapacityBytes?: number | undefined
 }
 
 export class BatchService {
   private readonly _parts: BatchServiceParts
+  private readonly _capacity: StoreCapacity
 
   constructor (parts: BatchServiceParts) {
     this._parts = parts
+    this._capacity = new StoreCapacity(parts.state, parts.clock, parts.stateCapacityBytes)
   }
 
   serve (handlers: RpcHandlers): void {
@@ -60,7 +66,13 @@
     const { replica, logger, keepMs } = this._parts
     if (!replica.leadership) return this._notLeader()
     const { batchId, step, items, model, minVersion } = submission
+    const fullReason = this._capacity.reserve(submission)
+    if (fullReason !== undefined) {
+      logger.event(BatchEvent.BatchRefused, { batchId, step, outcome: 'full', reason: fullReason })
+      return { kind: 'refused', reason: fullReason, isFinal: true }
+    }
     const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission, keepMs }, progress)
+    if (outcome.kind !== 'unknown') this._capacity.settle(batchId)
     if (outcome.kind === 'committed') {
       logger.event(BatchEvent.BatchAccepted, { batchId, step, model, minVersion, itemsCount: items.length, index: outcome.index })
       return { kind: 'accepted' }
@@ -154,5 +166,5 @@
     if (results.length > 0 && lengthBytes > MAX_RESULT_BYTES) break
     results.push(result)
   }
-  return { kind: 'results', totalCount: batch.submission.items.length, nextPosition: fromPosition + results.length, results, isEnded: batch.isEnded }
+  return { kind: 'results', totalCount: batch.submission.itemsCount, nextPosition: fromPosition + results.length, results, isEnded: batch.isEnded }
 }
--- a/tests/batches/batchStateFuzz.test.ts
+++ b/tests/batches/batchStateFuzz.test.ts
@@ -1,17 +1,26 @@
 /**
  * Random commands against the state of the batch store and a plain oracle:
- * a list of results never changes or loses anything, and a replica that came
- * up from a snapshot is the same as one that applied everything.
+ * a list of results never changes or loses anything, a body can be read until
+ * its item is listed or its batch has ended, a replica that came up from a
+ * snapshot is the same as one that applied everything, no command changes a
+ * snapshot that was taken before it, and the count of the bytes held is that of
+ * a recount.
  */
+import { isDeepStrictEqual } from 'node:util'
 import test from 'ava'
 import fc from 'fast-check'
 import { BatchState } from '../../src/batches/batchState.js'
+import { BATCH_OVERHEAD_BYTES, ITEM_OVERHEAD_BYTES, PART_OVERHEAD_BYTES, RESULT_OVERHEAD_BYTES } from '../../src/batches/heldBytes.js'
 import { textOf, toPart } from '../../src/batches/outputParts.js'
-import { BatchCommandKind, ResultState, type BatchCommand } from '../../src/protocol/batches.js'
+import { BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult } from '../../src/protocol/batches.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 
 const RUNS_COUNT = 600
+/** Often enough that each kind of command comes after one. */
+const SNAPSHOT_EVERY_STEPS = 7
 const KEEP_MS = 1_000_000
+/** Outputs are forgotten after one such step, batches after some. */
+const LONG_STEP_MS = 40_000
 const ITEM_IDS = ['i0', 'i1', 'i2', 'i3']
 
 type Step =
@@ -92,6 +101,97 @@
   }
 }
 
+/** Items whose bodies can be asked for, by batch. */
+class Bodies {
+  private readonly _open = new Map<string, Set<string>>()
+
+  note (command: BatchCommand, { kind }: BatchCommandResult): void {
+    if (command.kind === BatchCommandKind.Submit) {
+      const { batchId, items } = command.submission
+      if (!this._open.has(batchId)) this._open.set(batchId, new Set(items.map(({ itemId }) => itemId)))
+    }
+    if (command.kind === BatchCommandKind.End) this._open.get(command.batchId)?.clear()
+    if (command.kind === BatchCommandKind.Finish && kind === 'listed') this._open.get(command.batchId)?.delete(command.result.itemId)
+  }
+
+  /** Where a state answers otherwise. */
+  read (state: BatchState): string | undefined {
+    for (const [batchId, open] of this._open) {
+      for (const itemId of ITEM_IDS) {
+        const body = state.get(batchId)?.openItem(itemId)?.body
+        const text = body && Buffer.from(body).toString()
+        if (text !== (open.has(itemId) ? `body of ${itemId}` : undefined)) return `${batchId}: the body of ${itemId} is ${text}`
+      }
+    }
+    return undefined
+  }
+}
+
+/** Snapshots with what they held when they were taken. */
+class Snapshots {
+  private readonly _taken: { value: unknown, copy: unknown }[] = []
+
+  take (state: BatchState): void {
+    const value = state.snapshot()
+    this._taken.push({ value, copy: structuredClone(value) })
+  }
+
+  haveChanged (): boolean {
+    return this._taken.some(({ value, copy }) => !isDeepStrictEqual(value, copy))
+  }
+}
+
+/** Bytes and characters of all that a value holds. */
+function contentBytesOf (value: unknown): number {
+  if (typeof value === 'string' || value instanceof Uint8Array) return value.length
+  if (typeof value !== 'object' || value === null) return 0
+  return Object.values(value).reduce((sum: number, field) => sum + contentBytesOf(field), 0)
+}
+
+function recountOf (state: BatchState): number {
+  const { batches, unfinished } = state.snapshot()
+  const results = [...batches.flatMap(held => held.results), ...unfinished]
+  const overheadBytes = batches.length * BATCH_OVERHEAD_BYTES + batches.flatMap(({ openItems }) => openItems).length * ITEM_OVERHEAD_BYTES +
+    results.length * RESULT_OVERHEAD_BYTES + results.flatMap(({ parts }) => parts).length * PART_OVERHEAD_BYTES
+  return overheadBytes + contentBytesOf(batches) + contentBytesOf(unfinished)
+}
+
+test('should count the bytes that it holds, less what was dropped, also after a snapshot', t => {
+  fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 60, size: 'max' }), steps => {
+    let state = new BatchState()
+    for (const [position, taken] of steps.entries()) {
+      const context = { index: position + 1, atMs: position * LONG_STEP_MS }
+      const before = state.heldBytesAt(context.atMs)
+      if (taken.kind === 'restart') state = restarted(state)
+      else state.apply(commandOf(taken), context)
+      if (taken.kind === 'submit' && state.heldBytes < before) throw new Error(`${before} bytes became ${state.heldBytes}`)
+      if (state.heldBytes !== recountOf(state)) throw new Error(`${state.heldBytes} instead of ${recountOf(state)}`)
+    }
+  }), { numRuns: RUNS_COUNT, seed: 20_261_202 })
+  t.pass()
+})
+
+test('should answer the body of an item until it is listed or its batch has ended, and change no snapshot afterwards', t => {
+  fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 60, size: 'max' }), steps => {
+    let state = new BatchState()
+    const bodies = new Bodies()
+    const snapshots = new Snapshots()
+    for (const [position, taken] of steps.entries()) {
+      if (position % SNAPSHOT_EVERY_STEPS === 0) snapshots.take(state)
+      if (taken.kind === 'restart') {
+        state = restarted(state)
+      } else {
+        const command = commandOf(taken)
+        bodies.note(command, state.apply(command, { index: position + 1, atMs: position }))
+      }
+      const contradiction = bodies.read(state)
+      if (contradiction !== undefined) throw new Error(contradiction)
+    }
+    if (snapshots.haveChanged()) throw new Error('a command changed an earlier snapshot')
+  }), { numRuns: RUNS_COUNT, seed: 20_261_202 })
+  t.pass()
+})
+
 test('should never change or lose what was listed, nor list an item twice or with a gap in its text', t => {
   fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 60, size: 'max' }), steps => {
     let state = new BatchState()
