Show memory, replicas, members and batches of a host in metrics and logs

Change: a watch of the process's memory with levels at 70, 85 and 95 percent of host.memoryMb (910, 911); gauges of the replica and of the batches, set once a second by one task; lines for a start (1024, 1025), silent voters (1026, 1027), members as every replica learns of them (1037), refused joins at the leader (1038), batches asked for in vain (3223) and forgotten (3224). The end of a batch that is not held is no longer told as a batch ended (3222). A gauge that was never set is absent from the Prometheus text: prom-client shows an unset one as 0, which would be taken for a value.

--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -18,6 +18,7 @@
 import type { Scope } from '../utils/scope.js'
 import type { NotLeader } from './batchClient.js'
 import { BatchEvent } from './batchEvents.js'
+import { UnknownBatches } from './batchReports.js'
 import type { Batch, BatchState } from './batchState.js'
 import { textLengthBytes } from './outputParts.js'
 
@@ -40,9 +41,11 @@
 
 export class BatchService {
   private readonly _parts: BatchServiceParts
+  private readonly _unknown: UnknownBatches
 
   constructor (parts: BatchServiceParts) {
     this._parts = parts
+    this._unknown = new UnknownBatches(parts.replica, parts.logger)
   }
 
   serve (handlers: RpcHandlers): void {
@@ -76,7 +79,7 @@
     if (failure) return failure
     for (;;) {
       const batch = state.get(batchId)
-      if (!batch) return { kind: 'unknownBatch' }
+      if (!batch) return this._unknownBatch(batchId, 'readResults')
       // The list only grows, so what is here after the confirmation is never out of date.
       if (batch.results.length > fromPosition || batch.isEnded || waiting.isOver()) return pageOf(batch, fromPosition)
       await replica.applied.wait(progress.scope, waiting)
@@ -86,7 +89,9 @@
   private async _readItem (batchId: string, itemId: string, progress: Progress): Promise<ReadItemReply> {
     const failure = await this._confirm(progress)
     if (failure) return failure
-    const item = this._parts.state.get(batchId)?.openItem(itemId)
+    const batch = this._parts.state.get(batchId)
+    if (!batch) this._unknown.report(batchId, 'readItem')
+    const item = batch?.openItem(itemId)
     return item ? { kind: 'body', body: item.body } : { kind: 'absent' }
   }
 
@@ -95,8 +100,9 @@
     if (!replica.leadership) return this._notLeader()
     const outcome = await replica.propose({ kind: BatchCommandKind.End, batchId }, progress)
     if (outcome.kind !== 'committed') return { kind: 'unavailable', reason: outcome.reason }
+    if ((outcome.result as BatchCommandResult).kind !== 'ended') return this._unknownBatch(batchId, 'end')
     logger.event(BatchEvent.BatchEnded, { batchId, index: outcome.index })
-    return (outcome.result as BatchCommandResult).kind === 'ended' ? { kind: 'ended' } : { kind: 'unknownBatch' }
+    return { kind: 'ended' }
   }
 
   private async _nameWeights (weights: NamedWeights, progress: Progress): Promise<NameWeightsReply> {
@@ -135,6 +141,11 @@
     return outcome.kind === 'replied' ? outcome.body : { kind: 'unavailable', reason: `the leader did not answer: ${outcome.reason}` }
   }
 
+  private _unknownBatch (batchId: string, call: string): { kind: 'unknownBatch' } {
+    this._unknown.report(batchId, call)
+    return { kind: 'unknownBatch' }
+  }
+
   private _notLeader (): NotLeader {
     return { kind: 'notLeader', leaderAddress: this._parts.replica.core.leader?.peerAddress }
   }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -81,9 +81,13 @@
     return this.fields.results.push(result) - 1
   }
 
+  /** For how long after its acceptance it is held. */
+  get keptMs (): number {
+    return this.isEnded ? this.fields.keepMs : MAX_OPEN_FACTOR * this.fields.keepMs
+  }
+
   isOutdated (atMs: number): boolean {
-    const keptMs = this.isEnded ? this.fields.keepMs : MAX_OPEN_FACTOR * this.fields.keepMs
-    return atMs - this.fields.acceptedAtMs > keptMs
+    return atMs - this.fields.acceptedAtMs > this.keptMs
   }
 }
 
@@ -119,6 +123,8 @@
   onOrder: (endpointId: string, holder: string) => void
   /** A trainer named a version. */
   onNamed: (weights: NamedWeights) => void
+  /** The time of a batch is over; the clock is that of the entry that decided. */
+  onForgotten?: (batch: Batch, decidedAtMs: number) => void
 }
 
 const noListener: BatchStateListener = { onOrder: () => {}, onNamed: () => {} }
@@ -148,6 +154,14 @@
     return this._unfinished.get(itemId)?.parts ?? []
   }
 
+  get heldCount (): number {
+    return this._batches.size
+  }
+
+  get unfinishedCount (): number {
+    return this._unfinished.size
+  }
+
   open (): Batch[] {
     return [...this._batches.values()].filter(batch => !batch.isEnded)
   }
@@ -267,6 +281,7 @@
     for (const [batchId, batch] of this._batches) {
       if (!batch.isOutdated(atMs)) continue
       this._batches.delete(batchId)
+      this._listener.onForgotten?.(batch, atMs)
       for (const result of batch.results) {
         if (this._completed.get(result.itemId)?.result === result) this._completed.delete(result.itemId)
       }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -13,7 +13,9 @@
 import type { SnapshotPolicy } from '../replication/log/logApplier.js'
 import { votersOf } from '../replication/log/members.js'
 import { Replica } from '../replication/log/replica.js'
+import { setReplicaGauges } from '../replication/log/replicaGauges.js'
 import { defaultTimings } from '../replication/log/timings.js'
+import { VoterWatch } from '../replication/log/voterWatch.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { ReplicationEvent } from '../replication/replicationEvents.js'
 import { FileDisk } from '../replication/storage/fileDisk.js'
@@ -23,6 +25,7 @@
 import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { TcpTransport } from '../transport/tcpTransport.js'
 import { PROCESS_STARTED_AT_MS, systemClock } from '../utils/clock.js'
+import { everySecond } from '../utils/everySecond.js'
 import type { Logger } from '../utils/logger.js'
 import type { Metrics } from '../utils/metrics.js'
 import { Progress } from '../utils/progress.js'
@@ -31,6 +34,7 @@
 import { Supervisor } from '../utils/supervisor.js'
 import { BatchDispatcher } from './batchDispatcher.js'
 import { BatchEvent } from './batchEvents.js'
+import { reportForgotten, setBatchGauges } from './batchReports.js'
 import { BatchService } from './batchService.js'
 import { BatchState } from './batchState.js'
 import { OrderHistory } from './orderHistory.js'
@@ -79,7 +83,8 @@
   private readonly _view: FleetView
   private readonly _state = new BatchState({
     onOrder: (endpointId, holder) => this._orders.learn(endpointId, holder),
-    onNamed: weights => this._view.merge(NAMED_IN_LOG, { weights: [weights] })
+    onNamed: weights => this._view.merge(NAMED_IN_LOG, { weights: [weights] }),
+    onForgotten: (batch, decidedAtMs) => reportForgotten(this._parts.logger, batch, decidedAtMs)
   })
 
   private readonly _replica: Replica
@@ -89,7 +94,7 @@
   /** While this host leads. */
   private _dispatcher: BatchDispatcher | undefined
 
-  private constructor (parts: StoreProgramParts, opened: OpenedReplica) {
+  private constructor (parts: StoreProgramParts, opened: OpenedReplica, readMs: number) {
     this._parts = parts
     const { settings, logger, metrics, onFatal } = parts
     this._supervisor = new Supervisor(this._scope, (_task, error) => onFatal(error))
@@ -107,6 +112,7 @@
       state: this._state as ReplicatedState<unknown, unknown>,
       snapshotPolicy,
       startedAtMs: PROCESS_STARTED_AT_MS,
+      readMs,
       strikeSilentAfterMs: settings.strikeSilentAfterMs
     })
     this._follower = new FleetFollower({
@@ -132,10 +138,12 @@
     const { settings, logger } = parts
     const random = systemRandom()
     const disk = await FileDisk.open(settings.dataFolder)
+    const readFromMs = systemClock.nowMs()
     const opened = await ReplicaStorage.open(disk, settings.hostId, () => random.id())
+    const readMs = systemClock.nowMs() - readFromMs
     if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
     if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailCut, { bytesCount: opened.loaded.tornBytes })
-    const program = new StoreProgram(parts, opened)
+    const program = new StoreProgram(parts, opened, readMs)
     await program._start()
     return program
   }
@@ -166,10 +174,21 @@
     this._follower.start()
     const membership = new StoreMembership({ replica: this._replica, view: this._view, clock: systemClock, logger, hostId, peerAddress })
     this._supervisor.spawn('membership', scope => membership.run(scope))
+    this._supervisor.spawn('gauges', scope => this._showState(scope))
     this._supervisor.spawn('leading', scope => this._leadWhenElected(scope))
     logger.event(BatchEvent.Started, { hostId, replicaId: this._replica.core.replicaId, appliedIndex: this._replica.appliedIndex })
   }
 
+  private async _showState (scope: Scope): Promise<void> {
+    const { metrics } = this._parts
+    const voterWatch = new VoterWatch(this._replica)
+    await everySecond(systemClock, scope, () => {
+      setReplicaGauges(this._replica, metrics)
+      setBatchGauges(this._state, metrics)
+      voterWatch.review()
+    })
+  }
+
   private _join (newcomer: { replicaId: string, hostId: string, peerAddress: string }) {
     if (!this._replica.leadership) return { kind: 'notLeader' as const, leaderAddress: this._replica.core.leader?.peerAddress }
     const outcome = this._replica.join({ ...newcomer, operatorAddress: newcomer.peerAddress })
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -8,6 +8,7 @@
 import type { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { PROCESS_STARTED_AT_MS, systemClock } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
+import { everySecond } from '../utils/everySecond.js'
 import { Progress } from '../utils/progress.js'
 import type { Logger } from '../utils/logger.js'
 import type { Metrics } from '../utils/metrics.js'
@@ -32,11 +33,13 @@
 import { defaultSnapshotPolicy } from '../replication/log/logApplier.js'
 import { identifyMethod } from '../replication/log/raftMethods.js'
 import { Replica } from '../replication/log/replica.js'
+import { setReplicaGauges } from '../replication/log/replicaGauges.js'
 import { defaultTimings } from '../replication/log/timings.js'
 import { OperatorApi } from './operatorApi/operatorApi.js'
 import { WatchStreams } from './operatorApi/watchStream.js'
 import { WeightNaming } from './fleet/weightNaming.js'
 import { LeaderCalls } from './routing/leaderCalls.js'
+import { VoterWatch } from '../replication/log/voterWatch.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { FileDisk } from '../replication/storage/fileDisk.js'
 import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
@@ -82,7 +85,7 @@
   private readonly _servers: Server[] = []
   private readonly _formationOptions: FormationOptions
 
-  private constructor (parts: ControlProgramParts, opened: OpenedReplica) {
+  private constructor (parts: ControlProgramParts, opened: OpenedReplica, readMs: number) {
     this._parts = parts
     this._formationOptions = { initialMembers: parts.settings.cluster.initialMembers, mayForm: parts.fleet?.mayForm ?? true }
     this._supervisor = new Supervisor(this._scope, (_task, error) => parts.onFatal(error))
@@ -100,6 +103,7 @@
       state: state as ReplicatedState<unknown, unknown>,
       snapshotPolicy: defaultSnapshotPolicy,
       startedAtMs: PROCESS_STARTED_AT_MS,
+      readMs,
       strikeSilentAfterMs: parts.fleet?.strikeSilentAfterMs
     })
     this.node = new ControlNode(replica, state, systemClock)
@@ -124,10 +128,12 @@
     const { settings, logger } = parts
     const random = systemRandom()
     const disk = await FileDisk.open(settings.storage.dataFolder)
+    const readFromMs = systemClock.nowMs()
     const opened = await ReplicaStorage.open(disk, settings.host.hostId, () => random.id())
+    const readMs = systemClock.nowMs() - readFromMs
     if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
     if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailCut, { bytesCount: opened.loaded.tornBytes })
-    const program = new ControlProgram(parts, opened)
+    const program = new ControlProgram(parts, opened, readMs)
     await program._start()
     return program
   }
@@ -174,10 +180,20 @@
     this._supervisor.spawn('followers', scope => this.followers.review(scope))
     this._supervisor.spawn('pushes to followers', scope => this.followers.pushChanges(scope))
     this._supervisor.spawn('store formation', scope => this._formStore(scope))
+    this._supervisor.spawn('gauges', scope => this._showState(scope))
     this._supervisor.spawn('silent hosts', scope => silentHosts.run(scope))
     logger.event(ControlEvent.Started, { hostId, replicaId: replica.core.replicaId, appliedIndex: replica.appliedIndex })
   }
 
+  private async _showState (scope: Scope): Promise<void> {
+    const { replica } = this.node
+    const voterWatch = new VoterWatch(replica)
+    await everySecond(systemClock, scope, () => {
+      setReplicaGauges(replica, this._parts.metrics)
+      voterWatch.review()
+    })
+  }
+
   private async _formStore (scope: Scope): Promise<void> {
     const { logger } = this._parts
     const formation = new StoreFormation({ node: this.node, followers: this.followers, clock: systemClock, random: systemRandom(), logger })
--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -19,7 +19,9 @@
     dataCentre: z.string().min(1),
     /** True only at the first start of the whole system. */
     isFirstStart: z.boolean(),
-    dataFolder: z.string().min(1).optional()
+    dataFolder: z.string().min(1).optional(),
+    /** Memory that the host allows each process; one that passes it is ended. */
+    memoryMb: z.number().positive().optional()
   }),
   listen: z.strictObject({
     callers: addressSchema.optional(),
--- a/src/replication/log/durableWriter.ts
+++ b/src/replication/log/durableWriter.ts
@@ -95,7 +95,9 @@
 
   private async _compact (compaction: Compaction, scope: Scope): Promise<void> {
     this._jobs.shift()
+    const startedAtMs = this._clock.nowMs()
     await this._untilThereIsRoom(scope, () => this._storage.compact(compaction))
+    this._metrics.timing(MetricName.SnapshotWriteMs, this._clock.nowMs() - startedAtMs)
     this._durableCount++
   }
 
--- a/src/replication/log/following.ts
+++ b/src/replication/log/following.ts
@@ -55,6 +55,7 @@
     core.follow(request.term, request.fromReplicaId)
     // What is committed here already agrees with the leader's log.
     if (request.lastIndex <= core.commitIndex) return await this._matchedAt(core.commitIndex, request.term)
+    core.snapshots.noteArriving(request.lastIndex)
     const received = this._receiver.receive(request)
     switch (received.kind) {
       case 'incomplete':
@@ -63,7 +64,7 @@
         core.state.install(received.snapshot, received.bytes)
         core.commitIndex = received.snapshot.lastIndex
         this._applier.restore(received.snapshot)
-        core.parts.logger.event(ReplicationEvent.SnapshotInstalled, { lastIndex: received.snapshot.lastIndex, bytesCount: received.bytes.length })
+        core.parts.logger.event(ReplicationEvent.SnapshotInstalled, { lastIndex: received.snapshot.lastIndex, bytesCount: received.bytes.length, tookMs: core.snapshots.noteInstalled(received.bytes.length) })
         return await this._matchedAt(received.snapshot.lastIndex, request.term)
     }
   }
--- a/src/replication/log/logApplier.ts
+++ b/src/replication/log/logApplier.ts
@@ -108,6 +108,7 @@
   }
 
   private _takeSnapshot (): void {
+    const begunAtMs = this._core.parts.clock.nowMs()
     const { log, members } = this._core.state
     const lastIndex = this._appliedIndex
     const last = log.get(lastIndex)
@@ -117,6 +118,6 @@
     this._core.state.compact(snapshot, bytes, this._policy.keptEntriesCount)
     this._entriesCount = 0
     this._bytes = 0
-    this._core.parts.logger.event(ReplicationEvent.SnapshotTaken, { lastIndex, bytesCount: bytes.length })
+    this._core.parts.logger.event(ReplicationEvent.SnapshotTaken, { lastIndex, bytesCount: bytes.length, tookMs: this._core.snapshots.noteTaken(bytes.length, begunAtMs) })
   }
 }
--- a/src/replication/log/membershipHistory.ts
+++ b/src/replication/log/membershipHistory.ts
@@ -36,6 +36,7 @@
 
 export class MembershipHistory {
   private _changes: Change[]
+  private _onChanged: () => void = () => {}
 
   /** @param members as the snapshot at the index has them */
   constructor (index: number, members: Member[]) {
@@ -56,14 +57,22 @@
     return this._changes.findLast(change => change.index <= index)?.members ?? []
   }
 
+  /** @param onChanged called whenever the latest members have become others */
+  watch (onChanged: () => void): void {
+    this._onChanged = onChanged
+  }
+
   note (entry: LogEntry): void {
     if (entry.kind !== EntryKind.Membership) return
     this._changes.push({ index: entry.index, members: decodeMembership(entry.payload).members })
+    this._onChanged()
   }
 
   truncateFrom (index: number): void {
     const kept = this._changes.filter((change, position) => position === 0 || change.index < index)
+    const isCut = kept.length < this._changes.length
     this._changes = kept
+    if (isCut) this._onChanged()
   }
 
   compactTo (index: number): void {
@@ -73,5 +82,6 @@
 
   reset (index: number, members: Member[]): void {
     this._changes = [{ index, members }]
+    this._onChanged()
   }
 }
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -20,7 +20,9 @@
 import { Following } from './following.js'
 import { Handover } from './handover.js'
 import { Leadership } from './leadership.js'
+import { JoinRefusals } from './joinRefusals.js'
 import { LogApplier, type ApplyObserver, type SnapshotPolicy } from './logApplier.js'
+import { reportMemberChanges } from './memberReport.js'
 import type { Member } from './members.js'
 import { MembershipChanges, type MembershipOutcome } from './membershipChanges.js'
 import { PeerLinks } from './peerLinks.js'
@@ -28,6 +30,7 @@
 import { Proposals, type ProposalOutcome } from './proposals.js'
 import { appendMethod, campaignMethod, heartbeatMethod, snapshotMethod, voteMethod, type Addressed, type CampaignReply } from './raftMethods.js'
 import { ReplicaCore } from './replicaCore.js'
+import { StartReport } from './startReport.js'
 import type { LogTimings } from './timings.js'
 import { CampaignOutcome, Voting } from './voting.js'
 
@@ -46,6 +49,8 @@
   observer?: ApplyObserver
   /** Instant before which this process answered nobody; when absent, the making of the replica. */
   startedAtMs?: number
+  /** From the opening of the data folder until it was read. */
+  readMs?: number
   /** A voter that was silent for so long is struck, as long as enough others are left; never when absent. */
   strikeSilentAfterMs?: number | undefined
 }
@@ -75,6 +80,8 @@
   private readonly _proposals = new Proposals()
   private readonly _following: Following
   private readonly _voting: Voting
+  private readonly _joinRefusals: JoinRefusals
+  private readonly _startReport: StartReport
   private readonly _encoder = new Encoder({ useRecords: false })
   private _leadership: Leadership | undefined
   private _membershipChanges: MembershipChanges | undefined
@@ -90,13 +97,19 @@
     const writer = new DurableWriter(opened.storage, clock, metrics, logger)
     const state = new PersistentState(opened.loaded, writer)
     const snapshot = opened.loaded.snapshot
+    const restoredFromMs = clock.nowMs()
     if (snapshot) parts.state.restore(snapshot.state)
+    const restoreMs = clock.nowMs() - restoredFromMs
     const startedAtMs = parts.startedAtMs ?? clock.nowMs()
     this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state, startedAtMs }, snapshot?.lastIndex ?? 0)
     this.links = new PeerLinks(parts.transport, this._scope, parts.onFatal)
     this._applier = new LogApplier(this.core, parts.state, this._proposals, parts.snapshotPolicy, parts.observer)
     this._following = new Following(this.core, this._applier, this._scope)
     this._voting = new Voting(this.core, this.links, this._scope)
+    this._joinRefusals = new JoinRefusals(clock, logger)
+    this._startReport = new StartReport(this, opened.loaded, { readMs: parts.readMs, restoreMs })
+    if (snapshot) this.core.snapshots.noteLoaded(opened.loaded.snapshotLengthBytes, (parts.readMs ?? 0) + restoreMs)
+    reportMemberChanges(this.core)
   }
 
   get appliedIndex (): number {
@@ -123,8 +136,10 @@
   }
 
   start (): void {
+    this._startReport.tellLoaded()
     this._parts.supervisor.spawn('log writer', scope => this.core.state.writer.run(scope))
     this._parts.supervisor.spawn('applier', scope => this._applier.run(scope))
+    this._parts.supervisor.spawn('start report', scope => this._startReport.tellApplied(scope))
     this._parts.supervisor.spawn('elections', scope => this._standForElections(scope))
   }
 
@@ -183,7 +198,11 @@
   }
 
   join (newcomer: Omit<Member, 'role'>): MembershipOutcome {
-    return this._activeChanges?.join(newcomer) ?? { kind: 'refused', reason: 'not the leader' }
+    const changes = this._activeChanges
+    if (!changes) return { kind: 'refused', reason: 'not the leader' }
+    const outcome = changes.join(newcomer)
+    this._joinRefusals.note(newcomer, outcome, this.core.members.length)
+    return outcome
   }
 
   remove (hostId: string): MembershipOutcome {
--- a/src/replication/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -15,6 +15,7 @@
 import { isVoter, type Member } from './members.js'
 import type { PersistentState } from './persistentState.js'
 import type { Addressed } from './raftMethods.js'
+import { SnapshotFigures } from './snapshotFigures.js'
 import type { LogTimings } from './timings.js'
 
 export enum ReplicaRole {
@@ -38,6 +39,7 @@
 export class ReplicaCore {
   readonly parts: CoreParts
   readonly state: PersistentState
+  readonly snapshots: SnapshotFigures
   /** Notified when the commit index moves. */
   readonly committed = new Signal()
   /** Notified when the leader or the term changes. */
@@ -53,6 +55,7 @@
   constructor (parts: CoreParts, commitIndex: number) {
     this.parts = parts
     this.state = parts.state
+    this.snapshots = new SnapshotFigures(parts.clock)
     this.commitIndex = commitIndex
     // After a restart it cannot know whom it heard from; it votes for nobody
     // until any lease that its last answers gave has ended. They were given
--- /dev/null
+++ b/src/replication/log/startReport.ts
@@ -0,0 +1,71 @@
+/**
+ * Tells how the start of a replica went: what it read, how long that took, and
+ * when it had caught up with its own log.
+ */
+import type { Scope } from '../../utils/scope.js'
+import { ReplicationEvent } from '../replicationEvents.js'
+import type { LoadedReplica } from '../storage/storageLoader.js'
+import { MemberRole, votersOf } from './members.js'
+import type { Replica } from './replica.js'
+
+/** A leader becomes known in several ways, not all of which apply an entry; the line is late by no more than this. */
+const REVIEW_INTERVAL_MS = 250
+
+export interface LoadDurations {
+  /** From the opening of the data folder; undefined when nobody measured it. */
+  readMs: number | undefined
+  /** What the state took to take the snapshot over. */
+  restoreMs: number
+}
+
+export class StartReport {
+  private readonly _replica: Replica
+  private readonly _loaded: { snapshotBytesCount: number, logBytesCount: number, entriesCount: number }
+  private readonly _durations: LoadDurations
+  private readonly _firstAppliedIndex: number
+  private readonly _lastOwnIndex: number
+
+  constructor (replica: Replica, { snapshotLengthBytes, logBytes, tornBytes }: LoadedReplica, durations: LoadDurations) {
+    const { log } = replica.core.state
+    this._replica = replica
+    this._loaded = { snapshotBytesCount: snapshotLengthBytes, logBytesCount: logBytes + tornBytes, entriesCount: log.lastIndex - log.baseIndex }
+    this._durations = durations
+    this._firstAppliedIndex = replica.appliedIndex
+    this._lastOwnIndex = log.lastIndex
+  }
+
+  /** The replica answers the others from now on. */
+  tellLoaded (): void {
+    const { core, appliedIndex } = this._replica
+    core.parts.logger.event(ReplicationEvent.Loaded, {
+      ...this._loaded,
+      ...this._durations,
+      sinceStartMs: this._sinceStartMs(),
+      appliedIndex,
+      voters: votersOf(core.members).map(({ hostId }) => hostId),
+      learners: core.members.filter(({ role }) => role === MemberRole.Learner).map(({ hostId }) => hostId)
+    })
+  }
+
+  /** Waits until the replica has applied its own log, and tells so. */
+  async tellApplied (scope: Scope): Promise<void> {
+    const { core } = this._replica
+    const { clock } = core.parts
+    while (!core.leader || !this._hasAppliedOwnLog()) await this._replica.applied.wait(scope, { clock, deadlineMs: clock.nowMs() + REVIEW_INTERVAL_MS })
+    const { appliedIndex } = this._replica
+    const entriesAppliedCount = appliedIndex - this._firstAppliedIndex
+    core.parts.logger.event(ReplicationEvent.OwnLogApplied, {
+      appliedIndex, entriesAppliedCount, leaderHostId: core.leader?.hostId, sinceStartMs: this._sinceStartMs()
+    })
+  }
+
+  /** A leader may cut the end of the log off, which nobody has committed. */
+  private _hasAppliedOwnLog (): boolean {
+    return this._replica.appliedIndex >= Math.min(this._lastOwnIndex, this._replica.core.state.log.lastIndex)
+  }
+
+  private _sinceStartMs (): number {
+    const { clock, startedAtMs } = this._replica.core.parts
+    return clock.nowMs() - startedAtMs
+  }
+}
--- /dev/null
+++ b/src/replication/log/voterWatch.ts
@@ -0,0 +1,49 @@
+/**
+ * Tells the leader's log which voters have fallen silent and which answer
+ * again, with how many are left: the loss of the next one may be the one too
+ * many, long before a quorum is lost.
+ */
+import { ReplicationEvent } from '../replicationEvents.js'
+import type { Leadership } from './leadership.js'
+import { quorumCount, votersOf, type Member } from './members.js'
+import type { Replica } from './replica.js'
+
+export class VoterWatch {
+  private readonly _replica: Replica
+  /** Silent voters of the present leadership, by replica. */
+  private _silent = new Set<string>()
+  private _leadership: Leadership | undefined
+
+  constructor (replica: Replica) {
+    this._replica = replica
+  }
+
+  /** Compares once; on a host that does not lead it forgets what it knew. */
+  review (): void {
+    const { leadership, core } = this._replica
+    if (leadership !== this._leadership) this._silent.clear()
+    this._leadership = leadership
+    if (!leadership) return
+    const voters = votersOf(core.members)
+    const silent = voters.filter(voter => this._isSilent(voter, leadership))
+    const answering = voters.filter(voter => !silent.includes(voter))
+    const counts = { answeringCount: answering.length, votersCount: voters.length, quorumCount: quorumCount(voters.length) }
+    for (const { replicaId, hostId } of silent) {
+      if (!this._silent.has(replicaId)) this._tell(ReplicationEvent.VoterSilent, { hostId, replicaId, ...counts })
+    }
+    for (const { replicaId, hostId } of answering) {
+      if (this._silent.has(replicaId)) this._tell(ReplicationEvent.VoterAnswers, { hostId, replicaId, ...counts })
+    }
+    this._silent = new Set(silent.map(({ replicaId }) => replicaId))
+  }
+
+  /** As long as its leader's quorum check allows: an election timeout without an answer. */
+  private _isSilent ({ replicaId }: Member, leadership: Leadership): boolean {
+    const { clock, timings } = this._replica.core.parts
+    return leadership.heardAtMs(replicaId) < clock.nowMs() - timings.electionMaxMs
+  }
+
+  private _tell (event: ReplicationEvent, fields: Record<string, string | number>): void {
+    this._replica.core.parts.logger.event(event, fields)
+  }
+}
--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -185,7 +185,7 @@
   const identity: ReplicaIdentity = { replicaId, hostId, clusterId: null }
   await writeWhole(disk, IDENTITY_FILE, encodeIdentity(identity))
   const hardState = { term: 0, votedFor: null }
-  return { identity, hardState, snapshot: undefined, entries: [], logSequence, logBytes: content.length, tornBytes: 0 }
+  return { identity, hardState, snapshot: undefined, snapshotLengthBytes: 0, entries: [], logSequence, logBytes: content.length, tornBytes: 0 }
 }
 
 function logContent (records: LogRecord[]): Buffer {
--- a/src/replication/storage/storageLoader.ts
+++ b/src/replication/storage/storageLoader.ts
@@ -28,6 +28,8 @@
   identity: ReplicaIdentity
   hardState: HardState
   snapshot: Snapshot | undefined
+  /** Of the snapshot as it lies on disk. */
+  snapshotLengthBytes: number
   /** Consecutive, the first one at most one after the snapshot. */
   entries: LogEntry[]
   logSequence: number
@@ -71,20 +73,20 @@
   const base = await loadBase(disk, replayed.snapshotIndex)
   if (base.kind === 'damaged') return base
   const { hardState, entries } = replayed
-  const replica = { identity, hardState, entries, snapshot: base.snapshot, logSequence, logBytes: read.validBytes, tornBytes: read.tornBytes }
+  const replica = { identity, hardState, entries, snapshot: base.snapshot, snapshotLengthBytes: base.lengthBytes, logSequence, logBytes: read.validBytes, tornBytes: read.tornBytes }
   return { kind: 'loaded', replica }
 }
 
-type BaseOutcome = { kind: 'read', snapshot: Snapshot | undefined } | { kind: 'damaged', reason: string }
+type BaseOutcome = { kind: 'read', snapshot: Snapshot | undefined, lengthBytes: number } | { kind: 'damaged', reason: string }
 
 async function loadBase (disk: Disk, snapshotIndex: number): Promise<BaseOutcome> {
-  if (snapshotIndex === 0) return { kind: 'read', snapshot: undefined }
+  if (snapshotIndex === 0) return { kind: 'read', snapshot: undefined, lengthBytes: 0 }
   const name = snapshotName(snapshotIndex)
   const bytes = await disk.read(name)
   if (!bytes) return { kind: 'damaged', reason: `${name} is missing` }
   const snapshot = decodeSnapshot(bytes)
   if (!snapshot) return { kind: 'damaged', reason: `${name}: its checksum does not match` }
-  return { kind: 'read', snapshot }
+  return { kind: 'read', snapshot, lengthBytes: bytes.length }
 }
 
 type ReplayOutcome =
--- a/src/utils/metricNames.ts
+++ b/src/utils/metricNames.ts
@@ -33,7 +33,25 @@
   ItemDurationMs = 'item.duration_ms',
   RewardCalled = 'reward.called',
   OrderSettled = 'order.settled',
-  RoutingVersion = 'routing.version'
+  RoutingVersion = 'routing.version',
+  MemoryResidentBytes = 'memory.resident_bytes',
+  MemoryHeapBytes = 'memory.heap_bytes',
+  MemoryExternalBytes = 'memory.external_bytes',
+  MemoryLimitBytes = 'memory.limit_bytes',
+  LogHeldEntries = 'log.held_entries',
+  LogHeldBytes = 'log.held_bytes',
+  LogAppliedIndex = 'log.applied_index',
+  LogCommitIndex = 'log.commit_index',
+  SnapshotBytes = 'snapshot.bytes',
+  SnapshotTookMs = 'snapshot.took_ms',
+  SnapshotWriteMs = 'snapshot.write_ms',
+  MembersVoters = 'members.voters',
+  MembersLearners = 'members.learners',
+  MembersLiveVoters = 'members.live_voters',
+  MembersLargestLagEntries = 'members.largest_lag_entries',
+  BatchesOpen = 'batches.open',
+  BatchesHeld = 'batches.held',
+  OutputsUnfinished = 'outputs.unfinished'
 }
 
 export interface MetricDescription {
@@ -77,5 +95,23 @@
   [MetricName.ItemDurationMs]: { type: 'timing', tags: ['state'], text: 'From the acceptance of a batch, or the takeover of its leader, to the position of a result.' },
   [MetricName.RewardCalled]: { type: 'counter', tags: ['outcome'], text: 'Reward calls, by outcome.' },
   [MetricName.OrderSettled]: { type: 'counter', tags: ['outcome'], text: 'Orders to engines, by what came of them.' },
-  [MetricName.RoutingVersion]: { type: 'gauge', tags: [], text: 'Version of the routing configuration in force on this host.' }
+  [MetricName.RoutingVersion]: { type: 'gauge', tags: [], text: 'Version of the routing configuration in force on this host.' },
+  [MetricName.MemoryResidentBytes]: { type: 'gauge', tags: [], text: 'Resident memory of the process. The host may count more, such as bytes that have arrived and are not read yet.' },
+  [MetricName.MemoryHeapBytes]: { type: 'gauge', tags: [], text: 'Memory of the objects of the process.' },
+  [MetricName.MemoryExternalBytes]: { type: 'gauge', tags: [], text: 'Memory of the buffers of the process, outside of its heap.' },
+  [MetricName.MemoryLimitBytes]: { type: 'gauge', tags: [], text: 'Memory that the host allows this process; absent when the settings do not tell it.' },
+  [MetricName.LogHeldEntries]: { type: 'gauge', tags: [], text: 'Entries of the replicated log that this replica holds in memory.' },
+  [MetricName.LogHeldBytes]: { type: 'gauge', tags: [], text: 'Bytes of these entries.' },
+  [MetricName.LogAppliedIndex]: { type: 'gauge', tags: [], text: 'Index of the last entry that this replica has applied.' },
+  [MetricName.LogCommitIndex]: { type: 'gauge', tags: [], text: 'Index of the last entry that this replica knows to be committed.' },
+  [MetricName.SnapshotBytes]: { type: 'gauge', tags: ['source'], text: 'Bytes of the last snapshot of each source: taken here, installed from the leader, loaded at the start.' },
+  [MetricName.SnapshotTookMs]: { type: 'gauge', tags: ['source'], text: 'How long that snapshot took: taken up to its encoding, installed from its first piece, loaded from the opening of the data folder.' },
+  [MetricName.SnapshotWriteMs]: { type: 'timing', tags: [], text: 'Duration of one write of a snapshot with the log behind it, its sync included; the log takes nothing to disk meanwhile.' },
+  [MetricName.MembersVoters]: { type: 'gauge', tags: [], text: 'Voters of the replicated log, as this replica knows them.' },
+  [MetricName.MembersLearners]: { type: 'gauge', tags: [], text: 'Members that do not vote yet, as this replica knows them.' },
+  [MetricName.MembersLiveVoters]: { type: 'gauge', tags: [], text: 'Voters that have answered the leader within an election timeout, itself included; -1 on a host that does not lead.' },
+  [MetricName.MembersLargestLagEntries]: { type: 'gauge', tags: [], text: 'Entries that the voter furthest behind lacks on its disk, as the leader knows it; -1 on a host that does not lead.' },
+  [MetricName.BatchesOpen]: { type: 'gauge', tags: [], text: 'Batches held by this replica that their submitters have not ended.' },
+  [MetricName.BatchesHeld]: { type: 'gauge', tags: [], text: 'Batches held by this replica, ended ones included.' },
+  [MetricName.OutputsUnfinished]: { type: 'gauge', tags: [], text: 'Items of which this replica holds a part of the output.' }
 }
--- a/src/utils/prometheusMetrics.ts
+++ b/src/utils/prometheusMetrics.ts
@@ -48,6 +48,13 @@
   }
 }
 
+/** Absent until it is set: a zero that nobody measured would be taken for a value. */
+function createGauge (options: { name: string, help: string, labelNames: string[], registers: Registry[] }): Gauge {
+  const gauge = new Gauge(options)
+  if (options.labelNames.length === 0) gauge.remove()
+  return gauge
+}
+
 function createCollectors (registry: Registry): Collectors {
   const collectors: Collectors = { counters: new Map(), gauges: new Map(), timings: new Map() }
   for (const [key, { type, tags, text }] of Object.entries(metricCatalogue)) {
@@ -58,7 +65,7 @@
         collectors.counters.set(name, new Counter(options))
         break
       case 'gauge':
-        collectors.gauges.set(name, new Gauge(options))
+        collectors.gauges.set(name, createGauge(options))
         break
       case 'timing':
         collectors.timings.set(name, new Histogram({ ...options, buckets: BUCKETS_MS }))
--- /dev/null
+++ b/tests/platform/hostPrograms.test.ts
@@ -0,0 +1,100 @@
+import test, { type ExecutionContext } from 'ava'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+import { request } from 'undici'
+import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
+import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
+import { MemoryEvent } from '../../src/utils/memoryEvents.js'
+import { freePort, loopbackHost } from '../fixtures/loopback.js'
+import { until } from '../fixtures/until.js'
+
+/** Any process holds more, so that all levels are passed at once. */
+const TINY_LIMIT_MB = 1
+const LEVELS_COUNT = 3
+
+interface RunningProgram {
+  child: ChildProcess
+  metricsUrl: string
+  folder: string
+  out: string
+}
+
+interface LogLine {
+  context: Record<string, unknown>
+}
+
+async function start (name: ProgramName, memoryMb: number | undefined): Promise<RunningProgram> {
+  const folder = mkdtempSync(join(tmpdir(), 'threaddrum-host-'))
+  const ip = loopbackHost()
+  const ports = await Promise.all(Array.from({ length: 9 }, freePort))
+  const [callers, readiness, control, firstInternal = 0, , lastInternal, edgeMetrics, controlMetrics, storeMetrics] = ports
+  const metricsPorts = { edge: edgeMetrics, control: controlMetrics, store: storeMetrics }
+  const file = join(folder, 'host.toml')
+  writeFileSync(file, stringify({
+    host: { name: 'h1', ip, dataCentre: 'dc', isFirstStart: true, dataFolder: join(folder, 'data'), ...(memoryMb === undefined ? {} : { memoryMb }) },
+    listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
+    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, lastInternal] },
+    metricsPorts,
+    bounds: {}
+  }))
+  const child = spawn(process.execPath, [`dist/platform/${name}.js`], {
+    env: { ...process.env, THREADDRUM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit']
+  })
+  const program = { child, folder, out: '', metricsUrl: `http://${ip}:${metricsPorts[name]}/metrics` }
+  child.stdout?.on('data', part => { program.out += String(part) })
+  return program
+}
+
+async function stop ({ child, folder }: RunningProgram): Promise<void> {
+  const exited = new Promise(resolve => child.once('exit', resolve))
+  child.kill('SIGKILL')
+  await exited
+  rmSync(folder, { recursive: true })
+}
+
+function linesOf ({ out }: RunningProgram, eventNumber: number): LogLine[] {
+  const whole = out.split('\n').slice(0, -1).filter(line => line.startsWith('{')).map(line => JSON.parse(line) as LogLine)
+  return whole.filter(({ context }) => context.eventNumber === eventNumber)
+}
+
+async function gauge (program: RunningProgram, name: string): Promise<number | undefined> {
+  const text = await request(program.metricsUrl).then(async ({ body }) => await body.text(), () => '')
+  const value = text.split('\n').find(line => line.startsWith(`threaddrum_${name} `))?.split(' ')[1]
+  return value === undefined ? undefined : Number(value)
+}
+
+async function shows (t: ExecutionContext, program: RunningProgram, names: string[]): Promise<void> {
+  await until(async () => await gauge(program, names.at(-1) ?? '') !== undefined)
+  for (const name of names) t.true(await gauge(program, name) !== undefined, name)
+}
+
+for (const name of ['edge', 'control', 'store'] as const) {
+  test(`should watch the memory of ${name} against what its host allows it`, async t => {
+    const program = await start(name, TINY_LIMIT_MB)
+    t.teardown(() => stop(program))
+    await until(() => linesOf(program, MemoryEvent.LevelPassed).length === LEVELS_COUNT)
+    t.is(linesOf(program, MemoryEvent.LevelPassed)[0]?.context.limitBytes, 1024 * 1024)
+    await until(async () => (await gauge(program, 'memory_resident_bytes') ?? 0) > 1024 * 1024)
+  })
+}
+
+for (const name of ['control', 'store'] as const) {
+  test(`should show the replica of ${name} and tell how its start went`, async t => {
+    const program = await start(name, undefined)
+    t.teardown(() => stop(program))
+    await until(() => linesOf(program, ReplicationEvent.Loaded).length === 1)
+    t.true(Number(linesOf(program, ReplicationEvent.Loaded)[0]?.context.readMs) > 0)
+    await shows(t, program, ['log_applied_index', 'log_held_bytes', 'members_voters', 'members_largest_lag_entries'])
+    t.deepEqual(linesOf(program, MemoryEvent.LevelPassed), [])
+  })
+}
+
+test('should show the batches that a store host holds', async t => {
+  const program = await start('store', undefined)
+  t.teardown(() => stop(program))
+  await until(async () => await gauge(program, 'batches_held') === 0)
+  await shows(t, program, ['batches_open', 'outputs_unfinished'])
+})
--- /dev/null
+++ b/tests/utils/memoryWatch.test.ts
@@ -0,0 +1,98 @@
+import test from 'ava'
+import type { LogFields, Logger } from '../../src/utils/logger.js'
+import { MemoryEvent } from '../../src/utils/memoryEvents.js'
+import { MEMORY_LEVELS_PERCENT, MemoryWatch, megabytesToBytes, processMemory, type MemoryUse } from '../../src/utils/memoryWatch.js'
+import { memoryMetrics } from '../../src/utils/metrics.js'
+import { Scope } from '../../src/utils/scope.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+const LIMIT_MB = 100
+const LIMIT_BYTES = megabytesToBytes(LIMIT_MB)
+
+interface Watched {
+  clock: VirtualClock
+  events: Array<{ number: number, fields: LogFields }>
+  gauges: () => Record<string, number>
+  readsCount: () => number
+  /** Lets the next reads find so much. */
+  use: (percent: number) => Promise<void>
+}
+
+function watch (limitBytes: number | undefined): Watched {
+  const clock = new VirtualClock()
+  const metrics = memoryMetrics()
+  const events: Watched['events'] = []
+  const logger: Logger = { event: (number, fields = {}) => { events.push({ number, fields }) }, child: () => logger }
+  let now: MemoryUse = { residentBytes: 0, heapBytes: 3, externalBytes: 4 }
+  let readsCount = 0
+  const read = (): MemoryUse => {
+    readsCount++
+    return now
+  }
+  const scope = new Scope('test')
+  new MemoryWatch({ clock, logger, metrics, read, limitBytes }).run(scope).catch(() => {})
+  return {
+    clock,
+    events,
+    gauges: () => metrics.snapshot(),
+    readsCount: () => readsCount,
+    use: async percent => {
+      now = { ...now, residentBytes: percent / 100 * LIMIT_BYTES }
+      await clock.advance(1_000)
+    }
+  }
+}
+
+function levels (events: Watched['events'], number: MemoryEvent) {
+  return events.filter(event => event.number === number).map(({ fields }) => fields.levelPercent)
+}
+
+test('should read the memory once a second', async t => {
+  const { clock, readsCount } = watch(LIMIT_BYTES)
+  await clock.advance(10_000)
+  t.is(readsCount(), 11)
+})
+
+test('should tell once of each level that is passed, with what it went by', async t => {
+  const { use, events } = watch(LIMIT_BYTES)
+  await use(69)
+  t.deepEqual(events, [])
+  await use(70)
+  await use(80)
+  t.deepEqual(events, [{
+    number: MemoryEvent.LevelPassed,
+    fields: { levelPercent: 70, limitBytes: LIMIT_BYTES, residentBytes: 0.7 * LIMIT_BYTES, heapBytes: 3, externalBytes: 4 }
+  }])
+  await use(96)
+  t.deepEqual(levels(events, MemoryEvent.LevelPassed), MEMORY_LEVELS_PERCENT)
+})
+
+test('should tell that a level is left only well below it, and of the level again after that', async t => {
+  const { use, events } = watch(LIMIT_BYTES)
+  for (const percent of [86, 84, 86, 81]) await use(percent)
+  t.deepEqual(levels(events, MemoryEvent.LevelPassed), [70, 85])
+  t.deepEqual(levels(events, MemoryEvent.LevelLeft), [])
+  for (const percent of [79, 86]) await use(percent)
+  t.deepEqual(levels(events, MemoryEvent.LevelPassed), [70, 85, 85])
+  t.deepEqual(levels(events, MemoryEvent.LevelLeft), [85])
+})
+
+test('should show what is used, and the limit beside it', async t => {
+  const { use, gauges } = watch(LIMIT_BYTES)
+  await use(50)
+  t.deepEqual(gauges(), {
+    'memory.resident_bytes': LIMIT_BYTES / 2, 'memory.heap_bytes': 3, 'memory.external_bytes': 4, 'memory.limit_bytes': LIMIT_BYTES
+  })
+})
+
+test('should only show what is used when the host tells no limit', async t => {
+  const { use, gauges, events } = watch(undefined)
+  await use(500)
+  t.deepEqual(Object.keys(gauges()), ['memory.resident_bytes', 'memory.heap_bytes', 'memory.external_bytes'])
+  t.deepEqual(events, [])
+})
+
+test('should read the memory of this process', t => {
+  const { residentBytes, heapBytes, externalBytes } = processMemory()
+  t.true(residentBytes > heapBytes && heapBytes > 0 && externalBytes > 0)
+})
--- a/tests/utils/prometheusMetrics.test.ts
+++ b/tests/utils/prometheusMetrics.test.ts
@@ -27,6 +27,11 @@
   t.true(text.includes('threaddrum_request_duration_ms_sum{route="idempotent"} 820'))
 })
 
+test('should not show a gauge that was never set', async t => {
+  const shown = (await prometheusMetrics().text()).split('\n')
+  t.false(shown.some(line => line.startsWith(prometheusName(MetricName.RoutingVersion))))
+})
+
 test('should show the value that a gauge had last', async t => {
   const metrics = prometheusMetrics()
   metrics.gauge(MetricName.RoutingVersion, 7)
