--- a/src/batches/batch.ts
+++ b/src/batches/batch.ts
@@ -129,9 +129,13 @@
     this._itemsBytes = 0
   }
 
+  /** For how long after its acceptance it is held. */
+  get keptMs (): number {
+    return this._isEnded ? this._keepMs : MAX_OPEN_FACTOR * this._keepMs
+  }
+
   isOutdated (atMs: number): boolean {
-    const keptMs = this._isEnded ? this._keepMs : MAX_OPEN_FACTOR * this._keepMs
-    return atMs - this.acceptedAtMs > keptMs
+    return atMs - this.acceptedAtMs > this.keptMs
   }
 
   /** The batch as it is now: nothing that happens to it later changes the record. */
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -48,6 +48,8 @@
   onOrder: (endpointId: string, holder: string) => void
   /** A trainer named a version. */
   onNamed: (weights: NamedWeights) => void
+  /** The time of a batch is over; the clock is that of the entry that decided. */
+  onForgotten?: (batch: Batch, decidedAtMs: number) => void
 }
 
 const noListener: BatchStateListener = { onOrder: () => {}, onNamed: () => {} }
@@ -105,6 +107,14 @@
     return this.open().filter(batch => !batch.isOutdated(atMs))
   }
 
+  get heldCount (): number {
+    return this._batches.size
+  }
+
+  get unfinishedCount (): number {
+    return this._unfinished.size
+  }
+
   open (): Batch[] {
     return [...this._batches.values()].filter(batch => !batch.isEnded)
   }
@@ -229,6 +239,7 @@
     for (const [batchId, batch] of this._batches) {
       if (!batch.isOutdated(atMs)) continue
       this._batches.delete(batchId)
+      this._listener.onForgotten?.(batch, atMs)
       for (const result of batch.results) {
         if (this._completed.get(result.itemId)?.result === result) this._completed.delete(result.itemId)
       }
--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -20,7 +20,7 @@
     /** True only at the first start of the whole system. */
     isFirstStart: z.boolean(),
     dataFolder: z.string().min(1).optional(),
-    /** Memory that a process may take before the platform ends it. */
+    /** Memory that the host allows each process; one that passes it is ended. */
     memoryMb: z.number().positive().optional()
   }),
   listen: z.strictObject({
