Take a newcomer in whatever the size of the group

Cause: a group of more than nine members refused every learner, also the successor of one of its own voters, while the first members of a store are all the store hosts there are. A wiped host never voted again, its dead vote counted until it was struck, and three pairs of lost disks ended the store.

Change: no limit. A host has one voter and one learner at most, which bounds the members by twice the hosts.

Ruled out: a larger constant, which would again be below the size of some first group.

--- a/src/replication/log/membershipChanges.ts
+++ b/src/replication/log/membershipChanges.ts
@@ -1,7 +1,9 @@
 /**
  * The leader's changes of members, one at a time: newcomers are learners
  * first and vote once they have caught up; a replica whose host came back
- * with another disk is removed before its successor votes.
+ * with another disk is removed before its successor votes. Nobody is refused
+ * for the size of the group: a host has one voter and one learner at most, so
+ * the members are no more than twice the hosts.
  */
 import { sleepUntil } from '../../utils/clock.js'
 import type { Scope } from '../../utils/scope.js'
@@ -18,7 +20,6 @@
 
 /** A learner that is no more than so many entries behind may vote. */
 const CAUGHT_UP_ENTRIES_COUNT = 64
-const MAX_MEMBERS_COUNT = 9
 const REVIEW_INTERVAL_MS = 100
 /** Fewer voters than this bear no loss, so nobody is struck below it. */
 const MIN_VOTERS_COUNT = 3
@@ -42,7 +43,6 @@
     if (predecessors.some(member => this._leadership.isLive(member.replicaId))) {
       return { kind: 'refused', reason: `host ${newcomer.hostId} is running already` }
     }
-    if (members.length >= MAX_MEMBERS_COUNT) return { kind: 'refused', reason: `there are ${members.length} members already` }
     if (!this._leadership.mayChangeMembers()) return { kind: 'busy' }
     // An earlier learner of the same host never voted and can go in the same step.
     const kept = members.filter(member => member.hostId !== newcomer.hostId || member.role === MemberRole.Voter)
