Keep as many voters as the losses need, and give a silent voter's place to its replacement

Cause: silent voters were struck down to three, whatever losses the deployment has to bear; an entry accepted by two of three is gone with two disks, though the others come back. A host taken out could leave as few. A host replaced at another address voted beside the dead one for up to eight seconds: seven voters, of which two dead and two lost leave no quorum.

Change: the group is told the losses to be borne and keeps twice as many voters and one; a learner that has caught up takes the place of a voter that was silent for two seconds, if no voter of its own host is to go first.

Three tests with five and six hosts failed before: no leader within a minute after two of the five lost their disk while all lost power (two others struck; two others replaced), and a removal that left four was accepted.

Ruled out: striking sooner in general; a host that only restarts slowly would lose its vote and have to catch up again.

--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -53,6 +53,8 @@
   orderLeaseMs: number
   /** A replica that was silent for so long is struck from the members. */
   strikeSilentAfterMs: number
+  /** Disks that may be lost at once. */
+  toleratedLosses: number
 }
 
 export interface StoreProgramParts {
@@ -107,7 +109,8 @@
       state: this._state as ReplicatedState<unknown, unknown>,
       snapshotPolicy,
       startedAtMs: PROCESS_STARTED_AT_MS,
-      strikeSilentAfterMs: settings.strikeSilentAfterMs
+      strikeSilentAfterMs: settings.strikeSilentAfterMs,
+      toleratedLosses: settings.toleratedLosses
     })
     this._follower = new FleetFollower({
       clock: systemClock,
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -59,6 +59,8 @@
   mayForm: boolean
   /** A voter that was silent for so long is struck from the members, as long as enough others are left. */
   strikeSilentAfterMs: number
+  /** Disks that may be lost at once. */
+  toleratedLosses: number
 }
 
 /** Endpoints of a deployment that does not say how often announce themselves this often. */
@@ -100,7 +102,8 @@
       state: state as ReplicatedState<unknown, unknown>,
       snapshotPolicy: defaultSnapshotPolicy,
       startedAtMs: PROCESS_STARTED_AT_MS,
-      strikeSilentAfterMs: parts.fleet?.strikeSilentAfterMs
+      strikeSilentAfterMs: parts.fleet?.strikeSilentAfterMs,
+      toleratedLosses: parts.fleet?.toleratedLosses
     })
     this.node = new ControlNode(replica, state, systemClock)
     this._sessions = new ClientSessions(this.node, systemClock, parts.onFatal)
--- a/src/replication/log/membershipChanges.ts
+++ b/src/replication/log/membershipChanges.ts
@@ -21,18 +21,27 @@
 /** A learner that is no more than so many entries behind may vote. */
 const CAUGHT_UP_ENTRIES_COUNT = 64
 const REVIEW_INTERVAL_MS = 100
-/** Fewer voters than this bear no loss, so nobody is struck below it. */
-const MIN_VOTERS_COUNT = 3
+/** A killed process is back within a second and answers its leader in the next; a voter silent for longer may give its place to a newcomer. */
+const PLACE_KEPT_MS = 2_000
+/** Losses that a group bears when it is not told how many it has to. */
+const DEFAULT_TOLERATED_LOSSES = 1
+
+export interface MembershipPolicy {
+  /** A voter that was silent for so long is struck, as long as enough others are left; never when absent. */
+  strikeSilentAfterMs?: number | undefined
+  /** Disks that may be lost at once; one when absent. */
+  toleratedLosses?: number | undefined
+}
 
 export class MembershipChanges {
   private readonly _core: ReplicaCore
   private readonly _leadership: Leadership
-  private readonly _strikeSilentAfterMs: number | undefined
+  private readonly _policy: MembershipPolicy
 
-  constructor (core: ReplicaCore, leadership: Leadership, strikeSilentAfterMs?: number) {
+  constructor (core: ReplicaCore, leadership: Leadership, policy: MembershipPolicy) {
     this._core = core
     this._leadership = leadership
-    this._strikeSilentAfterMs = strikeSilentAfterMs
+    this._policy = policy
   }
 
   /** Takes a replica in as a learner. */
@@ -57,6 +66,9 @@
     if (leaving.length === 0) return { kind: 'accepted' }
     if (!this._leadership.mayChangeMembers()) return { kind: 'busy' }
     const remaining = this._core.members.filter(member => member.hostId !== hostId)
+    if (votersOf(leaving).length > 0 && this._wouldBeTooFew(votersOf(remaining).length)) {
+      return { kind: 'refused', reason: `fewer than ${this._fewestVotersCount} voters would be left` }
+    }
     if (votersOf(leaving).length > 1) return this._removeOne(leaving)
     if (!this._hasLiveQuorum(remaining)) return { kind: 'refused', reason: 'too few of the remaining members answer' }
     this._change(remaining, ReplicationEvent.MemberRemoved, hostId)
@@ -73,26 +85,60 @@
   }
 
   private _reviewOnce (): void {
-    const members = this._core.members
-    const ready = members.find(member => member.role === MemberRole.Learner && this._isCaughtUp(member))
-    if (!ready) return this._strikeSilent()
-    const predecessor = members.find(member => member.hostId === ready.hostId && member.role === MemberRole.Voter)
+    const ready = this._core.members.filter(member => member.role === MemberRole.Learner && this._isCaughtUp(member))
+    const predecessor = ready.map(learner => this._predecessorOf(learner)).find(member => member !== undefined)
+    const [newcomer] = ready
     if (predecessor) this._replace(predecessor)
-    else this._promote(ready)
+    else if (newcomer) this._takeIn(newcomer)
+    else this._strikeLongSilent()
+  }
+
+  private _predecessorOf (learner: Member): Member | undefined {
+    return votersOf(this._core.members).find(member => member.hostId === learner.hostId)
+  }
+
+  /**
+   * A newcomer takes the place of a voter that is gone, most likely for good:
+   * beside it, the dead vote would raise the quorum for those that are left.
+   */
+  private _takeIn (newcomer: Member): void {
+    const silent = this._longestSilent(votersOf(this._core.members))
+    const isAway = silent !== undefined && !this._leadership.isLive(silent.replicaId)
+    if (!isAway || this._policy.strikeSilentAfterMs === undefined) return this._promote(newcomer)
+    if (this._silentMs(silent) > PLACE_KEPT_MS) this._strike(silent)
   }
 
   /** A host that is gone for good is never announced; its dead vote would only raise the quorum. */
-  private _strikeSilent (): void {
-    const members = this._core.members
-    if (this._strikeSilentAfterMs === undefined) return
-    const silentSinceMs = this._core.parts.clock.nowMs() - this._strikeSilentAfterMs
-    const silent = members.filter(member => this._leadership.heardAtMs(member.replicaId) < silentSinceMs)
-    const [longest] = silent.sort((left, right) => this._leadership.heardAtMs(left.replicaId) - this._leadership.heardAtMs(right.replicaId))
-    if (!longest) return
-    const remaining = members.filter(member => member !== longest)
-    const isVoting = longest.role === MemberRole.Voter
-    if (isVoting && (votersOf(remaining).length < MIN_VOTERS_COUNT || !this._hasLiveQuorum(remaining))) return
-    this._change(remaining, ReplicationEvent.MemberRemoved, longest.hostId)
+  private _strikeLongSilent (): void {
+    const { strikeSilentAfterMs } = this._policy
+    const silent = this._longestSilent(this._core.members)
+    if (!silent || strikeSilentAfterMs === undefined || this._silentMs(silent) <= strikeSilentAfterMs) return
+    const votersCount = votersOf(this._core.members).length
+    if (silent.role === MemberRole.Learner || votersCount > this._fewestVotersCount) this._strike(silent)
+  }
+
+  private _strike (silent: Member): void {
+    const remaining = this._core.members.filter(member => member !== silent)
+    if (silent.role === MemberRole.Learner || this._hasLiveQuorum(remaining)) this._change(remaining, ReplicationEvent.MemberRemoved, silent.hostId)
+  }
+
+  private _longestSilent (members: Member[]): Member | undefined {
+    const [longest] = [...members].sort((left, right) => this._leadership.heardAtMs(left.replicaId) - this._leadership.heardAtMs(right.replicaId))
+    return longest
+  }
+
+  private _silentMs (member: Member): number {
+    return this._core.parts.clock.nowMs() - this._leadership.heardAtMs(member.replicaId)
+  }
+
+  /** A group that was not told what it has to bear is made as small as its operator wishes. */
+  private _wouldBeTooFew (votersCount: number): boolean {
+    return this._policy.toleratedLosses !== undefined && votersCount < this._fewestVotersCount
+  }
+
+  /** A majority of so many holds an entry on one disk more than may be lost. */
+  private get _fewestVotersCount (): number {
+    return 2 * (this._policy.toleratedLosses ?? DEFAULT_TOLERATED_LOSSES) + 1
   }
 
   private _replace (predecessor: Member): void {
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -22,7 +22,7 @@
 import { Leadership } from './leadership.js'
 import { LogApplier, type ApplyObserver, type SnapshotPolicy } from './logApplier.js'
 import type { Member } from './members.js'
-import { MembershipChanges, type MembershipOutcome } from './membershipChanges.js'
+import { MembershipChanges, type MembershipOutcome, type MembershipPolicy } from './membershipChanges.js'
 import { PeerLinks } from './peerLinks.js'
 import { PersistentState } from './persistentState.js'
 import { Proposals, type ProposalOutcome } from './proposals.js'
@@ -31,7 +31,7 @@
 import type { LogTimings } from './timings.js'
 import { CampaignOutcome, Voting } from './voting.js'
 
-export interface ReplicaParts {
+export interface ReplicaParts extends MembershipPolicy {
   clock: Clock
   random: RandomSource
   metrics: Metrics
@@ -46,8 +46,6 @@
   observer?: ApplyObserver
   /** Instant before which this process answered nobody; when absent, the making of the replica. */
   startedAtMs?: number
-  /** A voter that was silent for so long is struck, as long as enough others are left; never when absent. */
-  strikeSilentAfterMs?: number | undefined
 }
 
 export type ReadOutcome = { kind: 'confirmed' } | { kind: 'notLeader' } | { kind: 'unavailable', reason: string }
@@ -234,7 +232,7 @@
   private async _lead (): Promise<void> {
     const supervisor = this._parts.supervisor.child(`leadership of term ${this.core.term}`)
     const leadership = new Leadership(this.core, this.links, supervisor)
-    const changes = new MembershipChanges(this.core, leadership, this._parts.strikeSilentAfterMs)
+    const changes = new MembershipChanges(this.core, leadership, this._parts)
     this.core.becomeLeader(reason => supervisor.scope.close(reason))
     this._leadership = leadership
     this._membershipChanges = changes
--- a/tests/batches/storeLosses.test.ts
+++ b/tests/batches/storeLosses.test.ts
@@ -20,13 +20,15 @@
 const PATIENCE_MS = 5_000
 /** All store hosts of a small and of a large deployment. */
 const STORE_SIZES = [10, 13]
+/** The smallest store that bears the losses. */
+const SMALLEST_SIZE = 2 * TOLERATED_LOSSES + 1
 
 type StoreCluster = ReplicaCluster<BatchState>
 type StoreHost = ClusterHost<BatchState>
 
 async function startStore (hostsCount: number): Promise<StoreCluster> {
   const program = { createState: () => new BatchState(), run: () => {} }
-  const cluster = new ReplicaCluster<BatchState>({ seed: 17, hostsCount, strikeSilentAfterMs: STRIKE_AFTER_MS }, program)
+  const cluster = new ReplicaCluster<BatchState>({ seed: 17, hostsCount, strikeSilentAfterMs: STRIKE_AFTER_MS, toleratedLosses: TOLERATED_LOSSES }, program)
   await cluster.startAll()
   await cluster.untilLeader()
   await cluster.until(() => cluster.hosts.every(host => host.running?.replica.core.isVoter()), 'all are voters')
@@ -105,3 +107,42 @@
     t.deepEqual(cluster.violations, [])
   }
 })
+
+test('should keep a batch that was accepted while two hosts were away for long, when two others lose their disk', async t => {
+  const cluster = await startStore(SMALLEST_SIZE)
+  const [first, second, third, fourth] = cluster.hosts as [StoreHost, StoreHost, StoreHost, StoreHost]
+  for (const host of [first, second]) cluster.crash(host)
+  await cluster.clock.advance(4 * STRIKE_AFTER_MS)
+  t.is(await accept(cluster, 'batch'), 'committed')
+  await losePower(cluster, [third, fourth])
+  t.deepEqual(await missing(cluster, ['batch']), [])
+  t.deepEqual(cluster.violations, [])
+})
+
+test('should not take a host out of the members while fewer would be left than bear the losses', async t => {
+  const cluster = await startStore(SMALLEST_SIZE + 1)
+  const [away, leaving, third, fourth] = cluster.hosts as [StoreHost, StoreHost, StoreHost, StoreHost]
+  cluster.crash(away)
+  await cluster.clock.advance(2 * STRIKE_AFTER_MS)
+  t.is((await leaderOf(cluster)).replica.remove(leaving.hostId).kind, 'refused')
+  t.is(await accept(cluster, 'batch'), 'committed')
+  await losePower(cluster, [third, fourth])
+  t.deepEqual(await missing(cluster, ['batch']), [])
+  await cluster.clock.advance(CATCH_UP_MS)
+  t.is((await leaderOf(cluster)).replica.remove(leaving.hostId).kind, 'accepted')
+})
+
+test('should keep every batch when two hosts were replaced at other addresses and two others lose their disk', async t => {
+  const cluster = await startStore(SMALLEST_SIZE)
+  const [first, second, third, fourth] = cluster.hosts as [StoreHost, StoreHost, StoreHost, StoreHost]
+  for (const host of [first, second]) cluster.remove(host)
+  await cluster.start(cluster.addHost())
+  await cluster.start(cluster.addHost())
+  await cluster.clock.advance(CATCH_UP_MS)
+  t.is(await accept(cluster, 'batch'), 'committed')
+  await losePower(cluster, [third, fourth])
+  t.deepEqual(await missing(cluster, ['batch']), [])
+  await cluster.clock.advance(CATCH_UP_MS)
+  t.deepEqual(await notVoting(cluster), [])
+  t.deepEqual(cluster.violations, [])
+})
