--- a/src/replication/log/followerProgress.ts
+++ b/src/replication/log/followerProgress.ts
@@ -16,13 +16,17 @@
   ackedRound = 0
   /** When the latest answered request was sent, by this host's clock. */
   ackedSentAtMs: number
+  /** Since when it is called by this leader. */
+  readonly calledSinceMs: number
   /** Number of the heartbeat sent last. */
   sentRound = 0
 
-  constructor (member: Member, nextIndex: number, startedAtMs: number) {
+  /** @param startedAtMs when the leader's term of office began */
+  constructor (member: Member, nextIndex: number, startedAtMs: number, nowMs: number) {
     this.member = member
     this.nextIndex = nextIndex
     this.ackedSentAtMs = startedAtMs
+    this.calledSinceMs = nowMs
   }
 
   acknowledge (round: number, sentAtMs: number): void {
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -170,7 +170,7 @@
   }
 
   private _startFollower (member: Member): void {
-    const progress = new FollowerProgress(member, this._core.state.log.lastIndex, this._startedAtMs)
+    const progress = new FollowerProgress(member, this._core.state.log.lastIndex, this._startedAtMs, this._core.parts.clock.nowMs())
     const supervisor = this._supervisor.child(`replication to ${member.hostId}`)
     const replication = new Replication(this._core, this._links, progress, this)
     this._followers.set(member.replicaId, { progress, supervisor })
--- a/src/replication/log/membershipChanges.ts
+++ b/src/replication/log/membershipChanges.ts
@@ -37,6 +37,10 @@
   private readonly _core: ReplicaCore
   private readonly _leadership: Leadership
   private readonly _policy: MembershipPolicy
+  /** The voter whose place a newcomer has taken. */
+  private _replaced: Member | undefined
+  /** Hosts whose earlier replica has just made room for the present one. */
+  private readonly _vacatedHostIds = new Set<string>()
 
   constructor (core: ReplicaCore, leadership: Leadership, policy: MembershipPolicy) {
     this._core = core
@@ -85,10 +89,14 @@
   }
 
   private _reviewOnce (): void {
+    const replaced = this._replacedVoter()
+    if (replaced) return this._strike(replaced)
     const ready = this._core.members.filter(member => member.role === MemberRole.Learner && this._isCaughtUp(member))
+    const successor = ready.find(({ hostId }) => this._vacatedHostIds.has(hostId))
     const predecessor = ready.map(learner => this._predecessorOf(learner)).find(member => member !== undefined)
     const [newcomer] = ready
-    if (predecessor) this._replace(predecessor)
+    if (successor) this._succeed(successor)
+    else if (predecessor) this._replace(predecessor)
     else if (newcomer) this._takeIn(newcomer)
     else this._strikeLongSilent()
   }
@@ -97,15 +105,42 @@
     return votersOf(this._core.members).find(member => member.hostId === learner.hostId)
   }
 
+  /** At once, and before another predecessor goes: until then there is a voter less. */
+  private _succeed (successor: Member): void {
+    this._vacatedHostIds.delete(successor.hostId)
+    this._promote(successor)
+  }
+
   /**
    * A newcomer takes the place of a voter that is gone, most likely for good:
    * beside it, the dead vote would raise the quorum for those that are left.
+   * It votes first, for the other may be back with its disk at any moment.
    */
   private _takeIn (newcomer: Member): void {
+    if (!this._isCalledForLong(newcomer)) return
     const silent = this._longestSilent(votersOf(this._core.members))
     const isAway = silent !== undefined && !this._leadership.isLive(silent.replicaId)
-    if (!isAway || this._policy.strikeSilentAfterMs === undefined) return this._promote(newcomer)
-    if (this._silentMs(silent) > PLACE_KEPT_MS) this._strike(silent)
+    if (!isAway || this._policy.strikeSilentAfterMs === undefined) {
+      this._promote(newcomer)
+      return
+    }
+    if (this._silentMs(silent) <= PLACE_KEPT_MS) return
+    if (this._promote(newcomer)) this._replaced = silent
+  }
+
+  /** The voter whose place a newcomer has taken, unless it is back or its vote is needed. */
+  private _replacedVoter (): Member | undefined {
+    const replaced = votersOf(this._core.members).find(member => member.replicaId === this._replaced?.replicaId)
+    this._replaced = undefined
+    const isNeeded = replaced && (this._leadership.isLive(replaced.replicaId) || this._wouldBeTooFew(votersOf(this._core.members).length - 1))
+    return isNeeded ? undefined : replaced
+  }
+
+  /** By then a voter that went just before the newcomer came no longer passes for live. */
+  private _isCalledForLong (newcomer: Member): boolean {
+    const { clock, timings } = this._core.parts
+    const sinceMs = this._leadership.progressOf(newcomer.replicaId)?.calledSinceMs ?? Number.POSITIVE_INFINITY
+    return clock.nowMs() - sinceMs > timings.electionMaxMs
   }
 
   /** A host that is gone for good is never announced; its dead vote would only raise the quorum. */
@@ -144,14 +179,17 @@
   private _replace (predecessor: Member): void {
     const remaining = this._core.members.filter(member => member.replicaId !== predecessor.replicaId)
     if (this._leadership.isLive(predecessor.replicaId) || !this._hasLiveQuorum(remaining)) return
+    this._vacatedHostIds.add(predecessor.hostId)
     this._change(remaining, ReplicationEvent.MemberRemoved, predecessor.hostId)
   }
 
-  private _promote (learner: Member): void {
+  private _promote (learner: Member): boolean {
     const members = this._core.members.map(member => (
       member.replicaId === learner.replicaId ? { ...member, role: MemberRole.Voter } : member
     ))
-    if (this._hasLiveQuorum(members)) this._change(members, ReplicationEvent.MemberPromoted, learner.hostId)
+    if (!this._hasLiveQuorum(members)) return false
+    this._change(members, ReplicationEvent.MemberPromoted, learner.hostId)
+    return true
   }
 
   private _removeOne (leaving: Member[]): MembershipOutcome {
--- a/tests/batches/storeLosses.test.ts
+++ b/tests/batches/storeLosses.test.ts
@@ -119,6 +119,14 @@
   t.deepEqual(cluster.violations, [])
 })
 
+test('should let a newcomer take the place of a voter that went just before it came', async t => {
+  const cluster = await startStore(SMALLEST_SIZE)
+  cluster.remove(cluster.host(1))
+  await cluster.start(cluster.addHost())
+  await cluster.clock.advance(CATCH_UP_MS / 2)
+  t.deepEqual(await notVoting(cluster), [])
+})
+
 test('should not take a host out of the members while fewer would be left than bear the losses', async t => {
   const cluster = await startStore(SMALLEST_SIZE + 1)
   const [away, leaving, third, fourth] = cluster.hosts as [StoreHost, StoreHost, StoreHost, StoreHost]
