--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -59,6 +59,8 @@
   strikeSilentAfterMs: number
   /** Bytes that the state may be counted for; none: no submission is refused for want of room. */
   stateCapacityBytes: number | undefined
+  /** Disks that may be lost at once. */
+  toleratedLosses: number
 }
 
 export interface StoreProgramParts {
@@ -115,7 +117,8 @@
       snapshotPolicy: storeSnapshotPolicy,
       startedAtMs: PROCESS_STARTED_AT_MS,
       readMs,
-      strikeSilentAfterMs: settings.strikeSilentAfterMs
+      strikeSilentAfterMs: settings.strikeSilentAfterMs,
+      toleratedLosses: settings.toleratedLosses
     })
     this._follower = new FleetFollower({
       clock: systemClock,
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -24,7 +24,7 @@
 import { LogApplier, type ApplyObserver, type SnapshotPolicy } from './logApplier.js'
 import { reportMemberChanges } from './memberReport.js'
 import type { Member } from './members.js'
-import { MembershipChanges, type MembershipOutcome } from './membershipChanges.js'
+import { MembershipChanges, type MembershipOutcome, type MembershipPolicy } from './membershipChanges.js'
 import { PeerLinks } from './peerLinks.js'
 import { PersistentState } from './persistentState.js'
 import { Proposals, type ProposalOutcome } from './proposals.js'
@@ -34,7 +34,7 @@
 import type { LogTimings } from './timings.js'
 import { CampaignOutcome, Voting } from './voting.js'
 
-export interface ReplicaParts {
+export interface ReplicaParts extends MembershipPolicy {
   clock: Clock
   random: RandomSource
   metrics: Metrics
@@ -51,8 +51,6 @@
   startedAtMs?: number
   /** From the opening of the data folder until it was read. */
   readMs?: number
-  /** A voter that was silent for so long is struck, as long as enough others are left; never when absent. */
-  strikeSilentAfterMs?: number | undefined
 }
 
 export type ReadOutcome = { kind: 'confirmed' } | { kind: 'notLeader' } | { kind: 'unavailable', reason: string }
@@ -253,7 +251,7 @@
   private async _lead (): Promise<void> {
     const supervisor = this._parts.supervisor.child(`leadership of term ${this.core.term}`)
     const leadership = new Leadership(this.core, this.links, supervisor)
-    const changes = new MembershipChanges(this.core, leadership, this._parts.strikeSilentAfterMs)
+    const changes = new MembershipChanges(this.core, leadership, this._parts)
     this.core.becomeLeader(reason => supervisor.scope.close(reason))
     this._leadership = leadership
     this._membershipChanges = changes
