Pass an item's events on as they are read, without a stream in between

Cause: the leader of the batch store reads every event of every run, some seven thousand a second with 360 slots at 50 ms. Each went through undici's readable body, an asynchronous iterator and a race before it was parsed. On a machine that is slowed down the leader then has no processor time left for its heartbeats and loses its lead again and again.

Change: ItemStream takes the bytes from undici's dispatcher and passes each event on in the same turn. It also passes nothing on behind the event at which a run was left, though it came in the same chunk; before, such events were still handed over (seen with the former client: events 1 and 2 after leaving at 1).

--- /dev/null
+++ b/tests/platform/itemStream.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava'
+import type { Dispatcher } from 'undici'
+import { ItemStream } from '../../platform/itemStream.js'
+import type { ItemEvent } from '../../src/endpoints/endpointClient.js'
+
+class FakeController implements Dispatcher.DispatchController {
+  aborted = false
+  paused = false
+  reason: Error | null = null
+  readonly rawHeaders: string[]
+
+  constructor (version = 1) {
+    this.rawHeaders = ['x-threaddrum-attempt-id', 'i1', 'x-threaddrum-server-stamp', 's', 'x-threaddrum-weight-versions', String(version)]
+  }
+
+  abort (reason: Error): void {
+    this.aborted = true
+    this.reason = reason
+  }
+
+  pause (): void {}
+
+  resume (): void {}
+}
+
+function begun (onEvent: (event: ItemEvent, stream: ItemStream) => void): { stream: ItemStream, controller: FakeController } {
+  const stream: ItemStream = new ItemStream({ attemptId: 'i1', afterEventId: undefined }, event => onEvent(event, stream))
+  const controller = new FakeController()
+  stream.onRequestStart(controller)
+  stream.onResponseStart(controller, 200)
+  return { stream, controller }
+}
+
+const TWO_EVENTS = Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+
+test('should pass events on in the turn in which their bytes come', async t => {
+  const ids: number[] = []
+  const { stream, controller } = begun(({ id }) => ids.push(id))
+  stream.onResponseData(controller, TWO_EVENTS)
+  t.deepEqual(ids, [1, 2])
+  stream.onResponseEnd()
+  t.deepEqual(await stream.outcome, { kind: 'finished' })
+})
+
+test('should pass nothing on behind the event at which it was left, though it came with it', async t => {
+  const ids: number[] = []
+  const { stream, controller } = begun(({ id }, own) => {
+    ids.push(id)
+    own.breakOff('left')
+  })
+  stream.onResponseData(controller, TWO_EVENTS)
+  t.deepEqual(ids, [1])
+  t.true(controller.aborted)
+  t.deepEqual(await stream.outcome, { kind: 'broken', reason: 'left' })
+})
+
+test('should not be sent once it was left', t => {
+  const stream = new ItemStream({ attemptId: 'i1', afterEventId: undefined }, () => {})
+  stream.breakOff('left')
+  const controller = new FakeController()
+  stream.onRequestStart(controller)
+  t.true(controller.aborted)
+})
