Compare the engines once for all items that wait for a faster one

Cause: an item that waits although a slower engine is free made the round compare all engines twice, and so did the next one. With 1,000 such items and 31 engines one look read the engines' runs 63,000 times; looks come with every slot that becomes free, every 50 ms, and with every change of the fleet. The more waits, the less the leader of the store gets done, so that an outage that piles up work keeps it from ever catching up.

Change: what a round found stays until it gives the next slot, which is all that changes during a round.

--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -39,30 +39,45 @@
   isFull: boolean
   /** The same for items that can wait. */
   isFullForPatient: boolean
+  /** The best candidates by the runs up to which an engine counts, as long as no slot was taken since. */
+  cheapest: Map<number | undefined, Candidate | undefined>
+  /** Slots that this round had given when they were compared. */
+  comparedAtCount: number
 }
 
 export class AssignmentRound {
   private readonly _parts: AssignmentRoundParts
   private readonly _choices = new Map<Batch, BatchChoice | undefined>()
   private readonly _patientSlots = new Map<string, number>()
+  /** Slots that were given; the engines compare as they did until the next one is. */
+  private _givenCount = 0
 
   constructor (parts: AssignmentRoundParts) {
     this._parts = parts
   }
 
-  /** The engine to begin at now; undefined when none has room, or when one that is worth waiting for will have. */
+  /**
+   * The engine to begin at now; undefined when none has room, or when one that is
+   * worth waiting for will have. The slot has to be taken before the next call.
+   */
   engineFor (run: ItemRun, waitedMs: number): Engine | undefined {
+    const engine = this._choose(run, waitedMs)
+    if (engine) this._givenCount++
+    return engine
+  }
+
+  private _choose (run: ItemRun, waitedMs: number): Engine | undefined {
     const choice = this._choiceFor(run)
     if (!choice || choice.isFull) return undefined
     const isPatient = this._isPatient(run, choice.place)
     if (isPatient && choice.isFullForPatient) return undefined
-    const free = cheapest(choice.candidates, isPatient ? this._patientSlotsOf(choice) : Number.POSITIVE_INFINITY)
+    const free = this._cheapest(choice, isPatient ? this._patientSlotsOf(choice) : Number.POSITIVE_INFINITY)
     if (!free) {
       choice.isFullForPatient = true
       choice.isFull ||= !isPatient
       return undefined
     }
-    const best = cheapest(choice.candidates, undefined) ?? free
+    const best = this._cheapest(choice, undefined) ?? free
     if (best === free) return free.engine
     const remainingEventsCount = run.remainingTokensCount / tokensPerEvent(choice.place)
     return shouldWaitForFaster({ freeGapMs: free.gapMs, fullGapMs: best.gapMs, remainingEventsCount, waitedMs }) ? undefined : free.engine
@@ -75,11 +90,21 @@
     const { minVersion } = batch.submission
     const engines = place ? this._parts.enginesOf(place.service) : []
     const candidates = engines.filter(engine => engine.mayBegin(item.model) && engine.version(item.model) >= minVersion)
-    const choice = place && { place, candidates: candidates.map(engine => candidateOf(engine, place)), isFull: false, isFullForPatient: false }
+    const choice = place && { place, candidates: candidates.map(engine => candidateOf(engine, place)), isFull: false, isFullForPatient: false, cheapest: new Map(), comparedAtCount: this._givenCount }
     this._choices.set(batch, choice)
     return choice
   }
 
+  /** Compares the engines only after a slot was taken: hundreds of items may wait for a faster engine than the one that is free. */
+  private _cheapest (choice: BatchChoice, mostRunsCount: number | undefined): Candidate | undefined {
+    if (choice.comparedAtCount !== this._givenCount) {
+      choice.cheapest.clear()
+      choice.comparedAtCount = this._givenCount
+    }
+    if (!choice.cheapest.has(mostRunsCount)) choice.cheapest.set(mostRunsCount, cheapest(choice.candidates, mostRunsCount))
+    return choice.cheapest.get(mostRunsCount)
+  }
+
   private _isPatient (run: ItemRun, place: RunPlace): boolean {
     const item = {
       longestEndsAtMs: Math.min(run.times.longestEndsAtMs, run.dueAtMs),
--- a/tests/batches/assignmentRound.test.ts
+++ b/tests/batches/assignmentRound.test.ts
@@ -87,3 +87,41 @@
   const urgent = { ...first, remainingTokensCount: 150 * TOKENS_PER_EVENT } as unknown as ItemRun
   t.truthy(all.round.engineFor(urgent, 0))
 })
+
+/** One engine is free and much slower than all others, which are full: long items wait for those. */
+function worldBesideSlowEngine (itemsCount: number): World & { readsCount: () => number } {
+  const all = world(1, itemsCount)
+  let readsCount = 0
+  for (const [position, each] of all.engines.entries()) {
+    each.pace.sawGap(position === 0 ? 80 : 38)
+    let runningCount = position === 0 ? 0 : SLOTS_COUNT
+    Object.defineProperty(each, 'runningCount', {
+      get: () => {
+        readsCount++
+        return runningCount
+      },
+      set: (value: number) => { runningCount = value }
+    })
+  }
+  const runs = all.runs.map(run => ({ ...run, remainingTokensCount: 150 * TOKENS_PER_EVENT }) as unknown as ItemRun)
+  return { ...all, runs, readsCount: () => readsCount }
+}
+
+test('should compare the engines once, however many items wait for a faster one', t => {
+  const few = worldBesideSlowEngine(10)
+  const many = worldBesideSlowEngine(1_000)
+  t.is(assignAll(few), 0)
+  t.is(assignAll(many), 0)
+  t.is(many.readsCount(), few.readsCount(), 'the same comparisons for a hundred times the items')
+})
+
+test('should compare the engines anew once a slot was taken', t => {
+  const { round, runs, engines } = world(1, 3)
+  const chosen = runs.map(run => {
+    const engineOf = round.engineFor(run, 0)
+    engineOf?.enter(100)
+    return engineOf
+  })
+  t.is(new Set(chosen).size, 3)
+  t.true(engines.every(({ runningCount }) => runningCount <= 1))
+})
