Ask again soon for a configuration that no quorum has confirmed yet

Cause: after a loss of power of all hosts, the store and the entry hosts call the control hosts before those have a leader. Such a call is held for 350 ms and answered unconfirmed; the next one came 500 ms after the first.

Change: while a configuration is known that is not confirmed, a follower calls again at once, 100 ms after its last call at the earliest. Ruled out: taking the configuration unconfirmed earlier, which may put an old one into force.

--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -20,6 +20,13 @@
 
 /** Three of these within the time after which a control host calls a follower silent. */
 const FOLLOW_INTERVAL_MS = 500
+/**
+ * The same while a configuration is known that no quorum has confirmed: the host serves nothing until one has.
+ * A control host holds such a call for up to 350 ms until it can confirm, so that more than three a second come
+ * from no follower; a call that just missed the election of the leader would otherwise cost another 150 ms, and
+ * so would each further one.
+ */
+const UNCONFIRMED_INTERVAL_MS = 100
 const FOLLOW_TIMEOUT_MS = 600
 const CONNECT_TIMEOUT_MS = 600
 const RECONNECT_PAUSE_MS = 150
@@ -110,14 +117,19 @@
     const { clock } = this._parts
     let unansweredCount = 0
     while (!peer.connection.scope.isClosed && unansweredCount < MAX_UNANSWERED_COUNT) {
-      const nextAtMs = clock.nowMs() + FOLLOW_INTERVAL_MS
+      const calledAtMs = clock.nowMs()
       const isAnswered = await this._callOnce(peer, address, scope)
       unansweredCount = isAnswered ? 0 : unansweredCount + 1
-      if (isAnswered) await this._describe.wait(scope, { clock, deadlineMs: nextAtMs })
+      if (isAnswered) await this._describe.wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
     }
     peer.connection.close('calls go unanswered')
   }
 
+  private _intervalMs (): number {
+    const waitsForQuorum = this._parts.view.routing === undefined && this._unconfirmed !== undefined
+    return waitsForQuorum ? UNCONFIRMED_INTERVAL_MS : FOLLOW_INTERVAL_MS
+  }
+
   private async _callOnce (peer: RpcPeer, address: string, scope: Scope): Promise<boolean> {
     const { clock, view } = this._parts
     const request = { host: this._parts.describe(), routingVersion: view.routing?.version }
--- a/tests/fleet/fleetFollower.test.ts
+++ b/tests/fleet/fleetFollower.test.ts
@@ -64,6 +64,19 @@
   t.is(world.view.routing?.version, 3)
 })
 
+test('should ask again soon for a configuration that no quorum has confirmed yet, and no more than usual for others', async t => {
+  const world = new World()
+  const control = await world.control('10.0.0.1', { update: { routing: routing(3) } })
+  world.follow([control.address])
+  await world.clock.advance(300)
+  control.reply = { ...control.reply, isRoutingConfirmed: true }
+  await world.clock.advance(110)
+  t.is(world.view.routing?.version, 3)
+  const requestsCount = control.requests.length
+  await world.clock.advance(1_000)
+  t.true(control.requests.length <= requestsCount + 3)
+})
+
 test('should take an unconfirmed configuration when no quorum confirms one for long, and a newer one at once', async t => {
   const world = new World()
   const control = await world.control('10.0.0.1', { update: { routing: routing(3) } })
