--- a/bench/control/restart.ts
+++ b/bench/control/restart.ts
@@ -11,7 +11,6 @@
 import { EntryKind, type LogEntry } from '../../src/replication/log/logEntry.js'
 import { FileDisk } from '../../src/replication/storage/fileDisk.js'
 import { ReplicaStorage } from '../../src/replication/storage/replicaStorage.js'
-import { decodeSnapshot, encodeSnapshot } from '../../src/replication/storage/snapshotFile.js'
 import { ResourceCommandKind, type ResourceCommand } from '../../src/protocol/resourceCommands.js'
 import { ResourceKind } from '../../src/protocol/resources.js'
 import { systemClock } from '../../src/utils/clock.js'
@@ -60,17 +59,23 @@
       for (const entry of loaded.entries) replayed.apply(commandOf(entry.index), entry)
       return reopened
     })
-    const taken = await timed(() => encodeSnapshot({ lastIndex: changesCount, lastTerm: 1, lastAtMs: changesCount, members: [], state: state.snapshot() }))
-    const written = await timed(() => byLog.value.compact({ snapshotIndex: changesCount, snapshotTerm: 1, snapshotBytes: taken.value, hardState: { term: 1, votedFor: null }, entries: [] }))
-    const bySnapshot = await timed(() => new ControlState(createLedgers).restore(decodeSnapshot(taken.value)?.state))
+    const head = { lastIndex: changesCount, lastTerm: 1, lastAtMs: changesCount, members: [] }
+    const taken = await timed(() => byLog.value.writeSnapshot(head, state.snapshot()))
+    const { lengthBytes } = taken.value
+    const written = await timed(() => byLog.value.compact({ snapshot: taken.value, hardState: { term: 1, votedFor: null }, entries: [] }))
     await byLog.value.close()
+    const bySnapshot = await timed(async () => {
+      const { loaded, storage: reopened } = await open()
+      new ControlState(createLedgers).restore(loaded.snapshot?.pieces ?? [])
+      await reopened.close()
+    })
     rmSync(folder, { recursive: true, force: true })
     const name = `control.restart.${changesCount}`
-    report(`${name}: log ${byLog.durationMs.toFixed(0)} ms, snapshot ${bySnapshot.durationMs.toFixed(0)} ms, ${taken.value.length} bytes, taken in ${taken.durationMs.toFixed(0)} ms, written in ${written.durationMs.toFixed(0)} ms`)
+    report(`${name}: log ${byLog.durationMs.toFixed(0)} ms, snapshot ${bySnapshot.durationMs.toFixed(0)} ms, ${lengthBytes} bytes, written in ${taken.durationMs.toFixed(0)} ms, log replaced in ${written.durationMs.toFixed(0)} ms`)
     results.push({ name: `${name}.byLogMs`, value: Number(byLog.durationMs.toFixed(1)), unit: 'ms' })
     results.push({ name: `${name}.bySnapshotMs`, value: Number(bySnapshot.durationMs.toFixed(1)), unit: 'ms' })
     results.push({ name: `${name}.snapshotTakenMs`, value: Number(taken.durationMs.toFixed(1)), unit: 'ms' })
-    results.push({ name: `${name}.snapshotBytesPerChange`, value: Math.round(taken.value.length / changesCount), unit: 'bytes' })
+    results.push({ name: `${name}.snapshotBytesPerChange`, value: Math.round(lengthBytes / changesCount), unit: 'bytes' })
   }
   return results
 }
--- /dev/null
+++ b/bench/leader.ts
@@ -0,0 +1,65 @@
+/**
+ * The leader of the batch store under the steps of three trainers: its
+ * processor time for an item, and for how long it answers nothing. Followers
+ * and engines run in processes of their own.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { BenchUnit, type BenchOptions, type BenchResult } from './benchResult.js'
+
+const REPLICAS_COUNT = 10
+const ENGINES_COUNT = 31
+/** Every fifth engine is slow, as while a part of them is throttled. */
+const SLOW_EACH = 5
+const QUICK_SECONDS = 4
+const FULL_SECONDS = 12
+
+/** What the leader prints each second. */
+interface SecondReport {
+  cpuMs: number
+  heldUpMs: number
+  listedCount: number
+}
+
+function start (program: string, args: string[]): ChildProcess {
+  const path = fileURLToPath(new URL(`./leader/${program}.js`, import.meta.url))
+  return spawn(process.execPath, [path, ...args], { stdio: ['ignore', 'pipe', 'inherit', 'ipc'] })
+}
+
+async function untilListening (child: ChildProcess): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    child.stdout?.once('data', () => resolve())
+    child.once('exit', code => reject(new Error(`it ended with ${String(code)} before it listened`)))
+  })
+}
+
+async function reportsOf (leader: ChildProcess): Promise<SecondReport[]> {
+  let text = ''
+  leader.stdout?.on('data', (chunk: Buffer) => { text += chunk.toString() })
+  await new Promise(resolve => leader.once('close', resolve))
+  return text.trim().split('\n').map(line => JSON.parse(line) as SecondReport)
+}
+
+export async function run ({ quick, report }: BenchOptions): Promise<BenchResult[]> {
+  const ip = `127.${1 + process.pid % 250}.19.1`
+  const folder = mkdtempSync(join(tmpdir(), 'threaddrum-bench-'))
+  const engines = start('engines', [ip, String(ENGINES_COUNT), String(SLOW_EACH)])
+  const followers = start('followers', [ip, String(REPLICAS_COUNT), folder])
+  await Promise.all([untilListening(engines), untilListening(followers)])
+  const seconds = quick ? QUICK_SECONDS : FULL_SECONDS
+  const reports = await reportsOf(start('leader', [ip, String(REPLICAS_COUNT), String(ENGINES_COUNT), String(seconds), folder]))
+  for (const child of [engines, followers]) child.disconnect()
+  rmSync(folder, { recursive: true, force: true })
+  for (const [second, { cpuMs, heldUpMs, listedCount }] of reports.entries()) {
+    report(`second ${second + 1}: ${cpuMs} ms of processor time, held up ${heldUpMs} ms, ${listedCount} listed`)
+  }
+  const cpuMs = reports.reduce((sum, second) => sum + second.cpuMs, 0)
+  const listedCount = reports.at(-1)?.listedCount ?? 0
+  return [
+    { name: 'leader.cpuMsPerItem', value: cpuMs / Math.max(1, listedCount), unit: BenchUnit.Milliseconds, detail: { listedCount } },
+    { name: 'leader.heldUpMs', value: Math.max(...reports.map(({ heldUpMs }) => heldUpMs)), unit: BenchUnit.Milliseconds }
+  ]
+}
--- /dev/null
+++ b/bench/leader/leader.ts
@@ -0,0 +1,90 @@
+/**
+ * The leader that is measured: `leader.js IP REPLICAS ENGINES SECONDS FOLDER`.
+ * Three trainers submit a step each four seconds. Prints a line of JSON a
+ * second: its processor time, the longest time in which it answered nothing,
+ * and the results listed so far.
+ */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { PlatformEndpointClient } from '../../platform/endpointClient.js'
+import { BatchDispatcher } from '../../src/batches/batchDispatcher.js'
+import { EndpointPool } from '../../src/endpoints/endpointPool.js'
+import { FleetView } from '../../src/fleet/fleetView.js'
+import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
+import { BatchCommandKind } from '../../src/protocol/batches.js'
+import { sleepUntil, systemClock } from '../../src/utils/clock.js'
+import { silentLogger } from '../../src/utils/logger.js'
+import { memoryMetrics } from '../../src/utils/metrics.js'
+import { Progress } from '../../src/utils/progress.js'
+import { systemRandom } from '../../src/utils/randomSource.js'
+import { Scope } from '../../src/utils/scope.js'
+import { Supervisor } from '../../src/utils/supervisor.js'
+import { submission } from '../../tests/fixtures/fleet/batchFixtures.js'
+import { batchRoute, DATA_CENTRE, endpoint, engine, route, routing } from '../../tests/fixtures/fleet/fleetFixtures.js'
+import { membersOf, startStoreReplica } from './storeReplica.js'
+
+const FIRST_PORT = 21_000
+const STEP_INTERVAL_S = 4
+const MODELS = ['m0', 'm1', 'm2']
+const ITEMS_COUNTS = [144, 112, 128]
+const TOKENS_PER_EVENT = 69
+const KEEP_MS = 120_000
+const LOOK_MS = 20
+/** Control hosts that each tell of every engine once in a heartbeat of theirs. */
+const CONTROL_HOSTS_COUNT = 8
+const HEARTBEAT_MS = 1_200
+
+const [ip = '127.0.0.1', replicasText = '3', enginesText = '31', secondsText = '12', folder = ''] = process.argv.slice(2)
+const scope = new Scope('leader')
+const supervisor = new Supervisor(scope, (_task, error) => { throw error })
+const { replica, state } = await startStoreReplica(membersOf(ip, Number(replicasText)), 0, folder, supervisor)
+while (!replica.leadership?.mayChangeMembers()) await sleepUntil(systemClock, scope, systemClock.nowMs() + LOOK_MS)
+
+const engines = Array.from({ length: Number(enginesText) }, (_value, position) => {
+  const weights = MODELS.map(model => ({ model, version: 1 }))
+  return engine(`e${position + 1}`, 1, { address: `${ip}:${FIRST_PORT + position + 1}`, slotsCount: 8, weights })
+})
+const scorers = ['d1', 'd2'].map((id, position) => endpoint(id, { address: `${ip}:${FIRST_PORT + position + 1}`, slotsCount: 60 }))
+const configuration = routing(1, [route(), batchRoute()])
+for (const { engine: modelEngine } of configuration.services) {
+  if (modelEngine) Object.assign(modelEngine, { slotsCount: 8, kvCapacityTokens: 29_432, tokensPerEvent: TOKENS_PER_EVENT, models: MODELS })
+}
+const view = new FleetView(silentLogger)
+const update = { routing: configuration, endpoints: [...scorers, ...engines] }
+view.merge('control-1', update)
+const heartbeats = setInterval(() => view.merge('control-1', update), HEARTBEAT_MS / CONTROL_HOSTS_COUNT)
+
+const random = systemRandom()
+const metrics = memoryMetrics()
+const client = new PlatformEndpointClient(systemClock)
+const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE })
+const forwarder = new RequestForwarder({ view, pool, client, random, logger: silentLogger, metrics })
+const dispatcher = new BatchDispatcher({ clock: systemClock, logger: silentLogger, metrics, client, forwarder, pool, view, replica, state, supervisor })
+supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
+
+async function submitStep (step: number): Promise<void> {
+  for (const [position, model] of MODELS.entries()) {
+    const itemIds = Array.from({ length: ITEMS_COUNTS[position] ?? 0 }, (_value, item) => `s${step}-${model}-${item}`)
+    const batch = submission(`s${step}-${model}`, itemIds, { model, step, expectedTokensCount: 18 * TOKENS_PER_EVENT })
+    for (const item of batch.items) item.model = model
+    const progress = new Progress(systemClock, scope, systemClock.nowMs() + 5_000)
+    const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission: batch, keepMs: KEEP_MS }, progress)
+    if (outcome.kind !== 'committed') throw new Error(`${batch.batchId}: ${outcome.kind}`)
+  }
+}
+
+const delays = monitorEventLoopDelay({ resolution: 5 })
+delays.enable()
+let cpu = process.cpuUsage()
+for (let second = 0; second < Number(secondsText); second++) {
+  if (second % STEP_INTERVAL_S === 0) submitStep(second / STEP_INTERVAL_S).catch(error => { throw error })
+  await sleepUntil(systemClock, scope, systemClock.nowMs() + 1_000)
+  const used = process.cpuUsage(cpu)
+  cpu = process.cpuUsage()
+  const listedCount = state.open().reduce((sum, batch) => sum + batch.results.length, 0)
+  const report = { cpuMs: Math.round((used.user + used.system) / 1_000), heldUpMs: Math.round(delays.max / 1e6), listedCount }
+  process.stdout.write(`${JSON.stringify(report)}
+`)
+  delays.reset()
+}
+clearInterval(heartbeats)
+process.exit(0)
--- a/src/batches/batch.ts
+++ b/src/batches/batch.ts
@@ -123,6 +123,14 @@
     return this._results.push(result) - 1
   }
 
+  /** Takes a result back from a snapshot; its position. */
+  restore (result: ItemResult, rewardId: string | undefined): number {
+    this._listed.add(result.itemId)
+    this._resultsBytes += heldBytesOfResult(result, rewardId)
+    this._rewardIds.push(rewardId)
+    return this._results.push(result) - 1
+  }
+
   end (): void {
     this._isEnded = true
     this._openItems.clear()
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -6,7 +6,8 @@
   BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type BatchSubmission, type ItemResult, type OutputPart
 } from '../protocol/batches.js'
 import type { NamedWeights } from '../protocol/routingCommands.js'
-import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
+import type { ApplyContext, ReplicatedState, SnapshotPieces } from '../replication/replicatedState.js'
+import { invariant } from '../utils/errors.js'
 import { Batch, type BatchRecord } from './batch.js'
 import { heldBytesOfUnfinished } from './heldBytes.js'
 import { eventsCountOf } from './outputParts.js'
@@ -16,12 +17,17 @@
   rewardId: string | undefined
 }
 
-interface BatchStateSnapshot {
-  batches: BatchRecord[]
-  unfinished: UnfinishedOutput[]
-  orders: AnnouncedOrder[]
-  weights: NamedWeights[]
-}
+/** What a snapshot is made of; a batch comes before its results, and these in their order. */
+type SnapshotPiece =
+  /** Without its results. */
+  | { kind: 'batch', record: BatchRecord }
+  | { kind: 'results', batchId: string, results: ItemResult[], rewardIds: (string | undefined)[] }
+  | { kind: 'unfinished', outputs: UnfinishedOutput[] }
+  | { kind: 'orders', orders: AnnouncedOrder[] }
+  | { kind: 'weights', weights: NamedWeights[] }
+
+/** Results or outputs in one piece of a snapshot: at some kilobytes each, half a megabyte at most. */
+const PIECE_ITEMS_COUNT = 64
 
 /** The latest order to an engine that a leader announced. */
 interface AnnouncedOrder {
@@ -143,35 +149,49 @@
   }
 
   /**
-   * One entry per batch, and the rest in lists of small values. The arrays are
-   * copied at the call and what they hold is replaced, never changed, so the
-   * value stays as it is while later commands are applied, and may be encoded
-   * piece by piece meanwhile.
+   * One batch after the other, and the rest in lists of small values. The arrays
+   * are copied at the call and what they hold is replaced, never changed, so the
+   * pieces are the same while later commands are applied.
    */
-  snapshot (): BatchStateSnapshot {
-    return {
-      batches: [...this._batches.values()].map(batch => batch.record()),
-      unfinished: [...this._unfinished.values()],
-      orders: [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder })),
-      weights: [...this._weights].map(([model, version]) => ({ model, version }))
-    }
+  snapshot (): SnapshotPieces {
+    const batches = [...this._batches.values()].map(batch => batch.record())
+    const outputs = [...this._unfinished.values()]
+    const orders = [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder }))
+    const weights = [...this._weights].map(([model, version]) => ({ model, version }))
+    return { [Symbol.iterator]: () => piecesOf(batches, outputs, orders, weights) }
   }
 
-  restore (snapshot: unknown): void {
+  restore (pieces: readonly unknown[]): void {
     this._batches.clear()
     this._completed.clear()
     this._unfinished.clear()
     this._orders.clear()
     this._weights.clear()
-    const { batches, unfinished, orders, weights } = snapshot as BatchStateSnapshot
-    for (const output of unfinished) this._unfinished.set(output.itemId, output)
-    for (const record of batches) {
-      const batch = new Batch(record)
-      this._batches.set(batch.batchId, batch)
-      for (const [position, result] of batch.results.entries()) this._remember(batch, result, position)
+    for (const piece of pieces) this._restorePiece(piece as SnapshotPiece)
+  }
+
+  private _restorePiece (piece: SnapshotPiece): void {
+    switch (piece.kind) {
+      case 'batch':
+        this._batches.set(piece.record.submission.batchId, new Batch(piece.record))
+        return
+      case 'results':
+        return this._restoreResults(piece.batchId, piece.results, piece.rewardIds)
+      case 'unfinished':
+        for (const output of piece.outputs) this._unfinished.set(output.itemId, output)
+        return
+      case 'orders':
+        for (const { endpointId, holder } of piece.orders) this._announce(endpointId, holder)
+        return
+      case 'weights':
+        for (const named of piece.weights) this._name(named)
     }
-    for (const { endpointId, holder } of orders) this._announce(endpointId, holder)
-    for (const named of weights) this._name(named)
+  }
+
+  private _restoreResults (batchId: string, results: ItemResult[], rewardIds: (string | undefined)[]): void {
+    const batch = this._batches.get(batchId)
+    invariant(batch, `results of batch ${batchId} come before it`)
+    for (const [position, result] of results.entries()) this._remember(batch, result, batch.restore(result, rewardIds[position]))
   }
 
   private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
@@ -250,3 +270,21 @@
 function isForgotten ({ keptAtMs }: UnfinishedOutput, atMs: number): boolean {
   return atMs - keptAtMs > KEEP_UNFINISHED_MS
 }
+
+function * piecesOf (batches: BatchRecord[], outputs: UnfinishedOutput[], orders: AnnouncedOrder[], weights: NamedWeights[]): Generator<SnapshotPiece> {
+  for (const record of batches) {
+    const { submission: { batchId }, results, rewardIds } = record
+    yield { kind: 'batch', record: { ...record, results: [], rewardIds: [] } }
+    for (const start of chunkStarts(results)) {
+      const end = start + PIECE_ITEMS_COUNT
+      yield { kind: 'results', batchId, results: results.slice(start, end), rewardIds: rewardIds.slice(start, end) }
+    }
+  }
+  for (const start of chunkStarts(outputs)) yield { kind: 'unfinished', outputs: outputs.slice(start, start + PIECE_ITEMS_COUNT) }
+  yield { kind: 'orders', orders }
+  yield { kind: 'weights', weights }
+}
+
+function * chunkStarts (values: readonly unknown[]): Generator<number> {
+  for (let start = 0; start < values.length; start += PIECE_ITEMS_COUNT) yield start
+}
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -45,6 +45,8 @@
   /** Waits until an engine has room for the item. */
   acquire: (run: ItemRun, scope: Scope) => Promise<Engine>
   release: (run: ItemRun, engine: Engine) => void
+  /** Whether this host has more to do than its processor takes. */
+  isHeldUp: () => boolean
   /** Whether a run had better go on at another engine, which has room. */
   shouldMove: (run: ItemRun, engine: Engine) => boolean
   /** Told once the output of a run is whole. */
@@ -189,7 +191,7 @@
   private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
     const { clock, client, release } = this._parts
     const runScope = scope.child(`run on ${engine.id}`)
-    const silenceWatch = new SilenceWatch(clock, engine.pace, runScope)
+    const silenceWatch = new SilenceWatch(clock, engine.pace, runScope, this._parts.isHeldUp)
     const onEvent = (event: ItemEvent): void => {
       silenceWatch.sawEvent()
       const problem = this._take(event, engine)
--- a/src/batches/silenceWatch.ts
+++ b/src/batches/silenceWatch.ts
@@ -19,15 +19,20 @@
 export class SilenceWatch {
   private readonly _clock: Clock
   private readonly _pace: EnginePace
+  private readonly _isHeldUp: () => boolean
   private _eventAtMs: number
   private _eventsCount = 0
   private _lookAtMs: number
   private _cancelTimer = (): void => {}
 
-  /** Begins to watch; closes the scope of the run when the engine is silent. */
-  constructor (clock: Clock, pace: EnginePace, runScope: Scope) {
+  /**
+   * Begins to watch; closes the scope of the run when the engine is silent.
+   * @param isHeldUp whether this host is too busy for its own timers
+   */
+  constructor (clock: Clock, pace: EnginePace, runScope: Scope, isHeldUp: () => boolean) {
     this._clock = clock
     this._pace = pace
+    this._isHeldUp = isHeldUp
     this._eventAtMs = clock.nowMs()
     this._lookAtMs = clock.nowMs()
     this._look(runScope)
@@ -42,8 +47,8 @@
   /** An event has come: the engine is not silent, and its gap tells of the engine's pace. */
   sawEvent (): void {
     const nowMs = this._clock.nowMs()
-    // The first event comes after the prompt was read, which says nothing of the pace.
-    if (this._eventsCount > 0) this._pace.sawGap(nowMs - this._eventAtMs)
+    // The first event comes after the prompt was read, which says nothing of the pace; nor does one that this host has read late.
+    if (this._eventsCount > 0 && !this._isHeldUp()) this._pace.sawGap(nowMs - this._eventAtMs)
     this._eventsCount++
     this._eventAtMs = nowMs
   }
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -13,9 +13,8 @@
 import type { ItemRun } from './itemRun.js'
 import type { ModelDemand } from './modelDemand.js'
 import { slotsForPatient } from './slotSharing.js'
+import { StartPacing } from './startPacing.js'
 
-/** How often waiting items are looked at when nothing is heard: suspicions and pauses of engines end by time. */
-const LOOK_INTERVAL_MS = 50
 /** Until a trainer's own interval was seen; both users' trainers ask every four seconds. */
 const ASSUMED_STEP_INTERVAL_MS = 4_000
 
@@ -38,6 +37,7 @@
 
 export class SlotAssignment {
   private readonly _parts: SlotAssignmentParts
+  private readonly _pacing: StartPacing
   /** Slots that are kept for runs on their way from a slower engine. */
   private readonly _reserved = new Map<ItemRun, Engine>()
   private _waiting: Waiting[] = []
@@ -46,13 +46,19 @@
 
   constructor (parts: SlotAssignmentParts) {
     this._parts = parts
+    this._pacing = new StartPacing(parts.clock)
   }
 
-  /** Looks for room regularly until the scope closes. */
+  /** This host has more to do than its processor takes. */
+  get isHeldUp (): boolean {
+    return this._pacing.isHeldUp
+  }
+
+  /** Looks for room regularly until the scope closes: runs are begun in turns, and suspicions and pauses of engines end by time. */
   async run (scope: Scope): Promise<void> {
-    const { clock } = this._parts
     for (;;) {
-      await sleepUntil(clock, scope, clock.nowMs() + LOOK_INTERVAL_MS)
+      await sleepUntil(this._parts.clock, scope, this._pacing.dueAtMs)
+      this._pacing.beginTurn()
       this.assign()
     }
   }
@@ -109,7 +115,7 @@
 
   /** Whether a run had better go on at another engine; room is only left for that when nothing waits for it. */
   shouldMove (run: ItemRun, engine: Engine): boolean {
-    if (this._waiting.length > 0) return false
+    if (this._waiting.length > 0 || this.isHeldUp) return false
     const others = this._fittingEngines(run).filter(other => other !== engine && other.mayRun(run.item.model) && other.pace.expectedGapMs !== undefined)
     const fastest = fastestEngine(others, Number.POSITIVE_INFINITY, this._kvCapacityTokens(run))
     return fastest !== undefined && movingGainMs(engine, fastest, this._movingRun(run)) > 0
@@ -117,7 +123,7 @@
 
   /** Gives slots to what waits, as far as there is room. */
   assign (): void {
-    if (this._waiting.length === 0 || this._isHeld) return
+    if (this._waiting.length === 0 || this._isHeld || !this._pacing.mayStart) return
     const { clock, engines, placeOf } = this._parts
     const nowMs = clock.nowMs()
     const round = new AssignmentRound({
@@ -128,11 +134,12 @@
     })
     const left: Waiting[] = []
     for (const waiting of this._inOrder()) {
-      const engine = round.engineFor(waiting.run, nowMs - waiting.sinceMs)
+      const engine = this._pacing.mayStart ? round.engineFor(waiting.run, nowMs - waiting.sinceMs) : undefined
       if (!engine) {
         left.push(waiting)
         continue
       }
+      this._pacing.started()
       engine.enter(tokensOf(waiting.run))
       waiting.resolve(engine)
     }
@@ -154,13 +161,14 @@
    * samples decide when a step ends.
    */
   private _offerToRunning (engine: Engine): void {
-    if (!engine.isSound || engine.freeSlotsCount === 0 || !this._isReady(engine)) return
+    if (this.isHeldUp || !engine.isSound || engine.freeSlotsCount === 0 || !this._isReady(engine)) return
     const slower = new Set(this._parts.engines.ofService(engine.endpoint.service).filter(other => gainPerEventMs(other, engine) > 0))
     if (slower.size === 0) return
     let mover: ItemRun | undefined
     let mostGainMs = 0
     for (const run of this._parts.runs) {
-      if (!run.engine || !slower.has(run.engine)) continue
+      // One without an event is most likely only about to begin.
+      if (!run.isBegun || !run.engine || !slower.has(run.engine)) continue
       const gainMs = this._gainMs(run, run.engine, engine)
       if (gainMs <= mostGainMs) continue
       mover = run
--- /dev/null
+++ b/src/batches/startPacing.ts
@@ -0,0 +1,61 @@
+/**
+ * How many runs a leader begins at a time. It begins as many a second as its
+ * processor takes, which shows in its own timers: while they are late, it
+ * begins none and moves none, and what runs comes to its end.
+ *
+ * The load that it answers is the steps of several trainers at once, begun by
+ * a leader whose processor they fill: some four hundred items before 250 slots
+ * took two to three times the processor that a store host has. Begun all at
+ * once, the events of all runs came in one turn of the event loop that lasted
+ * for seconds; no heartbeat went out, another host was elected, and it had the
+ * same to begin. Twenty leaders a day came of it, and hardly a whole step.
+ */
+import type { Clock } from '../utils/clock.js'
+
+/** Runs are begun in turns this long. */
+export const TURN_MS = 20
+/** Eight hundred a second: a burst that fills 250 slots takes 0.3 s, a small part of a step. */
+const STARTS_PER_TURN_COUNT = 16
+/** A timer this late is held up by work: well under the time that followers wait for a heartbeat (600 ms), well over what a collection of garbage takes. */
+const LATE_MS = 60
+
+export class StartPacing {
+  private readonly _clock: Clock
+  private _dueAtMs: number
+  private _isLate = false
+  private _leftCount = STARTS_PER_TURN_COUNT
+
+  constructor (clock: Clock) {
+    this._clock = clock
+    this._dueAtMs = clock.nowMs() + TURN_MS
+  }
+
+  /** When the next turn is due. */
+  get dueAtMs (): number {
+    return this._dueAtMs
+  }
+
+  /** This host is held up: its last timer was late, or the next one is. */
+  get isHeldUp (): boolean {
+    return this._isLate || this._latenessMs() > LATE_MS
+  }
+
+  get mayStart (): boolean {
+    return this._leftCount > 0 && !this.isHeldUp
+  }
+
+  started (): void {
+    this._leftCount--
+  }
+
+  /** To be called by a timer at the instant that was due. */
+  beginTurn (): void {
+    this._isLate = this._latenessMs() > LATE_MS
+    this._leftCount = STARTS_PER_TURN_COUNT
+    this._dueAtMs = this._clock.nowMs() + TURN_MS
+  }
+
+  private _latenessMs (): number {
+    return this._clock.nowMs() - this._dueAtMs
+  }
+}
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -71,8 +71,8 @@
   onFatal: (error: unknown) => void
 }
 
-/** Batches are a few hundred kilobytes each; a snapshot holds all that are kept. */
-export const storeSnapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 24 * 1024 * 1024, keptEntriesCount: 256 }
+/** A snapshot holds all batches that are kept, some tens of megabytes. Entries behind the last one stay in memory as well: 12 MB of them instead of 24 keep the peak of a busy store 20 to 30 MB lower (tests/processes/storeMemory). */
+export const storeSnapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 12 * 1024 * 1024, keptEntriesCount: 256 }
 /** Where the view has versions from that stand in the log of the store itself. */
 const NAMED_IN_LOG = 'log of the store'
 /** A handover takes a few messages and syncs; a host that cannot hand over stops all the same. */
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -13,7 +13,7 @@
 import { unreachable } from '../utils/errors.js'
 import { HostRegistry } from './hosts/hostRegistry.js'
 import type { Ledgers, LedgersFactory } from './ledgers/ledgers.js'
-import type { ApplyContext, ReplicatedState } from '../replication/replicatedState.js'
+import type { ApplyContext, ReplicatedState, SnapshotPieces } from '../replication/replicatedState.js'
 import { ChangeHistory, type ChangeHistorySnapshot } from './resources/changeHistory.js'
 import { checkResourceCommand, ResourceStore } from './resources/resourceStore.js'
 import { RoutingState } from './routing/routingState.js'
@@ -72,8 +72,9 @@
     return { revision: this.revision, resources: this.resources.all(), hosts: this.hosts.all() }
   }
 
-  snapshot (): ControlStateSnapshot {
-    return {
+  /** Small beside a batch store's, and changed in place: one piece, copied. */
+  snapshot (): SnapshotPieces {
+    const parts: ControlStateSnapshot = {
       history: this.history.snapshot(),
       resources: this.resources.snapshot(),
       hosts: this.hosts.snapshot(),
@@ -81,10 +82,11 @@
       rollouts: this._ledgers.rollouts.snapshot(),
       routing: this.routing.snapshot()
     }
+    return [structuredClone(parts)]
   }
 
-  restore (snapshot: unknown): void {
-    const parts = snapshot as ControlStateSnapshot
+  restore (pieces: readonly unknown[]): void {
+    const [parts] = pieces as [ControlStateSnapshot]
     this.history.restore(parts.history)
     this.resources.restore(parts.resources)
     this.hosts.restore(parts.hosts)
--- a/src/control/hosts/hostRegistry.ts
+++ b/src/control/hosts/hostRegistry.ts
@@ -3,7 +3,7 @@
  * numbers.
  */
 import { HostCommandKind, type EntryHost, type HostCommand, type HostResult } from '../../protocol/hostCommands.js'
-import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
+import type { ApplyContext, StatePart } from '../../replication/replicatedState.js'
 import type { ChangeHistory } from '../resources/changeHistory.js'
 import { FenceRegistry } from './fenceRegistry.js'
 
@@ -17,7 +17,7 @@
   fences: unknown
 }
 
-export class HostRegistry implements ReplicatedState<HostCommand, HostResult> {
+export class HostRegistry implements StatePart<HostCommand, HostResult> {
   private readonly _history: ChangeHistory
   private readonly _hosts = new Map<string, RegisteredHost>()
   private readonly _fences = new FenceRegistry()
--- a/src/control/ledgers/ledgers.ts
+++ b/src/control/ledgers/ledgers.ts
@@ -6,14 +6,14 @@
 import type { RolloutCommand, RolloutResult } from '../../protocol/rolloutCommands.js'
 import type { RolloutProgress } from '../../protocol/rolloutProgress.js'
 import type { UnrepeatableCommand, UnrepeatableResult } from '../../protocol/unrepeatableCommands.js'
-import type { ReplicatedState } from '../../replication/replicatedState.js'
+import type { StatePart } from '../../replication/replicatedState.js'
 import type { ResourceLookup } from '../resources/resourceStore.js'
 
-export interface UnrepeatableLedgerState extends ReplicatedState<UnrepeatableCommand, UnrepeatableResult> {
+export interface UnrepeatableLedgerState extends StatePart<UnrepeatableCommand, UnrepeatableResult> {
   stateOf (callerName: string, idempotencyKey: string): UnrepeatableState
 }
 
-export interface RolloutLedgerState extends ReplicatedState<RolloutCommand, RolloutResult> {
+export interface RolloutLedgerState extends StatePart<RolloutCommand, RolloutResult> {
   progress (job: string): RolloutProgress | null
 }
 
--- a/src/control/ledgers/rolloutLedger.ts
+++ b/src/control/ledgers/rolloutLedger.ts
@@ -10,7 +10,7 @@
 import { RolloutCommandKind, SampleDropReason, type HeldSample, type JobOutlook, type LeasedSlot, type RolloutCommand, type RolloutCommandOf, type RolloutResult } from '../../protocol/rolloutCommands.js'
 import type { RolloutJobSpec } from '../../protocol/resources.js'
 import type { RolloutProgress } from '../../protocol/rolloutProgress.js'
-import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
+import type { ApplyContext, StatePart } from '../../replication/replicatedState.js'
 import { advance, dropCommitted, dropStaleUnoffered } from './rollouts/delivery.js'
 import { forecastLength, recordLength, type Forecast } from './rollouts/forecast.js'
 import { expireHosts, releaseWhere, renewHost, SLOT_LEASE_MS, type HostLeases } from './rollouts/hostLeases.js'
@@ -25,7 +25,7 @@
   jobs: Record<string, JobState>
 }
 
-export class RolloutLedger implements ReplicatedState<RolloutCommand, RolloutResult> {
+export class RolloutLedger implements StatePart<RolloutCommand, RolloutResult> {
   private readonly _specOf: JobSpecs
   private readonly _forecast: Forecast
   private _state: LedgerState = { hosts: {}, jobs: {} }
--- a/src/control/ledgers/unrepeatableLedger.ts
+++ b/src/control/ledgers/unrepeatableLedger.ts
@@ -12,7 +12,7 @@
 import type { UnrepeatableState } from '../../protocol/queries.js'
 import { UnrepeatableCommandKind, type RecordedAnswer, type UnrepeatableCommand, type UnrepeatableResult } from '../../protocol/unrepeatableCommands.js'
 import { unreachable } from '../../utils/errors.js'
-import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
+import type { ApplyContext, StatePart } from '../../replication/replicatedState.js'
 
 /** A resend within this time never runs a second time. */
 export const UNREPEATABLE_RETENTION_MS = 24 * 3_600_000
@@ -43,7 +43,7 @@
 type FinishCommand = Extract<UnrepeatableCommand, { kind: UnrepeatableCommandKind.Finish }>
 type ReleaseCommand = Extract<UnrepeatableCommand, { kind: UnrepeatableCommandKind.Release }>
 
-export class UnrepeatableLedger implements ReplicatedState<UnrepeatableCommand, UnrepeatableResult> {
+export class UnrepeatableLedger implements StatePart<UnrepeatableCommand, UnrepeatableResult> {
   private readonly _bounds: LedgerBounds
   /** In the order of the last change, so that what expires first is found first. */
   private _records = new Map<string, KeyRecord>()
--- a/src/control/resources/resourceStore.ts
+++ b/src/control/resources/resourceStore.ts
@@ -4,7 +4,7 @@
  */
 import { ResourceCommandKind, type ResourceCommand, type ResourceResult } from '../../protocol/resourceCommands.js'
 import { specSchemas, type Resource, type ResourceKind, type ResourceOf } from '../../protocol/resources.js'
-import type { ApplyContext, ReplicatedState } from '../../replication/replicatedState.js'
+import type { ApplyContext, StatePart } from '../../replication/replicatedState.js'
 import type { ChangeHistory } from './changeHistory.js'
 import { RememberedChanges, type RememberedChange } from './rememberedChanges.js'
 
@@ -37,7 +37,7 @@
   remembered: RememberedChange[]
 }
 
-export class ResourceStore implements ReplicatedState<ResourceCommand, ResourceResult>, ResourceLookup {
+export class ResourceStore implements StatePart<ResourceCommand, ResourceResult>, ResourceLookup {
   private readonly _history: ChangeHistory
   private readonly _resources = new Map<string, Resource>()
   private readonly _remembered = new RememberedChanges()
--- a/src/control/routing/routingState.ts
+++ b/src/control/routing/routingState.ts
@@ -6,7 +6,7 @@
 import {
   RetirementState, RoutingCommandKind, type NamedWeights, type Retirement, type RoutingCommand, type RoutingResult, type StoreGroup
 } from '../../protocol/routingCommands.js'
-import type { ReplicatedState } from '../../replication/replicatedState.js'
+import type { StatePart } from '../../replication/replicatedState.js'
 
 interface RoutingSnapshot {
   routing: Routing | undefined
@@ -19,7 +19,7 @@
 /** Nothing was configured yet. */
 export const NO_ROUTING_VERSION = -1
 
-export class RoutingState implements ReplicatedState<RoutingCommand, RoutingResult> {
+export class RoutingState implements StatePart<RoutingCommand, RoutingResult> {
   routing: Routing | undefined
   /** The routing configuration as the operator sent it. */
   document: string | undefined
--- a/src/replication/log/following.ts
+++ b/src/replication/log/following.ts
@@ -9,18 +9,20 @@
   AppendReply, AppendRequest, HeartbeatReply, HeartbeatRequest, SnapshotReply, SnapshotRequest
 } from './raftMethods.js'
 import type { ReplicaCore } from './replicaCore.js'
+import type { Snapshot } from '../storage/snapshotFile.js'
 import { SnapshotReceiver } from './snapshotReceiver.js'
 
 export class Following {
   private readonly _core: ReplicaCore
   private readonly _applier: LogApplier
   private readonly _scope: Scope
-  private readonly _receiver = new SnapshotReceiver()
+  private readonly _receiver: SnapshotReceiver
 
   constructor (core: ReplicaCore, applier: LogApplier, scope: Scope) {
     this._core = core
     this._applier = applier
     this._scope = scope
+    this._receiver = new SnapshotReceiver(core.parts.storage)
   }
 
   async onAppend (request: AppendRequest): Promise<AppendReply> {
@@ -56,17 +58,23 @@
     // What is committed here already agrees with the leader's log.
     if (request.lastIndex <= core.commitIndex) return await this._matchedAt(core.commitIndex, request.term)
     core.snapshots.noteArriving(request.lastIndex)
-    const received = this._receiver.receive(request)
-    switch (received.kind) {
-      case 'incomplete':
-        return { kind: 'expecting', offsetBytes: received.offsetBytes }
-      case 'complete':
-        core.state.install(received.snapshot, received.bytes)
-        core.commitIndex = received.snapshot.lastIndex
-        this._applier.restore(received.snapshot)
-        core.parts.logger.event(ReplicationEvent.SnapshotInstalled, { lastIndex: received.snapshot.lastIndex, bytesCount: received.bytes.length, tookMs: core.snapshots.noteInstalled(received.bytes.length) })
-        return await this._matchedAt(received.snapshot.lastIndex, request.term)
+    const received = await this._scope.race(this._receiver.receive(request))
+    if (received.kind === 'complete') return await this._onWhole(received.snapshot, request.term)
+    return { kind: 'expecting', offsetBytes: received.offsetBytes }
+  }
+
+  /** The disk took its time: terms may have changed, and entries may have come, since the last piece was sent. */
+  private async _onWhole (snapshot: Snapshot, term: number): Promise<SnapshotReply> {
+    const core = this._core
+    if (core.term !== term || snapshot.lastIndex <= core.commitIndex) {
+      await this._scope.race(core.parts.storage.discardSnapshot(snapshot))
+      return core.term === term ? await this._matchedAt(core.commitIndex, term) : { kind: 'staleTerm', term: core.term }
     }
+    core.state.install(snapshot)
+    core.commitIndex = snapshot.lastIndex
+    this._applier.restore(snapshot)
+    core.parts.logger.event(ReplicationEvent.SnapshotInstalled, { lastIndex: snapshot.lastIndex, bytesCount: snapshot.lengthBytes, tookMs: core.snapshots.noteInstalled(snapshot.lengthBytes) })
+    return await this._matchedAt(snapshot.lastIndex, term)
   }
 
   private async _matchedAt (matchIndex: number, term: number): Promise<SnapshotReply> {
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -221,7 +221,7 @@
     for (;;) {
       await sleepUntil(clock, this.scope, clock.nowMs() + timings.heartbeatMs)
       const confirmedAtMs = this._quorumValue(progress => progress.ackedSentAtMs)
-      if (clock.nowMs() - confirmedAtMs <= timings.electionMaxMs) continue
+      if (clock.nowMs() - confirmedAtMs <= timings.electionMaxMs * this._core.patienceFactor) continue
       return this._core.stepDown('a quorum does not answer')
     }
   }
--- a/src/replication/log/logApplier.ts
+++ b/src/replication/log/logApplier.ts
@@ -4,18 +4,21 @@
  */
 import { Decoder } from 'cbor-x'
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { invariant } from '../../utils/errors.js'
+import { sleepUntil } from '../../utils/clock.js'
+import { DiskFullError, invariant } from '../../utils/errors.js'
 import type { Scope } from '../../utils/scope.js'
 import { Signal } from '../../utils/signal.js'
 import { ReplicationEvent } from '../replicationEvents.js'
-import type { ReplicatedState } from '../replicatedState.js'
-import { encodeSnapshot, type Snapshot } from '../storage/snapshotFile.js'
+import type { ReplicatedState, SnapshotPieces } from '../replicatedState.js'
+import type { Snapshot, SnapshotHead, WrittenSnapshot } from '../storage/snapshotFile.js'
 import { EntryKind, entryBytes, type LogEntry } from './logEntry.js'
 import type { Proposals } from './proposals.js'
 import type { ReplicaCore } from './replicaCore.js'
 
 /** Entries applied before other tasks get their turn. */
 const MAX_TURN_COUNT = 256
+/** Pause before a snapshot that a full disk has refused is taken anew. */
+const FULL_RETRY_MS = 1_000
 
 export interface SnapshotPolicy {
   /** A snapshot is taken after so many entries, or so many bytes of them. */
@@ -42,10 +45,15 @@
   private readonly _proposals: Proposals
   private readonly _policy: SnapshotPolicy
   private readonly _observer: ApplyObserver | undefined
-  private readonly _decoder = new Decoder({ useRecords: false, copyBuffers: true })
+  /** Byte arrays of a command are views into the entry's payload, which the log holds as well. */
+  private readonly _decoder = new Decoder({ useRecords: false })
   private _appliedIndex: number
+  /** Since the state that the latest snapshot shows. */
   private _entriesCount = 0
   private _bytes = 0
+  /** Counts the states that were replaced as a whole: a snapshot of an earlier one is worth nothing. */
+  private _restoresCount = 0
+  private readonly _snapshotDue = new Signal()
 
   constructor (core: ReplicaCore, state: ReplicatedState<unknown, unknown>, proposals: Proposals, policy: SnapshotPolicy, observer?: ApplyObserver) {
     this._core = core
@@ -70,15 +78,28 @@
       while (this._appliedIndex >= this._core.commitIndex) await this._core.committed.wait(scope)
       this._applyTurn()
       this.applied.notify()
-      if (this._isSnapshotDue()) this._takeSnapshot()
+      if (this._isSnapshotDue()) this._snapshotDue.notify()
       if (this._appliedIndex < this._core.commitIndex) await scope.race(nextTurn())
     }
   }
 
+  /**
+   * Takes snapshots as they become due, one after the other, while entries go
+   * on being applied: a leader that wrote one in a single turn was held up for
+   * longer than its followers wait for a heartbeat.
+   */
+  async runSnapshots (scope: Scope): Promise<void> {
+    for (;;) {
+      while (!this._isSnapshotDue()) await this._snapshotDue.wait(scope)
+      await this._takeSnapshot(scope)
+    }
+  }
+
   /** Replaces the state by a leader's snapshot. */
   restore (snapshot: Snapshot): void {
-    this._state.restore(snapshot.state)
+    this._state.restore(snapshot.pieces)
     this._appliedIndex = snapshot.lastIndex
+    this._restoresCount++
     this._entriesCount = 0
     this._bytes = 0
     this._proposals.forgetUpTo(snapshot.lastIndex)
@@ -107,17 +128,45 @@
     return this._entriesCount >= this._policy.everyEntriesCount || this._bytes >= this._policy.everyBytes
   }
 
-  private _takeSnapshot (): void {
-    const begunAtMs = this._core.parts.clock.nowMs()
+  private async _takeSnapshot (scope: Scope): Promise<void> {
+    const { state, snapshots, parts: { clock, storage, logger } } = this._core
+    const begunAtMs = clock.nowMs()
+    const restoresCount = this._restoresCount
+    const head = this._head()
+    const pieces = this._state.snapshot()
+    this._entriesCount = 0
+    this._bytes = 0
+    const written = await this._write(head, pieces, scope)
+    if (!written) return await this._retryLater(restoresCount, scope)
+    // A leader's snapshot, which is later, has come meanwhile.
+    if (restoresCount !== this._restoresCount) return await scope.race(storage.discardSnapshot(written))
+    state.compact(written, this._policy.keptEntriesCount)
+    logger.event(ReplicationEvent.SnapshotTaken, { lastIndex: written.lastIndex, bytesCount: written.lengthBytes, tookMs: snapshots.noteTaken(written.lengthBytes, begunAtMs) })
+  }
+
+  private _head (): SnapshotHead {
     const { log, members } = this._core.state
     const lastIndex = this._appliedIndex
     const last = log.get(lastIndex)
     invariant(last, 'the last applied entry is not held')
-    const snapshot = { lastIndex, lastTerm: last.term, lastAtMs: last.atMs, members: members.at(lastIndex), state: this._state.snapshot() }
-    const bytes = encodeSnapshot(snapshot)
-    this._core.state.compact(snapshot, bytes, this._policy.keptEntriesCount)
-    this._entriesCount = 0
-    this._bytes = 0
-    this._core.parts.logger.event(ReplicationEvent.SnapshotTaken, { lastIndex, bytesCount: bytes.length, tookMs: this._core.snapshots.noteTaken(bytes.length, begunAtMs) })
+    return { lastIndex, lastTerm: last.term, lastAtMs: last.atMs, members: members.at(lastIndex) }
+  }
+
+  /** Undefined when the disk is full: the log stays as it is, and the next try shows a later state. */
+  private async _write (head: SnapshotHead, pieces: SnapshotPieces, scope: Scope): Promise<WrittenSnapshot | undefined> {
+    const { logger, storage } = this._core.parts
+    try {
+      return await scope.race(storage.writeSnapshot(head, pieces))
+    } catch (error) {
+      if (!(error instanceof DiskFullError)) throw error
+      logger.event(ReplicationEvent.DiskFull, { error: error.message })
+      return undefined
+    }
+  }
+
+  private async _retryLater (restoresCount: number, scope: Scope): Promise<void> {
+    const { clock } = this._core.parts
+    await sleepUntil(clock, scope, clock.nowMs() + FULL_RETRY_MS)
+    if (restoresCount === this._restoresCount) this._entriesCount = this._policy.everyEntriesCount
   }
 }
--- a/src/replication/log/persistentState.ts
+++ b/src/replication/log/persistentState.ts
@@ -4,7 +4,7 @@
  * nothing may be answered that relies on them before its ticket is durable.
  */
 import { invariant } from '../../utils/errors.js'
-import type { Snapshot } from '../storage/snapshotFile.js'
+import type { Snapshot, WrittenSnapshot } from '../storage/snapshotFile.js'
 import type { LoadedReplica } from '../storage/storageLoader.js'
 import type { DurableWriter } from './durableWriter.js'
 import { EntryLog } from './entryLog.js'
@@ -71,29 +71,27 @@
     return { kind: 'merged', matchIndex: prevIndex + request.entries.length }
   }
 
-  /** Replaces the log up to the snapshot by it. */
-  compact (snapshot: Snapshot, snapshotBytes: Uint8Array, keptEntriesCount: number): number {
+  /** Replaces the log up to a snapshot by it. */
+  compact (snapshot: WrittenSnapshot, keptEntriesCount: number): number {
     const keptFromIndex = Math.max(this.log.baseIndex, snapshot.lastIndex - keptEntriesCount)
     this.log.compactTo(keptFromIndex)
     this.members.compactTo(keptFromIndex)
-    return this._enqueueCompaction(snapshot, snapshotBytes)
+    return this._enqueueCompaction(snapshot)
   }
 
   /** Takes over a leader's snapshot. */
-  install (snapshot: Snapshot, snapshotBytes: Uint8Array): number {
-    const { lastIndex, lastTerm, lastAtMs } = snapshot
+  install (snapshot: Snapshot): number {
+    const { lastIndex, lastTerm, lastAtMs, lengthBytes } = snapshot
     const keepsTail = this.log.termAt(lastIndex) === lastTerm
     this.log.rebase({ index: lastIndex, term: lastTerm, atMs: lastAtMs })
     if (keepsTail) this.members.compactTo(lastIndex)
     else this.members.reset(lastIndex, snapshot.members)
-    return this._enqueueCompaction(snapshot, snapshotBytes)
+    return this._enqueueCompaction({ lastIndex, lastTerm, lengthBytes })
   }
 
-  private _enqueueCompaction (snapshot: Snapshot, snapshotBytes: Uint8Array): number {
+  private _enqueueCompaction (snapshot: WrittenSnapshot): number {
     return this.writer.enqueueCompaction({
-      snapshotIndex: snapshot.lastIndex,
-      snapshotTerm: snapshot.lastTerm,
-      snapshotBytes,
+      snapshot,
       hardState: this._hardState,
       entries: this.log.after(snapshot.lastIndex)
     })
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -72,7 +72,8 @@
 export class Replica {
   readonly core: ReplicaCore
   readonly links: PeerLinks
-  private readonly _parts: ReplicaParts
+  /** Without what was read at the start, which has its places by now. */
+  private readonly _parts: Omit<ReplicaParts, 'opened'>
   private readonly _scope: Scope
   private readonly _applier: LogApplier
   private readonly _proposals = new Proposals()
@@ -89,14 +90,15 @@
   private _handedOverTerm: number | undefined
 
   constructor (parts: ReplicaParts) {
-    const { clock, random, metrics, logger, timings, opened, supervisor } = parts
-    this._parts = parts
+    const { opened, ...kept } = parts
+    const { clock, random, metrics, logger, timings, supervisor } = kept
+    this._parts = kept
     this._scope = supervisor.scope
     const writer = new DurableWriter(opened.storage, clock, metrics, logger)
     const state = new PersistentState(opened.loaded, writer)
     const snapshot = opened.loaded.snapshot
     const restoredFromMs = clock.nowMs()
-    if (snapshot) parts.state.restore(snapshot.state)
+    if (snapshot) parts.state.restore(snapshot.pieces)
     const restoreMs = clock.nowMs() - restoredFromMs
     const startedAtMs = parts.startedAtMs ?? clock.nowMs()
     this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state, startedAtMs }, snapshot?.lastIndex ?? 0)
@@ -138,6 +140,7 @@
     this._parts.supervisor.spawn('log writer', scope => this.core.state.writer.run(scope))
     this._parts.supervisor.spawn('applier', scope => this._applier.run(scope))
     this._parts.supervisor.spawn('start report', scope => this._startReport.tellApplied(scope))
+    this._parts.supervisor.spawn('snapshots', scope => this._applier.runSnapshots(scope))
     this._parts.supervisor.spawn('elections', scope => this._standForElections(scope))
   }
 
@@ -242,7 +245,7 @@
     const { clock, random, timings } = this._parts
     const timeoutMs = random.int(timings.electionMinMs, timings.electionMaxMs)
     const pauseEndsAtMs = clock.nowMs() + pauseMs
-    const dueAtMs = (): number => Math.max(pauseEndsAtMs, this.core.quietSinceMs + timeoutMs)
+    const dueAtMs = (): number => Math.max(pauseEndsAtMs, this.core.quietSinceMs + timeoutMs * this.core.patienceFactor)
     while (clock.nowMs() < dueAtMs() && this._handedOverTerm === undefined) {
       await this._campaignAsked.wait(scope, { clock, deadlineMs: dueAtMs() })
     }
--- a/src/replication/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -24,6 +24,16 @@
   Leader = 'leader'
 }
 
+/**
+ * How much longer replicas wait for a leader when leaders change over and over
+ * although their hosts are up: each new one has to begin all that the one
+ * before ran, and is held up by it even longer. One loss costs what it did;
+ * a second one within the window twice, from the third on four times.
+ */
+const MAX_PATIENCE_FACTOR = 4
+/** Longer than a leader needs to begin a step of every trainer, a few seconds. */
+const ELECTIONS_WINDOW_MS = 15_000
+
 export interface CoreParts {
   clock: Clock
   random: RandomSource
@@ -50,6 +60,8 @@
   private _lastContactMs: number
   private _lastVoteMs = Number.NEGATIVE_INFINITY
   private _adoption: Promise<void> | undefined
+  /** When leaders were elected after a silence, the oldest first. */
+  private _electedAtMs: number[] = []
   private _onStepDown: (reason: string) => void = () => {}
 
   constructor (parts: CoreParts, commitIndex: number) {
@@ -93,6 +105,14 @@
     return Math.max(this._lastContactMs, this._lastVoteMs)
   }
 
+  /** What election time-outs are multiplied by. */
+  get patienceFactor (): number {
+    const sinceMs = this.parts.clock.nowMs() - ELECTIONS_WINDOW_MS
+    this._electedAtMs = this._electedAtMs.filter(atMs => atMs >= sinceMs)
+    const repeatedCount = Math.max(0, this._electedAtMs.length - 1)
+    return Math.min(MAX_PATIENCE_FACTOR, 2 ** repeatedCount)
+  }
+
   /** Whether it may stand for election. */
   isVoter (): boolean {
     return this.clusterId !== null && isVoter(this.members, this.replicaId)
@@ -126,6 +146,7 @@
     this.observeTerm(term)
     invariant(this._role !== ReplicaRole.Leader, `two leaders in term ${term}`)
     this._role = ReplicaRole.Follower
+    if (this._leaderReplicaId !== leaderReplicaId) this._noteElection()
     this._lastContactMs = this.parts.clock.nowMs()
     if (this._leaderReplicaId === leaderReplicaId) return
     this._leaderReplicaId = leaderReplicaId
@@ -158,6 +179,7 @@
 
   /** @param onStepDown called once when the leadership ends */
   becomeLeader (onStepDown: (reason: string) => void): void {
+    this._noteElection()
     this._role = ReplicaRole.Leader
     this._leaderReplicaId = this.replicaId
     this._onStepDown = onStepDown
@@ -166,6 +188,12 @@
     this.leaderChanged.notify()
   }
 
+  /** One that a leader handed over to begins at once and is not counted. */
+  private _noteElection (): void {
+    const nowMs = this.parts.clock.nowMs()
+    if (nowMs - this._lastContactMs >= this.parts.timings.electionMinMs) this._electedAtMs.push(nowMs)
+  }
+
   /** A vote was given: the candidate gets its time to win. */
   noteVoteGiven (): void {
     this._lastVoteMs = this.parts.clock.nowMs()
--- a/src/replication/log/replication.ts
+++ b/src/replication/log/replication.ts
@@ -14,7 +14,8 @@
 
 /** Entries of one message, in bytes; one entry may be larger. */
 const MAX_APPEND_BYTES = 1024 * 1024
-const SNAPSHOT_PIECE_BYTES = 1024 * 1024
+/** Read from the disk and sent one by one: the leader holds one of them for each replica that is behind. */
+const SNAPSHOT_PIECE_BYTES = 512 * 1024
 
 /** What the tasks tell the leadership. */
 export interface ReplicationListener {
@@ -43,12 +44,15 @@
 
   /** Sends entries as they come, until the scope closes. */
   async sendEntries (scope: Scope): Promise<void> {
+    const { clock, timings } = this._core.parts
     const { log } = this._core.state
     for (;;) {
       while (this._follower.nextIndex > log.lastIndex) await this._follower.wanted.wait(scope)
+      const nextAtMs = clock.nowMs() + timings.appendIntervalMs
       const isHeld = this._follower.nextIndex > log.baseIndex
       const succeeded = isHeld ? await this._append(scope) : await this._sendSnapshot(scope)
       if (!succeeded) await this._pause(scope)
+      else if (clock.nowMs() < nextAtMs) await sleepUntil(clock, scope, nextAtMs)
     }
   }
 
@@ -115,14 +119,16 @@
   }
 
   private async _sendSnapshot (scope: Scope): Promise<boolean> {
-    const snapshot = await scope.race(this._core.parts.storage.readSnapshot())
+    const { storage } = this._core.parts
+    const { snapshot } = storage
     if (!snapshot) return false
-    const lastTerm = this._core.state.log.termAt(snapshot.lastIndex) ?? 0
-    const totalBytes = snapshot.bytes.length
+    const { lastIndex, lastTerm, lengthBytes: totalBytes } = snapshot
     let offsetBytes = 0
     for (;;) {
-      const bytes = snapshot.bytes.subarray(offsetBytes, offsetBytes + SNAPSHOT_PIECE_BYTES)
-      const piece = { lastIndex: snapshot.lastIndex, lastTerm, offsetBytes, totalBytes, bytes }
+      const bytes = await scope.race(storage.readSnapshotPart(snapshot, offsetBytes, SNAPSHOT_PIECE_BYTES))
+      // A later snapshot has taken its place.
+      if (!bytes) return false
+      const piece = { lastIndex, lastTerm, offsetBytes, totalBytes, bytes }
       const reply = await this._sendPiece(piece, scope)
       if (reply?.kind === 'installed') {
         this._follower.matched(reply.matchIndex)
--- a/src/replication/log/snapshotReceiver.ts
+++ b/src/replication/log/snapshotReceiver.ts
@@ -1,36 +1,56 @@
 /**
- * Puts a leader's snapshot together from its pieces. A piece that is not the
- * next one is answered by the position expected.
+ * Puts a leader's snapshot together on the disk from its pieces, one call at a
+ * time. A piece that is not the next one is answered by the position expected.
  */
-import { decodeSnapshot, type Snapshot } from '../storage/snapshotFile.js'
+import type { IncomingSnapshot } from '../storage/incomingSnapshot.js'
+import type { ReplicaStorage } from '../storage/replicaStorage.js'
+import type { Snapshot } from '../storage/snapshotFile.js'
 import type { SnapshotRequest } from './raftMethods.js'
 
 export type ReceiveOutcome =
   | { kind: 'incomplete', offsetBytes: number }
-  | { kind: 'complete', snapshot: Snapshot, bytes: Uint8Array }
+  /** It lies on the disk; it has to be installed or discarded. */
+  | { kind: 'complete', snapshot: Snapshot }
+
+interface Receiving {
+  lastIndex: number
+  term: number
+  incoming: IncomingSnapshot
+}
 
 export class SnapshotReceiver {
-  private _lastIndex = -1
-  private _term = -1
-  private _pieces: Uint8Array[] = []
-  private _receivedBytes = 0
+  private readonly _storage: ReplicaStorage
+  private _receiving: Receiving | undefined
+  private _lastCall: Promise<unknown> = Promise.resolve()
+
+  constructor (storage: ReplicaStorage) {
+    this._storage = storage
+  }
+
+  /** Calls take effect in the order in which they came, also when a leader has given up waiting for the one before. */
+  receive (request: SnapshotRequest): Promise<ReceiveOutcome> {
+    const call = this._lastCall.then(() => this._receive(request))
+    this._lastCall = call.catch(() => {})
+    return call
+  }
 
-  receive (request: SnapshotRequest): ReceiveOutcome {
-    if (request.lastIndex !== this._lastIndex || request.term !== this._term) this._begin(request)
-    if (request.offsetBytes !== this._receivedBytes) return { kind: 'incomplete', offsetBytes: this._receivedBytes }
-    this._pieces.push(Uint8Array.from(request.bytes))
-    this._receivedBytes += request.bytes.length
-    if (this._receivedBytes < request.totalBytes) return { kind: 'incomplete', offsetBytes: this._receivedBytes }
-    const bytes = Buffer.concat(this._pieces)
-    const snapshot = decodeSnapshot(bytes)
-    this._begin(request)
-    return snapshot ? { kind: 'complete', snapshot, bytes } : { kind: 'incomplete', offsetBytes: 0 }
+  private async _receive (request: SnapshotRequest): Promise<ReceiveOutcome> {
+    const { incoming } = await this._receivingOf(request)
+    if (request.offsetBytes !== incoming.receivedBytes) return { kind: 'incomplete', offsetBytes: incoming.receivedBytes }
+    await incoming.append(request.bytes)
+    if (incoming.receivedBytes < request.totalBytes) return { kind: 'incomplete', offsetBytes: incoming.receivedBytes }
+    this._receiving = undefined
+    const finished = await incoming.finish()
+    return finished.kind === 'read' ? { kind: 'complete', snapshot: finished.snapshot } : { kind: 'incomplete', offsetBytes: 0 }
   }
 
-  private _begin (request: SnapshotRequest): void {
-    this._lastIndex = request.lastIndex
-    this._term = request.term
-    this._pieces = []
-    this._receivedBytes = 0
+  private async _receivingOf ({ lastIndex, term }: SnapshotRequest): Promise<Receiving> {
+    const present = this._receiving
+    if (present?.lastIndex === lastIndex && present.term === term) return present
+    this._receiving = undefined
+    await present?.incoming.abandon()
+    const receiving = { lastIndex, term, incoming: await this._storage.receiveSnapshot() }
+    this._receiving = receiving
+    return receiving
   }
 }
--- a/src/replication/log/timings.ts
+++ b/src/replication/log/timings.ts
@@ -16,6 +16,13 @@
   /** A call that carries entries, with their sync at the other side. */
   callTimeoutMs: number
   retryPauseMs: number
+  /**
+   * Least time between two messages of entries to one follower: what is
+   * proposed meanwhile goes together. A leader with nine followers and 350
+   * entries a second sends 900 messages a second instead of some 2,700; a
+   * proposal waits half of it more on average.
+   */
+  appendIntervalMs: number
   /** After a commit, followers are told within this time also when no entries follow. */
   commitNoticeMs: number
 }
@@ -34,5 +41,6 @@
   leaderLeaseMs: 450,
   callTimeoutMs: 1_000,
   retryPauseMs: 50,
+  appendIntervalMs: 10,
   commitNoticeMs: 20
 }
--- a/src/replication/storage/disk.ts
+++ b/src/replication/storage/disk.ts
@@ -18,6 +18,8 @@
   list (): Promise<string[]>
   /** The whole file; undefined when there is none. */
   read (name: string): Promise<Uint8Array | undefined>
+  /** Bytes of a file from a position on, fewer at its end; undefined when there is none. */
+  readRange (name: string, positionBytes: number, lengthBytes: number): Promise<Uint8Array | undefined>
   /** Opens a file for writing; an existing one keeps its content. */
   open (name: string): Promise<DiskFile>
   rename (from: string, to: string): Promise<void>
--- a/src/replication/storage/fileDisk.ts
+++ b/src/replication/storage/fileDisk.ts
@@ -33,6 +33,15 @@
     }
   }
 
+  async readRange (name: string, positionBytes: number, lengthBytes: number): Promise<Uint8Array | undefined> {
+    try {
+      return await readPart(join(this._folder, name), positionBytes, lengthBytes)
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
+      throw storageError(`read ${name}`, error)
+    }
+  }
+
   async open (name: string): Promise<DiskFile> {
     const path = join(this._folder, name)
     return await guarded(`open ${name}`, async () => {
@@ -113,6 +122,23 @@
   }
 }
 
+async function readPart (path: string, positionBytes: number, lengthBytes: number): Promise<Uint8Array> {
+  const handle = await open(path, 'r')
+  try {
+    // Memory of its own: what is read may be kept for long.
+    const bytes = Buffer.allocUnsafeSlow(lengthBytes)
+    let readBytes = 0
+    while (readBytes < lengthBytes) {
+      const result = await handle.read(bytes, readBytes, lengthBytes - readBytes, positionBytes + readBytes)
+      if (result.bytesRead === 0) break
+      readBytes += result.bytesRead
+    }
+    return bytes.subarray(0, readBytes)
+  } finally {
+    await handle.close()
+  }
+}
+
 async function guarded<T> (what: string, work: () => Promise<T>): Promise<T> {
   try {
     return await work()
--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -7,9 +7,12 @@
  */
 import { DiskFullError, invariant, StorageError } from '../../utils/errors.js'
 import type { HardState, LogEntry } from '../log/logEntry.js'
+import type { SnapshotPieces } from '../replicatedState.js'
 import { TEMPORARY_SUFFIX, writeWhole, type Disk, type DiskFile } from './disk.js'
 import { encodeHead, encodeMark, encodeRecord, HEAD_BYTES, type LogRecord } from './logRecords.js'
+import { IncomingSnapshot } from './incomingSnapshot.js'
 import { encodeIdentity, type ReplicaIdentity } from './replicaFile.js'
+import { writeSnapshotFile, type SnapshotHead, type WrittenSnapshot } from './snapshotFile.js'
 import { IDENTITY_FILE, latestLogSequence, loadReplica, logName, snapshotName, type LoadedReplica } from './storageLoader.js'
 
 export interface OpenedReplica {
@@ -19,11 +22,9 @@
   damage: string | undefined
 }
 
-/** A snapshot together with everything that follows on it. */
+/** A snapshot that lies on the disk, with everything that follows on it. */
 export interface Compaction {
-  snapshotIndex: number
-  snapshotTerm: number
-  snapshotBytes: Uint8Array
+  snapshot: WrittenSnapshot
   hardState: HardState
   entries: LogEntry[]
 }
@@ -40,7 +41,9 @@
   private _log: DiskFile
   private _logSequence: number
   private _logBytes: number
-  private _snapshotIndex: number
+  private _snapshot: WrittenSnapshot | undefined
+  /** Files that the log does not build on yet: being written, or waiting to be its base. */
+  private readonly _pendingFiles = new Set<string>()
   private _failed = false
 
   private constructor (disk: Disk, options: StorageOptions, loaded: LoadedReplica, log: DiskFile) {
@@ -50,7 +53,7 @@
     this._log = log
     this._logSequence = loaded.logSequence
     this._logBytes = loaded.logBytes
-    this._snapshotIndex = loaded.snapshot?.lastIndex ?? 0
+    this._snapshot = loaded.snapshot && { lastIndex: loaded.snapshot.lastIndex, lastTerm: loaded.snapshot.lastTerm, lengthBytes: loaded.snapshot.lengthBytes }
   }
 
   /**
@@ -117,13 +120,41 @@
     }
   }
 
+  /**
+   * Writes a snapshot beside the one that the log builds on, while the log goes
+   * on being written. It takes effect by `compact`; until then a start finds
+   * the earlier one.
+   */
+  async writeSnapshot (head: SnapshotHead, pieces: SnapshotPieces): Promise<WrittenSnapshot> {
+    const name = snapshotName(head.lastIndex)
+    const files = [name, `${name}${TEMPORARY_SUFFIX}`]
+    for (const file of files) this._pendingFiles.add(file)
+    try {
+      return await this._guarded(() => writeSnapshotFile(this._disk, name, head, pieces))
+    } catch (error) {
+      for (const file of files) this._pendingFiles.delete(file)
+      throw error
+    }
+  }
+
+  /** Gives up a snapshot that will not become the base of the log. */
+  async discardSnapshot ({ lastIndex }: WrittenSnapshot): Promise<void> {
+    const name = snapshotName(lastIndex)
+    this._pendingFiles.delete(name)
+    if (lastIndex !== this._snapshot?.lastIndex) await this._guarded(() => this._disk.remove(name))
+  }
+
+  /** Begins to take in a leader's snapshot; what was taken in of another one is dropped. */
+  async receiveSnapshot (): Promise<IncomingSnapshot> {
+    return await this._guarded(() => IncomingSnapshot.begin(this._disk, this._pendingFiles))
+  }
+
   /** Replaces snapshot and log in one step: after a crash there is the old pair or the new one. */
   async compact (compaction: Compaction): Promise<void> {
     await this._guarded(async () => {
-      const { snapshotIndex, snapshotTerm, hardState, entries } = compaction
-      await writeWhole(this._disk, snapshotName(snapshotIndex), compaction.snapshotBytes)
+      const { snapshot, hardState, entries } = compaction
       const content = logContent([
-        { kind: 'base', snapshotIndex, snapshotTerm },
+        { kind: 'base', snapshotIndex: snapshot.lastIndex, snapshotTerm: snapshot.lastTerm },
         { kind: 'hardState', hardState },
         ...entries.map(entry => ({ kind: 'entry', entry } as const))
       ])
@@ -133,27 +164,32 @@
       this._log = await this._disk.open(logName(sequence))
       this._logSequence = sequence
       this._logBytes = content.length
-      this._snapshotIndex = snapshotIndex
+      this._snapshot = snapshot
+      const name = snapshotName(snapshot.lastIndex)
+      this._pendingFiles.delete(name)
+      this._pendingFiles.delete(`${name}${TEMPORARY_SUFFIX}`)
       await this._removeLeftovers()
     })
   }
 
-  /** The latest snapshot as it lies on disk; undefined before the first one. */
-  async readSnapshot (): Promise<{ lastIndex: number, bytes: Uint8Array } | undefined> {
-    const lastIndex = this._snapshotIndex
-    if (lastIndex === 0) return undefined
-    const bytes = await this._disk.read(snapshotName(lastIndex))
-    return bytes && { lastIndex, bytes }
+  /** The snapshot that the log builds on; undefined before the first one. */
+  get snapshot (): WrittenSnapshot | undefined {
+    return this._snapshot
+  }
+
+  /** A part of a snapshot as it lies on disk; undefined when a later one has replaced it. */
+  async readSnapshotPart ({ lastIndex }: WrittenSnapshot, positionBytes: number, lengthBytes: number): Promise<Uint8Array | undefined> {
+    return await this._disk.readRange(snapshotName(lastIndex), positionBytes, lengthBytes)
   }
 
   async close (): Promise<void> {
     await this._log.close()
   }
 
-  private async _guarded (work: () => Promise<void>): Promise<void> {
+  private async _guarded<T> (work: () => Promise<T>): Promise<T> {
     if (this._failed) throw new StorageError('the storage has failed before')
     try {
-      await work()
+      return await work()
     } catch (error) {
       // A full disk has refused the write; whatever part of it arrived lies behind the end of the log and is written over.
       this._failed = !(error instanceof DiskFullError)
@@ -169,7 +205,7 @@
 
   /** Older logs and snapshots, and files that were being written. */
   private async _removeLeftovers (): Promise<void> {
-    const kept = new Set([IDENTITY_FILE, logName(this._logSequence), snapshotName(this._snapshotIndex)])
+    const kept = new Set([IDENTITY_FILE, logName(this._logSequence), snapshotName(this._snapshot?.lastIndex ?? 0), ...this._pendingFiles])
     for (const name of await this._disk.list()) {
       const isOurs = name.startsWith('log-') || name.startsWith('snapshot-') || name.endsWith(TEMPORARY_SUFFIX)
       if (isOurs && !kept.has(name)) await this._disk.remove(name)
--- a/src/replication/storage/storageLoader.ts
+++ b/src/replication/storage/storageLoader.ts
@@ -8,7 +8,7 @@
 import type { Disk } from './disk.js'
 import { readRecords, type LogRecord } from './logRecords.js'
 import { decodeIdentity, type ReplicaIdentity } from './replicaFile.js'
-import { decodeSnapshot, type Snapshot } from './snapshotFile.js'
+import { readSnapshotFile, type Snapshot } from './snapshotFile.js'
 
 export const IDENTITY_FILE = 'replica'
 
@@ -73,20 +73,24 @@
   const base = await loadBase(disk, replayed.snapshotIndex)
   if (base.kind === 'damaged') return base
   const { hardState, entries } = replayed
-  const replica = { identity, hardState, entries, snapshot: base.snapshot, snapshotLengthBytes: base.lengthBytes, logSequence, logBytes: read.validBytes, tornBytes: read.tornBytes }
+  const replica = { identity, hardState, entries, snapshot: base.snapshot, snapshotLengthBytes: base.snapshot?.lengthBytes ?? 0, logSequence, logBytes: read.validBytes, tornBytes: read.tornBytes }
   return { kind: 'loaded', replica }
 }
 
-type BaseOutcome = { kind: 'read', snapshot: Snapshot | undefined, lengthBytes: number } | { kind: 'damaged', reason: string }
+type BaseOutcome = { kind: 'read', snapshot: Snapshot | undefined } | { kind: 'damaged', reason: string }
 
 async function loadBase (disk: Disk, snapshotIndex: number): Promise<BaseOutcome> {
-  if (snapshotIndex === 0) return { kind: 'read', snapshot: undefined, lengthBytes: 0 }
+  if (snapshotIndex === 0) return { kind: 'read', snapshot: undefined }
   const name = snapshotName(snapshotIndex)
-  const bytes = await disk.read(name)
-  if (!bytes) return { kind: 'damaged', reason: `${name} is missing` }
-  const snapshot = decodeSnapshot(bytes)
-  if (!snapshot) return { kind: 'damaged', reason: `${name}: its checksum does not match` }
-  return { kind: 'read', snapshot, lengthBytes: bytes.length }
+  const read = await readSnapshotFile(disk, name)
+  switch (read.kind) {
+    case 'read':
+      return read
+    case 'absent':
+      return { kind: 'damaged', reason: `${name} is missing` }
+    case 'damaged':
+      return { kind: 'damaged', reason: `${name}: ${read.reason}` }
+  }
 }
 
 type ReplayOutcome =
--- a/src/utils/scope.ts
+++ b/src/utils/scope.ts
@@ -59,6 +59,22 @@
     return controller.signal
   }
 
+  /**
+   * Runs a call with an AbortSignal that fires when the scope closes before the
+   * call has ended. A scope that closes afterwards makes no error: errors with
+   * their stacks took a tenth of the processor time of a leader with 250 runs
+   * under way (profile of `bench -- leader`).
+   */
+  async withSignal<T> (call: (signal: AbortSignal) => Promise<T>): Promise<T> {
+    const controller = new AbortController()
+    const release = this.onClose(() => controller.abort(this._error()))
+    try {
+      return await call(controller.signal)
+    } finally {
+      release()
+    }
+  }
+
   close (reason: string): void {
     if (this.isClosed) return
     this._closeReason = reason
--- a/tests/batches/batchStateFuzz.test.ts
+++ b/tests/batches/batchStateFuzz.test.ts
@@ -13,6 +13,7 @@
 import { BATCH_OVERHEAD_BYTES, ITEM_OVERHEAD_BYTES, PART_OVERHEAD_BYTES, RESULT_OVERHEAD_BYTES } from '../../src/batches/heldBytes.js'
 import { textOf, toPart } from '../../src/batches/outputParts.js'
 import { BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult } from '../../src/protocol/batches.js'
+import type { SnapshotPieces } from '../../src/replication/replicatedState.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 
 const RUNS_COUNT = 600
@@ -77,7 +78,7 @@
 
 function restarted (state: BatchState): BatchState {
   const copy = new BatchState()
-  copy.restore(structuredClone(state.snapshot()))
+  copy.restore(structuredClone([...state.snapshot()]))
   return copy
 }
 
@@ -129,15 +130,15 @@
 
 /** Snapshots with what they held when they were taken. */
 class Snapshots {
-  private readonly _taken: { value: unknown, copy: unknown }[] = []
+  private readonly _taken: { value: SnapshotPieces, copy: unknown[] }[] = []
 
   take (state: BatchState): void {
     const value = state.snapshot()
-    this._taken.push({ value, copy: structuredClone(value) })
+    this._taken.push({ value, copy: structuredClone([...value]) })
   }
 
   haveChanged (): boolean {
-    return this._taken.some(({ value, copy }) => !isDeepStrictEqual(value, copy))
+    return this._taken.some(({ value, copy }) => !isDeepStrictEqual([...value], copy))
   }
 }
 
@@ -149,7 +150,8 @@
 }
 
 function recountOf (state: BatchState): number {
-  const { batches, unfinished } = state.snapshot()
+  const batches = [...state.batches()].map(batch => batch.record())
+  const unfinished = [...state.snapshot()].flatMap(piece => (piece as { outputs?: Array<{ parts: unknown[] }> }).outputs ?? [])
   const results = [...batches.flatMap(held => held.results), ...unfinished]
   const overheadBytes = batches.length * BATCH_OVERHEAD_BYTES + batches.flatMap(({ openItems }) => openItems).length * ITEM_OVERHEAD_BYTES +
     results.length * RESULT_OVERHEAD_BYTES + results.flatMap(({ parts }) => parts).length * PART_OVERHEAD_BYTES
--- a/tests/batches/weightRollout.test.ts
+++ b/tests/batches/weightRollout.test.ts
@@ -37,7 +37,7 @@
   await world.clock.advance(2_000)
   world.stopDispatching()
   await world.clock.advance(10_000)
-  world.state.restore(world.state.snapshot())
+  world.state.restore([...world.state.snapshot()])
   world.view.merge('control-1', { weights: [{ model: 'hints-model', version: 5 }] })
   world.dispatch('h2')
   const ledSinceMs = world.clock.nowMs()
--- a/tests/control/storage.test.ts
+++ b/tests/control/storage.test.ts
@@ -3,7 +3,6 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { EntryKind, type LogEntry } from '../../src/replication/log/logEntry.js'
-import { encodeSnapshot } from '../../src/replication/storage/snapshotFile.js'
 import { FileDisk } from '../../src/replication/storage/fileDisk.js'
 import type { LogRecord } from '../../src/replication/storage/logRecords.js'
 import { ReplicaStorage, type OpenedReplica } from '../../src/replication/storage/replicaStorage.js'
@@ -97,13 +96,15 @@
 test('should replace log and snapshot in one step, and notice a damaged snapshot', async t => {
   const { folder } = await filledFolder()
   const { storage } = await open(folder)
-  const snapshot = { lastIndex: 7, lastTerm: 1, lastAtMs: 7, members: [], state: { some: 'state' } }
+  const head = { lastIndex: 7, lastTerm: 1, lastAtMs: 7, members: [] }
+  const pieces = [{ some: 'state' }, { bytes: new Uint8Array([1, 2, 3]) }]
   const hardState = { term: 3, votedFor: 'b' }
-  await storage.compact({ snapshotIndex: 7, snapshotTerm: 1, snapshotBytes: encodeSnapshot(snapshot), hardState, entries: [entry(8), entry(9), entry(10)] })
+  const snapshot = await storage.writeSnapshot(head, pieces)
+  await storage.compact({ snapshot, hardState, entries: [entry(8), entry(9), entry(10)] })
   await storage.append([record(11)])
   await storage.close()
   const { loaded } = await open(folder)
-  t.deepEqual(loaded.snapshot, snapshot)
+  t.deepEqual(loaded.snapshot, { ...head, pieces, lengthBytes: readFileSync(join(folder, 'snapshot-0000000000000007')).length })
   t.deepEqual(loaded.hardState, hardState)
   t.deepEqual(loaded.entries.map(({ index }) => index), [8, 9, 10, 11])
   t.deepEqual(readdirSync(folder).sort(), ['log-0000000002', 'replica', 'snapshot-0000000000000007'])
