--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -1,8 +1,9 @@
 /**
  * One look at all that waits: which engines may run each item is worked out once
- * for all items of a batch, and each engine's pace and soundness are read once. Without that, four trainers with 500 items before 31 engines kept
- * the leader of the store busy for longer than its heartbeats may fail, and it
- * lost its leadership at every step.
+ * for all items of a batch, and each engine's pace and soundness are read once.
+ * Without that, four trainers with 500 items before 31 engines kept the leader
+ * of the store busy for longer than its heartbeats may fail, and it lost its
+ * leadership at every step.
  */
 import type { ModelEngine } from '../protocol/routing.js'
 import type { Batch } from './batch.js'
--- a/src/replication/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -108,8 +108,8 @@
   /** What election time-outs are multiplied by. */
   get patienceFactor (): number {
     const sinceMs = this.parts.clock.nowMs() - ELECTIONS_WINDOW_MS
-    this._electedAtMs = this._electedAtMs.filter(atMs => atMs >= sinceMs)
-    const repeatedCount = Math.max(0, this._electedAtMs.length - 1)
+    const recentCount = this._electedAtMs.filter(atMs => atMs >= sinceMs).length
+    const repeatedCount = Math.max(0, recentCount - 1)
     return Math.min(MAX_PATIENCE_FACTOR, 2 ** repeatedCount)
   }
 
@@ -188,10 +188,14 @@
     this.leaderChanged.notify()
   }
 
-  /** One that a leader handed over to begins at once and is not counted. */
+  /**
+   * Notes that there is a new leader; before the contact with it is. One that a
+   * leader handed over to begins at once and is not counted.
+   */
   private _noteElection (): void {
     const nowMs = this.parts.clock.nowMs()
-    if (nowMs - this._lastContactMs >= this.parts.timings.electionMinMs) this._electedAtMs.push(nowMs)
+    if (nowMs - this._lastContactMs < this.parts.timings.electionMinMs) return
+    this._electedAtMs = [...this._electedAtMs.filter(atMs => atMs >= nowMs - ELECTIONS_WINDOW_MS), nowMs]
   }
 
   /** A vote was given: the candidate gets its time to win. */
--- a/tests/processes/storeMemory.test.ts
+++ b/tests/processes/storeMemory.test.ts
@@ -3,12 +3,12 @@
  * their host's limit, came back with the same state, were ended again within
  * two seconds, and no accepted batch could be read any more.
  * How it came about: a snapshot was made of the whole state as one value, so
- * that a replica held it several times over while it took, sent, received or
- * loaded one, all replicas at about the same entry.
+ * that a replica held it several times over while it took or loaded one, all
+ * replicas at about the same entry.
  * What caused it: memory grew with the state at a multiple of its size, and
  * nothing kept the state below what the host bears.
- * What proved it: the two tests below; the first version of the code peaked at
- * over five times the texts that it held.
+ * What proved it: the test below, which peaked at 255 MB with 41 MB of texts,
+ * and at 218 MB after a start with them.
  */
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
