--- /dev/null
+++ b/tests/batches/silenceWatch.test.ts
@@ -0,0 +1,26 @@
+import test from 'ava'
+import { EnginePace } from '../../src/batches/enginePace.js'
+import { SilenceWatch } from '../../src/batches/silenceWatch.js'
+import { Scope } from '../../src/utils/scope.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+const GAP_MS = 40
+
+async function paceAfter (isHeldUp: () => boolean): Promise<number | undefined> {
+  const clock = new VirtualClock()
+  const pace = new EnginePace(clock)
+  const watch = new SilenceWatch(clock, pace, new Scope('run'), isHeldUp)
+  for (let event = 0; event < 5; event++) {
+    await clock.advance(GAP_MS)
+    watch.sawEvent()
+  }
+  return pace.presentGapMs
+}
+
+test('should learn the pace of an engine from the gaps between its events', async t => {
+  t.is(await paceAfter(() => false), GAP_MS)
+})
+
+test('should learn nothing of an engine from events that this host has read late', async t => {
+  t.is(await paceAfter(() => true), undefined)
+})
