Slopes of the users' platform: what hosts spend on knowing each other

Four control hosts of their own processes and as many real followers as the size says, in one process.

--- a/bench/slopes/child.ts
+++ b/bench/slopes/child.ts
@@ -6,6 +6,7 @@
 import { runControl, type ControlOrder } from './controlHosts.js'
 import { openConnections, serveConnections } from './connections.js'
 import { runEntry } from './entryHost.js'
+import { runFleetControl, type FleetControlOrder } from './fleetFollowers.js'
 import { runEndpoint, type EndpointOrder } from './paceEndpoint.js'
 
 const [kind = '', size = '0', argument = ''] = process.argv.slice(2)
@@ -26,6 +27,9 @@
   case 'control':
     await runControl(JSON.parse(size) as ControlOrder)
     break
+  case 'fleetControl':
+    await runFleetControl(JSON.parse(size) as FleetControlOrder)
+    break
   case 'entry':
     await runEntry()
     break
--- /dev/null
+++ b/bench/slopes/fleetEndpoints.ts
@@ -0,0 +1,49 @@
+/**
+ * Endpoints of the users' platform, as one control host hears them: each keeps
+ * to one control host, repeats its heartbeat, and loads new weights every few
+ * seconds.
+ */
+import type { ControlProgram } from '../../src/control/controlProgram.js'
+import { EndpointLifecycle, type FleetEndpoint } from '../../src/protocol/fleet.js'
+import { Scope } from '../../src/utils/scope.js'
+
+export const HEARTBEAT_MS = 1_200
+/** A new version about every four seconds, as trainers name them. */
+const HEARTBEATS_PER_VERSION = 3
+
+export interface AnnouncedShare {
+  /** The control host, from 1. */
+  number: number
+  membersCount: number
+  /** Of all control hosts together. */
+  endpointsCount: number
+}
+
+function endpointOf (number: number, sequence: number): FleetEndpoint {
+  return {
+    endpointId: `endpoint-${number}`,
+    name: `endpoint-${number}`,
+    bornAtMs: 0,
+    service: 'engines',
+    address: `10.128.${number >> 8}.${number & 255}:8080`,
+    dataCentre: 'a',
+    slotsCount: 8,
+    lifecycle: EndpointLifecycle.Ready,
+    sequence,
+    coldLeftMs: 0,
+    weights: [{ model: 'practice-lm', version: 1 + Math.floor(sequence / HEARTBEATS_PER_VERSION) }]
+  }
+}
+
+/** Heartbeats of the endpoints that keep to this control host, spread evenly over the interval. */
+export function announceFleetEndpoints (program: ControlProgram, { number, membersCount, endpointsCount }: AnnouncedShare): void {
+  const scope = new Scope('announcements')
+  for (let endpoint = number; endpoint <= endpointsCount; endpoint += membersCount) {
+    let sequence = 0
+    const announce = (): void => {
+      const outcome = program.directory.heartbeat(endpointOf(endpoint, ++sequence))
+      if (outcome.kind === 'changed') program.followers.announce(outcome.endpoint, outcome.news, scope).catch(error => { throw error })
+    }
+    setTimeout(() => setInterval(announce, HEARTBEAT_MS), HEARTBEAT_MS * endpoint / endpointsCount)
+  }
+}
--- a/bench/slopes/measurements.ts
+++ b/bench/slopes/measurements.ts
@@ -6,6 +6,7 @@
 import { controlSlopes } from './controlHosts.js'
 import { directorySlopes } from './directory.js'
 import { entrySlopes } from './entryHost.js'
+import { fleetSlopes } from './fleetFollowers.js'
 import { knownEndpointSlopes } from './knownEndpoints.js'
 import { ledgerSlopes } from './ledgers.js'
 import { schedulingSlopes } from './scheduling.js'
@@ -17,6 +18,7 @@
   ...controlSlopes,
   ...commitSlopes,
   ...directorySlopes,
+  ...fleetSlopes,
   ...knownEndpointSlopes,
   ...entrySlopes,
   ...schedulingSlopes,
--- a/tools/capacity/rows.ts
+++ b/tools/capacity/rows.ts
@@ -9,7 +9,9 @@
   EntryControl = 'Entry host: control (leases, watches, directory)',
   EntryWork = 'Entry host: callers, trainers, endpoints',
   ControlLeader = 'Control host that leads',
-  ControlFollower = 'Control host that follows'
+  ControlFollower = 'Control host that follows',
+  PlatformHost = 'Host on the users\' platform: knowing the fleet',
+  PlatformControl = 'Control host on the users\' platform: telling the fleet'
 }
 
 export interface Cost {
@@ -206,6 +208,55 @@
   }]
 }
 
+/** Control hosts that the slopes of the users' platform were read with; a host follows each of them. */
+const MEASURED_CONTROLS = 4
+
+function platformHostRows (book: SlopeBook): CapacityRow[] {
+  const { entryHosts, engines, controlHostsAtMost } = target
+  const role = Role.PlatformHost
+  const controls = controlHostsAtMost / MEASURED_CONTROLS
+  return [
+    {
+      role,
+      what: `${entryHosts} hosts, known from ${controlHostsAtMost} control hosts`,
+      cost: { corePercent: corePercent(times(book.at('fleetHosts.hostUs', entryHosts), controls)), kilobytesPerSecond: kilobytes(times(book.at('fleetHosts.hostBytes', entryHosts), controls)) },
+      slopes: ['fleetHosts.hostUs', 'fleetHosts.hostBytes'],
+      mechanism: 'a sign of life to each control host twice a second; hosts are told by change'
+    },
+    {
+      role,
+      what: `${engines} engines with new weights every few seconds`,
+      cost: { corePercent: corePercent(times(book.perUnit('fleetEndpoints.hostUs'), engines)), kilobytesPerSecond: kilobytes(times(book.perUnit('fleetEndpoints.hostBytes'), engines)) },
+      slopes: ['fleetEndpoints.hostUs', 'fleetEndpoints.hostBytes'],
+      mechanism: 'an endpoint is told when it comes, moves or leaves; its weights to store hosts only'
+    }
+  ]
+}
+
+function platformControlRows (book: SlopeBook): CapacityRow[] {
+  const { entryHosts, engines, controlHostsAtMost } = target
+  const role = Role.PlatformControl
+  return [
+    {
+      role,
+      what: `${entryHosts} hosts that follow`,
+      cost: { corePercent: corePercent(book.at('fleetHosts.controlUs', entryHosts)), kilobytesPerSecond: kilobytes(book.at('fleetHosts.controlBytes', entryHosts)), megabytes: times(book.at('fleetHosts.controlLiveBytes', entryHosts), 1 / BYTES_PER_MB) },
+      slopes: ['fleetHosts.controlUs', 'fleetHosts.controlBytes', 'fleetHosts.controlLiveBytes'],
+      mechanism: 'one session a host; a push is encoded once for all'
+    },
+    {
+      role,
+      what: `its share of ${engines} engines, one of ${controlHostsAtMost} control hosts`,
+      cost: { corePercent: corePercent(times(book.perUnit('fleetEndpoints.controlUs'), engines * MEASURED_CONTROLS / controlHostsAtMost)), kilobytesPerSecond: kilobytes(times(book.perUnit('fleetEndpoints.controlBytes'), engines * MEASURED_CONTROLS / controlHostsAtMost)) },
+      slopes: ['fleetEndpoints.controlUs', 'fleetEndpoints.controlBytes'],
+      mechanism: 'each endpoint keeps to one control host'
+    }
+  ]
+}
+
 export function capacityRows (book: SlopeBook): CapacityRow[] {
-  return [...entryControlRows(book), ...entryWorkRows(book), ...controlLeaderRows(book), ...controlFollowerRows(book)]
+  return [
+    ...entryControlRows(book), ...entryWorkRows(book), ...controlLeaderRows(book), ...controlFollowerRows(book),
+    ...platformHostRows(book), ...platformControlRows(book)
+  ]
 }
