--- a/src/replication/storage/checksum.ts
+++ b/src/replication/storage/checksum.ts
@@ -1,14 +1,21 @@
 /**
  * xxHash64 over bytes, from xxhash-wasm. It finds damage, not intent.
  */
-import xxhash from 'xxhash-wasm'
-
-const { h64Raw } = await xxhash()
+import xxhash, { type XXHashAPI } from 'xxhash-wasm'
+import { invariant } from '../../utils/errors.js'
 
 export const CHECKSUM_BYTES = 8
 
+let loaded: XXHashAPI | undefined
+
+/** Has to come before anything else here; a second call does nothing. */
+export async function loadChecksum (): Promise<void> {
+  loaded ??= await xxhash()
+}
+
 export function checksum (bytes: Uint8Array): bigint {
-  return h64Raw(bytes)
+  invariant(loaded, 'the checksum is used before it is loaded')
+  return loaded.h64Raw(bytes)
 }
 
 export function writeChecksum (target: Buffer, positionBytes: number, bytes: Uint8Array): void {
--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -8,6 +8,7 @@
 import { DiskFullError, invariant, StorageError } from '../../utils/errors.js'
 import type { HardState, LogEntry } from '../log/logEntry.js'
 import type { SnapshotPieces } from '../replicatedState.js'
+import { loadChecksum } from './checksum.js'
 import { TEMPORARY_SUFFIX, writeWhole, type Disk, type DiskFile } from './disk.js'
 import { encodeHead, encodeMark, encodeRecord, HEAD_BYTES, type LogRecord } from './logRecords.js'
 import { IncomingSnapshot } from './incomingSnapshot.js'
@@ -63,6 +64,7 @@
    * @throws StorageError if the disk belongs to another host.
    */
   static async open (disk: Disk, hostId: string, newId: () => string, options: StorageOptions = { syncs: true }): Promise<OpenedReplica> {
+    await loadChecksum()
     const outcome = await loadReplica(disk)
     let damage: string | undefined
     let loaded: LoadedReplica
--- a/src/utils/metrics.ts
+++ b/src/utils/metrics.ts
@@ -1,9 +1,7 @@
 /**
- * Metrics by hot-shots (StatsD over UDP), with a copy of every counter in
- * memory for `threaddrum status` and for tests. Nothing here blocks or fails
- * when nobody listens.
+ * What is counted and measured, and a store of it in memory for `threaddrum
+ * status` and for tests.
  */
-import { StatsD } from 'hot-shots'
 import type { MetricName } from './metricNames.js'
 
 export type MetricTags = Record<string, string>
@@ -18,11 +16,6 @@
   close (): void
 }
 
-export interface StatsdAddress {
-  host: string
-  port: number
-}
-
 const MAX_SERIES = 4096
 
 class SeriesStore {
@@ -62,30 +55,3 @@
     close: () => {}
   }
 }
-
-/** Counters in memory and, by UDP, at a StatsD listener. */
-export function statsdMetrics (address: StatsdAddress, globalTags: MetricTags): Metrics {
-  const memory = memoryMetrics()
-  const client = new StatsD({
-    host: address.host,
-    port: address.port,
-    prefix: 'threaddrum.',
-    globalTags,
-    maxBufferSize: 1400,
-    cacheDns: true,
-    errorHandler: () => {}
-  })
-  return {
-    count (name, tags, by = 1) {
-      memory.count(name, tags, by)
-      client.increment(name, by, tags ?? {})
-    },
-    gauge (name, value, tags) {
-      memory.gauge(name, value, tags)
-      client.gauge(name, value, tags ?? {})
-    },
-    timing: (name, valueMs, tags) => client.timing(name, valueMs, tags ?? {}),
-    snapshot: () => memory.snapshot(),
-    close: () => client.close(() => {})
-  }
-}
--- a/src/utils/programMain.ts
+++ b/src/utils/programMain.ts
@@ -9,10 +9,11 @@
 import { createLogger, type EventCatalogue, type Logger } from './logger.js'
 import { LogOutput } from './logOutput.js'
 import { MetricName } from './metricNames.js'
-import { memoryMetrics, statsdMetrics, type Metrics } from './metrics.js'
+import { memoryMetrics, type Metrics } from './metrics.js'
 import { productVersion } from './productVersion.js'
 import { parseAddress, readSettings } from './settings.js'
 import { checkStartupNeeds, type StartupNeeds } from './startupChecks.js'
+import { statsdMetrics } from './statsdMetrics.js'
 
 export enum ProgramExit {
   Stopped = 0,
