--- a/src/batches/weightLoad.ts
+++ b/src/batches/weightLoad.ts
@@ -133,7 +133,8 @@
   /** True once every leader to come will know of the order. */
   private async _announce (engine: Engine, deadlineMs: number, scope: Scope): Promise<boolean> {
     const { clock, replica, holder } = this._parts
-    const command = { kind: BatchCommandKind.AnnounceOrder, endpointId: engine.id, holder }
+    // By the name that it keeps: an order on its way may meet the engine after it has started again.
+    const command = { kind: BatchCommandKind.AnnounceOrder, endpointId: engine.endpoint.name, holder }
     const outcome = await replica.propose(command, new Progress(clock, scope, deadlineMs))
     return outcome.kind === 'committed'
   }
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -131,7 +131,7 @@
    */
   private _mayOrder (engine: Engine): boolean {
     const { clock, orders, holder, orderLeaseMs } = this._parts
-    const latest = orders.latest(engine.id)
+    const latest = orders.latest(engine.endpoint.name)
     if (!latest || latest.learnedAtMs > this._startedAtMs) return true
     const leaseMs = latest.holder === holder ? 0 : orderLeaseMs
     return clock.nowMs() >= latest.learnedAtMs + leaseMs + ORDER_UNDER_WAY_MS
--- a/src/control/controlEvents.ts
+++ b/src/control/controlEvents.ts
@@ -18,7 +18,8 @@
   StoreFormed = 1048,
   RetirementBegun = 1049,
   RetirementEnded = 1050,
-  CommandUnanswered = 1051
+  CommandUnanswered = 1051,
+  AnnouncementRefused = 1052
 }
 
 export const controlEventCatalogue: EventCatalogue = {
@@ -36,5 +37,6 @@
   [ControlEvent.StoreFormed]: { level: LogLevel.Info, text: 'The first members of the batch store were decided.', advice: 'Expected once.' },
   [ControlEvent.RetirementBegun]: { level: LogLevel.Info, text: 'A store host is to be emptied.', advice: 'None.' },
   [ControlEvent.RetirementEnded]: { level: LogLevel.Info, text: 'A store host was emptied and may be taken away.', advice: 'None.' },
-  [ControlEvent.CommandUnanswered]: { level: LogLevel.Warn, text: 'A command of a caller got no clear outcome in time.', advice: 'The caller sends it again. If it repeats, look for a lost quorum.' }
+  [ControlEvent.CommandUnanswered]: { level: LogLevel.Warn, text: 'A command of a caller got no clear outcome in time.', advice: 'The caller sends it again. If it repeats, look for a lost quorum.' },
+  [ControlEvent.AnnouncementRefused]: { level: LogLevel.Warn, text: 'What was announced of an endpoint cannot be read; it names no endpoint to use.', advice: 'Told once for each reason and then every ten seconds. Look at whoever writes it: the reason names the field.' }
 }
--- a/src/control/fleet/endpointDirectory.ts
+++ b/src/control/fleet/endpointDirectory.ts
@@ -5,11 +5,18 @@
  */
 import { EndpointLifecycle, type FleetEndpoint } from '../../protocol/fleet.js'
 import type { Clock } from '../../utils/clock.js'
+import { EndpointNews } from './endpointNews.js'
 
 /** Heartbeats in a row that may be missing before an endpoint counts as silent; crashes show earlier by failed calls. */
 const MISSED_HEARTBEATS_COUNT = 4
 /** How long an endpoint that left is remembered, so that a late heartbeat does not bring it back. */
 const REMEMBER_GONE_MS = 60_000
+/**
+ * The same for one that was never heard of: which of its starts has left is not
+ * known then, and the next one must not be turned away for long. Heartbeats
+ * come some seconds late at most.
+ */
+const REMEMBER_UNHEARD_MS = 10_000
 
 interface EndpointRecord {
   endpoint: FleetEndpoint
@@ -21,12 +28,16 @@
   | { kind: 'refreshed' }
   /** Older than what is known, or of an endpoint that has left. */
   | { kind: 'outdated' }
-  | { kind: 'changed', endpoint: FleetEndpoint, isLeaving: boolean }
+  /** @param replaced an earlier start of the endpoint, which is gone */
+  | { kind: 'changed', endpoint: FleetEndpoint, news: EndpointNews, replaced: FleetEndpoint | undefined }
 
 export class EndpointDirectory {
   private readonly _clock: Clock
   private readonly _silenceMs: number
+  /** The newest start of each endpoint, by its name. */
   private readonly _records = new Map<string, EndpointRecord>()
+  /** When endpoints left that were never heard of. */
+  private readonly _unheardLeavesMs = new Map<string, number>()
 
   /** @param heartbeatMs interval at which endpoints announce themselves */
   constructor (clock: Clock, heartbeatMs: number) {
@@ -40,46 +51,66 @@
   }
 
   heartbeat (announced: FleetEndpoint): HeartbeatOutcome {
-    const known = this._records.get(announced.endpointId)?.endpoint
-    if (known && (known.lifecycle === EndpointLifecycle.Gone || announced.sequence <= known.sequence)) return { kind: 'outdated' }
+    const newest = this._records.get(announced.name)?.endpoint
+    if (this._isOutdated(announced, newest)) return { kind: 'outdated' }
+    const isNewStart = newest !== undefined && announced.bornAtMs > newest.bornAtMs
+    const known = isNewStart ? undefined : newest
     const lifecycle = Math.max(known?.lifecycle ?? EndpointLifecycle.Ready, announced.lifecycle)
     const endpoint = { ...announced, lifecycle }
-    this._records.set(endpoint.endpointId, { endpoint, heardAtMs: this._clock.nowMs() })
-    if (known && !differs(known, endpoint)) return { kind: 'refreshed' }
-    return { kind: 'changed', endpoint, isLeaving: lifecycle !== (known?.lifecycle ?? EndpointLifecycle.Ready) }
+    this._records.set(endpoint.name, { endpoint, heardAtMs: this._clock.nowMs() })
+    const news = newsOf(known, endpoint)
+    if (news === undefined) return { kind: 'refreshed' }
+    return { kind: 'changed', endpoint, news, replaced: isNewStart ? gone(newest) : undefined }
   }
 
-  /** The endpoint takes its leave; undefined when this host never heard of it or knows already. */
-  leave (endpointId: string): FleetEndpoint | undefined {
-    const known = this._records.get(endpointId)?.endpoint
-    if (known?.lifecycle === EndpointLifecycle.Gone) return undefined
-    const endpoint = { ...(known ?? unknownEndpoint(endpointId)), lifecycle: EndpointLifecycle.Gone, sequence: Number.MAX_SAFE_INTEGER }
-    this._records.set(endpointId, { endpoint, heardAtMs: this._clock.nowMs() })
-    return known && endpoint
+  /**
+   * The endpoint takes its leave; undefined when this host never heard of it or
+   * knows already.
+   * @param bornAtMs which of its starts, if it says; the newest that is known otherwise
+   */
+  leave (name: string, bornAtMs?: number): FleetEndpoint | undefined {
+    const known = this._records.get(name)?.endpoint
+    if (!known) this._unheardLeavesMs.set(name, this._clock.nowMs())
+    if (!known || known.lifecycle === EndpointLifecycle.Gone) return undefined
+    if (bornAtMs !== undefined && bornAtMs < known.bornAtMs) return undefined
+    const endpoint = gone(known)
+    this._records.set(name, { endpoint, heardAtMs: this._clock.nowMs() })
+    return endpoint
   }
 
   /** Forgets endpoints that were silent for too long; returns those that had not left. */
   expire (): FleetEndpoint[] {
     const nowMs = this._clock.nowMs()
     const expired: FleetEndpoint[] = []
-    for (const [endpointId, { endpoint, heardAtMs }] of this._records) {
+    for (const [name, { endpoint, heardAtMs }] of this._records) {
       const isGone = endpoint.lifecycle === EndpointLifecycle.Gone
       if (nowMs - heardAtMs < (isGone ? REMEMBER_GONE_MS : this._silenceMs)) continue
-      this._records.delete(endpointId)
+      this._records.delete(name)
       if (!isGone) expired.push(endpoint)
     }
+    for (const [name, leftAtMs] of this._unheardLeavesMs) {
+      if (nowMs - leftAtMs >= REMEMBER_UNHEARD_MS) this._unheardLeavesMs.delete(name)
+    }
     return expired
   }
+
+  private _isOutdated (announced: FleetEndpoint, newest: FleetEndpoint | undefined): boolean {
+    const leftAtMs = this._unheardLeavesMs.get(announced.name)
+    if (leftAtMs !== undefined && this._clock.nowMs() - leftAtMs < REMEMBER_UNHEARD_MS) return true
+    if (!newest || announced.bornAtMs > newest.bornAtMs) return false
+    if (announced.bornAtMs < newest.bornAtMs) return true
+    return newest.lifecycle === EndpointLifecycle.Gone || announced.sequence <= newest.sequence
+  }
 }
 
 /** A gap in the sequence means that another control host was told in between, and may call the endpoint silent. */
-function differs (known: FleetEndpoint, announced: FleetEndpoint): boolean {
-  return announced.sequence !== known.sequence + 1 ||
-    announced.lifecycle !== known.lifecycle ||
-    announced.address !== known.address ||
-    JSON.stringify(announced.weights) !== JSON.stringify(known.weights)
+function newsOf (known: FleetEndpoint | undefined, announced: FleetEndpoint): EndpointNews | undefined {
+  if (announced.lifecycle !== (known?.lifecycle ?? EndpointLifecycle.Ready)) return EndpointNews.Leaving
+  if (!known || announced.sequence !== known.sequence + 1 || announced.address !== known.address) return EndpointNews.Endpoint
+  return JSON.stringify(announced.weights) === JSON.stringify(known.weights) ? undefined : EndpointNews.Weights
 }
 
-function unknownEndpoint (endpointId: string): FleetEndpoint {
-  return { endpointId, service: '', address: '', dataCentre: '', slotsCount: 0, lifecycle: EndpointLifecycle.Gone, sequence: 0, coldLeftMs: 0, weights: [] }
+/** Nothing that is told of this start later counts any more. */
+function gone (endpoint: FleetEndpoint): FleetEndpoint {
+  return { ...endpoint, lifecycle: EndpointLifecycle.Gone, sequence: Number.MAX_SAFE_INTEGER }
 }
--- /dev/null
+++ b/src/control/fleet/endpointNews.ts
@@ -0,0 +1,13 @@
+/**
+ * How far an announcement of an endpoint has to be told.
+ */
+
+/** What an announcement has in it that followers do not know. */
+export enum EndpointNews {
+  /** Only the versions of weights that it holds, which store hosts alone choose by. */
+  Weights = 'weights',
+  /** It is new, has moved, or was heard by another control host in between. */
+  Endpoint = 'endpoint',
+  /** It leaves: whoever announced it is answered once followers know. */
+  Leaving = 'leaving'
+}
--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -1,13 +1,14 @@
 /**
  * The hosts that follow this control host: what each was sent, who of them is
  * alive, and pushes as things change. Every follower keeps a connection to
- * every control host, so nothing has to pass between control hosts.
+ * every control host, so nothing has to pass between control hosts. A push goes
+ * to many and is encoded once.
  */
 import { fleetUpdateMethod } from '../../transport/fleetMethods.js'
-import type { RpcPeer } from '../../transport/rpcPeer.js'
+import { RpcPeer } from '../../transport/rpcPeer.js'
 import { HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate, type FollowReply, type FollowRequest } from '../../protocol/fleet.js'
 import { sleepUntil, type Clock } from '../../utils/clock.js'
-import { ScopeClosedError } from '../../utils/errors.js'
+import { ScopeClosedError, unreachable } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
@@ -15,10 +16,14 @@
 import type { ControlNode } from '../controlNode.js'
 import { NO_ROUTING_VERSION } from '../routing/routingState.js'
 import type { EndpointDirectory } from './endpointDirectory.js'
+import { EndpointNews } from './endpointNews.js'
+import { HostChanges } from './hostChanges.js'
 
 /** A follower calls twice a second; three missing calls make it silent. */
 export const FOLLOWER_SILENCE_MS = 1_600
 const REVIEW_INTERVAL_MS = 200
+/** Followers that begin within this time share one encoding of the list of hosts; a start of all of them brings hundreds in a second. */
+const GATHER_MS = 20
 /** How long a leaving endpoint waits until every follower has confirmed; a follower that is cut off must not hold it up. */
 const CONFIRM_TIMEOUT_MS = 300
 
@@ -27,8 +32,8 @@
   host: FleetHost
   heardAtMs: number
   sentRoutingVersion: number
-  sentState: string
-  sentHostsRevision: number
+  sentStateRevision: number
+  sentControlAddresses: string
 }
 
 export interface FollowerSessionsParts {
@@ -43,7 +48,12 @@
 export class FollowerSessions {
   private readonly _parts: FollowerSessionsParts
   private readonly _sessions = new Map<RpcPeer, Session>()
-  private _hostsRevision = 1
+  private readonly _hostChanges = new HostChanges()
+  /** Followers that have not been told of the hosts yet. */
+  private _newcomers: Session[] = []
+  private _state: FleetUpdate = {}
+  private _stateText = ''
+  private _stateRevision = 0
 
   constructor (parts: FollowerSessionsParts) {
     this._parts = parts
@@ -51,7 +61,7 @@
 
   /** Hosts that follow this one now. */
   hosts (): FleetHost[] {
-    return [...this._sessions.values()].map(({ host }) => host)
+    return this._hostChanges.all()
   }
 
   storeHosts (): FleetHost[] {
@@ -59,24 +69,34 @@
   }
 
   async follow (peer: RpcPeer, request: FollowRequest, progress: Progress): Promise<FollowReply> {
-    const { clock, node } = this._parts
+    const { clock } = this._parts
     const known = this._sessions.get(peer)
-    const session = known ?? this._open(peer, request.host)
-    if (JSON.stringify(session.host) !== JSON.stringify(request.host)) this._hostsRevision++
-    session.host = request.host
+    const session = known ?? (request.host && this._open(peer, request.host))
+    if (!session) return this._refuse(peer)
+    if (request.host) this._describe(session, request.host)
     session.heardAtMs = clock.nowMs()
     const needsConfirmation = request.routingVersion === undefined
     const isRoutingConfirmed = needsConfirmation && await this._parts.confirm(progress)
     session.sentRoutingVersion = Math.min(session.sentRoutingVersion, request.routingVersion ?? NO_ROUTING_VERSION)
+    if (!known) this._reviewState()
     const update = this._updateFor(session)
     if (!known) update.endpoints = this._parts.directory.all()
-    const controlAddresses = node.replica.core.members.map(member => member.peerAddress)
-    return { controlAddresses, isRoutingConfirmed, update }
+    return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, update }
   }
 
-  /** Tells every follower of an endpoint; waits for those that answer soon when asked to. */
-  async announce (endpoint: FleetEndpoint, scope: Scope): Promise<void> {
-    await this._callAll({ endpoints: [endpoint] }, scope)
+  /** Tells followers of an endpoint; of one that leaves, waits for those that answer soon. */
+  async announce (endpoint: FleetEndpoint, news: EndpointNews, scope: Scope): Promise<void> {
+    const update = { endpoints: [endpoint] }
+    switch (news) {
+      case EndpointNews.Weights:
+        return this._notify(update, HostRole.Store)
+      case EndpointNews.Endpoint:
+        return this._notify(update)
+      case EndpointNews.Leaving:
+        return await this._callAll(update, scope)
+      default:
+        return unreachable(news)
+    }
   }
 
   /** Pushes what the replicated state changes, as it is applied. */
@@ -105,21 +125,47 @@
     peer.connection.scope.onClose(() => this._close(peer))
   }
 
+  /** A follower says what it is when it begins. */
+  private _refuse (peer: RpcPeer): FollowReply {
+    peer.connection.close('the follower does not say what it is')
+    return { isRoutingConfirmed: false, update: {} }
+  }
+
   private _open (peer: RpcPeer, host: FleetHost): Session {
-    const session = { peer, host, heardAtMs: 0, sentRoutingVersion: NO_ROUTING_VERSION, sentState: '', sentHostsRevision: 0 }
+    const session = { peer, host, heardAtMs: 0, sentRoutingVersion: NO_ROUTING_VERSION, sentStateRevision: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
-    this._hostsRevision++
+    this._hostChanges.set(host)
+    // Not in the reply: what is pushed meanwhile must come after the whole list.
+    if (this._newcomers.push(session) === 1) this._parts.clock.callAt(this._parts.clock.nowMs() + GATHER_MS, () => this._tellNewcomers())
     this._parts.logger.event(ControlEvent.FollowerJoined, { hostId: host.hostId, hostName: host.hostName, role: host.role })
     return session
   }
 
+  private _tellNewcomers (): void {
+    const newcomers = this._newcomers
+    this._newcomers = []
+    for (const role of Object.values(HostRole)) {
+      const peers = newcomers.filter(({ host }) => host.role === role).map(({ peer }) => peer)
+      if (peers.length > 0) RpcPeer.notifyAll(peers, fleetUpdateMethod, this._hostChanges.wholeFor(role))
+    }
+  }
+
+  private _describe (session: Session, host: FleetHost): void {
+    if (JSON.stringify(session.host) === JSON.stringify(host)) return
+    session.host = host
+    this._hostChanges.set(host)
+  }
+
   private _close (peer: RpcPeer): void {
     const session = this._sessions.get(peer)
     if (!session) return
     this._sessions.delete(peer)
-    this._hostsRevision++
-    const reason = peer.connection.scope.closeReason ?? ''
-    this._parts.logger.event(ControlEvent.FollowerLost, { hostId: session.host.hostId, hostName: session.host.hostName, reason })
+    const { hostId, hostName } = session.host
+    // A host that has connected again follows by its newer connection.
+    const newer = [...this._sessions.values()].findLast(({ host }) => host.hostId === hostId)
+    if (newer) this._hostChanges.set(newer.host)
+    else this._hostChanges.remove(hostId)
+    this._parts.logger.event(ControlEvent.FollowerLost, { hostId, hostName, reason: peer.connection.scope.closeReason ?? '' })
   }
 
   private _forgetSilentEndpoints (): void {
@@ -127,19 +173,36 @@
     for (const endpoint of silent) {
       this._parts.logger.event(ControlEvent.EndpointSilent, { endpointId: endpoint.endpointId, service: endpoint.service, sequence: endpoint.sequence })
     }
-    if (silent.length === 0) return
-    const update = { silent: silent.map(({ endpointId, sequence }) => ({ endpointId, sequence })) }
-    for (const { peer } of this._sessions.values()) peer.notify(fleetUpdateMethod, update)
+    if (silent.length > 0) this._notify({ silent: silent.map(({ endpointId, sequence }) => ({ endpointId, sequence })) })
+  }
+
+  /** @param role of the followers to tell; all of them without one */
+  private _notify (update: FleetUpdate, role?: HostRole): void {
+    const told = [...this._sessions.values()].filter(({ host }) => role === undefined || host.role === role)
+    RpcPeer.notifyAll(told.map(({ peer }) => peer), fleetUpdateMethod, update)
   }
 
   private _pushToAll (): void {
+    for (const { follower, update } of this._hostChanges.take()) this._notify(update, follower)
+    this._reviewState()
     for (const session of this._sessions.values()) {
       const update = this._updateFor(session)
       if (Object.keys(update).length > 0) session.peer.notify(fleetUpdateMethod, update)
     }
   }
 
-  /** What the session lacks; marks it as sent. A follower that lost it asks again by its version. */
+  /** Once for all followers, and only then for each: most entries of the log change nothing here. */
+  private _reviewState (): void {
+    const { routing } = this._parts.node.state
+    const state = { weights: routing.namedWeights(), storeGroup: routing.storeGroup, retirements: routing.retirements() }
+    const stateText = JSON.stringify(state)
+    if (stateText === this._stateText) return
+    this._state = state
+    this._stateText = stateText
+    this._stateRevision++
+  }
+
+  /** What the session lacks of the replicated state; marks it as sent. A follower that lost it asks again by its version. */
   private _updateFor (session: Session): FleetUpdate {
     const { routing } = this._parts.node.state
     const update: FleetUpdate = {}
@@ -147,19 +210,21 @@
       update.routing = routing.routing
       session.sentRoutingVersion = routing.version
     }
-    const state = { weights: routing.namedWeights(), storeGroup: routing.storeGroup, retirements: routing.retirements() }
-    const stateText = JSON.stringify(state)
-    if (stateText !== session.sentState) {
-      Object.assign(update, state)
-      session.sentState = stateText
-    }
-    if (session.sentHostsRevision !== this._hostsRevision) {
-      update.hosts = this.hosts()
-      session.sentHostsRevision = this._hostsRevision
+    if (session.sentStateRevision !== this._stateRevision) {
+      Object.assign(update, this._state)
+      session.sentStateRevision = this._stateRevision
     }
     return update
   }
 
+  private _controlAddressesFor (session: Session): string[] | undefined {
+    const addresses = this._parts.node.replica.core.members.map(member => member.peerAddress)
+    const text = addresses.join(' ')
+    if (text === session.sentControlAddresses) return undefined
+    session.sentControlAddresses = text
+    return addresses
+  }
+
   private async _callAll (update: FleetUpdate, scope: Scope): Promise<void> {
     const { clock } = this._parts
     const progress = new Progress(clock, scope, clock.nowMs() + CONFIRM_TIMEOUT_MS)
--- a/src/entry/operators/operatorRoutes.ts
+++ b/src/entry/operators/operatorRoutes.ts
@@ -6,6 +6,7 @@
 import type { Answers } from '../http/answers.js'
 import type { RequestJournal } from '../http/requestJournal.js'
 import type { Exchange, Route } from '../http/route.js'
+import { decodePathSegment } from '../../utils/urlPath.js'
 
 const DRAIN_SUFFIX = '/drain'
 
@@ -39,16 +40,18 @@
 }
 
 function explain ({ answers, journal, explainScheduling }: OperatorRoutesParts, exchange: Exchange): void {
-  const id = decodeURIComponent(exchange.path.slice(operatorPaths.explain.length))
-  const entry = journal.find(id)
-  if (!entry) return answers.json(exchange, 404, { message: `this host remembers no request or attempt ${id}` })
+  const id = decodePathSegment(exchange.path.slice(operatorPaths.explain.length))
+  const entry = id === undefined ? undefined : journal.find(id)
+  if (!entry) return answers.json(exchange, 404, { message: `this host remembers no request or attempt ${id ?? 'that cannot be read'}` })
   answers.json(exchange, 200, { ...entry, scheduling: explainScheduling(entry.requestId) })
 }
 
 function drainEndpoint ({ answers, drainEndpoint }: OperatorRoutesParts, exchange: Exchange): void {
   const rest = exchange.path.slice(operatorPaths.endpoints.length)
   if (!rest.endsWith(DRAIN_SUFFIX)) return answers.json(exchange, 404, { message: `nothing is served at ${exchange.path}` })
-  const endpointId = decodeURIComponent(rest.slice(0, -DRAIN_SUFFIX.length))
-  if (!drainEndpoint(endpointId)) return answers.json(exchange, 404, { message: `no endpoint ${endpointId} holds a lease` })
+  const endpointId = decodePathSegment(rest.slice(0, -DRAIN_SUFFIX.length))
+  if (endpointId === undefined || !drainEndpoint(endpointId)) {
+    return answers.json(exchange, 404, { message: `no endpoint ${endpointId ?? 'that cannot be read'} holds a lease` })
+  }
   answers.json(exchange, 202, { endpointId, draining: true })
 }
--- a/src/entry/rollouts/trainerRoutes.ts
+++ b/src/entry/rollouts/trainerRoutes.ts
@@ -15,6 +15,7 @@
 import type { PullServer } from './pullServer.js'
 import { RolloutEvent } from './rolloutEvents.js'
 import type { RolloutParts } from './rolloutParts.js'
+import { decodePathSegment } from '../../utils/urlPath.js'
 
 const MAX_BODY_BYTES = 64 * 1024
 const CALL_TIMEOUT_MS = 10_000
@@ -79,10 +80,12 @@
   private async _answer (exchange: Exchange): Promise<Answer> {
     const [job = '', callName = ''] = exchange.path.slice(callerPaths.trainers.length).split('/')
     const call = Object.hasOwn(this._calls, callName) ? this._calls[callName] : undefined
+    const jobName = decodePathSegment(job)
     if (!call) return refuse(RefusalReason.MalformedRequest, `no call ${callName}`)
+    if (jobName === undefined) return refuse(RefusalReason.MalformedRequest, `the name of the job cannot be read: ${job}`)
     const body = await readJson(exchange.request)
     if (body.kind === 'malformed') return refuse(RefusalReason.MalformedRequest, body.message)
-    return await call(decodeURIComponent(job), body.value, exchange)
+    return await call(jobName, body.value, exchange)
   }
 
   private async _openSession (job: string, body: unknown, exchange: Exchange): Promise<Answer> {
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -54,6 +54,8 @@
   scope: Scope
   /** When it last was in a list of members, or answered. */
   namedAtMs: number
+  /** The control hosts that it told of last. */
+  namedAddresses: string[]
 }
 
 export class FleetFollower {
@@ -95,7 +97,7 @@
   private _begin (address: string): void {
     const { supervisor, clock } = this._parts
     const scope = supervisor.spawn(`control host ${address}`, taskScope => this._run(address, taskScope))
-    this._followed.set(address, { scope, namedAtMs: clock.nowMs() })
+    this._followed.set(address, { scope, namedAtMs: clock.nowMs(), namedAddresses: [] })
   }
 
   private async _run (address: string, scope: Scope): Promise<void> {
@@ -116,9 +118,14 @@
   private async _followOver (peer: RpcPeer, address: string, scope: Scope): Promise<void> {
     const { clock } = this._parts
     let unansweredCount = 0
+    /** How this host was described in the last call that was answered. */
+    let told = ''
     while (!peer.connection.scope.isClosed && unansweredCount < MAX_UNANSWERED_COUNT) {
       const calledAtMs = clock.nowMs()
-      const isAnswered = await this._callOnce(peer, address, scope)
+      const host = this._parts.describe()
+      const description = JSON.stringify(host)
+      const isAnswered = await this._callOnce(peer, address, scope, description === told ? undefined : host)
+      if (isAnswered) told = description
       unansweredCount = isAnswered ? 0 : unansweredCount + 1
       if (isAnswered) await this._describe.wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
     }
@@ -130,9 +137,9 @@
     return waitsForQuorum ? UNCONFIRMED_INTERVAL_MS : FOLLOW_INTERVAL_MS
   }
 
-  private async _callOnce (peer: RpcPeer, address: string, scope: Scope): Promise<boolean> {
+  private async _callOnce (peer: RpcPeer, address: string, scope: Scope, host: FleetHost | undefined): Promise<boolean> {
     const { clock, view } = this._parts
-    const request = { host: this._parts.describe(), routingVersion: view.routing?.version }
+    const request = { host, routingVersion: view.routing?.version }
     const progress = new Progress(clock, scope, clock.nowMs() + FOLLOW_TIMEOUT_MS)
     const outcome = await peer.call(followMethod, request, progress)
     if (outcome.kind !== 'replied') return false
@@ -141,9 +148,9 @@
   }
 
   private _onReply (address: string, reply: FollowReply): void {
-    this.follow(reply.controlAddresses)
     const followed = this._followed.get(address)
-    if (followed && reply.controlAddresses.includes(address)) followed.namedAtMs = this._parts.clock.nowMs()
+    if (followed && reply.controlAddresses) followed.namedAddresses = reply.controlAddresses
+    this.follow(followed?.namedAddresses ?? [])
     this._merge(address, reply.update, reply.isRoutingConfirmed)
     this._forgetOldAddresses()
   }
--- a/src/fleet/fleetView.ts
+++ b/src/fleet/fleetView.ts
@@ -10,8 +10,8 @@
 import { Signal } from '../utils/signal.js'
 import { FleetEvent } from './fleetEvents.js'
 
-/** Endpoints that left are remembered, so that an outdated control host does not bring them back. */
-const MAX_REMEMBERED_GONE_COUNT = 4_096
+/** Endpoints that left, and their newest starts, are remembered, so that an outdated control host does not bring them back. */
+const MAX_REMEMBERED_COUNT = 4_096
 
 export class FleetView {
   /** Notified after anything changed. */
@@ -21,7 +21,12 @@
   private readonly _logger: Logger
   private readonly _endpoints = new Map<string, FleetEndpoint>()
   private readonly _goneIds = new Set<string>()
-  private readonly _hosts = new Map<string, FleetHost[]>()
+  /** The newest start that was heard of, by the endpoint's name. */
+  private readonly _newestStarts = new Map<string, FleetEndpoint>()
+  /** By the address of the control host that told of them, and by their id. */
+  private readonly _hosts = new Map<string, Map<string, FleetHost>>()
+  /** All of them, made anew after a change when it is asked for. */
+  private _merged: FleetHost[] | undefined
   private readonly _weights = new Map<string, number>()
   private readonly _retirements = new Map<string, Retirement>()
   private readonly _listeners = new Set<() => void>()
@@ -48,13 +53,8 @@
 
   /** Hosts that any control host hears of. */
   hosts (role: HostRole): FleetHost[] {
-    const known = new Map<string, FleetHost>()
-    for (const host of [...this._hosts.values()].flat()) {
-      if (host.role !== role) continue
-      const other = known.get(host.hostId)
-      if (!other || termOf(host) >= termOf(other)) known.set(host.hostId, host)
-    }
-    return [...known.values()]
+    this._merged ??= mergeHosts(this._hosts.values())
+    return this._merged.filter(host => host.role === role)
   }
 
   /** The leader of the batch store, by the latest term that was told. */
@@ -78,7 +78,7 @@
   /** Takes over what a control host told. */
   merge (controlAddress: string, update: FleetUpdate): void {
     if (update.routing) this.replaceRouting(update.routing)
-    if (update.hosts) this._replaceHosts(controlAddress, update.hosts)
+    this._learnHosts(controlAddress, update)
     this.storeGroup ??= update.storeGroup
     for (const { model, version } of update.weights ?? []) this._nameWeights(model, version)
     for (const retirement of update.retirements ?? []) this._retire(retirement)
@@ -90,6 +90,7 @@
   /** The control host is out of reach: what it said of hosts counts no more. */
   forgetHostsOf (controlAddress: string): void {
     if (!this._hosts.delete(controlAddress)) return
+    this._merged = undefined
     this._noteStoreLeader()
     this._notify()
   }
@@ -112,8 +113,13 @@
     this.changed.notify()
   }
 
-  private _replaceHosts (controlAddress: string, hosts: FleetHost[]): void {
-    this._hosts.set(controlAddress, hosts)
+  private _learnHosts (controlAddress: string, { hosts, changedHosts = [], lostHostIds = [] }: FleetUpdate): void {
+    if (!hosts && changedHosts.length === 0 && lostHostIds.length === 0) return
+    const known = hosts ? new Map<string, FleetHost>() : this._hosts.get(controlAddress) ?? new Map<string, FleetHost>()
+    for (const host of [...hosts ?? [], ...changedHosts]) known.set(host.hostId, host)
+    for (const hostId of lostHostIds) known.delete(hostId)
+    this._hosts.set(controlAddress, known)
+    this._merged = undefined
     this._noteStoreLeader()
   }
 
@@ -138,7 +144,7 @@
 
   private _learn (told: FleetEndpoint): void {
     const { endpointId } = told
-    if (this._goneIds.has(endpointId)) return
+    if (this._goneIds.has(endpointId) || !this._isNewestStart(told)) return
     const known = this._endpoints.get(endpointId)
     const lifecycle = Math.max(known?.lifecycle ?? EndpointLifecycle.Ready, told.lifecycle)
     const newest = known && known.sequence > told.sequence ? known : told
@@ -148,6 +154,17 @@
     this._logLearned(known, endpoint)
   }
 
+  /** A newer start ends the earlier one: whatever is told of that later comes late. */
+  private _isNewestStart (told: FleetEndpoint): boolean {
+    const newest = this._newestStarts.get(told.name)
+    if (newest && told.bornAtMs < newest.bornAtMs) return false
+    if (newest && newest.endpointId !== told.endpointId) this._forgetGone(newest.endpointId)
+    this._newestStarts.delete(told.name)
+    this._newestStarts.set(told.name, told)
+    dropOldest(this._newestStarts)
+    return true
+  }
+
   private _logLearned (known: FleetEndpoint | undefined, endpoint: FleetEndpoint): void {
     const { endpointId, service, address, sequence, lifecycle } = endpoint
     const event = lifecycle === EndpointLifecycle.Ready ? FleetEvent.EndpointKnown : FleetEvent.EndpointLeft
@@ -158,9 +175,7 @@
   private _forgetGone (endpointId: string): void {
     this._endpoints.delete(endpointId)
     this._goneIds.add(endpointId)
-    if (this._goneIds.size <= MAX_REMEMBERED_GONE_COUNT) return
-    const [oldest] = this._goneIds
-    if (oldest !== undefined) this._goneIds.delete(oldest)
+    dropOldest(this._goneIds)
   }
 
   /** Another control host may have heard of it since. */
@@ -172,6 +187,24 @@
   }
 }
 
+/** Of a host that several control hosts tell of, what is of the latest term. */
+function mergeHosts (told: Iterable<Map<string, FleetHost>>): FleetHost[] {
+  const merged = new Map<string, FleetHost>()
+  for (const hosts of told) {
+    for (const host of hosts.values()) {
+      const other = merged.get(host.hostId)
+      if (!other || termOf(host) >= termOf(other)) merged.set(host.hostId, host)
+    }
+  }
+  return [...merged.values()]
+}
+
 function termOf (host: FleetHost): number {
   return host.store?.term ?? 0
 }
+
+function dropOldest (remembered: Set<string> | Map<string, unknown>): void {
+  if (remembered.size <= MAX_REMEMBERED_COUNT) return
+  const [oldest] = remembered.keys()
+  if (oldest !== undefined) remembered.delete(oldest)
+}
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -5,11 +5,23 @@
  */
 import type { Scope } from '../utils/scope.js'
 
+/** A message for many connections, which is encoded once. */
+export class SharedMessage {
+  readonly message: unknown
+  /** Kept by the transport. */
+  encoded: Buffer | undefined
+
+  constructor (message: unknown) {
+    this.message = message
+  }
+}
+
 export interface Connection {
   /** Closes with the connection; awaits for the other side race against it. */
   readonly scope: Scope
   /** Queues a message; the connection closes if the other side does not keep up. */
   send (message: unknown): void
+  sendShared (shared: SharedMessage): void
   onMessage (listener: (message: unknown) => void): void
   close (reason: string): void
 }
--- a/src/transport/memoryTransport.ts
+++ b/src/transport/memoryTransport.ts
@@ -5,7 +5,7 @@
 import { decode, encode } from 'cbor-x'
 import type { Clock } from '../utils/clock.js'
 import type { Scope } from '../utils/scope.js'
-import type { Connection, ConnectOutcome, Listener, Transport } from './connection.js'
+import type { Connection, ConnectOutcome, Listener, SharedMessage, Transport } from './connection.js'
 
 /** What happens to one message; undefined loses it. */
 export type DelayMs = (from: string, to: string) => number | undefined
@@ -120,6 +120,10 @@
     this.scope.onClose(() => this._deliver(this._from, this._to, () => other.scope.close('closed by the other side')))
   }
 
+  sendShared ({ message }: SharedMessage): void {
+    this.send(message)
+  }
+
   send (message: unknown): void {
     if (this.scope.isClosed) return
     const copy: unknown = decode(encode(message))
--- a/src/transport/rpcPeer.ts
+++ b/src/transport/rpcPeer.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod'
 import { ScopeClosedError } from '../utils/errors.js'
 import type { Progress } from '../utils/progress.js'
-import type { Connection } from './connection.js'
+import { SharedMessage, type Connection } from './connection.js'
 
 enum FrameKind {
   Call = 0,
@@ -101,6 +101,12 @@
     this.connection.send({ kind: FrameKind.Notice, method: method.name, body })
   }
 
+  /** The same one-way message to many; it is encoded once. */
+  static notifyAll<Request> (peers: Iterable<RpcPeer>, method: RpcMethod<Request, unknown>, body: Request): void {
+    const shared = new SharedMessage({ kind: FrameKind.Notice, method: method.name, body })
+    for (const { connection } of peers) connection.sendShared(shared)
+  }
+
   private _checkReply<Reply> (method: RpcMethod<unknown, Reply> | RpcMethod<never, Reply>, outcome: CallOutcome<unknown>): CallOutcome<Reply> {
     if (outcome.kind !== 'replied') return outcome
     const parsed = method.reply.safeParse(outcome.body)
--- a/src/transport/tcpTransport.ts
+++ b/src/transport/tcpTransport.ts
@@ -6,7 +6,7 @@
 import { Decoder, Encoder } from 'cbor-x'
 import { Scope } from '../utils/scope.js'
 import { parseAddress } from '../utils/settings.js'
-import type { Connection, ConnectOutcome, Listener, Transport } from './connection.js'
+import type { Connection, ConnectOutcome, Listener, SharedMessage, Transport } from './connection.js'
 
 const LENGTH_BYTES = 4
 const MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -87,11 +87,24 @@
   }
 
   send (message: unknown): void {
+    if (!this.scope.isClosed) this._write(this._frame(message))
+  }
+
+  sendShared (shared: SharedMessage): void {
     if (this.scope.isClosed) return
+    shared.encoded ??= this._frame(shared.message)
+    this._write(shared.encoded)
+  }
+
+  private _frame (message: unknown): Buffer {
     const body = this._encoder.encode(message)
     const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
     frame.writeUInt32BE(body.length, 0)
     body.copy(frame, LENGTH_BYTES)
+    return frame
+  }
+
+  private _write (frame: Buffer): void {
     this._counts.sentBytes += frame.length
     this._counts.sentMessages++
     this._socket.write(frame)
--- a/tests/fleet/endpointDirectory.test.ts
+++ b/tests/fleet/endpointDirectory.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
 import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
+import { EndpointNews } from '../../src/control/fleet/endpointNews.js'
 import { EndpointLifecycle } from '../../src/protocol/fleet.js'
-import { endpoint } from '../fixtures/fleet/fleetFixtures.js'
+import { endpoint, incarnation } from '../fixtures/fleet/fleetFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
 const HEARTBEAT_MS = 1_000
@@ -53,3 +54,36 @@
   t.deepEqual(known.expire().map(({ sequence }) => sequence), [2])
   t.deepEqual(known.all(), [])
 })
+
+test('should take an endpoint that came back under its name for a new one, whose counts begin anew', t => {
+  const { known } = directory()
+  known.heartbeat(incarnation('e1', 1_000, { sequence: 40 }))
+  const outcome = known.heartbeat(incarnation('e1', 2_000, { sequence: 1 }))
+  t.like(outcome, { kind: 'changed', news: EndpointNews.Endpoint, endpoint: { endpointId: 'e1@2000', sequence: 1 } })
+  t.is(outcome.kind === 'changed' ? outcome.replaced?.endpointId : undefined, 'e1@1000')
+  t.deepEqual(known.all().map(({ endpointId }) => endpointId), ['e1@2000'])
+})
+
+test('should take an endpoint back at once that started again after it had left', t => {
+  const { known } = directory()
+  known.heartbeat(incarnation('e1', 1_000, { sequence: 7 }))
+  known.leave('e1')
+  t.is(known.heartbeat(incarnation('e1', 1_000, { sequence: 8 })).kind, 'outdated')
+  t.is(known.heartbeat(incarnation('e1', 2_000, { sequence: 1 })).kind, 'changed')
+})
+
+test('should let a late heartbeat or leave of an earlier start change nothing', t => {
+  const { known } = directory()
+  known.heartbeat(incarnation('e1', 2_000, { sequence: 3 }))
+  t.is(known.heartbeat(incarnation('e1', 1_000, { sequence: 90, lifecycle: EndpointLifecycle.Leaving })).kind, 'outdated')
+  t.is(known.leave('e1', 1_000), undefined)
+  t.like(known.all()[0], { endpointId: 'e1@2000', lifecycle: EndpointLifecycle.Ready })
+})
+
+test('should forget soon that an endpoint left which was never heard of, as it may have started again', async t => {
+  const { clock, known } = directory()
+  known.leave('e1')
+  t.is(known.heartbeat(incarnation('e1', 1_000, { sequence: 9 })).kind, 'outdated')
+  await clock.advance(10_000)
+  t.is(known.heartbeat(incarnation('e1', 2_000, { sequence: 9 })).kind, 'changed')
+})
--- a/tests/fleet/fleetView.test.ts
+++ b/tests/fleet/fleetView.test.ts
@@ -2,7 +2,7 @@
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { EndpointLifecycle, HostRole, type FleetHost } from '../../src/protocol/fleet.js'
 import { silentLogger } from '../../src/utils/logger.js'
-import { endpoint, routing } from '../fixtures/fleet/fleetFixtures.js'
+import { endpoint, incarnation, routing } from '../fixtures/fleet/fleetFixtures.js'
 
 function ids (view: FleetView): string[] {
   return view.ready().map(({ endpointId }) => endpointId)
@@ -15,7 +15,7 @@
     dataCentre: 'north',
     role: HostRole.Store,
     isServing: true,
-    store: { replicaId: `replica of ${hostId}`, peerAddress: `${hostId}:1`, clusterId: 'c', term, isLeader, voterIds: [] }
+    store: { replicaId: `replica of ${hostId}`, peerAddress: `${hostId}:1`, clusterId: 'c', term, isLeader, memberIds: [] }
   }
 }
 
@@ -62,3 +62,20 @@
   t.is(view.namedVersion('m'), 6)
   t.is(view.namedVersion('other'), 1)
 })
+
+test('should replace an endpoint by the same one started again, and never go back to the earlier start', t => {
+  const view = new FleetView(silentLogger)
+  view.merge('control-1', { endpoints: [incarnation('e1', 1_000, { sequence: 50 })] })
+  view.merge('control-2', { endpoints: [incarnation('e1', 2_000, { sequence: 1 })] })
+  t.deepEqual(ids(view), ['e1@2000'])
+  view.merge('control-1', { endpoints: [incarnation('e1', 1_000, { sequence: 51 })] })
+  t.deepEqual(ids(view), ['e1@2000'])
+  t.is(view.endpoint('e1@1000'), undefined)
+})
+
+test('should take an endpoint that started again after it was told to have left', t => {
+  const view = new FleetView(silentLogger)
+  view.merge('control-1', { endpoints: [incarnation('e1', 1_000, { lifecycle: EndpointLifecycle.Gone })] })
+  view.merge('control-1', { endpoints: [incarnation('e1', 2_000)] })
+  t.deepEqual(ids(view), ['e1@2000'])
+})
--- /dev/null
+++ b/tests/fleet/followerSessions.test.ts
@@ -0,0 +1,182 @@
+import test from 'ava'
+import type { ControlNode } from '../../src/control/controlNode.js'
+import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
+import { EndpointNews } from '../../src/control/fleet/endpointNews.js'
+import { FollowerSessions } from '../../src/control/fleet/followerSessions.js'
+import { FleetFollower } from '../../src/fleet/fleetFollower.js'
+import { FleetView } from '../../src/fleet/fleetView.js'
+import { EndpointLifecycle, HostRole } from '../../src/protocol/fleet.js'
+import { followMethod } from '../../src/transport/fleetMethods.js'
+import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
+import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
+import { silentLogger } from '../../src/utils/logger.js'
+import { Progress } from '../../src/utils/progress.js'
+import { Scope } from '../../src/utils/scope.js'
+import { Signal } from '../../src/utils/signal.js'
+import { Supervisor } from '../../src/utils/supervisor.js'
+import { engine, incarnation, routing } from '../fixtures/fleet/fleetFixtures.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+const CONTROL = '10.0.1.1:1'
+const HEARTBEAT_MS = 1_200
+const SETTLE_MS = 3_000
+const LINK_DELAY_MS = 1
+
+/** One control host and any followers, over a network in memory that counts messages. */
+class World {
+  readonly clock = new VirtualClock()
+  readonly directory = new EndpointDirectory(this.clock, HEARTBEAT_MS)
+  readonly network = new MemoryNetwork(this.clock, () => this._count())
+  readonly scope = new Scope('world')
+  readonly views = new Map<string, FleetView>()
+  readonly supervisors = new Map<string, Supervisor>()
+  messagesCount = 0
+  readonly sessions: FollowerSessions
+  private _namedVersion = 1
+
+  constructor () {
+    const state = {
+      routing: {
+        routing: routing(3),
+        version: 3,
+        storeGroup: undefined,
+        namedWeights: () => [{ model: 'm', version: this._namedVersion }],
+        retirements: () => []
+      }
+    }
+    const replica = { applied: new Signal(), core: { members: [{ peerAddress: CONTROL }] } }
+    this.sessions = new FollowerSessions({
+      node: { state, replica } as unknown as ControlNode,
+      directory: this.directory,
+      clock: this.clock,
+      logger: silentLogger,
+      confirm: async () => true
+    })
+  }
+
+  async start (): Promise<void> {
+    await this.network.host('10.0.1.1').listen(CONTROL, this.scope, connection => {
+      const handlers = new RpcHandlers()
+      const peer = new RpcPeer(connection, handlers, error => { throw error })
+      handlers.on(followMethod, (request, remainingMs) => this.sessions.follow(peer, request, new Progress(this.clock, this.scope, this.clock.nowMs() + remainingMs)))
+      this.sessions.watch(peer)
+    })
+    const supervisor = new Supervisor(this.scope, (_task, error) => { throw error })
+    supervisor.spawn('review', scope => this.sessions.review(scope))
+  }
+
+  follow (number: number, role: HostRole): FleetView {
+    const hostId = `10.0.0.${number}`
+    const view = new FleetView(silentLogger)
+    const supervisor = new Supervisor(this.scope.child(hostId), (_task, error) => { throw error })
+    const store = role === HostRole.Store ? { replicaId: hostId, peerAddress: `${hostId}:2`, clusterId: 'c', term: 1, isLeader: false, memberIds: [] } : undefined
+    new FleetFollower({
+      clock: this.clock,
+      transport: this.network.host(hostId),
+      logger: silentLogger,
+      supervisor,
+      view,
+      seedAddresses: [CONTROL],
+      describe: () => ({ hostId, hostName: hostId, dataCentre: 'north', role, isServing: true, store }),
+      onFatal: error => { throw error }
+    }).start()
+    this.views.set(hostId, view)
+    this.supervisors.set(hostId, supervisor)
+    return view
+  }
+
+  private _count (): number {
+    this.messagesCount++
+    return LINK_DELAY_MS
+  }
+
+  name (version: number): void {
+    this._namedVersion = version
+  }
+}
+
+function hostsKnown (view: FleetView): number {
+  return view.hosts(HostRole.Entry).length + view.hosts(HostRole.Store).length
+}
+
+test('should let all hosts know each other after a start of all at one moment, with few messages for each', async t => {
+  const world = new World()
+  await world.start()
+  const hostsCount = 60
+  for (let number = 1; number <= hostsCount; number++) world.follow(number, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  for (const view of world.views.values()) t.is(hostsKnown(view), hostsCount)
+  // Two calls a second and their replies, the whole list once, and pushes that take many changes together.
+  t.true(world.messagesCount < hostsCount * 25, `${world.messagesCount} messages`)
+})
+
+test('should let a store host know of store hosts only', async t => {
+  const world = new World()
+  await world.start()
+  const store = world.follow(1, HostRole.Store)
+  const entry = world.follow(2, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  t.is(hostsKnown(store), 1)
+  t.is(hostsKnown(entry), 2)
+})
+
+test('should tell of a host that falls silent, and of one that comes back', async t => {
+  const world = new World()
+  await world.start()
+  const view = world.follow(1, HostRole.Entry)
+  world.follow(2, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  world.network.cut('10.0.0.2', '10.0.1.1')
+  await world.clock.advance(SETTLE_MS)
+  t.is(hostsKnown(view), 1)
+  world.network.heal()
+  await world.clock.advance(SETTLE_MS)
+  t.is(hostsKnown(view), 2)
+  t.is(hostsKnown(world.views.get('10.0.0.2')!), 2)
+})
+
+test('should push nothing while nothing changes, and a change once to each', async t => {
+  const world = new World()
+  await world.start()
+  for (let number = 1; number <= 10; number++) world.follow(number, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  const idleFrom = world.messagesCount
+  await world.clock.advance(SETTLE_MS)
+  const idleCount = world.messagesCount - idleFrom
+  t.true(idleCount <= 10 * 2 * 7, `${idleCount} messages: calls and replies alone`)
+  world.name(2)
+  await world.clock.advance(SETTLE_MS)
+  t.true(world.messagesCount - idleFrom - 2 * idleCount <= 10 + 4, 'one push each')
+  for (const view of world.views.values()) t.is(view.namedVersion('m'), 2)
+})
+
+test('should tell of new weights of an engine only where they decide something', async t => {
+  const world = new World()
+  await world.start()
+  const store = world.follow(1, HostRole.Store)
+  const entry = world.follow(2, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  await world.sessions.announce(engine('e1', 4), EndpointNews.Endpoint, world.scope)
+  await world.sessions.announce(engine('e1', 5, { sequence: 2 }), EndpointNews.Weights, world.scope)
+  await world.clock.advance(10)
+  t.is(store.endpoint('e1')?.weights[0]?.version, 5)
+  t.is(entry.endpoint('e1')?.weights[0]?.version, 4)
+})
+
+test('should not bring an earlier start of an endpoint back on any host, when its last heartbeat comes late', async t => {
+  const world = new World()
+  await world.start()
+  const view = world.follow(1, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  const announce = async (endpoint: ReturnType<typeof incarnation>): Promise<void> => {
+    const outcome = world.directory.heartbeat(endpoint)
+    if (outcome.kind !== 'changed') return
+    if (outcome.replaced) await world.sessions.announce(outcome.replaced, EndpointNews.Endpoint, world.scope)
+    await world.sessions.announce(outcome.endpoint, outcome.news, world.scope)
+  }
+  await announce(incarnation('e1', 1_000, { sequence: 20 }))
+  await announce(incarnation('e1', 2_000, { sequence: 1 }))
+  await announce(incarnation('e1', 1_000, { sequence: 21, lifecycle: EndpointLifecycle.Leaving }))
+  await world.clock.advance(10)
+  t.deepEqual(view.ready().map(({ endpointId }) => endpointId), ['e1@2000'])
+})
--- /dev/null
+++ b/tests/platform/controlServer.test.ts
@@ -0,0 +1,121 @@
+import test, { type ExecutionContext } from 'ava'
+import { request } from 'undici'
+import { ControlServer } from '../../platform/controlServer.js'
+import { ControlEvent } from '../../src/control/controlEvents.js'
+import type { ControlProgram } from '../../src/control/controlProgram.js'
+import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
+import { EndpointLifecycle, type FleetEndpoint } from '../../src/protocol/fleet.js'
+import { systemClock } from '../../src/utils/clock.js'
+import type { LogFields, Logger } from '../../src/utils/logger.js'
+import { seededRandom } from '../../src/utils/randomSource.js'
+import { Scope } from '../../src/utils/scope.js'
+import { freePort, loopbackHost } from '../fixtures/loopback.js'
+
+const HEARTBEAT_MS = 1_000
+const heartbeat = { service: 'engines', address: '10.128.0.9:8080', zone: 'north', version: 'v1', slots: 12, state: 'ready', 'cold-left-ms': 0, models: [{ name: 'm1', version: 4 }], seq: 4, born: 1_700_000_000_000 }
+
+interface Served {
+  directory: EndpointDirectory
+  told: FleetEndpoint[]
+  events: Array<{ number: number, fields: LogFields }>
+  send: (path: string, body?: string | Buffer) => Promise<number>
+  announce: (name: string, body: unknown) => Promise<number>
+}
+
+/** A control host that leads, as endpoints see it. */
+async function serve (t: ExecutionContext): Promise<Served> {
+  const scope = new Scope('test')
+  t.teardown(() => scope.close('test over'))
+  const events: Served['events'] = []
+  const logger: Logger = { event: (number, fields = {}) => events.push({ number, fields }), child: () => logger }
+  const directory = new EndpointDirectory(systemClock, HEARTBEAT_MS)
+  const told: FleetEndpoint[] = []
+  const followers = { announce: async (endpoint: FleetEndpoint) => { told.push(endpoint) } }
+  const program = { directory, followers, node: { isLeader: true } } as unknown as ControlProgram
+  const address = `${loopbackHost()}:${await freePort()}`
+  const server = new ControlServer({ address, scope, clock: systemClock, logger, program, toleratedLosses: 1, onFatal: error => { throw error } })
+  await server.listen()
+  const send = async (path: string, body: string | Buffer = ''): Promise<number> => {
+    const answer = await request(`http://${address}${path}`, { method: 'POST', body })
+    await answer.body.dump()
+    return answer.statusCode
+  }
+  const announce = async (name: string, body: unknown): Promise<number> => await send(`/v1/instances/${name}/heartbeat`, JSON.stringify(body))
+  return { directory, told, events, send, announce }
+}
+
+function idsOf ({ directory }: Served): string[] {
+  return directory.all().map(({ endpointId }) => endpointId)
+}
+
+test('should tell of an endpoint that came back under its name, and that its earlier start is gone', async t => {
+  const served = await serve(t)
+  await served.announce('i-1', heartbeat)
+  t.is(await served.announce('i-1', { ...heartbeat, born: heartbeat.born + 5_000, seq: 1 }), 200)
+  t.deepEqual(served.told.map(({ bornAtMs, lifecycle }) => [bornAtMs, lifecycle]), [
+    [heartbeat.born, EndpointLifecycle.Ready],
+    [heartbeat.born, EndpointLifecycle.Gone],
+    [heartbeat.born + 5_000, EndpointLifecycle.Ready]
+  ])
+})
+
+test('should leave the endpoint that serves now when an earlier start of it takes its leave late', async t => {
+  const served = await serve(t)
+  await served.announce('i-1', heartbeat)
+  t.is(await served.send('/v1/instances/i-1/deregister', JSON.stringify({ born: heartbeat.born - 1 })), 200)
+  t.is(served.directory.all()[0]?.lifecycle, EndpointLifecycle.Ready)
+  t.is(await served.send('/v1/instances/i-1/deregister'), 200)
+  t.is(served.directory.all()[0]?.lifecycle, EndpointLifecycle.Gone)
+})
+
+const malformed: Array<[string, Record<string, unknown>]> = [
+  ['a start that is no whole number', { born: 1.5 }],
+  ['a start that is a text', { born: '1700000000000' }],
+  ['an unknown state', { state: 'asleep' }],
+  ['no service', { service: undefined }],
+  ['slots that are a text', { slots: '12' }],
+  ['models that are no list', { models: 'm1' }],
+  ['an address without a port', { address: '10.128.0.9' }]
+]
+
+for (const [what, fields] of malformed) {
+  test(`should take no endpoint from an announcement with ${what}, say why, and keep the others`, async t => {
+    const served = await serve(t)
+    await served.announce('i-1', heartbeat)
+    t.is(await served.announce('i-2', { ...heartbeat, ...fields }), 400)
+    t.deepEqual(idsOf(served), [`i-1@${heartbeat.born}`])
+    const [refused] = served.events.filter(({ number }) => number === ControlEvent.AnnouncementRefused)
+    t.is(refused?.fields.endpoint, 'i-2')
+    t.regex(String(refused?.fields.reason), new RegExp(Object.keys(fields)[0] ?? ''))
+  })
+}
+
+test('should go on after bytes that cannot be read, in the body and in the path', async t => {
+  const served = await serve(t)
+  t.is(await served.send('/v1/instances/i-1/heartbeat', Buffer.from([0xff, 0xfe, 0x00])), 400)
+  t.is(await served.send('/v1/instances/%E0%A4%A/heartbeat', JSON.stringify(heartbeat)), 400)
+  t.is(await served.send('/v1/retire/%/begin'), 400)
+  t.is(await served.announce('i-1', heartbeat), 200)
+  t.deepEqual(idsOf(served), [`i-1@${heartbeat.born}`])
+})
+
+test('should say why it refuses announcements once, and not again with each', async t => {
+  const served = await serve(t)
+  for (let round = 0; round < 20; round++) await served.announce('i-2', { ...heartbeat, state: 'asleep' })
+  t.is(served.events.filter(({ number }) => number === ControlEvent.AnnouncementRefused).length, 1)
+})
+
+test('should hold what is known whatever is announced by another writer', async t => {
+  const served = await serve(t)
+  await served.announce('i-1', heartbeat)
+  const random = seededRandom(17)
+  const strange: unknown[] = [null, true, -1, 1.5, 1e300, '', 'x', [], {}, [null], { name: 1 }]
+  const keys = Object.keys(heartbeat)
+  for (let round = 0; round < 300; round++) {
+    const key = keys[random.int(0, keys.length - 1)] ?? ''
+    const body = { ...heartbeat, seq: 5 + round, [key]: strange[random.int(0, strange.length - 1)] }
+    const status = await served.announce(`x-${round}`, body)
+    t.true(status === 200 || status === 400, `${key}: ${status}`)
+  }
+  t.like(served.directory.all()[0], { name: 'i-1', sequence: heartbeat.seq, lifecycle: EndpointLifecycle.Ready })
+})
