Tell a follower again what stood in a reply that came too late

Cause: what a reply carries (endpoints, named weights, the control hosts) was marked as sent, also when the follower had given the call up after 600 ms. Change: a call that follows an unanswered one says again what the follower is, and is told all again. The test failed first (no endpoint known).

--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -68,19 +68,22 @@
     return this.hosts().filter(({ role }) => role === HostRole.Store)
   }
 
+  /** A call that says what the follower is comes first, or after one that was not answered in time: what stood in that reply is told again. */
   async follow (peer: RpcPeer, request: FollowRequest, progress: Progress): Promise<FollowReply> {
     const { clock } = this._parts
     const known = this._sessions.get(peer)
     const session = known ?? (request.host && this._open(peer, request.host))
     if (!session) return this._refuse(peer)
     if (request.host) this._describe(session, request.host)
+    const lacksAll = request.host !== undefined
+    if (lacksAll) forgetSent(session)
     session.heardAtMs = clock.nowMs()
     const needsConfirmation = request.routingVersion === undefined
     const isRoutingConfirmed = needsConfirmation && await this._parts.confirm(progress)
     session.sentRoutingVersion = Math.min(session.sentRoutingVersion, request.routingVersion ?? NO_ROUTING_VERSION)
-    if (!known) this._reviewState()
+    if (lacksAll) this._reviewState()
     const update = this._updateFor(session)
-    if (!known) update.endpoints = this._parts.directory.all()
+    if (lacksAll) update.endpoints = this._parts.directory.all()
     return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, update }
   }
 
@@ -237,3 +240,8 @@
     })
   }
 }
+
+function forgetSent (session: Session): void {
+  session.sentStateRevision = 0
+  session.sentControlAddresses = ''
+}
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -118,14 +118,14 @@
   private async _followOver (peer: RpcPeer, address: string, scope: Scope): Promise<void> {
     const { clock } = this._parts
     let unansweredCount = 0
-    /** How this host was described in the last call that was answered. */
+    /** How this host was described in the last call, if that was answered: the other side tells all again otherwise. */
     let told = ''
     while (!peer.connection.scope.isClosed && unansweredCount < MAX_UNANSWERED_COUNT) {
       const calledAtMs = clock.nowMs()
       const host = this._parts.describe()
       const description = JSON.stringify(host)
       const isAnswered = await this._callOnce(peer, address, scope, description === told ? undefined : host)
-      if (isAnswered) told = description
+      told = isAnswered ? description : ''
       unansweredCount = isAnswered ? 0 : unansweredCount + 1
       if (isAnswered) await this._describe.wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
     }
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -93,7 +93,7 @@
 export type FleetUpdate = z.infer<typeof fleetUpdateSchema>
 
 export const followRequestSchema = z.object({
-  /** The follower; left out when it has not changed since the last call that was answered on this connection. */
+  /** The follower; left out when the last call on this connection was answered and it has not changed since. */
   host: fleetHostSchema.optional(),
   /** Version of the routing configuration in force on the host; absent before the first one. */
   routingVersion: z.int().optional()
--- a/tests/fleet/followerSessions.test.ts
+++ b/tests/fleet/followerSessions.test.ts
@@ -10,6 +10,7 @@
 import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
 import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
 import { silentLogger } from '../../src/utils/logger.js'
+import { sleepUntil } from '../../src/utils/clock.js'
 import { Progress } from '../../src/utils/progress.js'
 import { Scope } from '../../src/utils/scope.js'
 import { Signal } from '../../src/utils/signal.js'
@@ -18,9 +19,15 @@
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
 const CONTROL = '10.0.1.1:1'
+/** A member that does not answer. */
+const OTHER_CONTROL = '10.0.1.2:1'
 const HEARTBEAT_MS = 1_200
 const SETTLE_MS = 3_000
 const LINK_DELAY_MS = 1
+/** A follower waits for 600 ms. */
+const LATE_REPLY_MS = 700
+/** Control hosts that nobody names any more are given up by then. */
+const FORGOTTEN_AFTER_MS = 40_000
 
 /** One control host and any followers, over a network in memory that counts messages. */
 class World {
@@ -29,8 +36,11 @@
   readonly network = new MemoryNetwork(this.clock, () => this._count())
   readonly scope = new Scope('world')
   readonly views = new Map<string, FleetView>()
+  readonly followers: FleetFollower[] = []
   readonly supervisors = new Map<string, Supervisor>()
   messagesCount = 0
+  /** How long confirmations take, one after the other; the later ones take no time. */
+  readonly confirmDelaysMs: number[] = []
   readonly sessions: FollowerSessions
   private _namedVersion = 1
 
@@ -44,13 +54,16 @@
         retirements: () => []
       }
     }
-    const replica = { applied: new Signal(), core: { members: [{ peerAddress: CONTROL }] } }
+    const replica = { applied: new Signal(), core: { members: [{ peerAddress: CONTROL }, { peerAddress: OTHER_CONTROL }] } }
     this.sessions = new FollowerSessions({
       node: { state, replica } as unknown as ControlNode,
       directory: this.directory,
       clock: this.clock,
       logger: silentLogger,
-      confirm: async () => true
+      confirm: async () => {
+        await sleepUntil(this.clock, this.scope, this.clock.nowMs() + (this.confirmDelaysMs.shift() ?? 0))
+        return true
+      }
     })
   }
 
@@ -70,7 +83,7 @@
     const view = new FleetView(silentLogger)
     const supervisor = new Supervisor(this.scope.child(hostId), (_task, error) => { throw error })
     const store = role === HostRole.Store ? { replicaId: hostId, peerAddress: `${hostId}:2`, clusterId: 'c', term: 1, isLeader: false, memberIds: [] } : undefined
-    new FleetFollower({
+    const follower = new FleetFollower({
       clock: this.clock,
       transport: this.network.host(hostId),
       logger: silentLogger,
@@ -79,7 +92,9 @@
       seedAddresses: [CONTROL],
       describe: () => ({ hostId, hostName: hostId, dataCentre: 'north', role, isServing: true, store }),
       onFatal: error => { throw error }
-    }).start()
+    })
+    follower.start()
+    this.followers.push(follower)
     this.views.set(hostId, view)
     this.supervisors.set(hostId, supervisor)
     return view
@@ -150,6 +165,21 @@
   for (const view of world.views.values()) t.is(view.namedVersion('m'), 2)
 })
 
+test('should tell again what stood in a reply that came too late', async t => {
+  const world = new World()
+  await world.start()
+  world.name(5)
+  world.directory.heartbeat(engine('e1', 4))
+  world.confirmDelaysMs.push(LATE_REPLY_MS)
+  const view = world.follow(1, HostRole.Entry)
+  await world.clock.advance(SETTLE_MS)
+  t.is(view.namedVersion('m'), 5)
+  t.is(view.ready().length, 1)
+  const follower = world.followers[0]
+  await world.clock.advance(FORGOTTEN_AFTER_MS)
+  t.deepEqual(follower?.addresses, [CONTROL, OTHER_CONTROL], 'both control hosts that the reply named')
+})
+
 test('should tell of new weights of an engine only where they decide something', async t => {
   const world = new World()
   await world.start()
