Remember the leave of a start that was not heard of, also while an earlier one is known

By reading: a leave that names a newer start marked the earlier one as gone and forgot which had left, so that a heartbeat that comes late brought it back as a new start.

--- a/src/control/fleet/endpointDirectory.ts
+++ b/src/control/fleet/endpointDirectory.ts
@@ -65,12 +65,13 @@
 
   /**
    * The endpoint takes its leave; undefined when this host never heard of it or
-   * knows already.
+   * knows already. The leave of a start that was not heard of ends the earlier one.
    * @param bornAtMs which of its starts, if it says; the newest that is known otherwise
    */
   leave (name: string, bornAtMs?: number): FleetEndpoint | undefined {
     const known = this._records.get(name)?.endpoint
-    if (!known) this._unheardLeavesMs.set(name, this._clock.nowMs())
+    const isUnheard = !known || (bornAtMs !== undefined && bornAtMs > known.bornAtMs)
+    if (isUnheard) this._unheardLeavesMs.set(name, this._clock.nowMs())
     if (!known || known.lifecycle === EndpointLifecycle.Gone) return undefined
     if (bornAtMs !== undefined && bornAtMs < known.bornAtMs) return undefined
     const endpoint = gone(known)
--- a/tests/fleet/endpointDirectory.test.ts
+++ b/tests/fleet/endpointDirectory.test.ts
@@ -87,3 +87,10 @@
   await clock.advance(10_000)
   t.is(known.heartbeat(incarnation('e1', 2_000, { sequence: 9 })).kind, 'changed')
 })
+
+test('should not bring a start back that took its leave before it was ever heard of, while an earlier one is known', t => {
+  const { known } = directory()
+  known.heartbeat(incarnation('e1', 1_000, { sequence: 5 }))
+  t.is(known.leave('e1', 2_000)?.endpointId, 'e1@1000')
+  t.is(known.heartbeat(incarnation('e1', 2_000, { sequence: 3 })).kind, 'outdated')
+})
