--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -24,6 +24,7 @@
 import { ControlNode } from './controlNode.js'
 import type { ControlSettings } from './controlSettings.js'
 import { ControlState } from './controlState.js'
+import { EndpointAnnouncements } from './fleet/endpointAnnouncements.js'
 import { EndpointDirectory } from './fleet/endpointDirectory.js'
 import { FollowerSessions } from './fleet/followerSessions.js'
 import { StoreFormation } from './fleet/storeFormation.js'
@@ -84,6 +85,7 @@
   readonly node: ControlNode
   readonly leaderCalls: LeaderCalls
   readonly directory: EndpointDirectory
+  readonly announcements: EndpointAnnouncements
   readonly followers: FollowerSessions
   readonly weightNaming: WeightNaming
   private readonly _sessions: ClientSessions
@@ -123,6 +125,8 @@
       logger: parts.logger,
       confirm: async progress => (await this.leaderCalls.read(progress)).kind === 'confirmed'
     })
+    const { node, directory, followers } = this
+    this.announcements = new EndpointAnnouncements({ node, directory, followers, clock: systemClock, logger: parts.logger })
     this.weightNaming = new WeightNaming({ leaderCalls: this.leaderCalls, followers: this.followers, links: replica.links })
   }
 
--- a/tests/platform/controlServer.test.ts
+++ b/tests/platform/controlServer.test.ts
@@ -2,7 +2,9 @@
 import { request } from 'undici'
 import { ControlServer } from '../../platform/controlServer.js'
 import { ControlEvent } from '../../src/control/controlEvents.js'
+import type { ControlNode } from '../../src/control/controlNode.js'
 import type { ControlProgram } from '../../src/control/controlProgram.js'
+import { EndpointAnnouncements } from '../../src/control/fleet/endpointAnnouncements.js'
 import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
 import { EndpointLifecycle, type FleetEndpoint } from '../../src/protocol/fleet.js'
 import { systemClock } from '../../src/utils/clock.js'
@@ -31,7 +33,9 @@
   const directory = new EndpointDirectory(systemClock, HEARTBEAT_MS)
   const told: FleetEndpoint[] = []
   const followers = { announce: async (endpoint: FleetEndpoint) => { told.push(endpoint) } }
-  const program = { directory, followers, node: { isLeader: true } } as unknown as ControlProgram
+  const node = { isLeader: true } as unknown as ControlNode
+  const announcements = new EndpointAnnouncements({ node, directory, followers, clock: systemClock, logger })
+  const program = { directory, announcements, node } as unknown as ControlProgram
   const address = `${loopbackHost()}:${await freePort()}`
   const server = new ControlServer({ address, scope, clock: systemClock, logger, program, toleratedLosses: 1, onFatal: error => { throw error } })
   await server.listen()
