Confirm the leave of an endpoint once a quorum has noted it, and tell it from every control host

Cause: a confirmed leave promises something for all hosts and rested on the memory of one. A control host that had never heard of the endpoint confirmed at once and told nobody; endpoints keep to one control host, so that is what each of them meets that is refused by a host which is cut off. Class: an answer for all, given by one.

The leave is an entry of the control hosts' log now (name, start, draining or gone); it is confirmed when it is committed, and every control host that applies it tells its followers: by push at once, and all that are kept to a connection that begins anew. What the log says goes before late heartbeats, also after a restart of all control hosts. A host without a leader cannot confirm.

--- a/bench/slopes/fleetEndpoints.ts
+++ b/bench/slopes/fleetEndpoints.ts
@@ -5,7 +5,6 @@
  */
 import type { ControlProgram } from '../../src/control/controlProgram.js'
 import { EndpointLifecycle, type FleetEndpoint } from '../../src/protocol/fleet.js'
-import { Scope } from '../../src/utils/scope.js'
 
 export const HEARTBEAT_MS = 1_200
 /** A new version about every four seconds, as trainers name them. */
@@ -37,12 +36,11 @@
 
 /** Heartbeats of the endpoints that keep to this control host, spread evenly over the interval. */
 export function announceFleetEndpoints (program: ControlProgram, { number, membersCount, endpointsCount }: AnnouncedShare): void {
-  const scope = new Scope('announcements')
   for (let endpoint = number; endpoint <= endpointsCount; endpoint += membersCount) {
     let sequence = 0
     const announce = (): void => {
       const outcome = program.directory.heartbeat(endpointOf(endpoint, ++sequence))
-      if (outcome.kind === 'changed') program.followers.announce(outcome.endpoint, outcome.news, scope).catch(error => { throw error })
+      if (outcome.kind === 'changed') program.followers.announce(outcome.endpoint, outcome.news)
     }
     setTimeout(() => setInterval(announce, HEARTBEAT_MS), HEARTBEAT_MS * endpoint / endpointsCount)
   }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -54,6 +54,8 @@
   controlAddresses: string[]
   /** Results can be read for so long after their batch was accepted. */
   keepBatchesMs: number
+  /** Nothing is sent to an endpoint so long after its leave was confirmed. */
+  drainMs: number
   /** Two hosts may not both order an engine within this time. */
   orderLeaseMs: number
   /** A replica that was silent for so long is struck from the members. */
@@ -129,6 +131,7 @@
       supervisor: this._supervisor,
       view: this._view,
       seedAddresses: settings.controlAddresses,
+      drainMs: settings.drainMs,
       describe: () => this._describe(),
       onFatal
     })
--- a/src/control/controlEvents.ts
+++ b/src/control/controlEvents.ts
@@ -19,7 +19,8 @@
   RetirementBegun = 1049,
   RetirementEnded = 1050,
   CommandUnanswered = 1051,
-  AnnouncementRefused = 1052
+  AnnouncementRefused = 1052,
+  LeaveConfirmed = 1053
 }
 
 export const controlEventCatalogue: EventCatalogue = {
@@ -38,5 +39,6 @@
   [ControlEvent.RetirementBegun]: { level: LogLevel.Info, text: 'A store host is to be emptied.', advice: 'None.' },
   [ControlEvent.RetirementEnded]: { level: LogLevel.Info, text: 'A store host was emptied and may be taken away.', advice: 'None.' },
   [ControlEvent.CommandUnanswered]: { level: LogLevel.Warn, text: 'A command of a caller got no clear outcome in time.', advice: 'The caller sends it again. If it repeats, look for a lost quorum.' },
-  [ControlEvent.AnnouncementRefused]: { level: LogLevel.Warn, text: 'What was announced of an endpoint cannot be read; it names no endpoint to use.', advice: 'Told once for each reason and then every ten seconds. Look at whoever writes it: the reason names the field.' }
+  [ControlEvent.AnnouncementRefused]: { level: LogLevel.Warn, text: 'What was announced of an endpoint cannot be read; it names no endpoint to use.', advice: 'Told once for each reason and then every ten seconds. Look at whoever writes it: the reason names the field.' },
+  [ControlEvent.LeaveConfirmed]: { level: LogLevel.Info, text: 'An endpoint was told that it may leave: the log has noted it, and so many of this host\'s followers know.', advice: 'None. Followers that did not answer hear it from any control host that they follow.' }
 }
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -117,7 +117,7 @@
     this.node = new ControlNode(replica, state, systemClock)
     this._sessions = new ClientSessions(this.node, systemClock, parts.onFatal)
     this.leaderCalls = new LeaderCalls(this.node)
-    this.directory = new EndpointDirectory(systemClock, parts.fleet?.heartbeatMs ?? DEFAULT_HEARTBEAT_MS)
+    this.directory = new EndpointDirectory(systemClock, parts.fleet?.heartbeatMs ?? DEFAULT_HEARTBEAT_MS, state.routing.leaves)
     this.followers = new FollowerSessions({
       node: this.node,
       directory: this.directory,
@@ -125,8 +125,8 @@
       logger: parts.logger,
       confirm: async progress => (await this.leaderCalls.read(progress)).kind === 'confirmed'
     })
-    const { node, directory, followers } = this
-    this.announcements = new EndpointAnnouncements({ node, directory, followers, clock: systemClock, logger: parts.logger })
+    const { node, directory, followers, leaderCalls } = this
+    this.announcements = new EndpointAnnouncements({ node, directory, leaderCalls, followers, clock: systemClock, logger: parts.logger })
     this.weightNaming = new WeightNaming({ leaderCalls: this.leaderCalls, followers: this.followers, links: replica.links })
   }
 
--- a/src/control/fleet/endpointNews.ts
+++ b/src/control/fleet/endpointNews.ts
@@ -6,8 +6,6 @@
 export enum EndpointNews {
   /** Only the versions of weights that it holds, which store hosts alone choose by. */
   Weights = 'weights',
-  /** It is new, has moved, or was heard by another control host in between. */
-  Endpoint = 'endpoint',
-  /** It leaves: whoever announced it is answered once followers know. */
-  Leaving = 'leaving'
+  /** It is new, has moved, leaves, or was heard by another control host in between. */
+  Endpoint = 'endpoint'
 }
--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -6,9 +6,10 @@
  */
 import { fleetUpdateMethod } from '../../transport/fleetMethods.js'
 import { RpcPeer } from '../../transport/rpcPeer.js'
+import type { EndpointLeave } from '../../protocol/endpointLeaves.js'
 import { HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate, type FollowReply, type FollowRequest } from '../../protocol/fleet.js'
 import { sleepUntil, type Clock } from '../../utils/clock.js'
-import { ScopeClosedError, unreachable } from '../../utils/errors.js'
+import { unreachable } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
@@ -25,7 +26,7 @@
 /** Followers that begin within this time share one encoding of the list of hosts; a start of all of them brings hundreds in a second. */
 const GATHER_MS = 20
 /** How long a leaving endpoint waits until every follower has confirmed; a follower that is cut off must not hold it up. */
-const CONFIRM_TIMEOUT_MS = 300
+export const FOLLOWERS_CONFIRM_TIMEOUT_MS = 300
 
 interface Session {
   peer: RpcPeer
@@ -33,6 +34,7 @@
   heardAtMs: number
   sentRoutingVersion: number
   sentStateRevision: number
+  sentLeaveNumber: number
   sentControlAddresses: string
 }
 
@@ -87,21 +89,36 @@
     return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, update }
   }
 
-  /** Tells followers of an endpoint; of one that leaves, waits for those that answer soon. */
-  async announce (endpoint: FleetEndpoint, news: EndpointNews, scope: Scope): Promise<void> {
+  /** Tells followers of an endpoint. */
+  announce (endpoint: FleetEndpoint, news: EndpointNews): void {
     const update = { endpoints: [endpoint] }
     switch (news) {
       case EndpointNews.Weights:
         return this._notify(update, HostRole.Store)
       case EndpointNews.Endpoint:
         return this._notify(update)
-      case EndpointNews.Leaving:
-        return await this._callAll(update, scope)
       default:
         return unreachable(news)
     }
   }
 
+  /**
+   * Tells followers of a leave that the log has noted, and waits for those that
+   * answer soon. The others hear it from whichever control host they follow.
+   * @returns how many followers this host has, and how many of them know
+   */
+  async tellLeave (leave: EndpointLeave, scope: Scope): Promise<{ followersCount: number, knowingCount: number }> {
+    const { clock, logger } = this._parts
+    const progress = new Progress(clock, scope, clock.nowMs() + FOLLOWERS_CONFIRM_TIMEOUT_MS)
+    const calls = [...this._sessions.values()].map(async ({ peer, host }) => {
+      const outcome = await peer.call(fleetUpdateMethod, { leaves: [leave] }, progress)
+      if (outcome.kind !== 'replied') logger.event(ControlEvent.FollowerUnconfirmed, { hostId: host.hostId, reason: outcome.reason })
+      return outcome.kind === 'replied'
+    })
+    const told = await Promise.all(calls)
+    return { followersCount: told.length, knowingCount: told.filter(isKnowing => isKnowing).length }
+  }
+
   /** Pushes what the replicated state changes, as it is applied. */
   async pushChanges (scope: Scope): Promise<void> {
     for (;;) {
@@ -135,7 +152,7 @@
   }
 
   private _open (peer: RpcPeer, host: FleetHost): Session {
-    const session = { peer, host, heardAtMs: 0, sentRoutingVersion: NO_ROUTING_VERSION, sentStateRevision: 0, sentControlAddresses: '' }
+    const session = { peer, host, heardAtMs: 0, sentRoutingVersion: NO_ROUTING_VERSION, sentStateRevision: 0, sentLeaveNumber: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
     this._hostChanges.set(host)
     // Not in the reply: what is pushed meanwhile must come after the whole list.
@@ -217,6 +234,10 @@
       Object.assign(update, this._state)
       session.sentStateRevision = this._stateRevision
     }
+    if (routing.leaves.lastNumber !== session.sentLeaveNumber) {
+      update.leaves = routing.leaves.since(session.sentLeaveNumber)
+      session.sentLeaveNumber = routing.leaves.lastNumber
+    }
     return update
   }
 
@@ -227,21 +248,10 @@
     session.sentControlAddresses = text
     return addresses
   }
-
-  private async _callAll (update: FleetUpdate, scope: Scope): Promise<void> {
-    const { clock } = this._parts
-    const progress = new Progress(clock, scope, clock.nowMs() + CONFIRM_TIMEOUT_MS)
-    const calls = [...this._sessions.values()].map(async ({ peer, host }) => {
-      const outcome = await peer.call(fleetUpdateMethod, update, progress)
-      if (outcome.kind !== 'replied') this._parts.logger.event(ControlEvent.FollowerUnconfirmed, { hostId: host.hostId, reason: outcome.reason })
-    })
-    await Promise.all(calls).catch(error => {
-      if (!(error instanceof ScopeClosedError)) throw error
-    })
-  }
 }
 
 function forgetSent (session: Session): void {
   session.sentStateRevision = 0
+  session.sentLeaveNumber = 0
   session.sentControlAddresses = ''
 }
--- a/src/control/routing/routingState.ts
+++ b/src/control/routing/routingState.ts
@@ -1,12 +1,15 @@
 /**
  * The part of the replicated state that holds the routing configuration, the
- * named versions of weights, the batch store's first members and retirements.
+ * named versions of weights, the batch store's first members, retirements, and
+ * the leaves of endpoints.
  */
+import type { EndpointLeave } from '../../protocol/endpointLeaves.js'
 import type { Routing } from '../../protocol/routing.js'
 import {
   RetirementState, RoutingCommandKind, type NamedWeights, type Retirement, type RoutingCommand, type RoutingResult, type StoreGroup
 } from '../../protocol/routingCommands.js'
 import type { StatePart } from '../../replication/replicatedState.js'
+import { NotedLeaves } from './notedLeaves.js'
 
 interface RoutingSnapshot {
   routing: Routing | undefined
@@ -14,6 +17,7 @@
   weights: NamedWeights[]
   storeGroup: StoreGroup | undefined
   retirements: Retirement[]
+  leaves: EndpointLeave[]
 }
 
 /** Nothing was configured yet. */
@@ -24,6 +28,7 @@
   /** The routing configuration as the operator sent it. */
   document: string | undefined
   storeGroup: StoreGroup | undefined
+  readonly leaves = new NotedLeaves()
   private readonly _weights = new Map<string, number>()
   private readonly _retirements = new Map<string, Retirement>()
 
@@ -58,6 +63,8 @@
       case RoutingCommandKind.EndRetirement:
         this._endRetirement(command.hostName)
         return { kind: 'retirementHeld' }
+      case RoutingCommandKind.NoteLeave:
+        return { kind: 'leaveNoted', leave: this.leaves.note(command.leave) }
     }
   }
 
@@ -67,12 +74,13 @@
       document: this.document,
       weights: this.namedWeights(),
       storeGroup: this.storeGroup,
-      retirements: this.retirements()
+      retirements: this.retirements(),
+      leaves: this.leaves.all()
     }
   }
 
   restore (snapshot: unknown): void {
-    const { routing, document, weights, storeGroup, retirements } = snapshot as RoutingSnapshot
+    const { routing, document, weights, storeGroup, retirements, leaves } = snapshot as RoutingSnapshot
     this.routing = routing ?? undefined
     this.document = document ?? undefined
     this.storeGroup = storeGroup ?? undefined
@@ -80,6 +88,7 @@
     for (const { model, version } of weights) this._weights.set(model, version)
     this._retirements.clear()
     for (const retirement of retirements) this._retirements.set(retirement.hostName, retirement)
+    this.leaves.restore(leaves ?? [])
   }
 
   /** An equal version changes nothing either: the first document of a version is the only one. */
--- a/src/fleet/fleetEvents.ts
+++ b/src/fleet/fleetEvents.ts
@@ -13,7 +13,8 @@
   EndpointSilent = 1106,
   WeightsNamed = 1107,
   StoreLeaderKnown = 1108,
-  StoreLeaderLost = 1109
+  StoreLeaderLost = 1109,
+  LeaveBoundShort = 1110
 }
 
 export const fleetEventCatalogue: EventCatalogue = {
@@ -26,5 +27,6 @@
   [FleetEvent.EndpointSilent]: { level: LogLevel.Warn, text: 'An endpoint fell silent and is no longer used.', advice: 'Look at the endpoint.' },
   [FleetEvent.WeightsNamed]: { level: LogLevel.Info, text: 'A newer version of weights was named.', advice: 'None.' },
   [FleetEvent.StoreLeaderKnown]: { level: LogLevel.Info, text: 'The batch store has a leader, or another one.', advice: 'None.' },
-  [FleetEvent.StoreLeaderLost]: { level: LogLevel.Warn, text: 'No control host knows of a leader of the batch store.', advice: 'A new one is elected within about a second, as long as more than half of the store hosts are up.' }
+  [FleetEvent.StoreLeaderLost]: { level: LogLevel.Warn, text: 'No control host knows of a leader of the batch store.', advice: 'A new one is elected within about a second, as long as more than half of the store hosts are up.' },
+  [FleetEvent.LeaveBoundShort]: { level: LogLevel.Warn, text: 'The deployment promises less time after the leave of an endpoint than this host may take to hear of it.', advice: 'Raise bounds.drainMs, or expect a request to reach an endpoint late when pushes are lost.' }
 }
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -32,6 +32,14 @@
 const RECONNECT_PAUSE_MS = 150
 /** Calls in a row without a reply after which a connection is replaced. */
 const MAX_UNANSWERED_COUNT = 2
+/**
+ * A follower whose calls a majority of the control hosts answer knows of a
+ * confirmed leave by then, also when every push of it was lost: the log has it
+ * on a majority, one of which the follower reaches; that one applies it (20 ms
+ * after the commit, or 150 ms with the next heartbeat of the log), and the next
+ * call, with its reply, brings it.
+ */
+export const LEAVE_KNOWN_WITHIN_MS = 150 + FOLLOW_INTERVAL_MS + FOLLOW_TIMEOUT_MS
 /** A host that waited so long for a confirmed routing configuration takes an unconfirmed one: without a quorum none will come. */
 const UNCONFIRMED_AFTER_MS = 3_000
 /** A control host that is in no list of members any more is given up after so long. */
@@ -45,6 +53,8 @@
   view: FleetView
   /** Control hosts as the settings name them. */
   seedAddresses: string[]
+  /** What the deployment promises of endpoints that leave: nothing is sent to one so long after its leave was confirmed. */
+  drainMs?: number
   /** This host as it is at the moment. */
   describe: () => FleetHost
   onFatal: (error: unknown) => void
@@ -71,6 +81,8 @@
   }
 
   start (): void {
+    const { drainMs, logger } = this._parts
+    if (drainMs !== undefined && drainMs < LEAVE_KNOWN_WITHIN_MS) logger.event(FleetEvent.LeaveBoundShort, { drainMs, knownWithinMs: LEAVE_KNOWN_WITHIN_MS })
     this.follow(this._parts.seedAddresses)
   }
 
--- a/src/fleet/fleetView.ts
+++ b/src/fleet/fleetView.ts
@@ -3,6 +3,7 @@
  * follows. Nothing here goes back: not the routing version, not the lifecycle
  * of an endpoint, not a named version of weights.
  */
+import { KnownLeaves, type EndpointLeave } from '../protocol/endpointLeaves.js'
 import { EndpointLifecycle, HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate } from '../protocol/fleet.js'
 import { RetirementState, type Retirement, type StoreGroup } from '../protocol/routingCommands.js'
 import type { Routing } from '../protocol/routing.js'
@@ -21,6 +22,8 @@
   private readonly _logger: Logger
   private readonly _endpoints = new Map<string, FleetEndpoint>()
   private readonly _goneIds = new Set<string>()
+  /** Also of endpoints that are not known here: an outdated control host must not bring them back. */
+  private readonly _leaves = new KnownLeaves()
   /** The newest start that was heard of, by the endpoint's name. */
   private readonly _newestStarts = new Map<string, FleetEndpoint>()
   /** By the address of the control host that told of them, and by their id. */
@@ -82,8 +85,7 @@
     this.storeGroup ??= update.storeGroup
     for (const { model, version } of update.weights ?? []) this._nameWeights(model, version)
     for (const retirement of update.retirements ?? []) this._retire(retirement)
-    for (const endpoint of update.endpoints ?? []) this._learn(endpoint)
-    for (const { endpointId, sequence } of update.silent ?? []) this._forgetSilent(endpointId, sequence)
+    this._learnEndpoints(update)
     this._notify()
   }
 
@@ -113,6 +115,13 @@
     this.changed.notify()
   }
 
+  /** Leaves first: an endpoint that left is not to be used for a moment. */
+  private _learnEndpoints ({ leaves = [], endpoints = [], silent = [] }: FleetUpdate): void {
+    for (const leave of leaves) this._learnLeave(leave)
+    for (const endpoint of endpoints) this._learn(endpoint)
+    for (const { endpointId, sequence } of silent) this._forgetSilent(endpointId, sequence)
+  }
+
   private _learnHosts (controlAddress: string, { hosts, changedHosts = [], lostHostIds = [] }: FleetUpdate): void {
     if (!hosts && changedHosts.length === 0 && lostHostIds.length === 0) return
     const known = hosts ? new Map<string, FleetHost>() : this._hosts.get(controlAddress) ?? new Map<string, FleetHost>()
@@ -142,11 +151,18 @@
     if (known?.state !== RetirementState.Completed) this._retirements.set(retirement.hostName, retirement)
   }
 
+  private _learnLeave (leave: EndpointLeave): void {
+    const newest = this._newestStarts.get(leave.name)
+    this._leaves.note(leave, newest?.bornAtMs)
+    const known = newest && this._endpoints.get(newest.endpointId)
+    if (known && this._leaves.lifecycleOf(known) > known.lifecycle) this._learn(known)
+  }
+
   private _learn (told: FleetEndpoint): void {
     const { endpointId } = told
     if (this._goneIds.has(endpointId) || !this._isNewestStart(told)) return
     const known = this._endpoints.get(endpointId)
-    const lifecycle = Math.max(known?.lifecycle ?? EndpointLifecycle.Ready, told.lifecycle)
+    const lifecycle = Math.max(known?.lifecycle ?? EndpointLifecycle.Ready, told.lifecycle, this._leaves.lifecycleOf(told))
     const newest = known && known.sequence > told.sequence ? known : told
     const endpoint = { ...newest, lifecycle }
     if (lifecycle === EndpointLifecycle.Gone) this._forgetGone(endpointId)
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -4,16 +4,11 @@
  * other hosts, and the versions of weights to bring into force.
  */
 import { z } from 'zod'
+import { EndpointLifecycle, endpointLeaveSchema } from './endpointLeaves.js'
 import { routingSchema } from './routing.js'
 import { namedWeightsSchema, retirementSchema, storeGroupSchema } from './routingCommands.js'
 
-/** Grows only: an endpoint that leaves becomes ready again by a new start alone. */
-export enum EndpointLifecycle {
-  Ready = 0,
-  /** Finishes what it runs; gets nothing new. */
-  Leaving = 1,
-  Gone = 2
-}
+export { EndpointLifecycle }
 
 export const fleetEndpointSchema = z.object({
   /** New with every start of the endpoint: what is believed of one start never counts for the next. */
@@ -87,6 +82,8 @@
   changedHosts: z.array(fleetHostSchema).optional(),
   lostHostIds: z.array(z.string()).optional(),
   endpoints: z.array(fleetEndpointSchema).optional(),
+  /** Leaves that were noted since the last update of the connection, in the order of their numbers. */
+  leaves: z.array(endpointLeaveSchema).optional(),
   /** Endpoints that fell silent, with the last sequence that was heard. */
   silent: z.array(z.object({ endpointId: z.string(), sequence: z.number() })).optional()
 })
--- a/src/protocol/routingCommands.ts
+++ b/src/protocol/routingCommands.ts
@@ -1,8 +1,9 @@
 /**
  * Commands about the routing configuration, the versions of model weights
- * that trainers named, and the members of the batch store.
+ * that trainers named, the members of the batch store, and endpoints that leave.
  */
 import { z } from 'zod'
+import { endpointLeaveRequestSchema, endpointLeaveSchema } from './endpointLeaves.js'
 import { routingSchema } from './routing.js'
 
 export enum RoutingCommandKind {
@@ -10,7 +11,8 @@
   NameWeights = 'weights.name',
   FormStore = 'store.form',
   BeginRetirement = 'store.retire',
-  EndRetirement = 'store.retired'
+  EndRetirement = 'store.retired',
+  NoteLeave = 'endpoint.leave'
 }
 
 /** A replica of the batch store, by the random id on its disk. */
@@ -53,7 +55,8 @@
   z.object({ kind: z.literal(RoutingCommandKind.NameWeights), model: z.string(), version: z.int() }),
   z.object({ kind: z.literal(RoutingCommandKind.FormStore), group: storeGroupSchema }),
   z.object({ kind: z.literal(RoutingCommandKind.BeginRetirement), hostName: z.string(), hostId: z.string() }),
-  z.object({ kind: z.literal(RoutingCommandKind.EndRetirement), hostName: z.string() })
+  z.object({ kind: z.literal(RoutingCommandKind.EndRetirement), hostName: z.string() }),
+  z.object({ kind: z.literal(RoutingCommandKind.NoteLeave), leave: endpointLeaveRequestSchema })
 ])
 export type RoutingCommand = z.infer<typeof routingCommandSchema>
 
@@ -62,7 +65,8 @@
   z.object({ kind: z.literal('routingHeld'), version: z.int() }),
   z.object({ kind: z.literal('weightsNamed'), version: z.int() }),
   z.object({ kind: z.literal('storeFormed') }),
-  z.object({ kind: z.literal('retirementHeld') })
+  z.object({ kind: z.literal('retirementHeld') }),
+  z.object({ kind: z.literal('leaveNoted'), leave: endpointLeaveSchema })
 ])
 export type RoutingResult = z.infer<typeof routingResultSchema>
 
--- a/tests/fleet/endpointDirectory.test.ts
+++ b/tests/fleet/endpointDirectory.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
 import { EndpointNews } from '../../src/control/fleet/endpointNews.js'
+import { NotedLeaves } from '../../src/control/routing/notedLeaves.js'
 import { EndpointLifecycle } from '../../src/protocol/fleet.js'
 import { endpoint, incarnation } from '../fixtures/fleet/fleetFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
@@ -9,7 +10,8 @@
 
 function directory () {
   const clock = new VirtualClock()
-  return { clock, known: new EndpointDirectory(clock, HEARTBEAT_MS) }
+  const leaves = new NotedLeaves()
+  return { clock, known: new EndpointDirectory(clock, HEARTBEAT_MS, leaves), leaves }
 }
 
 test('should tell of an endpoint once, and not of each heartbeat', t => {
--- a/tests/fleet/followerSessions.test.ts
+++ b/tests/fleet/followerSessions.test.ts
@@ -2,6 +2,7 @@
 import type { ControlNode } from '../../src/control/controlNode.js'
 import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
 import { EndpointNews } from '../../src/control/fleet/endpointNews.js'
+import { NotedLeaves } from '../../src/control/routing/notedLeaves.js'
 import { FollowerSessions } from '../../src/control/fleet/followerSessions.js'
 import { FleetFollower } from '../../src/fleet/fleetFollower.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
@@ -32,7 +33,8 @@
 /** One control host and any followers, over a network in memory that counts messages. */
 class World {
   readonly clock = new VirtualClock()
-  readonly directory = new EndpointDirectory(this.clock, HEARTBEAT_MS)
+  readonly leaves = new NotedLeaves()
+  readonly directory = new EndpointDirectory(this.clock, HEARTBEAT_MS, this.leaves)
   readonly network = new MemoryNetwork(this.clock, () => this._count())
   readonly scope = new Scope('world')
   readonly views = new Map<string, FleetView>()
@@ -51,7 +53,8 @@
         version: 3,
         storeGroup: undefined,
         namedWeights: () => [{ model: 'm', version: this._namedVersion }],
-        retirements: () => []
+        retirements: () => [],
+        leaves: this.leaves
       }
     }
     const replica = { applied: new Signal(), core: { members: [{ peerAddress: CONTROL }, { peerAddress: OTHER_CONTROL }] } }
@@ -186,8 +189,8 @@
   const store = world.follow(1, HostRole.Store)
   const entry = world.follow(2, HostRole.Entry)
   await world.clock.advance(SETTLE_MS)
-  await world.sessions.announce(engine('e1', 4), EndpointNews.Endpoint, world.scope)
-  await world.sessions.announce(engine('e1', 5, { sequence: 2 }), EndpointNews.Weights, world.scope)
+  world.sessions.announce(engine('e1', 4), EndpointNews.Endpoint)
+  world.sessions.announce(engine('e1', 5, { sequence: 2 }), EndpointNews.Weights)
   await world.clock.advance(10)
   t.is(store.endpoint('e1')?.weights[0]?.version, 5)
   t.is(entry.endpoint('e1')?.weights[0]?.version, 4)
@@ -198,15 +201,15 @@
   await world.start()
   const view = world.follow(1, HostRole.Entry)
   await world.clock.advance(SETTLE_MS)
-  const announce = async (endpoint: ReturnType<typeof incarnation>): Promise<void> => {
+  const announce = (endpoint: ReturnType<typeof incarnation>): void => {
     const outcome = world.directory.heartbeat(endpoint)
     if (outcome.kind !== 'changed') return
-    if (outcome.replaced) await world.sessions.announce(outcome.replaced, EndpointNews.Endpoint, world.scope)
-    await world.sessions.announce(outcome.endpoint, outcome.news, world.scope)
+    if (outcome.replaced) world.sessions.announce(outcome.replaced, EndpointNews.Endpoint)
+    world.sessions.announce(outcome.endpoint, outcome.news)
   }
-  await announce(incarnation('e1', 1_000, { sequence: 20 }))
-  await announce(incarnation('e1', 2_000, { sequence: 1 }))
-  await announce(incarnation('e1', 1_000, { sequence: 21, lifecycle: EndpointLifecycle.Leaving }))
+  announce(incarnation('e1', 1_000, { sequence: 20 }))
+  announce(incarnation('e1', 2_000, { sequence: 1 }))
+  announce(incarnation('e1', 1_000, { sequence: 21, lifecycle: EndpointLifecycle.Leaving }))
   await world.clock.advance(10)
   t.deepEqual(view.ready().map(({ endpointId }) => endpointId), ['e1@2000'])
 })
--- a/tests/fleet/leaving.test.ts
+++ b/tests/fleet/leaving.test.ts
@@ -25,8 +25,8 @@
 async function start (t: ExecutionContext): Promise<LeavingWorld> {
   const world = await new LeavingWorld(7, CONTROL_HOSTS_COUNT).start(FOLLOWERS_COUNT)
   t.teardown(() => {
-    t.deepEqual(world.failures, [])
     world.stop()
+    if (world.failures.length > 0) throw new Error(world.failures.join('\n'))
   })
   return world
 }
@@ -85,3 +85,34 @@
   await world.cluster.clock.advance(DRAIN_MS)
   t.deepEqual(world.usersOf(ENDPOINT), [])
 })
+
+test('should not bring an endpoint back that has left, by a heartbeat that comes late to another control host', async t => {
+  const world = await start(t)
+  const { homeNumber } = aFollower(world)
+  world.announce(ENDPOINT, homeNumber)
+  await known(t, world)
+  t.truthy(await world.cluster.clock.advanceUntil(world.takeLeave(ENDPOINT, PATIENCE_MS)))
+  await world.cluster.clock.advance(DRAIN_MS)
+  for (let number = 0; number < CONTROL_HOSTS_COUNT; number++) world.deliverLate(ENDPOINT, number, 90)
+  await world.cluster.clock.advance(SETTLE_MS)
+  t.deepEqual(world.usersOf(ENDPOINT), [])
+  const newcomer = world.follow(FOLLOWERS_COUNT + 1)
+  await world.cluster.clock.advance(SETTLE_MS)
+  t.deepEqual(world.readyAt(newcomer), [])
+})
+
+test('should remember a leave after all control hosts have started again', async t => {
+  const world = await start(t)
+  const { homeNumber } = aFollower(world)
+  world.announce(ENDPOINT, homeNumber)
+  await known(t, world)
+  t.truthy(await world.cluster.clock.advanceUntil(world.takeLeave(ENDPOINT, PATIENCE_MS)))
+  for (const host of [...world.cluster.hosts]) world.cluster.crash(host)
+  for (const host of world.cluster.hosts) await world.restart(host)
+  await world.cluster.untilLeader()
+  for (let number = 0; number < CONTROL_HOSTS_COUNT; number++) world.deliverLate(ENDPOINT, number, 90)
+  const newcomer = world.follow(FOLLOWERS_COUNT + 1)
+  await world.cluster.clock.advance(SETTLE_MS)
+  t.deepEqual(world.readyAt(newcomer), [])
+  t.deepEqual(world.usersOf(ENDPOINT), [])
+})
--- a/tests/platform/controlServer.test.ts
+++ b/tests/platform/controlServer.test.ts
@@ -6,6 +6,9 @@
 import type { ControlProgram } from '../../src/control/controlProgram.js'
 import { EndpointAnnouncements } from '../../src/control/fleet/endpointAnnouncements.js'
 import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
+import { NotedLeaves } from '../../src/control/routing/notedLeaves.js'
+import type { SubmitReply } from '../../src/protocol/controlMessages.js'
+import { RoutingCommandKind, type RoutingCommand } from '../../src/protocol/routingCommands.js'
 import { EndpointLifecycle, type FleetEndpoint } from '../../src/protocol/fleet.js'
 import { systemClock } from '../../src/utils/clock.js'
 import type { LogFields, Logger } from '../../src/utils/logger.js'
@@ -30,11 +33,13 @@
   t.teardown(() => scope.close('test over'))
   const events: Served['events'] = []
   const logger: Logger = { event: (number, fields = {}) => events.push({ number, fields }), child: () => logger }
-  const directory = new EndpointDirectory(systemClock, HEARTBEAT_MS)
+  const leaves = new NotedLeaves()
+  const directory = new EndpointDirectory(systemClock, HEARTBEAT_MS, leaves)
   const told: FleetEndpoint[] = []
-  const followers = { announce: async (endpoint: FleetEndpoint) => { told.push(endpoint) } }
-  const node = { isLeader: true } as unknown as ControlNode
-  const announcements = new EndpointAnnouncements({ node, directory, followers, clock: systemClock, logger })
+  const followers = { announce: (endpoint: FleetEndpoint) => { told.push(endpoint) }, tellLeave: async () => ({ followersCount: 0, knowingCount: 0 }) }
+  const node = { isLeader: true, state: { routing: { leaves } } } as unknown as ControlNode
+  const leaderCalls = { submit: async (command: RoutingCommand): Promise<SubmitReply> => await noteAt(leaves, command) }
+  const announcements = new EndpointAnnouncements({ node, directory, leaderCalls, followers, clock: systemClock, logger })
   const program = { directory, announcements, node } as unknown as ControlProgram
   const address = `${loopbackHost()}:${await freePort()}`
   const server = new ControlServer({ address, scope, clock: systemClock, logger, program, toleratedLosses: 1, onFatal: error => { throw error } })
@@ -48,6 +53,12 @@
   return { directory, told, events, send, announce }
 }
 
+/** A log that notes leaves at once. */
+async function noteAt (leaves: NotedLeaves, command: RoutingCommand): Promise<SubmitReply> {
+  if (command.kind !== RoutingCommandKind.NoteLeave) throw new Error(`unexpected command ${command.kind}`)
+  return { kind: 'committed', result: { kind: 'leaveNoted', leave: leaves.note(command.leave) } }
+}
+
 function idsOf ({ directory }: Served): string[] {
   return directory.all().map(({ endpointId }) => endpointId)
 }
