--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -27,6 +27,8 @@
 const GATHER_MS = 20
 /** How long a leaving endpoint waits until every follower has confirmed; a follower that is cut off must not hold it up. */
 export const FOLLOWERS_CONFIRM_TIMEOUT_MS = 300
+/** A host that is not back after so long, several times what connecting again takes, counts as gone. */
+const LATELY_LOST_MS = 5_000
 
 interface Session {
   peer: RpcPeer
@@ -51,6 +53,8 @@
   private readonly _parts: FollowerSessionsParts
   private readonly _sessions = new Map<RpcPeer, Session>()
   private readonly _hostChanges = new HostChanges()
+  /** By their id; those that followed again are taken out. */
+  private readonly _lost = new Map<string, { host: FleetHost, lostAtMs: number }>()
   /** Followers that have not been told of the hosts yet. */
   private _newcomers: Session[] = []
   private _state: FleetUpdate = {}
@@ -70,6 +74,13 @@
     return this.hosts().filter(({ role }) => role === HostRole.Store)
   }
 
+  /** Store hosts that followed this one until a while ago and may only be connecting again. */
+  latelyLostStoreHosts (): FleetHost[] {
+    const sinceMs = this._parts.clock.nowMs() - LATELY_LOST_MS
+    for (const [hostId, { lostAtMs }] of this._lost) if (lostAtMs < sinceMs) this._lost.delete(hostId)
+    return [...this._lost.values()].map(({ host }) => host).filter(({ role }) => role === HostRole.Store)
+  }
+
   /** A call that says what the follower is comes first, or after one that was not answered in time: what stood in that reply is told again. */
   async follow (peer: RpcPeer, request: FollowRequest, progress: Progress): Promise<FollowReply> {
     const { clock } = this._parts
@@ -154,6 +165,7 @@
   private _open (peer: RpcPeer, host: FleetHost): Session {
     const session = { peer, host, heardAtMs: 0, sentRoutingVersion: NO_ROUTING_VERSION, sentStateRevision: 0, sentLeaveNumber: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
+    this._lost.delete(host.hostId)
     this._hostChanges.set(host)
     // Not in the reply: what is pushed meanwhile must come after the whole list.
     if (this._newcomers.push(session) === 1) this._parts.clock.callAt(this._parts.clock.nowMs() + GATHER_MS, () => this._tellNewcomers())
@@ -184,10 +196,15 @@
     // A host that has connected again follows by its newer connection.
     const newer = [...this._sessions.values()].findLast(({ host }) => host.hostId === hostId)
     if (newer) this._hostChanges.set(newer.host)
-    else this._hostChanges.remove(hostId)
+    else this._lose(session.host)
     this._parts.logger.event(ControlEvent.FollowerLost, { hostId, hostName, reason: peer.connection.scope.closeReason ?? '' })
   }
 
+  private _lose (host: FleetHost): void {
+    this._hostChanges.remove(host.hostId)
+    this._lost.set(host.hostId, { host, lostAtMs: this._parts.clock.nowMs() })
+  }
+
   private _forgetSilentEndpoints (): void {
     const silent = this._parts.directory.expire()
     for (const endpoint of silent) {
