--- /dev/null
+++ b/bench/fleetSoak/soakFleet.ts
@@ -0,0 +1,244 @@
+/**
+ * The platform's programs as processes on loopback addresses, one address for
+ * each host, and all that can befall them from outside: signals, links, disks.
+ */
+import { mkdirSync, mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { dirname, join } from 'node:path'
+import { fileURLToPath, pathToFileURL } from 'node:url'
+import { stringify } from 'smol-toml'
+import { AddressBlock } from '../../demo/addressBlock.js'
+import { ProcessGroup, type ManagedProcess } from '../../demo/processGroup.js'
+import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
+import { HostGroup, type HostCounts } from './faultPlan.js'
+import { ADDRESS_VARIABLE, FAULTS_VARIABLE, NO_FAULTS, type LinkFaults } from './netFaults.js'
+import { HEARTBEAT_MS } from './soakEndpoint.js'
+import { DRAIN_MS } from './soakChecks.js'
+
+const DIST = join(dirname(fileURLToPath(import.meta.url)), '../..')
+const DATA_CENTRES = ['north', 'south', 'east']
+/** Hosts that a block of addresses has room for. */
+const HOSTS_PER_BLOCK = 14
+const GRACE_S = 5
+const MEMORY_MB = 300
+
+enum Port {
+  Callers = 7110,
+  Readiness = 7111,
+  Control = 7112,
+  Addresses = 7113,
+  FirstInternal = 7120,
+  LastInternal = 7122,
+  EdgeMetrics = 7130,
+  ControlMetrics = 7131,
+  StoreMetrics = 7132
+}
+
+export class SoakHost {
+  readonly name: string
+  readonly ip: string
+  readonly group: HostGroup
+  readonly dataCentre: string
+  readonly programs: ProgramName[]
+  running: ManagedProcess[] = []
+  startsCount = 0
+
+  constructor (name: string, ip: string, group: HostGroup, dataCentre: string) {
+    this.name = name
+    this.ip = ip
+    this.group = group
+    this.dataCentre = dataCentre
+    this.programs = programsOf(group)
+  }
+}
+
+function programsOf (group: HostGroup): ProgramName[] {
+  switch (group) {
+    case HostGroup.Control:
+      return ['control', 'edge']
+    case HostGroup.Entry:
+      return ['edge']
+    case HostGroup.Store:
+      return ['store']
+  }
+}
+
+export class SoakFleet {
+  readonly folder = mkdtempSync(join(tmpdir(), 'threaddrum-soak-'))
+  readonly hosts: SoakHost[] = []
+  /** Programs that ended without being told to. */
+  readonly ownEnds: string[] = []
+  private readonly _blocks: AddressBlock[]
+  private readonly _processes: ProcessGroup
+  private readonly _told = new Set<ManagedProcess>()
+  private _faults: LinkFaults = structuredClone(NO_FAULTS)
+  private _usedIpsCount = 0
+
+  private constructor (blocks: AddressBlock[]) {
+    this._blocks = blocks
+    this._processes = new ProcessGroup(this.folder, join(DIST, 'demo/guardian.js'))
+    this._writeFaults()
+  }
+
+  /** @param endpointsCount addresses that endpoints will take, one each */
+  static async create (counts: HostCounts, endpointsCount: number): Promise<SoakFleet> {
+    const hostsCount = Object.values(counts).reduce((sum: number, count: number) => sum + count, 0)
+    const blocks: AddressBlock[] = []
+    while (blocks.length * HOSTS_PER_BLOCK < hostsCount + endpointsCount) blocks.push(await AddressBlock.take())
+    const fleet = new SoakFleet(blocks)
+    for (const group of Object.values(HostGroup)) {
+      for (let number = 0; number < counts[group]; number++) {
+        fleet.hosts.push(new SoakHost(`${group}-${number + 1}`, fleet.takeIp(), group, DATA_CENTRES[number % DATA_CENTRES.length] ?? ''))
+      }
+    }
+    return fleet
+  }
+
+  takeIp (): string {
+    const number = this._usedIpsCount++
+    const block = this._blocks[Math.floor(number / HOSTS_PER_BLOCK)]
+    if (!block) throw new Error(`no address is left after ${number}`)
+    return block.ip(1 + number % HOSTS_PER_BLOCK)
+  }
+
+  of (group: HostGroup): SoakHost[] {
+    return this.hosts.filter(host => host.group === group)
+  }
+
+  get controlAddresses (): string[] {
+    return this.of(HostGroup.Control).map(({ ip }) => `${ip}:${Port.Control}`)
+  }
+
+  /** Hosts that callers may reach. */
+  get callerAddresses (): string[] {
+    return [...this.of(HostGroup.Control), ...this.of(HostGroup.Entry)].map(({ ip }) => `${ip}:${Port.Callers}`)
+  }
+
+  startAll (): void {
+    for (const host of this.hosts) this.start(host)
+  }
+
+  start (host: SoakHost): void {
+    const settingsFile = this._writeSettings(host)
+    host.startsCount++
+    host.running = host.programs.map(program => this._spawn(host, program, settingsFile))
+  }
+
+  async kill (host: SoakHost): Promise<void> {
+    await this._end(host, 'SIGKILL')
+  }
+
+  /** A planned stop; killed when the time for it is over. */
+  async stop (host: SoakHost): Promise<void> {
+    const killing = setTimeout(() => this._signal(host, 'SIGKILL'), GRACE_S * 1_000)
+    await this._end(host, 'SIGTERM')
+    clearTimeout(killing)
+  }
+
+  freeze (host: SoakHost): void {
+    this._signal(host, 'SIGSTOP')
+  }
+
+  thaw (host: SoakHost): void {
+    this._signal(host, 'SIGCONT')
+  }
+
+  /** Only while its programs are down. */
+  wipe (host: SoakHost): void {
+    rmSync(this._dataFolder(host), { recursive: true, force: true })
+  }
+
+  /** Cuts a host off from all others, until it is healed. */
+  cutOff (host: SoakHost): void {
+    for (const other of this.hosts) if (other !== host) this._faults.cuts.push([host.ip, other.ip])
+    this._writeFaults()
+  }
+
+  /** What the host sends to the others gets lost; what they send it does not. */
+  cutOffOneWay (host: SoakHost): void {
+    for (const other of this.hosts) if (other !== host) this._faults.oneWayCuts.push([host.ip, other.ip])
+    this._writeFaults()
+  }
+
+  heal (host: SoakHost): void {
+    this._faults.cuts = this._faults.cuts.filter(([ip]) => ip !== host.ip)
+    this._faults.oneWayCuts = this._faults.oneWayCuts.filter(([ip]) => ip !== host.ip)
+    this._writeFaults()
+  }
+
+  reset ({ ip }: SoakHost): void {
+    this._faults.resets[ip] = (this._faults.resets[ip] ?? 0) + 1
+    this._writeFaults()
+  }
+
+  silence ({ ip }: SoakHost): void {
+    this._faults.silences[ip] = (this._faults.silences[ip] ?? 0) + 1
+    this._writeFaults()
+  }
+
+  /** Ends everything; the folder goes too, unless its logs are wanted. */
+  async close (keepsLogs: boolean): Promise<void> {
+    for (const { running } of this.hosts) for (const process of running) this._told.add(process)
+    await this._processes.killAll()
+    for (const block of this._blocks) block.release()
+    if (!keepsLogs) rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  private async _end (host: SoakHost, signal: NodeJS.Signals): Promise<void> {
+    const { running } = host
+    for (const process of running) this._told.add(process)
+    this._signal(host, signal)
+    await Promise.all(running.map(async ({ ended }) => await ended))
+  }
+
+  private _signal ({ running }: SoakHost, signal: NodeJS.Signals): void {
+    for (const process of running) process.signal(signal)
+  }
+
+  private _spawn (host: SoakHost, program: ProgramName, settingsFile: string): ManagedProcess {
+    const process = this._processes.start(`${host.name}-${program}`, join(DIST, `platform/${program}.js`), [], {
+      THREADDRUM_NODE_FILE: settingsFile,
+      NODE_OPTIONS: `--import ${pathToFileURL(join(DIST, 'bench/fleetSoak/netFaults.js')).href}`,
+      [FAULTS_VARIABLE]: this._faultsFile,
+      [ADDRESS_VARIABLE]: host.ip
+    })
+    process.ended.then(({ code, signal }) => {
+      if (!this._told.has(process)) this.ownEnds.push(`${process.name} with ${code ?? signal}`)
+    }, () => {})
+    return process
+  }
+
+  private _writeSettings (host: SoakHost): string {
+    const file = join(this.folder, `${host.name}.toml`)
+    const seeds = this.controlAddresses
+    mkdirSync(this._dataFolder(host), { recursive: true })
+    writeFileSync(file, stringify({
+      host: { name: host.name, ip: host.ip, dataCentre: host.dataCentre, isFirstStart: host.startsCount === 0, dataFolder: this._dataFolder(host), memoryMb: MEMORY_MB },
+      listen: {
+        callers: `${host.ip}:${Port.Callers}`,
+        readiness: `${host.ip}:${Port.Readiness}`,
+        control: `${host.ip}:${Port.Control}`,
+        addresses: `${host.ip}:${Port.Addresses}`
+      },
+      cluster: { seedAddresses: seeds, internalPorts: [Port.FirstInternal, Port.LastInternal] },
+      metricsPorts: { edge: Port.EdgeMetrics, control: Port.ControlMetrics, store: Port.StoreMetrics },
+      bounds: { heartbeatMs: HEARTBEAT_MS, toleratedLosses: 1, graceS: GRACE_S, drainMs: DRAIN_MS }
+    }))
+    return file
+  }
+
+  private _dataFolder ({ name }: SoakHost): string {
+    return join(this.folder, `${name}-data`)
+  }
+
+  private get _faultsFile (): string {
+    return join(this.folder, 'faults.json')
+  }
+
+  /** Whoever reads it sees the old faults or the new ones, never half of them. */
+  private _writeFaults (): void {
+    const next = `${this._faultsFile}.next`
+    writeFileSync(next, JSON.stringify(this._faults))
+    renameSync(next, this._faultsFile)
+  }
+}
--- a/demo/processGroup.ts
+++ b/demo/processGroup.ts
@@ -71,12 +71,13 @@
     return this._processes
   }
 
-  start (name: string, script: string, args: string[]): ManagedProcess {
+  /** @param env beside that of this process */
+  start (name: string, script: string, args: string[], env: Record<string, string> = {}): ManagedProcess {
     const logFile = join(this._folder, `${name}.log`)
     const log = createWriteStream(logFile, { flags: 'a' })
     const child = spawn(process.execPath, [script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
-      env: { ...process.env, ROARR_LOG: 'true' },
+      env: { ...process.env, ROARR_LOG: 'true', ...env },
       // Ctrl-C at the terminal reaches only the program that started it.
       detached: true
     })
--- /dev/null
+++ b/tests/fleetSoak/soakChecks.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava'
+import { findViolations } from '../../bench/fleetSoak/soakChecks.js'
+import { answerTo, CallKind, emptyRecord, eventsCountOf, eventText, type BatchSeen, type ItemSeen, type SoakRecord } from '../../bench/fleetSoak/soakRecord.js'
+
+const IP = '127.0.50.5'
+
+function item (itemId: string, version = 2): ItemSeen {
+  const lines = Array.from({ length: eventsCountOf(itemId) }, (_, index) => eventText(itemId, index + 1, version))
+  return { itemId, state: 'completed', text: lines.join('\n'), versions: [version] }
+}
+
+function batch (changes: Partial<BatchSeen> = {}): BatchSeen {
+  const items = [item('a'), item('b')]
+  return { batchId: 'lot', itemIds: ['a', 'b'], minVersion: 2, acceptedAtMs: 1_000, firstRead: items, atEnd: items, ...changes }
+}
+
+/** A run in which everything was kept. */
+function kept (): SoakRecord {
+  return {
+    ...emptyRecord(),
+    arrivals: [
+      { attemptId: 'r1', endpointName: 'e1', fromIp: IP, atMs: 900, isRun: true },
+      { attemptId: 'r2', endpointName: 'e1', fromIp: IP, atMs: 950, isRun: false }
+    ],
+    calls: [
+      { attemptId: 'r1', kind: CallKind.AtMostOnce, sentAtMs: 890, status: 200, body: answerTo('r1'), hasReceipt: true },
+      { attemptId: 'r2', kind: CallKind.AtMostOnce, sentAtMs: 940, status: 503, body: '', hasReceipt: false }
+    ],
+    batches: [batch()],
+    leaves: [{ endpointName: 'e1', confirmedAtMs: 1_000 }],
+    configurations: [{ version: 3, confirmedAtMs: 5_000 }],
+    probes: [{ version: 3, sentAtMs: 8_000, status: 200 }],
+    readBackVersion: 3
+  }
+}
+
+test('should find nothing in a run that kept every promise', t => {
+  t.deepEqual(findViolations(kept()), [])
+})
+
+const broken: Array<[string, RegExp, (record: SoakRecord) => void]> = [
+  ['an answer that belongs to another request', /another's answer/, record => { record.calls[0]!.body = answerTo('r7') }],
+  ['a success without a receipt', /without a receipt/, record => { record.calls[0]!.hasReceipt = false }],
+  ['a second run of what may run once', /ran 2 times/, record => { record.arrivals.push({ attemptId: 'r1', endpointName: 'e2', fromIp: IP, atMs: 960, isRun: true }) }],
+  ['a refusal of what has run', /has not run, and it has/, record => { record.arrivals[1]!.isRun = true }],
+  ['a request to an endpoint that has left', /2100 ms after its leave/, record => { record.arrivals.push({ attemptId: 'r9', endpointName: 'e1', fromIp: IP, atMs: 3_100, isRun: false }) }],
+  ['an accepted batch that is gone', /cannot be read/, record => { record.batches[0]!.atEnd = undefined }],
+  ['an item that is not listed', /b was accepted and is not listed/, record => { record.batches = [batch({ atEnd: [item('a')], firstRead: [] })] }],
+  ['an item that is listed twice', /a is listed twice/, record => { record.batches = [batch({ atEnd: [item('a'), item('b'), item('a')] })] }],
+  ['a result that has changed', /result of a has changed/, record => { record.batches = [batch({ firstRead: [item('a', 3)] })] }],
+  ['a text that lacks an event', /not its whole output/, record => { record.batches[0]!.atEnd![0]!.text = item('a').text.split('\n').slice(1).join('\n') }],
+  ['false versions', /versions 2, not 3/, record => { record.batches[0]!.atEnd![0]!.versions = [3] }],
+  ['a version that is too old', /below 2/, record => { record.batches = [batch({ firstRead: [], atEnd: [item('a', 1), item('b')] })] }],
+  ['a configuration that is not in force in time', /no configuration 3/, record => { record.probes[0]!.status = 404 }],
+  ['a configuration that went back', /2 was read back/, record => { record.readBackVersion = 2 }],
+  ['a program that ended by itself', /ended by itself: entry-1/, record => { record.ownEnds.push('entry-1 with 70') }]
+]
+
+for (const [what, line, breakIt] of broken) {
+  test(`should find ${what}`, t => {
+    const record = kept()
+    breakIt(record)
+    const violations = findViolations(record)
+    t.is(violations.length, 1, violations.join('\n'))
+    t.regex(violations[0] ?? '', line)
+  })
+}
+
+test('should judge what is bounded in time only where nothing was disturbed', t => {
+  const record = kept()
+  record.arrivals.push({ attemptId: 'r9', endpointName: 'e1', fromIp: IP, atMs: 3_100, isRun: false })
+  record.probes[0]!.status = 404
+  record.disturbances.push({ kind: 'cut', target: 'entry-1', targetIps: [IP], hitsControl: false, fromMs: 2_000, untilMs: 5_500 })
+  t.deepEqual(findViolations(record), [])
+})
+
+test('should hold a host to a confirmed leave while a control host is cut off that was so before', t => {
+  const record = kept()
+  record.arrivals.push({ attemptId: 'r9', endpointName: 'e1', fromIp: IP, atMs: 3_100, isRun: false })
+  const cut = { kind: 'cut', target: 'control-1', targetIps: ['127.0.50.1'], hitsControl: true, fromMs: 500, untilMs: 5_500 }
+  record.disturbances = [cut]
+  t.is(findViolations(record).length, 1)
+  record.disturbances = [{ ...cut, fromMs: 1_500 }]
+  t.deepEqual(findViolations(record), [], 'the leader may have been hit after it confirmed')
+})
