--- a/bench/fleetSoak/soakChecks.ts
+++ b/bench/fleetSoak/soakChecks.ts
@@ -87,9 +87,9 @@
 
 function batchViolations (batch: BatchSeen): string[] {
   if (batch.acceptedAtMs === undefined) return []
-  const { batchId, atEnd, firstRead, itemIds } = batch
+  const { batchId, atEnd, firstRead, itemIds, isEndedEarly } = batch
   if (!atEnd) return [`${batchId}: was accepted and cannot be read at the end`]
-  const missing = itemIds.filter(itemId => !atEnd.some(item => item.itemId === itemId))
+  const missing = isEndedEarly ? [] : itemIds.filter(itemId => !atEnd.some(item => item.itemId === itemId))
   const twice = atEnd.filter((item, position) => atEnd.findIndex(other => other.itemId === item.itemId) !== position)
   const changed = firstRead.filter((item, position) => JSON.stringify(item) !== JSON.stringify(atEnd[position]))
   return [
--- a/bench/fleetSoak/soakRecord.ts
+++ b/bench/fleetSoak/soakRecord.ts
@@ -41,6 +41,8 @@
   itemIds: string[]
   minVersion: number
   acceptedAtMs: number | undefined
+  /** Its trainer ended it before all was listed: what is not listed by then need not be. */
+  isEndedEarly: boolean
   /** What each position was when it was first read. */
   firstRead: ItemSeen[]
   /** All positions at the end; undefined when they could not be read. */
