--- a/bench/fleetSoak/soakRun.ts
+++ b/bench/fleetSoak/soakRun.ts
@@ -31,8 +31,8 @@
 
 const SERVICES_COUNT = 3
 const ENGINES_COUNT = 3
-/** Endpoints that come in the place of others have addresses of their own. */
-const SPARE_ADDRESSES_COUNT = 40
+/** Endpoints that come in the place of others, each at a port of its own; beyond that none is replaced. */
+const MAX_REPLACEMENTS_COUNT = 40
 const FIRST_ENDPOINT_PORT = 8_100
 /** A host that comes back needs so long until its connections are made and its log is caught up. */
 const START_MS = 2_500
@@ -42,11 +42,9 @@
 export async function runSoak (options: SoakOptions): Promise<SoakOutcome> {
   const fleet = await SoakFleet.create(options.hosts, 1)
   const run = new SoakRun(options, fleet)
-  let violations = ['the run did not come to its end']
   try {
     const record = await run.play()
-    violations = findViolations(record)
-    return { seed: options.seed, planned: run.planned, record, violations, logsFolder: options.keepsLogs === true ? fleet.folder : undefined }
+    return { seed: options.seed, planned: run.planned, record, violations: findViolations(record), logsFolder: options.keepsLogs === true ? fleet.folder : undefined }
   } finally {
     await fleet.close(options.keepsLogs === true)
   }
@@ -111,7 +109,7 @@
 
   private async _addEndpoint (service: SoakService): Promise<void> {
     const number = this._endpointsCount++
-    if (number >= SERVICES_COUNT + ENGINES_COUNT + SPARE_ADDRESSES_COUNT) return
+    if (number >= SERVICES_COUNT + ENGINES_COUNT + MAX_REPLACEMENTS_COUNT) return
     const endpoint = new SoakEndpoint({
       name: `i-${service}-${number}`,
       service,
