--- a/bench/fleetSoak/soakCallers.ts
+++ b/bench/fleetSoak/soakCallers.ts
@@ -24,6 +24,17 @@
 /** How long callers go on asking for what was accepted, once everything is quiet. */
 const END_PATIENCE_MS = 20_000
 const BODY_BYTES_LIMIT = 1_048_576
+const STRANGE_GAP_MS = 300
+const STRANGE_CALLS = [
+  { path: `${WirePath.Endpoints}%E0%A4%A/heartbeat`, body: '{}' },
+  { path: `${WirePath.Endpoints}i-1/heartbeat`, body: '{"service":7,"state":"asleep"}' },
+  { path: `${WirePath.Endpoints}i-1/heartbeat`, body: '\u0000{' },
+  { path: `${WirePath.Endpoints}i-1/deregister`, body: '{"born":"yesterday"}' },
+  { path: `${WirePath.Retirement}%/begin`, body: '' },
+  { path: WirePath.ReplaceRouting, body: '{"version":-1}' },
+  { path: `${WirePath.Batches}%00`, body: '[]' },
+  { path: '/hints/stranger', body: '{"items":[]}' }
+] as const
 
 export interface SoakCallersParts {
   random: RandomSource
@@ -60,7 +71,7 @@
 
   /** Runs until it is told to finish. */
   async run (): Promise<void> {
-    await Promise.all([this._callOn(CallKind.Repeatable, '/open/'), this._callOn(CallKind.AtMostOnce, '/once/'), this._train(), this._probe()])
+    await Promise.all([this._callOn(CallKind.Repeatable, '/open/'), this._callOn(CallKind.AtMostOnce, '/once/'), this._train(), this._probe(), this._disturbAsStranger()])
   }
 
   finish (): void {
@@ -197,6 +208,16 @@
     }
   }
 
+  /** Somebody who speaks the protocol badly: what cannot be read is refused, and nothing else happens. */
+  private async _disturbAsStranger (): Promise<void> {
+    const { random, callerAddresses, controlAddresses } = this._parts
+    while (!this._isOver) {
+      const { path, body } = STRANGE_CALLS[random.int(0, STRANGE_CALLS.length - 1)] ?? STRANGE_CALLS[0]
+      await this._send(this._pick([...controlAddresses(), ...callerAddresses()]), 'POST', path, { [WireHeader.AttemptId]: 'stranger' }, body, CHANGE_TIMEOUT_MS)
+      await pause(STRANGE_GAP_MS)
+    }
+  }
+
   private async _readBack (): Promise<number | undefined> {
     const givesUpAtMs = this._parts.nowMs() + END_PATIENCE_MS
     while (this._parts.nowMs() < givesUpAtMs) {
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -20,6 +20,9 @@
 const CALL_TIMEOUT_MS = 1_000
 const RETRY_PAUSE_MS = 60
 const ANSWER_MS = 15
+/** Every fifth answer takes longer, so that some are under way whenever an endpoint ends. */
+const SLOW_ANSWER_MS = 250
+const SLOW_EACH = 5
 const EVENT_GAP_MS = 25
 const LOAD_MS = 250
 /** An endpoint serves on a little longer than it has to. */
@@ -45,6 +48,7 @@
   private _isLoading = false
   private _runningCount = 0
   private _ordersCount = 0
+  private _answersCount = 0
   private _highestFence = 0
   private _sequence = 0
   private _homeNumber: number
@@ -159,7 +163,8 @@
     this._runningCount++
     response.once('close', () => { this._runningCount-- })
     if (this.parts.service === SoakService.Engines) return this._stream(response, attemptId, Number(incoming.headers[WireHeader.LastEventId] ?? 0))
-    setTimeout(() => response.writeHead(200, this._heads(attemptId)).end(answerTo(attemptId)), ANSWER_MS)
+    const answerMs = this._answersCount++ % SLOW_EACH === 0 ? SLOW_ANSWER_MS : ANSWER_MS
+    setTimeout(() => response.writeHead(200, this._heads(attemptId)).end(answerTo(attemptId)), answerMs)
   }
 
   private _refuse (incoming: IncomingMessage, response: ServerResponse, status: number): void {
