Tell each host of a new routing configuration once, by one control host

Each control host pushed each configuration to each follower, and every call repeated it while it was on its way. By rendezvous hashing one control host pushes to a follower, encoded once for all; whoever a follower calls tells it what it lacked two calls before, so 1.5 s after the change at the latest when its control host is down (promised: 2 s and more). A new connection is told at once, as before.

Ruled out: one call instead of two (on a way of 250 ms it is told 15 times for 8).

--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -15,10 +15,10 @@
 import type { Scope } from '../../utils/scope.js'
 import { ControlEvent } from '../controlEvents.js'
 import type { ControlNode } from '../controlNode.js'
-import { NO_ROUTING_VERSION } from '../routing/routingState.js'
 import type { EndpointDirectory } from './endpointDirectory.js'
 import { EndpointNews } from './endpointNews.js'
 import { HostChanges } from './hostChanges.js'
+import { pusherOf, RoutingDelivery } from './routingPush.js'
 
 /** A follower calls twice a second; three missing calls make it silent. */
 export const FOLLOWER_SILENCE_MS = 1_600
@@ -34,7 +34,9 @@
   peer: RpcPeer
   host: FleetHost
   heardAtMs: number
-  sentRoutingVersion: number
+  routing: RoutingDelivery
+  /** The control host that pushes the routing configuration to it, among these. */
+  pusher: { members: string, address: string | undefined }
   sentStateRevision: number
   sentLeaveNumber: number
   sentControlAddresses: string
@@ -93,9 +95,10 @@
     session.heardAtMs = clock.nowMs()
     const needsConfirmation = request.routingVersion === undefined
     const isRoutingConfirmed = needsConfirmation && await this._parts.confirm(progress)
-    session.sentRoutingVersion = Math.min(session.sentRoutingVersion, request.routingVersion ?? NO_ROUTING_VERSION)
     if (lacksAll) this._reviewState()
     const update = this._updateFor(session)
+    const { routing } = this._parts.node.state
+    if (routing.routing && session.routing.takeCall(request.routingVersion, routing.version)) update.routing = routing.routing
     if (lacksAll) update.endpoints = this._parts.directory.all()
     return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, update }
   }
@@ -163,7 +166,7 @@
   }
 
   private _open (peer: RpcPeer, host: FleetHost): Session {
-    const session = { peer, host, heardAtMs: 0, sentRoutingVersion: NO_ROUTING_VERSION, sentStateRevision: 0, sentLeaveNumber: 0, sentControlAddresses: '' }
+    const session = { peer, host, heardAtMs: 0, routing: new RoutingDelivery(), pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
     this._lost.delete(host.hostId)
     this._hostChanges.set(host)
@@ -221,6 +224,7 @@
 
   private _pushToAll (): void {
     for (const { follower, update } of this._hostChanges.take()) this._notify(update, follower)
+    this._pushRouting()
     this._reviewState()
     for (const session of this._sessions.values()) {
       const update = this._updateFor(session)
@@ -228,6 +232,23 @@
     }
   }
 
+  /** To those that it falls to this host to tell; the others are told when they call and still lack it. */
+  private _pushRouting (): void {
+    const { routing, version } = this._parts.node.state.routing
+    if (!routing) return
+    const told = [...this._sessions.values()].filter(session => this._isPusherOf(session) && session.routing.takePush(version))
+    RpcPeer.notifyAll(told.map(({ peer }) => peer), fleetUpdateMethod, { routing })
+  }
+
+  private _isPusherOf (session: Session): boolean {
+    const { core } = this._parts.node.replica
+    const members = core.members.map(({ peerAddress }) => peerAddress)
+    const membersText = members.join(' ')
+    if (session.pusher.members !== membersText) session.pusher = { members: membersText, address: pusherOf(session.host.hostId, members) }
+    const own = core.members.find(({ replicaId }) => replicaId === core.replicaId)
+    return own !== undefined && own.peerAddress === session.pusher.address
+  }
+
   /** Once for all followers, and only then for each: most entries of the log change nothing here. */
   private _reviewState (): void {
     const { routing } = this._parts.node.state
@@ -239,14 +260,10 @@
     this._stateRevision++
   }
 
-  /** What the session lacks of the replicated state; marks it as sent. A follower that lost it asks again by its version. */
+  /** What the session lacks of the replicated state besides the routing configuration; marks it as sent. */
   private _updateFor (session: Session): FleetUpdate {
     const { routing } = this._parts.node.state
     const update: FleetUpdate = {}
-    if (routing.routing && routing.version > session.sentRoutingVersion) {
-      update.routing = routing.routing
-      session.sentRoutingVersion = routing.version
-    }
     if (session.sentStateRevision !== this._stateRevision) {
       Object.assign(update, this._state)
       session.sentStateRevision = this._stateRevision
