--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -118,7 +118,9 @@
     for (const host of this.hosts) this.start(host)
   }
 
+  /** A host that another fault has brought back meanwhile runs already: its ports are taken. */
   start (host: SoakHost): void {
+    if (host.running.some(({ end }) => end === undefined)) return
     const settingsFile = this._writeSettings(host)
     host.startsCount++
     host.running = host.programs.map(program => this._spawn(host, program, settingsFile))
