--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -9,6 +9,7 @@
 import { BatchDispatcher } from '../../src/batches/batchDispatcher.js'
 import { EndpointPool } from '../../src/endpoints/endpointPool.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
+import { RequestQuarantine } from '../../src/quarantine/requestQuarantine.js'
 import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
 import { BatchCommandKind } from '../../src/protocol/batches.js'
 import { sleepUntil, systemClock } from '../../src/utils/clock.js'
@@ -57,8 +58,9 @@
 const metrics = memoryMetrics()
 const client = new PlatformEndpointClient(systemClock)
 const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE })
-const forwarder = new RequestForwarder({ view, pool, client, random, logger: silentLogger, metrics })
-const dispatcher = new BatchDispatcher({ clock: systemClock, logger: silentLogger, metrics, client, forwarder, pool, view, replica, state, supervisor })
+const quarantine = new RequestQuarantine({ view, clock: systemClock, client, supervisor, logger: silentLogger, metrics, submit: async () => true })
+const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger: silentLogger, metrics })
+const dispatcher = new BatchDispatcher({ clock: systemClock, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, supervisor })
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
 
 async function submitStep (step: number): Promise<void> {
--- a/importBoundaries.js
+++ b/importBoundaries.js
@@ -12,8 +12,9 @@
   entry: ['utils', 'protocol', 'transport', 'controlClient'],
   fleet: ['utils', 'protocol', 'transport', 'replication'],
   endpoints: ['utils', 'protocol', 'fleet'],
-  gateway: ['utils', 'protocol', 'fleet', 'endpoints'],
-  batches: ['utils', 'protocol', 'transport', 'replication', 'fleet', 'endpoints', 'gateway'],
+  quarantine: ['utils', 'protocol', 'fleet', 'endpoints'],
+  gateway: ['utils', 'protocol', 'fleet', 'endpoints', 'quarantine'],
+  batches: ['utils', 'protocol', 'transport', 'replication', 'fleet', 'endpoints', 'quarantine', 'gateway'],
   cli: ['utils', 'protocol'],
   load: ['utils', 'protocol'],
   bin: ['utils', 'protocol', 'transport', 'replication', 'control', 'controlClient', 'entry', 'fleet', 'cli', 'load']
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -5,6 +5,7 @@
 import type { EndpointClient } from '../endpoints/endpointClient.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
 import type { FleetView } from '../fleet/fleetView.js'
+import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
 import type { BatchItem, ItemResult } from '../protocol/batches.js'
@@ -41,6 +42,7 @@
   metrics: Metrics
   client: EndpointClient
   forwarder: RequestForwarder
+  quarantine: RequestQuarantine
   pool: EndpointPool
   view: FleetView
   replica: Replica
@@ -166,13 +168,14 @@
   }
 
   private _beginItem (batch: Batch, item: BatchItem, times: BatchTimes, supervisor: Supervisor): void {
-    const { clock, logger, metrics, client, forwarder, replica } = this._parts
+    const { clock, logger, metrics, client, forwarder, quarantine, replica } = this._parts
     const parts: ItemRunParts = {
       clock,
       logger,
       metrics,
       client,
       forwarder,
+      quarantine,
       replica,
       acquire: (run, scope) => this._slots.acquire(run, scope),
       release: (run, engine) => this._slots.release(run, engine),
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -4,6 +4,8 @@
  * breaks off, is scored, and is committed. One task, written straight down.
  */
 import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
+import { RequestStanding, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
+import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult } from '../protocol/batches.js'
 import type { RoutingRoute } from '../protocol/routing.js'
@@ -31,6 +33,8 @@
 /** Pause after a run that failed at once, so that a broken engine is not asked in a loop. */
 const RETRY_PAUSE_MS = 30
 const COMMIT_TIMEOUT_MS = 2_000
+/** An item under which engines end is looked at again after this, until it may be given up: it may be lifted, or have to wait for another one. */
+const HELD_BACK_PAUSE_MS = 500
 
 type RunOutcome = ItemOutcome | { kind: 'moved' }
 type FailedRun = Exclude<ItemOutcome, { kind: 'finished' } | { kind: 'impossible' }>
@@ -41,6 +45,7 @@
   metrics: Metrics
   client: EndpointClient
   forwarder: RequestForwarder
+  quarantine: RequestQuarantine
   replica: Replica
   /** Waits until an engine has room for the item. */
   acquire: (run: ItemRun, scope: Scope) => Promise<Engine>
@@ -76,6 +81,7 @@
   /** Runs that engines answered as failed. */
   private _failuresCount = 0
   private readonly _keeper: OutputKeeper
+  private readonly _identity: RequestIdentity
   private readonly _startedAtMs: number
   /** Engine and scope of the run that is under way. */
   private _current: { engine: Engine, scope: Scope } | undefined
@@ -84,6 +90,7 @@
   constructor (parts: ItemRunParts, batch: Batch, item: BatchItem, times: BatchTimes, kept: ItemOutput | undefined, isCarriedOver: boolean) {
     this._parts = parts
     this._startedAtMs = parts.clock.nowMs()
+    this._identity = parts.quarantine.identify({ host: batch.submission.host, method: 'POST', path: item.path, body: item.body })
     this.batch = batch
     this.item = item
     this.times = times
@@ -140,7 +147,14 @@
     const { clock } = this._parts
     if (this.isBegun) this._log(BatchEvent.ItemReused, { eventsCount: this.output.lastEventId, isWhole: false })
     for (;;) {
+      // Without a wait it asks for a slot in this very turn, together with the rest of its batch.
+      if (!this._isSendable() && !await this._untilSendable(scope)) return false
       const engine = await this._parts.acquire(this, scope)
+      // It may have waited long for the slot.
+      if (!this._isSendable()) {
+        this._parts.release(this, engine)
+        continue
+      }
       const outcome = await this._runOn(engine, scope)
       this._logRun(engine, outcome)
       if (outcome.kind === 'finished') {
@@ -155,6 +169,23 @@
     }
   }
 
+  /** Waits while engines end under the item; false when it is given up meanwhile. */
+  private async _untilSendable (scope: Scope): Promise<boolean> {
+    const { clock } = this._parts
+    while (!this._isSendable()) {
+      if (clock.nowMs() >= this.times.giveUpAtMs) return false
+      await sleepUntil(clock, scope, clock.nowMs() + HELD_BACK_PAUSE_MS)
+    }
+    return true
+  }
+
+  private _isSendable (): boolean {
+    const { quarantine } = this._parts
+    const standing = quarantine.standingOf(this._identity)
+    if (standing === RequestStanding.Condemned) quarantine.noteHeldBack(this._identity, { attemptId: this.item.itemId, route: this.batch.submission.path })
+    return standing !== RequestStanding.Condemned && quarantine.mayBegin(standing)
+  }
+
   /** What a run that failed says of its engine. */
   private _blame (engine: Engine, outcome: FailedRun): void {
     switch (outcome.kind) {
@@ -189,7 +220,8 @@
   }
 
   private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
-    const { clock, client, release } = this._parts
+    const { clock, client, release, quarantine } = this._parts
+    const quarantined = quarantine.begin(this._identity, engine.endpoint)
     const runScope = scope.child(`run on ${engine.id}`)
     const silenceWatch = new SilenceWatch(clock, engine.pace, runScope, this._parts.isHeldUp)
     const onEvent = (event: ItemEvent): void => {
@@ -202,8 +234,11 @@
     this._current = { engine, scope: runScope }
     this._log(BatchEvent.ItemStarted, { endpointId: engine.id, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
     try {
-      return await client.runItem(this._request(engine), runScope, onEvent)
+      const outcome = await client.runItem(this._request(engine), runScope, onEvent)
+      this._settle(quarantined, outcome)
+      return outcome
     } catch (error) {
+      quarantine.left(quarantined)
       if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
       return runScope.closeReason === MOVED ? { kind: 'moved' } : { kind: 'broken', reason: runScope.closeReason ?? '' }
     } finally {
@@ -213,6 +248,18 @@
     }
   }
 
+  private _settle (run: QuarantinedRun, outcome: ItemOutcome): void {
+    const { quarantine } = this._parts
+    switch (outcome.kind) {
+      case 'finished':
+      case 'failed':
+      case 'impossible':
+        return quarantine.answered(run)
+      default:
+        return quarantine.failed(run, outcome)
+    }
+  }
+
   private _request (engine: Engine) {
     const { path, headers, body, itemId } = this.item
     return {
@@ -261,7 +308,7 @@
     if (!reward) return whole
     const { clock, metrics, forwarder, routeOf } = this._parts
     const onCalled = (fields: LogFields): void => this._log(BatchEvent.ItemScored, fields)
-    const score = await new RewardScoring({ clock, metrics, forwarder, routeOf, onCalled }).score(reward, scope)
+    const score = await new RewardScoring({ clock, metrics, forwarder, routeOf, onCalled }).score(reward, this.times.giveUpAtMs, scope)
     return score.kind === 'scored' ? { ...whole, score: score.receipt } : this._givenUp()
   }
 
--- a/src/batches/rewardScoring.ts
+++ b/src/batches/rewardScoring.ts
@@ -1,9 +1,11 @@
 /**
  * Scores a sample whose text is whole, by its reward call: asked again until
- * there is a score, or the call was failed as often as its route allows.
+ * there is a score, the call was failed as often as its route allows, or
+ * endpoints end under it and the item may be given up.
  */
 import type { ForwardOutcome, RequestForwarder } from '../gateway/requestForwarder.js'
 import type { RewardCall } from '../protocol/batches.js'
+import { RefusalReason } from '../protocol/refusals.js'
 import type { RoutingRoute } from '../protocol/routing.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { LogFields } from '../utils/logger.js'
@@ -15,6 +17,8 @@
 /** One try of the reward call, with its retries: the longest of both sites takes a tenth of this. */
 const REWARD_TIMEOUT_MS = 2_000
 const RETRY_PAUSE_MS = 50
+/** A call under which endpoints end goes to none of them: whether it was lifted is looked at this often. */
+const HELD_BACK_PAUSE_MS = 1_000
 const HTTP_OK_MIN = 200
 const HTTP_OK_MAX = 299
 
@@ -41,19 +45,22 @@
     this._parts = parts
   }
 
-  async score (reward: RewardCall, scope: Scope): Promise<RewardScore> {
+  /** @param giveUpAtMs from then on a call that is sent to no endpoint is given up */
+  async score (reward: RewardCall, giveUpAtMs: number, scope: Scope): Promise<RewardScore> {
     const { clock, routeOf } = this._parts
     let failuresCount = 0
     for (;;) {
       const route = routeOf(reward.host, reward.path)
       const outcome = route && await this._call(reward, route, scope)
       if (outcome?.kind === 'answered') {
-        if (isSuccess(outcome.status) && outcome.receipt !== undefined) return { kind: 'scored', receipt: outcome.receipt }
+        const receipt = receiptOf(outcome)
+        if (receipt !== undefined) return { kind: 'scored', receipt }
         failuresCount += outcome.failedAnswersCount
       }
-      const isLost = route !== undefined && failuresCount >= route.maxAttemptsCount
-      if (isLost) return { kind: 'lost' }
-      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+      const isHeldBack = isQuarantined(outcome)
+      const hasFailedOften = route !== undefined && failuresCount >= route.maxAttemptsCount
+      if (hasFailedOften || (isHeldBack && clock.nowMs() >= giveUpAtMs)) return { kind: 'lost' }
+      await sleepUntil(clock, scope, clock.nowMs() + (isHeldBack ? HELD_BACK_PAUSE_MS : RETRY_PAUSE_MS))
     }
   }
 
@@ -77,6 +84,11 @@
   }
 }
 
-function isSuccess (status: number): boolean {
-  return status >= HTTP_OK_MIN && status <= HTTP_OK_MAX
+function isQuarantined (outcome: ForwardOutcome | undefined): boolean {
+  return outcome?.kind === 'refused' && outcome.reason === RefusalReason.Quarantined
+}
+
+/** That of a success. */
+function receiptOf ({ status, receipt }: Extract<ForwardOutcome, { kind: 'answered' }>): string | undefined {
+  return status >= HTTP_OK_MIN && status <= HTTP_OK_MAX ? receipt : undefined
 }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -7,6 +7,7 @@
 import { ControlCommands } from '../fleet/controlCommands.js'
 import { FleetFollower } from '../fleet/fleetFollower.js'
 import { FleetView } from '../fleet/fleetView.js'
+import { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import { RequestForwarder } from '../gateway/requestForwarder.js'
 import { HostRole, type FleetHost } from '../protocol/fleet.js'
 import type { StoreReplica } from '../protocol/routingCommands.js'
@@ -98,6 +99,7 @@
   private readonly _follower: FleetFollower
   private readonly _service: BatchService
   private readonly _commands: ControlCommands
+  private readonly _quarantine: RequestQuarantine
   /** While this host leads. */
   private _dispatcher: BatchDispatcher | undefined
 
@@ -138,6 +140,7 @@
     const { keepBatchesMs: keepMs, stateCapacityBytes } = settings
     this._service = new BatchService({ replica: this._replica, state: this._state, clock: systemClock, logger, scope: this._scope, keepMs, stateCapacityBytes })
     this._commands = new ControlCommands(() => this._follower.addresses, this._transport, this._scope, onFatal)
+    this._quarantine = this._createQuarantine()
   }
 
   /**
@@ -182,6 +185,7 @@
     await this._transport.listen(peerAddress, this._scope, connection => { serveOver(connection, handlers, onFatal) })
     this._replica.start()
     this._follower.start()
+    this._quarantine.start()
     const membership = new StoreMembership({ replica: this._replica, view: this._view, clock: systemClock, logger, hostId, peerAddress, dataCentre })
     this._supervisor.spawn('membership', scope => membership.run(scope))
     this._supervisor.spawn('gauges', scope => this._showState(scope))
@@ -262,13 +266,27 @@
     await dispatcher.run(scope)
   }
 
+  private _createQuarantine (): RequestQuarantine {
+    const { client, logger, metrics } = this._parts
+    return new RequestQuarantine({
+      view: this._view,
+      clock: systemClock,
+      client,
+      supervisor: this._supervisor,
+      logger,
+      metrics,
+      submit: (command, progress) => this._commands.commit(command, progress)
+    })
+  }
+
   private _createDispatcher (supervisor: Supervisor): BatchDispatcher {
     const { settings, client, logger, metrics } = this._parts
     const view = this._view
     const random = systemRandom()
     const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: settings.dataCentre })
-    const forwarder = new RequestForwarder({ view, pool, client, random, logger, metrics })
-    return new BatchDispatcher({ clock: systemClock, logger, metrics, client, forwarder, pool, view, replica: this._replica, state: this._state, supervisor })
+    const quarantine = this._quarantine
+    const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger, metrics })
+    return new BatchDispatcher({ clock: systemClock, logger, metrics, client, forwarder, quarantine, pool, view, replica: this._replica, state: this._state, supervisor })
   }
 }
 
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -51,7 +51,7 @@
   apply (command: Command, context: ApplyContext): AnyCommandResult {
     if (isResourceCommand(command)) return this.resources.apply(command, context)
     if (isHostCommand(command)) return this.hosts.apply(command, context)
-    if (isRoutingCommand(command)) return this.routing.apply(command)
+    if (isRoutingCommand(command)) return this.routing.apply(command, context)
     if (isUnrepeatableCommand(command)) return this._ledgers.unrepeatable.apply(command, context)
     return this._ledgers.rollouts.apply(command, context)
   }
--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -39,6 +39,7 @@
   pusher: { members: string, address: string | undefined }
   sentStateRevision: number
   sentLeaveNumber: number
+  sentQuarantineNumber: number
   sentControlAddresses: string
 }
 
@@ -166,7 +167,7 @@
   }
 
   private _open (peer: RpcPeer, host: FleetHost): Session {
-    const session = { peer, host, heardAtMs: 0, routing: new RoutingDelivery(), pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentControlAddresses: '' }
+    const session = { peer, host, heardAtMs: 0, routing: new RoutingDelivery(), pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentQuarantineNumber: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
     this._lost.delete(host.hostId)
     this._hostChanges.set(host)
@@ -272,6 +273,10 @@
       update.leaves = routing.leaves.since(session.sentLeaveNumber)
       session.sentLeaveNumber = routing.leaves.lastNumber
     }
+    if (routing.ends.lastNumber !== session.sentQuarantineNumber) {
+      update.quarantine = routing.ends.since(session.sentQuarantineNumber)
+      session.sentQuarantineNumber = routing.ends.lastNumber
+    }
     return update
   }
 
@@ -287,5 +292,6 @@
 function forgetSent (session: Session): void {
   session.sentStateRevision = 0
   session.sentLeaveNumber = 0
+  session.sentQuarantineNumber = 0
   session.sentControlAddresses = ''
 }
--- a/src/control/routing/routingState.ts
+++ b/src/control/routing/routingState.ts
@@ -1,14 +1,15 @@
 /**
  * The part of the replicated state that holds the routing configuration, the
- * named versions of weights, the batch store's first members, retirements, and
- * the leaves of endpoints.
+ * named versions of weights, the batch store's first members, retirements,
+ * the leaves of endpoints, and the requests under which endpoints ended.
  */
 import type { EndpointLeave } from '../../protocol/endpointLeaves.js'
 import type { Routing } from '../../protocol/routing.js'
 import {
   RetirementState, RoutingCommandKind, type NamedWeights, type Retirement, type RoutingCommand, type RoutingResult, type StoreGroup
 } from '../../protocol/routingCommands.js'
-import type { StatePart } from '../../replication/replicatedState.js'
+import type { ApplyContext, StatePart } from '../../replication/replicatedState.js'
+import { NotedEnds, type NotedEndsSnapshot } from './notedEnds.js'
 import { NotedLeaves } from './notedLeaves.js'
 
 interface RoutingSnapshot {
@@ -18,6 +19,8 @@
   storeGroup: StoreGroup | undefined
   retirements: Retirement[]
   leaves: EndpointLeave[]
+  /** Absent in those of earlier builds. */
+  ends: NotedEndsSnapshot | undefined
 }
 
 /** Nothing was configured yet. */
@@ -29,6 +32,7 @@
   document: string | undefined
   storeGroup: StoreGroup | undefined
   readonly leaves = new NotedLeaves()
+  readonly ends = new NotedEnds()
   private readonly _weights = new Map<string, number>()
   private readonly _retirements = new Map<string, Retirement>()
 
@@ -48,7 +52,7 @@
     return this._retirements.get(hostName)
   }
 
-  apply (command: RoutingCommand): RoutingResult {
+  apply (command: RoutingCommand, { atMs }: Pick<ApplyContext, 'atMs'>): RoutingResult {
     switch (command.kind) {
       case RoutingCommandKind.Replace:
         return this._replace(command.routing, command.document)
@@ -65,6 +69,12 @@
         return { kind: 'retirementHeld' }
       case RoutingCommandKind.NoteLeave:
         return { kind: 'leaveNoted', leave: this.leaves.note(command.leave) }
+      case RoutingCommandKind.NoteEnds:
+        this.ends.note(command.ends, atMs)
+        return { kind: 'quarantineHeld' }
+      case RoutingCommandKind.ClearSuspects:
+        this.ends.clear(command.digests, atMs)
+        return { kind: 'quarantineHeld' }
     }
   }
 
@@ -75,12 +85,13 @@
       weights: this.namedWeights(),
       storeGroup: this.storeGroup,
       retirements: this.retirements(),
-      leaves: this.leaves.all()
+      leaves: this.leaves.all(),
+      ends: this.ends.snapshot()
     }
   }
 
   restore (snapshot: unknown): void {
-    const { routing, document, weights, storeGroup, retirements, leaves } = snapshot as RoutingSnapshot
+    const { routing, document, weights, storeGroup, retirements, leaves, ends } = snapshot as RoutingSnapshot
     this.routing = routing ?? undefined
     this.document = document ?? undefined
     this.storeGroup = storeGroup ?? undefined
@@ -89,6 +100,7 @@
     this._retirements.clear()
     for (const retirement of retirements) this._retirements.set(retirement.hostName, retirement)
     this.leaves.restore(leaves ?? [])
+    if (ends) this.ends.restore(ends)
   }
 
   /** An equal version changes nothing either: the first document of a version is the only one. */
--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -35,10 +35,33 @@
   | { kind: 'notExecuted', status: number, load: ReportedLoad | undefined }
   /** Another endpoint has taken over the address. Nothing ran. */
   | { kind: 'misdirected' }
-  /** No connection came about. Nothing ran. */
-  | { kind: 'unreached', reason: string }
-  /** No usable answer; it may have run. */
-  | { kind: 'broken', reason: string }
+  | Unreached
+  | Broken
+
+/** No connection came about. Nothing ran. */
+export interface Unreached {
+  kind: 'unreached'
+  reason: string
+  /** The address took no connection: no endpoint listens there. */
+  isRefused?: boolean
+}
+
+/** No usable answer; it may have run. */
+export interface Broken {
+  kind: 'broken'
+  reason: string
+  /** The other side closed the connection or reset it, rather than answering badly. */
+  isConnectionLost?: boolean
+}
+
+/** Whether anything listens at an address. */
+export enum Listening {
+  Yes = 'yes',
+  /** The connection was refused. */
+  No = 'no',
+  /** Nobody said either. */
+  Unknown = 'unknown'
+}
 
 /** Head of a streamed answer, without what concerns one connection only. */
 export interface StreamHead {
@@ -82,13 +105,13 @@
   | { kind: 'finished' }
   | { kind: 'notExecuted', status: number }
   | { kind: 'misdirected' }
-  | { kind: 'unreached', reason: string }
+  | Unreached
   /** The endpoint tried and failed. */
   | { kind: 'failed', status: number }
   /** The item can never be done. */
   | { kind: 'impossible' }
   /** The stream broke off; the events that came before count. */
-  | { kind: 'broken', reason: string }
+  | Broken
 
 export interface EndpointReport {
   isBusy: boolean
@@ -137,6 +160,8 @@
   runItem: (request: ItemRequest, scope: Scope, onEvent: (event: ItemEvent) => void) => Promise<ItemOutcome>
   /** The endpoint's own word on its state; undefined when it does not answer in time. */
   report: (endpoint: FleetEndpoint, deadlineMs: number, scope: Scope) => Promise<EndpointReport | undefined>
+  /** Whether an endpoint takes connections; nothing is asked of it. */
+  isListening: (endpoint: FleetEndpoint, deadlineMs: number, scope: Scope) => Promise<Listening>
   orderLoad: (endpoint: FleetEndpoint, order: LoadOrder, deadlineMs: number, scope: Scope) => Promise<OrderOutcome>
   /** Closes connections to endpoints that are not among these any more. */
   keepOnly: (endpointIds: ReadonlySet<string>) => void
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -18,6 +18,8 @@
 /** Breaks ties, so that hosts do not all choose the same endpoint. */
 const JITTER = 0.1
 
+const NONE: ReadonlySet<string> = new Set()
+
 export interface EndpointPoolParts {
   view: FleetView
   clock: Clock
@@ -51,12 +53,14 @@
 
   /**
    * The endpoint to try next.
-   * @param avoided endpoints that were tried already; chosen only if there is no other
+   * @param tried endpoints that were tried already; chosen only if there is no other
+   * @param risky endpoints that may end soon; chosen only if there is no other that was not tried
    */
-  choose (service: string, avoided: ReadonlySet<string>): FleetEndpoint | undefined {
+  choose (service: string, tried: ReadonlySet<string>, risky: ReadonlySet<string> = NONE): FleetEndpoint | undefined {
     const all = this.ofService(service).filter(({ endpointId }) => !this.health(endpointId).isFull)
-    const fresh = all.filter(({ endpointId }) => !avoided.has(endpointId))
-    const candidates = fresh.length > 0 ? fresh : all
+    const fresh = all.filter(({ endpointId }) => !tried.has(endpointId))
+    const safe = fresh.filter(({ endpointId }) => !risky.has(endpointId))
+    const candidates = [safe, fresh, all].find(({ length }) => length > 0) ?? []
     const sound = candidates.filter(({ endpointId }) => !this.health(endpointId).isSuspect)
     if (sound.length > 0) return this._lowest(sound, endpoint => this._expectedMs(endpoint))
     return this._lowest(candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
--- a/src/fleet/controlCommands.ts
+++ b/src/fleet/controlCommands.ts
@@ -24,6 +24,11 @@
     this._links = new PeerLinks(transport, scope, onFatal)
   }
 
+  /** The same; true once a quorum has it. */
+  async commit (command: RoutingCommand, progress: Progress): Promise<boolean> {
+    return (await this.submit(command, progress)).kind === 'committed'
+  }
+
   /** Commits a command that may be committed twice without harm. */
   async submit (command: RoutingCommand, progress: Progress): Promise<SubmitReply> {
     let hint: string | undefined
--- a/src/fleet/fleetView.ts
+++ b/src/fleet/fleetView.ts
@@ -10,6 +10,7 @@
 import type { Logger } from '../utils/logger.js'
 import { Signal } from '../utils/signal.js'
 import { FleetEvent } from './fleetEvents.js'
+import { KnownQuarantine } from './knownQuarantine.js'
 
 /** Endpoints that left, and their newest starts, are remembered, so that an outdated control host does not bring them back. */
 const MAX_REMEMBERED_COUNT = 4_096
@@ -17,6 +18,8 @@
 export class FleetView {
   /** Notified after anything changed. */
   readonly changed = new Signal()
+  /** Requests that end endpoints. */
+  readonly quarantine = new KnownQuarantine()
   routing: Routing | undefined
   storeGroup: StoreGroup | undefined
   private readonly _logger: Logger
@@ -54,6 +57,12 @@
     return this._endpoints.get(endpointId)
   }
 
+  /** Whether a start of an endpoint is known to leave or to have left: its end is no surprise. */
+  isLeaving (endpoint: FleetEndpoint): boolean {
+    const lifecycle = this._endpoints.get(endpoint.endpointId)?.lifecycle ?? EndpointLifecycle.Ready
+    return Math.max(lifecycle, this._leaves.lifecycleOf(endpoint)) > EndpointLifecycle.Ready
+  }
+
   /** Hosts that any control host hears of. */
   hosts (role: HostRole): FleetHost[] {
     this._merged ??= mergeHosts(this._hosts.values())
@@ -85,6 +94,7 @@
     this.storeGroup ??= update.storeGroup
     for (const { model, version } of update.weights ?? []) this._nameWeights(model, version)
     for (const retirement of update.retirements ?? []) this._retire(retirement)
+    this.quarantine.learn(update.quarantine ?? [])
     this._learnEndpoints(update)
     this._notify()
   }
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -10,6 +10,8 @@
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
 import { RouteKind, type RoutingRoute } from '../protocol/routing.js'
+import { RequestStanding, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
+import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import type { Clock } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
 import type { Logger } from '../utils/logger.js'
@@ -50,6 +52,7 @@
   view: FleetView
   pool: EndpointPool
   client: EndpointClient
+  quarantine: RequestQuarantine
   random: RandomSource
   logger: Logger
   metrics: Metrics
@@ -89,6 +92,7 @@
   private readonly _parts: RequestForwarderParts
   private readonly _request: ForwardRequest
   private readonly _scope: Scope
+  private readonly _identity: RequestIdentity
   private readonly _service: string
   private readonly _hedgeBudget: RetryBudget
   private readonly _tried = new Set<string>()
@@ -106,6 +110,7 @@
     this._parts = parts
     this._request = request
     this._scope = scope
+    this._identity = parts.quarantine.identify(request)
     this._service = service
     this._hedgeBudget = hedgeBudget
     this._startedAtMs = request.progress.clock.nowMs()
@@ -130,6 +135,9 @@
     const { route } = this._request
     const mayRunAgain = this._ranCount === 0 || (route.kind !== RouteKind.AtMostOnce && this._ranCount < route.maxAttemptsCount)
     if (!mayRunAgain) return this._failure ?? this._giveUp(RefusalReason.EndpointFailed)
+    const standing = this._parts.quarantine.standingOf(this._identity)
+    if (standing === RequestStanding.Condemned) return this._holdBack()
+    if (!this._parts.quarantine.mayBegin(standing)) return undefined
     if (this._startTry()) return undefined
     const { isPersistent, progress } = this._request
     if (isPersistent === true) return undefined
@@ -148,11 +156,13 @@
   private _mayHedge (): boolean {
     const { route, progress } = this._request
     const mayRepeat = route.kind !== RouteKind.AtMostOnce && this._ranCount + this._openCount < route.maxAttemptsCount
+    // A second endpoint would end beside the first.
+    if (this._parts.quarantine.standingOf(this._identity) !== RequestStanding.Free) return false
     return mayRepeat && !progress.isOver() && this._openCount === 1 && this._hedgeBudget.take()
   }
 
   private _startTry (): boolean {
-    const endpoint = this._parts.pool.choose(this._service, this._tried)
+    const endpoint = this._parts.pool.choose(this._service, this._tried, this._parts.quarantine.riskyEndpointIds())
     if (!endpoint) return false
     this._tried.add(endpoint.endpointId)
     this._triesCount++
@@ -169,31 +179,45 @@
     const { clock } = progress
     const health = this._parts.pool.health(endpoint.endpointId)
     const startedAtMs = clock.nowMs()
+    const run = this._parts.quarantine.begin(this._identity, endpoint)
+    let isSettled = false
     health.runningCount++
     try {
       const request = { endpoint, method, path, host, headers, body, attemptId, deadlineMs: progress.deadlineMs }
       const outcome = await this._parts.client.call(request, this._scope)
+      isSettled = true
       this._openCount--
-      this._onOutcome(endpoint, outcome, clock.nowMs() - startedAtMs)
+      this._onOutcome(run, outcome, clock.nowMs() - startedAtMs)
       this._settled.notify()
     } finally {
       health.runningCount--
+      if (!isSettled) this._parts.quarantine.left(run)
       if (this._scope.isClosed) health.took(clock.nowMs() - startedAtMs)
     }
   }
 
-  private _onOutcome (endpoint: FleetEndpoint, outcome: EndpointOutcome, durationMs: number): void {
+  private _onOutcome (run: QuarantinedRun, outcome: EndpointOutcome, durationMs: number): void {
+    const { endpoint } = run
     const health = this._parts.pool.health(endpoint.endpointId)
     switch (outcome.kind) {
       case 'answered':
+        this._parts.quarantine.answered(run)
         health.succeeded(durationMs, outcome.load)
         this._parts.pool.answeredAfter(this._service, durationMs)
         return this._onAnswer(endpoint, outcome)
       default:
+        this._parts.quarantine.failed(run, outcome)
         return this._onFailed(endpoint, outcome)
     }
   }
 
+  /** Nothing says when to come back: it would be held back again. */
+  private _holdBack (): ForwardOutcome {
+    const { attemptId, route } = this._request
+    this._parts.quarantine.noteHeldBack(this._identity, { attemptId, route: route.name })
+    return this._giveUp(RefusalReason.Quarantined, 0)
+  }
+
   private _onFailed (endpoint: FleetEndpoint, outcome: FailedOutcome): void {
     const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, outcome, this._parts)
     if (mayHaveRun) this._ranCount++
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -8,6 +8,8 @@
 import type { FleetView } from '../fleet/fleetView.js'
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
+import { RequestStanding, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
+import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import { sleepUntil } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
 import type { Logger } from '../utils/logger.js'
@@ -48,6 +50,7 @@
   view: FleetView
   pool: EndpointPool
   client: EndpointClient
+  quarantine: RequestQuarantine
   random: RandomSource
   logger: Logger
   metrics: Metrics
@@ -70,6 +73,7 @@
   private readonly _parts: StreamForwarderParts
   private readonly _request: StreamRequest
   private readonly _sink: StreamSink
+  private readonly _identity: RequestIdentity
   private readonly _service: string
   private readonly _startedAtMs: number
   private readonly _tried = new Set<string>()
@@ -83,6 +87,7 @@
     this._parts = parts
     this._request = request
     this._sink = sink
+    this._identity = parts.quarantine.identify(request)
     this._service = chooseService(request.route, parts.random)
     this._startedAtMs = request.progress.clock.nowMs()
     this._lastEventId = request.afterEventId
@@ -90,20 +95,38 @@
 
   async run (): Promise<StreamForwardOutcome> {
     const { progress } = this._request
+    const { quarantine } = this._parts
     while (!progress.isOver()) {
-      const endpoint = this._parts.pool.choose(this._service, this._tried)
+      const standing = quarantine.standingOf(this._identity)
+      if (standing === RequestStanding.Condemned) return this._holdBack()
+      if (!quarantine.mayBegin(standing)) {
+        await this._pause()
+        continue
+      }
+      const endpoint = this._parts.pool.choose(this._service, this._tried, quarantine.riskyEndpointIds())
       if (endpoint) {
         const settled = await this._try(endpoint)
         if (settled) return settled
       } else {
         const verdict = this._verdict()
         if (verdict.kind === 'refuse') return this._giveUp(RefusalReason.NoEndpoint, verdict.retryAfterMs)
-        await sleepUntil(progress.clock, progress.scope, Math.min(progress.deadlineMs, progress.clock.nowMs() + FULL_RETRY_MS))
+        await this._pause()
       }
     }
     return this._giveUp(RefusalReason.DeadlinePassed)
   }
 
+  private async _pause (): Promise<void> {
+    const { clock, scope, deadlineMs } = this._request.progress
+    await sleepUntil(clock, scope, Math.min(deadlineMs, clock.nowMs() + FULL_RETRY_MS))
+  }
+
+  private _holdBack (): StreamForwardOutcome {
+    const { attemptId, route } = this._request
+    this._parts.quarantine.noteHeldBack(this._identity, { attemptId, route: route.name })
+    return this._giveUp(RefusalReason.Quarantined, 0)
+  }
+
   /** A caller that has part of its answer waits for the rest. */
   private _verdict (): Verdict {
     const { progress } = this._request
@@ -120,13 +143,16 @@
     const health = pool.health(endpoint.endpointId)
     const scope = progress.scope.child(`stream from ${endpoint.endpointId}`)
     const cancelTimer = progress.clock.callAt(progress.deadlineMs, () => scope.close('time is up'))
+    const run = this._parts.quarantine.begin(this._identity, endpoint)
+    let isSettled = false
     health.runningCount++
     try {
       const outcome = await this._parts.client.stream({ ...this._request, endpoint, deadlineMs: progress.deadlineMs, afterEventId: this._lastEventId }, scope, {
         onHead: head => this._onHead(head),
         onData: chunk => this._onData(chunk)
       })
-      return this._onOutcome(endpoint, this._cutter.isAtEnd || outcome.kind !== 'ended' ? outcome : { kind: 'broken', reason: 'ended within an event' })
+      isSettled = true
+      return this._onOutcome(run, this._cutter.isAtEnd || outcome.kind !== 'ended' ? outcome : { kind: 'broken', reason: 'ended within an event' })
     } catch (error) {
       if (!(error instanceof ScopeClosedError) || progress.scope.isClosed) throw error
       this._ranCount++
@@ -134,6 +160,7 @@
     } finally {
       cancelTimer()
       health.runningCount--
+      if (!isSettled) this._parts.quarantine.left(run)
       scope.close('try over')
     }
   }
@@ -162,15 +189,20 @@
     return undefined
   }
 
-  private _onOutcome (endpoint: FleetEndpoint, outcome: StreamOutcome): StreamForwardOutcome | undefined {
+  private _onOutcome (run: QuarantinedRun, outcome: StreamOutcome): StreamForwardOutcome | undefined {
+    const { quarantine } = this._parts
+    const { endpoint } = run
     switch (outcome.kind) {
       case 'ended':
+        quarantine.answered(run)
         return { kind: 'ended', endpointId: endpoint.endpointId }
       case 'answered':
+        quarantine.answered(run)
         this._ranCount++
         if (this._isHeadSent || (outcome.status >= 500 && this._mayResume())) return this._onBroken(endpoint, `status ${outcome.status}`)
         return { ...outcome, endpointId: endpoint.endpointId, failedAnswersCount: 0 }
       default:
+        quarantine.failed(run, outcome)
         return this._onFailed(endpoint, outcome)
     }
   }
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -5,6 +5,7 @@
  */
 import { z } from 'zod'
 import { EndpointLifecycle, endpointLeaveSchema } from './endpointLeaves.js'
+import { quarantineNoticeSchema } from './quarantine.js'
 import { routingSchema } from './routing.js'
 import { namedWeightsSchema, retirementSchema, storeGroupSchema } from './routingCommands.js'
 
@@ -84,6 +85,8 @@
   endpoints: z.array(fleetEndpointSchema).optional(),
   /** Leaves that were noted since the last update of the connection, in the order of their numbers. */
   leaves: z.array(endpointLeaveSchema).optional(),
+  /** Requests under which endpoints ended, as they were judged since the last update of the connection. */
+  quarantine: z.array(quarantineNoticeSchema).optional(),
   /** Endpoints that fell silent, with the last sequence that was heard. */
   silent: z.array(z.object({ endpointId: z.string(), sequence: z.number() })).optional()
 })
--- a/src/protocol/refusals.ts
+++ b/src/protocol/refusals.ts
@@ -21,6 +21,8 @@
   NoEndpoint = 'no_endpoint',
   EndpointFailed = 'endpoint_failed',
   EndpointRefused = 'endpoint_refused',
+  /** Endpoints ended under the request: it is sent to no further one. */
+  Quarantined = 'quarantined',
   RetryBudgetSpent = 'retry_budget_spent',
   AnswerLost = 'answer_lost',
   HostStopping = 'host_stopping',
@@ -81,6 +83,7 @@
   [RefusalReason.NoEndpoint]: 503,
   [RefusalReason.EndpointFailed]: 502,
   [RefusalReason.EndpointRefused]: 502,
+  [RefusalReason.Quarantined]: 502,
   [RefusalReason.RetryBudgetSpent]: 503,
   [RefusalReason.AnswerLost]: 502,
   [RefusalReason.HostStopping]: 503,
--- a/src/protocol/routingCommands.ts
+++ b/src/protocol/routingCommands.ts
@@ -1,9 +1,11 @@
 /**
  * Commands about the routing configuration, the versions of model weights
- * that trainers named, the members of the batch store, and endpoints that leave.
+ * that trainers named, the members of the batch store, endpoints that leave, and
+ * requests under which endpoints end.
  */
 import { z } from 'zod'
 import { endpointLeaveRequestSchema, endpointLeaveSchema } from './endpointLeaves.js'
+import { endedEndpointSchema, MAX_ENDS_PER_REPORT } from './quarantine.js'
 import { routingSchema } from './routing.js'
 
 export enum RoutingCommandKind {
@@ -12,7 +14,9 @@
   FormStore = 'store.form',
   BeginRetirement = 'store.retire',
   EndRetirement = 'store.retired',
-  NoteLeave = 'endpoint.leave'
+  NoteLeave = 'endpoint.leave',
+  NoteEnds = 'quarantine.note',
+  ClearSuspects = 'quarantine.clear'
 }
 
 /** A replica of the batch store, by the random id on its disk. */
@@ -56,7 +60,9 @@
   z.object({ kind: z.literal(RoutingCommandKind.FormStore), group: storeGroupSchema }),
   z.object({ kind: z.literal(RoutingCommandKind.BeginRetirement), hostName: z.string(), hostId: z.string() }),
   z.object({ kind: z.literal(RoutingCommandKind.EndRetirement), hostName: z.string() }),
-  z.object({ kind: z.literal(RoutingCommandKind.NoteLeave), leave: endpointLeaveRequestSchema })
+  z.object({ kind: z.literal(RoutingCommandKind.NoteLeave), leave: endpointLeaveRequestSchema }),
+  z.object({ kind: z.literal(RoutingCommandKind.NoteEnds), ends: z.array(endedEndpointSchema).max(MAX_ENDS_PER_REPORT) }),
+  z.object({ kind: z.literal(RoutingCommandKind.ClearSuspects), digests: z.array(z.string()) })
 ])
 export type RoutingCommand = z.infer<typeof routingCommandSchema>
 
@@ -66,7 +72,8 @@
   z.object({ kind: z.literal('weightsNamed'), version: z.int() }),
   z.object({ kind: z.literal('storeFormed') }),
   z.object({ kind: z.literal('retirementHeld') }),
-  z.object({ kind: z.literal('leaveNoted'), leave: endpointLeaveSchema })
+  z.object({ kind: z.literal('leaveNoted'), leave: endpointLeaveSchema }),
+  z.object({ kind: z.literal('quarantineHeld') })
 ])
 export type RoutingResult = z.infer<typeof routingResultSchema>
 
--- /dev/null
+++ b/src/quarantine/endpointRuns.ts
@@ -0,0 +1,183 @@
+/**
+ * What this host runs at each endpoint, and which endpoints ended under it. A
+ * lost connection is no end yet: cuts, resets and drains lose connections as
+ * well. An endpoint has ended when its address refuses connections after some
+ * were lost there, or when another start of an endpoint has the address.
+ */
+import { LRUCache } from 'lru-cache'
+import { Listening, type EndpointClient } from '../endpoints/endpointClient.js'
+import type { FleetView } from '../fleet/fleetView.js'
+import { EndpointLifecycle, type FleetEndpoint } from '../protocol/fleet.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import type { Scope } from '../utils/scope.js'
+import type { Supervisor } from '../utils/supervisor.js'
+import type { RequestIdentity } from './requestIdentity.js'
+
+/**
+ * When the address is looked at after a connection was lost: a process that ends
+ * closes its connections and its listening socket within milliseconds, in any
+ * order; one that is busy ending is found by the second look.
+ */
+const LOOKS_AFTER_MS = [15, 200]
+const LOOK_TIMEOUT_MS = 500
+/** A lost run is remembered so long for evidence that comes by itself: endpoints are back after some seconds. */
+const LOST_KEPT_MS = 3_000
+/** A request that its caller gave up may have done its harm already: ends were seen 50 to 120 ms after a run began. */
+const LEFT_KEPT_MS = 300
+/** Ends of late; a run that is found lost afterwards belongs to one of them. */
+const MAX_ENDED_COUNT = 256
+
+enum RunState {
+  Open,
+  /** Its connection was lost. */
+  Lost,
+  /** This host gave it up. */
+  Left
+}
+
+/** A request at an endpoint. */
+export interface EndpointRun {
+  readonly endpoint: FleetEndpoint
+  readonly identity: RequestIdentity
+}
+
+interface TrackedRun extends EndpointRun {
+  state: RunState
+  closedAtMs: number
+  /** Starts that had the address when the connection was lost, besides its own. */
+  otherIds: string[]
+}
+
+export interface EndpointRunsParts {
+  view: FleetView
+  clock: Clock
+  client: Pick<EndpointClient, 'isListening'>
+  supervisor: Supervisor
+  /** Told once of each end, and again of runs that are found lost later. */
+  onEnded: (endpoint: FleetEndpoint, identities: RequestIdentity[]) => void
+}
+
+export class EndpointRuns {
+  private readonly _parts: EndpointRunsParts
+  /** By the endpoint's id. */
+  private readonly _runs = new Map<string, Set<TrackedRun>>()
+  private readonly _endedIds = new LRUCache<string, true>({ max: MAX_ENDED_COUNT })
+  private readonly _examined = new Set<string>()
+  /** Runs that are lost and not accounted for. */
+  private _lostCount = 0
+
+  constructor (parts: EndpointRunsParts) {
+    this._parts = parts
+    parts.view.onChange(() => this._lookForOthers())
+  }
+
+  begin (endpoint: FleetEndpoint, identity: RequestIdentity): EndpointRun {
+    const run: TrackedRun = { endpoint, identity, state: RunState.Open, closedAtMs: 0, otherIds: [] }
+    const runs = this._runs.get(endpoint.endpointId) ?? new Set()
+    runs.add(run)
+    this._runs.set(endpoint.endpointId, runs)
+    return run
+  }
+
+  /** It was answered, or it never ran. */
+  done (run: EndpointRun): void {
+    this._remove(run as TrackedRun)
+  }
+
+  /** This host gave it up; it may run on. */
+  left (run: EndpointRun): void {
+    this._close(run as TrackedRun, RunState.Left)
+  }
+
+  /** Its connection was lost before an answer. */
+  lost (run: EndpointRun): void {
+    const { endpoint } = run
+    this._close(run as TrackedRun, RunState.Lost)
+    if (this._endedIds.has(endpoint.endpointId)) this._ended(endpoint)
+    else this._examine(endpoint)
+  }
+
+  /** A connection to the endpoint was refused, or another has its address. */
+  isGone (endpoint: FleetEndpoint): void {
+    if (this._closedRuns(endpoint.endpointId).length > 0) this._ended(endpoint)
+  }
+
+  private _close (run: TrackedRun, state: RunState): void {
+    if (run.state !== RunState.Open) return
+    run.state = state
+    run.closedAtMs = this._parts.clock.nowMs()
+    if (state !== RunState.Lost) return
+    this._lostCount++
+    run.otherIds = this._othersAt(run.endpoint)
+  }
+
+  private _remove (run: TrackedRun): void {
+    const { endpointId } = run.endpoint
+    const runs = this._runs.get(endpointId)
+    if (!runs?.delete(run)) return
+    if (run.state === RunState.Lost) this._lostCount--
+    if (runs.size === 0) this._runs.delete(endpointId)
+  }
+
+  /** Runs that an end of the endpoint now would be held against; those that are too old are forgotten. */
+  private _closedRuns (endpointId: string): TrackedRun[] {
+    const nowMs = this._parts.clock.nowMs()
+    const closed = [...this._runs.get(endpointId) ?? []].filter(({ state }) => state !== RunState.Open)
+    const old = closed.filter(({ state, closedAtMs }) => nowMs - closedAtMs > (state === RunState.Lost ? LOST_KEPT_MS : LEFT_KEPT_MS))
+    for (const run of old) this._remove(run)
+    return closed.filter(run => !old.includes(run))
+  }
+
+  private _ended (endpoint: FleetEndpoint): void {
+    const { view, onEnded } = this._parts
+    const runs = this._closedRuns(endpoint.endpointId)
+    for (const run of runs) this._remove(run)
+    // It may close what it had not finished.
+    if (view.isLeaving(endpoint)) return
+    this._endedIds.set(endpoint.endpointId, true)
+    if (runs.length > 0) onEnded(endpoint, runs.map(({ identity }) => identity))
+  }
+
+  private _examine (endpoint: FleetEndpoint): void {
+    const { endpointId } = endpoint
+    if (this._examined.has(endpointId)) return
+    this._examined.add(endpointId)
+    this._parts.supervisor.spawn(`look at ${endpointId}`, async scope => {
+      try {
+        await this._look(endpoint, scope)
+      } finally {
+        this._examined.delete(endpointId)
+      }
+    })
+  }
+
+  private async _look (endpoint: FleetEndpoint, scope: Scope): Promise<void> {
+    const { clock, client } = this._parts
+    const lostAtMs = clock.nowMs()
+    for (const afterMs of LOOKS_AFTER_MS) {
+      await sleepUntil(clock, scope, lostAtMs + afterMs)
+      if (this._closedRuns(endpoint.endpointId).length === 0) return
+      const listening = await client.isListening(endpoint, clock.nowMs() + LOOK_TIMEOUT_MS, scope)
+      if (listening === Listening.No) return this._ended(endpoint)
+    }
+    await sleepUntil(clock, scope, clock.nowMs() + LOST_KEPT_MS)
+    // Forgets those that nothing has accounted for.
+    this._closedRuns(endpoint.endpointId)
+  }
+
+  /** Another start may have come to an address where runs were lost. */
+  private _lookForOthers (): void {
+    if (this._lostCount === 0) return
+    for (const runs of [...this._runs.values()]) {
+      const lost = [...runs].find(({ state }) => state === RunState.Lost)
+      if (!lost) continue
+      const isReplaced = this._othersAt(lost.endpoint).some(endpointId => !lost.otherIds.includes(endpointId))
+      if (isReplaced) this._ended(lost.endpoint)
+    }
+  }
+
+  private _othersAt ({ address, endpointId }: FleetEndpoint): string[] {
+    const others = this._parts.view.ready().filter(other => other.address === address && other.endpointId !== endpointId && other.lifecycle === EndpointLifecycle.Ready)
+    return others.map(other => other.endpointId)
+  }
+}
--- /dev/null
+++ b/src/quarantine/suspectReports.ts
@@ -0,0 +1,106 @@
+/**
+ * Tells the control hosts under which requests endpoints ended, and which of
+ * those were answered after all. A data centre of endpoints that goes loses
+ * hundreds of requests at once, nearly all of which are answered by the next
+ * endpoint and never heard of again, so a first end waits for that; the log of
+ * the control hosts gets one entry for what is left.
+ */
+import { MAX_DIGESTS_PER_END, MAX_ENDS_PER_REPORT, type EndedEndpoint } from '../protocol/quarantine.js'
+import { RoutingCommandKind, type RoutingCommand } from '../protocol/routingCommands.js'
+import type { Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import { Signal } from '../utils/signal.js'
+import { QuarantineEvent } from './quarantineEvents.js'
+
+/** What else ended at the same moment goes into the same report. */
+const GATHER_MS = 10
+/** An innocent request is answered by the next endpoint within this time, most of the time; a tenth of what hosts have to hear of a third end. */
+const FIRST_END_WAITS_MS = 150
+/** A control host that is cut off costs a try; later than this the ends are of no use any more. */
+const REPORT_TIMEOUT_MS = 10_000
+const MAX_CLEARED_PER_REPORT = 128
+
+export interface SuspectReportsParts {
+  clock: Clock
+  logger: Logger
+  /** Commits a command; true once a quorum has it. */
+  submit: (command: RoutingCommand, progress: Progress) => Promise<boolean>
+}
+
+export class SuspectReports {
+  private readonly _parts: SuspectReportsParts
+  /** Digests by the endpoint that ended. */
+  private readonly _ends = new Map<string, Set<string>>()
+  private readonly _cleared = new Set<string>()
+  private readonly _added = new Signal()
+  private _dueAtMs = Number.POSITIVE_INFINITY
+  private _leftOutCount = 0
+
+  constructor (parts: SuspectReportsParts) {
+    this._parts = parts
+  }
+
+  /** @param isFirst no other end of the request is known: what it does next is worth waiting for */
+  ended (endpointId: string, digest: string, isFirst: boolean): void {
+    const digests = this._ends.get(endpointId) ?? new Set()
+    if (digests.size >= MAX_DIGESTS_PER_END || (!this._ends.has(endpointId) && this._ends.size >= MAX_ENDS_PER_REPORT)) {
+      this._leftOutCount++
+      return
+    }
+    digests.add(digest)
+    this._ends.set(endpointId, digests)
+    this._dueWithin(isFirst ? FIRST_END_WAITS_MS : GATHER_MS)
+  }
+
+  /** The request was answered. @param isReported the control hosts may know of an end */
+  cleared (digest: string, isReported: boolean): void {
+    for (const [endpointId, digests] of this._ends) {
+      if (digests.delete(digest) && digests.size === 0) this._ends.delete(endpointId)
+    }
+    if (!isReported || this._cleared.size >= MAX_CLEARED_PER_REPORT) return
+    this._cleared.add(digest)
+    this._dueWithin(GATHER_MS)
+  }
+
+  /** Reports until the scope closes. */
+  async run (scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    for (;;) {
+      if (this._dueAtMs === Number.POSITIVE_INFINITY) await this._added.wait(scope)
+      while (clock.nowMs() < this._dueAtMs) await this._added.wait(scope, { clock, deadlineMs: this._dueAtMs })
+      this._dueAtMs = Number.POSITIVE_INFINITY
+      await this._report(scope)
+    }
+  }
+
+  private _dueWithin (waitMs: number): void {
+    const dueAtMs = this._parts.clock.nowMs() + waitMs
+    if (dueAtMs >= this._dueAtMs) return
+    this._dueAtMs = dueAtMs
+    this._added.notify()
+  }
+
+  private async _report (scope: Scope): Promise<void> {
+    const ends: EndedEndpoint[] = [...this._ends].map(([endpointId, digests]) => ({ endpointId, digests: [...digests] }))
+    const digests = [...this._cleared]
+    this._ends.clear()
+    this._cleared.clear()
+    this._reportLeftOut()
+    // What was answered since counts for more than the ends before it.
+    if (ends.length > 0) await this._submit({ kind: RoutingCommandKind.NoteEnds, ends }, scope)
+    if (digests.length > 0) await this._submit({ kind: RoutingCommandKind.ClearSuspects, digests }, scope)
+  }
+
+  private async _submit (command: RoutingCommand, scope: Scope): Promise<void> {
+    const { clock, logger, submit } = this._parts
+    const progress = new Progress(clock, scope, clock.nowMs() + REPORT_TIMEOUT_MS)
+    if (!await submit(command, progress)) logger.event(QuarantineEvent.ReportFailed, { command: command.kind })
+  }
+
+  private _reportLeftOut (): void {
+    if (this._leftOutCount > 0) this._parts.logger.event(QuarantineEvent.SuspectsLeftOut, { count: this._leftOutCount })
+    this._leftOutCount = 0
+  }
+}
--- /dev/null
+++ b/tests/batches/deadlyItem.test.ts
@@ -0,0 +1,51 @@
+/**
+ * An item of a batch under which engines end is sent to no more of them once
+ * three have ended, while the others of its batch go on. Seen of single requests
+ * (fleet/deadlyRequest); items have the same cause: a run that broke off was
+ * repeated on the next engine without end.
+ */
+import test, { type ExecutionContext } from 'ava'
+import { ResultState } from '../../src/protocol/batches.js'
+import { submission } from '../fixtures/fleet/batchFixtures.js'
+import { engine } from '../fixtures/fleet/fleetFixtures.js'
+import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
+
+const ENGINES_COUNT = 6
+/** The route gives up an item after twelve seconds. */
+const MAX_QUEUE_MS = 12_000
+const DEADLY = 'deadly'
+
+/** Each engine that runs the item ends with it and everything beside it. */
+async function start (t: ExecutionContext): Promise<StoreWorld> {
+  const engines = Array.from({ length: ENGINES_COUNT }, (_value, position) => engine(`e${position + 1}`, 1))
+  const world = await new StoreWorld({ engines }).start()
+  t.teardown(() => world.close())
+  world.endpoints.onRun = ({ attemptId, endpoint, afterEventId }) => {
+    if (attemptId !== DEADLY) return { eventsCount: 3, gapMs: 10, version: 1 }
+    world.endpoints.refusing.add(endpoint.address)
+    return { eventsCount: 9, gapMs: 20, version: 1, breaksAfterEventId: (afterEventId ?? 0) + 1, isConnectionLost: true }
+  }
+  return world
+}
+
+function runsOf ({ endpoints }: StoreWorld): string[] {
+  return endpoints.runs.filter(({ attemptId }) => attemptId === DEADLY).map(({ endpoint }) => endpoint.endpointId)
+}
+
+test('should send an item under which three engines ended to no more of them', async t => {
+  const world = await start(t)
+  await world.submit(submission('b1', [DEADLY]))
+  await world.clock.advance(MAX_QUEUE_MS / 2)
+  t.is(new Set(runsOf(world)).size, 3, `ran on ${runsOf(world).join(', ')}`)
+  t.deepEqual(world.state.get('b1')?.results, [], 'the pages do not let it be given up yet')
+})
+
+test('should give such an item up when its route lets it, and list the others before', async t => {
+  const world = await start(t)
+  await world.submit(submission('b1', ['i1', DEADLY, 'i2', 'i3']))
+  await world.untilListed('b1', 3, 5_000)
+  await world.untilListed('b1', 4, MAX_QUEUE_MS + 2_000)
+  const states = world.state.get('b1')?.results.map(({ itemId, state }) => [itemId, state])
+  t.deepEqual(states?.at(-1), [DEADLY, ResultState.GivenUp])
+  t.is(states?.filter(([, state]) => state === ResultState.Completed).length, 3)
+})
--- a/tests/fleet/endpointLeaves.test.ts
+++ b/tests/fleet/endpointLeaves.test.ts
@@ -4,6 +4,8 @@
 import { EndpointLifecycle, KnownLeaves } from '../../src/protocol/endpointLeaves.js'
 import { RoutingCommandKind } from '../../src/protocol/routingCommands.js'
 
+const NOW = { atMs: 0 }
+
 const { Ready, Leaving, Gone } = EndpointLifecycle
 
 test('should note a leave once, however often and wherever it is repeated', t => {
@@ -32,7 +34,7 @@
 
 test('should hold leaves in snapshots, and read those that have none', t => {
   const state = new RoutingState()
-  state.apply({ kind: RoutingCommandKind.NoteLeave, leave: { name: 'e1', bornAtMs: 5, lifecycle: Gone } })
+  state.apply({ kind: RoutingCommandKind.NoteLeave, leave: { name: 'e1', bornAtMs: 5, lifecycle: Gone } }, NOW)
   const other = new RoutingState()
   other.restore(state.snapshot())
   t.deepEqual(other.leaves.all(), [{ name: 'e1', bornAtMs: 5, lifecycle: Gone, number: 1 }])
--- a/tests/fleet/followerSessions.test.ts
+++ b/tests/fleet/followerSessions.test.ts
@@ -2,6 +2,7 @@
 import type { ControlNode } from '../../src/control/controlNode.js'
 import { EndpointDirectory } from '../../src/control/fleet/endpointDirectory.js'
 import { EndpointNews } from '../../src/control/fleet/endpointNews.js'
+import { NotedEnds } from '../../src/control/routing/notedEnds.js'
 import { NotedLeaves } from '../../src/control/routing/notedLeaves.js'
 import { FollowerSessions } from '../../src/control/fleet/followerSessions.js'
 import { FleetFollower } from '../../src/fleet/fleetFollower.js'
@@ -34,6 +35,7 @@
 class World {
   readonly clock = new VirtualClock()
   readonly leaves = new NotedLeaves()
+  readonly ends = new NotedEnds()
   readonly directory = new EndpointDirectory(this.clock, HEARTBEAT_MS, this.leaves)
   readonly network = new MemoryNetwork(this.clock, () => this._count())
   readonly scope = new Scope('world')
@@ -54,7 +56,8 @@
         storeGroup: undefined,
         namedWeights: () => [{ model: 'm', version: this._namedVersion }],
         retirements: () => [],
-        leaves: this.leaves
+        leaves: this.leaves,
+        ends: this.ends
       }
     }
     const replica = { applied: new Signal(), core: { members: [{ peerAddress: CONTROL }, { peerAddress: OTHER_CONTROL }] } }
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -10,6 +10,7 @@
 import { seededRandom } from '../../src/utils/randomSource.js'
 import { Scope } from '../../src/utils/scope.js'
 import { DATA_CENTRE, endpoint, HOST, route, viewOf } from '../fixtures/fleet/fleetFixtures.js'
+import { quarantineOf } from '../fixtures/fleet/quarantineFixtures.js'
 import { answered, ScriptedEndpoints } from '../fixtures/fleet/scriptedEndpoints.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
@@ -26,7 +27,7 @@
   const view = viewOf(Array.from({ length: endpointsCount }, (_value, position) => endpoint(`e${position}`)))
   const endpoints = new ScriptedEndpoints(clock)
   const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE })
-  const forwarder = new RequestForwarder({ view, pool, client: endpoints, random, logger: silentLogger, metrics: memoryMetrics() })
+  const forwarder = new RequestForwarder({ view, pool, client: endpoints, quarantine: quarantineOf(view, clock, endpoints), random, logger: silentLogger, metrics: memoryMetrics() })
   const forward = (target = route(), waitMs = 1_500, scope = new Scope('caller')): Promise<ForwardOutcome> => forwarder.forward({
     route: target,
     method: 'POST',
--- a/tests/gateway/streamForwarder.test.ts
+++ b/tests/gateway/streamForwarder.test.ts
@@ -11,6 +11,7 @@
 import { Scope } from '../../src/utils/scope.js'
 import { DATA_CENTRE, endpoint, HOST, route, viewOf } from '../fixtures/fleet/fleetFixtures.js'
 import { ScriptedEndpoints, type StreamScript } from '../fixtures/fleet/scriptedEndpoints.js'
+import { quarantineOf } from '../fixtures/fleet/quarantineFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
 const plain = route({ kind: RouteKind.Stream, isResumable: false })
@@ -38,7 +39,7 @@
     const random = seededRandom(5)
     const { clock, endpoints: client } = this
     const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE })
-    const forwarder = new StreamForwarder({ view, pool, client, random, logger: silentLogger, metrics: memoryMetrics() })
+    const forwarder = new StreamForwarder({ view, pool, client, quarantine: quarantineOf(view, clock, client), random, logger: silentLogger, metrics: memoryMetrics() })
     const request = { route: target, method: 'POST', path: '/open/7', host: HOST, headers: [], body: new Uint8Array(), attemptId: 'a1', afterEventId }
     const sink = {
       head: (head: StreamHead): void => { this.heads.push(head) },
--- a/tests/platform/callerServer.test.ts
+++ b/tests/platform/callerServer.test.ts
@@ -17,6 +17,7 @@
 import { memoryMetrics } from '../../src/utils/metrics.js'
 import { seededRandom } from '../../src/utils/randomSource.js'
 import { Scope } from '../../src/utils/scope.js'
+import { quarantineOf } from '../fixtures/fleet/quarantineFixtures.js'
 import { DATA_CENTRE, HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { freePort, loopbackHost } from '../fixtures/loopback.js'
 import { rawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
@@ -39,7 +40,7 @@
   const metrics = memoryMetrics()
   const client = new PlatformEndpointClient(systemClock)
   const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE })
-  const parts = { view, pool, client, random, logger, metrics }
+  const parts = { view, pool, client, quarantine: quarantineOf(view, systemClock, client), random, logger, metrics }
   const batches = new BatchRoutes({ client: new BatchClient(view, DATA_CENTRE, new TcpTransport(), scope, onFatal), clock: systemClock, logger, metrics })
   const address = `${loopbackHost()}:${await freePort()}`
   const server = new CallerServer({
