Measure leases by a clock that counts suspensions

What was seen by test: a control leader whose machine had been suspended for 10 s held its lease when it was back, after its successor had committed; a renewal that had waited made the lease new.

Cause: the steady clock stands still meanwhile, and Node.js offers none that does not. The time of day goes on: by whatever it runs ahead (100 ms and more; slewing makes 30 ms a minute), a second reading, leaseNowMs, runs ahead too. Leader's lease, what proves it, an announced order, and the configuration lease go by it. Ends of leads, elections, deadlines of requests and ages of endpoints stay with the steady clock: a clock that is set ends no lead (test) and turns no request away (a host waits a round trip for its lease).

--- a/src/batches/weightLoad.ts
+++ b/src/batches/weightLoad.ts
@@ -122,9 +122,10 @@
   private async _order ({ engine, model, version, reason }: WantedLoad, before: EndpointReport, scope: Scope): Promise<OrderOutcome | undefined> {
     const { clock, client, leadership, holder, logger } = this._parts
     const sendBeforeMs = clock.nowMs() + ANNOUNCED_FOR_MS
+    const trustedUntilMs = clock.leaseNowMs() + ANNOUNCED_FOR_MS
     const isAnnounced = await this._announce(engine, sendBeforeMs, scope)
-    // Checked at the last moment: a host that was frozen may have a successor by now.
-    if (!isAnnounced || clock.nowMs() > sendBeforeMs || !leadership.holdsLease()) return undefined
+    // Checked at the last moment: a host that was frozen or suspended may have a successor by now.
+    if (!isAnnounced || clock.leaseNowMs() > trustedUntilMs || !leadership.holdsLease()) return undefined
     const order = { model, version, mode: LoadMode.Retain, holder, fencingNumber: leadership.term, expectedOrdersCount: before.ordersCount }
     logger.event(BatchEvent.OrderGiven, { endpointId: engine.id, model, version, heldVersion: engine.version(model), reason, ordersCount: before.ordersCount, term: leadership.term })
     return await client.orderLoad(engine.endpoint, order, clock.nowMs() + ORDER_TIMEOUT_MS, scope)
--- a/src/controlClient/configurationLease.ts
+++ b/src/controlClient/configurationLease.ts
@@ -2,7 +2,7 @@
  * The configuration lease of an entry host. Each renewal brings whatever the
  * host lacks of the committed configuration, so a host that holds a lease is
  * never further behind than the lease is long. The lease counts from the
- * moment the renewal was sent, by this host's clock.
+ * moment the renewal was sent, by this host's clock that counts suspensions.
  */
 import { HostCommandKind, type EntryHost } from '../protocol/hostCommands.js'
 import type { ChangesNotice, RenewReply } from '../protocol/controlMessages.js'
@@ -34,6 +34,13 @@
   register: Register
 }
 
+/** When a renewal was sent, by this host's two clocks. */
+interface SentAt {
+  sentAtMs: number
+  /** By the clock that counts suspensions. */
+  leaseMs: number
+}
+
 enum RenewResult {
   Renewed,
   /** Worth another try soon. */
@@ -46,6 +53,9 @@
   private readonly _changed = new Signal()
   private _clusterId: string | undefined
   private _endsAtMs = Number.NEGATIVE_INFINITY
+  private _endsBySteadyClockMs = Number.NEGATIVE_INFINITY
+  /** Notified after each renewal, whatever came of it. */
+  private readonly _settled = new Signal()
   private _hasLease = false
   private _isSuperseded = false
   /** A pushed change that the leader has not heard of as in force. */
@@ -57,7 +67,21 @@
 
   /** True while this host may take new work. */
   isHeld (): boolean {
-    return this._parts.clock.nowMs() < this._endsAtMs
+    return this._parts.clock.leaseNowMs() < this._endsAtMs
+  }
+
+  /**
+   * Waits for a renewal when a suspension, or a clock that was set, has just ended
+   * the lease: whoever asks in that moment need not be turned away. Returns at once
+   * otherwise.
+   * @throws ScopeClosedError when the scope closes first.
+   */
+  async settle (scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    const isInDoubt = !this._isSuperseded && !this.isHeld() && clock.nowMs() < this._endsBySteadyClockMs
+    if (!isInDoubt) return
+    this._changed.notify()
+    await this._settled.wait(scope, { clock, deadlineMs: clock.nowMs() + RENEW_TIMEOUT_MS })
   }
 
   /** Ends the lease for good, as on a planned stop. */
@@ -80,6 +104,7 @@
     const { clock } = this._parts
     for (;;) {
       const result = this._isSuperseded ? RenewResult.Failed : await this._renew(scope)
+      this._settled.notify()
       this._countLoss()
       if (result === RenewResult.Unregistered) await this._register(scope)
       const pauseMs = result === RenewResult.Renewed ? RENEW_INTERVAL_MS : RETRY_MS
@@ -99,22 +124,23 @@
     const { clock, link, host, configuration, operatorAddress } = this._parts
     const { hostId, incarnation } = host
     const sentAtMs = clock.nowMs()
+    const sentAt = { sentAtMs, leaseMs: clock.leaseNowMs() }
     const request = { hostId, incarnation, clusterId: this._clusterId, revision: configuration.revision, operatorAddress }
     const outcome = await link.call(renewMethod, request, new Progress(clock, scope, sentAtMs + RENEW_TIMEOUT_MS))
-    if (outcome.kind === 'replied') return this._onReply(outcome.body, sentAtMs)
+    if (outcome.kind === 'replied') return this._onReply(outcome.body, sentAt)
     link.giveUp(outcome.reason)
     return RenewResult.Failed
   }
 
-  private _onReply (reply: RenewReply, sentAtMs: number): RenewResult {
+  private _onReply (reply: RenewReply, sentAt: SentAt): RenewResult {
     const { configuration, link } = this._parts
     switch (reply.kind) {
       case 'renewed':
         configuration.applyChanges(reply.changes)
-        return this._granted(reply, sentAtMs)
+        return this._granted(reply, sentAt)
       case 'listing':
         configuration.applyListing(reply.listing)
-        return this._granted(reply, sentAtMs)
+        return this._granted(reply, sentAt)
       case 'unregistered':
         return RenewResult.Unregistered
       case 'superseded':
@@ -132,9 +158,12 @@
     }
   }
 
-  private _granted (reply: { clusterId: string, leaseMs: number }, sentAtMs: number): RenewResult {
+  private _granted (reply: { clusterId: string, leaseMs: number }, sentAt: SentAt): RenewResult {
     this._clusterId ??= reply.clusterId
-    if (!this._isSuperseded) this._endsAtMs = Math.max(this._endsAtMs, sentAtMs + reply.leaseMs)
+    if (!this._isSuperseded) {
+      this._endsAtMs = Math.max(this._endsAtMs, sentAt.leaseMs + reply.leaseMs)
+      this._endsBySteadyClockMs = Math.max(this._endsBySteadyClockMs, sentAt.sentAtMs + reply.leaseMs)
+    }
     this._hasLease = true
     this._parts.metrics.count(MetricName.LeaseRenewed)
     this._noteRevision()
--- a/src/controlClient/controlClient.ts
+++ b/src/controlClient/controlClient.ts
@@ -9,6 +9,7 @@
 import type { ResourceEvent } from '../protocol/resourceCommands.js'
 import type { Resource, ResourceKind, ResourceOf } from '../protocol/resources.js'
 import type { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
 
 export type SubmitOutcome<R> =
   | { kind: 'committed', result: R }
@@ -34,6 +35,8 @@
   readonly configuration: ConfigurationView
   /** True while this host may take new work under its configuration. */
   holdsLease (): boolean
+  /** Waits for a lease that a suspension of this host's machine has just put in doubt; returns at once otherwise. */
+  settleLease (scope: Scope): Promise<void>
   submit<C extends Command> (command: C, progress: Progress): Promise<SubmitOutcome<CommandResult<C>>>
   /** A linearizable read. */
   query<Q extends Query> (query: Q, progress: Progress): Promise<QueryOutcome<QueryResult<Q>>>
--- a/src/controlClient/networkControlClient.ts
+++ b/src/controlClient/networkControlClient.ts
@@ -4,6 +4,7 @@
  * answer was lost is sent again until its deadline, because every command is
  * idempotent.
  */
+import type { Scope } from '../utils/scope.js'
 import { HostCommandKind, type EntryHost } from '../protocol/hostCommands.js'
 import type { Command, CommandResult } from '../protocol/commands.js'
 import { queryResultSchemas, type Query, type QueryResult } from '../protocol/queries.js'
@@ -70,6 +71,10 @@
     return this._lease.isHeld()
   }
 
+  async settleLease (scope: Scope): Promise<void> {
+    await this._lease.settle(scope)
+  }
+
   /** Takes this host out of the configuration, at a planned stop. */
   async leave (progress: Progress): Promise<void> {
     this._lease.release()
--- a/src/entry/entryProgram.ts
+++ b/src/entry/entryProgram.ts
@@ -251,6 +251,7 @@
       limits: this._settings.limits,
       routes,
       refusalOf: route => this._refusalOf(route),
+      settle: scope => this._environment.control.settleLease(scope),
       onFatal: (task, error) => this._onFatal(task, error)
     })
   }
--- a/src/entry/http/httpServer.ts
+++ b/src/entry/http/httpServer.ts
@@ -40,6 +40,8 @@
   routes: Route[]
   /** Why new work is refused now, if it is. */
   refusalOf: (route: Route) => Refusal | undefined
+  /** Waits for what has just put a refusal in doubt. */
+  settle: (scope: Scope) => Promise<void>
   onFatal: FatalHandler
 }
 
@@ -109,6 +111,7 @@
     })
     const malformed = this._badDeadline(request)
     if (malformed) return answers.refuse(exchange, malformed)
+    if (this._parts.refusalOf(route)) await this._parts.settle(exchange.progress.scope)
     const refusal = this._parts.refusalOf(route)
     if (!refusal) return await route.handle(exchange)
     if (route.refuseNew) return await route.refuseNew(exchange, refusal)
--- a/src/replication/log/followerProgress.ts
+++ b/src/replication/log/followerProgress.ts
@@ -4,6 +4,13 @@
 import { Signal } from '../../utils/signal.js'
 import type { Member } from './members.js'
 
+/** When a request was sent, by this host's two clocks. */
+export interface SentAt {
+  sentAtMs: number
+  /** By the clock that counts suspensions: an answer that waited for the machine to be back proves nothing of now. */
+  leaseMs: number
+}
+
 export class FollowerProgress {
   readonly member: Member
   /** Notified when there may be something to send. */
@@ -16,6 +23,8 @@
   ackedRound = 0
   /** When the latest answered request was sent, by this host's clock. */
   ackedSentAtMs: number
+  /** The same for the leader's lease, by the clock that counts suspensions; nothing before its first answer. */
+  ackedLeaseMs = Number.NEGATIVE_INFINITY
   /** Since when it is called by this leader. */
   readonly calledSinceMs: number
   /** Number of the heartbeat sent last. */
@@ -29,9 +38,10 @@
     this.calledSinceMs = nowMs
   }
 
-  acknowledge (round: number, sentAtMs: number): void {
+  acknowledge (round: number, { sentAtMs, leaseMs }: SentAt): void {
     this.ackedRound = Math.max(this.ackedRound, round)
     this.ackedSentAtMs = Math.max(this.ackedSentAtMs, sentAtMs)
+    this.ackedLeaseMs = Math.max(this.ackedLeaseMs, leaseMs)
   }
 
   matched (index: number): void {
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -101,14 +101,13 @@
     return this.progressOf(replicaId)?.ackedSentAtMs ?? this._startedAtMs
   }
 
-  /** Until when no other leader can have been elected, by this host's clock. */
+  /** Until when no other leader can have been elected, by this host's clock that counts suspensions. */
   get leaseEndsAtMs (): number {
-    const sentAtMs = this._quorumValue(progress => (progress.ackedRound > 0 ? progress.ackedSentAtMs : Number.NEGATIVE_INFINITY))
-    return sentAtMs + this._core.parts.timings.leaderLeaseMs
+    return this._quorumValue(progress => progress.ackedLeaseMs) + this._core.parts.timings.leaderLeaseMs
   }
 
   holdsLease (): boolean {
-    return !this.scope.isClosed && this._core.parts.clock.nowMs() < this.leaseEndsAtMs
+    return !this.scope.isClosed && this._core.parts.clock.leaseNowMs() < this.leaseEndsAtMs
   }
 
   /**
--- a/src/replication/log/replication.ts
+++ b/src/replication/log/replication.ts
@@ -7,7 +7,7 @@
 import { sleepUntil } from '../../utils/clock.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
-import type { FollowerProgress } from './followerProgress.js'
+import type { FollowerProgress, SentAt } from './followerProgress.js'
 import type { PeerLinks } from './peerLinks.js'
 import { appendMethod, heartbeatMethod, snapshotMethod, type AppendReply, type SnapshotReply } from './raftMethods.js'
 import type { ReplicaCore } from './replicaCore.js'
@@ -77,24 +77,24 @@
     invariant(prevTerm !== undefined, `entry ${prevIndex} is not held`)
     const entries = log.slice(this._follower.nextIndex, MAX_APPEND_BYTES)
     const request = { ...this._address(), prevIndex, prevTerm, commitIndex: this._core.commitIndex, entries }
-    const sentAtMs = clock.nowMs()
+    const sentAt = this._sentAt()
     const round = this._listener.nextRound()
-    const progress = new Progress(clock, scope, sentAtMs + timings.callTimeoutMs)
+    const progress = new Progress(clock, scope, sentAt.sentAtMs + timings.callTimeoutMs)
     const outcome = await this._links.to(this._follower.member).call(appendMethod, request, progress)
     if (outcome.kind !== 'replied') return false
-    return this._onAppendReply(outcome.body, round, sentAtMs)
+    return this._onAppendReply(outcome.body, round, sentAt)
   }
 
-  private _onAppendReply (reply: AppendReply, round: number, sentAtMs: number): boolean {
+  private _onAppendReply (reply: AppendReply, round: number, sentAt: SentAt): boolean {
     switch (reply.kind) {
       case 'matched':
         this._follower.matched(reply.matchIndex)
-        this._acknowledge(round, sentAtMs)
+        this._acknowledge(round, sentAt)
         this._listener.onMatched()
         return true
       case 'mismatch':
         this._follower.nextIndex = Math.max(this._follower.matchIndex + 1, Math.min(reply.retryFromIndex, this._follower.nextIndex - 1))
-        this._acknowledge(round, sentAtMs)
+        this._acknowledge(round, sentAt)
         return true
       case 'staleTerm':
         this._core.observeTerm(reply.term)
@@ -108,13 +108,13 @@
     scope.throwIfClosed()
     const { clock, timings } = this._core.parts
     const commitIndex = Math.min(this._core.commitIndex, this._follower.matchIndex)
-    const sentAtMs = clock.nowMs()
+    const sentAt = this._sentAt()
     const round = this._listener.nextRound()
     this._follower.sentRound = round
-    const progress = new Progress(clock, scope, sentAtMs + 2 * timings.heartbeatMs)
+    const progress = new Progress(clock, scope, sentAt.sentAtMs + 2 * timings.heartbeatMs)
     const outcome = await this._links.to(this._follower.member).call(heartbeatMethod, { ...this._address(), commitIndex }, progress)
     if (outcome.kind !== 'replied') return
-    if (outcome.body.kind === 'following') this._acknowledge(round, sentAtMs)
+    if (outcome.body.kind === 'following') this._acknowledge(round, sentAt)
     if (outcome.body.kind === 'staleTerm') this._core.observeTerm(outcome.body.term)
   }
 
@@ -144,13 +144,13 @@
   private async _sendPiece (piece: { lastIndex: number, lastTerm: number, offsetBytes: number, totalBytes: number, bytes: Uint8Array }, scope: Scope): Promise<SnapshotReply | undefined> {
     scope.throwIfClosed()
     const { clock, timings } = this._core.parts
-    const sentAtMs = clock.nowMs()
+    const sentAt = this._sentAt()
     const round = this._listener.nextRound()
-    const progress = new Progress(clock, scope, sentAtMs + timings.callTimeoutMs)
+    const progress = new Progress(clock, scope, sentAt.sentAtMs + timings.callTimeoutMs)
     const outcome = await this._links.to(this._follower.member).call(snapshotMethod, { ...this._address(), ...piece }, progress)
     if (outcome.kind !== 'replied') return undefined
     if (outcome.body.kind === 'staleTerm') this._core.observeTerm(outcome.body.term)
-    else if (outcome.body.kind !== 'wrongReplica') this._acknowledge(round, sentAtMs)
+    else if (outcome.body.kind !== 'wrongReplica') this._acknowledge(round, sentAt)
     return outcome.body
   }
 
@@ -163,8 +163,13 @@
     }
   }
 
-  private _acknowledge (round: number, sentAtMs: number): void {
-    this._follower.acknowledge(round, sentAtMs)
+  private _sentAt (): SentAt {
+    const { clock } = this._core.parts
+    return { sentAtMs: clock.nowMs(), leaseMs: clock.leaseNowMs() }
+  }
+
+  private _acknowledge (round: number, sentAt: SentAt): void {
+    this._follower.acknowledge(round, sentAt)
     this._listener.onAcknowledged()
   }
 
