--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -17,6 +17,7 @@
 import { runGet } from './getCommand.js'
 import { OperatorClient } from './operatorClient.js'
 import type { Output } from './output.js'
+import { runLiftQuarantine, runListQuarantine } from './quarantineCommand.js'
 import { runJobStatus, runStatus } from './statusCommand.js'
 import { runWatch } from './watchCommand.js'
 
@@ -32,6 +33,11 @@
 /** Options as cac hands them over: numbers are parsed, the rest is text or a switch. */
 type Options = Record<string, unknown>
 
+enum QuarantineAction {
+  List = 'list',
+  Lift = 'lift'
+}
+
 const CONTROL_VARIABLE = 'THREADDRUM_CONTROL'
 const DEFAULT_TIMEOUT_MS = 30_000
 const UNLIMITED_MS = 2 ** 31 - 1
@@ -125,6 +131,12 @@
       if (hostId === undefined) throw new SettingsError('drain: expected the id of an entry host, or --endpoint ID')
       return await runDrainHost(context(parts, options), hostId)
     })
+  cli.command('quarantine <action> [digest]', 'list: requests that go to no endpoint because endpoints ended under them; lift DIGEST: let one go')
+    .action(async (action: string, digest: string | undefined, options: Options) => {
+      if (oneOf(QuarantineAction, action, 'action') === QuarantineAction.List) return await runListQuarantine(context(parts, options))
+      if (digest === undefined) throw new SettingsError('quarantine lift: expected the digest of a request, as "quarantine list" shows it')
+      return await runLiftQuarantine(context(parts, options), String(digest))
+    })
   cli.command('check <kind> <...files>', `Check files; a kind is one of ${Object.values(CheckedAs).join(', ')}`)
     .action((kind: string, files: string[]) => runCheck(parts.output, parts.settingsSchemas, oneOf(CheckedAs, kind, 'kind'), files))
 }
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -5,7 +5,7 @@
  */
 import { request } from 'undici'
 import { z } from 'zod'
-import { clusterStatusSchema, compactedSchema, operatorPaths, type ClusterStatus, type PutResource } from '../protocol/operators.js'
+import { clusterStatusSchema, compactedSchema, operatorPaths, quarantineListSchema, type QuarantineList, type ClusterStatus, type PutResource } from '../protocol/operators.js'
 import { resourceResultSchema, type ResourceResult } from '../protocol/resourceCommands.js'
 import { resourceSchema, type Resource, type ResourceKind } from '../protocol/resources.js'
 import { rolloutProgressSchema, type RolloutProgress } from '../protocol/rolloutProgress.js'
@@ -83,6 +83,14 @@
     return asAnswer(await this._askControl({ method: 'GET', path: `${operatorPaths.jobs}${job}/progress` }, progress), rolloutProgressSchema)
   }
 
+  async quarantine (progress: Progress): Promise<OperatorAnswer<QuarantineList>> {
+    return asAnswer(await this._askControl({ method: 'GET', path: operatorPaths.quarantine }, progress), quarantineListSchema)
+  }
+
+  async liftQuarantine (digest: string, progress: Progress): Promise<OperatorAnswer<unknown>> {
+    return asAnswer(await this._askControl({ method: 'DELETE', path: `${operatorPaths.quarantine}${encodeURIComponent(digest)}` }, progress), z.unknown())
+  }
+
   /** One try at one entry host. */
   async askEntryHost (address: string, call: HttpCall, progress: Progress): Promise<OperatorAnswer<unknown>> {
     return asAnswer(await send(address, call, progress), z.unknown())
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -38,6 +38,7 @@
 import { setReplicaGauges } from '../replication/log/replicaGauges.js'
 import { defaultTimings } from '../replication/log/timings.js'
 import { OperatorApi } from './operatorApi/operatorApi.js'
+import { QuarantineCalls } from './operatorApi/quarantineCalls.js'
 import { WatchStreams } from './operatorApi/watchStream.js'
 import { WeightNaming } from './fleet/weightNaming.js'
 import { LeaderCalls } from './routing/leaderCalls.js'
@@ -235,7 +236,7 @@
   private async _listenForOperators (operatorAddress: string): Promise<void> {
     const access = new LeaderAccess(this.node, systemClock, this._scope)
     const watches = new WatchStreams(this.node, access, systemClock)
-    const api = new OperatorApi({ node: this.node, access, watches, clock: systemClock })
+    const api = new OperatorApi({ node: this.node, access, watches, quarantine: new QuarantineCalls(this.node, this.leaderCalls), clock: systemClock })
     const admin = createHTTPHandler({
       router: adminRouter,
       basePath: '/trpc/',
--- a/src/control/operatorApi/operatorApi.ts
+++ b/src/control/operatorApi/operatorApi.ts
@@ -1,6 +1,6 @@
 /**
  * The operators' HTTP/JSON interface: resources with compare-and-set, status,
- * members and jobs. Watches stand in watchStream.ts.
+ * members, jobs and quarantined requests. Watches stand in watchStream.ts.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { z } from 'zod'
@@ -16,6 +16,7 @@
 import type { LeaderAccess } from '../admin/leaderAccess.js'
 import type { ControlNode } from '../controlNode.js'
 import { readBody, sendJson, type Answer } from './jsonExchange.js'
+import type { QuarantineCalls } from './quarantineCalls.js'
 import type { WatchStreams } from './watchStream.js'
 import { decodePathSegments, parseRequestUrl } from '../../utils/urlPath.js'
 
@@ -36,6 +37,7 @@
   node: ControlNode
   access: LeaderAccess
   watches: WatchStreams
+  quarantine: QuarantineCalls
   clock: Clock
 }
 
@@ -73,6 +75,8 @@
         return await this._members(call)
       case 'jobs':
         return await this._progress(call)
+      case 'quarantine':
+        return await this._quarantine(call)
       default:
         return malformed(404, `no such path: /v1/${call.segments.join('/')}`)
     }
@@ -150,6 +154,22 @@
     }
   }
 
+  private async _quarantine ({ method, segments: [, digest = ''], progress }: Call): Promise<Answer> {
+    const { quarantine } = this._parts
+    if (method !== 'GET' && method !== 'DELETE') return malformed(405, `${method} is not one of GET, DELETE`)
+    const outcome = method === 'GET' ? await quarantine.list(progress) : await quarantine.lift(digest, progress)
+    switch (outcome.kind) {
+      case 'done':
+        return { status: 200, body: outcome.body }
+      case 'malformedDigest':
+        return malformed(400, `digest: expected 32 hexadecimal digits, not "${digest}"`)
+      case 'unknownDigest':
+        return malformed(404, `no endpoint ended under ${digest}`)
+      case 'unavailable':
+        return unavailable(outcome.reason)
+    }
+  }
+
   private async _progress (call: Call): Promise<Answer> {
     const [, job = '', view] = call.segments
     if (view !== 'progress') return malformed(404, 'expected /v1/jobs/{job}/progress')
--- /dev/null
+++ b/src/control/operatorApi/quarantineCalls.ts
@@ -0,0 +1,43 @@
+/**
+ * Operators' calls about requests under which endpoints ended: which there are,
+ * and to let one go.
+ */
+import { quarantineNoticeSchema } from '../../protocol/quarantine.js'
+import { RoutingCommandKind } from '../../protocol/routingCommands.js'
+import type { Progress } from '../../utils/progress.js'
+import type { ControlNode } from '../controlNode.js'
+import type { LeaderCalls } from '../routing/leaderCalls.js'
+
+export type QuarantineCallOutcome =
+  | { kind: 'done', body: unknown }
+  | { kind: 'unknownDigest' }
+  | { kind: 'malformedDigest' }
+  /** Nothing has changed, or it may have. */
+  | { kind: 'unavailable', reason: string }
+
+export class QuarantineCalls {
+  private readonly _node: ControlNode
+  private readonly _leaderCalls: Pick<LeaderCalls, 'submit' | 'read'>
+
+  constructor (node: ControlNode, leaderCalls: Pick<LeaderCalls, 'submit' | 'read'>) {
+    this._node = node
+    this._leaderCalls = leaderCalls
+  }
+
+  async list (progress: Progress): Promise<QuarantineCallOutcome> {
+    const read = await this._leaderCalls.read(progress)
+    if (read.kind !== 'confirmed') return { kind: 'unavailable', reason: 'reason' in read ? read.reason : 'the leader has moved' }
+    return { kind: 'done', body: { requests: this._node.state.routing.ends.all() } }
+  }
+
+  /** Its next end counts as its first. */
+  async lift (digest: string, progress: Progress): Promise<QuarantineCallOutcome> {
+    if (!quarantineNoticeSchema.shape.digest.safeParse(digest).success) return { kind: 'malformedDigest' }
+    const listed = await this.list(progress)
+    if (listed.kind !== 'done') return listed
+    if (!this._node.state.routing.ends.all().some(notice => notice.digest === digest)) return { kind: 'unknownDigest' }
+    const reply = await this._leaderCalls.submit({ kind: RoutingCommandKind.ClearSuspects, digests: [digest] }, progress)
+    if (reply.kind !== 'committed') return { kind: 'unavailable', reason: 'reason' in reply ? reply.reason : 'no leader is known' }
+    return { kind: 'done', body: { lifted: digest } }
+  }
+}
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -10,6 +10,8 @@
 const MAX_SUSPICION_MS = 8_000
 /** A refusal for want of room is soon over. */
 const FULL_PAUSE_MS = 40
+/** Whether anything listens again is not asked more often: an endpoint that ended is back after a second or more. */
+const REFUSED_PAUSE_MS = 50
 /** Weight of a new duration in the running mean. */
 const MEAN_WEIGHT = 0.2
 /** A mean that was not renewed for so long says nothing of the endpoint any more. */
@@ -23,6 +25,7 @@
   private _failuresCount = 0
   private _suspectUntilMs = Number.NEGATIVE_INFINITY
   private _fullUntilMs = Number.NEGATIVE_INFINITY
+  private _refusedUntilMs = Number.NEGATIVE_INFINITY
   private _meanMs: number | undefined
   private _meanAtMs = Number.NEGATIVE_INFINITY
   private _load: ReportedLoad | undefined
@@ -40,6 +43,11 @@
     return this._clock.nowMs() < this._fullUntilMs
   }
 
+  /** Its address has just refused a connection. */
+  get isRefusing (): boolean {
+    return this._clock.nowMs() < this._refusedUntilMs
+  }
+
   get suspectUntilMs (): number {
     return this._suspectUntilMs
   }
@@ -93,6 +101,11 @@
     this._suspectUntilMs = this._clock.nowMs() + suspicionMs
   }
 
+  refused (): void {
+    this.failed()
+    this._refusedUntilMs = this._clock.nowMs() + REFUSED_PAUSE_MS
+  }
+
   wasFull (load: ReportedLoad | undefined): void {
     this._fullUntilMs = this._clock.nowMs() + FULL_PAUSE_MS
     this.reported(load)
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -63,7 +63,13 @@
     const candidates = [safe, fresh, all].find(({ length }) => length > 0) ?? []
     const sound = candidates.filter(({ endpointId }) => !this.health(endpointId).isSuspect)
     if (sound.length > 0) return this._lowest(sound, endpoint => this._expectedMs(endpoint))
-    return this._lowest(candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
+    const listening = candidates.filter(({ endpointId }) => !this.health(endpointId).isRefusing)
+    return this._lowest(listening.length > 0 ? listening : candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
+  }
+
+  /** Whether it is too soon to connect to an endpoint again, which has just refused that. */
+  isRefusing ({ endpointId }: FleetEndpoint): boolean {
+    return this.health(endpointId).isRefusing
   }
 
   /** What a service can do for a request now; undefined when no endpoint of it is known. */
--- a/src/fleet/knownQuarantine.ts
+++ b/src/fleet/knownQuarantine.ts
@@ -35,7 +35,7 @@
     return this._notices.size === 0
   }
 
-  condemnedCount (): number {
-    return [...this._notices.values()].filter(({ verdict }) => verdict === QuarantineVerdict.Condemned).length
+  condemnedDigests (): string[] {
+    return [...this._notices.values()].filter(({ verdict }) => verdict === QuarantineVerdict.Condemned).map(({ digest }) => digest)
   }
 }
--- a/src/gateway/failedTry.ts
+++ b/src/gateway/failedTry.ts
@@ -31,7 +31,8 @@
       view.markGone(endpointId)
       return { ...failed, reason: RetryReason.EndpointRefused, detail: 'another endpoint has the address' }
     case 'unreached':
-      health.failed()
+      if (outcome.isRefused === true) health.refused()
+      else health.failed()
       return { ...failed, reason: RetryReason.ConnectFailed, detail: outcome.reason }
     case 'broken':
       health.failed()
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -125,7 +125,7 @@
         if (ended) return ended
       }
       const isNews = await this._settled.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextLookAtMs() })
-      if (!isNews && this._mayHedge() && this._startTry()) this._countRetry(RetryReason.Hedged)
+      if (!isNews && this._mayHedge()) this._hedge()
     }
     return this._answer ?? this._giveUp(RefusalReason.DeadlinePassed)
   }
@@ -138,7 +138,13 @@
     const standing = this._parts.quarantine.standingOf(this._identity)
     if (standing === RequestStanding.Condemned) return this._holdBack()
     if (!this._parts.quarantine.mayBegin(standing)) return undefined
-    if (this._startTry()) return undefined
+    const endpoint = this._choose()
+    // With all of them gone it waits for the first that is back, or for its deadline.
+    if (endpoint && this._parts.pool.isRefusing(endpoint)) return undefined
+    if (endpoint) {
+      this._startTry(endpoint)
+      return undefined
+    }
     const { isPersistent, progress } = this._request
     if (isPersistent === true) return undefined
     const untaken = { forecast: this._parts.pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }
@@ -161,9 +167,18 @@
     return mayRepeat && !progress.isOver() && this._openCount === 1 && this._hedgeBudget.take()
   }
 
-  private _startTry (): boolean {
-    const endpoint = this._parts.pool.choose(this._service, this._tried, this._parts.quarantine.riskyEndpointIds())
-    if (!endpoint) return false
+  private _hedge (): void {
+    const endpoint = this._choose()
+    if (!endpoint || this._parts.pool.isRefusing(endpoint)) return
+    this._startTry(endpoint)
+    this._countRetry(RetryReason.Hedged)
+  }
+
+  private _choose (): FleetEndpoint | undefined {
+    return this._parts.pool.choose(this._service, this._tried, this._parts.quarantine.riskyEndpointIds())
+  }
+
+  private _startTry (endpoint: FleetEndpoint): void {
     this._tried.add(endpoint.endpointId)
     this._triesCount++
     this._openCount++
@@ -171,7 +186,6 @@
     this._try(endpoint).catch(error => {
       if (!(error instanceof ScopeClosedError)) throw error
     })
-    return true
   }
 
   private async _try (endpoint: FleetEndpoint): Promise<void> {
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -99,12 +99,11 @@
     while (!progress.isOver()) {
       const standing = quarantine.standingOf(this._identity)
       if (standing === RequestStanding.Condemned) return this._holdBack()
-      if (!quarantine.mayBegin(standing)) {
-        await this._pause()
-        continue
-      }
       const endpoint = this._parts.pool.choose(this._service, this._tried, quarantine.riskyEndpointIds())
-      if (endpoint) {
+      const hasToWait = !quarantine.mayBegin(standing) || (endpoint !== undefined && this._parts.pool.isRefusing(endpoint))
+      if (hasToWait) {
+        await this._pause()
+      } else if (endpoint) {
         const settled = await this._try(endpoint)
         if (settled) return settled
       } else {
--- a/src/protocol/operators.ts
+++ b/src/protocol/operators.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod'
 import { entryHostSchema } from './hostCommands.js'
+import { quarantineNoticeSchema } from './quarantine.js'
 
 export const operatorPaths = {
   /** Followed by kind, and kind/name. */
@@ -12,6 +13,8 @@
   status: '/v1/status',
   /** Followed by job/progress. */
   jobs: '/v1/jobs/',
+  /** Followed by a digest, to let it go. */
+  quarantine: '/v1/quarantine/',
   /** Of an entry host's operator address; followed by a request's or an attempt's id. */
   explain: '/v1/explain/',
   /** Of an entry host's operator address. */
@@ -58,3 +61,7 @@
   reason: z.literal('compacted'),
   currentRevision: z.int()
 })
+
+/** Requests under which endpoints ended, the latest last. */
+export const quarantineListSchema = z.object({ requests: z.array(quarantineNoticeSchema) })
+export type QuarantineList = z.infer<typeof quarantineListSchema>
--- a/src/protocol/quarantine.ts
+++ b/src/protocol/quarantine.ts
@@ -18,7 +18,7 @@
 /** 128 bits of SHA-256: nobody finds two bodies with the same ones, so no caller can shut another out. */
 const DIGEST_HEX_LENGTH = 32
 
-const digestSchema = z.string().length(DIGEST_HEX_LENGTH)
+const digestSchema = z.string().regex(new RegExp(`^[0-9a-f]{${DIGEST_HEX_LENGTH}}$`), 'expected 32 hexadecimal digits')
 
 export enum QuarantineVerdict {
   Cleared = 'cleared',
--- a/src/quarantine/requestQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -199,7 +199,7 @@
   private _onNotice ({ digest, verdict, endpointIds }: QuarantineNotice): void {
     if (verdict === QuarantineVerdict.Cleared) this._ownEnds.delete(digest)
     this._note(verdict, digest, endpointIds, 'told')
-    this._parts.metrics.gauge(MetricName.QuarantineCondemned, this._parts.view.quarantine.condemnedCount())
+    this._parts.metrics.gauge(MetricName.QuarantineCondemned, this._parts.view.quarantine.condemnedDigests().length)
   }
 
   private _note (verdict: QuarantineVerdict, digest: string, endpointIds: string[], source: string): void {
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -145,3 +145,22 @@
   t.is(exitCode, ExitCode.Usage)
   t.regex(err, /b\.toml: host\.hostId: .*string.* \(value: 1\)/)
 })
+
+test('should list requests that end endpoints, lift one, and name what is missing', async t => {
+  const digest = 'd'.repeat(32)
+  const notice = { number: 3, digest, verdict: 'condemned', endpointIds: ['e1', 'e2', 'e3'], endedAtMs: 1_700_000_000_000 }
+  const start = async (): Promise<FakeControl> => await startFakeControl(path => (
+    { status: 200, value: path.endsWith(digest) ? { lifted: digest } : { requests: [notice] } }
+  ))
+  const listed = await run(['quarantine', 'list'], await start())
+  t.is(listed.exitCode, ExitCode.Done)
+  t.regex(listed.out, /d{32}.*condemned.*e1, e2, e3.*2023-11-14/)
+  const control = await start()
+  const lifted = await run(['quarantine', 'lift', digest], control)
+  t.is(lifted.exitCode, ExitCode.Done, lifted.err)
+  t.is(control.calls.at(-1)?.path, `/v1/quarantine/${digest}`)
+  const missing = await run(['quarantine', 'lift'], await start())
+  t.is(missing.exitCode, ExitCode.Usage)
+  t.regex(missing.err, /expected the digest/)
+  t.regex((await run(['quarantine', 'forget'], await start())).err, /expected one of list, lift \(value: "forget"\)/)
+})
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -150,3 +150,13 @@
   for (let count = 0; count < 20; count++) await clock.advanceUntil(forward())
   t.is(endpoints.calls.length - callsCount, 20)
 })
+
+test('should not ask endpoints that refuse connections in a loop, and be served by the first that is back', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = () => ({ afterMs: 1, outcome: clock.nowMs() < 900 ? { kind: 'unreached', reason: 'ECONNREFUSED', isRefused: true } : answered() })
+  const outcome = await clock.advanceUntil(forward())
+  t.is(outcome.kind, 'answered')
+  t.true(clock.nowMs() < 1_000, `${clock.nowMs()} ms`)
+  // Each of the three at most once in 50 ms.
+  t.true(endpoints.calls.length <= 3 * 900 / 50 + 3, `${endpoints.calls.length} tries`)
+})
