Fleet soak: a caller that repeats a deadly request, and suspended machines

deadlyCaller: a request that ends each endpoint which runs it comes each 250 ms for 7 s at any host; its endpoints are back after 1.5 s under a new name at their address. Judged: no more than three sends later than 3 s after the third end, from hosts in touch. suspend: the programs of a host stand still, and their steady clock does not count it. Both in series and beside all other kinds.

--- a/bench/fleetSoak/faultPlan.ts
+++ b/bench/fleetSoak/faultPlan.ts
@@ -25,6 +25,10 @@
   EndpointDrains = 'endpointDrains',
   EndpointLeaves = 'endpointLeaves',
   EndpointCrashes = 'endpointCrashes',
+  /** A caller repeats a request that ends every endpoint which runs it. */
+  DeadlyCaller = 'deadlyCaller',
+  /** The machine of a host stands still, with its steady clock. */
+  Suspend = 'suspend',
   Configure = 'configure'
 }
 
@@ -59,10 +63,12 @@
 const MAX_FAULT_MS = 3_000
 /** Longer than the time that is promised after a confirmed leave: hosts that were not told show it. */
 const LEAVE_CUT_MS = 4_500
+/** Past the time within which all hosts must know of the third end. */
+const DEADLY_MS = 7_000
 /** From the end of one fault of a group to the next: an election, a disk that is filled again. */
 const RECOVERY_MS = 4_000
 
-const HOST_FAULTS = [FaultKind.Kill, FaultKind.Stop, FaultKind.Freeze, FaultKind.Cut, FaultKind.CutOneWay, FaultKind.Reset, FaultKind.Silence]
+const HOST_FAULTS = [FaultKind.Kill, FaultKind.Stop, FaultKind.Freeze, FaultKind.Suspend, FaultKind.Cut, FaultKind.CutOneWay, FaultKind.Reset, FaultKind.Silence]
 const OTHER_FAULTS = [FaultKind.EndpointDrains, FaultKind.EndpointLeaves, FaultKind.EndpointLeaves, FaultKind.EndpointCrashes, FaultKind.Configure, FaultKind.Configure]
 
 export interface PlanOptions {
@@ -103,6 +109,8 @@
   if (share < 6) return { kind: FaultKind.Wipe, atMs, forMs, group: HostGroup.Store, number: random.int(0, hosts.store - 1) }
   const mayLeave = lastMs - atMs >= LEAVE_CUT_MS
   if (share < 12 && mayLeave) return { kind: FaultKind.LeaveAtCutHost, atMs, forMs: LEAVE_CUT_MS, group: HostGroup.Control, number: random.int(0, hosts.control - 1) }
+  const mayRepeat = lastMs - atMs >= DEADLY_MS
+  if (share < 20 && mayRepeat) return { kind: FaultKind.DeadlyCaller, atMs, forMs: DEADLY_MS, group, number }
   const kinds = share < 55 ? HOST_FAULTS : OTHER_FAULTS
   return { kind: kinds[random.int(0, kinds.length - 1)] ?? FaultKind.Kill, atMs, forMs, group, number }
 }
--- a/bench/fleetSoak/main.ts
+++ b/bench/fleetSoak/main.ts
@@ -39,13 +39,13 @@
 }
 
 function summary ({ seed, planned, record, violations, logsFolder }: SoakOutcome): string[] {
-  const { calls, batches, leaves, configurations, arrivals } = record
+  const { calls, batches, leaves, ends, configurations, arrivals } = record
   const served = calls.filter(({ status }) => status === 200).length
   const counts = new Map<string, number>()
   for (const { kind } of planned) counts.set(kind, (counts.get(kind) ?? 0) + 1)
   return [
     `seed ${seed}: ${violations.length} promises broken; ${planned.length} faults (${[...counts].map(([kind, count]) => `${kind} ${count}`).join(', ')})`,
-    `  ${served} of ${calls.length} calls served, ${arrivals.length} requests at endpoints, ${batches.length} batches accepted, ${leaves.length} leaves and ${configurations.length} configurations confirmed`,
+    `  ${served} of ${calls.length} calls served, ${arrivals.length} requests at endpoints, ${batches.length} batches accepted, ${leaves.length} leaves and ${configurations.length} configurations confirmed, ${ends.length} endpoints ended under ${new Set(ends.map(({ callerId }) => callerId)).size} requests`,
     ...violations.slice(0, MAX_LINES).map(line => `  BROKEN ${line}`),
     ...(logsFolder === undefined ? [] : [`  logs in ${logsFolder}`])
   ]
--- a/bench/fleetSoak/netFaults.ts
+++ b/bench/fleetSoak/netFaults.ts
@@ -1,7 +1,8 @@
 /**
  * Loaded into each program before it starts (`node --import`), so that the
  * program itself knows nothing of it: makes its outgoing connections fail as
- * links between hosts do. A file says what is wrong at the moment; it is read
+ * links between hosts do, and its steady clock stand still as that of a suspended
+ * machine does. A file says what is wrong at the moment; it is read
  * again and again. Between two programs each handles the connections that it
  * opened, so a cut holds for both directions of all of them.
  */
@@ -17,9 +18,11 @@
   resets: Record<string, number>
   /** Grows when the open connections to an address fall silent for good; new ones work. */
   silences: Record<string, number>
+  /** Grows with each time that the machine of an address is back from a suspension. */
+  suspensions: Record<string, number>
 }
 
-export const NO_FAULTS: LinkFaults = { cuts: [], oneWayCuts: [], resets: {}, silences: {} }
+export const NO_FAULTS: LinkFaults = { cuts: [], oneWayCuts: [], resets: {}, silences: {}, suspensions: {} }
 
 /** Names the file with the faults. */
 export const FAULTS_VARIABLE = 'SOAK_FAULTS_FILE'
@@ -27,6 +30,8 @@
 export const ADDRESS_VARIABLE = 'SOAK_ADDRESS'
 
 const POLL_MS = 40
+/** Suspensions are longer; the clock is looked at more often. */
+const LEAST_GAP_MS = 200
 
 /** What net.Socket has and its types do not tell. */
 interface InternalSocket {
@@ -142,5 +147,42 @@
   options.localAddress = ip
 }
 
+/** A steady clock that does not count suspensions. Timers that fell due meanwhile fire at once when it is back, as they do anyway a little early or late. */
+class StandingClock {
+  private readonly _file: string
+  private readonly _ownIp: string
+  private readonly _steadyMs = performance.now.bind(performance)
+  private _lastMs = this._steadyMs()
+  private _missedMs = 0
+  private _suspensionsCount = 0
+
+  constructor (file: string, ownIp: string) {
+    this._file = file
+    this._ownIp = ownIp
+  }
+
+  install (): void {
+    Object.defineProperty(performance, 'now', { value: () => this._nowMs() })
+    setInterval(() => this._nowMs(), POLL_MS).unref()
+  }
+
+  private _nowMs (): number {
+    const steadyMs = this._steadyMs()
+    if (steadyMs - this._lastMs > LEAST_GAP_MS) this._missedMs += this._suspendedMs(steadyMs - this._lastMs)
+    this._lastMs = steadyMs
+    return steadyMs - this._missedMs
+  }
+
+  /** A process that was only busy, or frozen, has missed nothing. */
+  private _suspendedMs (gapMs: number): number {
+    const { suspensions } = JSON.parse(readFileSync(this._file, 'utf8')) as LinkFaults
+    const count = suspensions[this._ownIp] ?? 0
+    if (count === this._suspensionsCount) return 0
+    this._suspensionsCount = count
+    return gapMs
+  }
+}
+
 const file = process.env[FAULTS_VARIABLE]
+if (file !== undefined) new StandingClock(file, process.env[ADDRESS_VARIABLE] ?? '').install()
 if (file !== undefined) new FaultyLinks(file, process.env[ADDRESS_VARIABLE] ?? '').install()
--- a/bench/fleetSoak/soakCallers.ts
+++ b/bench/fleetSoak/soakCallers.ts
@@ -11,6 +11,7 @@
 
 const HOST_NAME = 'soak.example'
 const CALL_GAP_MS = 60
+const DEADLY_GAP_MS = 250
 const CALL_TIMEOUT_MS = 2_000
 const CHANGE_TIMEOUT_MS = 1_000
 const RETRY_PAUSE_MS = 150
@@ -92,6 +93,18 @@
     }
   }
 
+  /** Repeats a request that ends whatever runs it, with the same path, at any host. */
+  async repeatDeadly (callerId: string, forMs: number): Promise<void> {
+    const { nowMs, callerAddresses } = this._parts
+    const untilMs = nowMs() + forMs
+    const calling: Array<Promise<unknown>> = []
+    for (let number = 1; nowMs() < untilMs; number++) {
+      calling.push(this._send(this._pick(callerAddresses()), 'GET', `/open/${callerId}`, { [WireHeader.AttemptId]: `${callerId}-${number}` }, undefined, CALL_TIMEOUT_MS))
+      await pause(DEADLY_GAP_MS)
+    }
+    await Promise.all(calling)
+  }
+
   /** Once nothing is disturbed any more: all that was accepted, read from the start, and the newest configuration. */
   async readAll (): Promise<void> {
     const { record } = this._parts
--- a/bench/fleetSoak/soakChecks.ts
+++ b/bench/fleetSoak/soakChecks.ts
@@ -3,7 +3,7 @@
  * its record alone. Those that are bounded in time are judged where nothing was
  * disturbed from a while before until the moment in question.
  */
-import { answerTo, CallKind, eventsCountOf, eventText, type BatchSeen, type ItemSeen, type SoakRecord } from './soakRecord.js'
+import { answerTo, CallKind, DEADLY_ID, eventsCountOf, eventText, type BatchSeen, type ItemSeen, type SoakRecord } from './soakRecord.js'
 
 /** Nothing is sent to an endpoint this long after its leave was confirmed. */
 export const DRAIN_MS = 2_000
@@ -23,6 +23,7 @@
     ...repeatedRuns(record),
     ...falseRefusals(record),
     ...lateRequests(record),
+    ...deadlyRequests(record),
     ...record.batches.flatMap(batchViolations),
     ...staleConfigurations(record),
     ...record.ownEnds.map(end => `ended by itself: ${end}`)
@@ -85,6 +86,25 @@
   ))
 }
 
+/** What a caller's request did to endpoints must be known everywhere within this time. */
+export const DEADLY_KNOWN_MS = 3_000
+const CONDEMNING_ENDS_COUNT = 3
+const MAX_LATE_SENDS_COUNT = 3
+
+function deadlyRequests (record: SoakRecord): string[] {
+  const callerIds = [...new Set(record.ends.map(({ callerId }) => callerId))]
+  return callerIds.flatMap(callerId => {
+    const endsAtMs = record.ends.filter(end => end.callerId === callerId).map(({ atMs }) => atMs).sort((left, right) => left - right)
+    const thirdMs = endsAtMs[CONDEMNING_ENDS_COUNT - 1]
+    if (thirdMs === undefined) return []
+    const late = record.arrivals.filter(({ attemptId, fromIp, atMs }) => (
+      DEADLY_ID.exec(attemptId)?.[1] === callerId && atMs > thirdMs + DEADLY_KNOWN_MS && isInTouch(record, fromIp, thirdMs, atMs)
+    ))
+    if (late.length <= MAX_LATE_SENDS_COUNT) return []
+    return [`${callerId}: sent to endpoints ${late.length} times later than ${DEADLY_KNOWN_MS} ms after the third had ended; ${endsAtMs.length} ended`]
+  })
+}
+
 function batchViolations (batch: BatchSeen): string[] {
   if (batch.acceptedAtMs === undefined) return []
   const { batchId, atEnd, firstRead, itemIds, isEndedEarly } = batch
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -7,7 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { request } from 'undici'
 import { WireHeader, WirePath } from '../../platform/wireNames.js'
-import { answerTo, eventsCountOf, eventText, type SoakRecord } from './soakRecord.js'
+import { answerTo, DEADLY_ID, eventsCountOf, eventText, type SoakRecord } from './soakRecord.js'
 
 export const MODEL = 'practice-lm'
 export enum SoakService {
@@ -24,6 +24,8 @@
 const SLOW_ANSWER_MS = 250
 const SLOW_EACH = 5
 const EVENT_GAP_MS = 25
+/** A deadly request ends its endpoint so long after it began to run. */
+const ENDS_AFTER_MS = 60
 const LOAD_MS = 250
 /** An endpoint serves on a little longer than it has to. */
 const LINGER_MS = 4_000
@@ -39,6 +41,8 @@
   record: SoakRecord
   nowMs: () => number
   controlAddresses: () => string[]
+  /** Told when a request ends it. */
+  onDeadly: (endpoint: SoakEndpoint, callerId: string) => void
 }
 
 export class SoakEndpoint {
@@ -156,17 +160,31 @@
     if (incoming.url === WirePath.Report) return this._report(response)
     if (incoming.url === WirePath.Order) return this._order(response, body)
     const attemptId = String(incoming.headers[WireHeader.AttemptId])
-    const isMine = (incoming.headers[WireHeader.ExpectEndpoint] ?? this.parts.name) === this.parts.name
-    const isFull = this._runningCount >= SLOTS_COUNT || this._isLoading
-    if (!isMine || isFull) return this._refuse(incoming, response, isMine ? 503 : 421)
+    const refusedStatus = this._refusalOf(incoming)
+    if (refusedStatus !== undefined) return this._refuse(incoming, response, refusedStatus)
     this._note(incoming, true)
     this._runningCount++
     response.once('close', () => { this._runningCount-- })
+    if (this._endsUnder(attemptId)) return
     if (this.parts.service === SoakService.Engines) return this._stream(response, attemptId, Number(incoming.headers[WireHeader.LastEventId] ?? 0))
     const answerMs = this._answersCount++ % SLOW_EACH === 0 ? SLOW_ANSWER_MS : ANSWER_MS
     setTimeout(() => response.writeHead(200, this._heads(attemptId)).end(answerTo(attemptId)), answerMs)
   }
 
+  /** Undefined for what it runs. */
+  private _refusalOf ({ headers }: IncomingMessage): number | undefined {
+    const isMine = (headers[WireHeader.ExpectEndpoint] ?? this.parts.name) === this.parts.name
+    if (!isMine) return 421
+    return this._runningCount >= SLOTS_COUNT || this._isLoading ? 503 : undefined
+  }
+
+  private _endsUnder (attemptId: string): boolean {
+    const callerId = DEADLY_ID.exec(attemptId)?.[1]
+    if (callerId === undefined) return false
+    setTimeout(() => { if (!this._isOver) this.parts.onDeadly(this, callerId) }, ENDS_AFTER_MS)
+    return true
+  }
+
   private _refuse (incoming: IncomingMessage, response: ServerResponse, status: number): void {
     if (status !== 421) this._note(incoming, false)
     response.writeHead(status, { [WireHeader.AttemptId]: String(incoming.headers[WireHeader.AttemptId]), [WireHeader.NotExecuted]: '1' }).end()
--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -145,6 +145,13 @@
     this._signal(host, 'SIGCONT')
   }
 
+  /** Back from a suspension: the steady clock of its programs has not counted the time since they were frozen. */
+  resume (host: SoakHost): void {
+    this._faults.suspensions[host.ip] = (this._faults.suspensions[host.ip] ?? 0) + 1
+    this._writeFaults()
+    this.thaw(host)
+  }
+
   /** Only while its programs are down. */
   wipe (host: SoakHost): void {
     rmSync(this._dataFolder(host), { recursive: true, force: true })
--- a/bench/fleetSoak/soakRecord.ts
+++ b/bench/fleetSoak/soakRecord.ts
@@ -14,6 +14,17 @@
   isRun: boolean
 }
 
+/** Requests that end endpoints have ids that begin so, with the number of the caller and of its try. */
+export const DEADLY_ID = /^(deadly-\d+)-\d+$/
+
+/** An endpoint ended under a request. */
+export interface EndSeen {
+  /** Which of the callers that repeat such a request. */
+  callerId: string
+  endpointName: string
+  atMs: number
+}
+
 export enum CallKind {
   Repeatable = 'repeatable',
   AtMostOnce = 'atMostOnce'
@@ -83,6 +94,7 @@
   calls: CallSeen[]
   batches: BatchSeen[]
   leaves: LeaveSeen[]
+  ends: EndSeen[]
   configurations: ConfigurationSeen[]
   probes: RouteProbe[]
   /** The version that was read back at the end, of any host that answered. */
@@ -93,7 +105,7 @@
 }
 
 export function emptyRecord (): SoakRecord {
-  return { arrivals: [], calls: [], batches: [], leaves: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
+  return { arrivals: [], calls: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
 }
 
 /** What the endpoint answers to a request: nobody else's. */
--- a/bench/fleetSoak/soakRun.ts
+++ b/bench/fleetSoak/soakRun.ts
@@ -36,6 +36,8 @@
 const FIRST_ENDPOINT_PORT = 8_100
 /** A host that comes back needs so long until its connections are made and its log is caught up. */
 const START_MS = 2_500
+/** An endpoint that ended under a request is back, under a new name at its address, after this. */
+const REBORN_AFTER_MS = 1_500
 /** Programs hear of a cut within 40 ms. */
 const LEAVE_AFTER_CUT_MS = 200
 
@@ -61,6 +63,7 @@
   private readonly _callers: SoakCallers
   private readonly _endpointIp: string
   private _endpointsCount = 0
+  private _deadlyCallersCount = 0
   private readonly _underWay: Array<Promise<void>> = []
 
   constructor (options: SoakOptions, fleet: SoakFleet) {
@@ -110,20 +113,36 @@
   private async _addEndpoint (service: SoakService): Promise<void> {
     const number = this._endpointsCount++
     if (number >= SERVICES_COUNT + ENGINES_COUNT + MAX_REPLACEMENTS_COUNT) return
+    await this._startEndpoint(service, number, FIRST_ENDPOINT_PORT + number)
+  }
+
+  private async _startEndpoint (service: SoakService, number: number, port: number): Promise<void> {
     const endpoint = new SoakEndpoint({
       name: `i-${service}-${number}`,
       service,
       ip: this._endpointIp,
-      port: FIRST_ENDPOINT_PORT + number,
+      port,
       dataCentre: 'north',
       record: this._record,
       nowMs: () => this._nowMs(),
-      controlAddresses: () => this._fleet.controlAddresses
+      controlAddresses: () => this._fleet.controlAddresses,
+      onDeadly: (ended, callerId) => this._endUnder(ended, callerId)
     }, this._random.int(0, this._options.hosts.control - 1))
     await endpoint.start()
     this._endpoints.push(endpoint)
   }
 
+  /** It ends at once, and is back after a while under a new name at its address. */
+  private _endUnder (endpoint: SoakEndpoint, callerId: string): void {
+    const { name, service, port } = endpoint.parts
+    this._record.ends.push({ callerId, endpointName: name, atMs: this._nowMs() })
+    endpoint.crash()
+    this._underWay.push((async () => {
+      await pause(REBORN_AFTER_MS)
+      await this._startEndpoint(service, this._endpointsCount++, port)
+    })())
+  }
+
   private async _carryOut (fault: PlannedFault): Promise<void> {
     const fromMs = this._nowMs()
     if (!isOfHost(fault.kind)) return await this._workOnEndpoints(fault)
@@ -156,6 +175,8 @@
         }, forMs)
       case FaultKind.Freeze:
         return await this._whileIn(() => fleet.freeze(host), forMs, () => fleet.thaw(host))
+      case FaultKind.Suspend:
+        return await this._whileIn(() => fleet.freeze(host), forMs, () => fleet.resume(host))
       case FaultKind.Cut:
         return await this._whileIn(() => fleet.cutOff(host), forMs, () => fleet.heal(host))
       case FaultKind.CutOneWay:
@@ -191,6 +212,7 @@
 
   private async _workOnEndpoints (fault: PlannedFault): Promise<void> {
     if (fault.kind === FaultKind.Configure) return await this._callers.configure()
+    if (fault.kind === FaultKind.DeadlyCaller) return await this._callers.repeatDeadly(`deadly-${++this._deadlyCallersCount}`, fault.forMs)
     const candidates = this._candidates()
     const endpoint = candidates[fault.number % Math.max(1, candidates.length)]
     if (!endpoint) return
--- a/tests/fleetSoak/soakChecks.test.ts
+++ b/tests/fleetSoak/soakChecks.test.ts
@@ -44,6 +44,10 @@
   ['a second run of what may run once', /ran 2 times/, record => { record.arrivals.push({ attemptId: 'r1', endpointName: 'e2', fromIp: IP, atMs: 960, isRun: true }) }],
   ['a refusal of what has run', /has not run, and it has/, record => { record.arrivals[1]!.isRun = true }],
   ['a request to an endpoint that has left', /2100 ms after its leave/, record => { record.arrivals.push({ attemptId: 'r9', endpointName: 'e1', fromIp: IP, atMs: 3_100, isRun: false }) }],
+  ['a request that goes on to endpoints after it ended three', /deadly-1: sent to endpoints 4 times later/, record => {
+    for (const atMs of [1_000, 1_200, 1_400]) record.ends.push({ callerId: 'deadly-1', endpointName: `e${atMs}`, atMs })
+    for (const atMs of [4_500, 4_600, 4_700, 4_800]) record.arrivals.push({ attemptId: `deadly-1-${atMs}`, endpointName: 'e9', fromIp: IP, atMs, isRun: true })
+  }],
   ['an accepted batch that is gone', /cannot be read/, record => { record.batches[0]!.atEnd = undefined }],
   ['an item that is not listed', /b was accepted and is not listed/, record => { record.batches = [batch({ atEnd: [item('a')], firstRead: [] })] }],
   ['an item that is listed twice', /a is listed twice/, record => { record.batches = [batch({ atEnd: [item('a'), item('b'), item('a')] })] }],
