--- a/src/cli/logExplanation.ts
+++ b/src/cli/logExplanation.ts
@@ -29,7 +29,7 @@
 enum Relation {
   /** It names the id itself. */
   Own = 'own',
-  /** It names an id that a line of the request led to, such as its reward call. */
+  /** It names an id that a line of the request led to, such as its reward call or its digest. */
   LedTo = 'led_to',
   /** It tells what changed meanwhile at an endpoint or a leader. */
   Meanwhile = 'meanwhile'
@@ -40,7 +40,7 @@
 }
 
 /** Fields of a line that lead to further lines. */
-const LEADING_FIELDS = ['rewardId']
+const LEADING_FIELDS = ['rewardId', 'digest']
 /** Changes of leaders, of the batch store's dispatcher, and of what a host follows (docs/LOG-EVENTS.md). */
 const LEADER_EVENTS = new Set([1010, 1011, 1012, 1014, 1015, 1108, 1109, 3240, 3241])
 /** Endpoints that became known, left or fell silent, and orders to engines. */
@@ -104,7 +104,7 @@
 }
 
 function names ({ fields }: LogLine, id: string): boolean {
-  return Object.values(fields).includes(id)
+  return Object.values(fields).some(value => value === id || (Array.isArray(value) && value.includes(id)))
 }
 
 const marks: Record<Relation, string> = { [Relation.Own]: '*', [Relation.LedTo]: '+', [Relation.Meanwhile]: ' ' }
--- a/tests/cli/logExplanation.test.ts
+++ b/tests/cli/logExplanation.test.ts
@@ -71,3 +71,11 @@
   t.is(shown.length, 6)
   t.is(shown[0]?.relation, 'own')
 })
+
+test('should lead from a try that was held back to the ends of endpoints, by its digest', t => {
+  const digest = 'd'.repeat(32)
+  const first = [line(0, 'entry-1', 2650, { endpointId: 'e1', suspects: [digest, '7'.repeat(32)] }), line(5, 'entry-1', 2651, { digest, endpointIds: ['e1'] })]
+  const second = [line(400, 'entry-2', 2650, { endpointId: 'e2', suspects: ['8'.repeat(32)] }), line(900, 'entry-2', 2654, { digest, attemptId: 'a9', route: 'open' })]
+  const { out } = explain('a9', [first, second])
+  t.deepEqual(out.map(text => text.trim().split(/\s+/).slice(1, 5).join(' ')), ['+ entry-1 store 2650', '+ entry-1 store 2651', '* entry-2 store 2654'])
+})
