Forget runs that are over; keep requests on probation apart by endpoint, not by host

One request with two ends held up all others like it on the same host; the leader of the batch store would have run such items one after the other.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -33,7 +33,7 @@
 /** Pause after a run that failed at once, so that a broken engine is not asked in a loop. */
 const RETRY_PAUSE_MS = 30
 const COMMIT_TIMEOUT_MS = 2_000
-/** An item under which engines end is looked at again after this, until it may be given up: it may be lifted, or have to wait for another one. */
+/** An item that goes to no engine is looked at again after this, until it may be given up: it may be lifted. */
 const HELD_BACK_PAUSE_MS = 500
 
 type RunOutcome = ItemOutcome | { kind: 'moved' }
@@ -148,11 +148,12 @@
     if (this.isBegun) this._log(BatchEvent.ItemReused, { eventsCount: this.output.lastEventId, isWhole: false })
     for (;;) {
       // Without a wait it asks for a slot in this very turn, together with the rest of its batch.
-      if (!this._isSendable() && !await this._untilSendable(scope)) return false
+      if (this._isCondemned() && !await this._untilLifted(scope)) return false
       const engine = await this._parts.acquire(this, scope)
-      // It may have waited long for the slot.
-      if (!this._isSendable()) {
+      // It may have waited long for the slot, and may not share the engine with another like it.
+      if (!this._mayBegin(engine)) {
         this._parts.release(this, engine)
+        await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
         continue
       }
       const outcome = await this._runOn(engine, scope)
@@ -170,20 +171,26 @@
   }
 
   /** Waits while engines end under the item; false when it is given up meanwhile. */
-  private async _untilSendable (scope: Scope): Promise<boolean> {
+  private async _untilLifted (scope: Scope): Promise<boolean> {
     const { clock } = this._parts
-    while (!this._isSendable()) {
+    while (this._isCondemned()) {
       if (clock.nowMs() >= this.times.giveUpAtMs) return false
       await sleepUntil(clock, scope, clock.nowMs() + HELD_BACK_PAUSE_MS)
     }
     return true
   }
 
-  private _isSendable (): boolean {
+  private _isCondemned (): boolean {
+    const { quarantine } = this._parts
+    if (quarantine.standingOf(this._identity) !== RequestStanding.Condemned) return false
+    quarantine.noteHeldBack(this._identity, { attemptId: this.item.itemId, route: this.batch.submission.path })
+    return true
+  }
+
+  private _mayBegin ({ endpoint }: Engine): boolean {
     const { quarantine } = this._parts
     const standing = quarantine.standingOf(this._identity)
-    if (standing === RequestStanding.Condemned) quarantine.noteHeldBack(this._identity, { attemptId: this.item.itemId, route: this.batch.submission.path })
-    return standing !== RequestStanding.Condemned && quarantine.mayBegin(standing)
+    return standing !== RequestStanding.Condemned && quarantine.mayBegin(standing, endpoint)
   }
 
   /** What a run that failed says of its engine. */
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -137,10 +137,9 @@
     if (!mayRunAgain) return this._failure ?? this._giveUp(RefusalReason.EndpointFailed)
     const standing = this._parts.quarantine.standingOf(this._identity)
     if (standing === RequestStanding.Condemned) return this._holdBack()
-    if (!this._parts.quarantine.mayBegin(standing)) return undefined
     const endpoint = this._choose()
     // With all of them gone it waits for the first that is back, or for its deadline.
-    if (endpoint && this._parts.pool.isRefusing(endpoint)) return undefined
+    if (endpoint && (this._parts.pool.isRefusing(endpoint) || !this._parts.quarantine.mayBegin(standing, endpoint))) return undefined
     if (endpoint) {
       this._startTry(endpoint)
       return undefined
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -100,7 +100,7 @@
       const standing = quarantine.standingOf(this._identity)
       if (standing === RequestStanding.Condemned) return this._holdBack()
       const endpoint = this._parts.pool.choose(this._service, this._tried, quarantine.riskyEndpointIds())
-      const hasToWait = !quarantine.mayBegin(standing) || (endpoint !== undefined && this._parts.pool.isRefusing(endpoint))
+      const hasToWait = endpoint !== undefined && (this._parts.pool.isRefusing(endpoint) || !quarantine.mayBegin(standing, endpoint))
       if (hasToWait) {
         await this._pause()
       } else if (endpoint) {
--- a/src/quarantine/endpointRuns.ts
+++ b/src/quarantine/endpointRuns.ts
@@ -43,7 +43,6 @@
 
 interface TrackedRun extends EndpointRun {
   state: RunState
-  closedAtMs: number
   /** Starts that had the address when the connection was lost, besides its own. */
   otherIds: string[]
 }
@@ -71,8 +70,13 @@
     parts.view.onChange(() => this._lookForOthers())
   }
 
+  /** Runs that are remembered, open or closed. */
+  get count (): number {
+    return [...this._runs.values()].reduce((sum, runs) => sum + runs.size, 0)
+  }
+
   begin (endpoint: FleetEndpoint, identity: RequestIdentity): EndpointRun {
-    const run: TrackedRun = { endpoint, identity, state: RunState.Open, closedAtMs: 0, otherIds: [] }
+    const run: TrackedRun = { endpoint, identity, state: RunState.Open, otherIds: [] }
     const runs = this._runs.get(endpoint.endpointId) ?? new Set()
     runs.add(run)
     this._runs.set(endpoint.endpointId, runs)
@@ -104,11 +108,14 @@
 
   private _close (run: TrackedRun, state: RunState): void {
     if (run.state !== RunState.Open) return
+    const { clock } = this._parts
     run.state = state
-    run.closedAtMs = this._parts.clock.nowMs()
-    if (state !== RunState.Lost) return
-    this._lostCount++
-    run.otherIds = this._othersAt(run.endpoint)
+    if (state === RunState.Lost) {
+      this._lostCount++
+      run.otherIds = this._othersAt(run.endpoint)
+    }
+    const keptMs = state === RunState.Lost ? LOST_KEPT_MS : LEFT_KEPT_MS
+    clock.callAt(clock.nowMs() + keptMs, () => this._remove(run))
   }
 
   private _remove (run: TrackedRun): void {
@@ -119,13 +126,9 @@
     if (runs.size === 0) this._runs.delete(endpointId)
   }
 
-  /** Runs that an end of the endpoint now would be held against; those that are too old are forgotten. */
+  /** Runs that an end of the endpoint now would be held against. */
   private _closedRuns (endpointId: string): TrackedRun[] {
-    const nowMs = this._parts.clock.nowMs()
-    const closed = [...this._runs.get(endpointId) ?? []].filter(({ state }) => state !== RunState.Open)
-    const old = closed.filter(({ state, closedAtMs }) => nowMs - closedAtMs > (state === RunState.Lost ? LOST_KEPT_MS : LEFT_KEPT_MS))
-    for (const run of old) this._remove(run)
-    return closed.filter(run => !old.includes(run))
+    return [...this._runs.get(endpointId) ?? []].filter(({ state }) => state !== RunState.Open)
   }
 
   private _ended (endpoint: FleetEndpoint): void {
@@ -160,9 +163,6 @@
       const listening = await client.isListening(endpoint, clock.nowMs() + LOOK_TIMEOUT_MS, scope)
       if (listening === Listening.No) return this._ended(endpoint)
     }
-    await sleepUntil(clock, scope, clock.nowMs() + LOST_KEPT_MS)
-    // Forgets those that nothing has accounted for.
-    this._closedRuns(endpoint.endpointId)
   }
 
   /** Another start may have come to an address where runs were lost. */
--- a/src/quarantine/requestQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -3,7 +3,7 @@
  * that repeats one takes a whole service from everybody). An endpoint's end makes
  * a suspect of all that ran there; an answer clears a request at once and
  * everywhere; three ends condemn it, on all hosts. With two ends a request goes on
- * alone among its like, so that the next end tells which of them it was.
+ * alone among its like at an endpoint, so that the next end tells which of them it was.
  *
  * Measured by the model in tests/fleet/deadlyRequest (seed 11; one such request
  * each 0.7 s before four endpoints, 50 others a second): of the others 73 % were
@@ -34,7 +34,7 @@
  */
 const MAX_ANSWERED_COUNT = 1_024
 const ANSWERED_KEPT_MS = 2_000
-/** With so many ends a request runs only while no other of its kind does, from this host. */
+/** With so many ends a request runs at an endpoint only while no other of its kind does, from this host. */
 const PROBATION_ENDS_COUNT = 2
 
 export enum RequestStanding {
@@ -76,7 +76,8 @@
   /** Suspects that run now, by endpoint. */
   private readonly _riskyCounts = new Map<string, number>()
   private readonly _heldBackNews: RepeatedNews
-  private _onProbationCount = 0
+  /** Requests on probation that run now, by endpoint. */
+  private readonly _onProbation = new Map<string, QuarantinedRun>()
 
   constructor (parts: RequestQuarantineParts) {
     this._parts = parts
@@ -103,9 +104,14 @@
     return endsCount > 0 ? RequestStanding.Suspected : RequestStanding.Free
   }
 
-  /** False while another request on probation runs from this host. */
-  mayBegin (standing: RequestStanding): boolean {
-    return standing !== RequestStanding.OnProbation || this._onProbationCount === 0
+  /** False while another request on probation runs there from this host: the next end is to tell which it was. */
+  mayBegin (standing: RequestStanding, { endpointId }: FleetEndpoint): boolean {
+    return standing !== RequestStanding.OnProbation || !this._onProbation.has(endpointId)
+  }
+
+  /** Runs that are remembered. */
+  get runsCount (): number {
+    return this._runs.count
   }
 
   /** Endpoints at which this host runs suspects: others had better go elsewhere. */
@@ -116,8 +122,9 @@
   begin (identity: RequestIdentity, endpoint: FleetEndpoint): QuarantinedRun {
     const standing = this.standingOf(identity)
     if (standing !== RequestStanding.Free) this._countRisk(endpoint.endpointId, 1)
-    if (standing === RequestStanding.OnProbation) this._onProbationCount++
-    return Object.assign(this._runs.begin(endpoint, identity), { standing })
+    const run = Object.assign(this._runs.begin(endpoint, identity), { standing })
+    if (standing === RequestStanding.OnProbation) this._onProbation.set(endpoint.endpointId, run)
+    return run
   }
 
   /** An endpoint gave a whole answer of any status: it outlived the request. */
@@ -212,9 +219,10 @@
     this._parts.metrics.count(MetricName.QuarantineVerdict, { verdict })
   }
 
-  private _end ({ endpoint, standing }: QuarantinedRun): void {
-    if (standing !== RequestStanding.Free) this._countRisk(endpoint.endpointId, -1)
-    if (standing === RequestStanding.OnProbation) this._onProbationCount--
+  private _end (run: QuarantinedRun): void {
+    const { endpointId } = run.endpoint
+    if (run.standing !== RequestStanding.Free) this._countRisk(endpointId, -1)
+    if (this._onProbation.get(endpointId) === run) this._onProbation.delete(endpointId)
   }
 
   private _countRisk (endpointId: string, change: number): void {
