Let no error clear a request that ends endpoints; report ends again after a time without a quorum

Read again: an endpoint that fails requests by itself answers 500 to a deadly one without coming to what ends it, and that cleared it on all hosts. Ends seen during more than 10 s without a quorum were known to one host for good. Tests of one host's quarantine: what is evidence of an end and what is not, standing, probation, reports.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -259,9 +259,10 @@
     const { quarantine } = this._parts
     switch (outcome.kind) {
       case 'finished':
-      case 'failed':
       case 'impossible':
         return quarantine.answered(run)
+      case 'failed':
+        return quarantine.answeredWithError(run)
       default:
         return quarantine.failed(run, outcome)
     }
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -214,7 +214,8 @@
     const health = this._parts.pool.health(endpoint.endpointId)
     switch (outcome.kind) {
       case 'answered':
-        this._parts.quarantine.answered(run)
+        if (outcome.status < 500) this._parts.quarantine.answered(run)
+        else this._parts.quarantine.answeredWithError(run)
         health.succeeded(durationMs, outcome.load)
         this._parts.pool.answeredAfter(this._service, durationMs)
         return this._onAnswer(endpoint, outcome)
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -196,7 +196,8 @@
         quarantine.answered(run)
         return { kind: 'ended', endpointId: endpoint.endpointId }
       case 'answered':
-        quarantine.answered(run)
+        if (outcome.status < 500) quarantine.answered(run)
+        else quarantine.answeredWithError(run)
         this._ranCount++
         if (this._isHeadSent || (outcome.status >= 500 && this._mayResume())) return this._onBroken(endpoint, `status ${outcome.status}`)
         return { ...outcome, endpointId: endpoint.endpointId, failedAnswersCount: 0 }
--- a/src/quarantine/requestQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -127,7 +127,13 @@
     return run
   }
 
-  /** An endpoint gave a whole answer of any status: it outlived the request. */
+  /** An endpoint answered with an error of its own. It may not have come to what ends it: that clears nothing. */
+  answeredWithError (run: QuarantinedRun): void {
+    this._end(run)
+    this._runs.done(run)
+  }
+
+  /** An endpoint did the request, and outlived it. */
   answered (run: QuarantinedRun): void {
     this._end(run)
     this._runs.done(run)
--- a/src/quarantine/suspectReports.ts
+++ b/src/quarantine/suspectReports.ts
@@ -18,14 +18,14 @@
 const GATHER_MS = 10
 /** An innocent request is answered by the next endpoint within this time, most of the time; a tenth of what hosts have to hear of a third end. */
 const FIRST_END_WAITS_MS = 150
-/** A control host that is cut off costs a try; later than this the ends are of no use any more. */
+/** One line in the log for so long without a quorum; then it is tried again: the ends of before count with those to come. */
 const REPORT_TIMEOUT_MS = 10_000
 const MAX_CLEARED_PER_REPORT = 128
 
 export interface SuspectReportsParts {
   clock: Clock
   logger: Logger
-  /** Commits a command; true once a quorum has it. */
+  /** Commits a command; true once a quorum has it, false when the time of the progress is over. */
   submit: (command: RoutingCommand, progress: Progress) => Promise<boolean>
 }
 
@@ -95,8 +95,9 @@
 
   private async _submit (command: RoutingCommand, scope: Scope): Promise<void> {
     const { clock, logger, submit } = this._parts
-    const progress = new Progress(clock, scope, clock.nowMs() + REPORT_TIMEOUT_MS)
-    if (!await submit(command, progress)) logger.event(QuarantineEvent.ReportFailed, { command: command.kind })
+    while (!await submit(command, new Progress(clock, scope, clock.nowMs() + REPORT_TIMEOUT_MS))) {
+      logger.event(QuarantineEvent.ReportFailed, { command: command.kind })
+    }
   }
 
   private _reportLeftOut (): void {
--- /dev/null
+++ b/tests/quarantine/requestQuarantine.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava'
+import { RequestQuarantine, RequestStanding } from '../../src/quarantine/requestQuarantine.js'
+import { SuspectReports } from '../../src/quarantine/suspectReports.js'
+import { RoutingCommandKind, type RoutingCommand } from '../../src/protocol/routingCommands.js'
+import { silentLogger } from '../../src/utils/logger.js'
+import type { Progress } from '../../src/utils/progress.js'
+import { Scope } from '../../src/utils/scope.js'
+import { endpoint, HOST, viewOf } from '../fixtures/fleet/fleetFixtures.js'
+import { quarantineOf } from '../fixtures/fleet/quarantineFixtures.js'
+import { ScriptedEndpoints } from '../fixtures/fleet/scriptedEndpoints.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+const REQUEST = { host: HOST, method: 'POST', path: '/open/7', body: Buffer.from('a body') }
+const LOST = { kind: 'broken', reason: 'other side closed', isConnectionLost: true } as const
+const LOOKED_MS = 500
+
+class World {
+  readonly clock = new VirtualClock()
+  readonly endpoints = new ScriptedEndpoints(this.clock)
+  readonly own = [endpoint('e1'), endpoint('e2'), endpoint('e3')]
+  readonly view = viewOf(this.own)
+  readonly quarantine: RequestQuarantine = quarantineOf(this.view, this.clock, this.endpoints)
+  readonly identity = this.quarantine.identify(REQUEST)
+
+  /** The request's connection to an endpoint is lost, which may have ended. */
+  async lose (number: number, hasEnded: boolean): Promise<void> {
+    const at = this.own[number]!
+    if (hasEnded) this.endpoints.refusing.add(at.address)
+    this.quarantine.failed(this.quarantine.begin(this.identity, at), LOST)
+    await this.clock.advance(LOOKED_MS)
+  }
+
+  get standing (): RequestStanding {
+    return this.quarantine.standingOf(this.quarantine.identify({ ...REQUEST }))
+  }
+}
+
+test('should tell an endpoint that ended from a connection that was lost', async t => {
+  const world = new World()
+  await world.lose(0, false)
+  t.is(world.standing, RequestStanding.Free)
+  await world.lose(1, true)
+  t.is(world.standing, RequestStanding.Suspected)
+})
+
+test('should take the new start of an endpoint at its address for the end of the one before, and a leave for none', async t => {
+  const world = new World()
+  const [first, second] = world.own as [typeof world.own[0], typeof world.own[0]]
+  const runs = [first, second].map(at => world.quarantine.begin(world.identity, at!))
+  world.view.merge('control-1', { leaves: [{ number: 1, name: second!.name, bornAtMs: 0, lifecycle: 1 }] })
+  for (const run of runs) world.quarantine.failed(run, LOST)
+  await world.clock.advance(LOOKED_MS)
+  t.is(world.standing, RequestStanding.Free)
+  world.view.merge('control-1', { endpoints: [first!, second!].map((at, position) => ({ ...endpoint(`n${position}`), address: at.address })) })
+  t.is(world.standing, RequestStanding.Suspected, 'of one end')
+})
+
+test('should condemn by what this host saw alone, and let an answer clear it, but not an error', async t => {
+  const world = new World()
+  await world.lose(0, true)
+  await world.lose(1, true)
+  t.is(world.standing, RequestStanding.OnProbation)
+  world.quarantine.answeredWithError(world.quarantine.begin(world.identity, world.own[2]!))
+  t.is(world.standing, RequestStanding.OnProbation)
+  await world.lose(2, true)
+  t.is(world.standing, RequestStanding.Condemned)
+  world.quarantine.answered(world.quarantine.begin(world.identity, world.own[2]!))
+  t.is(world.standing, RequestStanding.Free)
+})
+
+test('should let no two requests on probation run at one endpoint', async t => {
+  const world = new World()
+  await world.lose(0, true)
+  await world.lose(1, true)
+  const [, , third] = world.own
+  const run = world.quarantine.begin(world.identity, third!)
+  t.false(world.quarantine.mayBegin(RequestStanding.OnProbation, third!))
+  t.true(world.quarantine.mayBegin(RequestStanding.Suspected, third!))
+  world.quarantine.left(run)
+  t.true(world.quarantine.mayBegin(RequestStanding.OnProbation, third!))
+})
+
+test('should tell the control hosts of an end once one of them has a quorum again, and not of what was answered meanwhile', async t => {
+  const clock = new VirtualClock()
+  const scope = new Scope('test')
+  const sent: RoutingCommand[] = []
+  const submit = async (command: RoutingCommand, progress: Progress): Promise<boolean> => {
+    sent.push(command)
+    if (sent.length > 2) return true
+    await progress.race(new Promise(() => {}))
+    return false
+  }
+  const reports = new SuspectReports({ clock, logger: silentLogger, submit })
+  reports.run(scope).catch(() => {})
+  reports.ended('e1', 'a', true)
+  reports.ended('e1', 'b', true)
+  reports.cleared('b', false)
+  await clock.advance(30_000)
+  t.is(sent.length, 3)
+  t.deepEqual(sent.at(-1), { kind: RoutingCommandKind.NoteEnds, ends: [{ endpointId: 'e1', digests: ['a'] }] })
+  scope.close('test over')
+})
