--- a/src/quarantine/suspectReports.ts
+++ b/src/quarantine/suspectReports.ts
@@ -16,7 +16,7 @@
 
 /** What else ended at the same moment goes into the same report. */
 const GATHER_MS = 10
-/** An innocent request is answered by the next endpoint within this time, most of the time; a tenth of what hosts have to hear of a third end. */
+/** Room for the next endpoint's answer to an innocent request; a twentieth of the 3 s within which all hosts have to hear of a third end. Chosen, not measured. */
 const FIRST_END_WAITS_MS = 150
 /** One line in the log for so long without a quorum; then it is tried again: the ends of before count with those to come. */
 const REPORT_TIMEOUT_MS = 10_000
