Sight: what each open step waits for and why, and what is left out of the choice

A line a second for each open step of each trainer with its items by stage, and those without an engine by what keeps them from one (3270), one at its end (3271), gauges of the same; a line and a count for each endpoint that is left out, with the reason, for how long, and after how many failures (2660, 2661).

--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -57,7 +57,7 @@
 const random = systemRandom()
 const metrics = memoryMetrics()
 const client = new PlatformEndpointClient(systemClock)
-const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE })
+const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics })
 const quarantine = new RequestQuarantine({ view, clock: systemClock, client, supervisor, logger: silentLogger, metrics, submit: async () => true })
 const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger: silentLogger, metrics })
 const dispatcher = new BatchDispatcher({ clock: systemClock, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, supervisor })
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -8,7 +8,7 @@
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
-import type { BatchItem, ItemResult } from '../protocol/batches.js'
+import { ResultState, type BatchItem, type ItemResult } from '../protocol/batches.js'
 import type { Routing, RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import type { Clock } from '../utils/clock.js'
@@ -28,6 +28,7 @@
 import { ItemOutput } from './itemOutput.js'
 import { ModelDemand } from './modelDemand.js'
 import { SlotAssignment } from './slotAssignment.js'
+import { StepReports, type ReportedStep } from './stepReports.js'
 
 /** Output of items whose batch ended early, kept for their return in a later one. */
 const MAX_KEPT_OUTPUTS_COUNT = 2_000
@@ -50,8 +51,7 @@
   supervisor: Supervisor
 }
 
-interface TrackedBatch {
-  batch: Batch
+interface TrackedBatch extends ReportedStep {
   supervisor: Supervisor
   /** Where its items run, as of this version of the routing configuration. */
   place?: RunPlace
@@ -68,14 +68,16 @@
   private readonly _seenItemIds = new Set<string>()
   private readonly _runs = new Set<ItemRun>()
   private readonly _slots: SlotAssignment
+  private readonly _reports: StepReports<ItemRun>
   private _heldUpToldAtMs = Number.NEGATIVE_INFINITY
 
   constructor (parts: BatchDispatcherParts) {
     this._parts = parts
     this.engines = new EngineFleet(parts.pool, parts.clock)
     this.demand = new ModelDemand(parts.clock)
-    const { clock, view } = parts
+    const { clock, view, logger, metrics } = parts
     this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placeOf: run => this._placeOf(run.batch), onTurn: (latenessMs, waitingCount) => this._noteTurn(latenessMs, waitingCount) })
+    this._reports = new StepReports({ clock, logger, metrics, steps: () => [...this._tracked.values()], items: () => this._runs, waitReasonOf: run => this._slots.waitReasonOf(run) })
   }
 
   /** Open batches that this host runs. */
@@ -104,6 +106,7 @@
     }))
     scope.onClose(() => this._parts.logger.event(BatchEvent.DispatchEnded, { reason: scope.closeReason ?? '' }))
     this._parts.supervisor.spawn('slots', slotsScope => this._slots.run(slotsScope))
+    this._parts.supervisor.spawn('step reports', reportsScope => this._reports.run(reportsScope))
     for (;;) {
       this._track()
       await replica.applied.wait(scope, { clock, deadlineMs: clock.nowMs() + 1_000 })
@@ -135,8 +138,10 @@
 
   private _track (): void {
     const { state, view } = this._parts
-    for (const [batchId, { batch, supervisor }] of this._tracked) {
+    for (const [batchId, tracked] of this._tracked) {
+      const { batch, supervisor } = tracked
       if (!batch.isEnded && state.get(batchId) === batch) continue
+      this._reportEnd(tracked)
       supervisor.scope.close('the batch has ended')
       this._tracked.delete(batchId)
     }
@@ -150,10 +155,19 @@
     })
   }
 
+  private _reportEnd ({ batch, begunAtMs, dueAtMs }: TrackedBatch): void {
+    const { clock, logger } = this._parts
+    const { submission, results, batchId } = batch
+    const nowMs = clock.nowMs()
+    const givenUpCount = results.filter(({ state }) => state === ResultState.GivenUp).length
+    logger.event(BatchEvent.StepEnded, {
+      batchId, model: submission.model, step: submission.step, openForMs: Math.round(nowMs - begunAtMs), dueInMs: Math.round(dueAtMs - nowMs), itemsCount: submission.itemsCount, listedCount: results.length, givenUpCount
+    })
+  }
+
   private _begin (batch: Batch): void {
     const { clock, supervisor: parent } = this._parts
     const supervisor = parent.child(`batch ${batch.batchId}`)
-    this._tracked.set(batch.batchId, { batch, supervisor })
     this.demand.asked(batch.submission, this._parts.view.namedVersion(batch.submission.model))
     const promise = this.routeOf(batch.submission.host, batch.submission.path)?.batch
     const nowMs = clock.nowMs()
@@ -164,6 +178,7 @@
       giveUpAtMs: nowMs + (promise?.maxQueueMs ?? DEFAULT_DUE_MS),
       longestEndsAtMs: nowMs + longestMs
     }
+    this._tracked.set(batch.batchId, { batch, supervisor, begunAtMs: nowMs, dueAtMs: times.dueAtMs })
     for (const item of items) this._beginItem(batch, item, times, supervisor)
   }
 
--- a/src/batches/batchEvents.ts
+++ b/src/batches/batchEvents.ts
@@ -28,7 +28,9 @@
   HeldUp = 3242,
   OrderGiven = 3250,
   OrderSettled = 3251,
-  HostRetired = 3260
+  HostRetired = 3260,
+  StepWaits = 3270,
+  StepEnded = 3271
 }
 
 export const batchEventCatalogue: EventCatalogue = {
@@ -56,5 +58,7 @@
   [BatchEvent.HeldUp]: { level: LogLevel.Warn, text: 'This leader has more to do than its processor takes: its timers are late, and it begins and moves no runs until they are not.', advice: 'Told once a second at most. For seconds on end, with 1012 behind it, the store is too small for what it runs: fewer items at once, or hosts with more processor.' },
   [BatchEvent.OrderGiven]: { level: LogLevel.Info, text: 'An engine was ordered to load a version of weights.', advice: 'None.' },
   [BatchEvent.OrderSettled]: { level: LogLevel.Info, text: 'What came of an order to an engine.', advice: 'Look at the engine if the version is not reached.' },
+  [BatchEvent.StepWaits]: { level: LogLevel.Info, text: 'What an open step waits for: its items by stage, and those without an engine by what keeps them from one.', advice: 'Told once a second for each open step. no_version: look at the orders (3250, 3251); engines_unfit: at what was left out (2660) and what loads; no_slot: the engines are full; turn for seconds: at 3242; held_back: at 2652; committing: look for a lost quorum.' },
+  [BatchEvent.StepEnded]: { level: LogLevel.Info, text: 'A step has ended at this host: its submitter ended it, or it is not held any more.', advice: 'Compare openForMs with the time in which its results are due.' },
   [BatchEvent.HostRetired]: { level: LogLevel.Info, text: 'A store host was taken out of the members for its retirement.', advice: 'None.' }
 }
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -4,6 +4,7 @@
  * breaks off, is scored, and is committed. One task, written straight down.
  */
 import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
+import { FailureReason } from '../endpoints/endpointHealth.js'
 import { RequestStanding, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
@@ -25,6 +26,7 @@
 import { SilenceWatch } from './silenceWatch.js'
 import type { WaitingItem } from './itemOrder.js'
 import { RewardScoring } from './rewardScoring.js'
+import { ItemStage } from './stepReports.js'
 
 /** A run looks for a faster engine after every so many events. */
 const MOVE_CHECK_EVENTS_COUNT = 4
@@ -77,6 +79,8 @@
   readonly output: ItemOutput
   readonly times: BatchTimes
   readonly isCarriedOver: boolean
+  /** What it is at. */
+  stage = ItemStage.Queued
   private readonly _parts: ItemRunParts
   /** Runs that engines answered as failed. */
   private _failuresCount = 0
@@ -149,6 +153,7 @@
     for (;;) {
       // Without a wait it asks for a slot in this very turn, together with the rest of its batch.
       if (this._isCondemned() && !await this._untilLifted(scope)) return false
+      this.stage = ItemStage.Queued
       const engine = await this._parts.acquire(this, scope)
       // It may have waited long for the slot, and may not share the engine with another like it.
       if (!this._mayBegin(engine)) {
@@ -156,6 +161,7 @@
         await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
         continue
       }
+      this.stage = ItemStage.Running
       const outcome = await this._runOn(engine, scope)
       this._logRun(engine, outcome)
       if (outcome.kind === 'finished') {
@@ -166,6 +172,7 @@
       if (outcome.kind === 'moved') continue
       this._blame(engine, outcome)
       if (this._isHopeless()) return false
+      this.stage = ItemStage.Pausing
       await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
     }
   }
@@ -173,6 +180,7 @@
   /** Waits while engines end under the item; false when it is given up meanwhile. */
   private async _untilLifted (scope: Scope): Promise<boolean> {
     const { clock } = this._parts
+    this.stage = ItemStage.HeldBack
     while (this._isCondemned()) {
       if (clock.nowMs() >= this.times.giveUpAtMs) return false
       await sleepUntil(clock, scope, clock.nowMs() + HELD_BACK_PAUSE_MS)
@@ -203,9 +211,13 @@
         engine.health.wasFull(undefined)
         return
       case 'misdirected':
+        engine.health.failed(FailureReason.Misdirected)
+        return
       case 'unreached':
+        engine.health.failed(FailureReason.Unreached)
+        return
       case 'broken':
-        engine.health.failed()
+        engine.health.failed(FailureReason.Broken)
         return
       default:
         unreachable(outcome)
@@ -314,6 +326,7 @@
     const { reward, itemId } = this.item
     const whole = { itemId, parts: [], versions: this.output.versions, state: ResultState.Completed }
     if (!reward) return whole
+    this.stage = ItemStage.Scoring
     const { clock, metrics, forwarder, routeOf } = this._parts
     const onCalled = (fields: LogFields): void => this._log(BatchEvent.ItemScored, fields)
     const score = await new RewardScoring({ clock, metrics, forwarder, routeOf, onCalled }).score(reward, this.times.giveUpAtMs, scope)
@@ -324,6 +337,7 @@
   private async _commit (result: ItemResult, scope: Scope): Promise<void> {
     const { clock, replica } = this._parts
     const { batchId } = this.batch
+    this.stage = ItemStage.Committing
     while (!this.batch.isListed(this.item.itemId)) {
       await this._keeper.settled(scope)
       const command = { kind: BatchCommandKind.Finish, batchId, ...this._finishing(result) }
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -14,6 +14,7 @@
 import type { ModelDemand } from './modelDemand.js'
 import { slotsForPatient } from './slotSharing.js'
 import { StartPacing } from './startPacing.js'
+import { WaitReason } from './stepReports.js'
 
 /** Until a trainer's own interval was seen; both users' trainers ask every four seconds. */
 const ASSUMED_STEP_INTERVAL_MS = 4_000
@@ -70,6 +71,19 @@
     return this._waiting.filter(({ run }) => run.item.model === model).length
   }
 
+  /** What keeps an item that waits from a slot. */
+  waitReasonOf (run: ItemRun): WaitReason {
+    const place = this._parts.placeOf(run)
+    if (!place) return WaitReason.NoRoute
+    const engines = this._parts.engines.ofService(place.service)
+    if (engines.length === 0) return WaitReason.NoEngine
+    const fitting = engines.filter(engine => this._fits(run, engine))
+    if (fitting.length === 0) return WaitReason.NoVersion
+    const sound = fitting.filter(engine => engine.mayBegin(run.item.model))
+    if (sound.length === 0) return WaitReason.EnginesUnfit
+    return sound.some(engine => engine.mayRun(run.item.model)) ? WaitReason.Turn : WaitReason.NoSlot
+  }
+
   /** Lets many items come before the first gets a slot, so that the one that should is first. */
   holdWhile (addItems: () => void): void {
     this._isHeld = true
--- /dev/null
+++ b/src/batches/stepReports.ts
@@ -0,0 +1,129 @@
+/**
+ * What each open step waits for, and why: a line a second and gauges, so that a
+ * trainer that stands still can be traced to the engines, the slots, the scoring or
+ * the log. Items are counted by their stage; those without an engine also by the
+ * reason that keeps them from one.
+ */
+import type { Clock } from '../utils/clock.js'
+import { everySecond } from '../utils/everySecond.js'
+import type { Logger } from '../utils/logger.js'
+import { MetricName } from '../utils/metricNames.js'
+import type { Metrics } from '../utils/metrics.js'
+import type { Scope } from '../utils/scope.js'
+import type { Batch } from './batch.js'
+import { BatchEvent } from './batchEvents.js'
+
+/** Where an item is on its way to its place in the list. */
+export enum ItemStage {
+  /** It waits for a slot of an engine. */
+  Queued = 'queued',
+  Running = 'running',
+  /** A run of it failed a moment ago. */
+  Pausing = 'pausing',
+  /** Engines ended under it: it goes to none. */
+  HeldBack = 'held_back',
+  Scoring = 'scoring',
+  /** Its result is being put into the log. */
+  Committing = 'committing'
+}
+
+/** What keeps an item that waits for a slot from having one. */
+export enum WaitReason {
+  NoRoute = 'no_route',
+  /** The service has no engine that takes new work. */
+  NoEngine = 'no_engine',
+  /** No engine has weights new enough. */
+  NoVersion = 'no_version',
+  /** All that have the weights are left out after failures, full by their own word, or loading. */
+  EnginesUnfit = 'engines_unfit',
+  NoSlot = 'no_slot',
+  /** There is a slot, and the item waits for a better one or for its turn. */
+  Turn = 'turn'
+}
+
+/** An item as far as the report goes. */
+export interface ReportedItem {
+  batch: Batch
+  stage: ItemStage
+}
+
+/** A step that this host runs. */
+export interface ReportedStep {
+  batch: Batch
+  /** When this host began to run it. */
+  begunAtMs: number
+  dueAtMs: number
+}
+
+export interface StepReportsParts<Item extends ReportedItem> {
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  steps: () => ReportedStep[]
+  /** Every item that is not listed yet. */
+  items: () => Iterable<Item>
+  waitReasonOf: (item: Item) => WaitReason
+}
+
+type Counts = Partial<Record<ItemStage | WaitReason, number>>
+
+export class StepReports<Item extends ReportedItem> {
+  private readonly _parts: StepReportsParts<Item>
+  /** Models that a gauge was set for. */
+  private readonly _models = new Set<string>()
+
+  constructor (parts: StepReportsParts<Item>) {
+    this._parts = parts
+  }
+
+  async run (scope: Scope): Promise<void> {
+    await everySecond(this._parts.clock, scope, () => this.report())
+  }
+
+  report (): void {
+    const { clock, logger } = this._parts
+    const nowMs = clock.nowMs()
+    const counts = this._countItems()
+    const steps = this._parts.steps().filter(({ batch }) => !batch.isEnded)
+    for (const step of steps) {
+      const { batchId, submission, results } = step.batch
+      logger.event(BatchEvent.StepWaits, {
+        batchId,
+        model: submission.model,
+        step: submission.step,
+        minVersion: submission.minVersion,
+        openForMs: Math.round(nowMs - step.begunAtMs),
+        dueInMs: Math.round(step.dueAtMs - nowMs),
+        itemsCount: submission.itemsCount,
+        listedCount: results.length,
+        ...counts.get(step.batch)
+      })
+    }
+    this._setGauges(steps, counts, nowMs)
+  }
+
+  private _countItems (): Map<Batch, Counts> {
+    const counts = new Map<Batch, Counts>()
+    for (const item of this._parts.items()) {
+      const ofBatch = counts.get(item.batch) ?? {}
+      counts.set(item.batch, ofBatch)
+      ofBatch[item.stage] = (ofBatch[item.stage] ?? 0) + 1
+      if (item.stage !== ItemStage.Queued) continue
+      const reason = this._parts.waitReasonOf(item)
+      ofBatch[reason] = (ofBatch[reason] ?? 0) + 1
+    }
+    return counts
+  }
+
+  private _setGauges (steps: ReportedStep[], counts: Map<Batch, Counts>, nowMs: number): void {
+    const { metrics } = this._parts
+    for (const { batch } of steps) this._models.add(batch.submission.model)
+    for (const model of this._models) {
+      const own = steps.filter(({ batch }) => batch.submission.model === model)
+      const sum = (key: ItemStage | WaitReason): number => own.reduce((total, { batch }) => total + (counts.get(batch)?.[key] ?? 0), 0)
+      metrics.gauge(MetricName.StepOpenMs, Math.max(0, ...own.map(({ begunAtMs }) => Math.round(nowMs - begunAtMs))), { model })
+      for (const stage of Object.values(ItemStage)) metrics.gauge(MetricName.StepItems, sum(stage), { model, stage })
+      for (const reason of Object.values(WaitReason)) metrics.gauge(MetricName.StepWaiting, sum(reason), { model, reason })
+    }
+  }
+}
--- a/src/batches/weightLoad.ts
+++ b/src/batches/weightLoad.ts
@@ -5,6 +5,7 @@
  * ones, is void.
  */
 import { LoadMode, type EndpointClient, type EndpointReport, type OrderOutcome } from '../endpoints/endpointClient.js'
+import { FailureReason } from '../endpoints/endpointHealth.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import { BatchCommandKind } from '../protocol/batches.js'
 import type { Leadership } from '../replication/log/leadership.js'
@@ -71,7 +72,7 @@
     const { engine, model, version } = wanted
     const before = await this._report(engine, scope)
     if (!before) {
-      engine.health.failed()
+      engine.health.failed(FailureReason.NoReport)
       return false
     }
     this._learn(engine, before)
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -19,9 +19,30 @@
 /** Reported load is out of date after about the time of one request. */
 const LOAD_LIFETIME_MS = 150
 
+/** Why an endpoint is left out. */
+export enum FailureReason {
+  /** No connection came about. */
+  Unreached = 'unreached',
+  /** What ran there broke off, or no event came. */
+  Broken = 'broken',
+  /** Another endpoint has its address. */
+  Misdirected = 'misdirected',
+  /** It did not tell its state in time. */
+  NoReport = 'no_report'
+}
+
+/** What this host has decided about an endpoint. */
+export interface HealthListener {
+  onLeftOut: (reason: FailureReason, forMs: number, failuresCount: number) => void
+  onProven: () => void
+}
+
+const NOBODY: HealthListener = { onLeftOut: () => {}, onProven: () => {} }
+
 export class EndpointHealth {
   runningCount = 0
   private readonly _clock: Clock
+  private readonly _listener: HealthListener
   private _failuresCount = 0
   private _suspectUntilMs = Number.NEGATIVE_INFINITY
   private _fullUntilMs = Number.NEGATIVE_INFINITY
@@ -31,8 +52,9 @@
   private _load: ReportedLoad | undefined
   private _loadAtMs = Number.NEGATIVE_INFINITY
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, listener = NOBODY) {
     this._clock = clock
+    this._listener = listener
   }
 
   get isSuspect (): boolean {
@@ -77,6 +99,7 @@
   }
 
   succeeded (durationMs: number, load: ReportedLoad | undefined): void {
+    if (this._failuresCount > 0) this._listener.onProven()
     this._failuresCount = 0
     this._suspectUntilMs = Number.NEGATIVE_INFINITY
     this.took(durationMs)
@@ -95,14 +118,15 @@
     this._loadAtMs = this._clock.nowMs()
   }
 
-  failed (): void {
+  failed (reason: FailureReason): void {
     const suspicionMs = Math.min(MAX_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** this._failuresCount)
     this._failuresCount++
     this._suspectUntilMs = this._clock.nowMs() + suspicionMs
+    this._listener.onLeftOut(reason, suspicionMs, this._failuresCount)
   }
 
   refused (): void {
-    this.failed()
+    this.failed(FailureReason.Unreached)
     this._refusedUntilMs = this._clock.nowMs() + REFUSED_PAUSE_MS
   }
 
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -6,8 +6,12 @@
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import type { Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import { MetricName } from '../utils/metricNames.js'
+import type { Metrics } from '../utils/metrics.js'
 import type { RandomSource } from '../utils/randomSource.js'
-import { EndpointHealth } from './endpointHealth.js'
+import { EndpointEvent } from './endpointEvents.js'
+import { EndpointHealth, type HealthListener } from './endpointHealth.js'
 
 /** A request to another data centre costs its transfer; below this gain it stays. */
 const FOREIGN_PENALTY = 1.1
@@ -25,6 +29,8 @@
   clock: Clock
   random: RandomSource
   dataCentre: string
+  logger: Logger
+  metrics: Metrics
 }
 
 export class EndpointPool {
@@ -45,12 +51,24 @@
   health (endpointId: string): EndpointHealth {
     let health = this._health.get(endpointId)
     if (!health) {
-      health = new EndpointHealth(this._parts.clock)
+      health = new EndpointHealth(this._parts.clock, this._listenerOf(endpointId))
       this._health.set(endpointId, health)
     }
     return health
   }
 
+  private _listenerOf (endpointId: string): HealthListener {
+    const { logger, metrics, view } = this._parts
+    return {
+      onLeftOut: (reason, forMs, failuresCount) => {
+        const service = view.endpoint(endpointId)?.service ?? ''
+        logger.event(EndpointEvent.LeftOut, { endpointId, service, reason, forMs, failuresCount })
+        metrics.count(MetricName.EndpointLeftOut, { pool: service, reason })
+      },
+      onProven: () => logger.event(EndpointEvent.Proven, { endpointId })
+    }
+  }
+
   /**
    * The endpoint to try next.
    * @param tried endpoints that were tried already; chosen only if there is no other
--- a/src/gateway/failedTry.ts
+++ b/src/gateway/failedTry.ts
@@ -3,6 +3,7 @@
  * streamed requests alike.
  */
 import type { EndpointOutcome } from '../endpoints/endpointClient.js'
+import { FailureReason } from '../endpoints/endpointHealth.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import { RetryReason } from '../protocol/refusals.js'
@@ -32,10 +33,10 @@
       return { ...failed, reason: RetryReason.EndpointRefused, detail: 'another endpoint has the address' }
     case 'unreached':
       if (outcome.isRefused === true) health.refused()
-      else health.failed()
+      else health.failed(FailureReason.Unreached)
       return { ...failed, reason: RetryReason.ConnectFailed, detail: outcome.reason }
     case 'broken':
-      health.failed()
+      health.failed(FailureReason.Broken)
       return { ...failed, mayHaveRun: true, reason: RetryReason.ConnectionLost, detail: outcome.reason }
     default:
       return unreachable(outcome)
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -26,7 +26,7 @@
   const random = seededRandom(5)
   const view = viewOf(Array.from({ length: endpointsCount }, (_value, position) => endpoint(`e${position}`)))
   const endpoints = new ScriptedEndpoints(clock)
-  const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE })
+  const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics: memoryMetrics() })
   const forwarder = new RequestForwarder({ view, pool, client: endpoints, quarantine: quarantineOf(view, clock, endpoints), random, logger: silentLogger, metrics: memoryMetrics() })
   const forward = (target = route(), waitMs = 1_500, scope = new Scope('caller')): Promise<ForwardOutcome> => forwarder.forward({
     route: target,
--- a/tests/gateway/streamForwarder.test.ts
+++ b/tests/gateway/streamForwarder.test.ts
@@ -38,7 +38,7 @@
     const view = viewOf([endpoint('e1'), endpoint('e2'), endpoint('e3')])
     const random = seededRandom(5)
     const { clock, endpoints: client } = this
-    const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE })
+    const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics: memoryMetrics() })
     const forwarder = new StreamForwarder({ view, pool, client, quarantine: quarantineOf(view, clock, client), random, logger: silentLogger, metrics: memoryMetrics() })
     const request = { route: target, method: 'POST', path: '/open/7', host: HOST, headers: [], body: new Uint8Array(), attemptId: 'a1', afterEventId }
     const sink = {
--- a/tests/platform/callerServer.test.ts
+++ b/tests/platform/callerServer.test.ts
@@ -39,7 +39,7 @@
   const random = seededRandom(1)
   const metrics = memoryMetrics()
   const client = new PlatformEndpointClient(systemClock)
-  const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE })
+  const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics: memoryMetrics() })
   const parts = { view, pool, client, quarantine: quarantineOf(view, systemClock, client), random, logger, metrics }
   const batches = new BatchRoutes({ client: new BatchClient(view, DATA_CENTRE, new TcpTransport(), scope, onFatal), clock: systemClock, logger, metrics })
   const address = `${loopbackHost()}:${await freePort()}`
