Count a disturbance once for an endpoint, however many runs it ends, and clear it by success

Cause: each run that ended with a connection booked a failure of its own, five to seven at one instant, and suspicion doubled with each (500 ms to 8 s); the batch path never cleared the count, nor did streams. Ruled out: blaming nothing for lost connections (an engine that has ended would draw all work until it is forgotten).

--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -141,6 +141,8 @@
   for (const candidate of candidates) {
     const { engine } = candidate
     if (mostRunsCount !== undefined && engine.runningCount >= Math.min(mostRunsCount, candidate.mostRunsCount)) continue
+    // One that is on trial takes a run at a time, and may have got it in this round.
+    if (candidate.isInDoubt && !engine.health.isOpen) continue
     const costMs = eventCostMs(candidate)
     if (costMs >= lowestCostMs) continue
     best = candidate
--- a/src/batches/engineFleet.ts
+++ b/src/batches/engineFleet.ts
@@ -59,7 +59,7 @@
 
   /** Whether it takes new runs, apart from room. */
   get isSound (): boolean {
-    return !this.health.isSuspect && !this.health.isFull
+    return this.health.isOpen && !this.health.isFull
   }
 
   /** Whether it takes new runs of a model, apart from room: while one loads, the others go on. */
@@ -75,6 +75,7 @@
 
   /** A run takes a slot. */
   enter (tokensCount: number): void {
+    this.health.began()
     this.runningCount++
     this.heldTokensCount += tokensCount
   }
--- a/src/batches/itemOrder.ts
+++ b/src/batches/itemOrder.ts
@@ -38,7 +38,7 @@
 
 /** A full batch makes each step of an engine slower: 37 ms an event alone, 42 beside eleven others with what they have read. */
 const FULL_BATCH_SLOWDOWN = 0.13
-/** An engine whose pace is in doubt weighs as much slower than its nature, so that it is tried when the others are full. */
+/** An engine whose pace or health is in doubt weighs as much slower than its nature, so that it is tried when the others are full. */
 const DOUBT_COST = 0.2
 
 /** Time that an engine is expected to need for an event, whatever runs there. */
@@ -60,7 +60,7 @@
 }
 
 export function loadOf (engine: Engine, assumedGapMs: number, kvCapacityTokens: number): EngineLoad {
-  return { gapMs: expectedGapMs(engine, assumedGapMs), isInDoubt: engine.pace.isInDoubt, engine, kvCapacityTokens }
+  return { gapMs: expectedGapMs(engine, assumedGapMs), isInDoubt: engine.pace.isInDoubt || engine.health.isOnTrial, engine, kvCapacityTokens }
 }
 
 /**
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -162,6 +162,7 @@
         continue
       }
       this.stage = ItemStage.Running
+      const beganAtMs = clock.nowMs()
       const outcome = await this._runOn(engine, scope)
       this._logRun(engine, outcome)
       if (outcome.kind === 'finished') {
@@ -170,7 +171,7 @@
       }
       if (outcome.kind === 'impossible') return false
       if (outcome.kind === 'moved') continue
-      this._blame(engine, outcome)
+      this._blame(engine, beganAtMs, outcome)
       if (this._isHopeless()) return false
       this.stage = ItemStage.Pausing
       await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
@@ -202,7 +203,7 @@
   }
 
   /** What a run that failed says of its engine. */
-  private _blame (engine: Engine, outcome: FailedRun): void {
+  private _blame (engine: Engine, beganAtMs: number, outcome: FailedRun): void {
     switch (outcome.kind) {
       case 'failed':
         this._failuresCount++
@@ -211,13 +212,13 @@
         engine.health.wasFull(undefined)
         return
       case 'misdirected':
-        engine.health.failed(FailureReason.Misdirected)
+        engine.health.failed(FailureReason.Misdirected, beganAtMs)
         return
       case 'unreached':
-        engine.health.failed(FailureReason.Unreached)
+        engine.health.failed(FailureReason.Unreached, beganAtMs)
         return
       case 'broken':
-        engine.health.failed(FailureReason.Broken)
+        engine.health.failed(FailureReason.Broken, beganAtMs)
         return
       default:
         unreachable(outcome)
@@ -245,6 +246,7 @@
     const silenceWatch = new SilenceWatch(clock, engine.pace, runScope, this._parts.isHeldUp)
     const onEvent = (event: ItemEvent): void => {
       silenceWatch.sawEvent()
+      engine.health.worked()
       const problem = this._take(event, engine)
       this._keeper.outputGrew(scope)
       if (problem !== undefined) runScope.close(problem)
--- a/src/batches/weightLoad.ts
+++ b/src/batches/weightLoad.ts
@@ -72,7 +72,6 @@
     const { engine, model, version } = wanted
     const before = await this._report(engine, scope)
     if (!before) {
-      engine.health.failed(FailureReason.NoReport)
       return false
     }
     this._learn(engine, before)
@@ -159,7 +158,11 @@
 
   private async _report (engine: Engine, scope: Scope): Promise<EndpointReport | undefined> {
     const { clock, client } = this._parts
-    return await client.report(engine.endpoint, clock.nowMs() + REPORT_TIMEOUT_MS, scope)
+    const beganAtMs = clock.nowMs()
+    const report = await client.report(engine.endpoint, beganAtMs + REPORT_TIMEOUT_MS, scope)
+    if (report) engine.health.worked()
+    else engine.health.failed(FailureReason.NoReport, beganAtMs)
+    return report
   }
 
   private _learn (engine: Engine, report: EndpointReport): void {
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -4,10 +4,8 @@
  */
 import type { Clock } from '../utils/clock.js'
 import type { ReportedLoad } from './endpointClient.js'
+import { Suspicion } from './suspicion.js'
 
-/** A first failure leaves the endpoint out for this long; each further one twice as long. */
-const FIRST_SUSPICION_MS = 500
-const MAX_SUSPICION_MS = 8_000
 /** A refusal for want of room is soon over. */
 const FULL_PAUSE_MS = 40
 /** Whether anything listens again is not asked more often: an endpoint that ended is back after a second or more. */
@@ -31,20 +29,22 @@
   NoReport = 'no_report'
 }
 
-/** What this host has decided about an endpoint. */
-export interface HealthListener {
-  onLeftOut: (reason: FailureReason, forMs: number, failuresCount: number) => void
-  onProven: () => void
+/** What surrounds the health of one endpoint. */
+export interface HealthParts {
+  clock: Clock
+  /** Told of what is decided. */
+  onLeftOut?: (reason: FailureReason, forMs: number, failuresCount: number) => void
+  onProven?: () => void
+  /** Whether so many endpoints of the service are left out that the fault is hardly theirs. */
+  isWidespread?: () => boolean
 }
 
-const NOBODY: HealthListener = { onLeftOut: () => {}, onProven: () => {} }
-
 export class EndpointHealth {
   runningCount = 0
+  private readonly _parts: HealthParts
   private readonly _clock: Clock
-  private readonly _listener: HealthListener
-  private _failuresCount = 0
-  private _suspectUntilMs = Number.NEGATIVE_INFINITY
+  /** It is not reached, or what runs there breaks off. */
+  private readonly _unreached: Suspicion
   private _fullUntilMs = Number.NEGATIVE_INFINITY
   private _refusedUntilMs = Number.NEGATIVE_INFINITY
   private _meanMs: number | undefined
@@ -52,13 +52,31 @@
   private _load: ReportedLoad | undefined
   private _loadAtMs = Number.NEGATIVE_INFINITY
 
-  constructor (clock: Clock, listener = NOBODY) {
-    this._clock = clock
-    this._listener = listener
+  constructor (parts: HealthParts) {
+    this._parts = parts
+    this._clock = parts.clock
+    this._unreached = new Suspicion(parts.clock)
   }
 
+  /** It gets no work: it failed a moment ago, or repeatedly while others did not. */
   get isSuspect (): boolean {
-    return this._clock.nowMs() < this._suspectUntilMs
+    if (!this.isAccused) return false
+    return !this._unreached.isPastFirst || this._parts.isWidespread?.() !== true
+  }
+
+  /** By its own failures alone, whatever others do. */
+  get isAccused (): boolean {
+    return this._unreached.isActive
+  }
+
+  /** It failed, and has not shown since that this is over: one request at a time tries it. */
+  get isOnTrial (): boolean {
+    return this._unreached.failuresCount > 0 && !this.isSuspect
+  }
+
+  /** Whether a request may begin there, as far as failures go. */
+  get isOpen (): boolean {
+    return !this._unreached.isTrialUnderWay && !this.isSuspect
   }
 
   get isFull (): boolean {
@@ -71,7 +89,7 @@
   }
 
   get suspectUntilMs (): number {
-    return this._suspectUntilMs
+    return this._unreached.untilMs
   }
 
   /** Mean duration of recent calls; undefined when there were none lately. */
@@ -99,13 +117,21 @@
   }
 
   succeeded (durationMs: number, load: ReportedLoad | undefined): void {
-    if (this._failuresCount > 0) this._listener.onProven()
-    this._failuresCount = 0
-    this._suspectUntilMs = Number.NEGATIVE_INFINITY
+    this.worked()
     this.took(durationMs)
     this.reported(load)
   }
 
+  /** Something came from it: it is reached, and runs what it was given. */
+  worked (): void {
+    if (this._unreached.clear()) this._parts.onProven?.()
+  }
+
+  /** A request or run begins there. */
+  began (): void {
+    this._unreached.began()
+  }
+
   /** A call took at least so long, whatever came of it. */
   took (durationMs: number): void {
     this._meanMs = this.meanMs === undefined ? durationMs : this.meanMs + MEAN_WEIGHT * (durationMs - this.meanMs)
@@ -118,15 +144,15 @@
     this._loadAtMs = this._clock.nowMs()
   }
 
-  failed (reason: FailureReason): void {
-    const suspicionMs = Math.min(MAX_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** this._failuresCount)
-    this._failuresCount++
-    this._suspectUntilMs = this._clock.nowMs() + suspicionMs
-    this._listener.onLeftOut(reason, suspicionMs, this._failuresCount)
+  /** Something that began there at an instant brought nothing. */
+  failed (reason: FailureReason, beganAtMs: number): void {
+    const forMs = this._unreached.note(beganAtMs)
+    if (forMs !== undefined) this._parts.onLeftOut?.(reason, forMs, this._unreached.failuresCount)
   }
 
-  refused (): void {
-    this.failed(FailureReason.Unreached)
+  /** Its address took no connection. */
+  refused (beganAtMs: number): void {
+    this.failed(FailureReason.Unreached, beganAtMs)
     this._refusedUntilMs = this._clock.nowMs() + REFUSED_PAUSE_MS
   }
 
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -11,7 +11,7 @@
 import type { Metrics } from '../utils/metrics.js'
 import type { RandomSource } from '../utils/randomSource.js'
 import { EndpointEvent } from './endpointEvents.js'
-import { EndpointHealth, type HealthListener } from './endpointHealth.js'
+import { EndpointHealth, type HealthParts } from './endpointHealth.js'
 
 /** A request to another data centre costs its transfer; below this gain it stays. */
 const FOREIGN_PENALTY = 1.1
@@ -22,6 +22,9 @@
 /** Breaks ties, so that hosts do not all choose the same endpoint. */
 const JITTER = 0.1
 
+/** With more of a service's endpoints accused, the fault is hardly theirs: they are tried instead of being left out for long. */
+const MAX_LEFT_OUT_SHARE = 0.5
+
 const NONE: ReadonlySet<string> = new Set()
 
 export interface EndpointPoolParts {
@@ -51,24 +54,34 @@
   health (endpointId: string): EndpointHealth {
     let health = this._health.get(endpointId)
     if (!health) {
-      health = new EndpointHealth(this._parts.clock, this._listenerOf(endpointId))
+      health = new EndpointHealth(this._healthPartsOf(endpointId))
       this._health.set(endpointId, health)
     }
     return health
   }
 
-  private _listenerOf (endpointId: string): HealthListener {
-    const { logger, metrics, view } = this._parts
+  private _healthPartsOf (endpointId: string): HealthParts {
+    const { clock, logger, metrics, view } = this._parts
     return {
+      clock,
       onLeftOut: (reason, forMs, failuresCount) => {
         const service = view.endpoint(endpointId)?.service ?? ''
         logger.event(EndpointEvent.LeftOut, { endpointId, service, reason, forMs, failuresCount })
         metrics.count(MetricName.EndpointLeftOut, { pool: service, reason })
       },
-      onProven: () => logger.event(EndpointEvent.Proven, { endpointId })
+      onProven: () => logger.event(EndpointEvent.Proven, { endpointId }),
+      isWidespread: () => this._isWidespread(view.endpoint(endpointId)?.service)
     }
   }
 
+  /** Whether most endpoints of a service are accused at this moment. */
+  private _isWidespread (service: string | undefined): boolean {
+    if (service === undefined) return false
+    const endpoints = this.ofService(service)
+    const accusedCount = endpoints.filter(({ endpointId }) => this._health.get(endpointId)?.isAccused === true).length
+    return accusedCount > MAX_LEFT_OUT_SHARE * endpoints.length
+  }
+
   /**
    * The endpoint to try next.
    * @param tried endpoints that were tried already; chosen only if there is no other
@@ -79,8 +92,8 @@
     const fresh = all.filter(({ endpointId }) => !tried.has(endpointId))
     const safe = fresh.filter(({ endpointId }) => !risky.has(endpointId))
     const candidates = [safe, fresh, all].find(({ length }) => length > 0) ?? []
-    const sound = candidates.filter(({ endpointId }) => !this.health(endpointId).isSuspect)
-    if (sound.length > 0) return this._lowest(sound, endpoint => this._expectedMs(endpoint))
+    const open = candidates.filter(({ endpointId }) => this.health(endpointId).isOpen)
+    if (open.length > 0) return this._lowest(open, endpoint => this._expectedMs(endpoint))
     const listening = candidates.filter(({ endpointId }) => !this.health(endpointId).isRefusing)
     return this._lowest(listening.length > 0 ? listening : candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
   }
--- a/src/gateway/failedTry.ts
+++ b/src/gateway/failedTry.ts
@@ -20,8 +20,11 @@
   wasFull: boolean
 }
 
-/** Notes the failure in what is known of the endpoint. */
-export function noteFailedTry (endpointId: string, outcome: FailedOutcome, { pool, view }: { pool: EndpointPool, view: FleetView }): FailedTry {
+/**
+ * Notes the failure in what is known of the endpoint.
+ * @param beganAtMs when the try began
+ */
+export function noteFailedTry (endpointId: string, beganAtMs: number, outcome: FailedOutcome, { pool, view }: { pool: EndpointPool, view: FleetView }): FailedTry {
   const health = pool.health(endpointId)
   const failed = { mayHaveRun: false, wasFull: false }
   switch (outcome.kind) {
@@ -32,11 +35,11 @@
       view.markGone(endpointId)
       return { ...failed, reason: RetryReason.EndpointRefused, detail: 'another endpoint has the address' }
     case 'unreached':
-      if (outcome.isRefused === true) health.refused()
-      else health.failed(FailureReason.Unreached)
+      if (outcome.isRefused === true) health.refused(beganAtMs)
+      else health.failed(FailureReason.Unreached, beganAtMs)
       return { ...failed, reason: RetryReason.ConnectFailed, detail: outcome.reason }
     case 'broken':
-      health.failed(FailureReason.Broken)
+      health.failed(FailureReason.Broken, beganAtMs)
       return { ...failed, mayHaveRun: true, reason: RetryReason.ConnectionLost, detail: outcome.reason }
     default:
       return unreachable(outcome)
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -194,13 +194,14 @@
     const startedAtMs = clock.nowMs()
     const run = this._parts.quarantine.begin(this._identity, endpoint)
     let isSettled = false
+    health.began()
     health.runningCount++
     try {
       const request = { endpoint, method, path, host, headers, body, attemptId, deadlineMs: progress.deadlineMs }
       const outcome = await this._parts.client.call(request, this._scope)
       isSettled = true
       this._openCount--
-      this._onOutcome(run, outcome, clock.nowMs() - startedAtMs)
+      this._onOutcome(run, outcome, startedAtMs)
       this._settled.notify()
     } finally {
       health.runningCount--
@@ -209,8 +210,9 @@
     }
   }
 
-  private _onOutcome (run: QuarantinedRun, outcome: EndpointOutcome, durationMs: number): void {
+  private _onOutcome (run: QuarantinedRun, outcome: EndpointOutcome, startedAtMs: number): void {
     const { endpoint } = run
+    const durationMs = this._request.progress.clock.nowMs() - startedAtMs
     const health = this._parts.pool.health(endpoint.endpointId)
     switch (outcome.kind) {
       case 'answered':
@@ -221,7 +223,7 @@
         return this._onAnswer(endpoint, outcome)
       default:
         this._parts.quarantine.failed(run, outcome)
-        return this._onFailed(endpoint, outcome)
+        return this._onFailed(endpoint, startedAtMs, outcome)
     }
   }
 
@@ -232,8 +234,8 @@
     return this._giveUp(RefusalReason.Quarantined, 0)
   }
 
-  private _onFailed (endpoint: FleetEndpoint, outcome: FailedOutcome): void {
-    const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, outcome, this._parts)
+  private _onFailed (endpoint: FleetEndpoint, startedAtMs: number, outcome: FailedOutcome): void {
+    const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, startedAtMs, outcome, this._parts)
     if (mayHaveRun) this._ranCount++
     // It may be asked again when all the others were.
     if (wasFull) this._tried.delete(endpoint.endpointId)
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -144,14 +144,19 @@
     const cancelTimer = progress.clock.callAt(progress.deadlineMs, () => scope.close('time is up'))
     const run = this._parts.quarantine.begin(this._identity, endpoint)
     let isSettled = false
+    const startedAtMs = progress.clock.nowMs()
+    health.began()
     health.runningCount++
     try {
       const outcome = await this._parts.client.stream({ ...this._request, endpoint, deadlineMs: progress.deadlineMs, afterEventId: this._lastEventId }, scope, {
-        onHead: head => this._onHead(head),
+        onHead: head => {
+          health.worked()
+          this._onHead(head)
+        },
         onData: chunk => this._onData(chunk)
       })
       isSettled = true
-      return this._onOutcome(run, this._cutter.isAtEnd || outcome.kind !== 'ended' ? outcome : { kind: 'broken', reason: 'ended within an event' })
+      return this._onOutcome(run, this._cutter.isAtEnd || outcome.kind !== 'ended' ? outcome : { kind: 'broken', reason: 'ended within an event' }, startedAtMs)
     } catch (error) {
       if (!(error instanceof ScopeClosedError) || progress.scope.isClosed) throw error
       this._ranCount++
@@ -188,7 +193,7 @@
     return undefined
   }
 
-  private _onOutcome (run: QuarantinedRun, outcome: StreamOutcome): StreamForwardOutcome | undefined {
+  private _onOutcome (run: QuarantinedRun, outcome: StreamOutcome, startedAtMs: number): StreamForwardOutcome | undefined {
     const { quarantine } = this._parts
     const { endpoint } = run
     switch (outcome.kind) {
@@ -203,12 +208,12 @@
         return { ...outcome, endpointId: endpoint.endpointId, failedAnswersCount: 0 }
       default:
         quarantine.failed(run, outcome)
-        return this._onFailed(endpoint, outcome)
+        return this._onFailed(endpoint, startedAtMs, outcome)
     }
   }
 
-  private _onFailed (endpoint: FleetEndpoint, outcome: FailedOutcome): StreamForwardOutcome | undefined {
-    const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, outcome, this._parts)
+  private _onFailed (endpoint: FleetEndpoint, startedAtMs: number, outcome: FailedOutcome): StreamForwardOutcome | undefined {
+    const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, startedAtMs, outcome, this._parts)
     if (mayHaveRun) {
       this._ranCount++
       return this._onBroken(endpoint, detail)
--- a/tests/batches/assignmentRound.test.ts
+++ b/tests/batches/assignmentRound.test.ts
@@ -27,7 +27,7 @@
   const clock = new VirtualClock()
   const counts = { engines: 0, patient: 0, health: 0 }
   const engines = Array.from({ length: enginesCount }, (_value, position) => {
-    const health = new EndpointHealth(clock)
+    const health = new EndpointHealth({ clock })
     Object.defineProperty(health, 'isSuspect', { get: () => { counts.health++; return false } })
     return new Engine(engine(`e${position}`, 1, { slotsCount: SLOTS_COUNT }), health, clock)
   })
--- a/tests/batches/itemOrder.test.ts
+++ b/tests/batches/itemOrder.test.ts
@@ -17,7 +17,7 @@
 }
 
 function paced (endpointId: string, gapMs?: number, ownClock = clock): Engine {
-  const made = new Engine(engine(endpointId, 1), new EndpointHealth(ownClock), ownClock)
+  const made = new Engine(engine(endpointId, 1), new EndpointHealth({ clock: ownClock }), ownClock)
   if (gapMs !== undefined) made.pace.sawGap(gapMs)
   return made
 }
--- a/tests/batches/trainers.test.ts
+++ b/tests/batches/trainers.test.ts
@@ -64,3 +64,14 @@
   t.true(world.engines.failedRunsCount <= 9 * badIds.length, `${world.engines.failedRunsCount} runs were failed`)
   t.deepEqual(world.lostSteps().filter(({ model, number }) => model !== 'm0' || number > 1).map(({ batchId }) => batchId), [])
 })
+
+// A single broken run left an engine out for eight seconds once eight had broken before: nothing cleared the count.
+test('should forget earlier failures of an engine that has made samples since', async t => {
+  const world = await start(t)
+  for (let round = 0; round < 5; round++) {
+    await world.play(BEFORE_MS)
+    world.engines.breakRuns(world.engines.all, false)
+  }
+  await world.play(AFTER_MS)
+  t.deepEqual(world.violations, [])
+})
