Leave out endpoints that answer with errors, and give items up only when different engines failed them

Cause: an answered failure was booked against the item alone, so the engine stayed sound, its slots free and itself the cheapest choice 30 ms later. Requests had it worse: a 500 counted as a success, and its speed made the endpoint look fast. Change: errors of different requests in a row leave an endpoint out, with the same trials as lost connections; one success takes one back. An error that another endpoint repeats is the request's own and excuses the first; one that another endpoint does not repeat accuses it. An item goes to an engine that failed it only if no other fits, with growing pauses, and is given up when as many different engines failed it as its route allows attempts. One on probation is not given a slot that it may not use. Ruled out: blaming the engine for every 500 (items that fail anywhere would leave out one engine after the other; a test holds that).

--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -68,7 +68,7 @@
   }
 
   private _choose (run: ItemRun, waitedMs: number): Engine | undefined {
-    const choice = this._choiceFor(run)
+    const choice = run.isChoosy ? this._ownChoiceFor(run) : this._choiceFor(run)
     if (!choice || choice.isFull) return undefined
     const isPatient = this._isPatient(run, choice.place)
     if (isPatient && choice.isFullForPatient) return undefined
@@ -84,6 +84,15 @@
     return shouldWaitForFaster({ freeGapMs: free.gapMs, fullGapMs: best.gapMs, remainingEventsCount, waitedMs }) ? undefined : free.engine
   }
 
+  /** For an item that may not go wherever the rest of its batch may. */
+  private _ownChoiceFor (run: ItemRun): BatchChoice | undefined {
+    const shared = this._choiceFor(run)
+    if (!shared) return undefined
+    const allowed = shared.candidates.filter(({ engine }) => run.mayBegin(engine))
+    const untried = allowed.filter(({ engine }) => !run.avoids(engine))
+    return choiceAmong(shared.place, untried.length > 0 ? untried : allowed, this._givenCount)
+  }
+
   private _choiceFor (run: ItemRun): BatchChoice | undefined {
     const { batch, item } = run
     if (this._choices.has(batch)) return this._choices.get(batch)
@@ -91,7 +100,7 @@
     const { minVersion } = batch.submission
     const engines = place ? this._parts.enginesOf(place.service) : []
     const candidates = engines.filter(engine => engine.mayBegin(item.model) && engine.version(item.model) >= minVersion)
-    const choice = place && { place, candidates: candidates.map(engine => candidateOf(engine, place)), isFull: false, isFullForPatient: false, cheapest: new Map(), comparedAtCount: this._givenCount }
+    const choice = place && choiceAmong(place, candidates.map(engine => candidateOf(engine, place)), this._givenCount)
     this._choices.set(batch, choice)
     return choice
   }
@@ -128,6 +137,10 @@
   return modelEngine?.tokensPerEvent ?? 1
 }
 
+function choiceAmong (place: RunPlace, candidates: Candidate[], comparedAtCount: number): BatchChoice {
+  return { place, candidates, isFull: false, isFullForPatient: false, cheapest: new Map(), comparedAtCount }
+}
+
 function candidateOf (engine: Engine, place: RunPlace): Candidate {
   const load = loadOf(engine, ASSUMED_TOKEN_MS * tokensPerEvent(place), place.modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
   // One run alone where it has yet to show that slowness has passed.
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -198,6 +198,7 @@
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onWhole: run => this.demand.made(run.item.model, run.output.lastEventId),
       tokensPerEvent: () => this._placeOf(batch)?.modelEngine?.tokensPerEvent ?? 1,
+      enginesCount: () => this.engines.ofService(this._placeOf(batch)?.service ?? '').length,
       routeOf: (host, path) => this.routeOf(host, path)
     }
     const run = new ItemRun(parts, batch, item, times, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -5,6 +5,7 @@
  */
 import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
 import { FailureReason } from '../endpoints/endpointHealth.js'
+import { FailureAccount } from '../endpoints/failureAccount.js'
 import { RequestStanding, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
@@ -32,8 +33,11 @@
 const MOVE_CHECK_EVENTS_COUNT = 4
 /** Why the scope of a run closes that goes on elsewhere. */
 const MOVED = 'moved to a faster engine'
-/** Pause after a run that failed at once, so that a broken engine is not asked in a loop. */
+/** Pause after a run that failed at once, so that a broken engine is not asked in a loop; twice as long after each answered failure. */
 const RETRY_PAUSE_MS = 30
+const MAX_RETRY_PAUSE_MS = 1_000
+/** An item that too few engines could try is given up after so many times the failures that its route allows. */
+const MAX_FAILURES_FACTOR = 2
 const COMMIT_TIMEOUT_MS = 2_000
 /** An item that goes to no engine is looked at again after this, until it may be given up: it may be lifted. */
 const HELD_BACK_PAUSE_MS = 500
@@ -59,6 +63,8 @@
   /** Told once the output of a run is whole. */
   onWhole: (run: ItemRun) => void
   tokensPerEvent: (run: ItemRun) => number
+  /** Engines of the item's service that take new work. */
+  enginesCount: (run: ItemRun) => number
   /** The route of a request, in the routing configuration of the moment. */
   routeOf: (host: string, path: string) => RoutingRoute | undefined
 }
@@ -83,7 +89,7 @@
   stage = ItemStage.Queued
   private readonly _parts: ItemRunParts
   /** Runs that engines answered as failed. */
-  private _failuresCount = 0
+  private readonly _failures: FailureAccount
   private readonly _keeper: OutputKeeper
   private readonly _identity: RequestIdentity
   private readonly _startedAtMs: number
@@ -97,6 +103,7 @@
     this._identity = parts.quarantine.identify({ host: batch.submission.host, method: 'POST', path: item.path, body: item.body })
     this.batch = batch
     this.item = item
+    this._failures = new FailureAccount(() => item.itemId)
     this.times = times
     this.output = kept ?? new ItemOutput()
     this.isCarriedOver = isCarriedOver
@@ -119,6 +126,16 @@
     return this._current?.engine
   }
 
+  /** It may not run at every engine that fits the rest of its batch. */
+  get isChoosy (): boolean {
+    return this._failures.endpointsCount > 0 || this._standing() === RequestStanding.OnProbation
+  }
+
+  /** An engine that failed it is asked again only if no other fits. */
+  avoids ({ id }: Engine): boolean {
+    return this._failures.hasFailedAt(id)
+  }
+
   /** Leaves its engine, to go on at another one. */
   move (): void {
     this._current?.scope.close(MOVED)
@@ -156,7 +173,7 @@
       this.stage = ItemStage.Queued
       const engine = await this._parts.acquire(this, scope)
       // It may have waited long for the slot, and may not share the engine with another like it.
-      if (!this._mayBegin(engine)) {
+      if (!this.mayBegin(engine)) {
         this._parts.release(this, engine)
         await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
         continue
@@ -174,10 +191,14 @@
       this._blame(engine, beganAtMs, outcome)
       if (this._isHopeless()) return false
       this.stage = ItemStage.Pausing
-      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+      await sleepUntil(clock, scope, clock.nowMs() + this._retryPauseMs())
     }
   }
 
+  private _retryPauseMs (): number {
+    return Math.min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS * 2 ** Math.max(0, this._failures.failuresCount - 1))
+  }
+
   /** Waits while engines end under the item; false when it is given up meanwhile. */
   private async _untilLifted (scope: Scope): Promise<boolean> {
     const { clock } = this._parts
@@ -196,17 +217,22 @@
     return true
   }
 
-  private _mayBegin ({ endpoint }: Engine): boolean {
-    const { quarantine } = this._parts
-    const standing = quarantine.standingOf(this._identity)
-    return standing !== RequestStanding.Condemned && quarantine.mayBegin(standing, endpoint)
+  /** Whether it may run beside what runs at an engine. */
+  mayBegin ({ endpoint }: Engine): boolean {
+    const standing = this._standing()
+    return standing !== RequestStanding.Condemned && this._parts.quarantine.mayBegin(standing, endpoint)
+  }
+
+  private _standing (): RequestStanding {
+    return this._parts.quarantine.standingOf(this._identity)
   }
 
   /** What a run that failed says of its engine. */
   private _blame (engine: Engine, beganAtMs: number, outcome: FailedRun): void {
     switch (outcome.kind) {
       case 'failed':
-        this._failuresCount++
+        engine.health.worked()
+        this._failures.note(engine.id, engine.health, beganAtMs)
         return
       case 'notExecuted':
         engine.health.wasFull(undefined)
@@ -235,8 +261,15 @@
 
   private _isHopeless (): boolean {
     const route = this._parts.routeOf(this.batch.submission.host, this.batch.submission.path)
-    const hasFailedOften = route !== undefined && this._failuresCount >= route.maxAttemptsCount
-    return hasFailedOften || this._parts.clock.nowMs() >= this.times.giveUpAtMs
+    return (route !== undefined && this._hasFailedOften(route.maxAttemptsCount)) || this._parts.clock.nowMs() >= this.times.giveUpAtMs
+  }
+
+  /** Failed as often as its route allows, by different engines as far as there are some. */
+  private _hasFailedOften (maxAttemptsCount: number): boolean {
+    const { failuresCount, endpointsCount } = this._failures
+    if (failuresCount < maxAttemptsCount) return false
+    const wantedCount = Math.min(maxAttemptsCount, this._parts.enginesCount(this))
+    return endpointsCount >= wantedCount || failuresCount >= MAX_FAILURES_FACTOR * maxAttemptsCount
   }
 
   private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
@@ -247,6 +280,7 @@
     const onEvent = (event: ItemEvent): void => {
       silenceWatch.sawEvent()
       engine.health.worked()
+      if (silenceWatch.eventsCount === 1) this._beganWell(engine)
       const problem = this._take(event, engine)
       this._keeper.outputGrew(scope)
       if (problem !== undefined) runScope.close(problem)
@@ -269,6 +303,11 @@
     }
   }
 
+  private _beganWell (engine: Engine): void {
+    engine.health.accepted()
+    this._failures.settled(engine.id)
+  }
+
   private _settle (run: QuarantinedRun, outcome: ItemOutcome): void {
     const { quarantine } = this._parts
     switch (outcome.kind) {
@@ -319,7 +358,7 @@
   }
 
   private _givenUp (): ItemResult {
-    this._log(BatchEvent.ItemGivenUp, { failuresCount: this._failuresCount })
+    this._log(BatchEvent.ItemGivenUp, { failuresCount: this._failures.failuresCount, enginesCount: this._failures.endpointsCount })
     return { itemId: this.item.itemId, state: ResultState.GivenUp, parts: [], versions: [] }
   }
 
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -132,7 +132,7 @@
   /** Whether a run had better go on at another engine; room is only left for that when nothing waits for it. */
   shouldMove (run: ItemRun, engine: Engine): boolean {
     if (this._waiting.length > 0 || this.isHeldUp) return false
-    const others = this._fittingEngines(run).filter(other => other !== engine && other.mayRun(run.item.model) && other.pace.expectedGapMs !== undefined)
+    const others = this._fittingEngines(run).filter(other => other !== engine && !run.avoids(other) && other.mayRun(run.item.model) && other.pace.expectedGapMs !== undefined)
     const fastest = fastestEngine(others, Number.POSITIVE_INFINITY, this._kvCapacityTokens(run))
     return fastest !== undefined && movingGainMs(engine, fastest, this._movingRun(run)) > 0
   }
@@ -198,7 +198,7 @@
 
   /** What a run saves by going on at an engine; 0 when it had better stay. */
   private _gainMs (run: ItemRun, from: Engine, to: Engine): number {
-    if (this._reserved.has(run) || !to.mayBegin(run.item.model) || !this._fits(run, to)) return 0
+    if (this._reserved.has(run) || !to.mayBegin(run.item.model) || !this._fits(run, to) || run.avoids(to)) return 0
     return movingGainMs(from, to, this._movingRun(run))
   }
 
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -10,6 +10,8 @@
 const FULL_PAUSE_MS = 40
 /** Whether anything listens again is not asked more often: an endpoint that ended is back after a second or more. */
 const REFUSED_PAUSE_MS = 50
+/** One error may be the request's own. */
+const ACCUSING_ERRORS_COUNT = 2
 /** Weight of a new duration in the running mean. */
 const MEAN_WEIGHT = 0.2
 /** A mean that was not renewed for so long says nothing of the endpoint any more. */
@@ -26,7 +28,9 @@
   /** Another endpoint has its address. */
   Misdirected = 'misdirected',
   /** It did not tell its state in time. */
-  NoReport = 'no_report'
+  NoReport = 'no_report',
+  /** It answers requests with errors, or begins none, that nothing else speaks against. */
+  Failing = 'failing'
 }
 
 /** What surrounds the health of one endpoint. */
@@ -45,6 +49,10 @@
   private readonly _clock: Clock
   /** It is not reached, or what runs there breaks off. */
   private readonly _unreached: Suspicion
+  /** It is reached and does not do what it is given. */
+  private readonly _failing: Suspicion
+  /** Requests that it failed, since it last began one well. */
+  private readonly _erredSubjects = new Set<string>()
   private _fullUntilMs = Number.NEGATIVE_INFINITY
   private _refusedUntilMs = Number.NEGATIVE_INFINITY
   private _meanMs: number | undefined
@@ -56,27 +64,28 @@
     this._parts = parts
     this._clock = parts.clock
     this._unreached = new Suspicion(parts.clock)
+    this._failing = new Suspicion(parts.clock)
   }
 
   /** It gets no work: it failed a moment ago, or repeatedly while others did not. */
   get isSuspect (): boolean {
     if (!this.isAccused) return false
-    return !this._unreached.isPastFirst || this._parts.isWidespread?.() !== true
+    return this._grounds().some(({ isActive, isPastFirst }) => isActive && !isPastFirst) || this._parts.isWidespread?.() !== true
   }
 
   /** By its own failures alone, whatever others do. */
   get isAccused (): boolean {
-    return this._unreached.isActive
+    return this._unreached.isActive || this._failing.isActive
   }
 
   /** It failed, and has not shown since that this is over: one request at a time tries it. */
   get isOnTrial (): boolean {
-    return this._unreached.failuresCount > 0 && !this.isSuspect
+    return this._unreached.failuresCount + this._failing.failuresCount > 0 && !this.isSuspect
   }
 
   /** Whether a request may begin there, as far as failures go. */
   get isOpen (): boolean {
-    return !this._unreached.isTrialUnderWay && !this.isSuspect
+    return !this._unreached.isTrialUnderWay && !this._failing.isTrialUnderWay && !this.isSuspect
   }
 
   get isFull (): boolean {
@@ -89,7 +98,7 @@
   }
 
   get suspectUntilMs (): number {
-    return this._unreached.untilMs
+    return Math.max(this._unreached.untilMs, this._failing.untilMs)
   }
 
   /** Mean duration of recent calls; undefined when there were none lately. */
@@ -118,6 +127,7 @@
 
   succeeded (durationMs: number, load: ReportedLoad | undefined): void {
     this.worked()
+    this.accepted()
     this.took(durationMs)
     this.reported(load)
   }
@@ -127,9 +137,46 @@
     if (this._unreached.clear()) this._parts.onProven?.()
   }
 
+  /** It has begun to do what it was given, or has done it. */
+  accepted (): void {
+    this._erredSubjects.clear()
+    if (this._failing.ease()) this._parts.onProven?.()
+  }
+
+  /**
+   * It did not do what it was given at an instant: an error of its own, or no
+   * beginning at all. A first one says nothing; several of different requests in
+   * a row do.
+   * @param subject what it was given, whatever the try
+   */
+  erred (subject: string, beganAtMs: number): void {
+    if (beganAtMs <= this._failing.notedAtMs) return
+    this._erredSubjects.add(subject)
+    this._weighErrors(beganAtMs)
+  }
+
+  /** Another endpoint did what this one had failed: that error counts twice, unless something went well here since. */
+  accuse (subject: string): void {
+    if (this._failing.isActive) return
+    this._erredSubjects.add(`${subject}, done elsewhere`)
+    this._weighErrors(this._clock.nowMs())
+  }
+
+  private _weighErrors (beganAtMs: number): void {
+    const isAccused = this._failing.failuresCount > 0 || this._erredSubjects.size >= ACCUSING_ERRORS_COUNT
+    const forMs = isAccused ? this._failing.note(beganAtMs) : undefined
+    if (forMs !== undefined) this._parts.onLeftOut?.(FailureReason.Failing, forMs, this._failing.failuresCount)
+  }
+
+  /** Others failed the same request: it speaks against itself. */
+  excuse (subject: string): void {
+    this._erredSubjects.delete(subject)
+  }
+
   /** A request or run begins there. */
   began (): void {
     this._unreached.began()
+    this._failing.began()
   }
 
   /** A call took at least so long, whatever came of it. */
@@ -156,6 +203,10 @@
     this._refusedUntilMs = this._clock.nowMs() + REFUSED_PAUSE_MS
   }
 
+  private _grounds (): Suspicion[] {
+    return [this._unreached, this._failing]
+  }
+
   wasFull (load: ReportedLoad | undefined): void {
     this._fullUntilMs = this._clock.nowMs() + FULL_PAUSE_MS
     this.reported(load)
--- /dev/null
+++ b/src/endpoints/failureAccount.ts
@@ -0,0 +1,58 @@
+/**
+ * What one request has met at the endpoints that failed it. An error may be the
+ * endpoint's (everything fails there) or the request's own (it fails anywhere):
+ * the first endpoint is blamed, excused as soon as another one fails the same
+ * request, and accused if another one does it.
+ */
+import type { EndpointHealth } from './endpointHealth.js'
+
+export class FailureAccount {
+  /** What the request is known by, whichever try it is; worked out when it fails. */
+  private readonly _subjectOf: () => string
+  private readonly _failedAt = new Set<string>()
+  private _failuresCount = 0
+  /** The endpoint that is blamed, while nothing speaks for it. */
+  private _blamed: EndpointHealth | undefined
+
+  constructor (subjectOf: () => string) {
+    this._subjectOf = subjectOf
+  }
+
+  /** Times that it was failed. */
+  get failuresCount (): number {
+    return this._failuresCount
+  }
+
+  /** Different endpoints that failed it. */
+  get endpointsCount (): number {
+    return this._failedAt.size
+  }
+
+  hasFailedAt (endpointId: string): boolean {
+    return this._failedAt.has(endpointId)
+  }
+
+  /** An endpoint failed the request, which was given to it at an instant. */
+  note (endpointId: string, health: EndpointHealth, beganAtMs: number): void {
+    this._failuresCount++
+    const subject = this._subjectOf()
+    const isFirst = this._failedAt.size === 0
+    const isOther = !isFirst && !this._failedAt.has(endpointId)
+    this._failedAt.add(endpointId)
+    if (isFirst) {
+      this._blamed = health
+      health.erred(subject, beganAtMs)
+    } else if (isOther) {
+      this._blamed?.excuse(subject)
+      this._blamed = undefined
+    }
+  }
+
+  /** An endpoint has begun well with the request, or done it. */
+  settled (endpointId: string): void {
+    if (!this._blamed) return
+    const isOther = !this._failedAt.has(endpointId)
+    if (isOther) this._blamed.accuse(this._subjectOf())
+    this._blamed = undefined
+  }
+}
--- a/src/endpoints/suspicion.ts
+++ b/src/endpoints/suspicion.ts
@@ -34,9 +34,14 @@
     return this._untilMs
   }
 
+  /** When the last failure that said something new was noted. */
+  get notedAtMs (): number {
+    return this._notedAtMs
+  }
+
   /** No work at all. */
   get isActive (): boolean {
-    return this._clock.nowMs() < this._untilMs
+    return this._failuresCount > 0 && this._clock.nowMs() < this._untilMs
   }
 
   /** The first moment is over: all that could be shared with other endpoints has had its time. */
@@ -74,6 +79,16 @@
     if (this.isOnTrial) this._trialUntilMs = this._clock.nowMs() + TRIAL_MS
   }
 
+  /** What it was left out for went well once: one failure is taken back; true when that was the last one. */
+  ease (): boolean {
+    if (this._failuresCount === 0) return false
+    if (this._failuresCount === 1) return this.clear()
+    this._failuresCount--
+    this._untilMs = Number.NEGATIVE_INFINITY
+    this._trialUntilMs = Number.NEGATIVE_INFINITY
+    return false
+  }
+
   /** The ground is gone; true when there was one. */
   clear (): boolean {
     if (this._failuresCount === 0) return false
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -6,6 +6,7 @@
  */
 import type { EndpointClient, EndpointOutcome } from '../endpoints/endpointClient.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
+import { FailureAccount } from '../endpoints/failureAccount.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
@@ -102,7 +103,7 @@
   private _openCount = 0
   /** Tries that may have run. */
   private _ranCount = 0
-  private _failedAnswersCount = 0
+  private readonly _failures: FailureAccount
   private _answer: Settled | undefined
   private _failure: Settled | undefined
 
@@ -112,6 +113,7 @@
     this._scope = scope
     this._identity = parts.quarantine.identify(request)
     this._service = service
+    this._failures = new FailureAccount(() => this._identity.digest)
     this._hedgeBudget = hedgeBudget
     this._startedAtMs = request.progress.clock.nowMs()
   }
@@ -216,10 +218,18 @@
     const health = this._parts.pool.health(endpoint.endpointId)
     switch (outcome.kind) {
       case 'answered':
-        if (outcome.status < 500) this._parts.quarantine.answered(run)
-        else this._parts.quarantine.answeredWithError(run)
-        health.succeeded(durationMs, outcome.load)
-        this._parts.pool.answeredAfter(this._service, durationMs)
+        if (outcome.status < 500) {
+          this._parts.quarantine.answered(run)
+          health.succeeded(durationMs, outcome.load)
+          this._failures.settled(endpoint.endpointId)
+          this._parts.pool.answeredAfter(this._service, durationMs)
+        } else {
+          this._parts.quarantine.answeredWithError(run)
+          // How fast it fails says nothing of how fast it works.
+          health.worked()
+          health.reported(outcome.load)
+          this._failures.note(endpoint.endpointId, health, startedAtMs)
+        }
         return this._onAnswer(endpoint, outcome)
       default:
         this._parts.quarantine.failed(run, outcome)
@@ -245,8 +255,7 @@
   private _onAnswer (endpoint: FleetEndpoint, outcome: Extract<EndpointOutcome, { kind: 'answered' }>): void {
     const { status, headers, body, receipt } = outcome
     this._ranCount++
-    if (status >= 500) this._failedAnswersCount++
-    const answer: Settled = { kind: 'answered', endpointId: endpoint.endpointId, status, headers, body, receipt, failedAnswersCount: this._failedAnswersCount }
+    const answer: Settled = { kind: 'answered', endpointId: endpoint.endpointId, status, headers, body, receipt, failedAnswersCount: this._failures.failuresCount }
     if (status < 500) {
       this._answer ??= answer
       return
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -5,6 +5,7 @@
  */
 import type { EndpointClient, StreamHead, StreamOutcome } from '../endpoints/endpointClient.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
+import { FailureAccount } from '../endpoints/failureAccount.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
@@ -76,6 +77,7 @@
   private readonly _identity: RequestIdentity
   private readonly _service: string
   private readonly _startedAtMs: number
+  private readonly _failures: FailureAccount
   private readonly _tried = new Set<string>()
   private _lastEventId: number | undefined
   private _isHeadSent = false
@@ -88,6 +90,7 @@
     this._request = request
     this._sink = sink
     this._identity = parts.quarantine.identify(request)
+    this._failures = new FailureAccount(() => this._identity.digest)
     this._service = chooseService(request.route, parts.random)
     this._startedAtMs = request.progress.clock.nowMs()
     this._lastEventId = request.afterEventId
@@ -198,11 +201,12 @@
     const { endpoint } = run
     switch (outcome.kind) {
       case 'ended':
+        this._parts.pool.health(endpoint.endpointId).accepted()
+        this._failures.settled(endpoint.endpointId)
         quarantine.answered(run)
         return { kind: 'ended', endpointId: endpoint.endpointId }
       case 'answered':
-        if (outcome.status < 500) quarantine.answered(run)
-        else quarantine.answeredWithError(run)
+        this._noteAnswer(run, outcome.status, startedAtMs)
         this._ranCount++
         if (this._isHeadSent || (outcome.status >= 500 && this._mayResume())) return this._onBroken(endpoint, `status ${outcome.status}`)
         return { ...outcome, endpointId: endpoint.endpointId, failedAnswersCount: 0 }
@@ -212,6 +216,21 @@
     }
   }
 
+  private _noteAnswer (run: QuarantinedRun, status: number, startedAtMs: number): void {
+    const { quarantine, pool } = this._parts
+    const { endpointId } = run.endpoint
+    const health = pool.health(endpointId)
+    health.worked()
+    if (status < 500) {
+      quarantine.answered(run)
+      health.accepted()
+      this._failures.settled(endpointId)
+    } else {
+      quarantine.answeredWithError(run)
+      this._failures.note(endpointId, health, startedAtMs)
+    }
+  }
+
   private _onFailed (endpoint: FleetEndpoint, startedAtMs: number, outcome: FailedOutcome): StreamForwardOutcome | undefined {
     const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, startedAtMs, outcome, this._parts)
     if (mayHaveRun) {
--- a/tests/batches/trainersFuzz.test.ts
+++ b/tests/batches/trainersFuzz.test.ts
@@ -6,7 +6,7 @@
 /** Runs in which trainers hardly ask for steps would prove nothing. */
 const LEAST_STEPS_PER_RUN = 6
 
-for (const isInstantsOnly of [true]) {
+for (const isInstantsOnly of [true, false]) {
   test(`should keep engines and steps busy in random runs of ${isInstantsOnly ? 'instants' : 'failures'}`, async t => {
     t.timeout(280_000)
     let stepsCount = 0
--- /dev/null
+++ b/tests/endpoints/endpointHealth.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava'
+import { EndpointHealth, FailureReason } from '../../src/endpoints/endpointHealth.js'
+import { FailureAccount } from '../../src/endpoints/failureAccount.js'
+import { FIRST_SUSPICION_MS, MAX_SUSPICION_MS, TRIAL_MS } from '../../src/endpoints/suspicion.js'
+import { VirtualClock } from '../fixtures/virtualClock.js'
+
+interface World {
+  clock: VirtualClock
+  health: EndpointHealth
+  /** For how long it was left out, each time. */
+  leftOutMs: number[]
+}
+
+function world (isWidespread = false): World {
+  const clock = new VirtualClock()
+  const leftOutMs: number[] = []
+  const health = new EndpointHealth({ clock, onLeftOut: (_reason, forMs) => leftOutMs.push(forMs), isWidespread: () => isWidespread })
+  return { clock, health, leftOutMs }
+}
+
+/** Fails what began now, after a moment. */
+async function fail ({ clock, health }: World): Promise<void> {
+  const beganAtMs = clock.nowMs()
+  await clock.advance(1)
+  health.failed(FailureReason.Broken, beganAtMs)
+}
+
+test('should count what was under way at one instant as one failure', async t => {
+  const { clock, health, leftOutMs } = world()
+  await clock.advance(1_000)
+  for (let beganAtMs = 0; beganAtMs < 800; beganAtMs += 100) health.failed(FailureReason.Broken, beganAtMs)
+  t.deepEqual(leftOutMs, [FIRST_SUSPICION_MS])
+})
+
+test('should leave an endpoint out for twice as long after each failed trial, up to a bound', async t => {
+  const all = world()
+  for (let round = 0; round < 7; round++) {
+    await fail(all)
+    t.true(all.health.isSuspect)
+    await all.clock.advance(all.leftOutMs.at(-1) ?? 0)
+    t.false(all.health.isSuspect)
+  }
+  t.deepEqual(all.leftOutMs, [100, 200, 400, 800, 1_600, MAX_SUSPICION_MS, MAX_SUSPICION_MS])
+})
+
+test('should let one request at a time try an endpoint that failed, until something comes from it', async t => {
+  const all = world()
+  await fail(all)
+  await all.clock.advance(FIRST_SUSPICION_MS)
+  t.true(all.health.isOpen)
+  t.true(all.health.isOnTrial)
+  all.health.began()
+  t.false(all.health.isOpen)
+  await all.clock.advance(TRIAL_MS)
+  t.true(all.health.isOpen, 'a trial without an outcome does not keep others off for good')
+  all.health.began()
+  all.health.worked()
+  t.true(all.health.isOpen)
+  t.false(all.health.isOnTrial)
+})
+
+test('should be tried again after a moment when most endpoints of the service fail', async t => {
+  const all = world(true)
+  for (let round = 0; round < 5; round++) {
+    await fail(all)
+    await all.clock.advance(FIRST_SUSPICION_MS)
+    t.true(all.health.isOpen, `failure ${round + 1}`)
+  }
+})
+
+test('should leave an endpoint out that fails different requests in a row, not for a single one', async t => {
+  const { clock, health, leftOutMs } = world()
+  const fails = async (subject: string): Promise<void> => {
+    const beganAtMs = clock.nowMs()
+    await clock.advance(1)
+    health.erred(subject, beganAtMs)
+  }
+  await fails('a')
+  await fails('a')
+  t.deepEqual(leftOutMs, [])
+  health.accepted()
+  await fails('b')
+  t.deepEqual(leftOutMs, [], 'one that went well lies between them')
+  await fails('c')
+  t.deepEqual(leftOutMs, [FIRST_SUSPICION_MS])
+  health.worked()
+  t.true(health.isSuspect, 'that it is reached says nothing of what it makes of requests')
+})
+
+test('should take back one failure with each request that goes well', async t => {
+  const { clock, health } = world()
+  for (let round = 0; round < 4; round++) {
+    const beganAtMs = clock.nowMs()
+    await clock.advance(1)
+    health.erred(`r${round}`, beganAtMs)
+    await clock.advance(MAX_SUSPICION_MS)
+  }
+  health.accepted()
+  health.accepted()
+  t.true(health.isOnTrial)
+  health.accepted()
+  t.false(health.isOnTrial)
+})
+
+test('should excuse an endpoint when another one fails the same request', async t => {
+  const first = world()
+  const second = world()
+  for (const subject of ['a', 'b', 'c']) {
+    const account = new FailureAccount(() => subject)
+    for (const [endpointId, { clock, health }] of [['first', first], ['second', second]] as const) {
+      const beganAtMs = clock.nowMs()
+      await clock.advance(1)
+      account.note(endpointId, health, beganAtMs)
+    }
+    t.is(account.failuresCount, 2)
+    t.is(account.endpointsCount, 2)
+  }
+  t.deepEqual([...first.leftOutMs, ...second.leftOutMs], [])
+})
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -160,3 +160,36 @@
   // Each of the three at most once in 50 ms.
   t.true(endpoints.calls.length <= 3 * 900 / 50 + 3, `${endpoints.calls.length} tries`)
 })
+
+// An endpoint that failed at once counted as a fast one: its errors were taken for answers, and it drew all requests.
+test('should not send most requests to an endpoint because it fails them fast', async t => {
+  const { clock, endpoints, forward } = world()
+  endpoints.onCall = ({ endpoint: { endpointId } }) => (endpointId === 'e0' ? { afterMs: 1, outcome: answered(500) } : { afterMs: 40, outcome: answered() })
+  const outcomes: ForwardOutcome[] = []
+  for (let round = 0; round < 60; round++) {
+    const asked = Promise.all([forward(), forward(), forward()])
+    outcomes.push(...await clock.advanceUntil(asked))
+  }
+  const failedCount = endpoints.calls.filter(({ endpoint: { endpointId } }) => endpointId === 'e0').length
+  t.true(failedCount <= 20, `${failedCount} of 180 requests went to the endpoint that fails`)
+  t.true(outcomes.every(outcome => outcome.kind === 'answered' && outcome.status === 200))
+})
+
+// Requests in flight at one endpoint that ended with one reset counted as that many failures, and it was left out for eight seconds.
+test('should use an endpoint again soon after many requests lost their connections at one instant', async t => {
+  const { clock, endpoints, forward } = world()
+  let isReset = true
+  endpoints.onCall = ({ endpoint: { endpointId } }) => (
+    { afterMs: 20, outcome: isReset && endpointId === 'e0' ? { kind: 'broken', reason: 'reset', isConnectionLost: true } : answered() }
+  )
+  const ask = async (): Promise<number> => {
+    const before = endpoints.calls.length
+    await clock.advanceUntil(Promise.all(Array.from({ length: 30 }, () => forward())))
+    return endpoints.calls.slice(before).filter(({ endpoint: { endpointId } }) => endpointId === 'e0').length
+  }
+  t.true(await ask() >= 5)
+  isReset = false
+  await clock.advance(300)
+  await ask()
+  t.true(await ask() >= 5)
+})
