Draw the service of a batch's items by the weights of its route

What callers would see: a batch route whose first service has any weight and no engines of the model never ran an item. Cause: the dispatcher took the first service with a weight above 0. Change: each item draws among the weighted services that have its model, as requests do; another one stands in while the drawn one has no engine.

--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -60,7 +60,7 @@
 const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics })
 const quarantine = new RequestQuarantine({ view, clock: systemClock, client, supervisor, logger: silentLogger, metrics, submit: async () => true })
 const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger: silentLogger, metrics })
-const dispatcher = new BatchDispatcher({ clock: systemClock, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, supervisor })
+const dispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, supervisor })
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
 
 async function submitStep (step: number): Promise<void> {
--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -48,7 +48,8 @@
 
 export class AssignmentRound {
   private readonly _parts: AssignmentRoundParts
-  private readonly _choices = new Map<Batch, BatchChoice | undefined>()
+  /** By batch and service. */
+  private readonly _choices = new Map<Batch, Map<string, BatchChoice>>()
   private readonly _patientSlots = new Map<string, number>()
   /** Slots that were given; the engines compare as they did until the next one is. */
   private _givenCount = 0
@@ -95,13 +96,16 @@
 
   private _choiceFor (run: ItemRun): BatchChoice | undefined {
     const { batch, item } = run
-    if (this._choices.has(batch)) return this._choices.get(batch)
     const place = this._parts.placeOf(run)
+    if (!place) return undefined
+    const choices = this._choices.get(batch) ?? new Map<string, BatchChoice>()
+    this._choices.set(batch, choices)
+    const known = choices.get(place.service)
+    if (known) return known
     const { minVersion } = batch.submission
-    const engines = place ? this._parts.enginesOf(place.service) : []
-    const candidates = engines.filter(engine => engine.mayBegin(item.model) && engine.version(item.model) >= minVersion)
-    const choice = place && choiceAmong(place, candidates.map(engine => candidateOf(engine, place)), this._givenCount)
-    this._choices.set(batch, choice)
+    const candidates = this._parts.enginesOf(place.service).filter(engine => engine.mayBegin(item.model) && engine.version(item.model) >= minVersion)
+    const choice = choiceAmong(place, candidates.map(engine => candidateOf(engine, place)), this._givenCount)
+    choices.set(place.service, choice)
     return choice
   }
 
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -9,16 +9,16 @@
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
 import { ResultState, type BatchItem, type ItemResult } from '../protocol/batches.js'
-import type { Routing, RoutingRoute } from '../protocol/routing.js'
+import type { RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import type { Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
 import type { Progress } from '../utils/progress.js'
+import type { RandomSource } from '../utils/randomSource.js'
 import type { Scope } from '../utils/scope.js'
 import type { Supervisor } from '../utils/supervisor.js'
-import type { RunPlace } from './assignmentRound.js'
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
 import type { BatchState } from './batchState.js'
@@ -27,6 +27,7 @@
 import { ItemRun, type BatchTimes, type ItemRunParts } from './itemRun.js'
 import { ItemOutput } from './itemOutput.js'
 import { ModelDemand } from './modelDemand.js'
+import { RunPlaces } from './runPlaces.js'
 import { SlotAssignment } from './slotAssignment.js'
 import { StepReports, type ReportedStep } from './stepReports.js'
 
@@ -39,6 +40,7 @@
 
 export interface BatchDispatcherParts {
   clock: Clock
+  random: RandomSource
   logger: Logger
   metrics: Metrics
   client: EndpointClient
@@ -53,9 +55,6 @@
 
 interface TrackedBatch extends ReportedStep {
   supervisor: Supervisor
-  /** Where its items run, as of this version of the routing configuration. */
-  place?: RunPlace
-  placedUnderVersion?: number
 }
 
 export class BatchDispatcher {
@@ -67,6 +66,7 @@
   private readonly _keptOutputs = new Map<string, ItemOutput>()
   private readonly _seenItemIds = new Set<string>()
   private readonly _runs = new Set<ItemRun>()
+  private readonly _places: RunPlaces
   private readonly _slots: SlotAssignment
   private readonly _reports: StepReports<ItemRun>
   private _heldUpToldAtMs = Number.NEGATIVE_INFINITY
@@ -75,8 +75,9 @@
     this._parts = parts
     this.engines = new EngineFleet(parts.pool, parts.clock)
     this.demand = new ModelDemand(parts.clock)
-    const { clock, view, logger, metrics } = parts
-    this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placeOf: run => this._placeOf(run.batch), onTurn: (latenessMs, waitingCount) => this._noteTurn(latenessMs, waitingCount) })
+    const { clock, random, view, logger, metrics } = parts
+    this._places = new RunPlaces({ view, engines: this.engines, random, routeOf: (host, path) => this.routeOf(host, path) })
+    this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placeOf: run => this._places.of(run), onTurn: (latenessMs, waitingCount) => this._noteTurn(latenessMs, waitingCount) })
     this._reports = new StepReports({ clock, logger, metrics, steps: () => [...this._tracked.values()], items: () => this._runs, waitReasonOf: run => this._slots.waitReasonOf(run) })
   }
 
@@ -197,8 +198,8 @@
       isHeldUp: () => this._slots.isHeldUp,
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onWhole: run => this.demand.made(run.item.model, run.output.lastEventId),
-      tokensPerEvent: () => this._placeOf(batch)?.modelEngine?.tokensPerEvent ?? 1,
-      enginesCount: () => this.engines.ofService(this._placeOf(batch)?.service ?? '').length,
+      tokensPerEvent: run => this._places.of(run)?.modelEngine?.tokensPerEvent ?? 1,
+      enginesCount: run => this.engines.ofService(this._places.of(run)?.service ?? '').length,
       routeOf: (host, path) => this.routeOf(host, path)
     }
     const run = new ItemRun(parts, batch, item, times, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
@@ -235,21 +236,4 @@
     const [oldest] = this._keptOutputs.keys()
     if (this._keptOutputs.size > MAX_KEPT_OUTPUTS_COUNT && oldest !== undefined) this._keptOutputs.delete(oldest)
   }
-
-  /** Where the items of a batch may run; looked up once for each routing configuration. */
-  private _placeOf (batch: Batch): RunPlace | undefined {
-    const { routing } = this._parts.view
-    const tracked = this._tracked.get(batch.batchId)
-    if (!routing) return undefined
-    if (tracked?.place && tracked.placedUnderVersion === routing.version) return tracked.place
-    const place = this._findPlace(batch, routing)
-    if (tracked) Object.assign(tracked, { place, placedUnderVersion: routing.version })
-    return place
-  }
-
-  private _findPlace (batch: Batch, routing: Routing): RunPlace | undefined {
-    const service = this.routeOf(batch.submission.host, batch.submission.path)?.services.find(({ weight }) => weight > 0)?.service
-    if (service === undefined) return undefined
-    return { service, modelEngine: routing.services.find(({ name }) => name === service)?.engine }
-  }
 }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -286,7 +286,7 @@
     const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: settings.dataCentre, logger, metrics })
     const quarantine = this._quarantine
     const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger, metrics })
-    return new BatchDispatcher({ clock: systemClock, logger, metrics, client, forwarder, quarantine, pool, view, replica: this._replica, state: this._state, supervisor })
+    return new BatchDispatcher({ clock: systemClock, random, logger, metrics, client, forwarder, quarantine, pool, view, replica: this._replica, state: this._state, supervisor })
   }
 }
 
--- a/tests/batches/trainers.test.ts
+++ b/tests/batches/trainers.test.ts
@@ -75,3 +75,11 @@
   await world.play(AFTER_MS)
   t.deepEqual(world.violations, [])
 })
+
+// The first service of a route took its batches, whatever its weight and whether it had engines at all.
+test('should run a batch at the service that has engines of its model, whatever stands first in its route', async t => {
+  const world = await start(t, { services: [{ service: 'decks', weight: 10 }, { service: 'engines', weight: 90 }] })
+  await world.play(AFTER_MS)
+  t.deepEqual(world.violations, [])
+  t.deepEqual(world.lostSteps().map(({ batchId }) => batchId), [])
+})
