Blame no engine for a run that this host ends, and note a run's end before its slot is given on

Cause: a run that was ended here for weights older than its batch allows counted as a failure of its engine; an address that another endpoint has was only suspected and asked again; and the slot of a failed run was given to the next item before the failure was noted, so that each break drew one run more. Change: such runs are 'unusable' and say nothing of health; the endpoint is marked gone, as requests do; what a run says of its engine is noted before its slot is free. Tests: both new ones in dispatching failed before.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -195,6 +195,7 @@
       replica,
       acquire: (run, scope) => this._slots.acquire(run, scope),
       release: (run, engine) => this._slots.release(run, engine),
+      markGone: endpointId => this._parts.view.markGone(endpointId),
       isHeldUp: () => this._slots.isHeldUp,
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onWhole: run => this.demand.made(run.item.model, run.output.lastEventId),
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -4,7 +4,6 @@
  * breaks off, is scored, and is committed. One task, written straight down.
  */
 import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
-import { FailureReason } from '../endpoints/endpointHealth.js'
 import { FailureAccount } from '../endpoints/failureAccount.js'
 import { RequestStanding, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
@@ -13,7 +12,7 @@
 import type { RoutingRoute } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
-import { ScopeClosedError, unreachable } from '../utils/errors.js'
+import { ScopeClosedError } from '../utils/errors.js'
 import type { LogFields, Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
@@ -24,6 +23,7 @@
 import type { Engine } from './engineFleet.js'
 import { ItemOutput } from './itemOutput.js'
 import { OutputKeeper } from './outputKeeper.js'
+import { noteOutcome, type RunOutcome } from './runOutcome.js'
 import { SilenceWatch } from './silenceWatch.js'
 import type { WaitingItem } from './itemOrder.js'
 import { RewardScoring } from './rewardScoring.js'
@@ -42,9 +42,6 @@
 /** An item that goes to no engine is looked at again after this, until it may be given up: it may be lifted. */
 const HELD_BACK_PAUSE_MS = 500
 
-type RunOutcome = ItemOutcome | { kind: 'moved' }
-type FailedRun = Exclude<ItemOutcome, { kind: 'finished' } | { kind: 'impossible' }>
-
 export interface ItemRunParts {
   clock: Clock
   logger: Logger
@@ -53,7 +50,7 @@
   forwarder: RequestForwarder
   quarantine: RequestQuarantine
   replica: Replica
-  /** Waits until an engine has room for the item. */
+  /** Waits until an engine has room for the item; undefined when none has until the deadline. */
   acquire: (run: ItemRun, scope: Scope) => Promise<Engine>
   release: (run: ItemRun, engine: Engine) => void
   /** Whether this host has more to do than its processor takes. */
@@ -63,6 +60,8 @@
   /** Told once the output of a run is whole. */
   onWhole: (run: ItemRun) => void
   tokensPerEvent: (run: ItemRun) => number
+  /** Another endpoint has an engine's address. */
+  markGone: (endpointId: string) => void
   /** Engines of the item's service that take new work. */
   enginesCount: (run: ItemRun) => number
   /** The route of a request, in the routing configuration of the moment. */
@@ -179,7 +178,6 @@
         continue
       }
       this.stage = ItemStage.Running
-      const beganAtMs = clock.nowMs()
       const outcome = await this._runOn(engine, scope)
       this._logRun(engine, outcome)
       if (outcome.kind === 'finished') {
@@ -188,7 +186,6 @@
       }
       if (outcome.kind === 'impossible') return false
       if (outcome.kind === 'moved') continue
-      this._blame(engine, beganAtMs, outcome)
       if (this._isHopeless()) return false
       this.stage = ItemStage.Pausing
       await sleepUntil(clock, scope, clock.nowMs() + this._retryPauseMs())
@@ -227,30 +224,6 @@
     return this._parts.quarantine.standingOf(this._identity)
   }
 
-  /** What a run that failed says of its engine. */
-  private _blame (engine: Engine, beganAtMs: number, outcome: FailedRun): void {
-    switch (outcome.kind) {
-      case 'failed':
-        engine.health.worked()
-        this._failures.note(engine.id, engine.health, beganAtMs)
-        return
-      case 'notExecuted':
-        engine.health.wasFull(undefined)
-        return
-      case 'misdirected':
-        engine.health.failed(FailureReason.Misdirected, beganAtMs)
-        return
-      case 'unreached':
-        engine.health.failed(FailureReason.Unreached, beganAtMs)
-        return
-      case 'broken':
-        engine.health.failed(FailureReason.Broken, beganAtMs)
-        return
-      default:
-        unreachable(outcome)
-    }
-  }
-
   private _logRun (engine: Engine, outcome: RunOutcome): void {
     this._parts.metrics.count(MetricName.ItemRunEnded, { outcome: outcome.kind })
     const fields = { endpointId: engine.id, eventsCount: this.output.lastEventId }
@@ -272,16 +245,30 @@
     return endpointsCount >= wantedCount || failuresCount >= MAX_FAILURES_FACTOR * maxAttemptsCount
   }
 
+  /** Runs at an engine, and gives its slot back. */
   private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
-    const { clock, client, release, quarantine } = this._parts
+    const beganAtMs = this._parts.clock.nowMs()
+    try {
+      const outcome = await this._attempt(engine, scope)
+      // Before anything else gets the slot.
+      noteOutcome(outcome, { engine, beganAtMs, failures: this._failures, markGone: this._parts.markGone })
+      return outcome
+    } finally {
+      this._parts.release(this, engine)
+    }
+  }
+
+  private async _attempt (engine: Engine, scope: Scope): Promise<RunOutcome> {
+    const { clock, client, quarantine } = this._parts
     const quarantined = quarantine.begin(this._identity, engine.endpoint)
     const runScope = scope.child(`run on ${engine.id}`)
     const silenceWatch = new SilenceWatch(clock, engine.pace, runScope, this._parts.isHeldUp)
+    let problem: string | undefined
     const onEvent = (event: ItemEvent): void => {
       silenceWatch.sawEvent()
       engine.health.worked()
       if (silenceWatch.eventsCount === 1) this._beganWell(engine)
-      const problem = this._take(event, engine)
+      problem = this._take(event, engine)
       this._keeper.outputGrew(scope)
       if (problem !== undefined) runScope.close(problem)
       else if (silenceWatch.eventsCount % MOVE_CHECK_EVENTS_COUNT === 0 && this._parts.shouldMove(this, engine)) runScope.close(MOVED)
@@ -295,11 +282,11 @@
     } catch (error) {
       quarantine.left(quarantined)
       if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
-      return runScope.closeReason === MOVED ? { kind: 'moved' } : { kind: 'broken', reason: runScope.closeReason ?? '' }
+      if (runScope.closeReason === MOVED) return { kind: 'moved' }
+      return { kind: problem === undefined ? 'broken' : 'unusable', reason: runScope.closeReason ?? '' }
     } finally {
       this._current = undefined
       runScope.close('run over')
-      release(this, engine)
     }
   }
 
@@ -409,7 +396,7 @@
   }
 }
 
-function reasonOf (outcome: ItemOutcome): string {
+function reasonOf (outcome: RunOutcome): string {
   if ('reason' in outcome) return outcome.reason
   return 'status' in outcome ? `status ${outcome.status}` : ''
 }
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -25,8 +25,6 @@
   Unreached = 'unreached',
   /** What ran there broke off, or no event came. */
   Broken = 'broken',
-  /** Another endpoint has its address. */
-  Misdirected = 'misdirected',
   /** It did not tell its state in time. */
   NoReport = 'no_report',
   /** It answers requests with errors, or begins none, that nothing else speaks against. */
--- a/tests/batches/dispatching.test.ts
+++ b/tests/batches/dispatching.test.ts
@@ -6,6 +6,7 @@
 import { batchRoute, engine, route, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { answered } from '../fixtures/fleet/scriptedEndpoints.js'
 import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
+import { MetricName } from '../../src/utils/metricNames.js'
 
 function events (count: number, from = 1): string {
   return Array.from({ length: count }, (_value, position) => `event ${from + position}`).join('\n')
@@ -260,3 +261,24 @@
     world.close()
   }
 })
+
+// A run that the host itself ended for its old weights counted as a failure of the engine, and kept other batches from it.
+test('should not leave an engine out for making events of weights that a batch does not allow', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 3)], orderLeaseMs: 1_000_000 }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 3, gapMs: 10, version: 1 })
+  await world.submit(submission('b1', ['i1'], { minVersion: 2 }))
+  await world.clock.advance(100)
+  t.true(world.endpoints.runs.length >= 1)
+  t.deepEqual(Object.keys(world.metrics.snapshot()).filter(name => name.startsWith(MetricName.EndpointLeftOut)), [])
+  world.close()
+})
+
+// Items went on asking an address that another endpoint had taken over, until it was heard of.
+test('should ask no engine again whose address another endpoint has', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1), engine('e2', 1)] }).start()
+  world.endpoints.onRun = ({ endpoint: { endpointId } }) => ({ eventsCount: 3, gapMs: 10, version: 1, ...(endpointId === 'e1' ? { refuses: { kind: 'misdirected' } } : {}) })
+  await world.submit(submission('b1', Array.from({ length: 20 }, (_value, position) => `i${position}`)))
+  await world.untilListed('b1', 20)
+  t.true(world.endpoints.runs.filter(({ endpoint: { endpointId } }) => endpointId === 'e1').length <= 2)
+  world.close()
+})
