Reckon the times of a batch from its acceptance, and give up items that wait past them

Cause, by reading: a host that takes over gave each open batch its due time and its give-up time anew, so late batches competed as fresh ones after every change of leader; and an item that waited for a slot was never given up, since only a run that ended looked at the time. Change: each replica notes by its own clock when it took a batch, which bounds what is given up; the order among batches also goes by the wall clock of the acceptance. Waiting for a slot ends with the batch's time. Tests: three new ones in dispatching failed before.

--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -7,6 +7,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { PlatformEndpointClient } from '../../platform/endpointClient.js'
 import { BatchDispatcher } from '../../src/batches/batchDispatcher.js'
+import { BatchAges } from '../../src/batches/batchTimes.js'
 import { EndpointPool } from '../../src/endpoints/endpointPool.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine.js'
@@ -60,7 +61,7 @@
 const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics })
 const quarantine = new RequestQuarantine({ view, clock: systemClock, client, supervisor, logger: silentLogger, metrics, submit: async () => true })
 const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger: silentLogger, metrics })
-const dispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, supervisor })
+const dispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, ages: new BatchAges(systemClock), supervisor })
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
 
 async function submitStep (step: number): Promise<void> {
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -23,8 +23,8 @@
 import { BatchEvent } from './batchEvents.js'
 import type { BatchState } from './batchState.js'
 import { EngineFleet } from './engineFleet.js'
-import { ASSUMED_TOKEN_MS } from './itemOrder.js'
-import { ItemRun, type BatchTimes, type ItemRunParts } from './itemRun.js'
+import type { BatchAges, BatchTimes } from './batchTimes.js'
+import { ItemRun, type ItemRunParts } from './itemRun.js'
 import { ItemOutput } from './itemOutput.js'
 import { ModelDemand } from './modelDemand.js'
 import { RunPlaces } from './runPlaces.js'
@@ -35,8 +35,6 @@
 const MAX_KEPT_OUTPUTS_COUNT = 2_000
 /** One line about being held up says enough for so long. */
 const HELD_UP_REPEAT_MS = 1_000
-/** For a batch whose route is not known any more. */
-const DEFAULT_DUE_MS = 10_000
 
 export interface BatchDispatcherParts {
   clock: Clock
@@ -50,6 +48,8 @@
   view: FleetView
   replica: Replica
   state: BatchState
+  /** For how long each batch is accepted already. */
+  ages: BatchAges
   supervisor: Supervisor
 }
 
@@ -172,15 +172,9 @@
     this.demand.asked(batch.submission, this._parts.view.namedVersion(batch.submission.model))
     const promise = this.routeOf(batch.submission.host, batch.submission.path)?.batch
     const nowMs = clock.nowMs()
-    const items = batch.openItems()
-    const longestMs = Math.max(0, ...items.map(({ expectedTokensCount }) => expectedTokensCount * ASSUMED_TOKEN_MS))
-    const times: BatchTimes = {
-      dueAtMs: nowMs + (promise?.dueMs ?? DEFAULT_DUE_MS),
-      giveUpAtMs: nowMs + (promise?.maxQueueMs ?? DEFAULT_DUE_MS),
-      longestEndsAtMs: nowMs + longestMs
-    }
+    const times = this._parts.ages.timesOf(batch, promise)
     this._tracked.set(batch.batchId, { batch, supervisor, begunAtMs: nowMs, dueAtMs: times.dueAtMs })
-    for (const item of items) this._beginItem(batch, item, times, supervisor)
+    for (const item of batch.openItems()) this._beginItem(batch, item, times, supervisor)
   }
 
   private _beginItem (batch: Batch, item: BatchItem, times: BatchTimes, supervisor: Supervisor): void {
@@ -193,9 +187,9 @@
       forwarder,
       quarantine,
       replica,
-      acquire: (run, scope) => this._slots.acquire(run, scope),
-      release: (run, engine) => this._slots.release(run, engine),
+      acquire: (run, deadlineMs, scope) => this._slots.acquire(run, deadlineMs, scope),
       markGone: endpointId => this._parts.view.markGone(endpointId),
+      release: (run, engine) => this._slots.release(run, engine),
       isHeldUp: () => this._slots.isHeldUp,
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onWhole: run => this.demand.made(run.item.model, run.output.lastEventId),
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -54,6 +54,8 @@
   onOrder: (endpointId: string, holder: string) => void
   /** A trainer named a version. */
   onNamed: (weights: NamedWeights) => void
+  /** A batch is held from now on. */
+  onTaken?: (batch: Batch) => void
   /** The time of a batch is over; the clock is that of the entry that decided. */
   onForgotten?: (batch: Batch, decidedAtMs: number) => void
 }
@@ -185,7 +187,7 @@
   private _restorePiece (piece: SnapshotPiece): void {
     switch (piece.kind) {
       case 'batch':
-        this._batches.set(piece.record.submission.batchId, new Batch(piece.record))
+        this._hold(new Batch(piece.record))
         return
       case 'results':
         return this._restoreResults(piece.batchId, piece.results, piece.rewardIds)
@@ -209,11 +211,16 @@
   private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
     this._forgetOutdated(atMs)
     if (!this._batches.has(submission.batchId)) {
-      this._batches.set(submission.batchId, Batch.accepted(submission, atMs, keepMs))
+      this._hold(Batch.accepted(submission, atMs, keepMs))
     }
     return { kind: 'accepted' }
   }
 
+  private _hold (batch: Batch): void {
+    this._batches.set(batch.batchId, batch)
+    this._listener.onTaken?.(batch)
+  }
+
   private _keep (batchId: string, itemId: string, afterEventId: number, parts: OutputPart[], atMs: number): BatchCommandResult {
     if (!this._batches.get(batchId)?.openItem(itemId)) return { kind: 'closed' }
     const kept = afterEventId === 0 ? [] : this.unfinishedParts(itemId)
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -20,6 +20,7 @@
 import type { Scope } from '../utils/scope.js'
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
+import type { BatchTimes } from './batchTimes.js'
 import type { Engine } from './engineFleet.js'
 import { ItemOutput } from './itemOutput.js'
 import { OutputKeeper } from './outputKeeper.js'
@@ -51,7 +52,7 @@
   quarantine: RequestQuarantine
   replica: Replica
   /** Waits until an engine has room for the item; undefined when none has until the deadline. */
-  acquire: (run: ItemRun, scope: Scope) => Promise<Engine>
+  acquire: (run: ItemRun, deadlineMs: number, scope: Scope) => Promise<Engine | undefined>
   release: (run: ItemRun, engine: Engine) => void
   /** Whether this host has more to do than its processor takes. */
   isHeldUp: () => boolean
@@ -68,16 +69,6 @@
   routeOf: (host: string, path: string) => RoutingRoute | undefined
 }
 
-/** Instants that are the same for all items of a batch, by this host's clock. */
-export interface BatchTimes {
-  /** When the results are due. */
-  dueAtMs: number
-  /** From then on an item may be given up. */
-  giveUpAtMs: number
-  /** When its longest sample is expected to end, if that begins at once. */
-  longestEndsAtMs: number
-}
-
 export class ItemRun implements WaitingItem {
   readonly batch: Batch
   readonly item: BatchItem
@@ -170,7 +161,8 @@
       // Without a wait it asks for a slot in this very turn, together with the rest of its batch.
       if (this._isCondemned() && !await this._untilLifted(scope)) return false
       this.stage = ItemStage.Queued
-      const engine = await this._parts.acquire(this, scope)
+      const engine = await this._parts.acquire(this, this.times.giveUpAtMs, scope)
+      if (!engine) return false
       // It may have waited long for the slot, and may not share the engine with another like it.
       if (!this.mayBegin(engine)) {
         this._parts.release(this, engine)
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -35,7 +35,7 @@
 interface Waiting {
   run: ItemRun
   sinceMs: number
-  resolve: (engine: Engine) => void
+  resolve: (engine: Engine | undefined) => void
 }
 
 export class SlotAssignment {
@@ -92,8 +92,8 @@
     this.assign()
   }
 
-  /** Waits until an engine has room for the item, and takes the slot. */
-  async acquire (run: ItemRun, scope: Scope): Promise<Engine> {
+  /** Waits until an engine has room for the item, and takes the slot; undefined when none has until the deadline. */
+  async acquire (run: ItemRun, deadlineMs: number, scope: Scope): Promise<Engine | undefined> {
     const reserved = this._reserved.get(run)
     if (reserved && reserved.mayBegin(run.item.model) && this._isReady(reserved)) {
       this._reserved.delete(run)
@@ -101,17 +101,23 @@
     }
     this.forget(run)
     let waiting: Waiting | undefined
-    const turn = new Promise<Engine>(resolve => {
+    const turn = new Promise<Engine | undefined>(resolve => {
       waiting = { run, sinceMs: this._parts.clock.nowMs(), resolve }
       this._waiting.push(waiting)
       this._isInOrder = false
     })
-    const stopWaiting = scope.onClose(() => { this._waiting = this._waiting.filter(other => other !== waiting) })
+    const leave = (): void => { this._waiting = this._waiting.filter(other => other !== waiting) }
+    const stopWaiting = scope.onClose(leave)
+    const cancelTimer = this._parts.clock.callAt(deadlineMs, () => {
+      leave()
+      waiting?.resolve(undefined)
+    })
     this.assign()
     try {
       return await scope.race(turn)
     } finally {
       stopWaiting()
+      cancelTimer()
     }
   }
 
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -39,6 +39,7 @@
 import { reportForgotten, setBatchGauges } from './batchReports.js'
 import { BatchService } from './batchService.js'
 import { BatchState } from './batchState.js'
+import { BatchAges } from './batchTimes.js'
 import { OrderHistory } from './orderHistory.js'
 import { StoreMembership } from './storeMembership.js'
 import { StoreRetirement } from './storeRetirement.js'
@@ -89,7 +90,9 @@
   private readonly _transport = new TcpTransport()
   private readonly _orders = new OrderHistory(systemClock)
   private readonly _view: FleetView
+  private readonly _ages = new BatchAges(systemClock)
   private readonly _state = new BatchState({
+    onTaken: batch => this._ages.taken(batch),
     onOrder: (endpointId, holder) => this._orders.learn(endpointId, holder),
     onNamed: weights => this._view.merge(NAMED_IN_LOG, { weights: [weights] }),
     onForgotten: (batch, decidedAtMs) => reportForgotten(this._parts.logger, batch, decidedAtMs)
@@ -286,7 +289,7 @@
     const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: settings.dataCentre, logger, metrics })
     const quarantine = this._quarantine
     const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger, metrics })
-    return new BatchDispatcher({ clock: systemClock, random, logger, metrics, client, forwarder, quarantine, pool, view, replica: this._replica, state: this._state, supervisor })
+    return new BatchDispatcher({ clock: systemClock, random, logger, metrics, client, forwarder, quarantine, pool, view, replica: this._replica, state: this._state, ages: this._ages, supervisor })
   }
 }
 
--- a/tests/batches/dispatching.test.ts
+++ b/tests/batches/dispatching.test.ts
@@ -282,3 +282,46 @@
   t.true(world.endpoints.runs.filter(({ endpoint: { endpointId } }) => endpointId === 'e1').length <= 2)
   world.close()
 })
+
+// An item that waited for a slot was never given up: only a run that ended looked at the time.
+test('should give an item up in its time when no engine ever has the weights for it', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)], orderLeaseMs: 1_000_000 }).start()
+  world.endpoints.onOrder = () => ({ outcome: { kind: 'refused', status: 503 }, loadMs: 0, isLost: true })
+  await world.submit(submission('b1', ['i1'], { minVersion: 9 }))
+  await world.clock.advance(11_900)
+  t.deepEqual(world.state.get('b1')?.results, [])
+  await world.untilListed('b1', 1, 500)
+  t.is(world.state.get('b1')?.results[0]?.state, ResultState.GivenUp)
+  t.is(world.endpoints.runs.length, 0)
+  world.close()
+})
+
+// A successor reckoned the times of open batches anew, so that a late batch counted as a fresh one after each change of leader.
+test('should keep the times of a batch over a change of leader', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1, { slotsCount: 1 })] }).start()
+  world.endpoints.onRun = () => ({ eventsCount: 1_000, gapMs: 50, version: 1 })
+  await world.submit(submission('b0', ['occupies']))
+  await world.submit(submission('b1', ['old']))
+  await world.clock.advance(5_000)
+  world.stopDispatching()
+  await world.submit(submission('b2', ['new'], { expectedTokensCount: 2_000 }))
+  world.endpoints.onRun = () => ({ eventsCount: 3, gapMs: 20, version: 1 })
+  await world.end('b0')
+  world.dispatch()
+  await world.untilListed('b2', 1)
+  t.deepEqual(world.endpoints.runs.slice(-2).map(({ attemptId }) => attemptId), ['old', 'new'])
+  world.close()
+})
+
+test('should give an item up in its time after a change of leader, and not before', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1)], orderLeaseMs: 1_000_000 }).start()
+  world.endpoints.onOrder = () => ({ outcome: { kind: 'refused', status: 503 }, loadMs: 0, isLost: true })
+  await world.submit(submission('b1', ['i1'], { minVersion: 9 }))
+  await world.clock.advance(8_000)
+  world.stopDispatching()
+  world.dispatch()
+  await world.clock.advance(3_900)
+  t.deepEqual(world.state.get('b1')?.results, [])
+  await world.untilListed('b1', 1, 500)
+  world.close()
+})
