Load no weights at engines that fail what they are given; a clear stretch of loads still counts at once

Cause: an engine with the weights counted for a model's set whether or not it makes samples. Change: an engine that is left out for errors, until it has done enough again, counts for no set and gets no load while others will do. A load that is stretched as much as the proven number would do gives the new number up at once; one that is stretched less waits for a second. Tests: both new ones in weightPlanner; the first failed before.

--- a/src/batches/loadLanes.ts
+++ b/src/batches/loadLanes.ts
@@ -21,6 +21,8 @@
 const STRETCHED_RATIO = 1.3
 /** So many in a row, on different engines, before a number is given up: a slow engine, or an end that shows late, says nothing of the store. */
 const STRETCHED_LOADS_COUNT = 2
+/** The shortest load that was seen, too, may have shown late by one look at a report. */
+const CLEAR_STRETCH_SLACK = 1.05
 /** So many loads at full speed prove a number: one that begins last may find that another has just ended, before a report shows it. Reasoned, not varied. */
 const FULL_SPEED_LOADS_COUNT = 2
 /** After a stretch, nothing more is tried for so long, and twice as long after each further one: a try costs one load half a second. */
@@ -85,16 +87,19 @@
     this._shortestMs = Math.min(this._shortestMs ?? durationMs, durationMs)
     const ratio = durationMs / this._shortestMs
     // A load that was alone was held up by its engine, not by others.
-    if (ratio > STRETCHED_RATIO && mostCount > 1) return this._noteStretch(engineId, mostCount / ratio, besideCount > this._provenCount)
+    if (ratio > STRETCHED_RATIO && mostCount > 1) return this._noteStretch(engineId, mostCount / ratio, besideCount)
     const isBeyondProven = besideCount > this._provenCount || besideCount >= this._lanesCount
     if (ratio > FULL_SPEED_RATIO || !isBeyondProven) return
     this._fedCounts.clear()
     this._noteFullSpeed()
   }
 
-  private _noteStretch (engineId: string, fedCount: number, isBeyondProven: boolean): void {
+  private _noteStretch (engineId: string, fedCount: number, besideCount: number): void {
     this._fedCounts.set(engineId, fedCount)
-    if (this._fedCounts.size < STRETCHED_LOADS_COUNT) return
+    const isBeyondProven = besideCount > this._provenCount
+    // Ends show late, never early: a load that is stretched less was not held up by a store at its proven limit.
+    const isClear = isBeyondProven && fedCount <= CLEAR_STRETCH_SLACK * this._provenCount
+    if (!isClear && this._fedCounts.size < STRETCHED_LOADS_COUNT) return
     this._fallBack(isBeyondProven ? this._provenCount : Math.max(1, Math.round(Math.max(...this._fedCounts.values()))))
   }
 
--- a/src/batches/weightPlanner.ts
+++ b/src/batches/weightPlanner.ts
@@ -18,6 +18,8 @@
   engineId: string
   /** It takes work and orders: not leaving, not suspect. */
   isSound: boolean
+  /** It fails what it is given, as far as is known: its weights make no samples. */
+  isFailing: boolean
   /** No load is under way there, and no order of another host may meet ours. */
   mayBeOrdered: boolean
   /** Time that it needs for an event. */
@@ -89,8 +91,9 @@
  * @param models what the service's engines are trained for
  */
 export function nextLoad (engines: readonly PlannedEngine[], models: readonly PlannedModel[], capacity: LoadCapacity): PlannedLoad | undefined {
-  const fastestMs = Math.min(...engines.filter(({ isSound }) => isSound).map(({ gapMs }) => gapMs))
-  const useful = engines.filter(({ isSound, gapMs }) => isSound && gapMs < TOO_SLOW_RATIO * fastestMs)
+  const sound = soundOf(engines)
+  const fastestMs = Math.min(...sound.map(({ gapMs }) => gapMs))
+  const useful = sound.filter(({ gapMs }) => gapMs < TOO_SLOW_RATIO * fastestMs)
   const sizes = setSizes(useful, models, capacity)
   const wants = models.map((model, position) => wantOf(model, sizes[position] ?? 0, useful)).filter(want => want !== undefined)
   wants.sort((left, right) => rankOf(left.reason) - rankOf(right.reason) || left.coverage - right.coverage)
@@ -101,6 +104,13 @@
   return undefined
 }
 
+/** Those that make samples; with none of these, whatever takes orders. */
+function soundOf (engines: readonly PlannedEngine[]): PlannedEngine[] {
+  const sound = engines.filter(({ isSound }) => isSound)
+  const working = sound.filter(({ isFailing }) => !isFailing)
+  return working.length > 0 ? working : sound
+}
+
 /**
  * Engines that each model keeps, by the order of the models. A version lasts
  * for as many steps as a sample may be behind, and an engine needs a load once
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -115,6 +115,7 @@
   private _plannedEngine (engine: Engine, { tokensPerEvent }: ModelEngine): PlannedEngine {
     return {
       engineId: engine.id,
+      isFailing: engine.health.isFailing,
       isSound: !engine.health.isSuspect && engine.endpoint.lifecycle === EndpointLifecycle.Ready,
       mayBeOrdered: engine.load === undefined && this._mayOrder(engine),
       gapMs: engine.pace.expectedGapMs ?? ASSUMED_TOKEN_MS * tokensPerEvent,
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -81,6 +81,11 @@
     return this._unreached.failuresCount + this._failing.failuresCount > 0 && !this.isSuspect
   }
 
+  /** It was left out for failing what it was given, and has not done enough since. */
+  get isFailing (): boolean {
+    return this._failing.failuresCount > 0
+  }
+
   /** Whether a request may begin there, as far as failures go. */
   get isOpen (): boolean {
     return !this._unreached.isTrialUnderWay && !this._failing.isTrialUnderWay && !this.isSuspect
--- a/tests/batches/weightPlanner.test.ts
+++ b/tests/batches/weightPlanner.test.ts
@@ -19,6 +19,7 @@
   return {
     engineId,
     isSound: true,
+    isFailing: false,
     mayBeOrdered: true,
     gapMs: 40,
     slotsCount: SLOTS_COUNT,
@@ -139,3 +140,17 @@
   t.is(nextLoad(enginesHolding(3, { a: 5 }), models, CAPACITY), undefined)
   t.is(nextLoad([], models, CAPACITY), undefined)
 })
+
+// An engine that failed all runs was always empty, and got the loads that the others needed.
+test('should count no engine that fails what it is given for a model, and load nothing there while others will do', t => {
+  const failing = engineNamed('failing', { isFailing: true, versions: { a: 5 } })
+  const busy = enginesHolding(6, { a: 3 }).map(engine => ({ ...engine, freeSlotsCount: 1 }))
+  const loads = loadsUntilContent([failing, ...busy], [modelNamed('a', { namedVersion: 5, neededVersion: 5 })], { lanesCount: 9, loadMs: 1_000 })
+  t.true(loads.length > 0)
+  t.false(loads.some(({ engineId }) => engineId === 'failing'))
+})
+
+test('should load where it can when all engines fail', t => {
+  const engines = enginesHolding(3, { a: 3 }).map(engine => ({ ...engine, isFailing: true }))
+  t.truthy(nextLoad(engines, [modelNamed('a', { namedVersion: 5, neededVersion: 5 })], CAPACITY))
+})
