Call no engine fast or slow for a single gap between events

Cause, by reading: the present pace of an engine began with one gap, so two events that were read together (2 ms) made it twenty times as fast as the others; the planner leaves out whatever is twice as slow as the fastest, and gave all loads to that one until its mean had risen. Change: the present pace is the plain mean of the first twenty gaps, and is not spoken of before four. Tests: 'should not call an engine fast for two events' failed before.

--- a/src/batches/enginePace.ts
+++ b/src/batches/enginePace.ts
@@ -13,6 +13,8 @@
 
 /** Weight of a new gap in the running mean: twenty gaps, 70 ms of an engine with eleven runs. */
 const GAP_WEIGHT = 0.05
+/** Fewer gaps say little: events may be read together, or one after a lost packet. */
+const MIN_PRESENT_GAPS_COUNT = 4
 /** A present pace that was not renewed for so long is over: passing slowness lasts some seconds. */
 const PRESENT_LIFETIME_MS = 4_000
 /** Gaps are averaged over a second: long enough that one held-up packet does not count, short against a passing slowness. */
@@ -36,6 +38,8 @@
 export class EnginePace {
   private readonly _clock: Clock
   private _presentMs: number | undefined
+  /** Gaps in a row that the present pace rests on. */
+  private _presentGapsCount = 0
   private _presentAtMs = Number.NEGATIVE_INFINITY
   private _bucket: Bucket | undefined
   /** Mean gap of each remembered second, the oldest first. */
@@ -48,15 +52,19 @@
 
   /** Time from one event of a run to its next. */
   sawGap (gapMs: number): void {
-    const presentMs = this.presentGapMs
-    this._presentMs = presentMs === undefined ? gapMs : presentMs + GAP_WEIGHT * (gapMs - presentMs)
+    if (this._isPresentOver()) this._presentGapsCount = 0
+    this._presentGapsCount++
+    // A plain mean until it rests on as many gaps as the running mean remembers.
+    const weight = Math.max(GAP_WEIGHT, 1 / this._presentGapsCount)
+    this._presentMs = this._presentMs === undefined ? gapMs : this._presentMs + weight * (gapMs - this._presentMs)
     this._presentAtMs = this._clock.nowMs()
     this._addToBucket(gapMs)
   }
 
   /** Mean time between two events of a run; undefined when none was seen lately. */
   get presentGapMs (): number | undefined {
-    return this._clock.nowMs() - this._presentAtMs < PRESENT_LIFETIME_MS ? this._presentMs : undefined
+    if (this._isPresentOver() || this._presentGapsCount < MIN_PRESENT_GAPS_COUNT) return undefined
+    return this._presentMs
   }
 
   /** The same while nothing slows the engine down; undefined until a second of its events was seen. */
@@ -74,10 +82,14 @@
    * whether that has passed shows in a single run, and only there.
    */
   get isInDoubt (): boolean {
-    if (this.presentGapMs !== undefined || this._presentMs === undefined) return false
+    if (!this._isPresentOver() || this._presentMs === undefined) return false
     return this._naturalMs === undefined || this._presentMs > SLOWED_RATIO * this._naturalMs
   }
 
+  private _isPresentOver (): boolean {
+    return this._clock.nowMs() - this._presentAtMs >= PRESENT_LIFETIME_MS
+  }
+
   private _addToBucket (gapMs: number): void {
     const nowMs = this._clock.nowMs()
     if (this._bucket && nowMs >= this._bucket.endsAtMs) this._closeBucket(this._bucket)
--- a/tests/batches/enginePace.test.ts
+++ b/tests/batches/enginePace.test.ts
@@ -72,3 +72,20 @@
   }
   t.true((pace.naturalGapMs ?? 0) >= 36, `${pace.naturalGapMs}`)
 })
+
+// Two events that were read at one moment made an engine twenty times as fast as the others, which then got no weights.
+test('should not call an engine fast for two events that were read together', t => {
+  const { pace } = paceOf()
+  pace.sawGap(2)
+  t.is(pace.presentGapMs, undefined)
+  for (let gap = 0; gap < 4; gap++) pace.sawGap(40)
+  t.true((pace.presentGapMs ?? 0) > 30, `${pace.presentGapMs}`)
+})
+
+test('should begin anew after a rest, with the mean of what it sees', async t => {
+  const { pace, clock } = paceOf()
+  await run(pace, clock, 150, 1_000)
+  await clock.advance(10_000)
+  for (let gap = 0; gap < 6; gap++) pace.sawGap(38)
+  t.is(pace.presentGapMs, 38)
+})
