Leave out engines that take runs and do not begin them

Cause: a run that hung counted as a lost connection of its engine, and the next event of any other run there took that back, so an engine that hung half of its runs went on drawing more. Tests: 'should leave out an engine that takes runs and does not begin them' failed before; hanging engines are a disturbance of the trainers' fuzz.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -275,7 +275,9 @@
       quarantine.left(quarantined)
       if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
       if (runScope.closeReason === MOVED) return { kind: 'moved' }
-      return { kind: problem === undefined ? 'broken' : 'unusable', reason: runScope.closeReason ?? '' }
+      const reason = runScope.closeReason ?? ''
+      if (problem !== undefined) return { kind: 'unusable', reason }
+      return { kind: silenceWatch.eventsCount > 0 ? 'broken' : 'notBegun', reason }
     } finally {
       this._current = undefined
       runScope.close('run over')
--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -11,6 +11,8 @@
   | ItemOutcome
   /** It goes on at a faster engine. */
   | { kind: 'moved' }
+  /** Nothing came of it, though the engine took it: it is not known whether it began. */
+  | { kind: 'notBegun', reason: string }
   /** It was ended here for what it gave: the engine did what it can. */
   | { kind: 'unusable', reason: string }
 
@@ -36,6 +38,11 @@
       health.worked()
       failures.note(engine.id, health, beganAtMs)
       return
+    case 'notBegun':
+      // That others go on there says nothing of whether it begins what it takes.
+      health.failed(FailureReason.Broken, beganAtMs)
+      failures.noteUnbegun(engine.id, health, beganAtMs)
+      return
     case 'notExecuted':
       health.wasFull(undefined)
       return
--- a/src/endpoints/failureAccount.ts
+++ b/src/endpoints/failureAccount.ts
@@ -32,9 +32,14 @@
     return this._failedAt.has(endpointId)
   }
 
-  /** An endpoint failed the request, which was given to it at an instant. */
+  /** An endpoint answered the request, which was given to it at an instant, with an error. */
   note (endpointId: string, health: EndpointHealth, beganAtMs: number): void {
     this._failuresCount++
+    this.noteUnbegun(endpointId, health, beganAtMs)
+  }
+
+  /** An endpoint took the request and did not begin it: no answered failure, and the same to whoever chooses an endpoint. */
+  noteUnbegun (endpointId: string, health: EndpointHealth, beganAtMs: number): void {
     const subject = this._subjectOf()
     const isFirst = this._failedAt.size === 0
     const isOther = !isFirst && !this._failedAt.has(endpointId)
--- a/tests/batches/trainers.test.ts
+++ b/tests/batches/trainers.test.ts
@@ -83,3 +83,12 @@
   t.deepEqual(world.violations, [])
   t.deepEqual(world.lostSteps().map(({ batchId }) => batchId), [])
 })
+
+// Runs that an engine took and never began were forgotten with the next event of any other run there, and it went on drawing more.
+test('should leave out an engine that takes runs and does not begin them', async t => {
+  const world = await start(t)
+  for (const engine of world.engines.all.slice(0, 2)) engine.hangShare = FAIL_SHARE / 2
+  await world.play(AFTER_MS)
+  t.true(world.engines.hungRunsCount <= 20, `${world.engines.hungRunsCount} runs hung`)
+  t.deepEqual(world.violations, [])
+})
