Let a successor load as many engines at a time as the leader before it

Cause: what a leader had learned of the weight store ended with it. Test: 'should go on with as many loads at a time as the leader before' failed with the number left out.

--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -33,6 +33,7 @@
 interface AnnouncedOrder {
   endpointId: string
   holder: string
+  lanesCount?: number | undefined
 }
 
 /** Engines whose latest order is remembered: many times those of any deployment. */
@@ -51,7 +52,7 @@
 /** Told of what this replica learns, in a snapshot too. */
 export interface BatchStateListener {
   /** A leader announced an order. */
-  onOrder: (endpointId: string, holder: string) => void
+  onOrder: (endpointId: string, holder: string, lanesCount: number | undefined) => void
   /** A trainer named a version. */
   onNamed: (weights: NamedWeights) => void
   /** A batch is held from now on. */
@@ -69,7 +70,7 @@
 
   private readonly _unfinished = new Map<string, UnfinishedOutput>()
   /** Hosts by engine, the engine ordered last at the end. */
-  private readonly _orders = new Map<string, string>()
+  private readonly _orders = new Map<string, { holder: string, lanesCount: number | undefined }>()
   /** The newest version named of each model. */
   private readonly _weights = new Map<string, number>()
   private readonly _listener: BatchStateListener
@@ -144,7 +145,7 @@
       case BatchCommandKind.End:
         return this._end(command.batchId)
       case BatchCommandKind.AnnounceOrder:
-        return this._announce(command.endpointId, command.holder)
+        return this._announce(command.endpointId, command.holder, command.lanesCount)
       case BatchCommandKind.NameWeights:
         return this._name(command)
     }
@@ -158,7 +159,7 @@
   snapshot (): SnapshotPieces {
     const batches = [...this._batches.values()].map(batch => batch.record())
     const outputs = [...this._unfinished.values()]
-    const orders = [...this._orders].map(([endpointId, holder]) => ({ endpointId, holder }))
+    const orders = [...this._orders].map(([endpointId, order]) => ({ endpointId, ...order }))
     const weights = [...this._weights].map(([model, version]) => ({ model, version }))
     return { [Symbol.iterator]: () => piecesOf(batches, outputs, orders, weights) }
   }
@@ -195,7 +196,7 @@
         for (const output of piece.outputs) this._unfinished.set(output.itemId, output)
         return
       case 'orders':
-        for (const { endpointId, holder } of piece.orders) this._announce(endpointId, holder)
+        for (const { endpointId, holder, lanesCount } of piece.orders) this._announce(endpointId, holder, lanesCount)
         return
       case 'weights':
         for (const named of piece.weights) this._name(named)
@@ -249,12 +250,12 @@
     return { kind: 'ended' }
   }
 
-  private _announce (endpointId: string, holder: string): BatchCommandResult {
+  private _announce (endpointId: string, holder: string, lanesCount: number | undefined): BatchCommandResult {
     this._orders.delete(endpointId)
-    this._orders.set(endpointId, holder)
+    this._orders.set(endpointId, { holder, lanesCount })
     const [oldest] = this._orders.keys()
     if (this._orders.size > MAX_ORDERS_COUNT && oldest !== undefined) this._orders.delete(oldest)
-    this._listener.onOrder(endpointId, holder)
+    this._listener.onOrder(endpointId, holder, lanesCount)
     return { kind: 'announced' }
   }
 
--- a/src/batches/loadLanes.ts
+++ b/src/batches/loadLanes.ts
@@ -11,7 +11,7 @@
  */
 import type { Clock } from '../utils/clock.js'
 
-/** What a leader begins with: one would leave the store idle in every deployment that was measured. */
+/** What the first leader begins with: one would leave the store idle in every deployment that was measured. */
 const FIRST_LANES_COUNT = 2
 /** Until a load was seen: 0.9 s by the sheets of all deployments, and 0.1 s until its end shows in a report. */
 const ASSUMED_LOAD_MS = 1_000
@@ -42,24 +42,32 @@
 export class LoadLanes {
   private readonly _clock: Clock
   private readonly _underWay = new Set<TimedLoad>()
-  private _lanesCount = FIRST_LANES_COUNT
+  private _lanesCount: number
   private _shortestMs: number | undefined
   /** Lanes that loads were seen to fill at full speed. */
-  private _provenCount = FIRST_LANES_COUNT
+  private _provenCount: number
   private _mayTryAtMs = Number.NEGATIVE_INFINITY
   private _retryAfterMs = FIRST_RETRY_AFTER_MS
   private _fullSpeedCount = 0
   /** Loads that the store fed, by each engine whose load was stretched since the last one at full speed. */
   private readonly _fedCounts = new Map<string, number>()
 
-  constructor (clock: Clock) {
+  /** @param provenCount loads at a time that an earlier leader saw the store feed */
+  constructor (clock: Clock, provenCount = FIRST_LANES_COUNT) {
     this._clock = clock
+    this._lanesCount = provenCount
+    this._provenCount = provenCount
   }
 
   get lanesCount (): number {
     return this._lanesCount
   }
 
+  /** Loads at a time that the store was seen to feed. */
+  get provenCount (): number {
+    return this._provenCount
+  }
+
   get isFull (): boolean {
     return this._underWay.size >= this._lanesCount
   }
--- a/src/batches/orderHistory.ts
+++ b/src/batches/orderHistory.ts
@@ -16,16 +16,23 @@
 export class OrderHistory {
   private readonly _clock: Clock
   private readonly _announced = new Map<string, AnnouncedOrder>()
+  private _lanesCount: number | undefined
 
   constructor (clock: Clock) {
     this._clock = clock
   }
 
   /** The replicated state holds this announcement, and none before it any more. */
-  learn (name: string, holder: string): void {
+  learn (name: string, holder: string, lanesCount: number | undefined): void {
+    this._lanesCount = lanesCount ?? this._lanesCount
     this._announced.set(name, { holder, learnedAtMs: this._clock.nowMs() })
   }
 
+  /** Loads at a time that the weight store fed under the leader that announced last; undefined when none has told. */
+  get lanesCount (): number | undefined {
+    return this._lanesCount
+  }
+
   /** The latest order to an engine that was announced. */
   latest (name: string): AnnouncedOrder | undefined {
     return this._announced.get(name)
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -93,7 +93,7 @@
   private readonly _ages = new BatchAges(systemClock)
   private readonly _state = new BatchState({
     onTaken: batch => this._ages.taken(batch),
-    onOrder: (endpointId, holder) => this._orders.learn(endpointId, holder),
+    onOrder: (endpointId, holder, lanesCount) => this._orders.learn(endpointId, holder, lanesCount),
     onNamed: weights => this._view.merge(NAMED_IN_LOG, { weights: [weights] }),
     onForgotten: (batch, decidedAtMs) => reportForgotten(this._parts.logger, batch, decidedAtMs)
   })
--- a/src/batches/weightLoad.ts
+++ b/src/batches/weightLoad.ts
@@ -48,6 +48,8 @@
   replica: Replica
   /** This host, as engines are told. */
   holder: string
+  /** Loads at a time that the store was seen to feed. */
+  provenLanesCount: () => number
 }
 
 export interface WantedLoad {
@@ -133,9 +135,9 @@
 
   /** True once every leader to come will know of the order. */
   private async _announce (engine: Engine, deadlineMs: number, scope: Scope): Promise<boolean> {
-    const { clock, replica, holder } = this._parts
+    const { clock, replica, holder, provenLanesCount } = this._parts
     // By the name that it keeps: an order on its way may meet the engine after it has started again.
-    const command = { kind: BatchCommandKind.AnnounceOrder, endpointId: engine.endpoint.name, holder }
+    const command = { kind: BatchCommandKind.AnnounceOrder, endpointId: engine.endpoint.name, holder, lanesCount: provenLanesCount() }
     const outcome = await replica.propose(command, new Progress(clock, scope, deadlineMs))
     return outcome.kind === 'committed'
   }
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -51,8 +51,8 @@
   /** Made once the state holds everything that earlier leaders committed, their announcements among it. */
   constructor (parts: WeightRolloutParts) {
     this._parts = parts
-    this._load = new WeightLoad(parts)
-    this._lanes = new LoadLanes(parts.clock)
+    this._lanes = new LoadLanes(parts.clock, parts.orders.lanesCount)
+    this._load = new WeightLoad({ ...parts, provenLanesCount: () => this._lanes.provenCount })
     this._startedAtMs = parts.clock.nowMs()
   }
 
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -111,7 +111,9 @@
     kind: z.literal(BatchCommandKind.AnnounceOrder),
     endpointId: z.string(),
     /** The host that gives the order, as the engine is told. */
-    holder: z.string()
+    holder: z.string(),
+    /** Loads at a time that the weight store was seen to feed, for whoever leads next. */
+    lanesCount: z.int().min(1).optional()
   }),
   /** A trainer named a version of its model's weights. */
   z.object({ kind: z.literal(BatchCommandKind.NameWeights), model: z.string(), version: z.int() })
--- a/tests/batches/weightRollout.test.ts
+++ b/tests/batches/weightRollout.test.ts
@@ -176,3 +176,36 @@
   t.is(world.endpoints.reports.get('e0')?.weights[0]?.version, 3)
   world.close()
 })
+
+// Each new leader began with two loads at a time, so that weights came slowest where all had to be loaded anew: after a loss of power.
+test('should go on with as many loads at a time as the leader before', async t => {
+  const world = await new StoreWorld({ engines: engines(12), orderLeaseMs: 0 }).start()
+  let endsAtMs: number[] = []
+  const busyCount = (): number => endsAtMs.filter(atMs => atMs > world.clock.nowMs()).length
+  world.endpoints.onOrder = () => {
+    endsAtMs = [...endsAtMs, world.clock.nowMs() + 900]
+    return { outcome: { kind: 'underWay' }, loadMs: 900 }
+  }
+  const mostLoadsOf = async (version: number): Promise<number> => {
+    world.view.merge('control-1', { weights: [{ model: 'hints-model', version }] })
+    let most = 0
+    for (let step = 0; step < 45; step++) {
+      await world.clock.advance(20)
+      most = Math.max(most, busyCount())
+    }
+    return most
+  }
+  for (let version = 3; version <= 25; version += 2) {
+    await mostLoadsOf(version)
+    await world.clock.advance(3_000)
+  }
+  const before = await mostLoadsOf(27)
+  t.true(before >= 6, `${before} at a time`)
+  await world.clock.advance(5_000)
+  world.stopDispatching()
+  world.state.restore([...world.state.snapshot()])
+  world.dispatch('h2')
+  const after = await mostLoadsOf(29)
+  t.true(after >= before / 2, `${after} at a time after ${before}`)
+  world.close()
+})
