--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -128,6 +128,7 @@
     return Math.max(this.runningCount, reportedCount)
   }
 
+  /** It answered a request whole, and without an error. */
   succeeded (durationMs: number, load: ReportedLoad | undefined): void {
     this.worked()
     this.accepted()
@@ -165,12 +166,6 @@
     this._weighErrors(this._clock.nowMs())
   }
 
-  private _weighErrors (beganAtMs: number): void {
-    const isAccused = this._failing.failuresCount > 0 || this._erredSubjects.size >= ACCUSING_ERRORS_COUNT
-    const forMs = isAccused ? this._failing.note(beganAtMs) : undefined
-    if (forMs !== undefined) this._parts.onLeftOut?.(FailureReason.Failing, forMs, this._failing.failuresCount)
-  }
-
   /** Others failed the same request: it speaks against itself. */
   excuse (subject: string): void {
     this._erredSubjects.delete(subject)
@@ -206,12 +201,19 @@
     this._refusedUntilMs = this._clock.nowMs() + REFUSED_PAUSE_MS
   }
 
-  private _grounds (): Suspicion[] {
-    return [this._unreached, this._failing]
-  }
-
+  /** It refused for want of room. */
   wasFull (load: ReportedLoad | undefined): void {
     this._fullUntilMs = this._clock.nowMs() + FULL_PAUSE_MS
     this.reported(load)
   }
+
+  private _weighErrors (beganAtMs: number): void {
+    const isAccused = this._failing.failuresCount > 0 || this._erredSubjects.size >= ACCUSING_ERRORS_COUNT
+    const forMs = isAccused ? this._failing.note(beganAtMs) : undefined
+    if (forMs !== undefined) this._parts.onLeftOut?.(FailureReason.Failing, forMs, this._failing.failuresCount)
+  }
+
+  private _grounds (): Suspicion[] {
+    return [this._unreached, this._failing]
+  }
 }
