--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -126,6 +126,12 @@
     return this._failures.hasFailedAt(id)
   }
 
+  /** Whether it may run beside what runs at an engine. */
+  mayBegin ({ endpoint }: Engine): boolean {
+    const standing = this._standing()
+    return standing !== RequestStanding.Condemned && this._parts.quarantine.mayBegin(standing, endpoint)
+  }
+
   /** Leaves its engine, to go on at another one. */
   move (): void {
     this._current?.scope.close(MOVED)
@@ -206,12 +212,6 @@
     return true
   }
 
-  /** Whether it may run beside what runs at an engine. */
-  mayBegin ({ endpoint }: Engine): boolean {
-    const standing = this._standing()
-    return standing !== RequestStanding.Condemned && this._parts.quarantine.mayBegin(standing, endpoint)
-  }
-
   private _standing (): RequestStanding {
     return this._parts.quarantine.standingOf(this._identity)
   }
