Give no sample up for a 504: only an answer of 500 is a failed attempt

Change: only a 500 counts towards giving up; all of them still speak against the endpoint that gave them. Test: 'should give no sample up for answers other than 500' failed before.

--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -36,7 +36,7 @@
       return
     case 'failed':
       health.worked()
-      failures.note(engine.id, health, beganAtMs)
+      failures.note(engine.id, health, beganAtMs, outcome.status)
       return
     case 'notBegun':
       // That others go on there says nothing of whether it begins what it takes.
--- a/src/endpoints/failureAccount.ts
+++ b/src/endpoints/failureAccount.ts
@@ -6,6 +6,9 @@
  */
 import type { EndpointHealth } from './endpointHealth.js'
 
+/** The only status by which an endpoint says that it tried the request and failed; a 504 says that time was up. */
+const FAILED_STATUS = 500
+
 export class FailureAccount {
   /** What the request is known by, whichever try it is; worked out when it fails. */
   private readonly _subjectOf: () => string
@@ -18,7 +21,7 @@
     this._subjectOf = subjectOf
   }
 
-  /** Times that it was failed. */
+  /** Times that an endpoint tried it and failed. */
   get failuresCount (): number {
     return this._failuresCount
   }
@@ -33,8 +36,8 @@
   }
 
   /** An endpoint answered the request, which was given to it at an instant, with an error. */
-  note (endpointId: string, health: EndpointHealth, beganAtMs: number): void {
-    this._failuresCount++
+  note (endpointId: string, health: EndpointHealth, beganAtMs: number, status: number): void {
+    if (status === FAILED_STATUS) this._failuresCount++
     this.noteUnbegun(endpointId, health, beganAtMs)
   }
 
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -45,7 +45,7 @@
 }
 
 export type ForwardOutcome =
-  /** What an endpoint answered; `failedAnswersCount` tells how many answers of 5xx there were. */
+  /** What an endpoint answered; `failedAnswersCount` tells how many answers of 500 there were. */
   | { kind: 'answered', endpointId: string, status: number, headers: string[], body: Uint8Array, receipt: string | undefined, failedAnswersCount: number }
   | { kind: 'refused', executed: Executed, reason: RefusalReason, retryAfterMs: number }
 
@@ -228,7 +228,7 @@
           // How fast it fails says nothing of how fast it works.
           health.worked()
           health.reported(outcome.load)
-          this._failures.note(endpoint.endpointId, health, startedAtMs)
+          this._failures.note(endpoint.endpointId, health, startedAtMs, outcome.status)
         }
         return this._onAnswer(endpoint, outcome)
       default:
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -227,7 +227,7 @@
       this._failures.settled(endpointId)
     } else {
       quarantine.answeredWithError(run)
-      this._failures.note(endpointId, health, startedAtMs)
+      this._failures.note(endpointId, health, startedAtMs, status)
     }
   }
 
--- a/tests/batches/dispatching.test.ts
+++ b/tests/batches/dispatching.test.ts
@@ -325,3 +325,16 @@
   await world.untilListed('b1', 1, 500)
   world.close()
 })
+
+// An item was said to be dead after answers that its endpoints gave when their time was up; only a 500 is a failed attempt.
+test('should give no sample up for answers other than 500, of its engines or of its reward call', async t => {
+  const world = await new StoreWorld({ engines: [engine('e1', 1), engine('e2', 1), engine('e3', 1), engine('e4', 1)] }).start()
+  let runsCount = 0
+  world.endpoints.onRun = () => ({ eventsCount: 3, gapMs: 10, version: 1, ...(++runsCount <= 6 ? { refuses: { kind: 'failed', status: 504 } } : {}) })
+  let callsCount = 0
+  world.endpoints.onCall = () => ({ afterMs: 5, outcome: answered(++callsCount <= 6 ? 504 : 200) })
+  await world.submit(submission('b1', ['i1']))
+  await world.untilListed('b1', 1, 11_000)
+  t.is(world.state.get('b1')?.results[0]?.state, ResultState.Completed)
+  world.close()
+})
