--- /dev/null
+++ b/src/accounts/accountTable.ts
@@ -0,0 +1,46 @@
+/**
+ * Who holds which key, by the routing configuration in force.
+ */
+import type { ClientAccount, Routing } from '../protocol/routing.js'
+import { isSameDigest, shortDigest } from './keyDigest.js'
+
+interface HeldKey {
+  digest: string
+  account: ClientAccount
+}
+
+export class AccountTable {
+  private readonly _byShortDigest = new Map<string, HeldKey[]>()
+
+  constructor (accounts: readonly ClientAccount[]) {
+    for (const account of accounts) {
+      for (const digest of account.keyDigests) this._add(digest, account)
+    }
+  }
+
+  /** The account that holds a key; undefined when none does. */
+  holderOf (digest: string): ClientAccount | undefined {
+    return this._byShortDigest.get(shortDigest(digest))?.find(held => isSameDigest(held.digest, digest))?.account
+  }
+
+  private _add (digest: string, account: ClientAccount): void {
+    const held = this._byShortDigest.get(shortDigest(digest)) ?? []
+    held.push({ digest, account })
+    this._byShortDigest.set(shortDigest(digest), held)
+  }
+}
+
+/** Keeps the table of the routing configuration in force. */
+export class CurrentAccounts {
+  private _version: number | undefined
+  private _table: AccountTable | undefined
+
+  /** Undefined where callers need no key; made anew when the version has changed. */
+  of (routing: Routing): AccountTable | undefined {
+    if (this._version !== routing.version) {
+      this._version = routing.version
+      this._table = routing.accounts && new AccountTable(routing.accounts)
+    }
+    return this._table
+  }
+}
--- /dev/null
+++ b/src/accounts/keyDigest.ts
@@ -0,0 +1,23 @@
+/**
+ * Keys of client accounts as digests. A key is turned into its digest where it
+ * enters the system, and only digests are kept, sent, compared and logged.
+ */
+import { createHash, timingSafeEqual } from 'node:crypto'
+
+/** Characters of a digest that tell keys apart in logs and tables; say nothing of the key. */
+const SHORT_LENGTH = 10
+
+/** SHA-256 in base64url. */
+export function digestOfKey (key: string): string {
+  return createHash('sha256').update(key).digest('base64url')
+}
+
+export function shortDigest (digest: string): string {
+  return digest.slice(0, SHORT_LENGTH)
+}
+
+/** Compares two digests in constant time. */
+export function isSameDigest (left: string, right: string): boolean {
+  const [leftBytes, rightBytes] = [Buffer.from(left), Buffer.from(right)]
+  return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes)
+}
--- a/src/batches/batch.ts
+++ b/src/batches/batch.ts
@@ -68,6 +68,11 @@
     return this.submission.batchId
   }
 
+  /** Whether a client account may ask for it; one of no account is anybody's. */
+  isOf (account: string | undefined): boolean {
+    return this.submission.account === undefined || this.submission.account === account
+  }
+
   get results (): readonly ItemResult[] {
     return this._results
   }
--- a/src/batches/batchClient.ts
+++ b/src/batches/batchClient.ts
@@ -28,6 +28,13 @@
 /** A replica that did not answer a read is left out this long: as long as control hosts need to notice that it is silent. */
 const SUSPICION_MS = 2_000
 
+/** A batch as it is asked for. */
+export interface AskedBatch {
+  batchId: string
+  /** The client account in whose name; undefined for none. */
+  account?: string | undefined
+}
+
 /** Answered by replicas; resolved here and never passed on. */
 export interface NotLeader {
   kind: 'notLeader'
@@ -76,25 +83,25 @@
   }
 
   /** Waits in short pieces, so that a replica which dies meanwhile is left for another one soon. */
-  async readResults (batchId: string, fromPosition: number, waitMs: number, progress: Progress): Promise<Exclude<ReadResultsReply, NotLeader>> {
+  async readResults ({ batchId, account }: AskedBatch, fromPosition: number, waitMs: number, progress: Progress): Promise<Exclude<ReadResultsReply, NotLeader>> {
     const { clock } = progress
     const waitUntilMs = clock.nowMs() + waitMs
     for (;;) {
       const pieceMs = Math.min(MAX_HELD_MS, Math.max(0, waitUntilMs - clock.nowMs()))
-      const request = { batchId, fromPosition, waitMs: pieceMs }
-      const reply = await this._read<typeof request, ReadResultsReply>(readResultsMethod, request, progress, pieceMs + READ_TIMEOUT_MS)
+      const request = { batchId, account, fromPosition, waitMs: pieceMs }
+      const reply = await this._read<AskedBatch & { fromPosition: number, waitMs: number }, ReadResultsReply>(readResultsMethod, request, progress, pieceMs + READ_TIMEOUT_MS)
       const mayWait = reply.kind === 'results' && reply.results.length === 0 && !reply.isEnded
       if (!mayWait || clock.nowMs() >= waitUntilMs) return reply
     }
   }
 
-  async readItem (batchId: string, itemId: string, progress: Progress): Promise<Exclude<ReadItemReply, NotLeader>> {
-    return await this._read<{ batchId: string, itemId: string }, ReadItemReply>(readItemMethod, { batchId, itemId }, progress, READ_TIMEOUT_MS)
+  async readItem ({ batchId, account }: AskedBatch, itemId: string, progress: Progress): Promise<Exclude<ReadItemReply, NotLeader>> {
+    return await this._read<AskedBatch & { itemId: string }, ReadItemReply>(readItemMethod, { batchId, account, itemId }, progress, READ_TIMEOUT_MS)
   }
 
-  async end (batchId: string, progress: Progress): Promise<Exclude<EndBatchReply, NotLeader>> {
-    const asked = await this._ask<{ batchId: string }, EndBatchReply>(endBatchMethod, { batchId }, progress, TRY_TIMEOUT_MS)
-    return asked.kind === 'answered' ? asked.reply : unavailableFor(asked)
+  async end (asked: AskedBatch, progress: Progress): Promise<Exclude<EndBatchReply, NotLeader>> {
+    const outcome = await this._ask<AskedBatch, EndBatchReply>(endBatchMethod, asked, progress, TRY_TIMEOUT_MS)
+    return outcome.kind === 'answered' ? outcome.reply : unavailableFor(outcome)
   }
 
   private async _read<Request, Reply extends { kind: string }> (
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -9,7 +9,8 @@
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import { CurrentRoutes } from '../gateway/routeTable.js'
 import { ResultState, type BatchItem, type ItemResult } from '../protocol/batches.js'
-import type { RoutingRoute } from '../protocol/routing.js'
+import type { SupplyNeed } from '../engineSupply/supplyPlan.js'
+import type { RoutingRoute, RoutingService } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import type { Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
@@ -21,7 +22,7 @@
 import type { Supervisor } from '../utils/supervisor.js'
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
-import type { BatchState } from './batchState.js'
+import { itemKeyOf, type BatchState } from './batchState.js'
 import { EngineFleet } from './engineFleet.js'
 import type { BatchAges, BatchTimes } from './batchTimes.js'
 import { ItemRun, type ItemRunParts } from './itemRun.js'
@@ -35,6 +36,8 @@
 const MAX_KEPT_OUTPUTS_COUNT = 2_000
 /** One line about being held up says enough for so long. */
 const HELD_UP_REPEAT_MS = 1_000
+/** Steps of a model that are open at a time: the earlier one keeps its long samples. */
+const STEPS_OPEN_COUNT = 2
 
 export interface BatchDispatcherParts {
   clock: Clock
@@ -64,7 +67,7 @@
   private readonly _routes = new CurrentRoutes()
   private readonly _tracked = new Map<string, TrackedBatch>()
   private readonly _keptOutputs = new Map<string, ItemOutput>()
-  private readonly _seenItemIds = new Set<string>()
+  private readonly _seenItemKeys = new Set<string>()
   private readonly _runs = new Set<ItemRun>()
   private readonly _places: RunPlaces
   private readonly _slots: SlotAssignment
@@ -92,17 +95,32 @@
     return Math.max(0, ...versions)
   }
 
+  /** The most urgent of a model's open batches; undefined without any. */
+  priorityOf (model: string): number | undefined {
+    const priorities = this.batches().filter(({ submission }) => submission.model === model).map(({ submission }) => submission.priority ?? 0)
+    return priorities.length === 0 ? undefined : Math.min(...priorities)
+  }
+
   /** Items of a model that wait for an engine. */
   waitingCount (model: string): number {
     return this._slots.waitingCount(model)
   }
 
+  /** What the steps of a service's models ask for; every model's is known, or none. */
+  supplyNeedOf ({ engine }: RoutingService): SupplyNeed {
+    const counts = engine?.models.map(model => this.demand.stepItemsCount(model)) ?? []
+    const isKnown = counts.every(count => count !== undefined)
+    const itemsCount = isKnown ? STEPS_OPEN_COUNT * counts.reduce((sum, count) => sum + count, 0) : undefined
+    return { itemsCount, slotsCount: engine?.slotsCount ?? 1 }
+  }
+
   /** Follows the list of batches until the scope closes. */
   async run (scope: Scope): Promise<void> {
     const { clock, replica, view } = this._parts
     this._parts.logger.event(BatchEvent.DispatchBegun, { term: replica.core.term, openBatchesCount: this._parts.state.open().length })
     scope.onClose(view.onChange(() => {
       this._track()
+      this._slots.moveFromLeaving()
       this._slots.assign()
     }))
     scope.onClose(() => this._parts.logger.event(BatchEvent.DispatchEnded, { reason: scope.closeReason ?? '' }))
@@ -197,8 +215,8 @@
       enginesCount: run => this.engines.ofService(this._places.of(run)?.service ?? '').length,
       routeOf: (host, path) => this.routeOf(host, path)
     }
-    const run = new ItemRun(parts, batch, item, times, this._keptOutputOf(batch, item), this._seenItemIds.has(item.itemId))
-    this._seenItemIds.add(item.itemId)
+    const run = new ItemRun(parts, batch, item, times, this._keptOutputOf(batch, item), this._seenItemKeys.has(keyOf(batch, item)))
+    this._seenItemKeys.add(keyOf(batch, item))
     const completed = this._completedResultOf(batch, item)
     this._runs.add(run)
     supervisor.spawn(`item ${item.itemId}`, async scope => {
@@ -213,22 +231,26 @@
 
   /** A result of an earlier batch that fits this one as it is. */
   private _completedResultOf (batch: Batch, item: BatchItem): ItemResult | undefined {
-    const completed = this._parts.state.completedResult(item)
+    const completed = this._parts.state.completedResult(item, batch.submission.account)
     if (!completed) return undefined
     return completed.versions.every(version => version >= batch.submission.minVersion) ? completed : undefined
   }
 
   private _keptOutputOf (batch: Batch, item: BatchItem): ItemOutput | undefined {
-    const kept = this._keptOutputs.get(item.itemId)
-    this._keptOutputs.delete(item.itemId)
-    const output = kept ?? new ItemOutput(this._parts.state.unfinishedParts(item.itemId))
+    const kept = this._keptOutputs.get(keyOf(batch, item))
+    this._keptOutputs.delete(keyOf(batch, item))
+    const output = kept ?? new ItemOutput(this._parts.state.unfinishedParts(item.itemId, batch.submission.account))
     return output.isMadeSince(batch.submission.minVersion) ? output : undefined
   }
 
   private _keepOutput (run: ItemRun): void {
     if (!run.isBegun || run.batch.isListed(run.item.itemId)) return
-    this._keptOutputs.set(run.item.itemId, run.output)
+    this._keptOutputs.set(keyOf(run.batch, run.item), run.output)
     const [oldest] = this._keptOutputs.keys()
     if (this._keptOutputs.size > MAX_KEPT_OUTPUTS_COUNT && oldest !== undefined) this._keptOutputs.delete(oldest)
   }
 }
+
+function keyOf (batch: Batch, { itemId }: BatchItem): string {
+  return itemKeyOf(batch.submission.account, itemId)
+}
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -17,7 +17,7 @@
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { Batch } from './batch.js'
-import type { NotLeader } from './batchClient.js'
+import type { AskedBatch, NotLeader } from './batchClient.js'
 import { BatchEvent } from './batchEvents.js'
 import { UnknownBatches } from './batchReports.js'
 import type { BatchState } from './batchState.js'
@@ -56,13 +56,13 @@
 
   serve (handlers: RpcHandlers): void {
     handlers.on(submitBatchMethod, ({ submission }, remainingMs) => this._submit(submission, this._progress(remainingMs)))
-    handlers.on(readResultsMethod, ({ batchId, fromPosition, waitMs }, remainingMs) => (
-      this._readResults(batchId, fromPosition, waitMs, this._progress(remainingMs))
+    handlers.on(readResultsMethod, (asked, remainingMs) => (
+      this._readResults(asked, asked.fromPosition, asked.waitMs, this._progress(remainingMs))
     ))
-    handlers.on(readItemMethod, ({ batchId, itemId }, remainingMs) => this._readItem(batchId, itemId, this._progress(remainingMs)))
+    handlers.on(readItemMethod, (asked, remainingMs) => this._readItem(asked, asked.itemId, this._progress(remainingMs)))
     handlers.on(batchReadIndexMethod, (_request, remainingMs) => this._readIndex(this._progress(remainingMs)))
     handlers.on(nameWeightsMethod, (weights, remainingMs) => this._nameWeights(weights, this._progress(remainingMs)))
-    handlers.on(endBatchMethod, ({ batchId }, remainingMs) => this._end(batchId, this._progress(remainingMs)))
+    handlers.on(endBatchMethod, (asked, remainingMs) => this._end(asked, this._progress(remainingMs)))
   }
 
   private async _submit (submission: BatchSubmission, progress: Progress): Promise<SubmitBatchReply> {
@@ -77,6 +77,7 @@
     const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission, keepMs }, progress)
     if (outcome.kind !== 'unknown') this._capacity.settle(batchId)
     if (outcome.kind === 'committed') {
+      if ((outcome.result as BatchCommandResult).kind === 'foreign') return { kind: 'refused', reason: 'the id of the batch is taken', isFinal: true }
       logger.event(BatchEvent.BatchAccepted, { batchId, step, model, minVersion, itemsCount: items.length, index: outcome.index })
       return { kind: 'accepted' }
     }
@@ -84,33 +85,33 @@
     return outcome.kind === 'notCommitted' ? { kind: 'refused', reason: outcome.reason } : outcome
   }
 
-  private async _readResults (batchId: string, fromPosition: number, waitMs: number, progress: Progress): Promise<ReadResultsReply> {
-    const { clock, replica, state } = this._parts
+  private async _readResults (asked: AskedBatch, fromPosition: number, waitMs: number, progress: Progress): Promise<ReadResultsReply> {
+    const { clock, replica } = this._parts
     const waiting = progress.before(Math.min(clock.nowMs() + waitMs, progress.deadlineMs - WAIT_MARGIN_MS))
     const failure = await this._confirm(progress)
     if (failure) return failure
     for (;;) {
-      const batch = state.get(batchId)
-      if (!batch) return this._unknownBatch(batchId, 'readResults')
+      const batch = this._batchOf(asked)
+      if (!batch) return this._unknownBatch(asked.batchId, 'readResults')
       // The list only grows, so what is here after the confirmation is never out of date.
       if (batch.results.length > fromPosition || batch.isEnded || waiting.isOver()) return pageOf(batch, fromPosition)
       await replica.applied.wait(progress.scope, waiting)
     }
   }
 
-  private async _readItem (batchId: string, itemId: string, progress: Progress): Promise<ReadItemReply> {
+  private async _readItem (asked: AskedBatch, itemId: string, progress: Progress): Promise<ReadItemReply> {
     const failure = await this._confirm(progress)
     if (failure) return failure
-    const batch = this._parts.state.get(batchId)
-    if (!batch) this._unknown.report(batchId, 'readItem')
+    const batch = this._batchOf(asked)
+    if (!batch) this._unknown.report(asked.batchId, 'readItem')
     const item = batch?.openItem(itemId)
     return item ? { kind: 'body', body: item.body } : { kind: 'absent' }
   }
 
-  private async _end (batchId: string, progress: Progress): Promise<EndBatchReply> {
+  private async _end ({ batchId, account }: AskedBatch, progress: Progress): Promise<EndBatchReply> {
     const { replica, logger } = this._parts
     if (!replica.leadership) return this._notLeader()
-    const outcome = await replica.propose({ kind: BatchCommandKind.End, batchId }, progress)
+    const outcome = await replica.propose({ kind: BatchCommandKind.End, batchId, account }, progress)
     if (outcome.kind !== 'committed') return { kind: 'unavailable', reason: outcome.reason }
     if ((outcome.result as BatchCommandResult).kind !== 'ended') return this._unknownBatch(batchId, 'end')
     logger.event(BatchEvent.BatchEnded, { batchId, index: outcome.index })
@@ -153,6 +154,12 @@
     return outcome.kind === 'replied' ? outcome.body : { kind: 'unavailable', reason: `the leader did not answer: ${outcome.reason}` }
   }
 
+  /** The batch asked for; undefined when there is none, or none that the account may know of. */
+  private _batchOf ({ batchId, account }: AskedBatch): Batch | undefined {
+    const batch = this._parts.state.get(batchId)
+    return batch?.isOf(account) === true ? batch : undefined
+  }
+
   private _unknownBatch (batchId: string, call: string): { kind: 'unknownBatch' } {
     this._unknown.report(batchId, call)
     return { kind: 'unknownBatch' }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -7,11 +7,17 @@
 } from '../protocol/batches.js'
 import type { NamedWeights } from '../protocol/routingCommands.js'
 import type { ApplyContext, ReplicatedState, SnapshotPieces } from '../replication/replicatedState.js'
+import { SupplyLedger, type SupplySnapshot } from '../engineSupply/supplyLedger.js'
 import { invariant } from '../utils/errors.js'
 import { Batch, type BatchRecord } from './batch.js'
 import { heldBytesOfUnfinished } from './heldBytes.js'
 import { eventsCountOf } from './outputParts.js'
 
+/** What an item is known by over its batches: ids are an account's own. */
+export function itemKeyOf (account: string | undefined, itemId: string): string {
+  return account === undefined ? itemId : `${account} ${itemId}`
+}
+
 interface CompletedItem {
   result: ItemResult
   rewardId: string | undefined
@@ -25,6 +31,7 @@
   | { kind: 'unfinished', outputs: UnfinishedOutput[] }
   | { kind: 'orders', orders: AnnouncedOrder[] }
   | { kind: 'weights', weights: NamedWeights[] }
+  | { kind: 'supply', supply: SupplySnapshot }
 
 /** Results or outputs in one piece of a snapshot: at some kilobytes each, half a megabyte at most. */
 const PIECE_ITEMS_COUNT = 64
@@ -42,6 +49,8 @@
 /** What is kept of an item that is not listed yet; a later leader goes on behind it. */
 interface UnfinishedOutput {
   itemId: string
+  /** Absent for none. */
+  account?: string | undefined
   parts: OutputPart[]
   keptAtMs: number
 }
@@ -64,8 +73,10 @@
 const noListener: BatchStateListener = { onOrder: () => {}, onNamed: () => {} }
 
 export class BatchState implements ReplicatedState<BatchCommand, BatchCommandResult> {
+  /** Orders for engines. */
+  readonly supply = new SupplyLedger()
   private readonly _batches = new Map<string, Batch>()
-  /** Completed results by item, for items that return in a later batch. */
+  /** Completed results by the key of their item, for items that return in a later batch. */
   private readonly _completed = new Map<string, CompletedItem>()
 
   private readonly _unfinished = new Map<string, UnfinishedOutput>()
@@ -96,14 +107,14 @@
     return this._batches.get(batchId)
   }
 
-  /** The output kept of an item that was not finished, in whatever batch it was last. */
-  unfinishedParts (itemId: string): OutputPart[] {
-    return this._unfinished.get(itemId)?.parts ?? []
+  /** The output kept of an item that was not finished, in whatever batch of the account it was last. */
+  unfinishedParts (itemId: string, account?: string): OutputPart[] {
+    return this._unfinished.get(itemKeyOf(account, itemId))?.parts ?? []
   }
 
   /** Bytes that the output kept of an item that was not finished is counted for. */
-  unfinishedBytes (itemId: string): number {
-    const parts = this._unfinished.get(itemId)?.parts
+  unfinishedBytes (itemId: string, account?: string): number {
+    const parts = this._unfinished.get(itemKeyOf(account, itemId))?.parts
     return parts ? heldBytesOfUnfinished(itemId, parts) : 0
   }
 
@@ -128,9 +139,9 @@
     return [...this._batches.values()].filter(batch => !batch.isEnded)
   }
 
-  /** The completed result that an item had, under the same reward call, in any batch that is still kept. */
-  completedResult ({ itemId, reward }: BatchItem): ItemResult | undefined {
-    const completed = this._completed.get(itemId)
+  /** The completed result that an item had, under the same reward call, in any batch of the account that is still kept. */
+  completedResult ({ itemId, reward }: BatchItem, account?: string): ItemResult | undefined {
+    const completed = this._completed.get(itemKeyOf(account, itemId))
     return completed && completed.rewardId === reward?.rewardId ? completed.result : undefined
   }
 
@@ -143,11 +154,17 @@
       case BatchCommandKind.Finish:
         return this._finish(command.batchId, command.afterEventId, command.result)
       case BatchCommandKind.End:
-        return this._end(command.batchId)
+        return this._end(command.batchId, command.account)
       case BatchCommandKind.AnnounceOrder:
         return this._announce(command.endpointId, command.holder, command.lanesCount)
       case BatchCommandKind.NameWeights:
         return this._name(command)
+      case BatchCommandKind.ClaimSupply:
+        this.supply.claim(command.holder)
+        return { kind: 'supplyHeld' }
+      case BatchCommandKind.OrderSupply:
+        this.supply.order(command)
+        return { kind: 'supplyHeld' }
     }
   }
 
@@ -161,7 +178,8 @@
     const outputs = [...this._unfinished.values()]
     const orders = [...this._orders].map(([endpointId, order]) => ({ endpointId, ...order }))
     const weights = [...this._weights].map(([model, version]) => ({ model, version }))
-    return { [Symbol.iterator]: () => piecesOf(batches, outputs, orders, weights) }
+    const supply = this.supply.snapshot()
+    return { [Symbol.iterator]: () => piecesOf(batches, outputs, orders, weights, supply) }
   }
 
   /** A result never changes, so one that is held already stands for the one that has come. */
@@ -182,6 +200,7 @@
     this._unfinished.clear()
     this._orders.clear()
     this._weights.clear()
+    this.supply.restore({ holder: undefined, orders: [] })
     for (const piece of pieces) this._restorePiece(piece as SnapshotPiece)
   }
 
@@ -193,13 +212,16 @@
       case 'results':
         return this._restoreResults(piece.batchId, piece.results, piece.rewardIds)
       case 'unfinished':
-        for (const output of piece.outputs) this._unfinished.set(output.itemId, output)
+        for (const output of piece.outputs) this._unfinished.set(itemKeyOf(output.account, output.itemId), output)
         return
       case 'orders':
         for (const { endpointId, holder, lanesCount } of piece.orders) this._announce(endpointId, holder, lanesCount)
         return
       case 'weights':
         for (const named of piece.weights) this._name(named)
+        return
+      case 'supply':
+        this.supply.restore(piece.supply)
     }
   }
 
@@ -211,9 +233,9 @@
 
   private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
     this._forgetOutdated(atMs)
-    if (!this._batches.has(submission.batchId)) {
-      this._hold(Batch.accepted(submission, atMs, keepMs))
-    }
+    const known = this._batches.get(submission.batchId)
+    if (known?.isOf(submission.account) === false) return { kind: 'foreign' }
+    if (!known) this._hold(Batch.accepted(submission, atMs, keepMs))
     return { kind: 'accepted' }
   }
 
@@ -223,29 +245,32 @@
   }
 
   private _keep (batchId: string, itemId: string, afterEventId: number, parts: OutputPart[], atMs: number): BatchCommandResult {
-    if (!this._batches.get(batchId)?.openItem(itemId)) return { kind: 'closed' }
-    const kept = afterEventId === 0 ? [] : this.unfinishedParts(itemId)
+    const batch = this._batches.get(batchId)
+    if (!batch?.openItem(itemId)) return { kind: 'closed' }
+    const { account } = batch.submission
+    const kept = afterEventId === 0 ? [] : this.unfinishedParts(itemId, account)
     if (eventsCountOf(kept) !== afterEventId) return { kind: 'mismatch' }
-    this._unfinished.set(itemId, { itemId, parts: [...kept, ...parts], keptAtMs: atMs })
+    this._unfinished.set(itemKeyOf(account, itemId), { itemId, account, parts: [...kept, ...parts], keptAtMs: atMs })
     return { kind: 'kept' }
   }
 
   private _finish (batchId: string, afterEventId: number, { parts, ...rest }: ItemResult): BatchCommandResult {
     const batch = this._batches.get(batchId)
     if (!batch || batch.isEnded) return { kind: 'closed' }
-    const kept = afterEventId === 0 ? [] : this.unfinishedParts(rest.itemId)
+    const { account } = batch.submission
+    const kept = afterEventId === 0 ? [] : this.unfinishedParts(rest.itemId, account)
     if (eventsCountOf(kept) !== afterEventId) return { kind: 'mismatch' }
     const result = { ...rest, parts: [...kept, ...parts] }
     const position = batch.list(result)
     if (position === undefined) return { kind: 'closed' }
-    this._unfinished.delete(result.itemId)
+    this._unfinished.delete(itemKeyOf(account, result.itemId))
     this._remember(batch, result, position)
     return { kind: 'listed', position }
   }
 
-  private _end (batchId: string): BatchCommandResult {
+  private _end (batchId: string, account: string | undefined): BatchCommandResult {
     const batch = this._batches.get(batchId)
-    if (!batch) return { kind: 'unknownBatch' }
+    if (batch?.isOf(account) !== true) return { kind: 'unknownBatch' }
     batch.end()
     return { kind: 'ended' }
   }
@@ -269,19 +294,20 @@
 
   private _remember (batch: Batch, result: ItemResult, position: number): void {
     if (result.state !== ResultState.Completed) return
-    this._completed.set(result.itemId, { result, rewardId: batch.rewardIdAt(position) })
+    this._completed.set(itemKeyOf(batch.submission.account, result.itemId), { result, rewardId: batch.rewardIdAt(position) })
   }
 
   private _forgetOutdated (atMs: number): void {
-    for (const [itemId, output] of this._unfinished) {
-      if (isForgotten(output, atMs)) this._unfinished.delete(itemId)
+    for (const [key, output] of this._unfinished) {
+      if (isForgotten(output, atMs)) this._unfinished.delete(key)
     }
     for (const [batchId, batch] of this._batches) {
       if (!batch.isOutdated(atMs)) continue
       this._batches.delete(batchId)
       this._listener.onForgotten?.(batch, atMs)
       for (const result of batch.results) {
-        if (this._completed.get(result.itemId)?.result === result) this._completed.delete(result.itemId)
+        const key = itemKeyOf(batch.submission.account, result.itemId)
+        if (this._completed.get(key)?.result === result) this._completed.delete(key)
       }
     }
   }
@@ -291,7 +317,7 @@
   return atMs - keptAtMs > KEEP_UNFINISHED_MS
 }
 
-function * piecesOf (batches: BatchRecord[], outputs: UnfinishedOutput[], orders: AnnouncedOrder[], weights: NamedWeights[]): Generator<SnapshotPiece> {
+function * piecesOf (batches: BatchRecord[], outputs: UnfinishedOutput[], orders: AnnouncedOrder[], weights: NamedWeights[], supply: SupplySnapshot): Generator<SnapshotPiece> {
   for (const record of batches) {
     const { submission: { batchId }, results, rewardIds } = record
     yield { kind: 'batch', record: { ...record, results: [], rewardIds: [] } }
@@ -303,6 +329,7 @@
   for (const start of chunkStarts(outputs)) yield { kind: 'unfinished', outputs: outputs.slice(start, start + PIECE_ITEMS_COUNT) }
   yield { kind: 'orders', orders }
   yield { kind: 'weights', weights }
+  yield { kind: 'supply', supply }
 }
 
 function * chunkStarts (values: readonly unknown[]): Generator<number> {
--- a/src/batches/heldBytes.ts
+++ b/src/batches/heldBytes.ts
@@ -33,8 +33,8 @@
 }
 
 /** A batch without its items and results. */
-export function heldBytesOfHead ({ batchId, host, path, model }: Pick<BatchSubmission, 'batchId' | 'host' | 'path' | 'model'>): number {
-  return BATCH_OVERHEAD_BYTES + textBytes([batchId, host, path, model])
+export function heldBytesOfHead ({ batchId, account = '', host, path, model }: Pick<BatchSubmission, 'batchId' | 'account' | 'host' | 'path' | 'model'>): number {
+  return BATCH_OVERHEAD_BYTES + textBytes([batchId, account, host, path, model])
 }
 
 export function heldBytesOfSubmission (submission: BatchSubmission): number {
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -107,6 +107,10 @@
     })
   }
 
+  get priority (): number {
+    return this.batch.submission.priority ?? 0
+  }
+
   get dueAtMs (): number {
     return this.times.dueAtMs
   }
@@ -311,6 +315,7 @@
       headers,
       body,
       attemptId: itemId,
+      account: this.batch.submission.account,
       deadlineMs: this.times.giveUpAtMs,
       afterEventId: this.isBegun ? this.output.lastEventId : undefined
     }
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -3,6 +3,7 @@
  * on elsewhere. The rules are in itemOrder and slotSharing; what waits and what
  * runs is held here.
  */
+import { PriorityShare } from '../accounts/priorityShare.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import { EndpointLifecycle } from '../protocol/fleet.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
@@ -18,6 +19,8 @@
 
 /** Until a trainer's own interval was seen; both users' trainers ask every four seconds. */
 const ASSUMED_STEP_INTERVAL_MS = 4_000
+/** Notice of an engine that is taken away comes some tens of milliseconds late. */
+const LEAVING_MARGIN_MS = 250
 
 export interface SlotAssignmentParts {
   clock: Clock
@@ -43,6 +46,9 @@
   private readonly _pacing: StartPacing
   /** Slots that are kept for runs on their way from a slower engine. */
   private readonly _reserved = new Map<ItemRun, Engine>()
+  /** Runs that were sent away from an engine that is to be taken away. */
+  private readonly _leftInTime = new WeakSet<ItemRun>()
+  private readonly _sharing = new PriorityShare()
   private _waiting: Waiting[] = []
   private _isInOrder = true
   private _isHeld = false
@@ -135,6 +141,25 @@
     engine.leave(tokensOf(run))
   }
 
+  /** Runs that cannot end before their engine is taken away go on elsewhere at once, rather than being cut. */
+  moveFromLeaving (): void {
+    for (const run of this._parts.runs) {
+      const { engine } = run
+      const leavesInMs = engine && this._leavesInMs(engine)
+      if (!engine || leavesInMs === undefined || this._leftInTime.has(run)) continue
+      const gapMs = engine.pace.presentGapMs ?? this._assumedGapMs(run)
+      if (expectedEventsCount(this._movingRun(run)) * gapMs <= leavesInMs - LEAVING_MARGIN_MS) continue
+      this._leftInTime.add(run)
+      run.move()
+    }
+  }
+
+  /** Time until an engine is taken away, as it said when it began to leave. */
+  private _leavesInMs ({ id }: Engine): number | undefined {
+    const endpoint = this._parts.view.endpoint(id)
+    return endpoint?.lifecycle === EndpointLifecycle.Leaving ? endpoint.leavesInMs : undefined
+  }
+
   /** Whether a run had better go on at another engine; room is only left for that when nothing waits for it. */
   shouldMove (run: ItemRun, engine: Engine): boolean {
     if (this._waiting.length > 0 || this.isHeldUp) return false
@@ -154,18 +179,14 @@
       enginesOf: service => engines.ofService(service),
       patientSlotsOf: (service, candidates) => this._patientSlotsOf(service, candidates)
     })
-    const left: Waiting[] = []
-    for (const waiting of this._inOrder()) {
+    this._waiting = this._sharing.serve(this._inOrder(), ({ run }) => run.priority, waiting => {
       const engine = this._pacing.mayStart ? round.engineFor(waiting.run, nowMs - waiting.sinceMs) : undefined
-      if (!engine) {
-        left.push(waiting)
-        continue
-      }
+      if (!engine) return false
       this._pacing.started()
       engine.enter(tokensOf(waiting.run))
       waiting.resolve(engine)
-    }
-    this._waiting = left
+      return true
+    })
   }
 
   /** What the order depends on does not change while an item waits, so it is sorted only after others came. */
--- a/src/batches/storeCapacity.ts
+++ b/src/batches/storeCapacity.ts
@@ -65,7 +65,7 @@
     let bytes = 0
     for (const batch of this._state.openAt(this._clock.wallMs())) {
       for (const { itemId, expectedTokensCount } of batch.openItems()) {
-        bytes += Math.max(0, outputBytesOf(expectedTokensCount, bytesPerToken) - this._state.unfinishedBytes(itemId))
+        bytes += Math.max(0, outputBytesOf(expectedTokensCount, bytesPerToken) - this._state.unfinishedBytes(itemId, batch.submission.account))
       }
     }
     return bytes
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -2,6 +2,10 @@
  * The wiring of a store host: a replica of the batch store and, while it
  * leads, the dispatcher of items, the rollout of weights and retirements.
  */
+import { DutyLease } from '../duties/dutyLease.js'
+import type { Infrastructure } from '../duties/infrastructure.js'
+import { EngineSupply } from '../engineSupply/engineSupply.js'
+import { BatchCommandKind, type BatchCommand } from '../protocol/batches.js'
 import type { EndpointClient } from '../endpoints/endpointClient.js'
 import { EndpointPool } from '../endpoints/endpointPool.js'
 import { ControlCommands } from '../fleet/controlCommands.js'
@@ -71,6 +75,8 @@
 export interface StoreProgramParts {
   settings: StoreSettings
   client: EndpointClient
+  /** Absent where no engines are to be ordered. */
+  infrastructure?: Infrastructure | undefined
   logger: Logger
   metrics: Metrics
   onFatal: (error: unknown) => void
@@ -82,6 +88,7 @@
 const NAMED_IN_LOG = 'log of the store'
 /** A handover takes a few messages and syncs; a host that cannot hand over stops all the same. */
 const HANDOVER_TIMEOUT_MS = 800
+const SUPPLY_COMMIT_TIMEOUT_MS = 1_000
 
 export class StoreProgram {
   private readonly _parts: StoreProgramParts
@@ -265,10 +272,37 @@
     })
     const retirement = new StoreRetirement({ replica: this._replica, leadership, view: this._view, commands: this._commands, clock: systemClock, logger })
     supervisor.spawn('weights', taskScope => rollout.run(taskScope))
+    this._spawnSupply(leadership, dispatcher, supervisor)
     supervisor.spawn('retirements', taskScope => retirement.run(taskScope))
     await dispatcher.run(scope)
   }
 
+  private _spawnSupply (leadership: Leadership, dispatcher: BatchDispatcher, supervisor: Supervisor): void {
+    const { settings, infrastructure, logger, metrics } = this._parts
+    if (!infrastructure) return
+    const ledger = this._state.supply
+    const holder = settings.hostName
+    const lease = new DutyLease({ clock: systemClock, leadership, holder, latestHolder: () => ledger.holder, leaseMs: settings.orderLeaseMs })
+    const commit = async (command: BatchCommand, scope: Scope): Promise<boolean> => {
+      return (await this._replica.propose(command, new Progress(systemClock, scope, systemClock.nowMs() + SUPPLY_COMMIT_TIMEOUT_MS))).kind === 'committed'
+    }
+    const supply = new EngineSupply({
+      clock: systemClock,
+      logger,
+      metrics,
+      lease,
+      ledger,
+      infrastructure,
+      holder,
+      services: () => this._view.routing?.services ?? [],
+      endpointsOf: service => this._view.endpointsOf(service),
+      needOf: service => dispatcher.supplyNeedOf(service),
+      claim: scope => commit({ kind: BatchCommandKind.ClaimSupply, holder }, scope),
+      note: (order, scope) => commit({ kind: BatchCommandKind.OrderSupply, ...order }, scope)
+    })
+    supervisor.spawn('engine supply', taskScope => supply.run(taskScope))
+  }
+
   private _createQuarantine (): RequestQuarantine {
     const { client, logger, metrics } = this._parts
     return new RequestQuarantine({
--- a/src/batches/weightPlanner.ts
+++ b/src/batches/weightPlanner.ts
@@ -43,6 +43,8 @@
   stepItemsCount: number | undefined
   /** Time between two versions; undefined until it was seen. */
   namingIntervalMs: number | undefined
+  /** 0 is the most urgent; undefined while nothing of it is open. */
+  priority?: number | undefined
 }
 
 /** What the loads themselves can do. */
@@ -96,7 +98,8 @@
   const useful = sound.filter(({ gapMs }) => gapMs < TOO_SLOW_RATIO * fastestMs)
   const sizes = setSizes(useful, models, capacity)
   const wants = models.map((model, position) => wantOf(model, sizes[position] ?? 0, useful)).filter(want => want !== undefined)
-  wants.sort((left, right) => rankOf(left.reason) - rankOf(right.reason) || left.coverage - right.coverage)
+  // Each model wants no more than its set, so the urgent leave loads to the others.
+  wants.sort((left, right) => rankOf(left.reason) - rankOf(right.reason) || priorityOf(left) - priorityOf(right) || left.coverage - right.coverage)
   for (const want of wants) {
     const engine = engineFor(want, useful, models, fastestMs)
     if (engine) return { engineId: engine.engineId, model: want.model.model, version: want.model.namedVersion, reason: want.reason }
@@ -151,6 +154,11 @@
   coverage: number
 }
 
+/** What nobody has asked for yet goes first, as before any priority was known. */
+function priorityOf ({ model }: Want): number {
+  return model.priority ?? 0
+}
+
 function rankOf (reason: LoadReason): number {
   return Object.values(LoadReason).indexOf(reason)
 }
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -108,7 +108,8 @@
       neededVersion: Math.max(dispatcher.neededVersion(model), namedVersion - demand.stalenessVersions(model)),
       waitingCount: dispatcher.waitingCount(model),
       stepItemsCount: demand.stepItemsCount(model),
-      namingIntervalMs: demand.namingIntervalMs(model)
+      namingIntervalMs: demand.namingIntervalMs(model),
+      priority: dispatcher.priorityOf(model)
     }
   }
 
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -28,7 +28,9 @@
 import { EndpointDirectory } from './fleet/endpointDirectory.js'
 import { FollowerSessions } from './fleet/followerSessions.js'
 import { StoreFormation } from './fleet/storeFormation.js'
+import { UsageDuty, type UsageDutySettings } from './fleet/usageDuty.js'
 import { SilentHosts } from './hosts/silentHosts.js'
+import type { Infrastructure } from '../duties/infrastructure.js'
 import type { LedgersFactory } from './ledgers/ledgers.js'
 import { ClusterFormation, type FormationOptions, type InitialMember, type JoinCall } from '../replication/log/clusterFormation.js'
 import { defaultSnapshotPolicy } from '../replication/log/logApplier.js'
@@ -67,6 +69,8 @@
   strikeSilentAfterMs: number
   /** Disks that may be lost at once. */
   toleratedLosses: number
+  /** Absent where no use is to be reported. */
+  usageDuty?: { settings: UsageDutySettings, infrastructure: Infrastructure } | undefined
 }
 
 /** Endpoints of a deployment that does not say how often announce themselves this often. */
@@ -191,11 +195,20 @@
     this._supervisor.spawn('followers', scope => this.followers.review(scope))
     this._supervisor.spawn('pushes to followers', scope => this.followers.pushChanges(scope))
     this._supervisor.spawn('store formation', scope => this._formStore(scope))
+    this._holdUsageDuty()
     this._supervisor.spawn('gauges', scope => this._showState(scope))
     this._supervisor.spawn('silent hosts', scope => silentHosts.run(scope))
     logger.event(ControlEvent.Started, { hostId, replicaId: replica.core.replicaId, appliedIndex: replica.appliedIndex })
   }
 
+  private _holdUsageDuty (): void {
+    const { fleet, logger, metrics } = this._parts
+    if (!fleet?.usageDuty) return
+    const duty = new UsageDuty({ ...fleet.usageDuty, node: this.node, followers: this.followers, clock: systemClock, logger, metrics, supervisor: this._supervisor })
+    this._supervisor.spawn('duty of use', scope => duty.run(scope))
+    this._supervisor.spawn('closed windows', scope => duty.forgetClosed(scope))
+  }
+
   private async _showState (scope: Scope): Promise<void> {
     const { replica } = this.node
     const voterWatch = new VoterWatch(replica)
--- a/src/control/controlState.ts
+++ b/src/control/controlState.ts
@@ -10,6 +10,8 @@
 import { ResourceCommandKind, type ResourceCommand } from '../protocol/resourceCommands.js'
 import { UnrepeatableCommandKind, type UnrepeatableCommand } from '../protocol/unrepeatableCommands.js'
 import { RoutingCommandKind, type RoutingCommand } from '../protocol/routingCommands.js'
+import { UsageLedger } from '../duties/usageLedger.js'
+import { UsageCommandKind, type UsageCommand } from '../protocol/usage.js'
 import { unreachable } from '../utils/errors.js'
 import { HostRegistry } from './hosts/hostRegistry.js'
 import type { Ledgers, LedgersFactory } from './ledgers/ledgers.js'
@@ -25,11 +27,14 @@
   unrepeatable: unknown
   rollouts: unknown
   routing: unknown
+  /** Absent in those of earlier builds. */
+  usage: unknown
 }
 
 const resourceKinds = new Set<string>(Object.values(ResourceCommandKind))
 const hostKinds = new Set<string>(Object.values(HostCommandKind))
 const routingKinds = new Set<string>(Object.values(RoutingCommandKind))
+const usageKinds = new Set<string>(Object.values(UsageCommandKind))
 const unrepeatableKinds = new Set<string>(Object.values(UnrepeatableCommandKind))
 
 export class ControlState implements ReplicatedState<Command, AnyCommandResult> {
@@ -37,6 +42,7 @@
   readonly resources = new ResourceStore(this.history)
   readonly hosts = new HostRegistry(this.history)
   readonly routing = new RoutingState()
+  readonly usage = new UsageLedger()
   private readonly _ledgers: Ledgers
 
   constructor (createLedgers: LedgersFactory) {
@@ -52,6 +58,7 @@
     if (isResourceCommand(command)) return this.resources.apply(command, context)
     if (isHostCommand(command)) return this.hosts.apply(command, context)
     if (isRoutingCommand(command)) return this.routing.apply(command, context)
+    if (isUsageCommand(command)) return this.usage.apply(command)
     if (isUnrepeatableCommand(command)) return this._ledgers.unrepeatable.apply(command, context)
     return this._ledgers.rollouts.apply(command, context)
   }
@@ -80,7 +87,8 @@
       hosts: this.hosts.snapshot(),
       unrepeatable: this._ledgers.unrepeatable.snapshot(),
       rollouts: this._ledgers.rollouts.snapshot(),
-      routing: this.routing.snapshot()
+      routing: this.routing.snapshot(),
+      usage: this.usage.snapshot()
     }
     return [structuredClone(parts)]
   }
@@ -98,6 +106,7 @@
     this._ledgers.unrepeatable.restore(parts.unrepeatable)
     this._ledgers.rollouts.restore(parts.rollouts)
     if (parts.routing !== undefined) this.routing.restore(parts.routing)
+    if (parts.usage !== undefined) this.usage.restore(parts.usage)
   }
 }
 
@@ -122,6 +131,10 @@
   return routingKinds.has(command.kind)
 }
 
+function isUsageCommand (command: Command): command is UsageCommand {
+  return usageKinds.has(command.kind)
+}
+
 function isUnrepeatableCommand (command: Command): command is UnrepeatableCommand {
   return unrepeatableKinds.has(command.kind)
 }
--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -4,6 +4,7 @@
  * every control host, so nothing has to pass between control hosts. A push goes
  * to many and is encoded once.
  */
+import { UsageTally } from '../../duties/usageTally.js'
 import { fleetUpdateMethod } from '../../transport/fleetMethods.js'
 import { RpcPeer } from '../../transport/rpcPeer.js'
 import type { EndpointLeave } from '../../protocol/endpointLeaves.js'
@@ -17,6 +18,7 @@
 import type { ControlNode } from '../controlNode.js'
 import type { EndpointDirectory } from './endpointDirectory.js'
 import { EndpointNews } from './endpointNews.js'
+import { HeardClocks } from './heardClocks.js'
 import { HostChanges } from './hostChanges.js'
 import { pusherOf, RoutingDelivery } from './routingPush.js'
 
@@ -53,9 +55,12 @@
 }
 
 export class FollowerSessions {
+  /** What followers told of the use of client accounts. */
+  readonly usage = new UsageTally()
   private readonly _parts: FollowerSessionsParts
   private readonly _sessions = new Map<RpcPeer, Session>()
   private readonly _hostChanges = new HostChanges()
+  private readonly _clocks: HeardClocks
   /** By their id; those that followed again are taken out. */
   private readonly _lost = new Map<string, { host: FleetHost, lostAtMs: number }>()
   /** Followers that have not been told of the hosts yet. */
@@ -66,6 +71,7 @@
 
   constructor (parts: FollowerSessionsParts) {
     this._parts = parts
+    this._clocks = new HeardClocks(parts.clock)
   }
 
   /** Hosts that follow this one now. */
@@ -73,6 +79,15 @@
     return this._hostChanges.all()
   }
 
+  entryHostIds (): string[] {
+    return this.hosts().filter(({ role }) => role === HostRole.Entry).map(({ hostId }) => hostId)
+  }
+
+  /** The time of day as most followers have it. */
+  wallMs (): number {
+    return this._clocks.wallMs()
+  }
+
   storeHosts (): FleetHost[] {
     return this.hosts().filter(({ role }) => role === HostRole.Store)
   }
@@ -94,6 +109,7 @@
     const lacksAll = request.host !== undefined
     if (lacksAll) forgetSent(session)
     session.heardAtMs = clock.nowMs()
+    this._learn(session.host.hostId, request)
     const needsConfirmation = request.routingVersion === undefined
     const isRoutingConfirmed = needsConfirmation && await this._parts.confirm(progress)
     if (lacksAll) this._reviewState()
@@ -101,7 +117,12 @@
     const { routing } = this._parts.node.state
     if (routing.routing && session.routing.takeCall(request.routingVersion, routing.version)) update.routing = routing.routing
     if (lacksAll) update.endpoints = this._parts.directory.all()
-    return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, update }
+    return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, fleetWallMs: Math.round(this.wallMs()), update }
+  }
+
+  private _learn (hostId: string, { wallMs, usage }: FollowRequest): void {
+    if (wallMs !== undefined) this._clocks.learn(hostId, wallMs)
+    if (usage) this.usage.learn(hostId, usage)
   }
 
   /** Tells followers of an endpoint. */
--- /dev/null
+++ b/src/duties/usageReporting.ts
@@ -0,0 +1,157 @@
+/**
+ * Reports the use of each window while this host leads: closes windows in the
+ * replicated log once hosts have told all of them, or their time is half gone,
+ * and sends what is closed until the infrastructure has it.
+ */
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import { MetricName } from '../utils/metricNames.js'
+import type { Metrics } from '../utils/metrics.js'
+import { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import { UsageCommandKind, type UsageCommand } from '../protocol/usage.js'
+import { DutyEvent } from './dutyEvents.js'
+import type { DutyLease } from './dutyLease.js'
+import { DutyKind, type DutyCall, type DutyOutcome, type Infrastructure } from './infrastructure.js'
+import type { UsageLedger } from './usageLedger.js'
+import type { UsageTally } from './usageTally.js'
+import { windowEndsAtMs, windowOf, type UsageWindow } from './usageWindows.js'
+
+const LOOK_INTERVAL_MS = 100
+const COMMIT_TIMEOUT_MS = 1_000
+const CALL_TIMEOUT_MS = 1_500
+const RETRY_PAUSE_MS = 300
+const MAX_RETRY_PAUSE_MS = 2_000
+/** Share of the time that a report has, from the end of its window, after which hosts that have not told all are not waited for. */
+const PATIENT_SHARE = 0.5
+/** After a long time without a leader, windows that nobody asks for any more are left out. */
+const MAX_BACKLOG_COUNT = 720
+
+export interface UsageReportingParts {
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  lease: DutyLease
+  ledger: UsageLedger
+  tally: UsageTally
+  infrastructure: Infrastructure
+  /** Name of this host. */
+  holder: string
+  windowMs: number
+  /** After the end of a window, its report is due. */
+  lateMs: number
+  /** True time. */
+  wallMs: () => number
+  /** Entry hosts that are heard at the moment. */
+  hostIds: () => string[]
+  /** There are client accounts whose use is to be reported. */
+  hasAccounts: () => boolean
+  commit: (command: UsageCommand, progress: Progress) => Promise<boolean>
+}
+
+export class UsageReporting {
+  private readonly _parts: UsageReportingParts
+  private _retryAtMs = Number.NEGATIVE_INFINITY
+  private _triesCount = 0
+
+  constructor (parts: UsageReportingParts) {
+    this._parts = parts
+  }
+
+  /** For as long as this host leads. */
+  async run (scope: Scope): Promise<void> {
+    const { clock } = this._parts
+    for (;;) {
+      await sleepUntil(clock, scope, clock.nowMs() + LOOK_INTERVAL_MS)
+      if (!this._parts.hasAccounts() || !await this._isHeld(scope)) continue
+      await this._closeWindows(scope)
+      await this._reportNext(scope)
+    }
+  }
+
+  private async _isHeld (scope: Scope): Promise<boolean> {
+    const { lease, holder, logger } = this._parts
+    if (lease.mayAct) return true
+    if (!lease.mayClaim || !await this._commit({ kind: UsageCommandKind.Claim, holder }, scope)) return false
+    logger.event(DutyEvent.DutyClaimed, { duty: DutyKind.ReportUsage, fencingNumber: lease.fencingNumber })
+    return lease.mayAct
+  }
+
+  private async _closeWindows (scope: Scope): Promise<void> {
+    const { ledger, tally, wallMs, windowMs } = this._parts
+    const present = windowOf(wallMs(), windowMs)
+    const first = Math.max(ledger.nextWindowId ?? present - 1, present - MAX_BACKLOG_COUNT)
+    for (let windowId = first; windowId < present; windowId++) {
+      const isSettled = tally.isSettled(windowId, this._parts.hostIds())
+      if (!isSettled && !this._isPatienceOver(windowId)) return
+      const counts = tally.countsOf(windowId)
+      if (!await this._commit({ kind: UsageCommandKind.Close, windowId, counts }, scope)) return
+      tally.forgetBefore(windowId + 1)
+      this._noteClosed({ windowId, counts }, isSettled)
+    }
+  }
+
+  private _isPatienceOver (windowId: number): boolean {
+    const { wallMs, windowMs, lateMs } = this._parts
+    return wallMs() >= windowEndsAtMs(windowId, windowMs) + PATIENT_SHARE * lateMs
+  }
+
+  private _noteClosed ({ windowId, counts }: UsageWindow, isSettled: boolean): void {
+    const requestsCount = Object.values(counts).reduce((sum, count) => sum + count, 0)
+    this._parts.logger.event(DutyEvent.WindowClosed, { windowId, requestsCount, accountsCount: Object.keys(counts).length, isSettled, hostsCount: this._parts.hostIds().length })
+  }
+
+  private async _reportNext (scope: Scope): Promise<void> {
+    const { clock, ledger, lease, holder, infrastructure } = this._parts
+    const [window] = ledger.unreported
+    if (!window || clock.nowMs() < this._retryAtMs) return
+    const call: DutyCall = { kind: DutyKind.ReportUsage, ...window }
+    const standing = { holder, fencingNumber: lease.fencingNumber }
+    const beganAtMs = clock.nowMs()
+    const outcome = await infrastructure.call(call, standing, () => lease.mayAct, beganAtMs + CALL_TIMEOUT_MS, scope)
+    this._noteCall(window, outcome, clock.nowMs() - beganAtMs)
+    if (!isFinal(outcome)) return this._pause()
+    this._triesCount = 0
+    if (await this._commit({ kind: UsageCommandKind.Reported, windowId: window.windowId }, scope)) this._noteReported(window, outcome)
+  }
+
+  /** Longer after each try: what hinders it lasts for seconds. */
+  private _pause (): void {
+    this._retryAtMs = this._parts.clock.nowMs() + Math.min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS * 2 ** this._triesCount)
+    this._triesCount++
+  }
+
+  private _noteCall ({ windowId }: UsageWindow, outcome: DutyOutcome, tookMs: number): void {
+    const { logger, metrics, lease } = this._parts
+    metrics.count(MetricName.DutyCalled, { duty: DutyKind.ReportUsage, outcome: outcome.kind })
+    const reason = 'reason' in outcome ? outcome.reason : undefined
+    logger.event(DutyEvent.CallEnded, { duty: DutyKind.ReportUsage, windowId, fencingNumber: lease.fencingNumber, mayAct: lease.mayAct, outcome: outcome.kind, reason, tookMs: Math.round(tookMs) })
+  }
+
+  private _noteReported ({ windowId }: UsageWindow, { kind }: DutyOutcome): void {
+    const { logger, wallMs, windowMs, lateMs } = this._parts
+    const ageMs = Math.round(wallMs() - windowEndsAtMs(windowId, windowMs))
+    logger.event(DutyEvent.WindowReported, { windowId, outcome: kind, ageMs, isLate: ageMs > lateMs })
+  }
+
+  private async _commit (command: UsageCommand, scope: Scope): Promise<boolean> {
+    const { clock, commit } = this._parts
+    return await commit(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
+  }
+}
+
+/** Sending the same again would change nothing. */
+function isFinal (outcome: DutyOutcome): boolean {
+  switch (outcome.kind) {
+    case 'done':
+    case 'conflict':
+      return true
+    case 'refused':
+      return outcome.status < 500
+    case 'tooMany':
+    case 'staleFence':
+    case 'notSent':
+    case 'unknown':
+      return false
+  }
+}
--- /dev/null
+++ b/src/duties/usageWindows.ts
@@ -0,0 +1,17 @@
+/**
+ * Windows of time in which use is counted. They are numbered from the start of
+ * 1970 and are the same for all hosts, whatever their clocks say.
+ */
+export interface UsageWindow {
+  windowId: number
+  /** Requests that began, by client account. */
+  counts: Record<string, number>
+}
+
+export function windowOf (wallMs: number, windowMs: number): number {
+  return Math.floor(wallMs / windowMs)
+}
+
+export function windowEndsAtMs (windowId: number, windowMs: number): number {
+  return (windowId + 1) * windowMs
+}
--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -24,6 +24,8 @@
   headers: string[]
   body: Uint8Array
   attemptId: string
+  /** The client account in whose name it runs; undefined for none. */
+  account?: string | undefined
   /** Instant until which an answer is of use; the endpoint is told what remains. */
   deadlineMs: number
 }
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -98,6 +98,11 @@
     return this._lowest(listening.length > 0 ? listening : candidates, ({ endpointId }) => this.health(endpointId).suspectUntilMs)
   }
 
+  /** Slots of the service's endpoints that did not say lately that they are full. */
+  roomCount (service: string): number {
+    return this.ofService(service).reduce((sum, { endpointId, slotsCount }) => sum + (this.health(endpointId).isFull ? 0 : slotsCount), 0)
+  }
+
   /** Whether it is too soon to connect to an endpoint again, which has just refused that. */
   isRefusing ({ endpointId }: FleetEndpoint): boolean {
     return this.health(endpointId).isRefusing
--- /dev/null
+++ b/src/engineSupply/supplyLedger.ts
@@ -0,0 +1,50 @@
+/**
+ * The part of the batch store's state that holds the orders for engines: who
+ * holds the duty, and what was ordered of each kind in each data centre. An order
+ * stands here before it is sent, so that a successor sends the same again.
+ */
+export interface SupplyOrder {
+  service: string
+  dataCentre: string
+  isReclaimable: boolean
+  desiredCount: number
+}
+
+export interface SupplySnapshot {
+  holder: string | undefined
+  orders: SupplyOrder[]
+}
+
+export class SupplyLedger {
+  /** The host that claimed the duty last; undefined before the first. */
+  holder: string | undefined
+  private readonly _orders = new Map<string, SupplyOrder>()
+
+  /** The latest order of a kind of engine; undefined before the first. */
+  orderOf ({ service, dataCentre, isReclaimable }: Omit<SupplyOrder, 'desiredCount'>): number | undefined {
+    return this._orders.get(subjectOf({ service, dataCentre, isReclaimable }))?.desiredCount
+  }
+
+  claim (holder: string): void {
+    this.holder = holder
+  }
+
+  order ({ service, dataCentre, isReclaimable, desiredCount }: SupplyOrder): void {
+    const order = { service, dataCentre, isReclaimable, desiredCount }
+    this._orders.set(subjectOf(order), order)
+  }
+
+  snapshot (): SupplySnapshot {
+    return { holder: this.holder, orders: [...this._orders.values()] }
+  }
+
+  restore ({ holder, orders }: SupplySnapshot): void {
+    this.holder = holder ?? undefined
+    this._orders.clear()
+    for (const order of orders) this.order(order)
+  }
+}
+
+function subjectOf ({ service, dataCentre, isReclaimable }: Omit<SupplyOrder, 'desiredCount'>): string {
+  return `${service} ${dataCentre} ${isReclaimable ? 'reclaimable' : 'kept'}`
+}
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -4,6 +4,7 @@
  * that is cut off, slow or behind holds this host back.
  */
 import type { FleetHost, FleetUpdate, FollowReply } from '../protocol/fleet.js'
+import type { UsageReport } from '../protocol/usage.js'
 import type { Routing } from '../protocol/routing.js'
 import type { Transport } from '../transport/connection.js'
 import { fleetUpdateMethod, followMethod } from '../transport/fleetMethods.js'
@@ -16,6 +17,7 @@
 import { Signal } from '../utils/signal.js'
 import type { Supervisor } from '../utils/supervisor.js'
 import { FleetEvent } from './fleetEvents.js'
+import { FleetTime } from './fleetTime.js'
 import type { FleetView } from './fleetView.js'
 
 /** Three of these within the time after which a control host calls a follower silent. */
@@ -57,6 +59,8 @@
   drainMs?: number
   /** This host as it is at the moment. */
   describe: () => FleetHost
+  /** What it has to tell of the use of client accounts, if anything: all that changed since a revision. */
+  usage?: { reportSince: (revision: number) => { revision: number, report: UsageReport } } | undefined
   onFatal: (error: unknown) => void
 }
 
@@ -66,9 +70,19 @@
   namedAtMs: number
   /** The control hosts that it told of last. */
   namedAddresses: string[]
+  /** When the latest call that it answered was made. */
+  answeredCallAtMs: number
+}
+
+/** What a connection has told of the use of client accounts. */
+interface ToldUsage {
+  revision: number
+  settledBefore: number
 }
 
 export class FleetFollower {
+  /** The time of day as most hosts have it. */
+  readonly time: FleetTime
   private readonly _parts: FleetFollowerParts
   private readonly _followed = new Map<string, Followed>()
   private readonly _describe = new Signal()
@@ -78,6 +92,7 @@
   constructor (parts: FleetFollowerParts) {
     this._parts = parts
     this._startedAtMs = parts.clock.nowMs()
+    this.time = new FleetTime(parts.clock)
   }
 
   start (): void {
@@ -91,6 +106,13 @@
     return [...this._followed.keys()]
   }
 
+  /** For how long no majority of the control hosts has answered: what they have decided since may not be known here. */
+  outOfTouchMs (): number {
+    const answered = [...this._followed.values()].map(({ answeredCallAtMs }) => answeredCallAtMs).sort((left, right) => right - left)
+    const heardAtMs = answered[Math.floor(answered.length / 2)] ?? Number.NEGATIVE_INFINITY
+    return this._parts.clock.nowMs() - heardAtMs
+  }
+
   /** Tells all control hosts at once that this host has changed. */
   announceChange (): void {
     this._describe.notify()
@@ -109,7 +131,7 @@
   private _begin (address: string): void {
     const { supervisor, clock } = this._parts
     const scope = supervisor.spawn(`control host ${address}`, taskScope => this._run(address, taskScope))
-    this._followed.set(address, { scope, namedAtMs: clock.nowMs(), namedAddresses: [] })
+    this._followed.set(address, { scope, namedAtMs: clock.nowMs(), namedAddresses: [], answeredCallAtMs: Number.NEGATIVE_INFINITY })
   }
 
   private async _run (address: string, scope: Scope): Promise<void> {
@@ -132,11 +154,12 @@
     let unansweredCount = 0
     /** How this host was described in the last call, if that was answered: the other side tells all again otherwise. */
     let told = ''
+    const usage: ToldUsage = { revision: 0, settledBefore: Number.NEGATIVE_INFINITY }
     while (!peer.connection.scope.isClosed && unansweredCount < MAX_UNANSWERED_COUNT) {
       const calledAtMs = clock.nowMs()
       const host = this._parts.describe()
       const description = JSON.stringify(host)
-      const isAnswered = await this._callOnce(peer, address, scope, description === told ? undefined : host)
+      const isAnswered = await this._callOnce(peer, address, scope, description === told ? undefined : host, usage)
       told = isAnswered ? description : ''
       unansweredCount = isAnswered ? 0 : unansweredCount + 1
       if (isAnswered) await this._describe.wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
@@ -149,16 +172,32 @@
     return waitsForQuorum ? UNCONFIRMED_INTERVAL_MS : FOLLOW_INTERVAL_MS
   }
 
-  private async _callOnce (peer: RpcPeer, address: string, scope: Scope, host: FleetHost | undefined): Promise<boolean> {
+  private async _callOnce (peer: RpcPeer, address: string, scope: Scope, host: FleetHost | undefined, told: ToldUsage): Promise<boolean> {
     const { clock, view } = this._parts
-    const request = { host, routingVersion: view.routing?.version }
-    const progress = new Progress(clock, scope, clock.nowMs() + FOLLOW_TIMEOUT_MS)
-    const outcome = await peer.call(followMethod, request, progress)
+    const calledAtMs = clock.nowMs()
+    const usage = this._usageSince(told)
+    const request = { host, routingVersion: view.routing?.version, wallMs: clock.wallMs(), usage: usage?.report }
+    const outcome = await peer.call(followMethod, request, new Progress(clock, scope, calledAtMs + FOLLOW_TIMEOUT_MS))
     if (outcome.kind !== 'replied') return false
+    if (usage) Object.assign(told, { revision: usage.revision, settledBefore: usage.report.settledBefore })
+    this._noteAnswer(address, calledAtMs, outcome.body.fleetWallMs)
     this._onReply(address, outcome.body)
     return true
   }
 
+  /** Undefined when the connection has told all that there is. */
+  private _usageSince ({ revision, settledBefore }: ToldUsage): { revision: number, report: UsageReport } | undefined {
+    const usage = this._parts.usage?.reportSince(revision)
+    const isNews = usage !== undefined && (usage.revision !== revision || usage.report.settledBefore !== settledBefore)
+    return isNews ? usage : undefined
+  }
+
+  private _noteAnswer (address: string, calledAtMs: number, fleetWallMs: number | undefined): void {
+    const followed = this._followed.get(address)
+    if (followed) followed.answeredCallAtMs = calledAtMs
+    if (fleetWallMs !== undefined) this.time.learn(address, { fleetWallMs, calledAtMs, answeredAtMs: this._parts.clock.nowMs() })
+  }
+
   private _onReply (address: string, reply: FollowReply): void {
     const followed = this._followed.get(address)
     if (followed && reply.controlAddresses) followed.namedAddresses = reply.controlAddresses
--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -49,8 +49,22 @@
     /** Callers keep an answer about addresses no longer than this, whatever it says. */
     maxAdviceAgeS: z.number().positive().default(5),
     /** An endpoint that leaves gets nothing new after this. */
-    drainMs: z.number().positive().default(2_000)
-  })
+    drainMs: z.number().positive().default(2_000),
+    /** A host that is out of touch admits no key any more, rather than one that may have been taken away. */
+    isRevocationStrict: z.boolean().default(false),
+    /** For how long such a host still admits the keys that it knows. */
+    revokeMs: z.number().min(0).default(5_000),
+    /** Use is reported for each window of this length. */
+    usageWindowS: z.number().positive().default(5),
+    /** After the end of a window its report is due. */
+    usageLateS: z.number().positive().default(10)
+  }),
+  /** Where the infrastructure takes calls that are the duty of one host at a time; absent where there are none. */
+  infrastructure: z.strictObject({
+    address: addressSchema,
+    /** As the deployment calls them. */
+    duties: z.array(z.string())
+  }).optional()
 })
 export type FleetHostSettings = z.infer<typeof fleetHostSettingsSchema>
 
--- a/src/fleet/fleetView.ts
+++ b/src/fleet/fleetView.ts
@@ -53,6 +53,11 @@
     return [...this._endpoints.values()].filter(({ lifecycle }) => lifecycle === EndpointLifecycle.Ready)
   }
 
+  /** Known endpoints of a service, whether they take new work or leave. */
+  endpointsOf (service: string): FleetEndpoint[] {
+    return [...this._endpoints.values()].filter(endpoint => endpoint.service === service)
+  }
+
   endpoint (endpointId: string): FleetEndpoint | undefined {
     return this._endpoints.get(endpointId)
   }
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -27,6 +27,7 @@
 import { GatewayEvent } from './gatewayEvents.js'
 import { lateAfterMs, verdictOn } from './requestPolicy.js'
 import { chooseService } from './routeTable.js'
+import { WaitingTurns, type WaitingTurn } from './waitingTurns.js'
 
 /** Pause before endpoints that were all full are asked again. */
 const FULL_RETRY_MS = 20
@@ -39,6 +40,12 @@
   headers: string[]
   body: Uint8Array
   attemptId: string
+  /** The client account in whose name it runs; undefined for none. */
+  account?: string | undefined
+  /** 0 is the most urgent; that of the account, if it has one, goes before that of the route. */
+  priority?: number | undefined
+  /** Told once when an endpoint has begun, or may have begun, to run it: the instant at which it was sent there. */
+  onBegan?: ((sentAtMs: number) => void) | undefined
   progress: Progress
   /** A refusal is of no use to whoever asks: keep trying until the deadline. */
   isPersistent?: boolean
@@ -63,6 +70,7 @@
   private readonly _parts: RequestForwarderParts
   /** Second tries beside first ones add at most a tenth to the load of a service. */
   private readonly _hedgeBudgets = new Map<string, RetryBudget>()
+  private readonly _turns = new WaitingTurns()
 
   constructor (parts: RequestForwarderParts) {
     this._parts = parts
@@ -72,10 +80,11 @@
   async forward (request: ForwardRequest): Promise<ForwardOutcome> {
     const scope = request.progress.scope.child('tries')
     const service = chooseService(request.route, this._parts.random)
-    const run = new ForwardRun(this._parts, request, service, this._hedgeBudgetOf(service, request.progress.clock), scope)
+    const run = new ForwardRun(this._parts, request, service, this._hedgeBudgetOf(service, request.progress.clock), this._turns, scope)
     try {
       return await run.run()
     } finally {
+      run.leaveTurn()
       scope.close('forwarded')
     }
   }
@@ -96,6 +105,8 @@
   private readonly _identity: RequestIdentity
   private readonly _service: string
   private readonly _hedgeBudget: RetryBudget
+  private readonly _turns: WaitingTurns
+  private readonly _turn: WaitingTurn
   private readonly _tried = new Set<string>()
   private readonly _settled = new Signal()
   private readonly _startedAtMs: number
@@ -103,11 +114,12 @@
   private _openCount = 0
   /** Tries that may have run. */
   private _ranCount = 0
+  private _isBegun = false
   private readonly _failures: FailureAccount
   private _answer: Settled | undefined
   private _failure: Settled | undefined
 
-  constructor (parts: RequestForwarderParts, request: ForwardRequest, service: string, hedgeBudget: RetryBudget, scope: Scope) {
+  constructor (parts: RequestForwarderParts, request: ForwardRequest, service: string, hedgeBudget: RetryBudget, turns: WaitingTurns, scope: Scope) {
     this._parts = parts
     this._request = request
     this._scope = scope
@@ -116,6 +128,13 @@
     this._failures = new FailureAccount(() => this._identity.digest)
     this._hedgeBudget = hedgeBudget
     this._startedAtMs = request.progress.clock.nowMs()
+    this._turns = turns
+    this._turn = { service, priority: request.priority ?? request.route.priority }
+  }
+
+  /** It waits no longer. */
+  leaveTurn (): void {
+    this._turns.leave(this._turn)
   }
 
   async run (): Promise<ForwardOutcome> {
@@ -139,13 +158,14 @@
     if (!mayRunAgain) return this._failure ?? this._giveUp(RefusalReason.EndpointFailed)
     const standing = this._parts.quarantine.standingOf(this._identity)
     if (standing === RequestStanding.Condemned) return this._holdBack()
-    const endpoint = this._choose()
+    const endpoint = this._chooseInTurn()
     // With all of them gone it waits for the first that is back, or for its deadline.
     if (endpoint && (this._parts.pool.isRefusing(endpoint) || !this._parts.quarantine.mayBegin(standing, endpoint))) return undefined
     if (endpoint) {
       this._startTry(endpoint)
       return undefined
     }
+    this._turns.wait(this._turn)
     const { isPersistent, progress } = this._request
     if (isPersistent === true) return undefined
     const untaken = { forecast: this._parts.pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }
@@ -175,6 +195,12 @@
     this._countRetry(RetryReason.Hedged)
   }
 
+  /** Undefined while others that wait go before it. */
+  private _chooseInTurn (): FleetEndpoint | undefined {
+    const { pool } = this._parts
+    return this._turns.mayTry(this._turn, pool.roomCount(this._service)) ? this._choose() : undefined
+  }
+
   private _choose (): FleetEndpoint | undefined {
     return this._parts.pool.choose(this._service, this._tried, this._parts.quarantine.riskyEndpointIds())
   }
@@ -190,7 +216,7 @@
   }
 
   private async _try (endpoint: FleetEndpoint): Promise<void> {
-    const { method, path, host, headers, body, attemptId, progress } = this._request
+    const { method, path, host, headers, body, attemptId, account, progress } = this._request
     const { clock } = progress
     const health = this._parts.pool.health(endpoint.endpointId)
     const startedAtMs = clock.nowMs()
@@ -199,7 +225,7 @@
     health.began()
     health.runningCount++
     try {
-      const request = { endpoint, method, path, host, headers, body, attemptId, deadlineMs: progress.deadlineMs }
+      const request = { endpoint, method, path, host, headers, body, attemptId, account, deadlineMs: progress.deadlineMs }
       const outcome = await this._parts.client.call(request, this._scope)
       isSettled = true
       this._openCount--
@@ -208,6 +234,7 @@
     } finally {
       health.runningCount--
       if (!isSettled) this._parts.quarantine.left(run)
+      if (!isSettled) this._noteBegun(startedAtMs)
       if (this._scope.isClosed) health.took(clock.nowMs() - startedAtMs)
     }
   }
@@ -218,6 +245,8 @@
     const health = this._parts.pool.health(endpoint.endpointId)
     switch (outcome.kind) {
       case 'answered':
+        this._noteBegun(startedAtMs)
+        this._turns.served(this._turn)
         if (outcome.status < 500) {
           this._parts.quarantine.answered(run)
           health.succeeded(durationMs, outcome.load)
@@ -237,6 +266,11 @@
     }
   }
 
+  private _noteBegun (sentAtMs: number): void {
+    if (!this._isBegun) this._request.onBegan?.(sentAtMs)
+    this._isBegun = true
+  }
+
   /** Nothing says when to come back: it would be held back again. */
   private _holdBack (): ForwardOutcome {
     const { attemptId, route } = this._request
@@ -246,7 +280,10 @@
 
   private _onFailed (endpoint: FleetEndpoint, startedAtMs: number, outcome: FailedOutcome): void {
     const { reason, detail, mayHaveRun, wasFull } = noteFailedTry(endpoint.endpointId, startedAtMs, outcome, this._parts)
-    if (mayHaveRun) this._ranCount++
+    if (mayHaveRun) {
+      this._ranCount++
+      this._noteBegun(startedAtMs)
+    }
     // It may be asked again when all the others were.
     if (wasFull) this._tried.delete(endpoint.endpointId)
     this._logFailure(endpoint, reason, detail)
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -81,6 +81,7 @@
   private readonly _tried = new Set<string>()
   private _lastEventId: number | undefined
   private _isHeadSent = false
+  private _isBegun = false
   private _cutter = new EventCutter()
   /** Tries that may have run. */
   private _ranCount = 0
@@ -137,6 +138,12 @@
     return verdictOn({ forecast: pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }, random)
   }
 
+  /** A stream has begun to run with the first that comes of it. */
+  private _noteBegun (): void {
+    if (!this._isBegun) this._request.onBegan?.(this._request.progress.clock.nowMs())
+    this._isBegun = true
+  }
+
   /** One endpoint; undefined when another one may be tried. */
   private async _try (endpoint: FleetEndpoint): Promise<StreamForwardOutcome | undefined> {
     const { progress } = this._request
@@ -182,6 +189,7 @@
 
   /** Passes whole events on; a route that cannot be resumed gets every byte at once. */
   private async _onData (chunk: Uint8Array): Promise<string | undefined> {
+    this._noteBegun()
     if (!this._request.route.isResumable) {
       await this._sink.write(chunk)
       return undefined
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -31,6 +31,10 @@
 
 export const batchSubmissionSchema = z.object({
   batchId: z.string(),
+  /** The client account that it belongs to; absent for none. It outlives the keys of the account. */
+  account: z.string().optional(),
+  /** 0 is the most urgent; that of the account, if it has one, goes before that of the route. */
+  priority: z.number().optional(),
   /** Host and path that it was sent to, which tell its route. */
   host: z.string(),
   path: z.string(),
@@ -80,7 +84,9 @@
   Finish = 'batch.finish',
   End = 'batch.end',
   AnnounceOrder = 'batch.announceOrder',
-  NameWeights = 'batch.nameWeights'
+  NameWeights = 'batch.nameWeights',
+  ClaimSupply = 'supply.claim',
+  OrderSupply = 'supply.order'
 }
 
 export const batchCommandSchema = z.discriminatedUnion('kind', [
@@ -105,7 +111,7 @@
     afterEventId: z.int().min(0),
     result: itemResultSchema
   }),
-  z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string() }),
+  z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string(), account: z.string().optional() }),
   /** The leader is about to order an engine. */
   z.object({
     kind: z.literal(BatchCommandKind.AnnounceOrder),
@@ -116,13 +122,19 @@
     lanesCount: z.int().min(1).optional()
   }),
   /** A trainer named a version of its model's weights. */
-  z.object({ kind: z.literal(BatchCommandKind.NameWeights), model: z.string(), version: z.int() })
+  z.object({ kind: z.literal(BatchCommandKind.NameWeights), model: z.string(), version: z.int() }),
+  /** The leader takes over the ordering of engines. */
+  z.object({ kind: z.literal(BatchCommandKind.ClaimSupply), holder: z.string() }),
+  /** The leader is about to order so many engines of a kind in a data centre. */
+  z.object({ kind: z.literal(BatchCommandKind.OrderSupply), service: z.string(), dataCentre: z.string(), isReclaimable: z.boolean(), desiredCount: z.int().min(0) })
 ])
 export type BatchCommand = z.infer<typeof batchCommandSchema>
 
 export type BatchCommandResult =
   /** Taken, now or before. */
   | { kind: 'accepted' }
+  /** A batch of another client account has the id. */
+  | { kind: 'foreign' }
   /** The result has a position in the list. */
   | { kind: 'listed', position: number }
   /** The batch has ended, or is not known: nothing is listed any more. */
@@ -133,4 +145,5 @@
   | { kind: 'ended' }
   | { kind: 'announced' }
   | { kind: 'named' }
+  | { kind: 'supplyHeld' }
   | { kind: 'unknownBatch' }
--- a/src/protocol/commands.ts
+++ b/src/protocol/commands.ts
@@ -6,12 +6,13 @@
 import { resourceCommandSchema, resourceResultSchema, type ResourceCommand, type ResourceResult } from './resourceCommands.js'
 import { rolloutCommandSchema, rolloutResultSchema, type RolloutCommand, type RolloutResult } from './rolloutCommands.js'
 import { routingCommandSchema, routingResultSchema, type RoutingCommand, type RoutingResult } from './routingCommands.js'
+import { usageCommandSchema, usageResultSchema, type UsageCommand, type UsageResult } from './usage.js'
 import { unrepeatableCommandSchema, unrepeatableResultSchema, type UnrepeatableCommand, type UnrepeatableResult } from './unrepeatableCommands.js'
 
-export const commandSchema = z.union([resourceCommandSchema, hostCommandSchema, unrepeatableCommandSchema, rolloutCommandSchema, routingCommandSchema])
+export const commandSchema = z.union([resourceCommandSchema, hostCommandSchema, unrepeatableCommandSchema, rolloutCommandSchema, routingCommandSchema, usageCommandSchema])
 export type Command = z.infer<typeof commandSchema>
 
-export const commandResultSchema = z.union([resourceResultSchema, hostResultSchema, unrepeatableResultSchema, rolloutResultSchema, routingResultSchema])
+export const commandResultSchema = z.union([resourceResultSchema, hostResultSchema, unrepeatableResultSchema, rolloutResultSchema, routingResultSchema, usageResultSchema])
 
 export type CommandResult<C extends Command> =
   C extends ResourceCommand ? ResourceResult
@@ -19,6 +20,7 @@
       : C extends UnrepeatableCommand ? UnrepeatableResult
         : C extends RolloutCommand ? RolloutResult
           : C extends RoutingCommand ? RoutingResult
-            : never
+            : C extends UsageCommand ? UsageResult
+              : never
 
 export type AnyCommandResult = z.infer<typeof commandResultSchema>
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -8,6 +8,7 @@
 import { quarantineNoticeSchema } from './quarantine.js'
 import { routingSchema } from './routing.js'
 import { namedWeightsSchema, retirementSchema, storeGroupSchema } from './routingCommands.js'
+import { usageReportSchema } from './usage.js'
 
 export { EndpointLifecycle }
 
@@ -28,6 +29,10 @@
   sequence: z.number(),
   /** How much longer it is slow after its start, at the time of the heartbeat. */
   coldLeftMs: z.number(),
+  /** It costs less and may be taken away at short notice. */
+  isReclaimable: z.boolean().optional(),
+  /** Time until it is taken away, at the time of the heartbeat; absent when it does not say. */
+  leavesInMs: z.number().optional(),
   weights: z.array(namedWeightsSchema)
 })
 export type FleetEndpoint = z.infer<typeof fleetEndpointSchema>
@@ -96,7 +101,11 @@
   /** The follower; left out when the last call on this connection was answered and it has not changed since. */
   host: fleetHostSchema.optional(),
   /** Version of the routing configuration in force on the host; absent before the first one. */
-  routingVersion: z.int().optional()
+  routingVersion: z.int().optional(),
+  /** The follower's time of day, by its own clock. */
+  wallMs: z.number().optional(),
+  /** Left out while nothing has changed since the last call that was answered. */
+  usage: usageReportSchema.optional()
 })
 export type FollowRequest = z.infer<typeof followRequestSchema>
 
@@ -105,6 +114,8 @@
   controlAddresses: z.array(z.string()).optional(),
   /** True when a quorum confirmed, after the call began, that nothing newer is in force. */
   isRoutingConfirmed: z.boolean(),
+  /** The time of day as most hosts have it. */
+  fleetWallMs: z.number().optional(),
   update: fleetUpdateSchema
 })
 export type FollowReply = z.infer<typeof followReplySchema>
--- a/src/protocol/routing.ts
+++ b/src/protocol/routing.ts
@@ -49,6 +49,8 @@
   maxAttemptsCount: z.int().min(1),
   /** A broken stream may go on behind the last event that arrived. */
   isResumable: z.boolean(),
+  /** Callers need no key. */
+  isPublic: z.boolean().optional(),
   batch: batchPromiseSchema.optional()
 })
 export type RoutingRoute = z.infer<typeof routeSchema>
@@ -62,12 +64,27 @@
 })
 export type ModelEngine = z.infer<typeof modelEngineSchema>
 
+/** How many endpoints of a service may be ordered, and what they cost. */
+export const serviceScalingSchema = z.object({
+  /** In each data centre. */
+  minCount: z.int().min(0),
+  maxCount: z.int().min(0),
+  /** From an order until the endpoint serves. */
+  bootMs: z.number().min(0),
+  /** Cost of an endpoint that may be taken away, as a share of one that may not; absent where there are none. */
+  reclaimablePrice: z.number().min(0).optional(),
+  /** Cost of an endpoint for a second, by data centre. */
+  prices: z.record(z.string(), z.number())
+})
+export type ServiceScaling = z.infer<typeof serviceScalingSchema>
+
 export const serviceSchema = z.object({
   name: z.string(),
   healthPath: z.string(),
   /** Connections that one endpoint takes from all callers together. */
   maxConnectionsCount: z.int().min(1),
-  engine: modelEngineSchema.optional()
+  engine: modelEngineSchema.optional(),
+  scaling: serviceScalingSchema.optional()
 })
 export type RoutingService = z.infer<typeof serviceSchema>
 
@@ -78,10 +95,21 @@
   idleTimeoutMs: z.number().positive()
 })
 
+/** Whoever calls with one of its keys; what is kept of a key is its digest. */
+export const clientAccountSchema = z.object({
+  name: z.string(),
+  keyDigests: z.array(z.string()),
+  /** 0 is the most urgent; goes before that of a route. */
+  priority: z.number().optional()
+})
+export type ClientAccount = z.infer<typeof clientAccountSchema>
+
 export const routingSchema = z.object({
   version: z.int().min(0),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
-  bounds: callerBoundsSchema
+  bounds: callerBoundsSchema,
+  /** Absent where callers need no key. */
+  accounts: z.array(clientAccountSchema).optional()
 })
 export type Routing = z.infer<typeof routingSchema>
--- a/src/transport/batchMethods.ts
+++ b/src/transport/batchMethods.ts
@@ -74,14 +74,18 @@
 ])
 
 export const submitBatchMethod = rpcMethod('batch.submit', z.object({ submission: batchSubmissionSchema }), submitBatchReplySchema)
+/** The client account in whose name a batch is asked for: what belongs to another one is not known to it. */
+const account = z.string().optional()
+
 export const readResultsMethod = rpcMethod('batch.results', z.object({
   batchId: z.string(),
+  account,
   fromPosition: z.int().min(0),
   /** How long to wait until there is a result at the position. */
   waitMs: z.number().min(0)
 }), readResultsReplySchema)
-export const readItemMethod = rpcMethod('batch.item', z.object({ batchId: z.string(), itemId: z.string() }), readItemReplySchema)
-export const endBatchMethod = rpcMethod('batch.end', z.object({ batchId: z.string() }), endBatchReplySchema)
+export const readItemMethod = rpcMethod('batch.item', z.object({ batchId: z.string(), account, itemId: z.string() }), readItemReplySchema)
+export const endBatchMethod = rpcMethod('batch.end', z.object({ batchId: z.string(), account }), endBatchReplySchema)
 /** Between replicas of the store: lets one that does not lead answer a read. */
 export const batchReadIndexMethod = rpcMethod('batch.readIndex', z.object({}), batchReadIndexReplySchema)
 export const nameWeightsReplySchema = z.discriminatedUnion('kind', [
--- /dev/null
+++ b/src/utils/median.ts
@@ -0,0 +1,7 @@
+/** Of an even number of values, the mean of the two in the middle; 0 of none. */
+export function median (values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right)
+  const middle = sorted.length / 2
+  const [low = 0, high = 0] = [sorted[Math.ceil(middle) - 1], sorted[Math.floor(middle)]]
+  return (low + high) / 2
+}
--- /dev/null
+++ b/tests/accounts/admission.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava'
+import { AccountTable } from '../../src/accounts/accountTable.js'
+import { admit, AdmissionProblem, IN_TOUCH_MS, type Admission, type Caller } from '../../src/accounts/admission.js'
+import { CallerAdmission } from '../../src/accounts/callerAdmission.js'
+import { digestOfKey, isSameDigest, shortDigest } from '../../src/accounts/keyDigest.js'
+import { routing } from '../fixtures/fleet/fleetFixtures.js'
+
+const KEY = 'key of learners'
+const lenient = { isRevocationStrict: false, revokeMs: 5_000 }
+const strict = { isRevocationStrict: true, revokeMs: 5_000 }
+const accounts = new AccountTable([
+  { name: 'learners', keyDigests: [digestOfKey(KEY), digestOfKey('another key of learners')], priority: 1 },
+  { name: 'trainers', keyDigests: [digestOfKey('key of trainers')] },
+  { name: 'keyless', keyDigests: [] }
+])
+
+function caller (changes: Partial<Caller> = {}): Caller {
+  return { accounts, isPublic: false, keyDigest: digestOfKey(KEY), outOfTouchMs: 0, ...changes }
+}
+
+const learners: Admission = { kind: 'admitted', account: 'learners', priority: 1 }
+const nobody: Admission = { kind: 'admitted', account: undefined, priority: undefined }
+const unknownDigest = digestOfKey('nobody has this')
+
+const cases: Array<[string, Caller, typeof lenient, Admission]> = [
+  ['a key in the name of its holder', caller(), lenient, learners],
+  ['every key of an account', caller({ keyDigest: digestOfKey('another key of learners') }), lenient, learners],
+  ['anybody where callers need no key', caller({ accounts: undefined, keyDigest: undefined }), lenient, { kind: 'open' }],
+  ['a public route without a key in nobody\'s name', caller({ isPublic: true, keyDigest: undefined }), lenient, nobody],
+  ['a public route with an unknown key in nobody\'s name', caller({ isPublic: true, keyDigest: unknownDigest }), lenient, nobody],
+  ['a public route with a known key in the name of its holder', caller({ isPublic: true }), lenient, learners],
+  ['no caller without a key', caller({ keyDigest: undefined }), lenient, { kind: 'refused', reason: AdmissionProblem.MissingKey }],
+  ['no unknown key while the host is in touch', caller({ keyDigest: unknownDigest, outOfTouchMs: IN_TOUCH_MS }), lenient, { kind: 'refused', reason: AdmissionProblem.UnknownKey }],
+  ['an unknown key later, once the host is in touch again', caller({ keyDigest: unknownDigest, outOfTouchMs: IN_TOUCH_MS + 1 }), lenient, { kind: 'unsure', reason: AdmissionProblem.UnknownKey }],
+  ['a known key at a host out of touch where revocation is lenient', caller({ outOfTouchMs: Number.POSITIVE_INFINITY }), lenient, learners],
+  ['a known key up to the bound where revocation is strict', caller({ outOfTouchMs: 5_000 }), strict, learners],
+  ['no known key beyond the bound where revocation is strict', caller({ outOfTouchMs: 5_001 }), strict, { kind: 'unsure', reason: AdmissionProblem.OutOfTouch }],
+  ['a public route beyond that bound in nobody\'s name', caller({ outOfTouchMs: 5_001, isPublic: true }), strict, nobody]
+]
+
+for (const [what, call, policy, expected] of cases) {
+  test(`should admit ${what}`, t => {
+    t.deepEqual(admit(call, policy), expected)
+  })
+}
+
+test('should decide each call by the version in force at that moment', t => {
+  const admission = new CallerAdmission({ policy: lenient, outOfTouchMs: () => 0 })
+  const held = (version: number, holder: string | undefined) => ({ ...routing(version), accounts: [{ name: holder ?? 'other', keyDigests: holder === undefined ? [] : [digestOfKey(KEY)] }] })
+  t.like(admission.decide(held(1, 'learners'), false, KEY).admission, { kind: 'admitted', account: 'learners' })
+  t.like(admission.decide(held(2, undefined), false, KEY).admission, { kind: 'refused' })
+  t.like(admission.decide(held(3, 'trainers'), false, KEY).admission, { kind: 'admitted', account: 'trainers' })
+  t.is(admission.decide(routing(4), false, KEY).admission.kind, 'open')
+})
+
+test('should name a key by the start of its digest alone', t => {
+  const { keyName } = new CallerAdmission({ policy: lenient, outOfTouchMs: () => 0 }).decide({ ...routing(1), accounts: [] }, false, KEY)
+  t.is(keyName, shortDigest(digestOfKey(KEY)))
+  t.false(keyName?.includes(KEY))
+})
+
+test('should tell digests apart that begin alike', t => {
+  const digest = digestOfKey(KEY)
+  const alike = shortDigest(digest) + digestOfKey('other').slice(shortDigest(digest).length)
+  t.false(isSameDigest(digest, alike))
+  t.is(new AccountTable([{ name: 'a', keyDigests: [alike] }, { name: 'b', keyDigests: [digest] }]).holderOf(digest)?.name, 'b')
+})
--- a/tests/batches/batchState.test.ts
+++ b/tests/batches/batchState.test.ts
@@ -71,6 +71,42 @@
   t.is(item && textOf(state.completedResult(item)?.parts ?? []), 'x')
 })
 
+// Guards against output of one account that an item with the same id of another account would get.
+test('should give no account what an item of another account has made, and let none read or end its batches', t => {
+  const state = new BatchState()
+  const own = submission('b1', ['i1', 'i2'], { account: 'learners' })
+  const keep: BatchCommand = { kind: BatchCommandKind.Progress, batchId: 'b1', itemId: 'i1', afterEventId: 0, parts: [toPart(['a'], [1])] }
+  const outcomes = applyAll(state, [
+    submit(own),
+    keep,
+    finish('b1', result('i2', 'x')),
+    { kind: BatchCommandKind.End, batchId: 'b1', account: 'trainers' },
+    { kind: BatchCommandKind.End, batchId: 'b1' },
+    submit({ ...own, account: 'trainers' }),
+    { kind: BatchCommandKind.End, batchId: 'b1', account: 'learners' }
+  ])
+  t.deepEqual(outcomes.map(({ kind }) => kind), ['accepted', 'kept', 'listed', 'unknownBatch', 'unknownBatch', 'foreign', 'ended'])
+  const [, item] = own.items
+  t.deepEqual([state.unfinishedParts('i1', 'trainers'), state.unfinishedParts('i1')], [[], []])
+  t.is(item && state.completedResult(item, 'trainers'), undefined)
+  t.is(textOf(state.unfinishedParts('i1', 'learners')), 'a')
+  t.is(item && textOf(state.completedResult(item, 'learners')?.parts ?? []), 'x')
+  t.is(state.get('b1')?.isOf('trainers'), false)
+})
+
+test('should hold accounts, what was kept in their names and orders for engines over a snapshot', t => {
+  const state = new BatchState()
+  const order = { service: 'engines', dataCentre: 'north', isReclaimable: true, desiredCount: 4 }
+  const keep: BatchCommand = { kind: BatchCommandKind.Progress, batchId: 'b1', itemId: 'i1', afterEventId: 0, parts: [toPart(['a'], [1])] }
+  applyAll(state, [submit(submission('b1', ['i1'], { account: 'learners' })), keep, { kind: BatchCommandKind.ClaimSupply, holder: 's1' }, { kind: BatchCommandKind.OrderSupply, ...order }])
+  const restored = new BatchState()
+  restored.restore(structuredClone([...state.snapshot()]))
+  t.is(restored.get('b1')?.submission.account, 'learners')
+  t.is(textOf(restored.unfinishedParts('i1', 'learners')), 'a')
+  t.is(restored.supply.holder, 's1')
+  t.is(restored.supply.orderOf(order), 4)
+})
+
 test('should not reuse a score that another reward call gave', t => {
   const state = new BatchState()
   applyAll(state, [submit(submission('b1', ['i1'])), finish('b1', result('i1', 'x')), submit(submission('b2', ['i1'], { rewardSuffix: 'new' }))])
--- /dev/null
+++ b/tests/gateway/waitingTurns.test.ts
@@ -0,0 +1,81 @@
+import test from 'ava'
+import { PriorityShare } from '../../src/accounts/priorityShare.js'
+import { WaitingTurns, type WaitingTurn } from '../../src/gateway/waitingTurns.js'
+
+const SERVICE = 'decks'
+
+test('should let anybody try while nobody waits, and the earliest of those that wait', t => {
+  const turns = new WaitingTurns()
+  const [first, second] = [{ service: SERVICE, priority: 2 }, { service: SERVICE, priority: 2 }]
+  t.true(turns.mayTry(second, 1))
+  turns.wait(first)
+  turns.wait(second)
+  t.true(turns.mayTry(first, 1))
+  t.false(turns.mayTry(second, 1))
+  t.true(turns.mayTry(second, 2))
+  turns.leave(first)
+  t.true(turns.mayTry(second, 1))
+})
+
+test('should let the urgent try before what came earlier', t => {
+  const turns = new WaitingTurns()
+  const [patient, urgent] = [{ service: SERVICE, priority: 2 }, { service: SERVICE, priority: 0 }]
+  turns.wait(patient)
+  turns.wait(urgent)
+  t.true(turns.mayTry(urgent, 1))
+  t.false(turns.mayTry(patient, 1))
+})
+
+/** Serves one request every 20 ms for a minute while as many come as there are priorities; what has waited for its deadline leaves. */
+function serveOverload (priorities: number[], deadlineMs: number): number[] {
+  const turns = new WaitingTurns()
+  let waiting: Array<{ turn: WaitingTurn, sinceMs: number }> = []
+  const servedCounts = priorities.map(() => 0)
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
+    for (const priority of priorities) {
+      const turn = { service: SERVICE, priority }
+      turns.wait(turn)
+      waiting.push({ turn, sinceMs: nowMs })
+    }
+    const next = waiting.find(({ turn }) => turns.mayTry(turn, 1))
+    if (next) {
+      turns.served(next.turn)
+      const position = priorities.indexOf(next.turn.priority)
+      servedCounts[position] = (servedCounts[position] ?? 0) + 1
+    }
+    for (const { turn, sinceMs } of waiting) if (nowMs - sinceMs > deadlineMs) turns.leave(turn)
+    waiting = waiting.filter(entry => entry !== next && nowMs - entry.sinceMs <= deadlineMs)
+  }
+  return servedCounts
+}
+
+// Guards against an account that is never served while a more urgent one asks for all there is.
+test('should serve the urgent more often and starve nobody while three times as much comes as can be served', t => {
+  const [urgent = 0, middle = 0, patient = 0] = serveOverload([0, 1, 2], 1_500)
+  t.true(urgent > middle && middle > patient, `${urgent}, ${middle}, ${patient}`)
+  t.true(patient > (urgent + middle + patient) / 3 / 4, `${urgent}, ${middle}, ${patient}`)
+})
+
+test('should serve equals alike', t => {
+  const [first = 0] = serveOverload([1], 1_500)
+  t.is(first, 3_000)
+})
+
+/** Slots that come free one by one before items of two priorities, ten of the urgent for each of the other. */
+test('should share slots by priority and by what waits, and keep the order within a priority', t => {
+  const share = new PriorityShare()
+  const order: string[] = []
+  let waiting = Array.from({ length: 44 }, (_, position) => ({ name: position, priority: position % 11 === 0 ? 5 : 0 }))
+  for (let turn = 0; turn < 22; turn++) {
+    let isTaken = false
+    waiting = share.serve(waiting, ({ priority }) => priority, ({ name, priority }) => {
+      if (isTaken) return false
+      isTaken = true
+      order.push(`${priority}:${name}`)
+      return true
+    })
+  }
+  const patient = order.filter(text => text.startsWith('5:'))
+  t.true(patient.length >= 1 && patient.length <= 2, order.join(' '))
+  t.deepEqual(order.filter(text => text.startsWith('0:')).map(text => Number(text.slice(2))), order.filter(text => text.startsWith('0:')).map(text => Number(text.slice(2))).sort((left, right) => left - right))
+})
--- /dev/null
+++ b/tests/platform/callerKeys.test.ts
@@ -0,0 +1,154 @@
+import test, { type ExecutionContext } from 'ava'
+import { request } from 'undici'
+import { BatchRoutes } from '../../platform/batchRoutes.js'
+import { CallerServer } from '../../platform/callerServer.js'
+import { PlatformEndpointClient } from '../../platform/endpointClient.js'
+import { CallerAdmission } from '../../src/accounts/callerAdmission.js'
+import { digestOfKey } from '../../src/accounts/keyDigest.js'
+import { BatchClient } from '../../src/batches/batchClient.js'
+import { UsageCounter } from '../../src/duties/usageCounter.js'
+import { EndpointPool } from '../../src/endpoints/endpointPool.js'
+import { FleetView } from '../../src/fleet/fleetView.js'
+import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
+import { StreamForwarder } from '../../src/gateway/streamForwarder.js'
+import { RouteKind, type ClientAccount } from '../../src/protocol/routing.js'
+import { TcpTransport } from '../../src/transport/tcpTransport.js'
+import { systemClock } from '../../src/utils/clock.js'
+import { silentLogger, type LogFields, type Logger } from '../../src/utils/logger.js'
+import { memoryMetrics } from '../../src/utils/metrics.js'
+import { seededRandom } from '../../src/utils/randomSource.js'
+import { Scope } from '../../src/utils/scope.js'
+import { DATA_CENTRE, HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
+import { quarantineOf } from '../fixtures/fleet/quarantineFixtures.js'
+import { freePort, loopbackHost } from '../fixtures/loopback.js'
+import { rawEndpoint, wholeAnswer } from '../fixtures/rawEndpoint.js'
+
+const KEY = 'secret-of-learners'
+
+interface Served {
+  url: string
+  /** What the endpoint got, head and body. */
+  requests: string[]
+  events: Array<{ number: number, fields: LogFields }>
+  usage: UsageCounter
+  /** Puts a further version into force. */
+  holdKeys: (accounts: ClientAccount[] | undefined) => void
+}
+
+/** A host for callers before one endpoint, with a route that needs a key, a public one, a stream and one for batches. */
+async function serve (t: ExecutionContext, outOfTouchMs = 0): Promise<Served> {
+  const scope = new Scope('test')
+  t.teardown(() => scope.close('test over'))
+  const onFatal = (error: unknown): void => { throw error }
+  const events: Served['events'] = []
+  const logger: Logger = { event: (number, fields = {}) => events.push({ number, fields }), child: () => logger }
+  const raw = await rawEndpoint(({ socket, attemptId }) => { socket.write(wholeAnswer(attemptId)) })
+  t.teardown(() => raw.close())
+  const view = new FleetView(silentLogger)
+  view.merge('control-1', { endpoints: [raw.endpoint] })
+  const [random, metrics] = [seededRandom(1), memoryMetrics()]
+  const client = new PlatformEndpointClient(systemClock)
+  const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics })
+  const parts = { view, pool, client, quarantine: quarantineOf(view, systemClock, client), random, logger, metrics }
+  const batches = new BatchRoutes({ client: new BatchClient(view, DATA_CENTRE, new TcpTransport(), scope, onFatal), clock: systemClock, logger, metrics })
+  const admission = new CallerAdmission({ policy: { isRevocationStrict: false, revokeMs: 5_000 }, outOfTouchMs: () => outOfTouchMs })
+  const usage = new UsageCounter({ clock: systemClock, windowMs: 1e12, wallAt: nowMs => nowMs, incarnation: 'x' })
+  const address = `${loopbackHost()}:${await freePort()}`
+  const server = new CallerServer({
+    address, scope, clock: systemClock, logger, metrics, view, batches, admission, usage, onFatal, forwarder: new RequestForwarder(parts), streams: new StreamForwarder(parts)
+  })
+  await server.listen()
+  let version = 0
+  const services = [{ service: raw.endpoint.service, weight: 1 }]
+  const routes = [
+    route({ services }),
+    route({ name: 'public', pathPrefix: '/score/', isPublic: true, services }),
+    route({ name: 'stream', pathPrefix: '/stream/', kind: RouteKind.Stream, services }),
+    route({ name: 'hints', pathPrefix: '/hints/', kind: RouteKind.Batch, services })
+  ]
+  const holdKeys = (accounts: ClientAccount[] | undefined): void => { view.merge('control-1', { routing: { ...routing(++version, routes), accounts } }) }
+  holdKeys([{ name: 'learners', keyDigests: [digestOfKey(KEY)] }])
+  return { url: `http://${address}`, requests: raw.requests, events, usage, holdKeys }
+}
+
+async function ask ({ url }: Served, path: string, headers: Record<string, string>, method: 'POST' | 'GET' | 'DELETE' = 'POST'): Promise<{ status: number, retryAfter: unknown }> {
+  const answer = await request(`${url}${path}`, { method, headers: { host: HOST, 'x-threaddrum-attempt-id': 'a1', ...headers } })
+  await answer.body.dump()
+  return { status: answer.statusCode, retryAfter: answer.headers['retry-after'] }
+}
+
+const withKey = { authorization: `Token ${KEY}`, 'x-threaddrum-tenant': 'trainers' }
+
+test('should show endpoints the account of a caller and never the key or what the caller says of its account', async t => {
+  const served = await serve(t)
+  t.is((await ask(served, '/open/7', withKey)).status, 200)
+  t.is((await ask(served, '/score/7', withKey)).status, 200)
+  t.is((await ask(served, '/stream/7', withKey)).status, 200)
+  t.is(served.requests.length, 3)
+  for (const text of served.requests) {
+    t.regex(text, /x-threaddrum-tenant: learners\r\n/i)
+    t.notRegex(text, /authorization|trainers/i)
+    t.false(text.includes(KEY))
+  }
+})
+
+test('should name no account on a public route without a key or with one that nobody holds', async t => {
+  const served = await serve(t)
+  t.is((await ask(served, '/score/7', { 'x-threaddrum-tenant': 'trainers' })).status, 200)
+  t.is((await ask(served, '/score/7', { authorization: 'Token nobody-has-this' })).status, 200)
+  for (const text of served.requests) t.notRegex(text, /x-threaddrum-tenant|authorization/i)
+})
+
+const unadmitted: Array<[string, string, 'POST' | 'GET' | 'DELETE']> = [
+  ['a request', '/open/7', 'POST'],
+  ['a stream', '/stream/7', 'POST'],
+  ['a submission', '/hints/b1', 'POST'],
+  ['a read of results', '/v1/lots/b1', 'GET'],
+  ['a read of an item', '/v1/items/b1?id=i1', 'GET'],
+  ['the end of a batch', '/v1/lots/b1', 'DELETE']
+]
+
+for (const [what, path, method] of unadmitted) {
+  test(`should answer ${what} with 401 when there is no key, another scheme, or a key that nobody holds`, async t => {
+    const served = await serve(t)
+    const headers: Array<Record<string, string>> = [{}, { authorization: `Bearer ${KEY}` }, { authorization: 'Token nobody-has-this' }, { authorization: 'Token' }]
+    for (const header of headers) t.is((await ask(served, path, header, method)).status, 401)
+    t.is(served.requests.length, 0)
+    t.false(JSON.stringify(served.events).includes('nobody-has-this'))
+  })
+}
+
+test('should tell a caller to come back when a host out of touch does not know its key', async t => {
+  const served = await serve(t, 10_000)
+  const { status, retryAfter } = await ask(served, '/open/7', { authorization: 'Token perhaps-new' })
+  t.is(status, 503)
+  t.true(Number(retryAfter) > 0)
+  t.is((await ask(served, '/open/7', withKey)).status, 200)
+})
+
+// Guards against a kept connection that goes on with a key that was taken away.
+test('should look at the key of each request on a kept connection', async t => {
+  const served = await serve(t)
+  t.is((await ask(served, '/open/7', withKey)).status, 200)
+  served.holdKeys([{ name: 'learners', keyDigests: [] }])
+  t.is((await ask(served, '/open/7', withKey)).status, 401)
+  served.holdKeys([{ name: 'trainers', keyDigests: [digestOfKey(KEY)] }])
+  t.is((await ask(served, '/open/7', withKey)).status, 200)
+  t.regex(served.requests.at(-1) ?? '', /x-threaddrum-tenant: trainers\r\n/i)
+})
+
+test('should pass on what a caller sends as authorization where callers need no key of the system', async t => {
+  const served = await serve(t)
+  served.holdKeys(undefined)
+  t.is((await ask(served, '/open/7', { authorization: 'Bearer for the endpoint' })).status, 200)
+  t.regex(served.requests.at(-1) ?? '', /authorization: Bearer for the endpoint\r\n/i)
+})
+
+test('should count the requests of an account that an endpoint began, and no refused one', async t => {
+  const served = await serve(t)
+  await ask(served, '/open/7', withKey)
+  await ask(served, '/open/7', {})
+  await ask(served, '/nowhere/7', withKey)
+  await ask(served, '/score/7', {})
+  t.deepEqual(served.usage.reportSince(0).report.windows.map(({ counts }) => counts), [{ learners: 1 }])
+})
--- a/tests/platform/callerServer.test.ts
+++ b/tests/platform/callerServer.test.ts
@@ -3,6 +3,7 @@
 import { BatchRoutes } from '../../platform/batchRoutes.js'
 import { CallerServer } from '../../platform/callerServer.js'
 import { PlatformEndpointClient } from '../../platform/endpointClient.js'
+import { CallerAdmission } from '../../src/accounts/callerAdmission.js'
 import { BatchClient } from '../../src/batches/batchClient.js'
 import { EndpointPool } from '../../src/endpoints/endpointPool.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
@@ -42,9 +43,10 @@
   const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics: memoryMetrics() })
   const parts = { view, pool, client, quarantine: quarantineOf(view, systemClock, client), random, logger, metrics }
   const batches = new BatchRoutes({ client: new BatchClient(view, DATA_CENTRE, new TcpTransport(), scope, onFatal), clock: systemClock, logger, metrics })
+  const admission = new CallerAdmission({ policy: { isRevocationStrict: false, revokeMs: 5_000 }, outOfTouchMs: () => 0 })
   const address = `${loopbackHost()}:${await freePort()}`
   const server = new CallerServer({
-    address, scope, clock: systemClock, logger, metrics, view, batches, onFatal, forwarder: new RequestForwarder(parts), streams: new StreamForwarder(parts)
+    address, scope, clock: systemClock, logger, metrics, view, batches, admission, onFatal, forwarder: new RequestForwarder(parts), streams: new StreamForwarder(parts)
   })
   await server.listen()
   return { url: `http://${address}/open/7`, view, events }
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -2,6 +2,7 @@
 import { decodeHeartbeat } from '../../platform/announcementCodec.js'
 import { decodeSubmission, encodeResults } from '../../platform/batchCodec.js'
 import { decodeRouting } from '../../platform/routingCodec.js'
+import { digestOfKey } from '../../src/accounts/keyDigest.js'
 import { toPart } from '../../src/batches/outputParts.js'
 import { ResultState } from '../../src/protocol/batches.js'
 import { EndpointLifecycle } from '../../src/protocol/fleet.js'
@@ -51,6 +52,56 @@
   })
 }
 
+const account = { name: 'learners', 'api-keys': ['k1', 'k2'], priority: 1 }
+
+test('should decode client accounts by the digests of their keys', t => {
+  const decoded = decodeRouting({ ...routingDocument, routes: [{ ...routingDocument.routes[0], public: true }], tenants: [account, { name: 'keyless', 'api-keys': [] }] })
+  if (decoded.kind !== 'valid') return t.fail(decoded.problem)
+  t.deepEqual(decoded.routing.accounts, [{ name: 'learners', priority: 1, keyDigests: [digestOfKey('k1'), digestOfKey('k2')] }, { name: 'keyless', priority: undefined, keyDigests: [] }])
+  t.true(decoded.routing.routes[0]?.isPublic)
+  const without = decodeRouting(routingDocument)
+  t.is(without.kind === 'valid' && without.routing.accounts, undefined)
+})
+
+const invalidAccounts: Array<[string, unknown[], RegExp]> = [
+  ['share a key', [account, { name: 'trainers', 'api-keys': ['k9', 'k2'] }], /^tenants\.1\.api-keys\.1: is a key of learners too$/],
+  ['hold a key twice', [{ name: 'learners', 'api-keys': ['k1', 'k1'] }], /^tenants\.0\.api-keys\.1: stands there twice$/],
+  ['share a name', [account, { name: 'learners', 'api-keys': [] }], /^tenants\.1\.name: another tenant is called learners$/],
+  ['have no name', [{ name: '', 'api-keys': [] }], /^tenants\.0\.name/],
+  ['have an empty key', [{ name: 'learners', 'api-keys': ['k1', ''] }], /^tenants\.0\.api-keys\.1/],
+  ['have a key that is a number', [{ name: 'learners', 'api-keys': [5] }], /^tenants\.0\.api-keys\.0/]
+]
+
+for (const [what, tenants, problem] of invalidAccounts) {
+  test(`should refuse client accounts that ${what}, name the field, and show no key`, t => {
+    const decoded = decodeRouting({ ...routingDocument, tenants })
+    if (decoded.kind !== 'invalid') return t.fail('valid')
+    t.regex(decoded.problem, problem)
+    t.notRegex(decoded.problem, /k1|k2|k9/)
+  })
+}
+
+test('should decode how endpoints of a service may be ordered', t => {
+  const scaling = { min: 1, max: 15, 'boot-s': 4, 'spot-price': 0.15, 'zone-prices': { north: 1.25 } }
+  const decoded = decodeRouting({ ...routingDocument, services: [{ ...routingDocument.services[0], scaling }, routingDocument.services[1]] })
+  t.deepEqual(decoded.kind === 'valid' && decoded.routing.services[0]?.scaling, { minCount: 1, maxCount: 15, bootMs: 4_000, reclaimablePrice: 0.15, prices: { north: 1.25 } })
+})
+
+test('should take the keys of callers off the headers of items, and nothing else', t => {
+  const [item] = submission.items
+  const headers = { ...item?.headers, Authorization: 'Token k1', 'X-Custom': 'kept' }
+  const body = { ...submission, items: [{ ...item, headers }] }
+  const decoded = decodeSubmission('b1', 'h', '/p/', body, { account: 'learners', priority: 1, hasKeys: true })
+  if (decoded.kind !== 'valid') return t.fail()
+  t.like(decoded.submission, { account: 'learners', priority: 1 })
+  t.deepEqual(decoded.submission.items[0]?.headers, Object.entries({ ...item?.headers, 'X-Custom': 'kept' }).flat())
+})
+
+test('should decode that an endpoint may be taken away, and when', t => {
+  t.like(decodeHeartbeat('i-1', { ...heartbeat, spot: true, leaves_ms: 2_400 }), { kind: 'valid', endpoint: { isReclaimable: true, leavesInMs: 2_400 } })
+  t.like(decodeHeartbeat('i-1', heartbeat), { kind: 'valid', endpoint: { isReclaimable: false, leavesInMs: undefined } })
+})
+
 const heartbeat = { service: 'engines', address: '10.128.0.9:8080', zone: 'north', version: 'v1', slots: 12, state: 'draining', 'cold-left-ms': 0, stage: 'hybrid', models: [{ name: 'm1', version: 4, adapters: [] }], seq: 4 }
 
 test('should decode what an endpoint announces', t => {
