Order engines for those that are missing, not beyond what one leader reads

Change: reclaimable engines stand in for kept ones that are missing, up to 250 runs at a time, the number that a leader bore before; none where a data centre has none to give; what was ordered stays for 15 s.

--- a/src/engineSupply/engineSupply.ts
+++ b/src/engineSupply/engineSupply.ts
@@ -21,6 +21,8 @@
 const RETRY_PAUSE_MS = 1_000
 /** A data centre that has none to be had is asked again after this. */
 const DRY_PAUSE_MS = 5_000
+/** What was ordered is not given back sooner: engines that were lost come and go, and a start takes seconds. */
+const HOLD_MS = 15_000
 /** Engines that did not come by so long after the time that a start takes are ordered once more. */
 const OVERDUE_MS = 3_000
 
@@ -48,6 +50,8 @@
   desiredCount: number
   sentAtMs: number
   isSettled: boolean
+  /** There were none to be had. */
+  isDry: boolean
   notBeforeMs: number
 }
 
@@ -111,6 +115,7 @@
     const presentCount = this._countOf(order)
     if (!sent) return presentCount !== order.desiredCount
     if (nowMs < sent.notBeforeMs) return false
+    if (order.desiredCount < sent.desiredCount && nowMs < sent.sentAtMs + HOLD_MS) return false
     if (sent.desiredCount !== order.desiredCount || !sent.isSettled) return true
     return presentCount < order.desiredCount && nowMs >= sent.sentAtMs + bootMs + OVERDUE_MS
   }
@@ -122,7 +127,7 @@
     const sentAtMs = clock.nowMs()
     const outcome = await infrastructure.call(call, { holder, fencingNumber: lease.fencingNumber }, () => lease.mayAct, sentAtMs + CALL_TIMEOUT_MS, scope)
     const pauseMs = outcome.kind === 'conflict' ? DRY_PAUSE_MS : RETRY_PAUSE_MS
-    this._sent.set(subjectOf(order), { desiredCount: order.desiredCount, sentAtMs, isSettled: outcome.kind === 'done', notBeforeMs: clock.nowMs() + (outcome.kind === 'done' ? 0 : pauseMs) })
+    this._sent.set(subjectOf(order), { desiredCount: order.desiredCount, sentAtMs, isSettled: outcome.kind === 'done', isDry: outcome.kind === 'conflict', notBeforeMs: clock.nowMs() + (outcome.kind === 'done' ? 0 : pauseMs) })
     this._note(order, outcome, clock.nowMs() - sentAtMs)
   }
 
@@ -136,8 +141,8 @@
   }
 
   private _isDry ({ service, dataCentre }: { service: string, dataCentre: string }): boolean {
-    const sent = [true, false].map(isReclaimable => this._sent.get(subjectOf({ service, dataCentre, isReclaimable })))
-    return sent.some(order => order !== undefined && !order.isSettled && this._parts.clock.nowMs() < order.notBeforeMs)
+    const sent = this._sent.get(subjectOf({ service, dataCentre, isReclaimable: true }))
+    return sent?.isDry === true && this._parts.clock.nowMs() < sent.notBeforeMs
   }
 
   /** Engines of a kind that take work. */
--- a/src/engineSupply/supplyPlan.ts
+++ b/src/engineSupply/supplyPlan.ts
@@ -1,11 +1,13 @@
 /**
  * How many engines a service should have in which data centre, and how many of
- * them may be reclaimable. A step ends with its longest sample, which begins at
- * once and runs fastest where few others run beside it, while an engine costs
- * little against a step that is late: so there are as many as the open and the
- * foreseen work can use. Engines that are kept for good bear a step alone;
- * reclaimable ones, which a data centre may take back all at once, come on top,
+ * them may be reclaimable. Engines that are kept for good stay as they are: they
+ * bear the steps alone. Reclaimable ones, which a data centre may take back all at
+ * once, stand in for those that are missing, as far as the open work can use them,
  * spread so that the loss of one data centre's is the smallest share. Pure functions.
+ *
+ * The pattern it answers: engines that crash, are reclaimed or leave in the
+ * middle of a step. More engines than the leader of the batch store can read
+ * events of are no help: it loses its leadership, and every run is begun again.
  */
 import type { ServiceScaling } from '../protocol/routing.js'
 
@@ -16,7 +18,7 @@
   keptCount: number
   /** Engines kept for good that were ordered; undefined before the first order. */
   orderedKeptCount: number | undefined
-  /** There were none to be had lately. */
+  /** There were no reclaimable ones to be had lately. */
   isDry: boolean
 }
 
@@ -32,9 +34,11 @@
   reclaimableCount: number
 }
 
-/** Until a step was seen, and for services without steps that anyone waits for, as many as may be had. */
+/** Runs at a time whose events a leader reads without holding up its heartbeats. */
+const MOST_RUNS_COUNT = 250
+
 function neededCount ({ itemsCount, slotsCount }: SupplyNeed): number {
-  return itemsCount === undefined ? Number.POSITIVE_INFINITY : Math.ceil(itemsCount / Math.max(1, slotsCount))
+  return Math.floor(Math.min(MOST_RUNS_COUNT, itemsCount ?? MOST_RUNS_COUNT) / Math.max(1, slotsCount))
 }
 
 /** The engines that each data centre should have. */
@@ -44,14 +48,13 @@
     return { dataCentre, keptCount: wantedCount, reclaimableCount: 0 }
   })
   if (reclaimablePrice === undefined) return planned
-  const hasRoom = ({ keptCount, reclaimableCount }: PlannedPlace): boolean => keptCount + reclaimableCount < maxCount
-  let missingCount = neededCount(need) - planned.reduce((sum, { keptCount }) => sum + keptCount, 0)
-  while (missingCount > 0) {
-    const open = planned.filter(hasRoom)
+  const dryNames = new Set(places.filter(({ isDry }) => isDry).map(({ dataCentre }) => dataCentre))
+  const presentCount = places.reduce((sum, { keptCount }) => sum + keptCount, 0)
+  for (let missingCount = neededCount(need) - presentCount; missingCount > 0; missingCount--) {
+    const open = planned.filter(({ dataCentre, keptCount, reclaimableCount }) => keptCount + reclaimableCount < maxCount && !dryNames.has(dataCentre))
     const next = open.sort((left, right) => left.reclaimableCount - right.reclaimableCount)[0]
     if (!next) break
     next.reclaimableCount++
-    missingCount--
   }
   return planned
 }
