--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -165,9 +165,9 @@
       this._startTry(endpoint)
       return undefined
     }
+    this._turns.wait(this._turn)
     const { isPersistent, progress } = this._request
     if (isPersistent === true) return undefined
-    this._turns.wait(this._turn)
     const untaken = { forecast: this._parts.pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }
     const verdict = verdictOn(untaken, this._parts.random)
     return verdict.kind === 'refuse' ? this._giveUp(RefusalReason.NoEndpoint, verdict.retryAfterMs) : undefined
@@ -198,7 +198,6 @@
   /** Undefined while others that wait go before it. */
   private _chooseInTurn (): FleetEndpoint | undefined {
     const { pool } = this._parts
-    if (this._request.isPersistent === true) return this._choose()
     return this._turns.mayTry(this._turn, pool.roomCount(this._service)) ? this._choose() : undefined
   }
 
@@ -208,7 +207,6 @@
 
   private _startTry (endpoint: FleetEndpoint): void {
     this._tried.add(endpoint.endpointId)
-    this._turns.served(this._turn)
     this._triesCount++
     this._openCount++
     this._logTry(endpoint)
@@ -248,6 +246,7 @@
     switch (outcome.kind) {
       case 'answered':
         this._noteBegun(startedAtMs)
+        this._turns.served(this._turn)
         if (outcome.status < 500) {
           this._parts.quarantine.answered(run)
           health.succeeded(durationMs, outcome.load)
--- a/src/gateway/waitingTurns.ts
+++ b/src/gateway/waitingTurns.ts
@@ -21,7 +21,7 @@
 export class WaitingTurns {
   private readonly _queues = new Map<string, ServiceQueue>()
 
-  /** The request found no room; one that waits keeps the place that it has. */
+  /** The request found no room; it keeps the place that it has. */
   wait (turn: WaitingTurn): void {
     const queue = this._queues.get(turn.service) ?? { share: new PriorityShare(), waiting: new Map<number, Set<WaitingTurn>>() }
     const equals = queue.waiting.get(turn.priority) ?? new Set<WaitingTurn>()
@@ -30,7 +30,7 @@
     this._queues.set(turn.service, queue)
   }
 
-  /** The request is on its way to an endpoint; one that is refused there waits anew. */
+  /** The request has got room. */
   served (turn: WaitingTurn): void {
     const queue = this._queues.get(turn.service)
     const equals = queue?.waiting.get(turn.priority)
