--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -13,9 +13,11 @@
 import type { RoutingRoute, RoutingService } from '../protocol/routing.js'
 import type { Replica } from '../replication/log/replica.js'
 import type { Clock } from '../utils/clock.js'
+import { everySecond } from '../utils/everySecond.js'
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
+import { ProcessorMeter } from '../utils/processorWatch.js'
 import type { Progress } from '../utils/progress.js'
 import type { RandomSource } from '../utils/randomSource.js'
 import type { Scope } from '../utils/scope.js'
@@ -36,6 +38,8 @@
 const MAX_CARRIED_OVER_OUTPUTS_COUNT = 2_000
 /** Shortest time between two log lines about overload. */
 const OVERLOAD_LOG_INTERVAL_MS = 1_000
+/** Decimal places of cores in log lines. */
+const CORES_DIGITS = 2
 /** Steps of a model that are open at the same time: the earlier step still waits for its long samples. */
 const STEPS_OPEN_COUNT = 2
 
@@ -126,6 +130,7 @@
     scope.onClose(() => this._options.logger.event(BatchEvent.DispatchEnded, { reason: scope.closeReason ?? '' }))
     this._options.supervisor.spawn('slots', slotsScope => this._slots.run(slotsScope))
     this._options.supervisor.spawn('step reports', reportsScope => this._reports.run(reportsScope))
+    this._options.supervisor.spawn('load reports', reportsScope => this._reportLoad(reportsScope))
     for (;;) {
       this._syncTracked()
       await replica.applied.wait(scope, { clock, deadlineMs: clock.nowMs() + 1_000 })
@@ -147,6 +152,25 @@
     return routing && this._routes.of(routing).find(host, path)
   }
 
+  /** Logs the load of this leader each second while batches are open. */
+  private async _reportLoad (scope: Scope): Promise<void> {
+    const { clock, logger, replica } = this._options
+    const meter = new ProcessorMeter(clock)
+    await everySecond(clock, scope, () => {
+      const { cores, maxLoopDelayMs } = meter.read()
+      const { maxCommitMs, ...counts } = replica.core.replicationStats.take()
+      if (this._tracked.size === 0) return
+      logger.event(BatchEvent.LeaderLoad, {
+        cores: roundedTo(cores, CORES_DIGITS),
+        maxLoopDelayMs: Math.round(maxLoopDelayMs),
+        maxCommitMs: Math.round(maxCommitMs),
+        ...counts,
+        pendingProposalsCount: replica.pendingProposalsCount,
+        itemsCount: this._runs.size
+      })
+    })
+  }
+
   private _recordTurn (latenessMs: number, waitingCount: number): void {
     const { clock, logger, metrics } = this._options
     metrics.timing(MetricName.TurnLateMs, latenessMs)
@@ -251,6 +275,10 @@
   }
 }
 
+function roundedTo (value: number, digits: number): number {
+  return Number(value.toFixed(digits))
+}
+
 function keyOf (batch: Batch, { itemId }: BatchItem): string {
   return itemKeyOf(batch.submission.account, itemId)
 }
--- a/src/replication/log/followerReplicator.ts
+++ b/src/replication/log/followerReplicator.ts
@@ -5,6 +5,7 @@
  */
 import { invariant } from '../../utils/errors.js'
 import { sleepUntil } from '../../utils/clock.js'
+import { MetricName } from '../../utils/metricNames.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
 import type { FollowerProgress, SentAt } from './followerProgress.js'
@@ -17,6 +18,13 @@
 /** Chunks are read from disk and sent one by one; the leader holds one chunk in memory per follower that needs a snapshot. */
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024
 
+/** Kinds of calls to a follower, as named in metrics. */
+enum LogCall {
+  Append = 'append',
+  Heartbeat = 'heartbeat',
+  Snapshot = 'snapshot'
+}
+
 /** Callbacks from the replication tasks to the leadership. */
 export interface ReplicationListener {
   /** Numbers requests, so that an answer also confirms everything requested before it. */
@@ -81,7 +89,7 @@
     const round = this._listener.nextRound()
     const progress = new Progress(clock, scope, sentAt.sentAtMs + timings.callTimeoutMs)
     const outcome = await this._links.to(this._follower.member).call(appendMethod, request, progress)
-    if (outcome.kind !== 'replied') return false
+    if (outcome.kind !== 'replied') return this._recordLost(LogCall.Append)
     return this._onAppendReply(outcome.body, round, sentAt)
   }
 
@@ -113,7 +121,10 @@
     this._follower.lastHeartbeatRound = round
     const progress = new Progress(clock, scope, sentAt.sentAtMs + 2 * timings.heartbeatMs)
     const outcome = await this._links.to(this._follower.member).call(heartbeatMethod, { ...this._address(), commitIndex }, progress)
-    if (outcome.kind !== 'replied') return
+    if (outcome.kind !== 'replied') {
+      this._recordLost(LogCall.Heartbeat)
+      return
+    }
     if (outcome.body.kind === 'following') this._acknowledge(round, sentAt)
     if (outcome.body.kind === 'staleTerm') this._core.observeTerm(outcome.body.term)
   }
@@ -148,12 +159,22 @@
     const round = this._listener.nextRound()
     const progress = new Progress(clock, scope, sentAt.sentAtMs + timings.callTimeoutMs)
     const outcome = await this._links.to(this._follower.member).call(snapshotMethod, { ...this._address(), ...chunk }, progress)
-    if (outcome.kind !== 'replied') return undefined
+    if (outcome.kind !== 'replied') {
+      this._recordLost(LogCall.Snapshot)
+      return undefined
+    }
     if (outcome.body.kind === 'staleTerm') this._core.observeTerm(outcome.body.term)
     else if (outcome.body.kind !== 'wrongReplica') this._acknowledge(round, sentAt)
     return outcome.body
   }
 
+  /** Records a call without a timely reply; returns false, as the call did not succeed. */
+  private _recordLost (call: LogCall): false {
+    this._core.options.metrics.count(MetricName.LogCallLost, { call })
+    this._core.replicationStats.recordLostCall()
+    return false
+  }
+
   private _address () {
     return {
       clusterId: this._core.clusterId ?? '',
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -6,6 +6,7 @@
 import { sleepUntil, type Clock } from '../../utils/clock.js'
 import { ScopeClosedError } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
+import { MetricName } from '../../utils/metricNames.js'
 import type { Metrics } from '../../utils/metrics.js'
 import { Progress } from '../../utils/progress.js'
 import type { RandomSource } from '../../utils/randomSource.js'
@@ -15,6 +16,7 @@
 import type { Transport } from '../../transport/connection.js'
 import type { RpcHandlers } from '../../transport/rpcPeer.js'
 import type { ReplicatedState } from '../replicatedState.js'
+import { ReplicationEvent } from '../replicationEvents.js'
 import type { OpenedReplica } from '../storage/replicaStorage.js'
 import { DurableWriter } from './durableWriter.js'
 import { Follower } from './follower.js'
@@ -102,7 +104,7 @@
     const restoreMs = clock.nowMs() - restoredFromMs
     const startedAtMs = options.startedAtMs ?? clock.nowMs()
     this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state, startedAtMs }, snapshot?.lastIndex ?? 0)
-    this.links = new PeerLinks(options.transport, this._scope, options.onFatal)
+    this.links = new PeerLinks(options.transport, this._scope, options.onFatal, (address, reason) => this._recordClosedLink(address, reason))
     this._applier = new LogApplier(this.core, options.state, this._proposals, options.snapshotPolicy, options.observer)
     this._follower = new Follower(this.core, this._applier, this._scope)
     this._voting = new Voting(this.core, this.links, this._scope)
@@ -144,6 +146,11 @@
     this._options.supervisor.spawn('elections', scope => this._runElections(scope))
   }
 
+  /** Number of proposals whose outcome is awaited. */
+  get pendingProposalsCount (): number {
+    return this._proposals.count
+  }
+
   /** Appends a command to the log and waits until it is applied. */
   async propose (command: unknown, progress: Progress): Promise<ProposalOutcome> {
     const leadership = this.leadership
@@ -153,14 +160,31 @@
     // Copied, because the encoder reuses its buffer.
     const index = leadership.propose(Uint8Array.from(this._encoder.encode(command)))
     const outcome = this._proposals.outcomeOf(index, leadership.term)
+    const proposedAtMs = this._options.clock.nowMs()
     try {
       const raced = await progress.race(outcome)
-      return raced.kind === 'done' ? raced.value : { kind: 'unknown', reason: 'not committed in time' }
+      const settled: ProposalOutcome = raced.kind === 'done' ? raced.value : { kind: 'unknown', reason: 'not committed in time' }
+      this._recordOutcome(settled, proposedAtMs)
+      return settled
     } finally {
       this._proposals.abandon(index, leadership.term)
     }
   }
 
+  private _recordOutcome ({ kind }: ProposalOutcome, proposedAtMs: number): void {
+    const { clock, metrics } = this._options
+    const tookMs = clock.nowMs() - proposedAtMs
+    metrics.timing(MetricName.LogCommitMs, tookMs, { outcome: kind })
+    if (kind === 'committed') this.core.replicationStats.recordCommit(tookMs)
+    else if (kind === 'unknown') this.core.replicationStats.recordTimedOutProposal()
+  }
+
+  private _recordClosedLink (address: string, reason: string): void {
+    this._options.metrics.count(MetricName.LogLinkClosed)
+    this._options.logger.event(ReplicationEvent.LinkClosed, { address, reason })
+    this.core.replicationStats.recordClosedLink()
+  }
+
   /** Waits until the state contains everything that was committed before the call. */
   async read (mode: ReadMode, progress: Progress): Promise<ReadOutcome> {
     const leadership = this.leadership
--- a/src/replication/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -15,6 +15,7 @@
 import { isVoter, type Member } from './members.js'
 import type { PersistentState } from './persistentState.js'
 import type { Addressed } from './raftMethods.js'
+import { ReplicationStats } from './replicationStats.js'
 import { SnapshotStats } from './snapshotStats.js'
 import type { LogTimings } from './timings.js'
 
@@ -51,6 +52,7 @@
   readonly options: CoreOptions
   readonly state: PersistentState
   readonly snapshotStats: SnapshotStats
+  readonly replicationStats = new ReplicationStats()
   /** Notified when the commit index advances. */
   readonly committed = new Signal()
   /** Notified when the leader or the term changes. */
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -9,6 +9,9 @@
 import type { ConnectOutcome, Transport } from './connection.js'
 import { RpcPeer, type CallOutcome, type RpcHandlers, type RpcMethod } from './rpcPeer.js'
 
+/** Called when a connection is closed because calls over it are not answered. */
+export type UnansweredListener = (address: string, reason: string) => void
+
 /** Consecutive calls without a timely reply after which a connection is closed. */
 const MAX_UNANSWERED_COUNT = 3
 
@@ -20,16 +23,18 @@
   private readonly _scope: Scope
   private readonly _handlers: RpcHandlers
   private readonly _onFatal: (error: unknown) => void
+  private readonly _onUnanswered: UnansweredListener
   private _peer: RpcPeer | undefined
   private _connecting: Promise<RpcPeer | undefined> | undefined
   private _unansweredCount = 0
 
-  constructor (address: string, transport: Transport, scope: Scope, handlers: RpcHandlers, onFatal: (error: unknown) => void) {
+  constructor (address: string, transport: Transport, scope: Scope, handlers: RpcHandlers, onFatal: (error: unknown) => void, onUnanswered: UnansweredListener = () => {}) {
     this.address = address
     this._transport = transport
     this._scope = scope
     this._handlers = handlers
     this._onFatal = onFatal
+    this._onUnanswered = onUnanswered
   }
 
   async call<Request, Reply> (method: RpcMethod<Request, Reply>, body: Request, progress: Progress): Promise<CallOutcome<Reply>> {
@@ -74,6 +79,9 @@
 
   private _countUnanswered (peer: RpcPeer, isLost: boolean): void {
     this._unansweredCount = isLost ? this._unansweredCount + 1 : 0
-    if (this._unansweredCount >= MAX_UNANSWERED_COUNT) peer.connection.close(`no reply to ${MAX_UNANSWERED_COUNT} calls in a row`)
+    if (this._unansweredCount < MAX_UNANSWERED_COUNT || peer.connection.scope.isClosed) return
+    const reason = `no reply to ${MAX_UNANSWERED_COUNT} calls in a row`
+    this._onUnanswered(this.address, reason)
+    peer.connection.close(reason)
   }
 }
