--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -12,6 +12,8 @@
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine.js'
 import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
+import { routeFinder } from '../../src/gateway/routeTable.js'
+import { LocalExecutor } from '../../src/batches/localExecutor.js'
 import { BatchCommandKind } from '../../src/protocol/batches.js'
 import { sleepUntil, systemClock } from '../../src/utils/clock.js'
 import { silentLogger } from '../../src/utils/logger.js'
@@ -61,7 +63,9 @@
 const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics })
 const quarantine = new RequestQuarantine({ view, clock: systemClock, client, supervisor, logger: silentLogger, metrics, submit: async () => true })
 const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger: silentLogger, metrics })
-const dispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, client, forwarder, quarantine, pool, view, replica, state, ages: new BatchAges(systemClock), supervisor })
+const routeOf = routeFinder(view)
+const executor = new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf, isOverloaded: () => dispatcher.isOverloaded })
+const dispatcher: BatchDispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, executor, routeOf, quarantine, pool, view, replica, state, ages: new BatchAges(systemClock), supervisor })
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
 
 async function submitStep (step: number): Promise<void> {
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -2,12 +2,9 @@
  * Runs the items of all open batches while this host leads the batch store.
  * Every item is a task that waits for a slot of an engine.
  */
-import type { EndpointClient } from '../endpoints/endpointClient.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import type { RequestQuarantine } from '../quarantine/requestQuarantine.js'
-import type { RequestForwarder } from '../gateway/requestForwarder.js'
-import { CurrentRoutes } from '../gateway/routeTable.js'
 import { ResultState, type BatchItem, type ItemResult } from '../protocol/batches.js'
 import type { SupplyNeed } from '../engineSupply/supplyPlan.js'
 import type { RoutingRoute, RoutingService } from '../protocol/routing.js'
@@ -27,6 +24,7 @@
 import { itemKeyOf, type BatchState } from './batchState.js'
 import { EngineFleet } from './engineFleet.js'
 import type { BatchAges, BatchTimes } from './batchTimes.js'
+import type { ItemExecutor } from './itemExecutor.js'
 import { ItemRun, type ItemRunOptions } from './itemRun.js'
 import { ItemOutput } from './itemOutput.js'
 import { ModelDemand } from './modelDemand.js'
@@ -48,8 +46,10 @@
   random: RandomSource
   logger: Logger
   metrics: Metrics
-  client: EndpointClient
-  forwarder: RequestForwarder
+  /** Runs items and scores their outputs. */
+  executor: ItemExecutor
+  /** The route of a request in the current routing configuration. */
+  routeOf: (host: string, path: string) => RoutingRoute | undefined
   quarantine: RequestQuarantine
   pool: EndpointPool
   view: FleetView
@@ -68,7 +68,6 @@
   readonly engines: EngineFleet
   readonly demand: ModelDemand
   private readonly _options: BatchDispatcherOptions
-  private readonly _routes = new CurrentRoutes()
   private readonly _tracked = new Map<string, TrackedBatch>()
   private readonly _carriedOverOutputs = new Map<string, ItemOutput>()
   private readonly _seenItemKeys = new Set<string>()
@@ -82,8 +81,8 @@
     this._options = options
     this.engines = new EngineFleet(options.pool, options.clock)
     this.demand = new ModelDemand(options.clock)
-    const { clock, random, view, logger, metrics } = options
-    this._placements = new PlacementSelector({ view, engines: this.engines, random, routeOf: (host, path) => this.routeOf(host, path) })
+    const { clock, random, view, logger, metrics, routeOf } = options
+    this._placements = new PlacementSelector({ view, engines: this.engines, random, routeOf })
     this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placementOf: run => this._placements.placementOf(run), onTurn: (latenessMs, waitingCount) => this._recordTurn(latenessMs, waitingCount) })
     this._reports = new StepReports({ clock, logger, metrics, steps: () => [...this._tracked.values()], items: () => this._runs, waitReasonOf: run => this._slots.waitReasonOf(run) })
   }
@@ -137,8 +136,14 @@
     }
   }
 
-  /** Writes all output that is stored only on this host to the replicated state, so that the next leader can continue from it. */
+  /** Whether the processor of this host is overloaded. */
+  get isOverloaded (): boolean {
+    return this._slots.isOverloaded
+  }
+
+  /** Writes all output that is not in the replicated state yet, so that the next leader can continue from it. */
   async replicateOutputs (progress: Progress): Promise<void> {
+    await this._options.executor.flush(progress)
     await progress.race(Promise.all([...this._runs].map(run => run.replicateOutput(progress))))
   }
 
@@ -147,11 +152,6 @@
     this._slots.assign()
   }
 
-  routeOf (host: string, path: string): RoutingRoute | undefined {
-    const { routing } = this._options.view
-    return routing && this._routes.of(routing).find(host, path)
-  }
-
   /** Logs the load of this leader each second while batches are open. */
   private async _reportLoad (scope: Scope): Promise<void> {
     const { clock, logger, replica } = this._options
@@ -212,7 +212,7 @@
     const { clock, supervisor: parent } = this._options
     const supervisor = parent.child(`batch ${batch.batchId}`)
     this.demand.recordStep(batch.submission, this._options.view.namedVersion(batch.submission.model))
-    const batchPolicy = this.routeOf(batch.submission.host, batch.submission.path)?.batch
+    const batchPolicy = this._options.routeOf(batch.submission.host, batch.submission.path)?.batch
     const nowMs = clock.nowMs()
     const times = this._options.ages.timesOf(batch, batchPolicy)
     this._tracked.set(batch.batchId, { batch, supervisor, startedAtMs: nowMs, dueAtMs: times.dueAtMs })
@@ -220,24 +220,22 @@
   }
 
   private _startItem (batch: Batch, item: BatchItem, times: BatchTimes, supervisor: Supervisor): void {
-    const { clock, logger, metrics, client, forwarder, quarantine, replica } = this._options
+    const { clock, logger, metrics, executor, quarantine, replica, routeOf } = this._options
     const options: ItemRunOptions = {
       clock,
       logger,
       metrics,
-      client,
-      forwarder,
+      executor,
       quarantine,
       replica,
       acquire: (run, deadlineMs, scope) => this._slots.acquire(run, deadlineMs, scope),
       markRemoved: endpointId => this._options.view.markRemoved(endpointId),
       release: (run, engine) => this._slots.release(run, engine),
-      isOverloaded: () => this._slots.isOverloaded,
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onComplete: run => this.demand.recordSample(run.item.model, run.output.lastEventId),
       tokensPerEvent: run => this._placements.placementOf(run)?.modelEngine?.tokensPerEvent ?? 1,
       enginesCount: run => this.engines.ofService(this._placements.placementOf(run)?.service ?? '').length,
-      routeOf: (host, path) => this.routeOf(host, path)
+      routeOf
     }
     const run = new ItemRun(options, batch, item, times, this._carriedOverOutputOf(batch, item), this._seenItemKeys.has(keyOf(batch, item)))
     this._seenItemKeys.add(keyOf(batch, item))
--- /dev/null
+++ b/src/batches/itemExecutor.ts
@@ -0,0 +1,29 @@
+/**
+ * Executes runs of items and reward calls. Implemented by `LocalExecutor` on the
+ * host itself and by `RunnerPool` on other store hosts.
+ */
+import type { RewardCall } from '../protocol/batches.js'
+import type { ItemRunRequest, RewardScore, RunOutcome, RunProgress } from '../protocol/runnerTasks.js'
+import type { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+
+export type ProgressListener = (progress: RunProgress) => void
+
+export interface StartedRun {
+  /**
+   * Resolves once the run has ended and all its events were passed on.
+   * @throws ScopeClosedError when the scope of the run closes first.
+   */
+  readonly outcome: Promise<RunOutcome>
+  /** Ends the run with the outcome `moved`. */
+  stop (): void
+}
+
+export interface ItemExecutor {
+  /** @param abandonAtMs time from which the output is of no use */
+  run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun
+  /** @param abandonAtMs time from which a quarantined call is no longer repeated */
+  score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore>
+  /** Passes on all events that the runs have received so far. */
+  flush (progress: Progress): Promise<void>
+}
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -3,16 +3,14 @@
  * The item runs on an engine, resumes after the last event on another engine if the
  * run breaks off, is scored and is committed, all in one sequential task.
  */
-import type { EndpointClient, ItemEvent, ItemOutcome } from '../endpoints/endpointClient.js'
 import { FailureAttribution } from '../endpoints/failureAttribution.js'
 import { QuarantineStatus, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
-import type { RequestForwarder } from '../gateway/requestForwarder.js'
-import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult } from '../protocol/batches.js'
+import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult, type OutputPart, type RewardCall } from '../protocol/batches.js'
 import type { RoutingRoute } from '../protocol/routing.js'
+import { isEndedByHost, type ItemRunRequest, type RewardScore, type RunOutcome, type RunProgress } from '../protocol/runnerTasks.js'
 import type { Replica } from '../replication/log/replica.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
-import { ScopeClosedError } from '../utils/errors.js'
 import type { LogFields, Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
@@ -22,18 +20,15 @@
 import { BatchEvent } from './batchEvents.js'
 import type { BatchTimes } from './batchTimes.js'
 import type { Engine } from './engineFleet.js'
+import type { ItemExecutor, StartedRun } from './itemExecutor.js'
 import { ItemOutput } from './itemOutput.js'
 import { OutputReplicator } from './outputReplicator.js'
-import { recordOutcome, type RunOutcome } from './runOutcome.js'
-import { StallDetector } from './stallDetector.js'
+import { recordOutcome } from './runOutcome.js'
 import type { WaitingItem } from './itemOrder.js'
-import { RewardScoring } from './rewardScoring.js'
 import { ItemStage } from './stepReports.js'
 
 /** A run checks for a faster engine each time the run has received this many further events. */
 const MOVE_CHECK_EVENTS_COUNT = 4
-/** Close reason of a run that moves to another engine. */
-const MOVED = 'moved to a faster engine'
 /** Pause after a failed run, so that a broken engine is not called in a tight loop; the pause doubles after each further failure that an engine answered. */
 const RETRY_PAUSE_MS = 30
 const MAX_RETRY_PAUSE_MS = 1_000
@@ -47,15 +42,12 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
-  client: EndpointClient
-  forwarder: RequestForwarder
+  executor: ItemExecutor
   quarantine: RequestQuarantine
   replica: Replica
   /** Waits for a slot of an engine; undefined when none is free until the deadline. */
   acquire: (run: ItemRun, deadlineMs: number, scope: Scope) => Promise<Engine | undefined>
   release: (run: ItemRun, engine: Engine) => void
-  /** Whether the processor of this host is overloaded. */
-  isOverloaded: () => boolean
   /** Whether a run should move to another engine with a free slot. */
   shouldMove: (run: ItemRun, engine: Engine) => boolean
   /** Called once the output of the item is complete. */
@@ -82,8 +74,9 @@
   private readonly _outputReplicator: OutputReplicator
   private readonly _identity: RequestIdentity
   private readonly _startedAtMs: number
-  /** Engine and scope of the run in progress. */
-  private _current: { engine: Engine, scope: Scope } | undefined
+  private _current: { engine: Engine, run: StartedRun } | undefined
+  /** Id of the last event that an engine has sent; `output` may not have it yet. */
+  private _lastEventId: number
 
   /** @param earlierOutput output that the item already has from an earlier batch or leader */
   constructor (options: ItemRunOptions, batch: Batch, item: BatchItem, times: BatchTimes, earlierOutput: ItemOutput | undefined, isCarriedOver: boolean) {
@@ -95,6 +88,7 @@
     this._failures = new FailureAttribution(() => item.itemId)
     this.times = times
     this.output = earlierOutput ?? new ItemOutput()
+    this._lastEventId = this.output.lastEventId
     this.isCarriedOver = isCarriedOver
     this._outputReplicator = new OutputReplicator({
       clock: options.clock,
@@ -137,16 +131,21 @@
 
   /** Ends the run at the present engine, so that the item continues at another engine. */
   move (): void {
-    this._current?.scope.close(MOVED)
+    this._current?.run.stop()
   }
 
   get isStarted (): boolean {
-    return this.output.lastEventId > 0
+    return this._lastEventId > 0
   }
 
-  /** Expected tokens of the item less the tokens of the received events. */
+  /** Number of events that were generated so far. */
+  get generatedCount (): number {
+    return this._lastEventId
+  }
+
+  /** Expected tokens of the item less the tokens of the generated events. */
   get remainingTokensCount (): number {
-    return Math.max(0, this.item.expectedTokensCount - this.output.lastEventId * this._options.tokensPerEvent(this))
+    return Math.max(0, this.item.expectedTokensCount - this._lastEventId * this._options.tokensPerEvent(this))
   }
 
   /** Runs the item to its end and resolves once its result is listed. */
@@ -187,6 +186,11 @@
       }
       if (outcome.kind === 'impossible') return false
       if (outcome.kind === 'moved') continue
+      if (outcome.kind === 'interrupted') {
+        this.stage = ItemStage.Pausing
+        await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+        continue
+      }
       if (this._shouldAbandon()) return false
       this.stage = ItemStage.Pausing
       await sleepUntil(clock, scope, clock.nowMs() + this._retryPauseMs())
@@ -254,46 +258,62 @@
   }
 
   private async _attempt (engine: Engine, scope: Scope): Promise<RunOutcome> {
-    const { clock, client, quarantine } = this._options
+    const { executor, quarantine } = this._options
     const quarantined = quarantine.startRun(this._identity, engine.endpoint)
-    const runScope = scope.child(`run on ${engine.id}`)
-    const stallDetector = new StallDetector(clock, engine.pace, runScope, this._options.isOverloaded)
-    let problem: string | undefined
-    const onEvent = (event: ItemEvent): void => {
-      stallDetector.recordEvent()
-      engine.health.responded()
-      if (stallDetector.eventsCount === 1) this._recordFirstEvent(engine)
-      problem = this._addEvent(event, engine)
-      this._outputReplicator.replicateIfEnough(scope)
-      if (problem !== undefined) runScope.close(problem)
-      else if (stallDetector.eventsCount % MOVE_CHECK_EVENTS_COUNT === 0 && this._options.shouldMove(this, engine)) runScope.close(MOVED)
-    }
-    this._current = { engine, scope: runScope }
     this._log(BatchEvent.ItemStarted, { endpointId: engine.id, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
+    let hasStarted = false
+    const run = executor.run(this._request(engine), this.times.abandonAtMs, scope, progress => {
+      if (!hasStarted) this._recordStart(engine)
+      hasStarted = true
+      this._onProgress(progress, engine, scope)
+    })
+    this._current = { engine, run }
     try {
-      const outcome = await client.runItem(this._request(engine), runScope, onEvent)
+      const outcome = await run.outcome
       this._reportToQuarantine(quarantined, outcome)
+      this._applyVersions(outcome, engine)
       return outcome
     } catch (error) {
       quarantine.abandoned(quarantined)
-      if (!(error instanceof ScopeClosedError) || scope.isClosed) throw error
-      if (runScope.closeReason === MOVED) return { kind: 'moved' }
-      const reason = runScope.closeReason ?? ''
-      if (problem !== undefined) return { kind: 'unusable', reason }
-      return { kind: stallDetector.eventsCount > 0 ? 'broken' : 'notBegun', reason }
+      throw error
     } finally {
       this._current = undefined
-      runScope.close('run over')
+      this._lastEventId = this.output.lastEventId
     }
   }
 
-  private _recordFirstEvent (engine: Engine): void {
+  private _onProgress ({ lastEventId, gapsMs, parts }: RunProgress, engine: Engine, scope: Scope): void {
+    const hadChecksCount = Math.floor(this._lastEventId / MOVE_CHECK_EVENTS_COUNT)
+    for (const gapMs of gapsMs) engine.pace.recordGap(gapMs)
+    engine.health.responded()
+    this._lastEventId = Math.max(this._lastEventId, lastEventId)
+    for (const { afterEventId, part } of parts) this._addPart(afterEventId, part, engine)
+    this._outputReplicator.replicateNew(scope)
+    const isCheckDue = Math.floor(this._lastEventId / MOVE_CHECK_EVENTS_COUNT) > hadChecksCount
+    if (isCheckDue && !scope.isClosed && this._options.shouldMove(this, engine)) this.move()
+  }
+
+  private _addPart (afterEventId: number, part: OutputPart, engine: Engine): void {
+    // A report that was sent again repeats its parts.
+    if (afterEventId !== this.output.lastEventId) return
+    this.output.add(afterEventId, part)
+    for (const version of part.versions) engine.recordVersion(this.item.model, version)
+  }
+
+  private _applyVersions (outcome: RunOutcome, engine: Engine): void {
+    if (outcome.kind === 'staleVersion') engine.setVersion(this.item.model, outcome.version)
+    if (outcome.kind === 'mixedVersions') this.output.clear()
+  }
+
+  /** Records that the engine has sent the first event of a run. */
+  private _recordStart (engine: Engine): void {
     engine.health.accepted()
     this._failures.accepted(engine.id)
   }
 
-  private _reportToQuarantine (run: QuarantinedRun, outcome: ItemOutcome): void {
+  private _reportToQuarantine (run: QuarantinedRun, outcome: RunOutcome): void {
     const { quarantine } = this._options
+    if (isEndedByHost(outcome)) return quarantine.abandoned(run)
     switch (outcome.kind) {
       case 'finished':
       case 'impossible':
@@ -305,36 +325,24 @@
     }
   }
 
-  private _request (engine: Engine) {
+  private _request (engine: Engine): ItemRunRequest {
     const { path, headers, body, itemId } = this.item
+    const { host, account, minVersion, path: batchPath } = this.batch.submission
+    const isSingleVersion = this._options.routeOf(host, batchPath)?.batch?.isSingleVersion === true
+    const [onlyVersion] = this.output.versions
     return {
       endpoint: engine.endpoint,
       path,
-      host: this.batch.submission.host,
+      host,
       headers,
       body,
-      attemptId: itemId,
-      account: this.batch.submission.account,
-      deadlineMs: this.times.abandonAtMs,
-      afterEventId: this.isStarted ? this.output.lastEventId : undefined
-    }
-  }
-
-  /** Adds an event to the output; returns the reason to end the run if the event cannot be used. */
-  private _addEvent (event: ItemEvent, engine: Engine): string | undefined {
-    const { minVersion, host, path } = this.batch.submission
-    if (event.version < minVersion) {
-      engine.setVersion(this.item.model, event.version)
-      return `engine sent an event of version ${event.version}, older than the required version ${minVersion}`
-    }
-    engine.recordVersion(this.item.model, event.version)
-    const isSingle = this._options.routeOf(host, path)?.batch?.isSingleVersion === true
-    if (isSingle && this.isStarted && !this.output.versions.includes(event.version)) {
-      this.output.clear()
-      return `version changed to ${event.version} during a sample that allows a single version`
+      itemId,
+      ...(account === undefined ? {} : { account }),
+      afterEventId: this.output.lastEventId,
+      minVersion,
+      isSingleVersion,
+      ...(isSingleVersion && onlyVersion !== undefined ? { onlyVersion } : {})
     }
-    this.output.add(event)
-    return undefined
   }
 
   /** Writes all events that are not in the replicated state yet. */
@@ -353,12 +361,21 @@
     const result = { itemId, parts: [], versions: this.output.versions, state: ResultState.Completed }
     if (!reward) return result
     this.stage = ItemStage.Scoring
-    const { clock, metrics, forwarder, routeOf } = this._options
-    const onCalled = (fields: LogFields): void => this._log(BatchEvent.ItemScored, fields)
-    const score = await new RewardScoring({ clock, metrics, forwarder, routeOf, onCalled }).score(reward, this.times.abandonAtMs, scope)
+    const score = await this._scoreUntilDecided(reward, scope)
+    this._log(BatchEvent.ItemScored, { rewardId: reward.rewardId, outcome: score.kind })
     return score.kind === 'scored' ? { ...result, score: score.receipt } : this._abandonedResult()
   }
 
+  /** Repeats the reward call while the host that makes it stops or is lost; its endpoint answers a repeated call with the same receipt. */
+  private async _scoreUntilDecided (reward: RewardCall, scope: Scope): Promise<RewardScore> {
+    const { clock, executor } = this._options
+    for (;;) {
+      const score = await executor.score(reward, this.times.abandonAtMs, scope)
+      if (score.kind !== 'interrupted') return score
+      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
+    }
+  }
+
   /** Proposes the result until it is listed. The command contains only the events that are not in the replicated state yet. */
   private async _commit (result: ItemResult, scope: Scope): Promise<void> {
     const { clock, replica } = this._options
--- a/src/batches/outputReplicator.ts
+++ b/src/batches/outputReplicator.ts
@@ -10,15 +10,6 @@
 import type { Scope } from '../utils/scope.js'
 import type { ItemOutput } from './itemOutput.js'
 
-/** Events per write to the replicated state: less than a second of a run, which a new leader would have to repeat. */
-const EVENTS_PER_WRITE_COUNT = 16
-/**
- * A run with this many events writes fewer events at a time. A step ends with its
- * longest samples and waits for what a dead leader lost of them: 0.1 s on average
- * instead of 0.3 s at 40 ms per event.
- */
-const LONG_RUN_EVENTS_COUNT = 64
-const LONG_RUN_EVENTS_PER_WRITE_COUNT = 6
 const COMMIT_TIMEOUT_MS = 2_000
 
 export interface OutputReplicatorOptions {
@@ -39,10 +30,10 @@
     this._options = options
   }
 
-  /** Called after events were added; starts a write once enough events are not in the replicated state yet. */
-  replicateIfEnough (scope: Scope): void {
-    if (this._replicating || this._options.output.unreplicatedCount < this._eventsPerWrite()) return
-    this._replicating = this._replicateNew(scope).catch(error => {
+  /** Called after a part was added; starts a write unless one is in progress. */
+  replicateNew (scope: Scope): void {
+    if (this._replicating || this._options.output.unreplicatedCount === 0) return
+    this._replicating = this._write(scope).catch(error => {
       if (!(error instanceof ScopeClosedError)) throw error
     }).finally(() => { this._replicating = undefined })
   }
@@ -55,14 +46,10 @@
   /** Writes all events that are not in the replicated state yet. */
   async replicateAll (progress: Progress): Promise<void> {
     if (this._replicating) await progress.race(this._replicating)
-    if (this._options.output.unreplicatedCount > 0) await this._replicateNew(progress.scope)
-  }
-
-  private _eventsPerWrite (): number {
-    return this._options.output.lastEventId < LONG_RUN_EVENTS_COUNT ? EVENTS_PER_WRITE_COUNT : LONG_RUN_EVENTS_PER_WRITE_COUNT
+    if (this._options.output.unreplicatedCount > 0) await this._write(progress.scope)
   }
 
-  private async _replicateNew (scope: Scope): Promise<void> {
+  private async _write (scope: Scope): Promise<void> {
     const { clock, replica, output, batchId, itemId, onNotReplicated } = this._options
     const { replicatedCount: afterEventId, lastEventId, generation } = output
     const command = { kind: BatchCommandKind.Progress, batchId, itemId, afterEventId, parts: output.unreplicatedParts() }
--- a/src/batches/rewardScoring.ts
+++ b/src/batches/rewardScoring.ts
@@ -7,8 +7,8 @@
 import type { RewardCall } from '../protocol/batches.js'
 import { RefusalReason } from '../protocol/refusals.js'
 import type { RoutingRoute } from '../protocol/routing.js'
+import type { RewardScore } from '../protocol/runnerTasks.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
-import type { LogFields } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
 import { Progress } from '../utils/progress.js'
@@ -22,20 +22,12 @@
 const HTTP_OK_MIN = 200
 const HTTP_OK_MAX = 299
 
-export type RewardScore =
-  /** The receipt of the endpoint that scored the sample. */
-  | { kind: 'scored', receipt: string }
-  /** No further attempt is allowed. */
-  | { kind: 'lost' }
-
 export interface RewardScoringOptions {
   clock: Clock
   metrics: Metrics
   forwarder: RequestForwarder
   /** The route of a request in the current routing configuration. */
   routeOf: (host: string, path: string) => RoutingRoute | undefined
-  /** Called with log fields after each call. */
-  onCalled: (fields: LogFields) => void
 }
 
 export class RewardScoring {
@@ -65,7 +57,7 @@
   }
 
   private async _call (reward: RewardCall, route: RoutingRoute, scope: Scope): Promise<ForwardOutcome> {
-    const { clock, forwarder, metrics, onCalled } = this._options
+    const { clock, forwarder, metrics } = this._options
     const outcome = await forwarder.forward({
       route,
       method: 'POST',
@@ -78,8 +70,6 @@
       isPersistent: true
     })
     metrics.count(MetricName.RewardCalled, { outcome: outcome.kind })
-    const details = outcome.kind === 'answered' ? { status: outcome.status, failedAnswersCount: outcome.failedAnswersCount } : { reason: outcome.reason }
-    onCalled({ rewardId: reward.rewardId, outcome: outcome.kind, ...details })
     return outcome
   }
 }
--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -1,21 +1,12 @@
 /**
- * How a run of an item at an engine can end, and the effect on the health of the engine.
+ * The effect of the end of a run on the health of its engine and on the failures of its item.
  */
-import type { ItemOutcome } from '../endpoints/endpointClient.js'
 import { FailureReason } from '../endpoints/endpointHealth.js'
 import type { FailureAttribution } from '../endpoints/failureAttribution.js'
+import { isEndedByHost, type HostOutcome, type RunOutcome } from '../protocol/runnerTasks.js'
 import { unreachable } from '../utils/errors.js'
 import type { Engine } from './engineFleet.js'
 
-export type RunOutcome =
-  | ItemOutcome
-  /** The item continues at a faster engine. */
-  | { kind: 'moved' }
-  /** The engine accepted the run but sent no event, so it is unknown whether the run started. */
-  | { kind: 'notBegun', reason: string }
-  /** This host ended the run because the output does not fit the batch; the engine is not at fault. */
-  | { kind: 'unusable', reason: string }
-
 export interface EndedRun {
   engine: Engine
   startedAtMs: number
@@ -26,23 +17,18 @@
 }
 
 /** Records the outcome of a run in the health of the engine and in the failures of the item. */
-export function recordOutcome (outcome: RunOutcome, { engine, startedAtMs, failures, markRemoved }: EndedRun): void {
+export function recordOutcome (outcome: RunOutcome, ended: EndedRun): void {
+  if (isEndedByHost(outcome)) return recordHostOutcome(outcome, ended)
+  const { engine, startedAtMs, failures, markRemoved } = ended
   const { health } = engine
   switch (outcome.kind) {
     case 'finished':
     case 'impossible':
-    case 'moved':
-    case 'unusable':
       return
     case 'failed':
       health.responded()
       failures.note(engine.id, health, startedAtMs, outcome.status)
       return
-    case 'notBegun':
-      // Progress of other runs does not show that the engine starts every run that it accepts.
-      health.failed(FailureReason.Broken, startedAtMs)
-      failures.notStarted(engine.id, health, startedAtMs)
-      return
     case 'notExecuted':
       health.rejectedAsFull(undefined)
       return
@@ -60,3 +46,10 @@
       unreachable(outcome)
   }
 }
+
+function recordHostOutcome ({ kind }: HostOutcome, { engine, startedAtMs, failures }: EndedRun): void {
+  if (kind !== 'notBegun') return
+  // Progress of other runs does not show that the engine starts every run that it accepts.
+  engine.health.failed(FailureReason.Broken, startedAtMs)
+  failures.notStarted(engine.id, engine.health, startedAtMs)
+}
--- /dev/null
+++ b/src/batches/runnerPool.ts
@@ -0,0 +1,206 @@
+/**
+ * The store hosts that run items for this leader, so that the throughput of the store
+ * is not limited by the processor of one host. The leader decides which item runs at
+ * which engine; a runner reads the events, checks and compresses them, makes the reward
+ * calls, and reports. Without other hosts, the leader runs items itself by the same code.
+ *
+ * All runs at one engine go through the same host, in the data centre of the engine if
+ * possible: events then cross data centres compressed and in few messages, and no
+ * further connections to the engine are opened.
+ */
+import type { RewardCall } from '../protocol/batches.js'
+import { HostRole, type FleetEndpoint } from '../protocol/fleet.js'
+import type { ItemRunRequest, RewardScore, RunOutcome, TaskReport } from '../protocol/runnerTasks.js'
+import type { FleetView } from '../fleet/fleetView.js'
+import type { PeerLinks } from '../replication/log/peerLinks.js'
+import { sleepUntil, type Clock } from '../utils/clock.js'
+import type { Logger } from '../utils/logger.js'
+import { MetricName } from '../utils/metricNames.js'
+import type { Metrics } from '../utils/metrics.js'
+import type { Progress } from '../utils/progress.js'
+import type { Scope } from '../utils/scope.js'
+import { BatchEvent } from './batchEvents.js'
+import type { ItemExecutor, ProgressListener, StartedRun } from './itemExecutor.js'
+import { RemoteRunner, RunnerFailure, type RemoteRunnerOptions } from './remoteRunner.js'
+
+/** Interval for checking for silent runners. */
+const CHECK_INTERVAL_MS = 100
+/** A runner with tasks that reports nothing for this long is given up; four times its report interval. */
+const SILENT_MS = 800
+/** A check later than this shows that this host was busy or frozen itself, so that reports may be waiting to be read. */
+const MAX_CHECK_DELAY_MS = 100
+
+export interface RunnerPoolOptions {
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  view: FleetView
+  links: PeerLinks
+  /** Executes on this host. */
+  local: ItemExecutor
+  hostId: string
+  dataCentre: string
+  peerAddress: string
+  term: number
+  /** Closes with the leadership. */
+  scope: Scope
+  /** Whether the processor of this host is overloaded. */
+  isOverloaded: () => boolean
+}
+
+export class RunnerPool implements ItemExecutor {
+  private readonly _options: RunnerPoolOptions
+  private readonly _runnerOptions: RemoteRunnerOptions
+  private readonly _runners = new Map<string, RemoteRunner>()
+  /** The runner of each engine. */
+  private readonly _runnerOfEngine = new Map<string, RemoteRunner>()
+  private _lastTaskId = 0
+
+  constructor (options: RunnerPoolOptions) {
+    this._options = options
+    const { clock, scope, links, term, peerAddress } = options
+    this._runnerOptions = { clock, scope, links, term, leaderAddress: peerAddress, onLost: (runner, reason, tasksCount) => this._recordLoss(runner, reason, tasksCount) }
+  }
+
+  get term (): number {
+    return this._options.term
+  }
+
+  /** Announces the term to all runners and watches them, until the scope closes. */
+  async watch (scope: Scope): Promise<void> {
+    const { clock } = this._options
+    for (const runner of this._present()) runner.announce()
+    for (;;) {
+      const checkAtMs = clock.nowMs() + CHECK_INTERVAL_MS
+      await sleepUntil(clock, scope, checkAtMs)
+      if (clock.nowMs() - checkAtMs <= MAX_CHECK_DELAY_MS) this._checkRunners()
+    }
+  }
+
+  run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun {
+    const runner = this._runnerFor(request.endpoint)
+    if (!runner) return this._options.local.run(request, abandonAtMs, scope, onProgress)
+    const taskId = ++this._lastTaskId
+    const ended = new Promise<RunOutcome>(resolve => {
+      runner.start({ kind: 'run', taskId, abandonInMs: this._remainingMs(abandonAtMs), request }, { kind: 'run', onProgress, settle: resolve })
+    })
+    return { outcome: this._awaitTask(runner, taskId, ended, scope), stop: () => runner.stop(taskId) }
+  }
+
+  async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
+    const runner = leastLoaded(this._usable())
+    if (!runner) return await this._options.local.score(reward, abandonAtMs, scope)
+    const taskId = ++this._lastTaskId
+    const ended = new Promise<RewardScore>(resolve => {
+      runner.start({ kind: 'score', taskId, abandonInMs: this._remainingMs(abandonAtMs), reward }, { kind: 'score', settle: resolve })
+    })
+    return await this._awaitTask(runner, taskId, ended, scope)
+  }
+
+  async flush (progress: Progress): Promise<void> {
+    await Promise.all([this._options.local.flush(progress), ...[...this._runners.values()].map(runner => runner.flush(progress))])
+  }
+
+  /** Applies the reports of a runner; returns the ids of tasks that the runner should end. */
+  receive (runnerId: string, reports: readonly TaskReport[]): number[] {
+    const runner = this._runners.get(runnerId)
+    return runner ? runner.receive(reports) : reports.map(({ taskId }) => taskId)
+  }
+
+  /** Number of tasks of each runner, by host id. */
+  tasksCounts (): Map<string, number> {
+    return new Map([...this._runners.values()].map(({ hostId, tasksCount }) => [hostId, tasksCount]))
+  }
+
+  private async _awaitTask<T> (runner: RemoteRunner, taskId: number, ended: Promise<T>, scope: Scope): Promise<T> {
+    try {
+      return await scope.race(ended)
+    } finally {
+      runner.cancel(taskId)
+    }
+  }
+
+  private _remainingMs (deadlineMs: number): number {
+    return Math.max(0, deadlineMs - this._options.clock.nowMs())
+  }
+
+  /** The host that runs items at an engine; undefined for this host. */
+  private _runnerFor (endpoint: FleetEndpoint): RemoteRunner | undefined {
+    const usable = this._usable()
+    const present = this._runnerOfEngine.get(endpoint.endpointId)
+    if (present && usable.includes(present)) return present
+    const runner = this._chooseRunner(endpoint.dataCentre, usable)
+    if (runner) this._runnerOfEngine.set(endpoint.endpointId, runner)
+    return runner
+  }
+
+  private _chooseRunner (engineDataCentre: string, usable: RemoteRunner[]): RemoteRunner | undefined {
+    const { dataCentre, isOverloaded } = this._options
+    const inDataCentre = (wanted: string): RemoteRunner[] => usable.filter(runner => runner.dataCentre === wanted)
+    const near = this._withFewestEngines(inDataCentre(engineDataCentre))
+    if (near) return near
+    if (engineDataCentre === dataCentre && !isOverloaded()) return undefined
+    // Through a host beside the leader, the events cross data centres no more often than to the leader itself.
+    return this._withFewestEngines(inDataCentre(dataCentre)) ?? this._withFewestEngines(usable)
+  }
+
+  private _withFewestEngines (runners: readonly RemoteRunner[]): RemoteRunner | undefined {
+    const counts = new Map<RemoteRunner, number>()
+    for (const runner of this._runnerOfEngine.values()) counts.set(runner, (counts.get(runner) ?? 0) + 1)
+    return minBy(runners, runner => counts.get(runner) ?? 0)
+  }
+
+  private _usable (): RemoteRunner[] {
+    return this._present().filter(({ isUsable }) => isUsable)
+  }
+
+  /** The other store hosts that control hosts are connected to and that are not leaving. */
+  private _present (): RemoteRunner[] {
+    const { view, hostId: ownHostId } = this._options
+    const hosts = view.hosts(HostRole.Store).filter(({ hostId, isServing }) => isServing && hostId !== ownHostId && !view.retirementOf(hostId))
+    return hosts.flatMap(({ hostId, dataCentre, store }) => (store ? [this._runnerAt(hostId, store.peerAddress, dataCentre)] : []))
+  }
+
+  private _runnerAt (hostId: string, address: string, dataCentre: string): RemoteRunner {
+    let runner = this._runners.get(hostId)
+    if (!runner) {
+      runner = new RemoteRunner(hostId, address, dataCentre, this._runnerOptions)
+      this._runners.set(hostId, runner)
+    }
+    runner.address = address
+    runner.dataCentre = dataCentre
+    return runner
+  }
+
+  private _checkRunners (): void {
+    for (const runner of this._runners.values()) {
+      if (runner.silentMs > SILENT_MS) runner.lose(RunnerFailure.Silent)
+      this._options.metrics.gauge(MetricName.RunnerTasks, runner.tasksCount, { runner: runner.hostId })
+    }
+  }
+
+  private _recordLoss ({ hostId }: RemoteRunner, reason: RunnerFailure, tasksCount: number): void {
+    for (const [engineId, runner] of this._runnerOfEngine) {
+      if (runner.hostId === hostId) this._runnerOfEngine.delete(engineId)
+    }
+    if (tasksCount === 0) return
+    this._options.metrics.count(MetricName.RunnerLost, { reason })
+    this._options.logger.event(BatchEvent.RunnerLost, { runnerId: hostId, reason, tasksCount })
+  }
+}
+
+function leastLoaded (runners: readonly RemoteRunner[]): RemoteRunner | undefined {
+  return minBy(runners, ({ tasksCount }) => tasksCount)
+}
+
+function minBy<T> (values: readonly T[], keyOf: (value: T) => number): T | undefined {
+  let best: T | undefined
+  let lowest = Number.POSITIVE_INFINITY
+  for (const value of values) {
+    const key = keyOf(value)
+    if (key >= lowest) continue
+    best = value
+    lowest = key
+  }
+  return best
+}
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -265,7 +265,7 @@
 
   private _estimateOf (run: ItemRun): RunEstimate {
     return {
-      generatedCount: run.output.lastEventId,
+      generatedCount: run.generatedCount,
       hintedRemainingCount: this._hintedRemainingEventsCount(run),
       longestCount: this._options.demand.longestEventsCount(run.item.model)
     }
--- a/src/batches/stallDetector.ts
+++ b/src/batches/stallDetector.ts
@@ -44,13 +44,18 @@
     return this._eventsCount
   }
 
-  /** Restarts the timeout after an event, and adds the gap before the event to the time per event of the engine. */
-  recordEvent (): void {
+  /**
+   * Restarts the timeout after an event, and adds the gap before the event to the time
+   * per event of the engine. Returns the gap; undefined if it does not show the pace.
+   */
+  recordEvent (): number | undefined {
     const nowMs = this._clock.nowMs()
     // The time to the first event depends on the prompt, and an overloaded host reads events late; neither delay is part of the time per event.
-    if (this._eventsCount > 0 && !this._isOverloaded()) this._pace.recordGap(nowMs - this._lastEventAtMs)
+    const gapMs = this._eventsCount > 0 && !this._isOverloaded() ? nowMs - this._lastEventAtMs : undefined
+    if (gapMs !== undefined) this._pace.recordGap(gapMs)
     this._eventsCount++
     this._lastEventAtMs = nowMs
+    return gapMs
   }
 
   private _check (runScope: Scope): void {
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -13,6 +13,7 @@
 import { FleetView } from '../fleet/fleetView.js'
 import { RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import { RequestForwarder } from '../gateway/requestForwarder.js'
+import { routeFinder } from '../gateway/routeTable.js'
 import { HostRole, type FleetHost } from '../protocol/fleet.js'
 import type { StoreReplica } from '../protocol/routingCommands.js'
 import type { Leadership } from '../replication/log/leadership.js'
@@ -28,6 +29,7 @@
 import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
 import type { Connection } from '../transport/connection.js'
 import { joinStoreMethod } from '../transport/batchMethods.js'
+import { reportTasksMethod, type TasksReport, type TasksReportReply } from '../transport/runnerMethods.js'
 import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { TcpTransport } from '../transport/tcpTransport.js'
 import { PROCESS_STARTED_AT_MS, systemClock } from '../utils/clock.js'
@@ -44,7 +46,10 @@
 import { BatchService } from './batchService.js'
 import { BatchState } from './batchState.js'
 import { BatchAges } from './batchTimes.js'
+import { LocalExecutor } from './localExecutor.js'
 import { OrderHistory } from './orderHistory.js'
+import { RunnerPool } from './runnerPool.js'
+import { RunnerService } from './runnerService.js'
 import { StoreMembership } from './storeMembership.js'
 import { StoreRetirement } from './storeRetirement.js'
 import { WeightRollout } from './weightRollout.js'
@@ -110,8 +115,13 @@
   private readonly _service: BatchService
   private readonly _commands: ControlCommands
   private readonly _quarantine: RequestQuarantine
+  private readonly _routeOf: ReturnType<typeof routeFinder>
+  private readonly _executor: LocalExecutor
+  /** Runs items for the leader. */
+  private readonly _runnerService: RunnerService
   /** Defined while this host leads. */
   private _dispatcher: BatchDispatcher | undefined
+  private _runnerPool: RunnerPool | undefined
 
   private constructor (options: StoreProgramOptions, opened: OpenedReplica, readMs: number) {
     this._options = options
@@ -151,6 +161,9 @@
     this._service = new BatchService({ replica: this._replica, state: this._state, clock: systemClock, logger, scope: this._scope, keepMs, stateCapacityBytes })
     this._commands = new ControlCommands(() => this._follower.addresses, this._transport, this._scope, onFatal)
     this._quarantine = this._createQuarantine()
+    this._routeOf = routeFinder(this._view)
+    this._executor = this._createExecutor()
+    this._runnerService = new RunnerService({ clock: systemClock, logger, supervisor: this._supervisor, links: this._replica.links, executor: this._executor, hostId: settings.hostId })
   }
 
   /**
@@ -177,6 +190,7 @@
     const progress = new Progress(systemClock, this._scope, systemClock.nowMs() + HANDOVER_TIMEOUT_MS)
     await this._dispatcher?.replicateOutputs(progress)
     await this._replica.handOver(progress)
+    await this._runnerService.stop(progress)
     await this._supervisor.stop('planned stop')
   }
 
@@ -191,7 +205,9 @@
     const handlers = new RpcHandlers()
     this._replica.serve(handlers)
     this._service.serve(handlers)
+    this._runnerService.serve(handlers)
     handlers.on(joinStoreMethod, newcomer => this._join(newcomer))
+    handlers.on(reportTasksMethod, report => this._receiveReports(report))
     await this._transport.listen(peerAddress, this._scope, connection => { servePeer(connection, handlers, onFatal) })
     this._replica.start()
     this._follower.start()
@@ -219,6 +235,11 @@
     return { kind: 'answered' as const, outcome: outcome.kind === 'refused' ? outcome.reason : outcome.kind }
   }
 
+  private _receiveReports ({ term, runnerId, reports }: TasksReport): TasksReportReply {
+    if (this._runnerPool?.term !== term) return { kind: 'notLeader' }
+    return { kind: 'received', unknownTaskIds: this._runnerPool.receive(runnerId, reports) }
+  }
+
   private _describe (): FleetHost {
     const { hostId, hostName, dataCentre, peerAddress } = this._options.settings
     const { core, leadership } = this._replica
@@ -252,9 +273,15 @@
   private async _dispatch (leadership: Leadership, supervisor: Supervisor, scope: Scope): Promise<void> {
     await this._replica.whenCaughtUp(scope)
     this._follower.announceChange()
-    const dispatcher = this._createDispatcher(supervisor)
+    const runnerPool = this._createRunnerPool(leadership, supervisor)
+    const dispatcher = this._createDispatcher(runnerPool, supervisor)
     this._dispatcher = dispatcher
-    scope.onClose(() => { this._dispatcher = undefined })
+    this._runnerPool = runnerPool
+    scope.onClose(() => {
+      this._dispatcher = undefined
+      this._runnerPool = undefined
+    })
+    supervisor.spawn('runners', taskScope => runnerPool.watch(taskScope))
     const { settings, client, logger, metrics } = this._options
     const rollout = new WeightRollout({
       clock: systemClock,
@@ -316,14 +343,43 @@
     })
   }
 
-  private _createDispatcher (supervisor: Supervisor): BatchDispatcher {
-    const { settings, client, logger, metrics } = this._options
-    const view = this._view
-    const random = systemRandom()
-    const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: settings.dataCentre, logger, metrics })
-    const quarantine = this._quarantine
-    const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger, metrics })
-    return new BatchDispatcher({ clock: systemClock, random, logger, metrics, client, forwarder, quarantine, pool, view, replica: this._replica, state: this._state, ages: this._ages, supervisor })
+  private _createPool (): EndpointPool {
+    const { settings: { dataCentre }, logger, metrics } = this._options
+    return new EndpointPool({ view: this._view, clock: systemClock, random: systemRandom(), dataCentre, logger, metrics })
+  }
+
+  private _createExecutor (): LocalExecutor {
+    const { client, logger, metrics } = this._options
+    const forwarder = new RequestForwarder({ view: this._view, pool: this._createPool(), client, quarantine: this._quarantine, random: systemRandom(), logger, metrics })
+    const isOverloaded = (): boolean => this._dispatcher?.isOverloaded ?? this._runnerService.isLate
+    return new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf: this._routeOf, isOverloaded })
+  }
+
+  private _createRunnerPool ({ term }: Leadership, supervisor: Supervisor): RunnerPool {
+    const { settings: { hostId, dataCentre, peerAddress }, logger, metrics } = this._options
+    const isOverloaded = (): boolean => this._dispatcher?.isOverloaded === true
+    return new RunnerPool({
+      clock: systemClock, logger, metrics, view: this._view, links: this._replica.links, local: this._executor, hostId, dataCentre, peerAddress, term, scope: supervisor.scope, isOverloaded
+    })
+  }
+
+  private _createDispatcher (executor: RunnerPool, supervisor: Supervisor): BatchDispatcher {
+    const { logger, metrics } = this._options
+    return new BatchDispatcher({
+      clock: systemClock,
+      random: systemRandom(),
+      logger,
+      metrics,
+      executor,
+      routeOf: this._routeOf,
+      quarantine: this._quarantine,
+      pool: this._createPool(),
+      view: this._view,
+      replica: this._replica,
+      state: this._state,
+      ages: this._ages,
+      supervisor
+    })
   }
 }
 
--- a/src/gateway/routeTable.ts
+++ b/src/gateway/routeTable.ts
@@ -36,6 +36,12 @@
   }
 }
 
+/** Returns a function that finds the route of a request in the latest routing configuration of a view. */
+export function routeFinder (view: { readonly routing: Routing | undefined }): (host: string, path: string) => RoutingRoute | undefined {
+  const routes = new CurrentRoutes()
+  return (host, path) => view.routing && routes.of(view.routing).find(host, path)
+}
+
 /** Draws one of the services of a route, in proportion to their weights. */
 export function chooseService (route: RoutingRoute, random: RandomSource): string {
   const totalWeight = route.services.reduce((sum, { weight }) => sum + weight, 0)
--- a/src/transport/memoryTransport.ts
+++ b/src/transport/memoryTransport.ts
@@ -42,6 +42,11 @@
     this._cuts.add(`${hostB}|${hostA}`)
   }
 
+  /** Silently drops all messages from one host to another. */
+  cutOneWay (from: string, to: string): void {
+    this._cuts.add(`${from}|${to}`)
+  }
+
   heal (): void {
     this._cuts.clear()
   }
--- /dev/null
+++ b/src/transport/runnerMethods.ts
@@ -0,0 +1,50 @@
+/**
+ * RPC methods between the leader of the batch store and the store hosts that run
+ * items for it.
+ */
+import { z } from 'zod'
+import { runnerTaskSchema, taskReportSchema } from '../protocol/runnerTasks.js'
+import { rpcMethod } from './rpcPeer.js'
+
+const term = z.int()
+
+const assignTasksReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('assigned') }),
+  /** The runner knows a later leader. */
+  z.object({ kind: z.literal('staleTerm'), term }),
+  /** The runner is stopping and accepts no tasks. */
+  z.object({ kind: z.literal('stopping') })
+])
+export type AssignTasksReply = z.infer<typeof assignTasksReplySchema>
+
+/** Called by the leader. A call without tasks announces a new term, which ends the tasks of earlier terms. */
+export const assignTasksMethod = rpcMethod('runner.assign', z.object({
+  term,
+  /** Where the runner sends its reports. */
+  leaderAddress: z.string(),
+  tasks: z.array(runnerTaskSchema)
+}), assignTasksReplySchema)
+
+/** Called by the leader before it hands over: all events received so far are reported before the reply. */
+export const flushTasksMethod = rpcMethod('runner.flush', z.object({ term }), z.object({}))
+
+const tasksReportSchema = z.object({
+  term,
+  runnerId: z.string(),
+  reports: z.array(taskReportSchema)
+})
+export type TasksReport = z.infer<typeof tasksReportSchema>
+
+const tasksReportReplySchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('received'),
+    /** Tasks that the leader does not wait for. */
+    unknownTaskIds: z.array(z.int())
+  }),
+  /** This host does not lead in the term of the report. */
+  z.object({ kind: z.literal('notLeader') })
+])
+export type TasksReportReply = z.infer<typeof tasksReportReplySchema>
+
+/** Called by a runner at regular intervals while it has tasks; a timely reply renews its lease on them. */
+export const reportTasksMethod = rpcMethod('runner.report', tasksReportSchema, tasksReportReplySchema)
--- a/tests/batches/busyStore.test.ts
+++ b/tests/batches/busyStore.test.ts
@@ -30,7 +30,8 @@
     stepsAheadCount: 1,
     longEventsCount: 44,
     firstStepStaggerMs: 0,
-    processors: { hostsCount: HOSTS_COUNT, share: PROCESSOR_SHARE, costs: scaled(COSTS, costFactor) }
+    hostsCount: HOSTS_COUNT,
+    processors: { share: PROCESSOR_SHARE, costs: scaled(COSTS, costFactor) }
   }).start()
   t.teardown(() => world.close())
   for (const [position, engine] of world.engines.all.entries()) {
--- /dev/null
+++ b/tests/batches/runners.test.ts
@@ -0,0 +1,163 @@
+/**
+ * Store hosts that run items for the leader, and what happens when they or the leader
+ * are lost.
+ */
+import test, { type ExecutionContext } from 'ava'
+import { textOf } from '../../src/batches/outputParts.js'
+import { ResultState } from '../../src/protocol/batches.js'
+import { Progress } from '../../src/utils/progress.js'
+import { Scope } from '../../src/utils/scope.js'
+import { submission } from '../fixtures/fleet/batchFixtures.js'
+import type { WorkCosts } from '../fixtures/fleet/billedEndpoints.js'
+import { engine } from '../fixtures/fleet/fleetFixtures.js'
+import type { RunnerHost } from '../fixtures/fleet/runnerHost.js'
+import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
+
+const EVENTS_COUNT = 100
+const GAP_MS = 20
+const RUN_MS = EVENTS_COUNT * GAP_MS
+/** Long enough for some parts of each output, short enough that all runs are in progress. */
+const BEFORE_FAULT_MS = 600
+/** The time within which items continue at other hosts after theirs was lost without a word. */
+const LOSS_KNOWN_MS = 1_200
+const ITEM_IDS = ['i1', 'i2', 'i3', 'i4']
+const NO_COSTS: WorkCosts = { startMs: 0, eventMs: 0, rewardMs: 0, commitMs: 0, messageMs: 0 }
+
+async function start (t: ExecutionContext, hostsCount = 3): Promise<StoreWorld> {
+  const engines = ['e1', 'e2'].map(id => engine(id, 1))
+  const world = await new StoreWorld({ engines, hostsCount, processors: { share: 1, costs: NO_COSTS } }).start()
+  t.teardown(() => world.close())
+  world.endpoints.onRun = () => ({ eventsCount: EVENTS_COUNT, gapMs: GAP_MS, version: 1 })
+  return world
+}
+
+/** Starts four items and waits until they run; returns one of the hosts that run them. */
+async function startItems (t: ExecutionContext, world: StoreWorld): Promise<RunnerHost> {
+  await world.submit(submission('b1', ITEM_IDS))
+  await world.clock.advance(BEFORE_FAULT_MS)
+  const [runner] = world.busyRunners()
+  t.truthy(runner, 'another host runs items')
+  return runner as RunnerHost
+}
+
+async function checkAllListed (t: ExecutionContext, world: StoreWorld, withinMs: number): Promise<void> {
+  await world.untilListed('b1', ITEM_IDS.length, withinMs)
+  const results = world.state.get('b1')?.results ?? []
+  t.deepEqual(results.map(({ itemId }) => itemId).sort(), ITEM_IDS)
+  const expected = Array.from({ length: EVENTS_COUNT }, (_value, position) => `event ${position + 1}`).join('\n')
+  for (const { state, parts, score } of results) {
+    t.is(state, ResultState.Completed)
+    t.is(textOf(parts), expected)
+    t.is(score, 'receipt')
+  }
+  t.deepEqual(world.runningCounts(), [0, 0])
+  t.deepEqual(world.failures, [])
+}
+
+function resumedAfterEventIds (world: StoreWorld): number[] {
+  return world.endpoints.runs.flatMap(({ afterEventId }) => afterEventId ?? [])
+}
+
+test('should run items on the other store hosts, all runs of an engine on one host', async t => {
+  const world = await start(t)
+  await startItems(t, world)
+  t.is(world.busyRunners().length, 2)
+  await checkAllListed(t, world, RUN_MS)
+  t.is(world.endpoints.runs.length, ITEM_IDS.length)
+})
+
+test('should run items on the leader when it is the only store host', async t => {
+  const world = await start(t, 1)
+  await world.submit(submission('b1', ITEM_IDS))
+  await checkAllListed(t, world, 2 * RUN_MS)
+})
+
+test('should continue items elsewhere after the events that the leader has when their host is killed', async t => {
+  const world = await start(t)
+  world.kill(await startItems(t, world))
+  await checkAllListed(t, world, RUN_MS + LOSS_KNOWN_MS)
+  t.is(resumedAfterEventIds(world).length, 2)
+  for (const afterEventId of resumedAfterEventIds(world)) t.true(afterEventId >= 16, `resumed after event ${afterEventId}`)
+})
+
+test('should continue items elsewhere while their host is frozen, and ignore what it reports when it wakes', async t => {
+  const world = await start(t)
+  const { hostId } = await startItems(t, world)
+  world.freeze(hostId, 2 * LOSS_KNOWN_MS)
+  await checkAllListed(t, world, RUN_MS + LOSS_KNOWN_MS)
+  await world.clock.advance(3 * LOSS_KNOWN_MS)
+  t.is(world.state.get('b1')?.results.length, ITEM_IDS.length)
+  t.deepEqual(world.busyRunners(), [])
+  t.deepEqual(world.failures, [])
+})
+
+for (const direction of ['to', 'from'] as const) {
+  test(`should continue items elsewhere when messages ${direction} their host are lost, and end their runs there`, async t => {
+    const world = await start(t)
+    const { hostId } = await startItems(t, world)
+    if (direction === 'to') world.network.cutOneWay('h1', hostId)
+    else world.network.cutOneWay(hostId, 'h1')
+    await world.clock.advance(LOSS_KNOWN_MS)
+    // Both items that ran there.
+    t.is(world.endpoints.abandonedRuns.length, 2)
+    await checkAllListed(t, world, RUN_MS)
+  })
+}
+
+test('should continue items after their very last event when their host stops as planned', async t => {
+  const world = await start(t)
+  const runner = await startItems(t, world)
+  const progress = new Progress(world.clock, new Scope('stop'), world.clock.nowMs() + 500)
+  await world.clock.advanceUntil(runner.stop(progress))
+  await checkAllListed(t, world, RUN_MS)
+  const sentCount = Math.floor(BEFORE_FAULT_MS / GAP_MS)
+  for (const afterEventId of resumedAfterEventIds(world)) t.true(afterEventId >= sentCount - 3, `resumed after event ${afterEventId}`)
+  t.is(resumedAfterEventIds(world).length, 2)
+})
+
+test('should end the runs of an earlier leader before those of the next one begin', async t => {
+  const world = await start(t)
+  await startItems(t, world)
+  world.stopDispatching()
+  world.startDispatching()
+  await world.clock.advance(100)
+  t.is(world.endpoints.abandonedRuns.length, ITEM_IDS.length)
+  await checkAllListed(t, world, RUN_MS)
+})
+
+test('should continue all items when the leader and a host that runs items for it are lost together', async t => {
+  const world = await start(t)
+  const runner = await startItems(t, world)
+  world.stopDispatching()
+  world.kill(runner)
+  await world.clock.advance(300)
+  world.startDispatching()
+  await checkAllListed(t, world, RUN_MS + LOSS_KNOWN_MS)
+})
+
+test('should end runs whose leader is gone, without a new leader', async t => {
+  const world = await start(t)
+  await startItems(t, world)
+  world.stopDispatching()
+  await world.clock.advance(2 * LOSS_KNOWN_MS)
+  t.is(world.endpoints.abandonedRuns.length, ITEM_IDS.length)
+})
+
+test('should run items on other hosts when a store host does not know how to', async t => {
+  const world = await start(t)
+  const [old] = world.runners
+  if (old) world.kill(old)
+  await world.submit(submission('b1', ITEM_IDS))
+  await checkAllListed(t, world, RUN_MS + 500)
+})
+
+test('should store all events before a planned change of leader', async t => {
+  const world = await start(t)
+  await startItems(t, world)
+  await world.keepOutputs()
+  world.stopDispatching()
+  world.startDispatching()
+  await checkAllListed(t, world, RUN_MS)
+  const sentCount = Math.floor(BEFORE_FAULT_MS / GAP_MS)
+  for (const afterEventId of resumedAfterEventIds(world)) t.true(afterEventId >= sentCount - 3, `resumed after event ${afterEventId}`)
+})
