Let a late timer wait until what has arrived meanwhile is read

What callers saw: results that were generated and scored were never listed. Cause: the event loop of Node.js runs due timers before it reads sockets. A leader that was busy for 0.3 s found the deadline of each heartbeat and append call passed while the replies lay in its sockets; three such calls in a row close the connection to a follower, with the entries on their way.

callAt of the system clock now defers a callback that is over 20 ms late behind one poll of the sockets. All deadlines of the product go through it: calls, elections, stalls, leases by timer.

--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -17,13 +17,20 @@
   leaseNowMs (): number
   /** Milliseconds since the Unix epoch, for timestamps in records and logs. */
   wallMs (): number
-  /** Calls back at the deadline; the returned function cancels the timer. */
+  /**
+   * Calls back at the deadline; the returned function cancels the timer. A process that
+   * was busy or suspended at the deadline reads what has arrived meanwhile first, so
+   * that it does not take its own delay for the silence of others.
+   */
   callAt (deadlineMs: number, callback: () => void): () => void
 }
 
 /** Value of `systemClock.nowMs()` when this process started: performance.now() counts from there. */
 export const PROCESS_STARTED_AT_MS = 0
 
+/** A timer later than this shows that the process was held up. */
+const LATE_TIMER_MS = 20
+
 const suspensionDetector = new SuspensionDetector(() => performance.now(), () => Date.now())
 
 export const systemClock: Clock = {
@@ -31,9 +38,17 @@
   leaseNowMs: () => suspensionDetector.leaseNowMs(),
   wallMs: () => Date.now(),
   callAt (deadlineMs, callback) {
-    const delayMs = Math.max(0, deadlineMs - performance.now())
-    const timer = setTimeout(callback, delayMs)
-    return () => clearTimeout(timer)
+    const nowMs = performance.now()
+    const dueAtMs = Math.max(nowMs, deadlineMs)
+    let deferred: NodeJS.Immediate | undefined
+    const timer = setTimeout(() => {
+      if (performance.now() - dueAtMs > LATE_TIMER_MS) deferred = setImmediate(callback)
+      else callback()
+    }, dueAtMs - nowMs)
+    return () => {
+      clearTimeout(timer)
+      clearImmediate(deferred)
+    }
   }
 }
 
