Write the last events of a run with its result, not apart

Since runs report their output in parts, the few events at the end of a run were written to the log as soon as they were reported, and the result right behind them: a third entry for each item. A part is now written apart only if it is as large as a full part, as it was before.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -288,7 +288,7 @@
     engine.health.responded()
     this._lastEventId = Math.max(this._lastEventId, lastEventId)
     for (const { afterEventId, part } of parts) this._addPart(afterEventId, part, engine)
-    this._outputReplicator.replicateNew(scope)
+    this._outputReplicator.replicateIfEnough(scope)
     const isCheckDue = Math.floor(this._lastEventId / MOVE_CHECK_EVENTS_COUNT) > hadChecksCount
     if (isCheckDue && !scope.isClosed && this._options.shouldMove(this, engine)) this.move()
   }
--- a/src/batches/outputBuffer.ts
+++ b/src/batches/outputBuffer.ts
@@ -17,6 +17,11 @@
 const LONG_OUTPUT_EVENTS_COUNT = 64
 const LONG_OUTPUT_EVENTS_PER_PART_COUNT = 6
 
+/** Events of a part that follows earlier events of an output. */
+export function eventsPerPartCount (lastEventId: number): number {
+  return lastEventId < LONG_OUTPUT_EVENTS_COUNT ? EVENTS_PER_PART_COUNT : LONG_OUTPUT_EVENTS_PER_PART_COUNT
+}
+
 export class OutputBuffer {
   private _lastEventId: number
   private _reportedEventId: number
@@ -35,8 +40,7 @@
     this._held.push(event)
     this._lastEventId = event.id
     if (gapMs !== undefined) this._gapsMs.push(gapMs)
-    const limit = event.id < LONG_OUTPUT_EVENTS_COUNT ? EVENTS_PER_PART_COUNT : LONG_OUTPUT_EVENTS_PER_PART_COUNT
-    if (this._held.length >= limit) this.completePart()
+    if (this._held.length >= eventsPerPartCount(event.id)) this.completePart()
   }
 
   /** Makes a part of the events that are held back. */
--- a/src/batches/outputReplicator.ts
+++ b/src/batches/outputReplicator.ts
@@ -9,6 +9,7 @@
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { ItemOutput } from './itemOutput.js'
+import { eventsPerPartCount } from './outputBuffer.js'
 
 const COMMIT_TIMEOUT_MS = 2_000
 
@@ -30,9 +31,10 @@
     this._options = options
   }
 
-  /** Called after a part was added; starts a write unless one is in progress. */
-  replicateNew (scope: Scope): void {
-    if (this._replicating || this._options.output.unreplicatedCount === 0) return
+  /** Called after parts were added; starts a write once they are worth one. The few last events of a run are written with its result instead. */
+  replicateIfEnough (scope: Scope): void {
+    const { unreplicatedCount, lastEventId } = this._options.output
+    if (this._replicating || unreplicatedCount < eventsPerPartCount(lastEventId)) return
     this._replicating = this._write(scope).catch(error => {
       if (!(error instanceof ScopeClosedError)) throw error
     }).finally(() => { this._replicating = undefined })
