Propose a result once, however long its commit takes

What callers saw: steps whose samples were all generated and scored, and never listed. Cause: a result that was not committed within 2 s was proposed again, as a new entry with the whole output, though its first entry was still in the leader's log and would be committed with it. The slower the commits, the more there was to commit.

An entry can only be lost with the leadership, which ends the item at this host anyway, so the item now waits for its first entry.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -22,7 +22,7 @@
 import type { Engine } from './engineFleet.js'
 import type { ItemExecutor, StartedRun } from './itemExecutor.js'
 import { ItemOutput } from './itemOutput.js'
-import { OutputReplicator } from './outputReplicator.js'
+import { ITEM_COMMIT_TIMEOUT_MS, OutputReplicator } from './outputReplicator.js'
 import { recordOutcome } from './runOutcome.js'
 import type { WaitingItem } from './itemOrder.js'
 import { ItemStage } from './stepReports.js'
@@ -34,7 +34,6 @@
 const MAX_RETRY_PAUSE_MS = 1_000
 /** An item that too few different engines have tried is abandoned after this many times the failures that its route allows. */
 const MAX_FAILURES_FACTOR = 2
-const COMMIT_TIMEOUT_MS = 2_000
 /** Interval for checking whether the quarantine of an item was lifted, until the item may be abandoned. */
 const QUARANTINE_CHECK_INTERVAL_MS = 500
 
@@ -384,7 +383,7 @@
     while (!this.batch.isListed(this.item.itemId)) {
       await this._outputReplicator.whenIdle(scope)
       const command = { kind: BatchCommandKind.Finish, batchId, ...this._finishCommandFields(result) }
-      const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
+      const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + ITEM_COMMIT_TIMEOUT_MS))
       const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
       this._log(BatchEvent.ItemListed, { groupId: this.item.groupId, state: result.state, outcome: answer })
       if (answer === 'listed') this._recordMetrics(result.state)
--- a/src/batches/outputReplicator.ts
+++ b/src/batches/outputReplicator.ts
@@ -11,7 +11,12 @@
 import type { ItemOutput } from './itemOutput.js'
 import { eventsPerPartCount } from './outputBuffer.js'
 
-const COMMIT_TIMEOUT_MS = 2_000
+/**
+ * Longest wait for the commit of an item's entry. An entry stays in the log of a leader
+ * for as long as it leads, so that proposing it again would only add to what is to be
+ * committed; the item ends with the leadership.
+ */
+export const ITEM_COMMIT_TIMEOUT_MS = 600_000
 
 export interface OutputReplicatorOptions {
   clock: Clock
@@ -55,7 +60,7 @@
     const { clock, replica, output, batchId, itemId, onNotReplicated } = this._options
     const { replicatedCount: afterEventId, lastEventId, generation } = output
     const command = { kind: BatchCommandKind.Progress, batchId, itemId, afterEventId, parts: output.unreplicatedParts() }
-    const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + COMMIT_TIMEOUT_MS))
+    const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + ITEM_COMMIT_TIMEOUT_MS))
     const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
     if (output.generation !== generation) return
     if (answer === 'kept') return output.markReplicated(lastEventId)
