Tell followers of a commit once, and let entries of the store wait 20 ms for others

With runs on other hosts, the log's messages are the largest part of a leader's work: a message to each follower every 10 ms and a notice of each commit every 20 ms beside them, which carried nothing that the next entries did not. A notice now goes only to followers that no message has told of the commit; the store's entries wait 20 ms for others instead of 10, control's as before.

--- a/bench/leader.ts
+++ b/bench/leader.ts
@@ -26,7 +26,8 @@
 
 function start (program: string, args: string[]): ChildProcess {
   const path = fileURLToPath(new URL(`./leader/${program}.js`, import.meta.url))
-  return spawn(process.execPath, [path, ...args], { stdio: ['ignore', 'pipe', 'inherit', 'ipc'] })
+  const profile = process.env.LEADER_PROFILE !== undefined && program === 'leader' ? ['--cpu-prof', `--cpu-prof-dir=${process.env.LEADER_PROFILE}`] : []
+  return spawn(process.execPath, [...profile, path, ...args], { stdio: ['ignore', 'pipe', 'inherit', 'ipc'] })
 }
 
 async function waitUntilListening (child: ChildProcess): Promise<void> {
@@ -47,7 +48,7 @@
   const ip = `127.${1 + process.pid % 250}.19.1`
   const folder = mkdtempSync(join(tmpdir(), 'threaddrum-bench-'))
   const engines = start('engines', [ip, String(ENGINES_COUNT), String(SLOW_ENGINE_INTERVAL)])
-  const followers = start('followers', [ip, String(REPLICAS_COUNT), folder])
+  const followers = start('followers', [ip, String(REPLICAS_COUNT), String(ENGINES_COUNT), folder])
   await Promise.all([waitUntilListening(engines), waitUntilListening(followers)])
   const seconds = quick ? QUICK_SECONDS : FULL_SECONDS
   const reports = await reportsOf(start('leader', [ip, String(REPLICAS_COUNT), String(ENGINES_COUNT), String(seconds), folder]))
--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -9,11 +9,12 @@
 import { BatchDispatcher } from '../../src/batches/batchDispatcher.js'
 import { BatchAges } from '../../src/batches/batchTimes.js'
 import { EndpointPool } from '../../src/endpoints/endpointPool.js'
-import { FleetView } from '../../src/fleet/fleetView.js'
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine.js'
 import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
 import { routeFinder } from '../../src/gateway/routeTable.js'
 import { LocalExecutor } from '../../src/batches/localExecutor.js'
+import { RunnerPool } from '../../src/batches/runnerPool.js'
+import { reportTasksMethod } from '../../src/transport/runnerMethods.js'
 import { BatchCommandKind } from '../../src/protocol/batches.js'
 import { sleepUntil, systemClock } from '../../src/utils/clock.js'
 import { silentLogger } from '../../src/utils/logger.js'
@@ -23,14 +24,12 @@
 import { Scope } from '../../src/utils/scope.js'
 import { Supervisor } from '../../src/utils/supervisor.js'
 import { submission } from '../../tests/fixtures/fleet/batchFixtures.js'
-import { batchRoute, DATA_CENTRE, endpoint, engine, route, routing } from '../../tests/fixtures/fleet/fleetFixtures.js'
+import { DATA_CENTRE } from '../../tests/fixtures/fleet/fleetFixtures.js'
+import { CONTROL_SOURCE, fleetViewOf, MODELS, TOKENS_PER_EVENT } from './fleet.js'
 import { membersOf, startStoreReplica } from './storeReplica.js'
 
-const FIRST_PORT = 21_000
 const STEP_INTERVAL_S = 4
-const MODELS = ['m0', 'm1', 'm2']
 const ITEMS_COUNTS = [144, 112, 128]
-const TOKENS_PER_EVENT = 69
 const KEEP_MS = 120_000
 const POLL_MS = 20
 /** Control hosts, each of which reports every engine once per heartbeat interval. */
@@ -40,22 +39,12 @@
 const [ip = '127.0.0.1', replicasText = '3', enginesText = '31', secondsText = '12', folder = ''] = process.argv.slice(2)
 const scope = new Scope('leader')
 const supervisor = new Supervisor(scope, (_task, error) => { throw error })
-const { replica, state } = await startStoreReplica(membersOf(ip, Number(replicasText)), 0, folder, supervisor)
+const members = membersOf(ip, Number(replicasText))
+const { replica, state, handlers } = await startStoreReplica(members, 0, folder, supervisor)
 while (!replica.leadership?.mayChangeMembers()) await sleepUntil(systemClock, scope, systemClock.nowMs() + POLL_MS)
 
-const engines = Array.from({ length: Number(enginesText) }, (_value, position) => {
-  const weights = MODELS.map(model => ({ model, version: 1 }))
-  return engine(`e${position + 1}`, 1, { address: `${ip}:${FIRST_PORT + position + 1}`, slotsCount: 8, weights })
-})
-const scorers = ['d1', 'd2'].map((id, position) => endpoint(id, { address: `${ip}:${FIRST_PORT + position + 1}`, slotsCount: 60 }))
-const configuration = routing(1, [route(), batchRoute()])
-for (const { engine: modelEngine } of configuration.services) {
-  if (modelEngine) Object.assign(modelEngine, { slotsCount: 8, kvCapacityTokens: 29_432, tokensPerEvent: TOKENS_PER_EVENT, models: MODELS })
-}
-const view = new FleetView(silentLogger)
-const update = { routing: configuration, endpoints: [...scorers, ...engines] }
-view.merge('control-1', update)
-const heartbeats = setInterval(() => view.merge('control-1', update), HEARTBEAT_MS / CONTROL_HOSTS_COUNT)
+const { view, update } = fleetViewOf(ip, Number(enginesText), members)
+const heartbeats = setInterval(() => view.merge(CONTROL_SOURCE, update), HEARTBEAT_MS / CONTROL_HOSTS_COUNT)
 
 const random = systemRandom()
 const metrics = memoryMetrics()
@@ -64,7 +53,14 @@
 const quarantine = new RequestQuarantine({ view, clock: systemClock, client, supervisor, logger: silentLogger, metrics, submit: async () => true })
 const forwarder = new RequestForwarder({ view, pool, client, quarantine, random, logger: silentLogger, metrics })
 const routeOf = routeFinder(view)
-const executor = new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf, isOverloaded: () => dispatcher.isOverloaded })
+const isOverloaded = (): boolean => dispatcher.isOverloaded
+const local = new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf, isOverloaded })
+const { hostId, peerAddress } = members[0]!
+const executor = new RunnerPool({
+  clock: systemClock, logger: silentLogger, metrics, view, links: replica.links, local, hostId, dataCentre: DATA_CENTRE, peerAddress, term: replica.core.term, scope, isOverloaded
+})
+handlers.on(reportTasksMethod, ({ runnerId, reports }) => ({ kind: 'received' as const, unknownTaskIds: executor.receive(runnerId, reports) }))
+supervisor.spawn('runners', taskScope => executor.watch(taskScope))
 const dispatcher: BatchDispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, executor, routeOf, quarantine, pool, view, replica, state, ages: new BatchAges(systemClock), supervisor })
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
 
--- a/bench/leader/storeReplica.ts
+++ b/bench/leader/storeReplica.ts
@@ -3,12 +3,11 @@
  */
 import { join } from 'node:path'
 import { BatchState } from '../../src/batches/batchState.js'
-import { storeSnapshotPolicy } from '../../src/batches/storeProgram.js'
+import { storeSnapshotPolicy, storeTimings } from '../../src/batches/storeProgram.js'
 import { EntryKind } from '../../src/replication/log/logEntry.js'
 import { MemberRole, type Member } from '../../src/replication/log/members.js'
 import { encodeMembership } from '../../src/replication/log/membershipHistory.js'
 import { Replica } from '../../src/replication/log/replica.js'
-import { defaultTimings } from '../../src/replication/log/timings.js'
 import type { ReplicatedState } from '../../src/replication/replicatedState.js'
 import { FileDisk } from '../../src/replication/storage/fileDisk.js'
 import { ReplicaStorage } from '../../src/replication/storage/replicaStorage.js'
@@ -26,6 +25,8 @@
 export interface BenchStoreReplica {
   replica: Replica
   state: BatchState
+  /** Serves the calls of the other hosts. */
+  handlers: RpcHandlers
 }
 
 export function membersOf (ip: string, count: number): Member[] {
@@ -52,7 +53,7 @@
     random: systemRandom(),
     metrics: memoryMetrics(),
     logger: silentLogger,
-    timings: isLeading ? defaultTimings : { ...defaultTimings, electionMinMs: FOLLOWER_ELECTION_MIN_MS, electionMaxMs: FOLLOWER_ELECTION_MAX_MS },
+    timings: isLeading ? storeTimings : { ...storeTimings, electionMinMs: FOLLOWER_ELECTION_MIN_MS, electionMaxMs: FOLLOWER_ELECTION_MAX_MS },
     transport,
     supervisor,
     onFatal,
@@ -67,5 +68,5 @@
   await replica.core.adoptCluster(CLUSTER_ID)
   await transport.listen(own.peerAddress, supervisor.scope, connection => { new RpcPeer(connection, handlers, onFatal).connection.onMessage(() => {}) })
   replica.start()
-  return { replica, state }
+  return { replica, state, handlers }
 }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -21,7 +21,7 @@
 import { Replica } from '../replication/log/replica.js'
 import { placementFor } from '../replication/log/replicaPlacement.js'
 import { setReplicaGauges } from '../replication/log/replicaGauges.js'
-import { defaultTimings } from '../replication/log/timings.js'
+import { defaultTimings, type LogTimings } from '../replication/log/timings.js'
 import { VoterWatch } from '../replication/log/voterWatch.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { ReplicationEvent } from '../replication/replicationEvents.js'
@@ -89,6 +89,8 @@
 
 /** A snapshot has all stored batches, some tens of megabytes. Log entries since the last snapshot stay in memory as well: 12 MB of log entries instead of 24 MB lower the peak memory of a busy store by 20 to 30 MB (tests/processes/storeMemory). */
 export const storeSnapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 12 * 1024 * 1024, keptEntriesCount: 256 }
+/** Entries of the store wait longer for others than those of control, since results come at a high rate and none is urgent by milliseconds. */
+export const storeTimings: LogTimings = { ...defaultTimings, appendIntervalMs: 20 }
 /** Source name in the view for versions from the log of the store itself. */
 const STORE_LOG_SOURCE = 'log of the store'
 /** A handover takes a few messages and disk syncs; without a handover in time, the host stops anyway. */
@@ -133,7 +135,7 @@
       random: systemRandom(),
       metrics,
       logger,
-      timings: defaultTimings,
+      timings: storeTimings,
       transport: this._transport,
       supervisor: this._supervisor,
       onFatal,
--- a/src/replication/log/followerProgress.ts
+++ b/src/replication/log/followerProgress.ts
@@ -29,6 +29,8 @@
   readonly contactedSinceMs: number
   /** Round of the latest heartbeat sent. */
   lastHeartbeatRound = 0
+  /** Highest commit index that a message to the replica carried; 0 after a message was lost. */
+  sentCommitIndex = 0
 
   /** @param startedAtMs when the leadership started */
   constructor (member: Member, nextIndex: number, startedAtMs: number, nowMs: number) {
--- a/src/replication/log/followerReplicator.ts
+++ b/src/replication/log/followerReplicator.ts
@@ -31,6 +31,8 @@
   nextRound (): number
   /** Highest round whose confirmation is awaited. */
   readonly requestedRound: number
+  /** Commit index that followers are to be notified of. */
+  readonly noticeCommitIndex: number
   onAcknowledged (): void
   onMatched (): void
 }
@@ -70,12 +72,18 @@
     for (;;) {
       const nextAtMs = clock.nowMs() + timings.heartbeatMs
       await this._heartbeat(scope)
-      while (this._follower.lastHeartbeatRound >= this._listener.requestedRound) {
+      while (this._follower.lastHeartbeatRound >= this._listener.requestedRound && !this._isNoticeDue()) {
         if (!(await this._follower.wanted.wait(scope, { clock, deadlineMs: nextAtMs }))) break
       }
     }
   }
 
+  /** Whether the follower lacks a commit that no message with entries has told it of. */
+  private _isNoticeDue (): boolean {
+    const { matchIndex, sentCommitIndex } = this._follower
+    return sentCommitIndex < Math.min(this._listener.noticeCommitIndex, matchIndex)
+  }
+
   private async _append (scope: Scope): Promise<boolean> {
     scope.throwIfClosed()
     const { clock, timings } = this._core.options
@@ -85,6 +93,7 @@
     invariant(prevTerm !== undefined, `entry ${prevIndex} is not in the log: it was compacted away`)
     const entries = log.slice(this._follower.nextIndex, MAX_APPEND_BYTES)
     const request = { ...this._address(), prevIndex, prevTerm, commitIndex: this._core.commitIndex, entries }
+    this._follower.sentCommitIndex = Math.max(this._follower.sentCommitIndex, Math.min(request.commitIndex, prevIndex + entries.length))
     const sentAt = this._sentAt()
     const round = this._listener.nextRound()
     const progress = new Progress(clock, scope, sentAt.sentAtMs + timings.callTimeoutMs)
@@ -119,6 +128,7 @@
     const sentAt = this._sentAt()
     const round = this._listener.nextRound()
     this._follower.lastHeartbeatRound = round
+    this._follower.sentCommitIndex = Math.max(this._follower.sentCommitIndex, commitIndex)
     const progress = new Progress(clock, scope, sentAt.sentAtMs + 2 * timings.heartbeatMs)
     const outcome = await this._links.to(this._follower.member).call(heartbeatMethod, { ...this._address(), commitIndex }, progress)
     if (outcome.kind !== 'replied') {
@@ -172,6 +182,7 @@
   private _recordLost (call: LogCall): false {
     this._core.options.metrics.count(MetricName.LogCallLost, { call })
     this._core.replicationStats.recordLostCall()
+    this._follower.sentCommitIndex = 0
     return false
   }
 
--- a/src/replication/log/leadership.ts
+++ b/src/replication/log/leadership.ts
@@ -30,6 +30,7 @@
   /** Notified whenever a follower answers. */
   readonly acknowledged = new Signal()
   requestedRound = 0
+  noticeCommitIndex = 0
   /** The leadership is being handed over: no further proposals are accepted, so that a follower can catch up completely. */
   isHandingOver = false
   private readonly _core: ReplicaCore
@@ -198,7 +199,7 @@
     this._stepDownIfRemoved()
   }
 
-  /** Schedules a heartbeat that notifies followers of the commit: followers answer reads, and may otherwise receive no further entries that would notify them. */
+  /** Schedules a notice of the commit to followers that no further entries have told of it until then, because followers answer reads. */
   private _scheduleCommitNotice (): void {
     if (this._isCommitNoticeScheduled) return
     this._isCommitNoticeScheduled = true
@@ -206,7 +207,7 @@
     clock.callAt(clock.nowMs() + timings.commitNoticeMs, () => {
       this._isCommitNoticeScheduled = false
       if (this.scope.isClosed) return
-      this.requestedRound = this._round + 1
+      this.noticeCommitIndex = this._core.commitIndex
       for (const { progress } of this._followers.values()) progress.wanted.notify()
     })
   }
