--- a/bench/leader/followers.ts
+++ b/bench/leader/followers.ts
@@ -33,7 +33,7 @@
 for (let position = 1; position < members.length; position++) {
   const { replica, handlers } = await startStoreReplica(members, position, folder, supervisor)
   const { hostId } = members[position]!
-  new RunnerService({ clock: systemClock, logger: silentLogger, supervisor, links: replica.links, executor, hostId }).serve(handlers)
+  new RunnerService({ clock: systemClock, logger: silentLogger, supervisor, links: replica.links, executor, hostId, incarnationId: hostId }).serve(handlers)
 }
 process.stdout.write('listening\n')
 process.on('disconnect', () => process.exit(0))
--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -59,7 +59,7 @@
 const executor = new RunnerPool({
   clock: systemClock, logger: silentLogger, metrics, view, links: replica.links, local, hostId, dataCentre: DATA_CENTRE, peerAddress, term: replica.core.term, scope, isOverloaded
 })
-handlers.on(reportTasksMethod, ({ runnerId, reports }) => ({ kind: 'received' as const, unknownTaskIds: executor.receive(runnerId, reports) }))
+handlers.on(reportTasksMethod, ({ term: _term, ...report }) => ({ kind: 'received' as const, unknownTaskIds: executor.receive(report) }))
 supervisor.spawn('runners', taskScope => executor.watch(taskScope))
 const dispatcher: BatchDispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, executor, routeOf, quarantine, pool, view, replica, state, ages: new BatchAges(systemClock), supervisor })
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -6,6 +6,7 @@
 import type { RunnerTask, RewardScore, RunOutcome, TaskReport } from '../protocol/runnerTasks.js'
 import type { PeerLinks } from '../replication/log/peerLinks.js'
 import { assignTasksMethod, flushTasksMethod, type AssignTasksReply } from '../transport/runnerMethods.js'
+import type { PeerLink } from '../transport/peerLink.js'
 import type { CallOutcome } from '../transport/rpcPeer.js'
 import type { Clock } from '../utils/clock.js'
 import { unreachable } from '../utils/errors.js'
@@ -26,7 +27,11 @@
   Unreachable = 'unreachable',
   Unanswered = 'unanswered',
   Stopping = 'stopping',
-  StaleTerm = 'stale_term'
+  StaleTerm = 'stale_term',
+  /** Its process has started anew and has none of its tasks. */
+  Restarted = 'restarted',
+  /** It has another address. */
+  Moved = 'moved'
 }
 
 /** A task whose end the leader waits for. */
@@ -34,6 +39,12 @@
   | { kind: 'run', onProgress: ProgressListener, settle: (outcome: RunOutcome) => void }
   | { kind: 'score', settle: (score: RewardScore) => void }
 
+interface AssignedTask {
+  pending: PendingTask
+  /** The process that has confirmed that it has the task. */
+  incarnationId?: string
+}
+
 export interface RemoteRunnerOptions {
   clock: Clock
   scope: Scope
@@ -47,10 +58,11 @@
 
 export class RemoteRunner {
   readonly hostId: string
-  dataCentre: string
-  address: string
+  readonly dataCentre: string
+  readonly address: string
   private readonly _options: RemoteRunnerOptions
-  private readonly _tasks = new Map<number, PendingTask>()
+  private readonly _tasks = new Map<number, AssignedTask>()
+  private readonly _link: PeerLink
   private _outgoing: RunnerTask[] = []
   private _isSendScheduled = false
   private _heardAtMs: number
@@ -62,7 +74,10 @@
     this.address = address
     this.dataCentre = dataCentre
     this._options = options
+    this._link = options.links.to({ peerAddress: address })
     this._heardAtMs = options.clock.nowMs()
+    // A process that ends closes its connections, and its host refuses new ones.
+    this._link.onClosed(() => { if (this._tasks.size > 0) this._scheduleSend() })
   }
 
   get tasksCount (): number {
@@ -86,7 +101,7 @@
 
   start (task: Extract<RunnerTask, { kind: 'run' | 'score' }>, pending: PendingTask): void {
     if (this._tasks.size === 0) this._heardAtMs = this._options.clock.nowMs()
-    this._tasks.set(task.taskId, pending)
+    this._tasks.set(task.taskId, { pending })
     this._send(task)
   }
 
@@ -101,8 +116,9 @@
   }
 
   /** Records reports of the runner; returns the ids of tasks that it should end. */
-  receive (reports: readonly TaskReport[]): number[] {
+  receive (incarnationId: string, reports: readonly TaskReport[]): number[] {
     this._heardAtMs = this._options.clock.nowMs()
+    this._loseTasksOfOthers(incarnationId)
     this._avoidMs = MIN_AVOID_MS
     return reports.filter(report => !this._apply(report)).map(({ taskId }) => taskId)
   }
@@ -110,20 +126,17 @@
   /** Gives up all tasks and avoids the runner for a while. */
   lose (reason: RunnerFailure): void {
     this._avoid()
-    const lost = [...this._tasks.values()]
-    this._tasks.clear()
-    this._options.onLost(this, reason, lost.length)
-    for (const task of lost) interrupt(task, reason)
+    this._loseTasks([...this._tasks.keys()], reason)
   }
 
   async flush (progress: Progress): Promise<void> {
     if (this._tasks.size === 0) return
-    await this._options.links.to({ peerAddress: this.address }).call(flushTasksMethod, { term: this._options.term }, progress)
+    await this._link.call(flushTasksMethod, { term: this._options.term }, progress)
   }
 
   /** Applies a report; returns false if nobody waits for its task. */
   private _apply (report: TaskReport): boolean {
-    const task = this._tasks.get(report.taskId)
+    const task = this._tasks.get(report.taskId)?.pending
     if (!task) return false
     switch (report.kind) {
       case 'progress':
@@ -158,25 +171,42 @@
   }
 
   private async _sendOutgoing (): Promise<void> {
-    const { clock, scope, links, term, leaderAddress } = this._options
+    const { clock, scope, term, leaderAddress } = this._options
     const tasks = this._outgoing
     this._outgoing = []
     const progress = new Progress(clock, scope, clock.nowMs() + SEND_TIMEOUT_MS)
-    const outcome = await links.to({ peerAddress: this.address }).call(assignTasksMethod, { term, leaderAddress, tasks }, progress)
+    const outcome = await this._link.call(assignTasksMethod, { term, leaderAddress, tasks }, progress)
     if (outcome.kind === 'replied' && outcome.body.kind === 'assigned') {
       this._heardAtMs = clock.nowMs()
+      this._confirm(tasks, outcome.body.incarnationId)
       return
     }
-    this._interruptUnassigned(tasks, failureOf(outcome))
+    const reason = failureOf(outcome)
+    // Nothing listens at the address, so that the process with all tasks has ended.
+    if (reason === RunnerFailure.Unreachable) return this.lose(reason)
+    this._avoid()
+    this._loseTasks(tasks.map(({ taskId }) => taskId), reason)
   }
 
-  /** Gives up the tasks of a message that the runner may not have received, and avoids the runner for a while. */
-  private _interruptUnassigned (tasks: readonly RunnerTask[], reason: RunnerFailure): void {
-    this._avoid()
-    const pending = tasks.flatMap(({ taskId }) => this._tasks.get(taskId) ?? [])
-    for (const { taskId } of tasks) this._tasks.delete(taskId)
-    this._options.onLost(this, reason, pending.length)
-    for (const task of pending) interrupt(task, reason)
+  private _confirm (tasks: readonly RunnerTask[], incarnationId: string): void {
+    for (const { taskId } of tasks) {
+      const task = this._tasks.get(taskId)
+      if (task) task.incarnationId = incarnationId
+    }
+    this._loseTasksOfOthers(incarnationId)
+  }
+
+  /** Gives up the tasks that an earlier process of the runner had. */
+  private _loseTasksOfOthers (incarnationId: string): void {
+    const lost = [...this._tasks].filter(([, task]) => task.incarnationId !== undefined && task.incarnationId !== incarnationId)
+    if (lost.length > 0) this._loseTasks(lost.map(([taskId]) => taskId), RunnerFailure.Restarted)
+  }
+
+  private _loseTasks (taskIds: readonly number[], reason: RunnerFailure): void {
+    const lost = taskIds.flatMap(taskId => this._tasks.get(taskId) ?? [])
+    for (const taskId of taskIds) this._tasks.delete(taskId)
+    this._options.onLost(this, reason, lost.length)
+    for (const { pending } of lost) pending.settle({ kind: 'interrupted', reason })
   }
 
   private _avoid (): void {
@@ -185,10 +215,6 @@
   }
 }
 
-function interrupt (task: PendingTask, reason: RunnerFailure): void {
-  task.settle({ kind: 'interrupted', reason })
-}
-
 function failureOf (outcome: CallOutcome<AssignTasksReply>): RunnerFailure {
   switch (outcome.kind) {
     case 'unserved':
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -10,9 +10,10 @@
  */
 import type { RewardCall } from '../protocol/batches.js'
 import { HostRole, type FleetEndpoint } from '../protocol/fleet.js'
-import type { ItemRunRequest, RewardScore, RunOutcome, TaskReport } from '../protocol/runnerTasks.js'
+import type { ItemRunRequest, RewardScore, RunOutcome } from '../protocol/runnerTasks.js'
 import type { FleetView } from '../fleet/fleetView.js'
 import type { PeerLinks } from '../replication/log/peerLinks.js'
+import type { TasksReport } from '../transport/runnerMethods.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
@@ -21,12 +22,13 @@
 import type { Scope } from '../utils/scope.js'
 import { BatchEvent } from './batchEvents.js'
 import type { ItemExecutor, ProgressListener, StartedRun } from './itemExecutor.js'
+import { LEASE_MS } from './runnerSession.js'
 import { RemoteRunner, RunnerFailure, type RemoteRunnerOptions } from './remoteRunner.js'
 
 /** Interval for checking for silent runners. */
 const CHECK_INTERVAL_MS = 100
-/** A runner with tasks that reports nothing for this long is given up; four times its report interval. */
-const SILENT_MS = 800
+/** A runner with tasks that reports nothing for this long is given up: its lease on them has ended, with a margin for clock rates. */
+const SILENT_MS = LEASE_MS + 100
 /** A check later than this shows that this host was busy or frozen itself, so that reports may be waiting to be read. */
 const MAX_CHECK_DELAY_MS = 100
 
@@ -102,9 +104,9 @@
   }
 
   /** Applies the reports of a runner; returns the ids of tasks that the runner should end. */
-  receive (runnerId: string, reports: readonly TaskReport[]): number[] {
+  receive ({ runnerId, incarnationId, reports }: Omit<TasksReport, 'term'>): number[] {
     const runner = this._runners.get(runnerId)
-    return runner ? runner.receive(reports) : reports.map(({ taskId }) => taskId)
+    return runner ? runner.receive(incarnationId, reports) : reports.map(({ taskId }) => taskId)
   }
 
   /** Number of tasks of each runner, by host id. */
@@ -163,12 +165,11 @@
 
   private _runnerAt (hostId: string, address: string, dataCentre: string): RemoteRunner {
     let runner = this._runners.get(hostId)
-    if (!runner) {
+    if (runner?.address !== address) {
+      runner?.lose(RunnerFailure.Moved)
       runner = new RemoteRunner(hostId, address, dataCentre, this._runnerOptions)
       this._runners.set(hostId, runner)
     }
-    runner.address = address
-    runner.dataCentre = dataCentre
     return runner
   }
 
--- a/src/batches/runnerService.ts
+++ b/src/batches/runnerService.ts
@@ -23,6 +23,8 @@
   executor: LocalExecutor
   /** The id of this host, as the leader knows it. */
   hostId: string
+  /** New with every start of the process. */
+  incarnationId: string
 }
 
 export class RunnerService {
@@ -45,7 +47,7 @@
       const session = this._sessionOf(term, leaderAddress)
       if (session.term > term) return { kind: 'staleTerm', term: session.term }
       for (const task of tasks) session.assign(task)
-      return { kind: 'assigned' }
+      return { kind: 'assigned', incarnationId: this._options.incarnationId }
     })
     handlers.on(flushTasksMethod, async ({ term }, remainingMs) => {
       const { clock, supervisor } = this._options
--- a/src/batches/runnerSession.ts
+++ b/src/batches/runnerSession.ts
@@ -19,13 +19,13 @@
 import type { EngineRun, LocalExecutor } from './localExecutor.js'
 
 /** Interval between reports while nothing urgent is to be reported. */
-export const REPORT_INTERVAL_MS = 200
+const REPORT_INTERVAL_MS = 150
 /** Urgent reports wait this long for others, so that they share a message. */
 const URGENT_DELAY_MS = 10
-const REPORT_TIMEOUT_MS = 500
+const REPORT_TIMEOUT_MS = 400
 const RETRY_PAUSE_MS = 50
-/** A host that has no contact to its leader for this long ends the tasks of the leader. */
-const LEASE_MS = 1_000
+/** A host that has no contact to its leader for this long ends the tasks of the leader; shorter than the time after which the leader gives them to another host. */
+export const LEASE_MS = 600
 /** Reports are dropped this long after the lease has ended: the leader has repeated the work by then. */
 const UNCONFIRMED_RETENTION_MS = 4_000
 /** A host whose timers are later than this is overloaded. */
@@ -38,6 +38,7 @@
   links: PeerLinks
   executor: LocalExecutor
   hostId: string
+  incarnationId: string
   term: number
   leaderAddress: string
 }
@@ -106,7 +107,9 @@
   end (reason: string): void {
     if (this._tasks.size > 0) this._options.logger.event(BatchEvent.TasksDropped, { term: this.term, tasksCount: this._tasks.size, reason })
     this._tasks.clear()
+    this._unconfirmed = []
     this._supervisor.scope.close(reason)
+    this._confirmed.notify()
   }
 
   private _startRun (taskId: number, request: ItemRunRequest, abandonAtMs: number): void {
@@ -173,10 +176,11 @@
     if (progress) this._unconfirmed.push({ kind: 'progress', taskId, progress })
   }
 
+  /** Waits until the leader has received everything; returns early if the session ends, as the leader does not lead any more. */
   private async _whenConfirmed (progress: Progress): Promise<void> {
     this._reportSoon()
     do {
-      if (!(await this._confirmed.wait(this._supervisor.scope, progress))) return
+      if (this._supervisor.scope.isClosed || !(await this._confirmed.wait(progress.scope, progress))) return
     } while (this._unconfirmed.length > 0)
   }
 
@@ -205,7 +209,7 @@
 
   /** Sends everything that the leader does not know; returns false if the leader did not receive it. */
   private async _report (scope: Scope): Promise<boolean> {
-    const { clock, links, leaderAddress, hostId } = this._options
+    const { clock, links, leaderAddress, hostId: runnerId, incarnationId } = this._options
     for (const [taskId, task] of this._tasks) this._takeProgress(taskId, task)
     this._isUrgent = false
     const reports = [...this._unconfirmed]
@@ -213,7 +217,7 @@
     const isLeased = this._tasks.size > 0 && this._leaseEndsAtMs > sentAtMs
     const deadlineMs = Math.min(sentAtMs + REPORT_TIMEOUT_MS, isLeased ? this._leaseEndsAtMs : Number.POSITIVE_INFINITY)
     const progress = new Progress(clock, scope, deadlineMs)
-    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId: hostId, reports }, progress)
+    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, reports }, progress)
     if (outcome.kind === 'replied' && outcome.body.kind === 'notLeader') {
       this.end('the leader no longer leads')
       scope.throwIfClosed()
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -165,7 +165,7 @@
     this._quarantine = this._createQuarantine()
     this._routeOf = routeFinder(this._view)
     this._executor = this._createExecutor()
-    this._runnerService = new RunnerService({ clock: systemClock, logger, supervisor: this._supervisor, links: this._replica.links, executor: this._executor, hostId: settings.hostId })
+    this._runnerService = new RunnerService({ clock: systemClock, logger, supervisor: this._supervisor, links: this._replica.links, executor: this._executor, hostId: settings.hostId, incarnationId: systemRandom().id() })
   }
 
   /**
@@ -237,9 +237,9 @@
     return { kind: 'answered' as const, outcome: outcome.kind === 'refused' ? outcome.reason : outcome.kind }
   }
 
-  private _receiveReports ({ term, runnerId, reports }: TasksReport): TasksReportReply {
+  private _receiveReports ({ term, ...report }: TasksReport): TasksReportReply {
     if (this._runnerPool?.term !== term) return { kind: 'notLeader' }
-    return { kind: 'received', unknownTaskIds: this._runnerPool.receive(runnerId, reports) }
+    return { kind: 'received', unknownTaskIds: this._runnerPool.receive(report) }
   }
 
   private _describe (): FleetHost {
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -27,6 +27,7 @@
   private _peer: RpcPeer | undefined
   private _connecting: Promise<RpcPeer | undefined> | undefined
   private _unansweredCount = 0
+  private readonly _closeListeners: Array<() => void> = []
 
   constructor (address: string, transport: Transport, scope: Scope, handlers: RpcHandlers, onFatal: (error: unknown) => void, onUnanswered: UnansweredListener = () => {}) {
     this.address = address
@@ -37,6 +38,11 @@
     this._onUnanswered = onUnanswered
   }
 
+  /** Adds a listener that is called whenever the connection is closed. */
+  onClosed (listener: () => void): void {
+    this._closeListeners.push(listener)
+  }
+
   async call<Request, Reply> (method: RpcMethod<Request, Reply>, body: Request, progress: Progress): Promise<CallOutcome<Reply>> {
     const opened = await progress.race(this._open(progress.clock))
     if (opened.kind === 'deadlinePassed') return { kind: 'unserved', reason: `${this.address} did not accept a connection in time` }
@@ -62,7 +68,10 @@
       scope.close('not connected')
       return undefined
     }
-    outcome.connection.scope.onClose(() => scope.close('connection closed'))
+    outcome.connection.scope.onClose(() => {
+      scope.close('connection closed')
+      for (const listener of this._closeListeners) listener()
+    })
     this._unansweredCount = 0
     this._peer = new RpcPeer(outcome.connection, this._handlers, this._onFatal)
     return this._peer
--- a/src/transport/runnerMethods.ts
+++ b/src/transport/runnerMethods.ts
@@ -8,8 +8,11 @@
 
 const term = z.int()
 
+/** New with every start of the runner's process, which has none of the tasks of an earlier one. */
+const incarnationId = z.string()
+
 const assignTasksReplySchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('assigned') }),
+  z.object({ kind: z.literal('assigned'), incarnationId }),
   /** The runner knows a later leader. */
   z.object({ kind: z.literal('staleTerm'), term }),
   /** The runner is stopping and accepts no tasks. */
@@ -31,6 +34,7 @@
 const tasksReportSchema = z.object({
   term,
   runnerId: z.string(),
+  incarnationId,
   reports: z.array(taskReportSchema)
 })
 export type TasksReport = z.infer<typeof tasksReportSchema>
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -19,7 +19,7 @@
 /** Long enough for some parts of each output, short enough that all runs are in progress. */
 const BEFORE_FAULT_MS = 600
 /** The time within which items continue at other hosts after theirs was lost without a word. */
-const LOSS_KNOWN_MS = 1_200
+const LOSS_KNOWN_MS = 900
 const ITEM_IDS = ['i1', 'i2', 'i3', 'i4']
 const NO_COSTS: WorkCosts = { startMs: 0, eventMs: 0, rewardMs: 0, commitMs: 0, messageMs: 0 }
 
@@ -80,6 +80,16 @@
   for (const afterEventId of resumedAfterEventIds(world)) t.true(afterEventId >= 16, `resumed after event ${afterEventId}`)
 })
 
+// A host that came back at once was heard of again, and its earlier tasks were waited for without end.
+test('should continue items at once when their host is killed and comes back', async t => {
+  const world = await start(t)
+  const runner = await startItems(t, world)
+  world.kill(runner)
+  world.restart(runner)
+  await checkAllListed(t, world, RUN_MS)
+  t.is(resumedAfterEventIds(world).length, 2)
+})
+
 test('should continue items elsewhere while their host is frozen, and ignore what it reports when it wakes', async t => {
   const world = await start(t)
   const { hostId } = await startItems(t, world)
@@ -115,6 +125,19 @@
   t.is(resumedAfterEventIds(world).length, 2)
 })
 
+// A planned stop ended as a violated invariant when the leader changed meanwhile.
+test('should stop as planned while the leader changes', async t => {
+  const world = await start(t)
+  const runner = await startItems(t, world)
+  world.network.cutOneWay(runner.hostId, 'h1')
+  const progress = new Progress(world.clock, new Scope('stop'), world.clock.nowMs() + 500)
+  const stopped = runner.stop(progress)
+  world.stopDispatching()
+  world.startDispatching()
+  await t.notThrowsAsync(world.clock.advanceUntil(stopped))
+  await checkAllListed(t, world, RUN_MS + LOSS_KNOWN_MS)
+})
+
 test('should end the runs of an earlier leader before those of the next one begin', async t => {
   const world = await start(t)
   await startItems(t, world)
