Accept a leader of a lower term once the later one is gone for seconds

A store that was formed anew counts its terms from the start, and store hosts whose processes had outlived it refused its tasks as those of an earlier term for as long as they ran: by reading, not seen. The test of an old build now meets a host that listens and does not know the methods.

--- a/src/batches/runnerService.ts
+++ b/src/batches/runnerService.ts
@@ -65,7 +65,7 @@
 
   /** The session of a term; that of a later term if there is one. */
   private _sessionOf (term: number, leaderAddress: string): RunnerSession {
-    if (this._session && this._session.term >= term) return this._session
+    if (this._session && this._session.term >= term && !this._session.isAbandoned) return this._session
     this._session?.end(`term ${term} has started`)
     const session = new RunnerSession({ ...this._options, term, leaderAddress })
     this._session = session
--- a/src/batches/runnerSession.ts
+++ b/src/batches/runnerSession.ts
@@ -72,6 +72,11 @@
     this._supervisor.spawn('reports', scope => this._reportUntilClosed(scope))
   }
 
+  /** Whether the leader has not been heard of for so long that any other one may take its place. */
+  get isAbandoned (): boolean {
+    return this._options.clock.nowMs() >= this._leaseEndsAtMs + UNCONFIRMED_RETENTION_MS
+  }
+
   assign (task: RunnerTask): void {
     const { clock } = this._options
     // A message of the leader shows that it still counts on this host.
@@ -236,7 +241,7 @@
   private _checkLease (): void {
     const { clock, logger } = this._options
     const nowMs = clock.nowMs()
-    if (nowMs >= this._leaseEndsAtMs + UNCONFIRMED_RETENTION_MS) this._unconfirmed = []
+    if (this.isAbandoned) this._unconfirmed = []
     if (nowMs < this._leaseEndsAtMs || this._tasks.size === 0) return
     const reason = 'no contact to the leader'
     logger.event(BatchEvent.TasksDropped, { term: this.term, tasksCount: this._tasks.size, reason })
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -5,6 +5,9 @@
 import test, { type ExecutionContext } from 'ava'
 import { textOf } from '../../src/batches/outputParts.js'
 import { ResultState } from '../../src/protocol/batches.js'
+import { PeerLinks } from '../../src/replication/log/peerLinks.js'
+import { assignTasksMethod } from '../../src/transport/runnerMethods.js'
+import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
 import { Progress } from '../../src/utils/progress.js'
 import { Scope } from '../../src/utils/scope.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
@@ -168,10 +171,18 @@
 
 test('should run items on other hosts when a store host does not know how to', async t => {
   const world = await start(t)
-  const [old] = world.runners
-  if (old) world.kill(old)
+  const old = world.runners[0] as RunnerHost
+  world.kill(old)
+  const scope = new Scope('host of an older build')
+  t.teardown(() => scope.close('test over'))
+  let callsCount = 0
+  await world.network.host(old.hostId).listen(`${old.hostId}:1`, scope, connection => {
+    const peer = new RpcPeer(connection, new RpcHandlers(), error => world.failures.push(error))
+    peer.connection.onMessage(() => { callsCount++ })
+  })
   await world.submit(submission('b1', ITEM_IDS))
   await checkAllListed(t, world, RUN_MS + 500)
+  t.true(callsCount > 0)
 })
 
 test('should store all events before a planned change of leader', async t => {
@@ -184,3 +195,20 @@
   const sentCount = Math.floor(BEFORE_FAULT_MS / GAP_MS)
   for (const afterEventId of resumedAfterEventIds(world)) t.true(afterEventId >= sentCount - 3, `resumed after event ${afterEventId}`)
 })
+
+test('should refuse tasks of an earlier term, unless the later leader has not been heard of for seconds', async t => {
+  const world = await start(t, 2)
+  const { hostId } = world.runners[0] as RunnerHost
+  const scope = new Scope('leaders')
+  t.teardown(() => scope.close('test over'))
+  const link = new PeerLinks(world.network.host('h9'), scope, error => world.failures.push(error)).to({ peerAddress: `${hostId}:1` })
+  const assign = async (term: number): Promise<string> => {
+    const progress = new Progress(world.clock, scope, world.clock.nowMs() + 500)
+    const outcome = await world.clock.advanceUntil(link.call(assignTasksMethod, { term, leaderAddress: 'h9:1', tasks: [] }, progress))
+    return outcome.kind === 'replied' ? outcome.body.kind : outcome.kind
+  }
+  t.is(await assign(5), 'assigned')
+  t.is(await assign(4), 'staleTerm')
+  await world.clock.advance(6_000)
+  t.is(await assign(4), 'assigned')
+})
