--- a/src/batches/batchEvents.ts
+++ b/src/batches/batchEvents.ts
@@ -47,7 +47,7 @@
   [BatchEvent.BatchEnded]: { level: LogLevel.Info, text: 'The submitter ended a batch.', advice: 'None.' },
   [BatchEvent.BatchUnknown]: { level: LogLevel.Warn, text: 'A request named a batch that this replica does not hold, although it had caught up with the leader.', advice: 'Search the logs for the batch id: 3224 shows when and why the batch was removed. 3220 without 3224 means that accepted data was lost: check the members (1037) and starts (1024) of all store hosts since then. Without either, the batch was never accepted.' },
   [BatchEvent.BatchExpired]: { level: LogLevel.Info, text: 'A batch was removed because its retention time was over.', advice: 'None, unless it was removed too early: decidedAtMs and acceptedAtMs are wall clocks of the leaders, and their difference exceeds keptMs.' },
-  [BatchEvent.ItemStarted]: { level: LogLevel.Info, text: 'An item was sent to an engine.', advice: 'None.' },
+  [BatchEvent.ItemStarted]: { level: LogLevel.Info, text: 'An item was sent to an engine; runnerId is the store host that reads its output, if it is not this one.', advice: 'None.' },
   [BatchEvent.ItemRunFailed]: { level: LogLevel.Warn, text: 'A run of an item ended before its output was complete.', advice: 'Check the engine if this repeats.' },
   [BatchEvent.ItemFinished]: { level: LogLevel.Info, text: 'The output of an item is complete.', advice: 'None.' },
   [BatchEvent.ItemScored]: { level: LogLevel.Info, text: 'A reward call of an item has ended.', advice: 'None.' },
--- a/src/batches/itemExecutor.ts
+++ b/src/batches/itemExecutor.ts
@@ -10,6 +10,8 @@
 export type ProgressListener = (progress: RunProgress) => void
 
 export interface StartedRun {
+  /** The store host that executes the run; absent for this host. */
+  readonly runnerId?: string
   /**
    * Resolves once the run has ended and all its events were passed on.
    * @throws ScopeClosedError when the scope of the run closes first.
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -259,7 +259,6 @@
   private async _attempt (engine: Engine, scope: Scope): Promise<RunOutcome> {
     const { executor, quarantine } = this._options
     const quarantined = quarantine.startRun(this._identity, engine.endpoint)
-    this._log(BatchEvent.ItemStarted, { endpointId: engine.id, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
     let hasStarted = false
     const run = executor.run(this._request(engine), this.times.abandonAtMs, scope, progress => {
       if (!hasStarted) this._recordStart(engine)
@@ -267,6 +266,8 @@
       this._onProgress(progress, engine, scope)
     })
     this._current = { engine, run }
+    const { runnerId } = run
+    this._log(BatchEvent.ItemStarted, { endpointId: engine.id, runnerId, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
     try {
       const outcome = await run.outcome
       this._reportToQuarantine(quarantined, outcome)
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -86,7 +86,7 @@
     const ended = new Promise<RunOutcome>(resolve => {
       runner.start({ kind: 'run', taskId, abandonInMs: this._remainingMs(abandonAtMs), request }, { kind: 'run', onProgress, settle: resolve })
     })
-    return { outcome: this._awaitTask(runner, taskId, ended, scope), stop: () => runner.stop(taskId) }
+    return { runnerId: runner.hostId, outcome: this._awaitTask(runner, taskId, ended, scope), stop: () => runner.stop(taskId) }
   }
 
   async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
