--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -77,7 +77,8 @@
     this._link = options.links.to({ peerAddress: address })
     this._heardAtMs = options.clock.nowMs()
     // A process that ends closes its connections, and its host refuses new ones.
-    this._link.onClosed(() => { if (this._tasks.size > 0) this._scheduleSend() })
+    const removeListener = this._link.onClosed(() => { if (this._tasks.size > 0) this._scheduleSend() })
+    options.scope.onClose(removeListener)
   }
 
   get tasksCount (): number {
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -27,7 +27,7 @@
   private _peer: RpcPeer | undefined
   private _connecting: Promise<RpcPeer | undefined> | undefined
   private _unansweredCount = 0
-  private readonly _closeListeners: Array<() => void> = []
+  private readonly _closeListeners = new Set<() => void>()
 
   constructor (address: string, transport: Transport, scope: Scope, handlers: RpcHandlers, onFatal: (error: unknown) => void, onUnanswered: UnansweredListener = () => {}) {
     this.address = address
@@ -38,9 +38,10 @@
     this._onUnanswered = onUnanswered
   }
 
-  /** Adds a listener that is called whenever the connection is closed. */
-  onClosed (listener: () => void): void {
-    this._closeListeners.push(listener)
+  /** Adds a listener that is called whenever the connection is closed; the returned function removes it. */
+  onClosed (listener: () => void): () => void {
+    this._closeListeners.add(listener)
+    return () => this._closeListeners.delete(listener)
   }
 
   async call<Request, Reply> (method: RpcMethod<Request, Reply>, body: Request, progress: Progress): Promise<CallOutcome<Reply>> {
