Give no tasks to a host that was given up until it has answered

A host that was given up is now probed by an empty assignment, after 0.3 s, doubling up to 5 s, and is used again once it has answered.

--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -17,9 +17,9 @@
 /** Messages to a runner wait this long for others, so that they share a call. */
 const SEND_DELAY_MS = 4
 const SEND_TIMEOUT_MS = 600
-/** Pause before a runner that failed gets tasks again; doubles with each further failure. */
-const MIN_AVOID_MS = 500
-const MAX_AVOID_MS = 8_000
+/** Pause before a runner that failed is probed; doubles with each further failure. */
+const MIN_PROBE_PAUSE_MS = 300
+const MAX_PROBE_PAUSE_MS = 5_000
 
 /** Why a runner was given up. */
 export enum RunnerFailure {
@@ -66,8 +66,9 @@
   private _outgoing: RunnerTask[] = []
   private _isSendScheduled = false
   private _heardAtMs: number
-  private _avoidUntilMs = Number.NEGATIVE_INFINITY
-  private _avoidMs = MIN_AVOID_MS
+  /** When to probe a runner that failed; undefined while it may be given tasks. */
+  private _probeAtMs: number | undefined
+  private _probePauseMs = MIN_PROBE_PAUSE_MS
 
   constructor (hostId: string, address: string, dataCentre: string, options: RemoteRunnerOptions) {
     this.hostId = hostId
@@ -87,7 +88,7 @@
 
   /** Whether the runner may be given tasks. */
   get isUsable (): boolean {
-    return this._options.clock.nowMs() >= this._avoidUntilMs
+    return this._probeAtMs === undefined
   }
 
   /** How long the runner has not been heard of although it has tasks. */
@@ -100,6 +101,14 @@
     this._scheduleSend()
   }
 
+  /** Asks a runner that failed for an answer, which makes it usable again. */
+  probeIfDue (): void {
+    const { clock } = this._options
+    if (this._probeAtMs === undefined || clock.nowMs() < this._probeAtMs) return
+    this._postponeProbe()
+    this._scheduleSend()
+  }
+
   start (task: Extract<RunnerTask, { kind: 'run' | 'score' }>, pending: PendingTask): void {
     if (this._tasks.size === 0) this._heardAtMs = this._options.clock.nowMs()
     this._tasks.set(task.taskId, { pending })
@@ -120,13 +129,12 @@
   receive (incarnationId: string, reports: readonly TaskReport[]): number[] {
     this._heardAtMs = this._options.clock.nowMs()
     this._loseTasksOfOthers(incarnationId)
-    this._avoidMs = MIN_AVOID_MS
     return reports.filter(report => !this._apply(report)).map(({ taskId }) => taskId)
   }
 
-  /** Gives up all tasks and avoids the runner for a while. */
+  /** Gives up all tasks; the runner gets no others until it has answered a probe. */
   lose (reason: RunnerFailure): void {
-    this._avoid()
+    this._postponeProbe()
     this._loseTasks([...this._tasks.keys()], reason)
   }
 
@@ -179,13 +187,15 @@
     const outcome = await this._link.call(assignTasksMethod, { term, leaderAddress, tasks }, progress)
     if (outcome.kind === 'replied' && outcome.body.kind === 'assigned') {
       this._heardAtMs = clock.nowMs()
+      this._probeAtMs = undefined
+      this._probePauseMs = MIN_PROBE_PAUSE_MS
       this._confirm(tasks, outcome.body.incarnationId)
       return
     }
     const reason = failureOf(outcome)
     // Nothing listens at the address, so that the process with all tasks has ended.
     if (reason === RunnerFailure.Unreachable) return this.lose(reason)
-    this._avoid()
+    this._postponeProbe()
     this._loseTasks(tasks.map(({ taskId }) => taskId), reason)
   }
 
@@ -210,9 +220,9 @@
     for (const { pending } of lost) pending.settle({ kind: 'interrupted', reason })
   }
 
-  private _avoid (): void {
-    this._avoidUntilMs = this._options.clock.nowMs() + this._avoidMs
-    this._avoidMs = Math.min(MAX_AVOID_MS, 2 * this._avoidMs)
+  private _postponeProbe (): void {
+    this._probeAtMs = this._options.clock.nowMs() + this._probePauseMs
+    this._probePauseMs = Math.min(MAX_PROBE_PAUSE_MS, 2 * this._probePauseMs)
   }
 }
 
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -114,6 +114,11 @@
     return new Map([...this._runners.values()].map(({ hostId, tasksCount }) => [hostId, tasksCount]))
   }
 
+  /** Whether a store host may be given tasks. */
+  isUsable (hostId: string): boolean {
+    return this._runners.get(hostId)?.isUsable === true
+  }
+
   private async _awaitTask<T> (runner: RemoteRunner, taskId: number, ended: Promise<T>, scope: Scope): Promise<T> {
     try {
       return await scope.race(ended)
@@ -176,6 +181,7 @@
   private _checkRunners (): void {
     for (const runner of this._runners.values()) {
       if (runner.silentMs > SILENT_MS) runner.lose(RunnerFailure.Silent)
+      runner.probeIfDue()
       this._options.metrics.gauge(MetricName.RunnerTasks, runner.tasksCount, { runner: runner.hostId })
     }
   }
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -104,6 +104,21 @@
   t.deepEqual(world.failures, [])
 })
 
+// A host that had been given up got tasks again after half a second, without having answered.
+test('should give no tasks to a host that was given up until it answers again', async t => {
+  const world = await start(t)
+  const { hostId } = await startItems(t, world)
+  world.freeze(hostId, 8 * LOSS_KNOWN_MS)
+  await world.clock.advance(2 * LOSS_KNOWN_MS)
+  const runsCount = world.endpoints.runs.length
+  const laterIds = ITEM_IDS.map(itemId => `later ${itemId}`)
+  await world.submit(submission('b2', laterIds))
+  await world.untilListed('b2', laterIds.length, 2 * RUN_MS)
+  t.is(world.endpoints.runs.length - runsCount, laterIds.length)
+  await world.clock.advance(8 * LOSS_KNOWN_MS)
+  t.true(world.runnerPool?.isUsable(hostId))
+})
+
 for (const direction of ['to', 'from'] as const) {
   test(`should continue items elsewhere when messages ${direction} their host are lost, and end their runs there`, async t => {
     const world = await start(t)
