--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -109,11 +109,12 @@
   const world = await start(t)
   const { hostId } = await startItems(t, world)
   world.freeze(hostId, 8 * LOSS_KNOWN_MS)
-  await world.clock.advance(2 * LOSS_KNOWN_MS)
+  await world.untilListed('b1', ITEM_IDS.length)
   const runsCount = world.endpoints.runs.length
   const laterIds = ITEM_IDS.map(itemId => `later ${itemId}`)
   await world.submit(submission('b2', laterIds))
-  await world.untilListed('b2', laterIds.length, 2 * RUN_MS)
+  // Runs and reward calls without a wait for the host that is gone.
+  await world.untilListed('b2', laterIds.length, RUN_MS + LOSS_KNOWN_MS / 2)
   t.is(world.endpoints.runs.length - runsCount, laterIds.length)
   await world.clock.advance(8 * LOSS_KNOWN_MS)
   t.true(world.runnerPool?.isUsable(hostId))
