Start nothing that was assigned to a host while it was frozen

Cause: a store host that was held up for seconds found old assignments in its sockets when it went on, and started them; the leader had given them up and could cancel them only at its next report.

An assignment now carries what the runner's own clock showed when it was sent, as the leader knows it from the runner's messages (PeerClock: low by the transit, never high, so that no message looks newer than it is). A runner refuses tasks of messages older than its lease. It starts none without a reading, so a new leader announces its term first and waits for answers, 0.1 s at most.

--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -32,6 +32,7 @@
 const ITEMS_COUNTS = [144, 112, 128]
 const KEEP_MS = 120_000
 const POLL_MS = 20
+const ANNOUNCE_TIMEOUT_MS = 1_000
 /** Control hosts, each of which reports every engine once per heartbeat interval. */
 const CONTROL_HOSTS_COUNT = 8
 const HEARTBEAT_MS = 1_200
@@ -62,6 +63,7 @@
 handlers.on(reportTasksMethod, ({ term: _term, ...report }) => ({ kind: 'received' as const, unknownTaskIds: executor.receive(report) }))
 supervisor.spawn('runners', taskScope => executor.watch(taskScope))
 const dispatcher: BatchDispatcher = new BatchDispatcher({ clock: systemClock, random, logger: silentLogger, metrics, executor, routeOf, quarantine, pool, view, replica, state, ages: new BatchAges(systemClock), supervisor })
+await executor.announce(new Progress(systemClock, scope, systemClock.nowMs() + ANNOUNCE_TIMEOUT_MS))
 supervisor.spawn('dispatch', taskScope => dispatcher.run(taskScope))
 
 async function submitStep (step: number): Promise<void> {
--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -5,7 +5,7 @@
  */
 import type { RunnerTask, RewardScore, RunOutcome, TaskReport } from '../protocol/runnerTasks.js'
 import type { PeerLinks } from '../replication/log/peerLinks.js'
-import { assignTasksMethod, flushTasksMethod, type AssignTasksReply } from '../transport/runnerMethods.js'
+import { assignTasksMethod, flushTasksMethod, type AssignTasksReply, type TasksReport } from '../transport/runnerMethods.js'
 import type { PeerLink } from '../transport/peerLink.js'
 import type { CallOutcome } from '../transport/rpcPeer.js'
 import type { Clock } from '../utils/clock.js'
@@ -13,6 +13,7 @@
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { ProgressListener } from './itemExecutor.js'
+import { PeerClock } from './peerClock.js'
 
 /** Messages to a runner wait this long for others, so that they share a call. */
 const SEND_DELAY_MS = 4
@@ -26,6 +27,8 @@
   Silent = 'silent',
   Unreachable = 'unreachable',
   Unanswered = 'unanswered',
+  /** It received tasks too late to start them. */
+  Outdated = 'outdated',
   Stopping = 'stopping',
   StaleTerm = 'stale_term',
   /** Its process has started anew and has none of its tasks. */
@@ -39,6 +42,9 @@
   | { kind: 'run', onProgress: ProgressListener, settle: (outcome: RunOutcome) => void }
   | { kind: 'score', settle: (score: RewardScore) => void }
 
+/** What a runner says of itself in each message. */
+type Sender = Pick<TasksReport, 'incarnationId' | 'runnerClockMs'>
+
 interface AssignedTask {
   pending: PendingTask
   /** The process that has confirmed that it has the task. */
@@ -66,8 +72,9 @@
   private _outgoing: RunnerTask[] = []
   private _isSendScheduled = false
   private _heardAtMs: number
-  /** When to probe a runner that failed; undefined while it may be given tasks. */
+  /** When to probe a runner that has not answered since it failed, or at all; undefined while it may be given tasks. */
   private _probeAtMs: number | undefined
+  private readonly _runnerClock: PeerClock
   private _probePauseMs = MIN_PROBE_PAUSE_MS
 
   constructor (hostId: string, address: string, dataCentre: string, options: RemoteRunnerOptions) {
@@ -75,8 +82,10 @@
     this.address = address
     this.dataCentre = dataCentre
     this._options = options
+    this._runnerClock = new PeerClock(options.clock)
     this._link = options.links.to({ peerAddress: address })
     this._heardAtMs = options.clock.nowMs()
+    this._probeAtMs = this._heardAtMs
     // A process that ends closes its connections, and its host refuses new ones.
     const removeListener = this._link.onClosed(() => { if (this._tasks.size > 0) this._scheduleSend() })
     options.scope.onClose(removeListener)
@@ -96,9 +105,9 @@
     return this._tasks.size === 0 ? 0 : this._options.clock.nowMs() - this._heardAtMs
   }
 
-  /** Announces the term, so that the runner ends the tasks of an earlier leader. */
-  announce (): void {
-    this._scheduleSend()
+  /** Announces the term, so that the runner ends the tasks of an earlier leader; resolves when it has answered or failed to. */
+  async announce (): Promise<void> {
+    await this._sendOutgoing()
   }
 
   /** Asks a runner that failed for an answer, which makes it usable again. */
@@ -126,9 +135,9 @@
   }
 
   /** Records reports of the runner; returns the ids of tasks that it should end. */
-  receive (incarnationId: string, reports: readonly TaskReport[]): number[] {
-    this._heardAtMs = this._options.clock.nowMs()
-    this._loseTasksOfOthers(incarnationId)
+  receive (sender: Sender, reports: readonly TaskReport[]): number[] {
+    this._recordHeard(sender)
+    this._loseTasksOfOthers(sender.incarnationId)
     return reports.filter(report => !this._apply(report)).map(({ taskId }) => taskId)
   }
 
@@ -183,10 +192,11 @@
     const { clock, scope, term, leaderAddress } = this._options
     const tasks = this._outgoing
     this._outgoing = []
+    const runnerClockMs = this._runnerClock.nowMs
     const progress = new Progress(clock, scope, clock.nowMs() + SEND_TIMEOUT_MS)
-    const outcome = await this._link.call(assignTasksMethod, { term, leaderAddress, tasks }, progress)
+    const outcome = await this._link.call(assignTasksMethod, { term, leaderAddress, ...(runnerClockMs === undefined ? {} : { runnerClockMs }), tasks }, progress)
+    if (outcome.kind === 'replied' && 'incarnationId' in outcome.body) this._recordHeard(outcome.body)
     if (outcome.kind === 'replied' && outcome.body.kind === 'assigned') {
-      this._heardAtMs = clock.nowMs()
       this._probeAtMs = undefined
       this._probePauseMs = MIN_PROBE_PAUSE_MS
       this._confirm(tasks, outcome.body.incarnationId)
@@ -199,6 +209,11 @@
     this._loseTasks(tasks.map(({ taskId }) => taskId), reason)
   }
 
+  private _recordHeard ({ incarnationId, runnerClockMs }: Sender): void {
+    this._heardAtMs = this._options.clock.nowMs()
+    this._runnerClock.record(incarnationId, runnerClockMs)
+  }
+
   private _confirm (tasks: readonly RunnerTask[], incarnationId: string): void {
     for (const { taskId } of tasks) {
       const task = this._tasks.get(taskId)
@@ -233,8 +248,13 @@
     case 'lost':
       return RunnerFailure.Unanswered
     case 'replied':
-      return outcome.body.kind === 'stopping' ? RunnerFailure.Stopping : RunnerFailure.StaleTerm
+      return refusalOf(outcome.body)
     default:
       return unreachable(outcome)
   }
 }
+
+function refusalOf ({ kind }: AssignTasksReply): RunnerFailure {
+  if (kind === 'outdated') return RunnerFailure.Outdated
+  return kind === 'stopping' ? RunnerFailure.Stopping : RunnerFailure.StaleTerm
+}
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -68,10 +68,14 @@
     return this._options.term
   }
 
-  /** Announces the term to all runners and watches them, until the scope closes. */
+  /** Announces the term to all runners, which makes those that answer usable; waits for the answers until the deadline. */
+  async announce (progress: Progress): Promise<void> {
+    await progress.race(Promise.all(this._present().map(runner => runner.announce())))
+  }
+
+  /** Watches the runners until the scope closes. */
   async watch (scope: Scope): Promise<void> {
     const { clock } = this._options
-    for (const runner of this._present()) runner.announce()
     for (;;) {
       const checkAtMs = clock.nowMs() + CHECK_INTERVAL_MS
       await sleepUntil(clock, scope, checkAtMs)
@@ -104,9 +108,9 @@
   }
 
   /** Applies the reports of a runner; returns the ids of tasks that the runner should end. */
-  receive ({ runnerId, incarnationId, reports }: Omit<TasksReport, 'term'>): number[] {
+  receive ({ runnerId, reports, ...sender }: Omit<TasksReport, 'term'>): number[] {
     const runner = this._runners.get(runnerId)
-    return runner ? runner.receive(incarnationId, reports) : reports.map(({ taskId }) => taskId)
+    return runner ? runner.receive(sender, reports) : reports.map(({ taskId }) => taskId)
   }
 
   /** Number of tasks of each runner, by host id. */
@@ -179,7 +183,7 @@
   }
 
   private _checkRunners (): void {
-    for (const runner of this._runners.values()) {
+    for (const runner of new Set([...this._present(), ...this._runners.values()])) {
       if (runner.silentMs > SILENT_MS) runner.lose(RunnerFailure.Silent)
       runner.probeIfDue()
       this._options.metrics.gauge(MetricName.RunnerTasks, runner.tasksCount, { runner: runner.hostId })
--- a/src/batches/runnerService.ts
+++ b/src/batches/runnerService.ts
@@ -10,11 +10,14 @@
 import { Progress } from '../utils/progress.js'
 import type { Supervisor } from '../utils/supervisor.js'
 import type { LocalExecutor } from './localExecutor.js'
-import { RunnerSession } from './runnerSession.js'
+import { LEASE_MS, RunnerSession } from './runnerSession.js'
 
 /** The part of the time of a flush call that is left for its reply. */
 const FLUSH_MARGIN_MS = 50
 
+/** Tasks of an older message are not started: the leader has given them up, and their batch may have ended. */
+const MAX_ASSIGNMENT_AGE_MS = LEASE_MS
+
 export interface RunnerServiceOptions {
   clock: Clock
   logger: Logger
@@ -42,12 +45,16 @@
   }
 
   serve (handlers: RpcHandlers): void {
-    handlers.on(assignTasksMethod, ({ term, leaderAddress, tasks }): AssignTasksReply => {
+    handlers.on(assignTasksMethod, ({ term, leaderAddress, runnerClockMs: sentAtMs, tasks }): AssignTasksReply => {
+      const { clock, incarnationId } = this._options
+      const runnerClockMs = clock.leaseNowMs()
       if (this._isStopping) return { kind: 'stopping' }
       const session = this._sessionOf(term, leaderAddress)
       if (session.term > term) return { kind: 'staleTerm', term: session.term }
+      const isOutdated = tasks.length > 0 && (sentAtMs === undefined || runnerClockMs - sentAtMs > MAX_ASSIGNMENT_AGE_MS)
+      if (isOutdated) return { kind: 'outdated', incarnationId, runnerClockMs }
       for (const task of tasks) session.assign(task)
-      return { kind: 'assigned', incarnationId: this._options.incarnationId }
+      return { kind: 'assigned', incarnationId, runnerClockMs }
     })
     handlers.on(flushTasksMethod, async ({ term }, remainingMs) => {
       const { clock, supervisor } = this._options
--- a/src/batches/runnerSession.ts
+++ b/src/batches/runnerSession.ts
@@ -222,7 +222,7 @@
     const isLeased = this._tasks.size > 0 && this._leaseEndsAtMs > sentAtMs
     const deadlineMs = Math.min(sentAtMs + REPORT_TIMEOUT_MS, isLeased ? this._leaseEndsAtMs : Number.POSITIVE_INFINITY)
     const progress = new Progress(clock, scope, deadlineMs)
-    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, reports }, progress)
+    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, runnerClockMs: clock.leaseNowMs(), reports }, progress)
     if (outcome.kind === 'replied' && outcome.body.kind === 'notLeader') {
       this.end('the leader no longer leads')
       scope.throwIfClosed()
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -96,6 +96,8 @@
 /** A handover takes a few messages and disk syncs; without a handover in time, the host stops anyway. */
 const HANDOVER_TIMEOUT_MS = 800
 const SUPPLY_COMMIT_TIMEOUT_MS = 1_000
+/** Longest wait of a new leader for the answers of hosts that may run items, which takes a few milliseconds while all of them run. */
+const ANNOUNCE_TIMEOUT_MS = 100
 
 export class StoreProgram {
   private readonly _options: StoreProgramOptions
@@ -303,6 +305,7 @@
     supervisor.spawn('weights', taskScope => rollout.run(taskScope))
     this._spawnSupply(leadership, dispatcher, supervisor)
     supervisor.spawn('retirements', taskScope => retirement.run(taskScope))
+    await runnerPool.announce(new Progress(systemClock, scope, systemClock.nowMs() + ANNOUNCE_TIMEOUT_MS))
     await dispatcher.run(scope)
   }
 
--- a/src/transport/runnerMethods.ts
+++ b/src/transport/runnerMethods.ts
@@ -11,8 +11,13 @@
 /** New with every start of the runner's process, which has none of the tasks of an earlier one. */
 const incarnationId = z.string()
 
+/** Reading of the runner's own clock, which includes suspensions of its machine. */
+const runnerClockMs = z.number()
+
 const assignTasksReplySchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('assigned'), incarnationId }),
+  z.object({ kind: z.literal('assigned'), incarnationId, runnerClockMs }),
+  /** The message is too old, as the runner or the network was held up; none of its tasks was started. */
+  z.object({ kind: z.literal('outdated'), incarnationId, runnerClockMs }),
   /** The runner knows a later leader. */
   z.object({ kind: z.literal('staleTerm'), term }),
   /** The runner is stopping and accepts no tasks. */
@@ -25,6 +30,11 @@
   term,
   /** Where the runner sends its reports. */
   leaderAddress: z.string(),
+  /**
+   * What the runner's clock shows at least when the message is sent, by the runner's
+   * latest message; a runner starts no task without it.
+   */
+  runnerClockMs: runnerClockMs.optional(),
   tasks: z.array(runnerTaskSchema)
 }), assignTasksReplySchema)
 
@@ -35,6 +45,7 @@
   term,
   runnerId: z.string(),
   incarnationId,
+  runnerClockMs,
   reports: z.array(taskReportSchema)
 })
 export type TasksReport = z.infer<typeof tasksReportSchema>
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -120,6 +120,21 @@
   t.true(world.runnerPool?.isUsable(hostId))
 })
 
+// A host that had been frozen for seconds began items of batches that had ended meanwhile.
+test('should not start what was assigned while the host was frozen, once it wakes', async t => {
+  const world = await start(t, 2)
+  await world.clock.advance(500)
+  world.freeze('h2', 5 * LOSS_KNOWN_MS)
+  await world.submit(submission('b1', ITEM_IDS))
+  await world.untilListed('b1', ITEM_IDS.length, RUN_MS + LOSS_KNOWN_MS + 200)
+  await world.end('b1')
+  const runsCount = world.endpoints.runs.length
+  await world.clock.advance(6 * LOSS_KNOWN_MS)
+  t.is(world.endpoints.runs.length, runsCount)
+  t.is(runsCount, ITEM_IDS.length)
+  t.deepEqual(world.failures, [])
+})
+
 for (const direction of ['to', 'from'] as const) {
   test(`should continue items elsewhere when messages ${direction} their host are lost, and end their runs there`, async t => {
     const world = await start(t)
