--- a/src/batches/engineFleet.ts
+++ b/src/batches/engineFleet.ts
@@ -1,7 +1,7 @@
 /**
  * The engines as the leader of the batch store sees them: the runs on each, the
  * time per event, and the weight versions loaded on each engine. Only the leader
- * sends runs to engines, so its own count of runs is their load.
+ * assigns runs to engines, so its own count of runs is their load.
  */
 import type { EndpointHealth } from '../endpoints/endpointHealth.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -18,6 +18,7 @@
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
+import { minBy } from '../utils/minBy.js'
 import type { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import { BatchEvent } from './batchEvents.js'
@@ -203,15 +204,3 @@
 function leastLoaded (runners: readonly RemoteRunner[]): RemoteRunner | undefined {
   return minBy(runners, ({ tasksCount }) => tasksCount)
 }
-
-function minBy<T> (values: readonly T[], keyOf: (value: T) => number): T | undefined {
-  let best: T | undefined
-  let lowest = Number.POSITIVE_INFINITY
-  for (const value of values) {
-    const key = keyOf(value)
-    if (key >= lowest) continue
-    best = value
-    lowest = key
-  }
-  return best
-}
--- a/src/batches/runnerService.ts
+++ b/src/batches/runnerService.ts
@@ -2,33 +2,17 @@
  * Runs items for the leader of the batch store on this host. Holds the tasks of one
  * term; a later leader's first message ends the tasks of earlier terms.
  */
-import { assignTasksMethod, flushTasksMethod, type AssignTasksReply } from '../transport/runnerMethods.js'
+import { assignTasksMethod, flushTasksMethod, type AssignTasksReply, type TaskAssignment } from '../transport/runnerMethods.js'
 import type { RpcHandlers } from '../transport/rpcPeer.js'
-import type { PeerLinks } from '../replication/log/peerLinks.js'
-import type { Clock } from '../utils/clock.js'
-import type { Logger } from '../utils/logger.js'
 import { Progress } from '../utils/progress.js'
-import type { Supervisor } from '../utils/supervisor.js'
-import type { LocalExecutor } from './localExecutor.js'
-import { LEASE_MS, RunnerSession } from './runnerSession.js'
+import { LEASE_MS, RunnerSession, type RunnerSessionOptions } from './runnerSession.js'
 
 /** The part of the time of a flush call that is left for its reply. */
 const FLUSH_MARGIN_MS = 50
-
 /** Tasks of an older message are not started: the leader has given them up, and their batch may have ended. */
 const MAX_ASSIGNMENT_AGE_MS = LEASE_MS
 
-export interface RunnerServiceOptions {
-  clock: Clock
-  logger: Logger
-  supervisor: Supervisor
-  links: PeerLinks
-  executor: LocalExecutor
-  /** The id of this host, as the leader knows it. */
-  hostId: string
-  /** New with every start of the process. */
-  incarnationId: string
-}
+export type RunnerServiceOptions = Omit<RunnerSessionOptions, 'term' | 'leaderAddress'>
 
 export class RunnerService {
   private readonly _options: RunnerServiceOptions
@@ -45,17 +29,7 @@
   }
 
   serve (handlers: RpcHandlers): void {
-    handlers.on(assignTasksMethod, ({ term, leaderAddress, runnerClockMs: sentAtMs, tasks }): AssignTasksReply => {
-      const { clock, incarnationId } = this._options
-      const runnerClockMs = clock.leaseNowMs()
-      if (this._isStopping) return { kind: 'stopping' }
-      const session = this._sessionOf(term, leaderAddress)
-      if (session.term > term) return { kind: 'staleTerm', term: session.term }
-      const isOutdated = tasks.length > 0 && (sentAtMs === undefined || runnerClockMs - sentAtMs > MAX_ASSIGNMENT_AGE_MS)
-      if (isOutdated) return { kind: 'outdated', incarnationId, runnerClockMs }
-      for (const task of tasks) session.assign(task)
-      return { kind: 'assigned', incarnationId, runnerClockMs }
-    })
+    handlers.on(assignTasksMethod, assignment => this._assign(assignment))
     handlers.on(flushTasksMethod, async ({ term }, remainingMs) => {
       const { clock, supervisor } = this._options
       const progress = new Progress(clock, supervisor.scope, clock.nowMs() + Math.max(0, remainingMs - FLUSH_MARGIN_MS))
@@ -70,6 +44,18 @@
     await this._session?.handBack(progress)
   }
 
+  private _assign ({ term, leaderAddress, runnerClockMs: sentAtMs, tasks }: TaskAssignment): AssignTasksReply {
+    if (this._isStopping) return { kind: 'stopping' }
+    const session = this._sessionOf(term, leaderAddress)
+    if (session.term > term) return { kind: 'staleTerm', term: session.term }
+    const { clock, incarnationId } = this._options
+    const runnerClockMs = clock.leaseNowMs()
+    const ageMs = sentAtMs === undefined ? Number.POSITIVE_INFINITY : runnerClockMs - sentAtMs
+    if (tasks.length > 0 && ageMs > MAX_ASSIGNMENT_AGE_MS) return { kind: 'outdated', incarnationId, runnerClockMs }
+    for (const task of tasks) session.assign(task)
+    return { kind: 'assigned', incarnationId, runnerClockMs }
+  }
+
   /** The session of a term; that of a later term if there is one. */
   private _sessionOf (term: number, leaderAddress: string): RunnerSession {
     if (this._session && this._session.term >= term && !this._session.isAbandoned) return this._session
--- a/src/batches/runnerSession.ts
+++ b/src/batches/runnerSession.ts
@@ -37,7 +37,9 @@
   supervisor: Supervisor
   links: PeerLinks
   executor: LocalExecutor
+  /** The id of this host, as the leader knows it. */
   hostId: string
+  /** New with every start of the process. */
   incarnationId: string
   term: number
   leaderAddress: string
--- a/src/batches/weightPlanner.ts
+++ b/src/batches/weightPlanner.ts
@@ -12,6 +12,7 @@
  * days with faults 0.77 instead of 0.59 (three and fifteen test days). Sets of
  * all engines earn 0.03 less than sized sets, with a fifth more weight loads.
  */
+import { minBy } from '../utils/minBy.js'
 
 /** The state of an engine that the plan depends on. */
 export interface PlannedEngine {
@@ -194,15 +195,3 @@
   const occupiedShare = 1 - engine.freeSlotsCount / Math.max(1, engine.slotsCount)
   return engine.gapMs / fastestMs + SHARING_COST * sharingCount + OCCUPIED_COST * occupiedShare
 }
-
-function minBy<T> (values: readonly T[], costOf: (value: T) => number): T | undefined {
-  let best: T | undefined
-  let lowestCost = Number.POSITIVE_INFINITY
-  for (const value of values) {
-    const cost = costOf(value)
-    if (cost >= lowestCost) continue
-    best = value
-    lowestCost = cost
-  }
-  return best
-}
--- a/src/transport/runnerMethods.ts
+++ b/src/transport/runnerMethods.ts
@@ -25,18 +25,21 @@
 ])
 export type AssignTasksReply = z.infer<typeof assignTasksReplySchema>
 
-/** Called by the leader. A call without tasks announces a new term, which ends the tasks of earlier terms. */
-export const assignTasksMethod = rpcMethod('runner.assign', z.object({
+const taskAssignmentSchema = z.object({
   term,
   /** Where the runner sends its reports. */
   leaderAddress: z.string(),
   /**
    * What the runner's clock shows at least when the message is sent, by the runner's
-   * latest message; a runner starts no task without it.
+   * latest messages; a runner starts no task without it.
    */
   runnerClockMs: runnerClockMs.optional(),
   tasks: z.array(runnerTaskSchema)
-}), assignTasksReplySchema)
+})
+export type TaskAssignment = z.infer<typeof taskAssignmentSchema>
+
+/** Called by the leader. A call without tasks announces a new term, which ends the tasks of earlier terms. */
+export const assignTasksMethod = rpcMethod('runner.assign', taskAssignmentSchema, assignTasksReplySchema)
 
 /** Called by the leader before it hands over: all events received so far are reported before the reply. */
 export const flushTasksMethod = rpcMethod('runner.flush', z.object({ term }), z.object({}))
