Leave a leader that stops time to hand over when a host that runs items does not answer

By reading: a planned stop asks all hosts for the events that they hold, within the 0.8 s that the handover has as well. One frozen host used all of it, and the store waited for an election. The events are now waited for 0.25 s at most.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -36,6 +36,8 @@
 const MAX_CARRIED_OVER_OUTPUTS_COUNT = 2_000
 /** Shortest time between two log lines about overload. */
 const OVERLOAD_LOG_INTERVAL_MS = 1_000
+/** Longest wait for events that other hosts hold, so that a host that does not answer leaves time for the handover. */
+const FLUSH_TIMEOUT_MS = 250
 /** Decimal places of cores in log lines. */
 const CORES_DIGITS = 2
 /** Steps of a model that are open at the same time: the earlier step still waits for its long samples. */
@@ -143,7 +145,8 @@
 
   /** Writes all output that is not in the replicated state yet, so that the next leader can continue from it. */
   async replicateOutputs (progress: Progress): Promise<void> {
-    await this._options.executor.flush(progress)
+    const { clock, executor } = this._options
+    await executor.flush(progress.withDeadline(clock.nowMs() + FLUSH_TIMEOUT_MS))
     await progress.race(Promise.all([...this._runs].map(run => run.replicateOutput(progress))))
   }
 
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -216,6 +216,16 @@
   t.true(callsCount > 0)
 })
 
+// A host that did not answer used up the time in which a leader that stops hands over.
+test('should not wait long for a frozen host before a planned change of leader', async t => {
+  const world = await start(t)
+  const { hostId } = await startItems(t, world)
+  world.freeze(hostId, 2 * LOSS_KNOWN_MS)
+  const fromMs = world.clock.nowMs()
+  await world.keepOutputs()
+  t.true(world.clock.nowMs() - fromMs <= 400, `${world.clock.nowMs() - fromMs} ms`)
+})
+
 test('should store all events before a planned change of leader', async t => {
   const world = await start(t)
   await startItems(t, world)
