--- a/tests/control/failures.test.ts
+++ b/tests/control/failures.test.ts
@@ -50,6 +50,19 @@
   })
 }
 
+// Guards against changes that hang until their deadline at a host that has lost the leadership.
+test('should settle every proposal of a deposed leader as soon as an entry of its successor is committed', async t => {
+  const { cluster, leader, others } = await startThree(3)
+  for (const other of others) cluster.network.cut(leader.ip, other.ip)
+  const progress = progressOf(cluster, 30_000)
+  const outcomes = Promise.all(['first', 'second', 'third'].map(changeId => replicaOf(leader).propose(change(changeId), progress)))
+  await cluster.until(() => others.some(host => replicaOf(host).leadership?.mayChangeMembers()), 'a successor')
+  cluster.network.heal()
+  const kinds = (await cluster.clock.advanceUntil(outcomes)).map(outcome => outcome.kind)
+  t.deepEqual(kinds, ['notCommitted', 'notCommitted', 'notCommitted'])
+  t.true(progress.remainingMs() > 20_000)
+})
+
 test('should not disturb a leader that a quorum follows when one replica cannot reach it', async t => {
   const { cluster, leader, others } = await startThree(2)
   cluster.network.cut(leader.ip, others[0]?.ip ?? '')
