Let operators' changes and reads wait for a leader instead of being refused at once

Callers saw: 503 "no leader is known", "the leader has moved" or "did not answer" for a change sent while the hosts elect a leader or before a host has heard from the new one.

Cause: forwarding to the leader stood twice. LeaderCalls repeats a call until a leader answers; LeaderAccess, behind the operators' API, tried once. Ruled out: a wrong outcome; every 503 said "not executed", and no change took effect twice.

LeaderAccess keeps status and removal of members; its own submit and read are gone, with the procedures of the admin router that served them.

--- a/src/control/admin/adminRouter.ts
+++ b/src/control/admin/adminRouter.ts
@@ -1,16 +1,14 @@
 /**
  * Infrequent calls between control hosts, through tRPC on the operator address:
- * joining, membership, and operator calls that a follower forwards to the leader.
+ * joining, membership and status.
  * Frequent calls use framed TCP instead (docs/design/wire.md).
  */
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
-import { resourceCommandSchema } from '../../protocol/resourceCommands.js'
 import type { Clock } from '../../utils/clock.js'
 import { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
 import type { ControlNode } from '../controlNode.js'
-import { ReadMode } from '../../replication/log/replica.js'
 import { controlStatus } from './controlStatus.js'
 
 export interface AdminContext {
@@ -36,19 +34,6 @@
   /** Removes a control host from the members. */
   removeMember: procedure.input(z.object({ hostId: z.string() })).mutation(({ ctx, input }) => ctx.node.replica.remove(input.hostId)),
 
-  /** Commits an operator's change that a follower received. */
-  submit: procedure
-    .input(z.object({ command: resourceCommandSchema, remainingMs: remainingMsSchema }))
-    .mutation(({ ctx, input }) => ctx.node.submit(input.command, progressOf(ctx, input.remainingMs))),
-
-  /** The log index that a follower has to apply before it answers a read. */
-  readIndex: procedure
-    .input(z.object({ remainingMs: remainingMsSchema }))
-    .query(async ({ ctx, input }) => {
-      const read = await ctx.node.read(ReadMode.Quorum, progressOf(ctx, input.remainingMs))
-      return read.kind === 'confirmed' ? { kind: 'confirmed' as const, index: ctx.node.replica.appliedIndex } : read
-    }),
-
   /** The status of members and entry hosts, which only the leader knows. */
   status: procedure
     .input(z.object({ remainingMs: remainingMsSchema }))
--- a/src/control/admin/leaderAccess.ts
+++ b/src/control/admin/leaderAccess.ts
@@ -1,17 +1,14 @@
 /**
- * Operator calls, answered by this host if it leads and through the leader
- * otherwise.
+ * Operator calls about the members, which only the leader can answer: answered
+ * by this host if it leads, and through the leader otherwise.
  */
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { fetch } from 'undici'
-import type { SubmitReply } from '../../protocol/controlMessages.js'
-import type { ResourceCommand } from '../../protocol/resourceCommands.js'
 import type { Clock } from '../../utils/clock.js'
 import type { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
 import type { ControlNode } from '../controlNode.js'
 import type { MembershipOutcome } from '../../replication/log/membershipChanges.js'
-import { ReadMode, type ReadOutcome } from '../../replication/log/replica.js'
 import { controlStatus, type StatusOutcome } from './controlStatus.js'
 import type { AdminRouter } from './adminRouter.js'
 
@@ -35,31 +32,6 @@
     this._scope = scope
   }
 
-  async submit (command: ResourceCommand, progress: Progress): Promise<SubmitReply> {
-    if (this._node.isLeader) return await this._node.submit(command, progress)
-    const outcome = await this._callLeader(progress, (client, remainingMs, signal) => (
-      client.submit.mutate({ command, remainingMs }, { signal })
-    ))
-    switch (outcome.kind) {
-      case 'answered':
-        return outcome.answer as SubmitReply
-      case 'unasked':
-        return { kind: 'notCommitted', reason: outcome.reason }
-      case 'lost':
-        return { kind: 'unknown', reason: outcome.reason }
-    }
-  }
-
-  /** Waits until this host's state is recent enough for a linearizable read. */
-  async read (progress: Progress): Promise<ReadOutcome> {
-    if (this._node.isLeader) return await this._node.read(ReadMode.Quorum, progress)
-    const outcome = await this._callLeader(progress, (client, remainingMs, signal) => client.readIndex.query({ remainingMs }, { signal }))
-    if (outcome.kind !== 'answered') return { kind: 'unavailable', reason: outcome.reason }
-    if (outcome.answer.kind !== 'confirmed') return outcome.answer
-    const applied = await progress.race(this._node.replica.whenApplied(outcome.answer.index))
-    return applied.kind === 'done' ? { kind: 'confirmed' } : { kind: 'unavailable', reason: `this host did not apply entry ${outcome.answer.index} in time` }
-  }
-
   async status (progress: Progress): Promise<StatusOutcome> {
     if (this._node.isLeader) return await controlStatus(this._node, progress)
     const outcome = await this._callLeader(progress, (client, remainingMs, signal) => client.status.query({ remainingMs }, { signal }))
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -248,8 +248,9 @@
 
   private async _listenForOperators (operatorAddress: string): Promise<void> {
     const access = new LeaderAccess(this.node, systemClock, this._scope)
-    const watches = new WatchStreams(this.node, access, systemClock)
-    const api = new OperatorApi({ node: this.node, access, watches, quarantine: new QuarantineCalls(this.node, this.leaderCalls), clock: systemClock })
+    const { node, leaderCalls } = this
+    const watches = new WatchStreams(node, leaderCalls, systemClock)
+    const api = new OperatorApi({ node, access, leaderCalls, watches, quarantine: new QuarantineCalls(node, leaderCalls), clock: systemClock })
     const admin = createHTTPHandler({
       router: adminRouter,
       basePath: '/trpc/',
--- a/src/control/operatorApi/operatorApi.ts
+++ b/src/control/operatorApi/operatorApi.ts
@@ -15,6 +15,7 @@
 import type { Scope } from '../../utils/scope.js'
 import type { LeaderAccess } from '../admin/leaderAccess.js'
 import type { ControlNode } from '../controlNode.js'
+import type { LeaderCalls } from '../routing/leaderCalls.js'
 import { readBody, sendJson, type Answer } from './jsonExchange.js'
 import type { QuarantineCalls } from './quarantineCalls.js'
 import type { WatchStreams } from './watchStream.js'
@@ -36,6 +37,7 @@
 export interface OperatorApiOptions {
   node: ControlNode
   access: LeaderAccess
+  leaderCalls: Pick<LeaderCalls, 'submit' | 'read'>
   watches: WatchStreams
   quarantine: QuarantineCalls
   clock: Clock
@@ -99,7 +101,7 @@
   }
 
   private async _read (call: Call, kind: ResourceKind, name: string | undefined): Promise<Answer> {
-    const read = await this._options.access.read(call.progress)
+    const read = await this._options.leaderCalls.read(call.progress)
     if (read.kind !== 'confirmed') return unavailable(read.kind === 'notLeader' ? 'the leader has moved' : read.reason)
     const { resources, revision } = this._options.node.state
     if (name === undefined) return { status: 200, body: { revision, resources: resources.list(kind) } }
@@ -130,7 +132,7 @@
       const issue = parsed.error.issues[0]
       return { status: 422, body: { kind: 'invalid', field: issue?.path.join('.') ?? '', message: issue?.message ?? 'malformed' } }
     }
-    return answerOf(await this._options.access.submit(parsed.data, progress))
+    return answerOf(await this._options.leaderCalls.submit(parsed.data, progress))
   }
 
   private async _status (call: Call): Promise<Answer> {
@@ -173,7 +175,7 @@
   private async _jobProgress (call: Call): Promise<Answer> {
     const [, job = '', view] = call.segments
     if (view !== 'progress') return malformed(404, 'expected /v1/jobs/{job}/progress')
-    const read = await this._options.access.read(call.progress)
+    const read = await this._options.leaderCalls.read(call.progress)
     if (read.kind !== 'confirmed') return unavailable(read.kind === 'notLeader' ? 'the leader has moved' : read.reason)
     const progress = this._options.node.state.answer({ kind: QueryKind.RolloutProgress, job })
     return progress ? { status: 200, body: progress } : malformed(404, `no job ${job}`)
--- a/src/control/operatorApi/watchStream.ts
+++ b/src/control/operatorApi/watchStream.ts
@@ -11,9 +11,9 @@
 import type { Clock } from '../../utils/clock.js'
 import type { Progress } from '../../utils/progress.js'
 import type { Scope } from '../../utils/scope.js'
-import type { LeaderAccess } from '../admin/leaderAccess.js'
 import type { ControlNode } from '../controlNode.js'
 import { isResourceEvent } from '../resources/changeHistory.js'
+import type { LeaderCalls } from '../routing/leaderCalls.js'
 import { sendJson } from './jsonExchange.js'
 
 /** Interval of comments that are sent while nothing changes, to detect broken connections. */
@@ -29,12 +29,12 @@
 
 export class WatchStreams {
   private readonly _node: ControlNode
-  private readonly _access: LeaderAccess
+  private readonly _leaderCalls: Pick<LeaderCalls, 'read'>
   private readonly _clock: Clock
 
-  constructor (node: ControlNode, access: LeaderAccess, clock: Clock) {
+  constructor (node: ControlNode, leaderCalls: Pick<LeaderCalls, 'read'>, clock: Clock) {
     this._node = node
-    this._access = access
+    this._leaderCalls = leaderCalls
     this._clock = clock
   }
 
@@ -43,7 +43,7 @@
     if (!parsed.success) {
       return sendJson(response, { status: 400, body: { reason: RefusalReason.MalformedRequest, executed: Executed.No, message: parsed.error.issues[0]?.message } })
     }
-    const read = await this._access.read(progress)
+    const read = await this._leaderCalls.read(progress)
     if (read.kind !== 'confirmed') {
       return sendJson(response, { status: 503, body: { reason: RefusalReason.ControlUnavailable, executed: Executed.No, message: 'no leader answers' } })
     }
--- a/tests/control/quarantineCalls.test.ts
+++ b/tests/control/quarantineCalls.test.ts
@@ -2,7 +2,7 @@
 import type { ControlNode } from '../../src/control/controlNode.js'
 import { QuarantineCalls } from '../../src/control/operatorApi/quarantineCalls.js'
 import { RoutingState } from '../../src/control/routing/routingState.js'
-import { RoutingCommandKind } from '../../src/protocol/routingCommands.js'
+import { RoutingCommandKind, type RoutingCommand } from '../../src/protocol/routingCommands.js'
 import { Progress } from '../../src/utils/progress.js'
 import { Scope } from '../../src/utils/scope.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
@@ -13,7 +13,7 @@
 function callsOf (routing: RoutingState, isLed = true): QuarantineCalls {
   return new QuarantineCalls({ state: { routing } } as ControlNode, {
     read: async () => (isLed ? { kind: 'confirmed' } : { kind: 'unavailable', reason: 'no leader is known' }),
-    submit: async command => ({ kind: 'committed', result: routing.apply(command, { atMs: 9 }) })
+    submit: async command => ({ kind: 'committed', result: routing.apply(command as RoutingCommand, { atMs: 9 }) })
   })
 }
 
