Start no second try at an endpoint that already has the first

Endpoints saw: every slow request twice, where a service has a single endpoint (or a single one that is not full). The hedged try chose that same endpoint again: EndpointPool.choose falls back to tried endpoints, which is right for a retry after a failure and useless beside a try that is still running. The tries also came out of the budget that hedged tries share, even when none started.

Change: a hedged try needs an endpoint that has none, and withdraws from the budget only when it starts.

The new test gives 2 calls before, 1 now.

--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -184,12 +184,13 @@
     const mayRepeat = route.kind !== RouteKind.AtMostOnce && this._ranCount + this._openTriesCount < route.maxAttemptsCount
     // A request that terminates endpoints would terminate the second endpoint as well.
     if (this._options.quarantine.statusOf(this._identity) !== QuarantineStatus.Free) return false
-    return mayRepeat && !progress.isPastDeadline() && this._openTriesCount === 1 && this._hedgeBudget.tryWithdraw()
+    return mayRepeat && !progress.isPastDeadline() && this._openTriesCount === 1
   }
 
   private _hedge (): void {
     const endpoint = this._choose()
-    if (!endpoint || this._options.pool.isRefusing(endpoint)) return
+    if (!endpoint || this._tried.has(endpoint.endpointId) || this._options.pool.isRefusing(endpoint)) return
+    if (!this._hedgeBudget.tryWithdraw()) return
     this._startTry(endpoint)
     this._countRetry(RetryReason.Hedged)
   }
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -72,6 +72,14 @@
   t.true(clock.nowMs() < 200, `${clock.nowMs()} ms`)
 })
 
+// Guards against a slow endpoint that gets every request twice because its service has no other.
+test('should not start a second try at an endpoint that has the first', async t => {
+  const { clock, endpoints, forward } = world(1)
+  endpoints.onCall = () => ({ afterMs: 900, outcome: answered() })
+  t.is((await clock.advanceUntil(forward())).kind, 'answered')
+  t.is(endpoints.calls.length, 1)
+})
+
 test('should try no more endpoints than the route allows', async t => {
   const { clock, endpoints, forward } = world(5)
   endpoints.onCall = () => ({ afterMs: 5, outcome: answered(500) })
