--- a/src/batches/localExecutor.ts
+++ b/src/batches/localExecutor.ts
@@ -57,9 +57,10 @@
     return new EngineRun(this._options, request, abandonAtMs, this._paceOf(request.endpoint.endpointId), scope, onReceived)
   }
 
-  async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
+  /** @param holdsLease whether the leader still counts on this host; always for the leader itself */
+  async score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease = () => true): Promise<RewardScore> {
     const { clock, metrics, forwarder, routeOf } = this._options
-    return await new RewardScoring({ clock, metrics, forwarder, routeOf }).score(reward, abandonAtMs, scope)
+    return await new RewardScoring({ clock, metrics, forwarder, routeOf }).score(reward, abandonAtMs, scope, holdsLease)
   }
 
   async flush (): Promise<void> {
--- a/src/batches/rewardScoring.ts
+++ b/src/batches/rewardScoring.ts
@@ -1,7 +1,8 @@
 /**
  * Scores a sample with complete text by its reward call. The call is repeated until
- * there is a score, until it has failed as often as its route allows, or until it is
- * quarantined for crashing endpoints and the item may be abandoned.
+ * there is a score, until it has failed as often as its route allows, until it is
+ * quarantined for crashing endpoints and the item may be abandoned, or until this
+ * host no longer holds the lease on the item.
  */
 import type { ForwardOutcome, RequestForwarder } from '../gateway/requestForwarder.js'
 import type { RewardCall } from '../protocol/batches.js'
@@ -37,13 +38,17 @@
     this._options = options
   }
 
-  /** @param abandonAtMs time from which a quarantined call is no longer repeated */
-  async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
+  /**
+   * @param abandonAtMs time from which a quarantined call is no longer repeated
+   * @param holdsLease whether no other host may make the call; asked before every try
+   */
+  async score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease: () => boolean): Promise<RewardScore> {
     const { clock, routeOf } = this._options
     let failuresCount = 0
     for (;;) {
+      if (!holdsLease()) return { kind: 'interrupted', reason: 'the lease has ended' }
       const route = routeOf(reward.host, reward.path)
-      const outcome = route && await this._call(reward, route, scope)
+      const outcome = route && await this._call(reward, route, scope, holdsLease)
       if (outcome?.kind === 'answered') {
         const receipt = receiptOf(outcome)
         if (receipt !== undefined) return { kind: 'scored', receipt }
@@ -56,7 +61,7 @@
     }
   }
 
-  private async _call (reward: RewardCall, route: RoutingRoute, scope: Scope): Promise<ForwardOutcome> {
+  private async _call (reward: RewardCall, route: RoutingRoute, scope: Scope, holdsLease: () => boolean): Promise<ForwardOutcome> {
     const { clock, forwarder, metrics } = this._options
     const outcome = await forwarder.forward({
       route,
@@ -67,6 +72,7 @@
       body: reward.body,
       attemptId: reward.rewardId,
       progress: new Progress(clock, scope, clock.nowMs() + REWARD_TIMEOUT_MS),
+      mayTry: holdsLease,
       isPersistent: true
     })
     metrics.count(MetricName.RewardCalled, { outcome: outcome.kind })
--- a/src/batches/runnerSession.ts
+++ b/src/batches/runnerSession.ts
@@ -60,6 +60,7 @@
   private readonly _tasks = new Map<number, Task>()
   /** Reports that the leader has not confirmed. */
   private _unconfirmed: TaskReport[] = []
+  /** Point in time of the lease clock, which also counts the time for which the machine was suspended. */
   private _leaseEndsAtMs: number
   private _isUrgent = false
   private readonly _changed = new Signal()
@@ -69,20 +70,25 @@
   constructor (options: RunnerSessionOptions) {
     this._options = options
     this.term = options.term
-    this._leaseEndsAtMs = options.clock.nowMs() + LEASE_MS
+    this._leaseEndsAtMs = options.clock.leaseNowMs() + LEASE_MS
     this._supervisor = options.supervisor.child(`tasks of term ${options.term}`)
     this._supervisor.spawn('reports', scope => this._reportUntilClosed(scope))
   }
 
   /** Whether the leader has not been heard of for so long that any other one may take its place. */
   get isAbandoned (): boolean {
-    return this._options.clock.nowMs() >= this._leaseEndsAtMs + UNCONFIRMED_RETENTION_MS
+    return this._options.clock.leaseNowMs() >= this._leaseEndsAtMs + UNCONFIRMED_RETENTION_MS
+  }
+
+  private get _holdsLease (): boolean {
+    return this._options.clock.leaseNowMs() < this._leaseEndsAtMs
   }
 
   assign (task: RunnerTask): void {
     const { clock } = this._options
+    this._checkLease()
     // A message of the leader shows that it still counts on this host.
-    this._leaseEndsAtMs = Math.max(this._leaseEndsAtMs, clock.nowMs() + LEASE_MS)
+    this._leaseEndsAtMs = Math.max(this._leaseEndsAtMs, clock.leaseNowMs() + LEASE_MS)
     switch (task.kind) {
       case 'run':
         return this._startRun(task.taskId, task.request, clock.nowMs() + task.abandonInMs)
@@ -131,7 +137,7 @@
 
   private _startScoring (taskId: number, reward: RewardCall, abandonAtMs: number): void {
     this._spawn(taskId, async scope => {
-      const score = await this._options.executor.score(reward, abandonAtMs, scope)
+      const score = await this._options.executor.score(reward, abandonAtMs, scope, () => this._holdsLease)
       if (this._tasks.delete(taskId)) this._add({ kind: 'scored', taskId, score })
     })
   }
@@ -217,14 +223,15 @@
   /** Sends everything that the leader does not know; returns false if the leader did not receive it. */
   private async _report (scope: Scope): Promise<boolean> {
     const { clock, links, leaderAddress, hostId: runnerId, incarnationId } = this._options
+    this._checkLease()
     for (const [taskId, task] of this._tasks) this._takeProgress(taskId, task)
     this._isUrgent = false
     const reports = [...this._unconfirmed]
-    const sentAtMs = clock.nowMs()
-    const isLeased = this._tasks.size > 0 && this._leaseEndsAtMs > sentAtMs
-    const deadlineMs = Math.min(sentAtMs + REPORT_TIMEOUT_MS, isLeased ? this._leaseEndsAtMs : Number.POSITIVE_INFINITY)
-    const progress = new Progress(clock, scope, deadlineMs)
-    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, runnerClockMs: clock.leaseNowMs(), reports }, progress)
+    const sentAtMs = clock.leaseNowMs()
+    const isLeased = this._tasks.size > 0 && this._holdsLease
+    const timeoutMs = Math.min(REPORT_TIMEOUT_MS, isLeased ? this._leaseEndsAtMs - sentAtMs : Number.POSITIVE_INFINITY)
+    const progress = new Progress(clock, scope, clock.nowMs() + timeoutMs)
+    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, runnerClockMs: sentAtMs, reports }, progress)
     if (outcome.kind === 'replied' && outcome.body.kind === 'notLeader') {
       this.end('the leader no longer leads')
       scope.throwIfClosed()
@@ -240,13 +247,12 @@
     return true
   }
 
+  /** Ends all tasks once their lease has ended, so that it cannot be renewed: the leader does not name the tasks that it gave to another host. */
   private _checkLease (): void {
-    const { clock, logger } = this._options
-    const nowMs = clock.nowMs()
     if (this.isAbandoned) this._unconfirmed = []
-    if (nowMs < this._leaseEndsAtMs || this._tasks.size === 0) return
+    if (this._holdsLease || this._tasks.size === 0) return
     const reason = 'no contact to the leader'
-    logger.event(BatchEvent.TasksDropped, { term: this.term, tasksCount: this._tasks.size, reason })
+    this._options.logger.event(BatchEvent.TasksDropped, { term: this.term, tasksCount: this._tasks.size, reason })
     this._interruptAll(reason)
   }
 }
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -47,6 +47,8 @@
   /** Called once when an endpoint has started, or may have started, to run the request; gets the time at which the request was sent to the endpoint. */
   onBegan?: ((sentAtMs: number) => void) | undefined
   progress: Progress
+  /** Whether the caller may still have the request run; asked before every try. */
+  mayTry?: (() => boolean) | undefined
   /** Keep trying until the deadline: a refusal would be of no use to the caller. */
   isPersistent?: boolean
 }
@@ -141,15 +143,19 @@
     this._hedgeBudget.depositFirstAttempt()
     while (!this._answer && !progress.isPastDeadline()) {
       if (this._openTriesCount === 0) {
-        const outcome = this._tryNext()
+        const outcome = this._mayTry ? this._tryNext() : this._refuse(RefusalReason.LeaseLost)
         if (outcome) return outcome
       }
       const hasTryEnded = await this._tryEnded.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextCheckAtMs() })
-      if (!hasTryEnded && this._mayHedge()) this._hedge()
+      if (!hasTryEnded && this._mayTry && this._mayHedge()) this._hedge()
     }
     return this._answer ?? this._refuse(RefusalReason.DeadlinePassed)
   }
 
+  private get _mayTry (): boolean {
+    return this._request.mayTry?.() ?? true
+  }
+
   /** Starts a try; returns the outcome of the request when no further try is allowed or useful. */
   private _tryNext (): ForwardOutcome | undefined {
     const { route } = this._request
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -14,6 +14,7 @@
 import type { WorkCosts } from '../fixtures/fleet/billedEndpoints.js'
 import { engine } from '../fixtures/fleet/fleetFixtures.js'
 import type { RunnerHost } from '../fixtures/fleet/runnerHost.js'
+import { answered } from '../fixtures/fleet/scriptedEndpoints.js'
 import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
 
 const EVENTS_COUNT = 100
@@ -135,6 +136,24 @@
   t.deepEqual(world.failures, [])
 })
 
+for (const fault of ['freeze', 'suspend'] as const) {
+  // Guards against a host that repeats, on waking, a reward call that another host has made meanwhile.
+  test(`should make no more reward calls of a lease that ended during a ${fault} of the host`, async t => {
+    const world = await start(t)
+    world.endpoints.onRun = () => ({ eventsCount: 5, gapMs: GAP_MS, version: 1 })
+    let areRewardsFull = true
+    world.endpoints.onCall = () => ({ afterMs: 1, outcome: areRewardsFull ? { kind: 'notExecuted', status: 503, load: undefined } : answered() })
+    const runner = await startItems(t, world)
+    world[fault](runner.hostId, 2 * LOSS_KNOWN_MS)
+    areRewardsFull = false
+    await world.untilListed('b1', ITEM_IDS.length, 2 * LOSS_KNOWN_MS)
+    const callsCount = world.endpoints.calls.length
+    await world.clock.advance(3 * LOSS_KNOWN_MS)
+    t.is(world.endpoints.calls.length, callsCount)
+    t.deepEqual(world.failures, [])
+  })
+}
+
 for (const direction of ['to', 'from'] as const) {
   test(`should continue items elsewhere when messages ${direction} their host are lost, and end their runs there`, async t => {
     const world = await start(t)
