Split itemRun: failures of an item and listing of its result stand by themselves

ItemFailures holds the pause after a failure and the question whether an item was tried often enough; ResultListing proposes the result until it is listed.

--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -3,10 +3,9 @@
  * The item runs on an engine, resumes after the last event on another engine if the
  * run breaks off, is scored and is committed, all in one sequential task.
  */
-import { FailureAttribution } from '../endpoints/failureAttribution.js'
 import { QuarantineStatus, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
-import { BatchCommandKind, ResultState, type BatchCommandResult, type BatchItem, type ItemResult, type OutputPart, type RewardCall } from '../protocol/batches.js'
+import { ResultState, type BatchItem, type ItemResult, type OutputPart, type RewardCall } from '../protocol/batches.js'
 import type { RoutingRoute } from '../protocol/routing.js'
 import { isEndedByHost, type ItemRunRequest, type RewardScore, type RunOutcome, type RunProgress } from '../protocol/runnerTasks.js'
 import type { Replica } from '../replication/log/replica.js'
@@ -14,26 +13,23 @@
 import type { LogFields, Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
-import { Progress } from '../utils/progress.js'
+import type { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
 import type { BatchTimes } from './batchTimes.js'
 import type { Engine } from './engineFleet.js'
 import type { ItemExecutor, StartedRun } from './itemExecutor.js'
+import { ItemFailures, RETRY_PAUSE_MS } from './itemFailures.js'
 import { ItemOutput } from './itemOutput.js'
-import { ITEM_COMMIT_TIMEOUT_MS, OutputReplicator } from './outputReplicator.js'
+import { OutputReplicator } from './outputReplicator.js'
+import { ResultListing } from './resultListing.js'
 import { recordOutcome } from './runOutcome.js'
 import type { WaitingItem } from './itemOrder.js'
 import { ItemStage } from './stepReports.js'
 
 /** A run checks for a faster engine each time the run has received this many further events. */
 const MOVE_CHECK_EVENTS_COUNT = 4
-/** Pause after a failed run, so that a broken engine is not called in a tight loop; the pause doubles after each further failure that an engine answered. */
-const RETRY_PAUSE_MS = 30
-const MAX_RETRY_PAUSE_MS = 1_000
-/** An item that too few different engines have tried is abandoned after this many times the failures that its route allows. */
-const MAX_FAILURES_FACTOR = 2
 /** Interval for checking whether the quarantine of an item was lifted, until the item may be abandoned. */
 const QUARANTINE_CHECK_INTERVAL_MS = 500
 
@@ -68,9 +64,9 @@
   readonly isCarriedOver: boolean
   stage = ItemStage.Queued
   private readonly _options: ItemRunOptions
-  /** Failures of the item at engines. */
-  private readonly _failures: FailureAttribution
+  private readonly _failures: ItemFailures
   private readonly _outputReplicator: OutputReplicator
+  private readonly _listing: ResultListing
   private readonly _identity: RequestIdentity
   private readonly _startedAtMs: number
   private _current: { engine: Engine, run: StartedRun } | undefined
@@ -84,7 +80,7 @@
     this._identity = options.quarantine.identify({ host: batch.submission.host, method: 'POST', path: item.path, body: item.body })
     this.batch = batch
     this.item = item
-    this._failures = new FailureAttribution(() => item.itemId)
+    this._failures = new ItemFailures(item.itemId)
     this.times = times
     this.output = earlierOutput ?? new ItemOutput()
     this._lastEventId = this.output.lastEventId
@@ -97,6 +93,14 @@
       output: this.output,
       onNotReplicated: (afterEventId, outcome) => this._log(BatchEvent.ProgressNotReplicated, { afterEventId, outcome })
     })
+    this._listing = new ResultListing({
+      clock: options.clock,
+      replica: options.replica,
+      batch,
+      output: this.output,
+      outputReplicator: this._outputReplicator,
+      onAnswer: ({ state }, outcome) => this._log(BatchEvent.ItemListed, { groupId: item.groupId, state, outcome })
+    })
   }
 
   get priority (): number {
@@ -114,12 +118,12 @@
 
   /** Whether the item may not use all engines that other items of its batch may use. */
   get isRestricted (): boolean {
-    return this._failures.endpointsCount > 0 || this._quarantineStatus() === QuarantineStatus.OnProbation
+    return this._failures.attribution.endpointsCount > 0 || this._quarantineStatus() === QuarantineStatus.OnProbation
   }
 
   /** Whether the item has failed at an engine, which is then only used if no other engine fits. */
   avoids ({ id }: Engine): boolean {
-    return this._failures.hasFailedAt(id)
+    return this._failures.attribution.hasFailedAt(id)
   }
 
   /** Whether the quarantine allows the item to run at an engine beside its present runs. */
@@ -192,14 +196,10 @@
       }
       if (this._shouldAbandon()) return false
       this.stage = ItemStage.Pausing
-      await sleepUntil(clock, scope, clock.nowMs() + this._retryPauseMs())
+      await sleepUntil(clock, scope, clock.nowMs() + this._failures.retryPauseMs)
     }
   }
 
-  private _retryPauseMs (): number {
-    return Math.min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS * 2 ** Math.max(0, this._failures.failuresCount - 1))
-  }
-
   /** Waits until the quarantine of the item is lifted; resolves to false if the item is abandoned first. */
   private async _waitUntilLifted (scope: Scope): Promise<boolean> {
     const { clock } = this._options
@@ -232,15 +232,8 @@
 
   private _shouldAbandon (): boolean {
     const route = this._options.routeOf(this.batch.submission.host, this.batch.submission.path)
-    return (route !== undefined && this._hasExhaustedAttempts(route.maxAttemptsCount)) || this._options.clock.nowMs() >= this.times.abandonAtMs
-  }
-
-  /** Whether the item has failed as often as its route allows, at different engines if there are enough. */
-  private _hasExhaustedAttempts (maxAttemptsCount: number): boolean {
-    const { failuresCount, endpointsCount } = this._failures
-    if (failuresCount < maxAttemptsCount) return false
-    const wantedCount = Math.min(maxAttemptsCount, this._options.enginesCount(this))
-    return endpointsCount >= wantedCount || failuresCount >= MAX_FAILURES_FACTOR * maxAttemptsCount
+    const haveExhausted = route !== undefined && this._failures.haveExhausted(route.maxAttemptsCount, this._options.enginesCount(this))
+    return haveExhausted || this._options.clock.nowMs() >= this.times.abandonAtMs
   }
 
   /** Runs the item at an engine and releases the slot. */
@@ -249,7 +242,7 @@
     try {
       const outcome = await this._attempt(engine, scope)
       // The outcome is recorded before the slot is released, because another run may then get the slot.
-      recordOutcome(outcome, { engine, startedAtMs, failures: this._failures, markRemoved: this._options.markRemoved })
+      recordOutcome(outcome, { engine, startedAtMs, failures: this._failures.attribution, markRemoved: this._options.markRemoved })
       return outcome
     } finally {
       this._options.release(this, engine)
@@ -308,7 +301,7 @@
   /** Records that the engine has sent the first event of a run. */
   private _recordStart (engine: Engine): void {
     engine.health.accepted()
-    this._failures.accepted(engine.id)
+    this._failures.attribution.accepted(engine.id)
   }
 
   private _reportToQuarantine (run: QuarantinedRun, outcome: RunOutcome): void {
@@ -351,7 +344,7 @@
   }
 
   private _abandonedResult (): ItemResult {
-    this._log(BatchEvent.ItemAbandoned, { failuresCount: this._failures.failuresCount, enginesCount: this._failures.endpointsCount })
+    this._log(BatchEvent.ItemAbandoned, { failuresCount: this._failures.attribution.failuresCount, enginesCount: this._failures.attribution.endpointsCount })
     return { itemId: this.item.itemId, state: ResultState.Abandoned, parts: [], versions: [] }
   }
 
@@ -376,28 +369,9 @@
     }
   }
 
-  /** Proposes the result until it is listed. The command contains only the events that are not in the replicated state yet. */
   private async _commit (result: ItemResult, scope: Scope): Promise<void> {
-    const { clock, replica } = this._options
-    const { batchId } = this.batch
     this.stage = ItemStage.Committing
-    while (!this.batch.isListed(this.item.itemId)) {
-      await this._outputReplicator.whenIdle(scope)
-      const command = { kind: BatchCommandKind.Finish, batchId, ...this._finishCommandFields(result) }
-      const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + ITEM_COMMIT_TIMEOUT_MS))
-      const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
-      this._log(BatchEvent.ItemListed, { groupId: this.item.groupId, state: result.state, outcome: answer })
-      if (answer === 'listed') this._recordMetrics(result.state)
-      if (answer === 'listed' || answer === 'closed') return
-      this.output.resetReplicated()
-      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
-    }
-  }
-
-  private _finishCommandFields (result: ItemResult): { afterEventId: number, result: ItemResult } {
-    const isOwnOutput = result.state === ResultState.Completed && result.parts.length === 0
-    if (!isOwnOutput) return { afterEventId: 0, result }
-    return { afterEventId: this.output.replicatedCount, result: { ...result, parts: this.output.unreplicatedParts() } }
+    if (await this._listing.list(result, scope)) this._recordMetrics(result.state)
   }
 
   private _recordMetrics (state: ResultState): void {
