--- a/tests/batches/trainersFuzz.test.ts
+++ b/tests/batches/trainersFuzz.test.ts
@@ -20,3 +20,8 @@
 test('should keep engines and steps busy in random runs with momentary faults', async t => await runAll(t, true))
 
 test('should keep engines and steps busy in random runs with all faults', async t => await runAll(t, false))
+
+// A host that is frozen while it has nothing to do gets the items of the next step, and the engine that has room failed shortly before.
+test('should keep a step busy that begins while one of two hosts is frozen', async t => {
+  t.deepEqual((await runTrainers(121, false)).violations, [])
+})
