--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -136,24 +136,28 @@
   t.deepEqual(world.failures, [])
 })
 
-for (const fault of ['freeze', 'suspend'] as const) {
-  // Guards against a host that repeats, on waking, a reward call that another host has made meanwhile.
-  test(`should make no more reward calls of a lease that ended during a ${fault} of the host`, async t => {
-    const world = await start(t)
-    world.endpoints.onRun = () => ({ eventsCount: 5, gapMs: GAP_MS, version: 1 })
-    let areRewardsFull = true
-    world.endpoints.onCall = () => ({ afterMs: 1, outcome: areRewardsFull ? { kind: 'notExecuted', status: 503, load: undefined } : answered() })
-    const runner = await startItems(t, world)
-    world[fault](runner.hostId, 2 * LOSS_KNOWN_MS)
-    areRewardsFull = false
-    await world.untilListed('b1', ITEM_IDS.length, 2 * LOSS_KNOWN_MS)
-    const callsCount = world.endpoints.calls.length
-    await world.clock.advance(3 * LOSS_KNOWN_MS)
-    t.is(world.endpoints.calls.length, callsCount)
-    t.deepEqual(world.failures, [])
-  })
+/** Lets a host fail for a while as it repeats reward calls, and checks that it makes none once it is back. */
+async function checkRewardCallsAfter (t: ExecutionContext, fault: 'freeze' | 'suspend'): Promise<void> {
+  const world = await start(t)
+  world.endpoints.onRun = () => ({ eventsCount: 5, gapMs: GAP_MS, version: 1 })
+  let areRewardsFull = true
+  world.endpoints.onCall = () => ({ afterMs: 1, outcome: areRewardsFull ? { kind: 'notExecuted', status: 503, load: undefined } : answered() })
+  const runner = await startItems(t, world)
+  world[fault](runner.hostId, 2 * LOSS_KNOWN_MS)
+  areRewardsFull = false
+  await world.untilListed('b1', ITEM_IDS.length, 2 * LOSS_KNOWN_MS)
+  const callsCount = world.endpoints.calls.length
+  await world.clock.advance(3 * LOSS_KNOWN_MS)
+  t.is(world.endpoints.calls.length, callsCount)
+  t.deepEqual(world.failures, [])
 }
 
+// Guards against a host that repeats, on waking, a reward call that another host has made meanwhile.
+test('should make no more reward calls of a lease that ended while the host was frozen', async t => await checkRewardCallsAfter(t, 'freeze'))
+
+// Guards against a lease that is counted on a clock that stands still with the machine.
+test('should make no more reward calls of a lease that ended while the machine was suspended', async t => await checkRewardCallsAfter(t, 'suspend'))
+
 for (const direction of ['to', 'from'] as const) {
   test(`should continue items elsewhere when messages ${direction} their host are lost, and end their runs there`, async t => {
     const world = await start(t)
