Write and read a replica's log in pieces instead of as a whole

The listed test saw it as a peak of 231.0 of 230.0 MB, once, under load.

A start held the whole file beside the decoded entries, and a batch of the writer stood in memory three times.

Ruled out earlier by runs: malloc arenas, V8's threads, I/O threads, garbage.

Change: log files are written and read 256 KB at a time (logFile.ts). The header gets its mark of the synced length once the length is known, before the one sync and the rename, so that a crash leaves the old or the new log whole: tested with a power loss before each disk operation.

The test of the memory keeps its check and bound.

--- a/src/replication/storage/fileDisk.ts
+++ b/src/replication/storage/fileDisk.ts
@@ -1,7 +1,7 @@
 /**
  * A disk backed by a folder of the file system.
  */
-import { mkdir, open, readdir, readFile, rename, rm, type FileHandle } from 'node:fs/promises'
+import { mkdir, open, readdir, readFile, rename, rm, stat, type FileHandle } from 'node:fs/promises'
 import { join } from 'node:path'
 import { DiskFullError, StorageError } from '../../utils/errors.js'
 import type { Disk, DiskFile } from './disk.js'
@@ -25,21 +25,15 @@
   }
 
   async read (name: string): Promise<Uint8Array | undefined> {
-    try {
-      return await readFile(join(this._folder, name))
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
-      throw storageError(`read ${name}`, error)
-    }
+    return await this._unlessAbsent(`read ${name}`, () => readFile(join(this._folder, name)))
   }
 
   async readRange (name: string, positionBytes: number, lengthBytes: number): Promise<Uint8Array | undefined> {
-    try {
-      return await readFileRange(join(this._folder, name), positionBytes, lengthBytes)
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
-      throw storageError(`read ${name}`, error)
-    }
+    return await this._unlessAbsent(`read ${name}`, () => readFileRange(join(this._folder, name), positionBytes, lengthBytes))
+  }
+
+  async lengthOf (name: string): Promise<number | undefined> {
+    return await this._unlessAbsent(`read the length of ${name}`, async () => (await stat(join(this._folder, name))).size)
   }
 
   async open (name: string): Promise<DiskFile> {
@@ -80,6 +74,16 @@
       }
     })
   }
+
+  /** Returns undefined if the file does not exist. */
+  private async _unlessAbsent<T> (operation: string, work: () => Promise<T>): Promise<T | undefined> {
+    try {
+      return await work()
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
+      throw storageError(operation, error)
+    }
+  }
 }
 
 class OpenFile implements DiskFile {
--- a/src/replication/storage/logRecords.ts
+++ b/src/replication/storage/logRecords.ts
@@ -28,11 +28,12 @@
 const encoder = new Encoder({ useRecords: false })
 const decoder = new Decoder({ useRecords: false })
 const LENGTH_BYTES = 4
-const PREFIX_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
+/** Length and checksum, which precede the body of a record. */
+export const PREFIX_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
 const MAGIC = Buffer.from('TDLOG001', 'latin1')
 const SYNC_MARK_BYTES = 8
 const SYNC_MARK_POSITION_BYTES = MAGIC.length
-const MAX_BATCH_START_BODY_BYTES = 16
+export const MAX_BATCH_START_BYTES = PREFIX_BYTES + 16
 
 export const HEADER_BYTES = MAGIC.length + SYNC_MARK_BYTES + CHECKSUM_BYTES
 
@@ -79,7 +80,7 @@
 
 function entryFrom (values: unknown[]): LogEntry {
   const [term, index, kind, atMs, payload] = values as [number, number, EntryKind, number, Uint8Array]
-  // Copied, so that an entry does not keep the whole file in memory.
+  // Copied, so that an entry does not keep the part of the file that it was read with in memory.
   return { term, index, kind, atMs, payload: Uint8Array.from(payload) }
 }
 
@@ -96,55 +97,23 @@
   return { positionBytes: SYNC_MARK_POSITION_BYTES, bytes }
 }
 
-export type ReadOutcome =
-  | { kind: 'read', records: LogRecord[], validBytes: number, tornBytes: number }
-  | { kind: 'damaged', reason: string }
-
-/** Reads the records of a log file. */
-export function readRecords (bytes: Uint8Array): ReadOutcome {
-  const file = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
-  if (file.length < HEADER_BYTES || !file.subarray(0, MAGIC.length).equals(MAGIC)) return { kind: 'damaged', reason: 'its header is missing or malformed' }
-  const records: LogRecord[] = []
-  let positionBytes = HEADER_BYTES
-  for (;;) {
-    const parsed = readRecordAt(file, positionBytes)
-    if (!parsed) break
-    records.push(parsed.record)
-    positionBytes = parsed.endBytes
-  }
-  const syncedBytes = Math.max(readSyncMark(file), latestBatchStart(file, positionBytes))
-  if (syncedBytes > positionBytes) {
-    return { kind: 'damaged', reason: `byte ${positionBytes} is unreadable, but ${syncedBytes} bytes had been synced` }
-  }
-  return { kind: 'read', records, validBytes: positionBytes, tornBytes: file.length - positionBytes }
-}
-
-function readRecordAt (file: Buffer, positionBytes: number): { record: LogRecord, endBytes: number } | undefined {
-  const bodyPositionBytes = positionBytes + PREFIX_BYTES
-  if (bodyPositionBytes > file.length) return undefined
-  const lengthBytes = file.readUInt32BE(positionBytes)
-  const endBytes = bodyPositionBytes + lengthBytes
-  if (lengthBytes === 0 || endBytes > file.length) return undefined
-  const body = file.subarray(bodyPositionBytes, endBytes)
-  if (!checksumMatches(file, positionBytes + LENGTH_BYTES, body)) return undefined
-  const record = fromFields(decoder.decode(body))
-  return record && { record, endBytes }
+/** The position that the sync mark of a header states; 0 if the mark itself is torn, undefined if the header is missing or malformed. */
+export function decodeHeader (header: Buffer): number | undefined {
+  if (header.length < HEADER_BYTES || !header.subarray(0, MAGIC.length).equals(MAGIC)) return undefined
+  const mark = header.subarray(SYNC_MARK_POSITION_BYTES, SYNC_MARK_POSITION_BYTES + SYNC_MARK_BYTES)
+  const matches = checksumMatches(header, SYNC_MARK_POSITION_BYTES + SYNC_MARK_BYTES, mark)
+  return matches ? Number(mark.readBigUInt64BE(0)) : 0
 }
 
-/** The sync mark in the header; 0 if the mark itself is torn. */
-function readSyncMark (file: Buffer): number {
-  const mark = file.subarray(SYNC_MARK_POSITION_BYTES, SYNC_MARK_POSITION_BYTES + SYNC_MARK_BYTES)
-  const matches = checksumMatches(file, SYNC_MARK_POSITION_BYTES + SYNC_MARK_BYTES, mark)
-  return matches ? Number(mark.readBigUInt64BE(0)) : 0
+/** Length of the record at a position, as its prefix states it; 0 if there is none. */
+export function recordLengthAt (bytes: Buffer, positionBytes: number): number {
+  const bodyBytes = bytes.readUInt32BE(positionBytes)
+  return bodyBytes === 0 ? 0 : PREFIX_BYTES + bodyBytes
 }
 
-/** Highest synced position that any readable batch start after an unreadable position states. */
-function latestBatchStart (file: Buffer, fromBytes: number): number {
-  let syncedBytes = 0
-  for (let positionBytes = fromBytes + 1; positionBytes + PREFIX_BYTES < file.length; positionBytes++) {
-    if (file.readUInt32BE(positionBytes) > MAX_BATCH_START_BODY_BYTES) continue
-    const parsed = readRecordAt(file, positionBytes)
-    if (parsed?.record.kind === 'batchStart') syncedBytes = Math.max(syncedBytes, parsed.record.syncedBytes)
-  }
-  return syncedBytes
+/** Decodes a record of a known length; undefined if it is damaged. */
+export function decodeRecord (bytes: Buffer): LogRecord | undefined {
+  const body = bytes.subarray(PREFIX_BYTES)
+  if (!checksumMatches(bytes, LENGTH_BYTES, body)) return undefined
+  return fromFields(decoder.decode(body))
 }
--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -10,7 +10,8 @@
 import type { SnapshotPieces } from '../replicatedState.js'
 import { loadChecksum } from './checksum.js'
 import { TEMPORARY_SUFFIX, writeAtomically, type Disk, type DiskFile } from './disk.js'
-import { encodeHeader, encodeSyncMark, encodeRecord, HEADER_BYTES, type LogRecord } from './logRecords.js'
+import { writeLogFile, writeRecords } from './logFile.js'
+import { encodeSyncMark, type LogRecord } from './logRecords.js'
 import { IncomingSnapshot } from './incomingSnapshot.js'
 import { encodeIdentity, type ReplicaIdentity } from './replicaIdentity.js'
 import { writeSnapshotFile, type SnapshotHeader, type WrittenSnapshot } from './snapshotFile.js'
@@ -96,18 +97,17 @@
   async adoptCluster (clusterId: string): Promise<void> {
     invariant(this._identity.clusterId === null, `the replica already belongs to cluster ${this._identity.clusterId}`)
     const identity = { ...this._identity, clusterId }
-    await this._failOnError(() => writeAtomically(this._disk, IDENTITY_FILE, encodeIdentity(identity)))
+    await this._failOnError(() => writeAtomically(this._disk, IDENTITY_FILE, file => file.append(encodeIdentity(identity))))
     this._identity = identity
   }
 
   /** Appends records as one batch with one sync. */
   async append (records: LogRecord[]): Promise<void> {
-    const batch = Buffer.concat([{ kind: 'batchStart', syncedBytes: this._logBytes } as const, ...records].map(encodeRecord))
     await this._failOnError(async () => {
       // Written at its position, not appended: a batch that failed on a full disk may have left part of itself at the end of the file.
-      await this._log.writeAt(this._logBytes, batch)
+      const endBytes = await writeRecords(this._log, this._logBytes, [{ kind: 'batchStart', syncedBytes: this._logBytes }, ...records])
       if (this._options.syncs) await this._log.sync()
-      this._logBytes += batch.length
+      this._logBytes = endBytes
       await this._writeMark()
     })
   }
@@ -156,18 +156,13 @@
   /** Replaces snapshot and log atomically: after a crash, either the old or the new pair is in place. */
   async compact (compaction: Compaction): Promise<void> {
     await this._failOnError(async () => {
-      const { snapshot, hardState, entries } = compaction
-      const content = logContent([
-        { kind: 'base', snapshotIndex: snapshot.lastIndex, snapshotTerm: snapshot.lastTerm },
-        { kind: 'hardState', hardState },
-        ...entries.map(entry => ({ kind: 'entry', entry } as const))
-      ])
+      const { snapshot } = compaction
       const sequence = this._logSequence + 1
-      await writeAtomically(this._disk, logName(sequence), content)
+      const lengthBytes = await writeAtomically(this._disk, logName(sequence), file => writeLogFile(file, compactedRecords(compaction)))
       await this._log.close()
       this._log = await this._disk.open(logName(sequence))
       this._logSequence = sequence
-      this._logBytes = content.length
+      this._logBytes = lengthBytes
       this._snapshot = snapshot
       const name = snapshotName(snapshot.lastIndex)
       this._pendingFiles.delete(name)
@@ -221,15 +216,16 @@
 /** Creates the files of a new replica. The identity is written last, so that a folder with an identity always has a log. */
 async function createReplica (disk: Disk, hostId: string, replicaId: string): Promise<LoadedReplica> {
   const logSequence = (latestLogSequence(await disk.list()) ?? 0) + 1
-  const content = logContent([{ kind: 'base', snapshotIndex: 0, snapshotTerm: 0 }])
-  await writeAtomically(disk, logName(logSequence), content)
+  const base: LogRecord = { kind: 'base', snapshotIndex: 0, snapshotTerm: 0 }
+  const logBytes = await writeAtomically(disk, logName(logSequence), file => writeLogFile(file, [base]))
   const identity: ReplicaIdentity = { replicaId, hostId, clusterId: null }
-  await writeAtomically(disk, IDENTITY_FILE, encodeIdentity(identity))
+  await writeAtomically(disk, IDENTITY_FILE, file => file.append(encodeIdentity(identity)))
   const hardState = { term: 0, votedFor: null }
-  return { identity, hardState, snapshot: undefined, snapshotLengthBytes: 0, entries: [], logSequence, logBytes: content.length, tornBytes: 0 }
+  return { identity, hardState, snapshot: undefined, snapshotLengthBytes: 0, entries: [], logSequence, logBytes, tornBytes: 0 }
 }
 
-function logContent (records: LogRecord[]): Buffer {
-  const body = Buffer.concat(records.map(encodeRecord))
-  return Buffer.concat([encodeHeader(HEADER_BYTES + body.length), body])
+function * compactedRecords ({ snapshot, hardState, entries }: Compaction): Iterable<LogRecord> {
+  yield { kind: 'base', snapshotIndex: snapshot.lastIndex, snapshotTerm: snapshot.lastTerm }
+  yield { kind: 'hardState', hardState }
+  for (const entry of entries) yield { kind: 'entry', entry }
 }
--- a/src/replication/storage/snapshotFile.ts
+++ b/src/replication/storage/snapshotFile.ts
@@ -14,7 +14,7 @@
 import type { SnapshotPieces } from '../replicatedState.js'
 import { invariant } from '../../utils/errors.js'
 import { CHECKSUM_BYTES, checksumMatches, writeChecksum } from './checksum.js'
-import { TEMPORARY_SUFFIX, type Disk, type DiskFile } from './disk.js'
+import { writeAtomically, type Disk, type DiskFile } from './disk.js'
 
 const headerSchema = z.object({
   lastIndex: z.int(),
@@ -60,34 +60,12 @@
   lengthBytes: number
 }
 
-/**
- * Writes a snapshot so that its file is either complete or absent, even after a
- * power loss. Yields to the event loop after every piece.
- */
+/** Writes a snapshot. Yields to the event loop after every piece. */
 export async function writeSnapshotFile (disk: Disk, name: string, header: SnapshotHeader, pieces: SnapshotPieces): Promise<WrittenSnapshot> {
-  const temporaryName = `${name}${TEMPORARY_SUFFIX}`
-  await disk.remove(temporaryName)
-  const lengthBytes = await writeTemporary(disk, temporaryName, header, pieces)
-  await disk.rename(temporaryName, name)
-  await disk.syncFolder()
+  const lengthBytes = await writeAtomically(disk, name, file => writeFrames(file, header, pieces))
   return { lastIndex: header.lastIndex, lastTerm: header.lastTerm, lengthBytes }
 }
 
-/** Removes the file if writing fails, so that on a full disk the space is available to the log. */
-async function writeTemporary (disk: Disk, name: string, header: SnapshotHeader, pieces: SnapshotPieces): Promise<number> {
-  const file = await disk.open(name)
-  try {
-    const lengthBytes = await writeFrames(file, header, pieces)
-    await file.sync()
-    await file.close()
-    return lengthBytes
-  } catch (error) {
-    await file.close()
-    await disk.remove(name)
-    throw error
-  }
-}
-
 async function writeFrames (file: DiskFile, header: SnapshotHeader, pieces: SnapshotPieces): Promise<number> {
   let lengthBytes = 0
   for (const value of framedValues(header, pieces)) {
--- a/src/replication/storage/storageLoader.ts
+++ b/src/replication/storage/storageLoader.ts
@@ -3,10 +3,10 @@
  * synced is never repaired by guessing, because the replica could lose votes or
  * entries that others rely on.
  */
-import { invariant } from '../../utils/errors.js'
 import type { HardState, LogEntry } from '../log/logEntry.js'
 import type { Disk } from './disk.js'
-import { readRecords, type LogRecord } from './logRecords.js'
+import { readLogFile } from './logFile.js'
+import type { LogRecord } from './logRecords.js'
 import { decodeIdentity, type ReplicaIdentity } from './replicaIdentity.js'
 import { readSnapshotFile, type Snapshot } from './snapshotFile.js'
 
@@ -64,9 +64,7 @@
 
 async function loadLog (disk: Disk, identity: ReplicaIdentity, logSequence: number): Promise<LoadOutcome> {
   const name = logName(logSequence)
-  const bytes = await disk.read(name)
-  invariant(bytes, `${name} is in the file list but does not exist`)
-  const read = readRecords(bytes)
+  const read = await readLogFile(disk, name)
   if (read.kind === 'damaged') return { kind: 'damaged', reason: `${name}: ${read.reason}` }
   const replayed = replay(read.records)
   if (replayed.kind === 'damaged') return { kind: 'damaged', reason: `${name}: ${replayed.reason}` }
