Watch store hosts without tasks, and send nothing to one that may be frozen

What callers saw: a step stood still for 600 ms and more, although engines had room: all of its items had been given to a host that did not answer.

Cause: a store host was watched only while it had tasks. A host that froze or was cut off while idle stayed usable however long it was silent, and being idle made it the first choice for the next step (also for reward calls). Only the call's timeout of 600 ms told.

Change: while steps are open, and for 10 s after, a host without tasks is asked for an answer every 150 ms; one not heard of for 350 ms gets nothing new. If a host has not been heard of and is still the only choice, the leader holds the tasks back until it answers an empty call (250 ms at most). What is held back was never sent, so it cannot begin later; MAX_ASSIGNMENT_AGE_MS stays as it is. Tasks that were given up before they were sent are not sent any more. A leader that is overloaded itself takes no host for frozen, so that a busy host loses no work by this.

Ruled out: an earlier timeout for each assignment (a busy host would lose its new work), local execution while the only host is silent (a busy leader would take all of it on).

--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -18,6 +18,12 @@
 /** Messages to a runner wait this long for others, so that they share a call. */
 const SEND_DELAY_MS = 4
 const SEND_TIMEOUT_MS = 600
+/** A runner without tasks is asked for an answer when it has not been heard of for this long; one with tasks reports as often. */
+const HEARTBEAT_INTERVAL_MS = 150
+/** A runner that has not been heard of for this long may be frozen or cut off: two intervals and a delayed message. */
+const LIVE_MS = 350
+/** A runner that may be frozen gets this long to answer before tasks are sent to it: many round trips, also between regions. */
+const CONFIRM_TIMEOUT_MS = 250
 /** Pause before a runner that failed is probed; doubles with each further failure. */
 const MIN_PROBE_PAUSE_MS = 300
 const MAX_PROBE_PAUSE_MS = 5_000
@@ -45,6 +51,10 @@
 /** What a runner says of itself in each message. */
 type Sender = Pick<TasksReport, 'incarnationId' | 'runnerClockMs'>
 
+type SendOutcome =
+  | { kind: 'assigned', incarnationId: string }
+  | { kind: 'failed', reason: RunnerFailure }
+
 interface AssignedTask {
   pending: PendingTask
   /** The process that has confirmed that it has the task. */
@@ -58,6 +68,8 @@
   term: number
   /** Where the runner sends its reports. */
   leaderAddress: string
+  /** Whether the processor of this host is overloaded, so that answers are read late. */
+  isOverloaded: () => boolean
   /** Called when the runner is given up, with the number of tasks that it had. */
   onLost: (runner: RemoteRunner, reason: RunnerFailure, tasksCount: number) => void
 }
@@ -72,6 +84,11 @@
   private _outgoing: RunnerTask[] = []
   private _isSendScheduled = false
   private _heardAtMs: number
+  /** When the present tasks began, or the first of them. */
+  private _busySinceMs = 0
+  private _pendingCallsCount = 0
+  /** An answer is awaited before anything is sent. */
+  private _isConfirming = false
   /** When to probe a runner that has not answered since it failed, or at all; undefined while it may be given tasks. */
   private _probeAtMs: number | undefined
   private readonly _runnerClock: PeerClock
@@ -100,9 +117,14 @@
     return this._probeAtMs === undefined
   }
 
+  /** Whether the runner was heard of lately, so that the runner is most likely not frozen or cut off. */
+  get isLive (): boolean {
+    return this._options.clock.nowMs() - this._heardAtMs <= LIVE_MS
+  }
+
   /** How long the runner has not been heard of although it has tasks. */
   get silentMs (): number {
-    return this._tasks.size === 0 ? 0 : this._options.clock.nowMs() - this._heardAtMs
+    return this._tasks.size === 0 ? 0 : this._options.clock.nowMs() - Math.max(this._heardAtMs, this._busySinceMs)
   }
 
   /** Announces the term, so that the runner ends the tasks of an earlier leader; resolves when it has answered or failed to. */
@@ -118,8 +140,14 @@
     this._scheduleSend()
   }
 
+  /** Asks a runner without tasks, which reports nothing by itself, for an answer. */
+  heartbeatIfDue (): void {
+    if (!this.isUsable || this._tasks.size > 0 || this._pendingCallsCount > 0) return
+    if (this._options.clock.nowMs() >= this._heardAtMs + HEARTBEAT_INTERVAL_MS) this._scheduleSend()
+  }
+
   start (task: Extract<RunnerTask, { kind: 'run' | 'score' }>, pending: PendingTask): void {
-    if (this._tasks.size === 0) this._heardAtMs = this._options.clock.nowMs()
+    if (this._tasks.size === 0) this._busySinceMs = this._options.clock.nowMs()
     this._tasks.set(task.taskId, { pending })
     this._send(task)
   }
@@ -189,24 +217,59 @@
   }
 
   private async _sendOutgoing (): Promise<void> {
-    const { clock, scope, term, leaderAddress } = this._options
-    const tasks = this._outgoing
+    const isDoubtful = this._outgoing.length > 0 && !this.isLive && !this._options.isOverloaded()
+    if (isDoubtful && !(await this._confirmLive())) return
+    const tasks = this._takeOutgoing()
+    this._recordSent(tasks, await this._call(tasks, SEND_TIMEOUT_MS))
+  }
+
+  /**
+   * Waits for an answer of a runner that may be frozen; returns false if there is
+   * none, or if another call waits for it. What is held back meanwhile can be given to
+   * another runner, as this one cannot start it later.
+   */
+  private async _confirmLive (): Promise<boolean> {
+    if (this._isConfirming) return false
+    this._isConfirming = true
+    const outcome = await this._call([], CONFIRM_TIMEOUT_MS)
+    this._isConfirming = false
+    if (outcome.kind === 'assigned') return true
+    this._recordSent(this._takeOutgoing(), outcome)
+    return false
+  }
+
+  /** What is to be sent, without tasks that were given up before they were sent. */
+  private _takeOutgoing (): RunnerTask[] {
+    const tasks = this._outgoing.filter(({ kind, taskId }) => kind === 'stop' || kind === 'cancel' || this._tasks.has(taskId))
     this._outgoing = []
-    const runnerClockMs = this._runnerClock.nowMs
-    const progress = new Progress(clock, scope, clock.nowMs() + SEND_TIMEOUT_MS)
-    const outcome = await this._link.call(assignTasksMethod, { term, leaderAddress, ...(runnerClockMs === undefined ? {} : { runnerClockMs }), tasks }, progress)
-    if (outcome.kind === 'replied' && 'incarnationId' in outcome.body) this._recordHeard(outcome.body)
-    if (outcome.kind === 'replied' && outcome.body.kind === 'assigned') {
+    return tasks
+  }
+
+  private _recordSent (tasks: readonly RunnerTask[], outcome: SendOutcome): void {
+    if (outcome.kind === 'assigned') {
       this._probeAtMs = undefined
       this._probePauseMs = MIN_PROBE_PAUSE_MS
-      this._confirm(tasks, outcome.body.incarnationId)
-      return
+      return this._confirm(tasks, outcome.incarnationId)
     }
-    const reason = failureOf(outcome)
     // Nothing listens at the address, so that the process with all tasks has ended.
-    if (reason === RunnerFailure.Unreachable) return this.lose(reason)
+    if (outcome.reason === RunnerFailure.Unreachable) return this.lose(outcome.reason)
     this._postponeProbe()
-    this._loseTasks(tasks.map(({ taskId }) => taskId), reason)
+    this._loseTasks(tasks.map(({ taskId }) => taskId), outcome.reason)
+  }
+
+  private async _call (tasks: RunnerTask[], timeoutMs: number): Promise<SendOutcome> {
+    const { clock, scope, term, leaderAddress } = this._options
+    const runnerClockMs = this._runnerClock.nowMs
+    const progress = new Progress(clock, scope, clock.nowMs() + timeoutMs)
+    this._pendingCallsCount++
+    try {
+      const outcome = await this._link.call(assignTasksMethod, { term, leaderAddress, ...(runnerClockMs === undefined ? {} : { runnerClockMs }), tasks }, progress)
+      if (outcome.kind === 'replied' && 'incarnationId' in outcome.body) this._recordHeard(outcome.body)
+      if (outcome.kind === 'replied' && outcome.body.kind === 'assigned') return { kind: 'assigned', incarnationId: outcome.body.incarnationId }
+      return { kind: 'failed', reason: failureOf(outcome) }
+    } finally {
+      this._pendingCallsCount--
+    }
   }
 
   private _recordHeard ({ incarnationId, runnerClockMs }: Sender): void {
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -30,6 +30,8 @@
 const CHECK_INTERVAL_MS = 100
 /** A runner with tasks that reports nothing for this long is given up: its lease on them has ended, with a margin for clock rates. */
 const SILENT_MS = LEASE_MS + 100
+/** Runners without tasks are watched until this long after the last task was given to any: longer than a trainer takes between two steps. */
+const WATCHED_AFTER_TASK_MS = 10_000
 /** A check later than this shows that this host was busy or frozen itself, so that reports may be waiting to be read. */
 const MAX_CHECK_DELAY_MS = 100
 
@@ -58,11 +60,12 @@
   /** The runner of each engine. */
   private readonly _runnerOfEngine = new Map<string, RemoteRunner>()
   private _lastTaskId = 0
+  private _lastTaskAtMs = Number.NEGATIVE_INFINITY
 
   constructor (options: RunnerPoolOptions) {
     this._options = options
-    const { clock, scope, links, term, peerAddress } = options
-    this._runnerOptions = { clock, scope, links, term, leaderAddress: peerAddress, onLost: (runner, reason, tasksCount) => this._recordLoss(runner, reason, tasksCount) }
+    const { clock, scope, links, term, peerAddress, isOverloaded } = options
+    this._runnerOptions = { clock, scope, links, term, leaderAddress: peerAddress, isOverloaded, onLost: (runner, reason, tasksCount) => this._recordLoss(runner, reason, tasksCount) }
   }
 
   get term (): number {
@@ -87,7 +90,7 @@
   run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun {
     const runner = this._runnerFor(request.endpoint)
     if (!runner) return this._options.local.run(request, abandonAtMs, scope, onProgress)
-    const taskId = ++this._lastTaskId
+    const taskId = this._nextTaskId()
     const ended = new Promise<RunOutcome>(resolve => {
       runner.start({ kind: 'run', taskId, abandonInMs: this._remainingMs(abandonAtMs), request }, { kind: 'run', onProgress, settle: resolve })
     })
@@ -95,9 +98,9 @@
   }
 
   async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
-    const runner = leastLoaded(this._usable())
+    const runner = leastLoaded(this._trusted())
     if (!runner) return await this._options.local.score(reward, abandonAtMs, scope)
-    const taskId = ++this._lastTaskId
+    const taskId = this._nextTaskId()
     const ended = new Promise<RewardScore>(resolve => {
       runner.start({ kind: 'score', taskId, abandonInMs: this._remainingMs(abandonAtMs), reward }, { kind: 'score', settle: resolve })
     })
@@ -138,10 +141,10 @@
 
   /** The host that runs items at an engine; undefined for this host. */
   private _runnerFor (endpoint: FleetEndpoint): RemoteRunner | undefined {
-    const usable = this._usable()
+    const trusted = this._trusted()
     const present = this._runnerOfEngine.get(endpoint.endpointId)
-    if (present && usable.includes(present)) return present
-    const runner = this._chooseRunner(endpoint.dataCentre, usable)
+    if (present && trusted.includes(present)) return present
+    const runner = this._chooseRunner(endpoint.dataCentre, trusted)
     if (runner) this._runnerOfEngine.set(endpoint.endpointId, runner)
     return runner
   }
@@ -162,6 +165,22 @@
     return minBy(runners, runner => counts.get(runner) ?? 0)
   }
 
+  private _nextTaskId (): number {
+    this._lastTaskAtMs = this._options.clock.nowMs()
+    return ++this._lastTaskId
+  }
+
+  /**
+   * The runners to choose from: those heard of lately. A runner that is frozen or cut
+   * off while it has no tasks would otherwise be the first choice for the next step.
+   * If none was heard of lately, most likely this host was held up itself.
+   */
+  private _trusted (): RemoteRunner[] {
+    const usable = this._usable()
+    const live = usable.filter(({ isLive }) => isLive)
+    return live.length === 0 || this._options.isOverloaded() ? usable : live
+  }
+
   private _usable (): RemoteRunner[] {
     return this._present().filter(({ isUsable }) => isUsable)
   }
@@ -184,9 +203,11 @@
   }
 
   private _checkRunners (): void {
+    const isWatched = this._options.clock.nowMs() < this._lastTaskAtMs + WATCHED_AFTER_TASK_MS
     for (const runner of new Set([...this._present(), ...this._runners.values()])) {
       if (runner.silentMs > SILENT_MS) runner.lose(RunnerFailure.Silent)
       runner.probeIfDue()
+      if (isWatched) runner.heartbeatIfDue()
       this._options.metrics.gauge(MetricName.RunnerTasks, runner.tasksCount, { runner: runner.hostId })
     }
   }
