Give no items back to a store host that does not receive the leader's messages

Cause: the leader took a report of a host for proof of contact. When messages are lost in one direction, reports still arrive; the host ends its tasks as its lease ends, reports that, and got the same items back at once, for another 600 ms until the call's timeout.

Change: a report says when the runner last received a message of the leader, by its own clock; a host that has not for 350 ms is not taken for live. The field is optional, so that old and new hosts work together.

Now: started within 800 ms of the loss (600 of them the lease).

--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -20,7 +20,7 @@
 const SEND_TIMEOUT_MS = 600
 /** A runner without tasks is asked for an answer when it has not been heard of for this long; one with tasks reports as often. */
 const HEARTBEAT_INTERVAL_MS = 150
-/** A runner that has not been heard of for this long may be frozen or cut off: two intervals and a delayed message. */
+/** A runner that has not been heard of, or has not heard of this host, for this long may be frozen or cut off: two intervals and a delayed message. */
 const LIVE_MS = 350
 /** A runner that may be frozen gets this long to answer before tasks are sent to it: many round trips, also between regions. */
 const CONFIRM_TIMEOUT_MS = 250
@@ -49,7 +49,7 @@
   | { kind: 'score', settle: (score: RewardScore) => void }
 
 /** What a runner says of itself in each message. */
-type Sender = Pick<TasksReport, 'incarnationId' | 'runnerClockMs'>
+type Sender = Pick<TasksReport, 'incarnationId' | 'runnerClockMs' | 'leaderHeardAtMs'>
 
 type SendOutcome =
   | { kind: 'assigned', incarnationId: string }
@@ -84,6 +84,8 @@
   private _outgoing: RunnerTask[] = []
   private _isSendScheduled = false
   private _heardAtMs: number
+  /** Whether the runner had lately received a message of this host when it was last heard of. */
+  private _isReached = true
   /** When the present tasks began, or the first of them. */
   private _busySinceMs = 0
   private _pendingCallsCount = 0
@@ -117,9 +119,9 @@
     return this._probeAtMs === undefined
   }
 
-  /** Whether the runner was heard of lately, so that the runner is most likely not frozen or cut off. */
+  /** Whether messages were lately received in both directions, so that the runner is most likely not frozen or cut off. */
   get isLive (): boolean {
-    return this._options.clock.nowMs() - this._heardAtMs <= LIVE_MS
+    return this._isReached && this._options.clock.nowMs() - this._heardAtMs <= LIVE_MS
   }
 
   /** How long the runner has not been heard of although it has tasks. */
@@ -272,8 +274,10 @@
     }
   }
 
-  private _recordHeard ({ incarnationId, runnerClockMs }: Sender): void {
+  /** A message without `leaderHeardAtMs` is taken for the answer to one of the leader. */
+  private _recordHeard ({ incarnationId, runnerClockMs, leaderHeardAtMs = runnerClockMs }: Sender): void {
     this._heardAtMs = this._options.clock.nowMs()
+    this._isReached = runnerClockMs - leaderHeardAtMs <= LIVE_MS
     this._runnerClock.record(incarnationId, runnerClockMs)
   }
 
--- a/src/batches/runnerService.ts
+++ b/src/batches/runnerService.ts
@@ -48,6 +48,7 @@
     if (this._isStopping) return { kind: 'stopping' }
     const session = this._sessionOf(term, leaderAddress)
     if (session.term > term) return { kind: 'staleTerm', term: session.term }
+    session.recordHeard()
     const { clock, incarnationId } = this._options
     const runnerClockMs = clock.leaseNowMs()
     const ageMs = sentAtMs === undefined ? Number.POSITIVE_INFINITY : runnerClockMs - sentAtMs
--- a/src/batches/runnerSession.ts
+++ b/src/batches/runnerSession.ts
@@ -62,6 +62,8 @@
   private _unconfirmed: TaskReport[] = []
   /** Point in time of the lease clock, which also counts the time for which the machine was suspended. */
   private _leaseEndsAtMs: number
+  /** Point in time of the lease clock. */
+  private _leaderHeardAtMs: number
   private _isUrgent = false
   private readonly _changed = new Signal()
   /** Notified when the leader has received a report. */
@@ -70,7 +72,8 @@
   constructor (options: RunnerSessionOptions) {
     this._options = options
     this.term = options.term
-    this._leaseEndsAtMs = options.clock.leaseNowMs() + LEASE_MS
+    this._leaderHeardAtMs = options.clock.leaseNowMs()
+    this._leaseEndsAtMs = this._leaderHeardAtMs + LEASE_MS
     this._supervisor = options.supervisor.child(`tasks of term ${options.term}`)
     this._supervisor.spawn('reports', scope => this._reportUntilClosed(scope))
   }
@@ -84,6 +87,11 @@
     return this._options.clock.leaseNowMs() < this._leaseEndsAtMs
   }
 
+  /** Records a message of the leader. */
+  recordHeard (): void {
+    this._leaderHeardAtMs = this._options.clock.leaseNowMs()
+  }
+
   assign (task: RunnerTask): void {
     const { clock } = this._options
     this._checkLease()
@@ -231,7 +239,7 @@
     const isLeased = this._tasks.size > 0 && this._holdsLease
     const timeoutMs = Math.min(REPORT_TIMEOUT_MS, isLeased ? this._leaseEndsAtMs - sentAtMs : Number.POSITIVE_INFINITY)
     const progress = new Progress(clock, scope, clock.nowMs() + timeoutMs)
-    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, runnerClockMs: sentAtMs, reports }, progress)
+    const outcome = await links.to({ peerAddress: leaderAddress }).call(reportTasksMethod, { term: this.term, runnerId, incarnationId, runnerClockMs: sentAtMs, leaderHeardAtMs: this._leaderHeardAtMs, reports }, progress)
     if (outcome.kind === 'replied' && outcome.body.kind === 'notLeader') {
       this.end('the leader no longer leads')
       scope.throwIfClosed()
@@ -240,6 +248,7 @@
       this._checkLease()
       return false
     }
+    this.recordHeard()
     this._leaseEndsAtMs = Math.max(this._leaseEndsAtMs, sentAtMs + LEASE_MS)
     this._unconfirmed = this._unconfirmed.slice(reports.length)
     for (const taskId of outcome.body.unknownTaskIds) this._cancel(taskId)
--- a/src/transport/runnerMethods.ts
+++ b/src/transport/runnerMethods.ts
@@ -49,6 +49,8 @@
   runnerId: z.string(),
   incarnationId,
   runnerClockMs,
+  /** What the runner's clock showed when it last received a message of the leader; absent from hosts that do not report it. */
+  leaderHeardAtMs: runnerClockMs.optional(),
   reports: z.array(taskReportSchema)
 })
 export type TasksReport = z.infer<typeof tasksReportSchema>
--- a/tests/batches/runnerLiveness.test.ts
+++ b/tests/batches/runnerLiveness.test.ts
@@ -10,6 +10,7 @@
 
 const EVENTS_COUNT = 20
 const GAP_MS = 20
+const RUN_MS = EVENTS_COUNT * GAP_MS
 /** Messages, turns of the dispatcher, and a commit. */
 const AT_ONCE_MS = 60
 /** Time after which no host is watched, as no step has begun. */
@@ -106,6 +107,28 @@
   t.true(firstMs <= AT_ONCE_MS, `${firstMs} ms`)
 })
 
+// A host whose lease had ended, as it no longer received messages of the leader, got its items back and did not answer for another 600 ms.
+test('should not give items back to a host that no longer receives messages of the leader', async t => {
+  const store = await startStore(t, 3)
+  const { world, starts } = store
+  const runMs = 2_000
+  world.endpoints.onRun = ({ attemptId }) => {
+    starts.push({ itemId: attemptId, atMs: world.clock.nowMs() })
+    return { eventsCount: runMs / GAP_MS, gapMs: GAP_MS, version: 1 }
+  }
+  await world.submit(submission('first', FIRST_IDS))
+  await world.clock.advance(RUN_MS)
+  const [runner] = world.busyRunners()
+  if (!runner) return t.fail('no host runs items')
+  const cutAtMs = world.clock.nowMs()
+  world.network.cutOneWay('h1', runner.hostId)
+  await world.untilListed('first', FIRST_IDS.length)
+  const again = starts.slice(FIRST_IDS.length)
+  t.true(again.length > 0)
+  const latestMs = Math.max(...again.map(({ atMs }) => atMs)) - cutAtMs
+  t.true(latestMs <= 800, `${latestMs} ms after the messages were lost`)
+})
+
 test('should ask hosts for answers only while there are steps', async t => {
   const store = await startStore(t, 1 + HOSTS_COUNT, { ...NO_COSTS, messageMs: MESSAGE_MS })
   const { world } = store
