Keep the slots of items whose store host was lost for their next try

Cause: when a host was lost, each of its items gave its slot back and paused for 30 ms. In between, the slots went to items of other steps that waited, so a step that had just begun lost all of them at once and waited for whole samples.

The freeze begins within 150 ms of the step, so watching idle hosts does not help here.

Change: neither the item nor the engine is at fault when a host is lost, so the slot stays reserved for the item's next try, as it does for moves.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -234,6 +234,7 @@
       acquire: (run, deadlineMs, scope) => this._slots.acquire(run, deadlineMs, scope),
       markRemoved: endpointId => this._options.view.markRemoved(endpointId),
       release: (run, engine) => this._slots.release(run, engine),
+      keepSlot: (run, engine) => this._slots.keep(run, engine),
       shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
       onComplete: run => this.demand.recordSample(run.item.model, run.output.lastEventId),
       tokensPerEvent: run => this._placements.placementOf(run)?.modelEngine?.tokensPerEvent ?? 1,
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -43,6 +43,8 @@
   /** Waits for a slot of an engine; undefined when none is free until the deadline. */
   acquire: (run: ItemRun, deadlineMs: number, scope: Scope) => Promise<Engine | undefined>
   release: (run: ItemRun, engine: Engine) => void
+  /** Keeps the slot of an engine for the item's next `acquire`. */
+  keepSlot: (run: ItemRun, engine: Engine) => void
   /** Whether a run should move to another engine with a free slot. */
   shouldMove: (run: ItemRun, engine: Engine) => boolean
   /** Called once the output of the item is complete. */
@@ -236,16 +238,19 @@
     return haveExhausted || this._options.clock.nowMs() >= this.times.abandonAtMs
   }
 
-  /** Runs the item at an engine and releases the slot. */
+  /** Runs the item at an engine and releases the slot, unless only the host that ran the item was lost. */
   private async _runOn (engine: Engine, scope: Scope): Promise<RunOutcome> {
-    const startedAtMs = this._options.clock.nowMs()
+    const { clock, markRemoved, release, keepSlot } = this._options
+    const startedAtMs = clock.nowMs()
+    let outcome: RunOutcome | undefined
     try {
-      const outcome = await this._attempt(engine, scope)
+      outcome = await this._attempt(engine, scope)
       // The outcome is recorded before the slot is released, because another run may then get the slot.
-      recordOutcome(outcome, { engine, startedAtMs, failures: this._failures.attribution, markRemoved: this._options.markRemoved })
+      recordOutcome(outcome, { engine, startedAtMs, failures: this._failures.attribution, markRemoved })
       return outcome
     } finally {
-      this._options.release(this, engine)
+      if (outcome?.kind === 'interrupted') keepSlot(this, engine)
+      else release(this, engine)
     }
   }
 
--- a/src/batches/slotAssignment.ts
+++ b/src/batches/slotAssignment.ts
@@ -43,7 +43,7 @@
 export class SlotAssignment {
   private readonly _options: SlotAssignmentOptions
   private readonly _pacing: StartPacing
-  /** Engines with a slot reserved for a run that is leaving a slower engine. */
+  /** Engines with a slot reserved for a run that is leaving a slower engine, or whose host was lost. */
   private readonly _reserved = new Map<ItemRun, Engine>()
   /** Items that were moved off an engine before its removal. */
   private readonly _movedBeforeRemoval = new WeakSet<ItemRun>()
@@ -131,6 +131,16 @@
     this.assign()
   }
 
+  /**
+   * Keeps the slot of an item whose host was lost for its next try. Neither the item
+   * nor the engine is at fault, and items of other steps that wait for a slot would
+   * otherwise get all slots of a step that has just begun.
+   */
+  keep (run: ItemRun, engine: Engine): void {
+    if (this._reserved.has(run)) this.release(run, engine)
+    else this._reserved.set(run, engine)
+  }
+
   /** Frees the slot that is reserved for a run, if a slot is reserved. */
   releaseReservation (run: ItemRun): void {
     const engine = this._reserved.get(run)
--- a/tests/batches/runnerLiveness.test.ts
+++ b/tests/batches/runnerLiveness.test.ts
@@ -145,3 +145,19 @@
   await world.clock.advance(QUIET_MS)
   t.is(used(), quietMs)
 })
+
+// The slots of a step whose host was lost went to items of other steps that waited, so that the step had no run at all for seconds.
+test('should start the items of a lost host again in their slots, before items that wait', async t => {
+  const { world, starts } = await startStore(t, 2)
+  await world.submit(submission('first', FIRST_IDS))
+  await world.clock.advance(RUN_MS / 2)
+  await world.submit(submission('next', NEXT_IDS, { expectedTokensCount: 1_000 }))
+  const [runner] = world.busyRunners()
+  if (!runner) return t.fail('no host runs items')
+  const fromCount = starts.length
+  world.kill(runner)
+  await world.clock.advance(RUN_MS / 2)
+  t.deepEqual(starts.slice(fromCount, fromCount + FIRST_IDS.length).map(({ itemId }) => itemId).sort(), FIRST_IDS)
+  await world.untilListed('next', NEXT_IDS.length)
+  t.deepEqual(world.runningCounts(), [0, 0])
+})
