Learn how long engines take to the first event, and give up a run that is not begun sooner

Cause: the item resumed at an engine that accepted the run and never began it. That was noticed after a fixed 900 ms, whatever these engines usually need; with the 300 ms without a leader, or the 240 ms left of a lost host, it was too long.

Ruled out: a second try beside the first, since both would run to their ends and bill twice; the longest time of one engine, since the host that takes over has mostly not run anything there.

--- a/src/batches/localExecutor.ts
+++ b/src/batches/localExecutor.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from '../utils/metrics.js'
 import type { Scope } from '../utils/scope.js'
 import { EnginePace } from './enginePace.js'
+import { FirstEventTimes } from './firstEventTimes.js'
 import type { ItemExecutor, ProgressListener, StartedRun } from './itemExecutor.js'
 import { OutputBuffer } from './outputBuffer.js'
 import { RewardScoring } from './rewardScoring.js'
@@ -20,6 +21,8 @@
 
 /** Engines whose pace is remembered. */
 const MAX_PACES_COUNT = 1_024
+/** Services whose times to the first event are remembered. */
+const MAX_SERVICES_COUNT = 256
 
 export interface LocalExecutorOptions {
   clock: Clock
@@ -35,6 +38,7 @@
 export class LocalExecutor implements ItemExecutor {
   private readonly _options: LocalExecutorOptions
   private readonly _paces = new LRUCache<string, EnginePace>({ max: MAX_PACES_COUNT })
+  private readonly _firstEventTimes = new LRUCache<string, FirstEventTimes>({ max: MAX_SERVICES_COUNT })
   private readonly _runs = new Set<EngineRun>()
 
   constructor (options: LocalExecutorOptions) {
@@ -54,10 +58,11 @@
 
   /** Starts a run whose events stay in `received` until the caller takes them; `onReceived` is called after each event. */
   hold (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onReceived: (received: OutputBuffer) => void): EngineRun {
-    return new EngineRun(this._options, request, abandonAtMs, this._paceOf(request.endpoint.endpointId), scope, onReceived)
+    const { endpointId, service } = request.endpoint
+    const times = { pace: this._paceOf(endpointId), firstEventTimes: this._firstEventTimesOf(service) }
+    return new EngineRun(this._options, request, abandonAtMs, times, scope, onReceived)
   }
 
-  /** @param holdsLease whether the leader still counts on this host; always for the leader itself */
   async score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease = () => true): Promise<RewardScore> {
     const { clock, metrics, forwarder, routeOf } = this._options
     return await new RewardScoring({ clock, metrics, forwarder, routeOf }).score(reward, abandonAtMs, scope, holdsLease)
@@ -67,6 +72,15 @@
     for (const run of this._runs) run.passOnAll()
   }
 
+  private _firstEventTimesOf (service: string): FirstEventTimes {
+    let times = this._firstEventTimes.get(service)
+    if (!times) {
+      times = new FirstEventTimes()
+      this._firstEventTimes.set(service, times)
+    }
+    return times
+  }
+
   private _paceOf (endpointId: string): EnginePace {
     let pace = this._paces.get(endpointId)
     if (!pace) {
@@ -77,6 +91,14 @@
   }
 }
 
+/** What earlier runs have shown. */
+interface EngineTimes {
+  /** Of the engine. */
+  pace: EnginePace
+  /** Of all engines of its service. */
+  firstEventTimes: FirstEventTimes
+}
+
 /** One run of an item at an engine. */
 export class EngineRun implements StartedRun {
   readonly outcome: Promise<RunOutcome>
@@ -90,14 +112,14 @@
   /** Set when this host ends the run; the engine's own outcome is ignored then. */
   private _ending: RunOutcome | undefined
 
-  constructor (options: LocalExecutorOptions, request: ItemRunRequest, abandonAtMs: number, pace: EnginePace, scope: Scope, onEvent: (received: OutputBuffer) => void) {
+  constructor (options: LocalExecutorOptions, request: ItemRunRequest, abandonAtMs: number, { pace, firstEventTimes }: EngineTimes, scope: Scope, onEvent: (received: OutputBuffer) => void) {
     this._options = options
     this._request = request
     this._onlyVersion = request.onlyVersion
     this._onEvent = onEvent
     this.received = new OutputBuffer(request.afterEventId)
     this._scope = scope.child(`run on ${request.endpoint.endpointId}`)
-    this._stallDetector = new StallDetector(options.clock, pace, this._scope, options.isOverloaded)
+    this._stallDetector = new StallDetector(options.clock, pace, firstEventTimes, this._scope, options.isOverloaded)
     this.outcome = this._run(abandonAtMs, scope)
   }
 
--- a/src/batches/stallDetector.ts
+++ b/src/batches/stallDetector.ts
@@ -1,14 +1,14 @@
 /**
- * Ends a run whose engine stalls. The timeout depends on the engine: eight of its
+ * Ends a run whose engine stalls. The timeout for the first event is that of the
+ * service (firstEventTimes). For later ones it depends on the engine: eight of its
  * usual gaps between events, so that a crash costs a long sample less than half a
  * second and a slow engine is not abandoned merely for its longer time per event.
  */
 import type { Clock } from '../utils/clock.js'
 import type { Scope } from '../utils/scope.js'
 import type { EnginePace } from './enginePace.js'
+import { MAX_FIRST_EVENT_TIMEOUT_MS, type FirstEventTimes } from './firstEventTimes.js'
 
-/** Timeout for the first event of a run: a prompt is processed in milliseconds but may wait behind others. */
-const FIRST_EVENT_TIMEOUT_MS = 900
 /** Timeout for later events in usual gaps of the engine: a prompt of thousands of tokens that is processed between two events takes less than three gaps. */
 const STALL_GAPS_COUNT = 8
 /** Lower bound for the timeout, within which a lost packet is retransmitted; the events behind it then arrive together. */
@@ -19,6 +19,7 @@
 export class StallDetector {
   private readonly _clock: Clock
   private readonly _pace: EnginePace
+  private readonly _firstEventTimes: FirstEventTimes
   private readonly _isOverloaded: () => boolean
   private _lastEventAtMs: number
   private _eventsCount = 0
@@ -27,11 +28,13 @@
 
   /**
    * Starts the stall detection, which closes the scope of the run when the engine stalls.
+   * @param firstEventTimes of the service of the engine
    * @param isOverloaded whether this host is too busy to run its timers on time
    */
-  constructor (clock: Clock, pace: EnginePace, runScope: Scope, isOverloaded: () => boolean) {
+  constructor (clock: Clock, pace: EnginePace, firstEventTimes: FirstEventTimes, runScope: Scope, isOverloaded: () => boolean) {
     this._clock = clock
     this._pace = pace
+    this._firstEventTimes = firstEventTimes
     this._isOverloaded = isOverloaded
     this._lastEventAtMs = clock.nowMs()
     this._checkDueAtMs = clock.nowMs()
@@ -53,6 +56,7 @@
     // The time to the first event depends on the prompt, and an overloaded host reads events late; neither delay is part of the time per event.
     const gapMs = this._eventsCount > 0 && !this._isOverloaded() ? nowMs - this._lastEventAtMs : undefined
     if (gapMs !== undefined) this._pace.recordGap(gapMs)
+    if (this._eventsCount === 0) this._firstEventTimes.record(nowMs - this._lastEventAtMs)
     this._eventsCount++
     this._lastEventAtMs = nowMs
     return gapMs
@@ -73,7 +77,7 @@
   }
 
   private _stallTimeoutMs (): number {
-    if (this._eventsCount === 0) return FIRST_EVENT_TIMEOUT_MS
-    return Math.min(FIRST_EVENT_TIMEOUT_MS, Math.max(MIN_STALL_TIMEOUT_MS, STALL_GAPS_COUNT * (this._pace.currentGapMs ?? 0)))
+    if (this._eventsCount === 0) return this._firstEventTimes.timeoutMs
+    return Math.min(MAX_FIRST_EVENT_TIMEOUT_MS, Math.max(MIN_STALL_TIMEOUT_MS, STALL_GAPS_COUNT * (this._pace.currentGapMs ?? 0)))
   }
 }
--- a/tests/batches/trainersFuzz.test.ts
+++ b/tests/batches/trainersFuzz.test.ts
@@ -28,3 +28,23 @@
 test('should keep a step busy that begins while one of two hosts is frozen', async t => {
   t.deepEqual((await runTrainers(121, false)).violations, [])
 })
+
+// The leader's messages to a host are lost while its reports still arrive: it got the items back that it had ended for that reason.
+test('should keep steps busy when messages to a host are lost in one direction', async t => {
+  t.deepEqual((await runTrainers(202, false)).violations, [])
+})
+
+// After a change of leader, the last item of a step resumes at an engine that accepts it and never begins it.
+test('should keep a step busy whose last item resumes at a hanging engine after a change of leader', async t => {
+  t.deepEqual((await runTrainers(1039, false)).violations, [])
+})
+
+// After the loss of a host, the last item of a step resumes at an engine that accepts it and never begins it.
+test('should keep a step busy whose last item resumes at a hanging engine after the loss of a host', async t => {
+  t.deepEqual((await runTrainers(3448, false)).violations, [])
+})
+
+// The clock of a host that had been suspended showed a time before the deadline of the timer that fired, at one instant without end.
+test('should end a run in which a host was suspended', async t => {
+  t.deepEqual((await runTrainers(7182, false)).violations, [])
+})
