--- a/src/replication/log/entryLog.ts
+++ b/src/replication/log/entryLog.ts
@@ -16,11 +16,16 @@
   private _base: LogBase
   private _entries: LogEntry[]
   private _bytes: number
+  /** The last entry that a snapshot covers; entries before it are kept for followers that lag slightly. */
+  private _coveredIndex: number
+  private _uncoveredBytes: number
 
   constructor (base: LogBase, entries: LogEntry[]) {
     this._base = base
     this._entries = entries
     this._bytes = sumBytes(entries)
+    this._coveredIndex = base.index
+    this._uncoveredBytes = this._bytes
   }
 
   get baseIndex (): number {
@@ -45,6 +50,11 @@
     return this._bytes
   }
 
+  /** Total size of the entries that no snapshot covers. */
+  get uncoveredBytes (): number {
+    return this._uncoveredBytes
+  }
+
   get (index: number): LogEntry | undefined {
     return this._entries[index - this._base.index - 1]
   }
@@ -59,13 +69,15 @@
     invariant(entry.index === this.lastIndex + 1, `log gap: entry ${entry.index} appended after entry ${this.lastIndex}`)
     this._entries.push(entry)
     this._bytes += entryBytes(entry)
+    this._uncoveredBytes += entryBytes(entry)
   }
 
   /** Removes the entry at an index and all later ones. */
   truncateFrom (index: number): void {
-    invariant(index > this._base.index, `cannot truncate from entry ${index}: a snapshot covers it`)
-    const dropped = this._entries.splice(index - this._base.index - 1)
-    this._bytes -= sumBytes(dropped)
+    invariant(index > this._coveredIndex, `cannot truncate from entry ${index}: a snapshot covers it`)
+    const droppedBytes = sumBytes(this._entries.splice(index - this._base.index - 1))
+    this._bytes -= droppedBytes
+    this._uncoveredBytes -= droppedBytes
   }
 
   /** Entries from an index on, up to a total size; at least one entry, if any exists. */
@@ -96,12 +108,22 @@
     this._base = { index, term: last.term, atMs: last.atMs }
   }
 
+  /** Marks the entries up to and including an index as covered by a snapshot. */
+  coverTo (index: number): void {
+    this._coveredIndex = Math.max(this._coveredIndex, index)
+    this._uncoveredBytes = sumBytes(this.after(this._coveredIndex))
+  }
+
   /** Makes a snapshot the base of the log. Entries after it are kept only if the log holds the snapshot's last entry with the same term. */
   rebase (base: LogBase): void {
-    if (this.termAt(base.index) === base.term) return this.compactTo(base.index)
-    this._base = base
-    this._entries = []
-    this._bytes = 0
+    if (this.termAt(base.index) === base.term) {
+      this.compactTo(base.index)
+    } else {
+      this._base = base
+      this._entries = []
+      this._bytes = 0
+    }
+    this.coverTo(base.index)
   }
 
   /** First index in memory of the term to which the entry at an index belongs. */
--- a/src/replication/log/follower.ts
+++ b/src/replication/log/follower.ts
@@ -13,6 +13,8 @@
 import type { Snapshot } from '../storage/snapshotFile.js'
 import { SnapshotReceiver } from './snapshotReceiver.js'
 
+/** Longest wait for room in the log before the leader has to send entries again; well below the leader's call timeout of 1 s. */
+const FULL_LOG_PAUSE_MS = 300
 /** Pause before a snapshot chunk that did not fit on a full disk is requested again; well below the leader's call timeout of 1 s. */
 const DISK_FULL_PAUSE_MS = 300
 
@@ -34,6 +36,12 @@
     if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
     if (request.term < core.term) return { kind: 'staleTerm', term: core.term }
     core.follow(request.term, request.fromReplicaId)
+    if (request.entries.length > 0 && this._applier.isLogFull) {
+      const hasRoom = await this._applier.whenLogHasRoom(this._scope, { clock: core.options.clock, deadlineMs: core.options.clock.nowMs() + FULL_LOG_PAUSE_MS })
+      if (core.term !== request.term) return { kind: 'staleTerm', term: core.term }
+      // The leader sends the entries again.
+      if (!hasRoom) return { kind: 'mismatch', retryFromIndex: core.state.log.lastIndex + 1 }
+    }
     const merged = core.state.merge(request, core.commitIndex)
     if (merged.kind === 'mismatch') return merged
     core.commitTo(Math.min(request.commitIndex, merged.matchIndex))
--- a/src/replication/log/logApplier.ts
+++ b/src/replication/log/logApplier.ts
@@ -1,13 +1,14 @@
 /**
  * Applies committed entries to the replicated state in order, and takes a
- * snapshot of the state once the log has grown enough.
+ * snapshot of the state once the log has grown enough. Entries go on arriving while a
+ * snapshot is written; a bound on them keeps a host with a slow disk within its memory.
  */
 import { Decoder } from 'cbor-x'
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { sleepUntil } from '../../utils/clock.js'
 import { DiskFullError, invariant } from '../../utils/errors.js'
 import type { Scope } from '../../utils/scope.js'
-import { Signal } from '../../utils/signal.js'
+import { Signal, type WaitLimit } from '../../utils/signal.js'
 import { ReplicationEvent } from '../replicationEvents.js'
 import type { ReplicatedState, SnapshotPieces } from '../replicatedState.js'
 import type { Snapshot, SnapshotHeader, WrittenSnapshot } from '../storage/snapshotFile.js'
@@ -17,6 +18,8 @@
 
 /** Entries applied before the task yields to the event loop. */
 const MAX_ENTRIES_PER_TURN = 256
+/** Size at which the log is full, in sizes at which a snapshot is taken: one that is being written, and two that arrive meanwhile. */
+const FULL_LOG_SNAPSHOTS_COUNT = 3
 /** Pause before a snapshot is taken again after the disk was full. */
 const DISK_FULL_RETRY_MS = 1_000
 
@@ -54,6 +57,9 @@
   /** Number of restores; a snapshot that was started before a restore is obsolete. */
   private _restoresCount = 0
   private readonly _snapshotDue = new Signal()
+  /** Notified when a snapshot has taken the place of the entries that it covers. */
+  private readonly _compacted = new Signal()
+  private _isFullLogged = false
 
   constructor (core: ReplicaCore, state: ReplicatedState<unknown, unknown>, proposals: Proposals, policy: SnapshotPolicy, observer?: ApplyObserver) {
     this._core = core
@@ -73,6 +79,20 @@
     while (this._appliedIndex < index) await this.applied.wait(scope)
   }
 
+  /** Whether so many bytes of entries follow the latest snapshot that further ones have to wait for the next snapshot. */
+  get isLogFull (): boolean {
+    return this._core.state.log.uncoveredBytes >= FULL_LOG_SNAPSHOTS_COUNT * this._policy.everyBytes
+  }
+
+  /** Waits until the log has room for further entries; false when the deadline passed first. */
+  async whenLogHasRoom (scope: Scope, limit: WaitLimit): Promise<boolean> {
+    this._logIfFull()
+    while (this.isLogFull) {
+      if (!(await this._compacted.wait(scope, limit))) return false
+    }
+    return true
+  }
+
   async run (scope: Scope): Promise<void> {
     for (;;) {
       while (this._appliedIndex >= this._core.commitIndex) await this._core.committed.wait(scope)
@@ -109,6 +129,18 @@
     this._bytesSinceSnapshot = 0
     this._proposals.resolveCovered(snapshot.lastIndex)
     this.applied.notify()
+    this._noteCompacted()
+  }
+
+  private _noteCompacted (): void {
+    this._isFullLogged &&= this.isLogFull
+    this._compacted.notify()
+  }
+
+  private _logIfFull (): void {
+    if (!this.isLogFull || this._isFullLogged) return
+    this._isFullLogged = true
+    this._core.options.logger.event(ReplicationEvent.LogFull, { bytesCount: this._core.state.log.uncoveredBytes, appliedIndex: this._appliedIndex, commitIndex: this._core.commitIndex })
   }
 
   private _applyBatch (): void {
@@ -146,6 +178,7 @@
     // A later snapshot from the leader was installed in the meantime.
     if (restoresCount !== this._restoresCount) return await scope.race(storage.discardSnapshot(written))
     state.compact(written, this._policy.keptEntriesCount)
+    this._noteCompacted()
     logger.event(ReplicationEvent.SnapshotTaken, { lastIndex: written.lastIndex, bytesCount: written.lengthBytes, tookMs: snapshotStats.recordTaken(written.lengthBytes, startedAtMs) })
   }
 
--- a/src/replication/log/persistentState.ts
+++ b/src/replication/log/persistentState.ts
@@ -76,6 +76,7 @@
   compact (snapshot: WrittenSnapshot, keptEntriesCount: number): number {
     const keptFromIndex = Math.max(this.log.baseIndex, snapshot.lastIndex - keptEntriesCount)
     this.log.compactTo(keptFromIndex)
+    this.log.coverTo(snapshot.lastIndex)
     this.members.compactTo(keptFromIndex)
     return this._enqueueCompaction(snapshot)
   }
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -79,6 +79,7 @@
   private readonly _scope: Scope
   private readonly _applier: LogApplier
   private readonly _proposals = new Proposals()
+  private _proposalsWithoutRoomCount = 0
   private readonly _follower: Follower
   private readonly _voting: Voting
   private readonly _joinRefusals: JoinRefusals
@@ -153,6 +154,7 @@
 
   /** Appends a command to the log and waits until it is applied. */
   async propose (command: unknown, progress: Progress): Promise<ProposalOutcome> {
+    if (this._applier.isLogFull && !(await this._untilLogHasRoom(progress))) return { kind: 'notCommitted', reason: 'the log is full until the next snapshot is written' }
     const leadership = this.leadership
     if (!leadership) return { kind: 'notCommitted', reason: 'not the leader' }
     if (leadership.isHandingOver) return { kind: 'notCommitted', reason: 'the leader is handing over its leadership' }
@@ -171,6 +173,16 @@
     }
   }
 
+  private async _untilLogHasRoom (progress: Progress): Promise<boolean> {
+    if (this._proposalsWithoutRoomCount >= MAX_PROPOSALS_COUNT) return false
+    this._proposalsWithoutRoomCount++
+    try {
+      return await this._applier.whenLogHasRoom(progress.scope, progress)
+    } finally {
+      this._proposalsWithoutRoomCount--
+    }
+  }
+
   private _recordOutcome ({ kind }: ProposalOutcome, proposedAtMs: number): void {
     const { clock, metrics } = this._options
     const tookMs = clock.nowMs() - proposedAtMs
--- a/src/replication/replicationEvents.ts
+++ b/src/replication/replicationEvents.ts
@@ -19,6 +19,7 @@
   VoterSilent = 1026,
   VoterRecovered = 1027,
   LinkClosed = 1028,
+  LogFull = 1029,
   ClusterFormed = 1030,
   JoinRequested = 1031,
   MemberAdded = 1032,
@@ -55,6 +56,7 @@
   [ReplicationEvent.MemberRemoved]: { level: LogLevel.Info, text: 'A replica was removed.', advice: 'None.' },
   [ReplicationEvent.WaitingForMembers]: { level: LogLevel.Info, text: 'The first start waits until all initial members answer.', advice: 'Start the control hosts that are listed.' },
   [ReplicationEvent.DiskFull]: { level: LogLevel.Error, text: 'The disk is full; the replica waits for free space and confirms nothing until then.', advice: 'Free space on the disk. The replica continues on its own.' },
+  [ReplicationEvent.LogFull]: { level: LogLevel.Warn, text: 'More entries follow the latest snapshot than this host may hold in memory; further entries wait until the next snapshot is written.', advice: 'Check the speed of the disk. Entries that are not committed or not applied have the same effect: check that a quorum of hosts answers.' },
   [ReplicationEvent.MembersChanged]: { level: LogLevel.Info, text: 'The members changed, as known to this replica.', advice: 'Compare the voters with the running hosts: a voter that is permanently lost still counts towards the quorum, and a running host that is not listed does not count towards it.' },
   [ReplicationEvent.JoinRefused]: { level: LogLevel.Warn, text: 'The leader refused a replica that requested to join.', advice: 'Check the reason. The event repeats while the replica keeps requesting; a cluster that refuses its replacements does not survive the next losses.' }
 }
