Give an engine that had failed its next probe once it has begun the last

Cause: an engine that had failed several times has to accept as many runs before it counts as healthy, one probe at a time. A probe is over with its first event, but the assignment also held the engine to one run until that run had ended: a whole sample for each failure.

Change: only an engine that may still be slow is held to one run until it has ended; one that had failed gets its next run as soon as it has begun the last (the circuit breaker itself allows one probe at a time).

The new test fails on: no second run after the first had begun.

--- a/src/batches/assignmentRound.ts
+++ b/src/batches/assignmentRound.ts
@@ -147,8 +147,8 @@
 
 function candidateOf (engine: Engine, placement: Placement): Candidate {
   const load = loadOf(engine, ASSUMED_TOKEN_MS * tokensPerEvent(placement), placement.modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
-  // An engine that may still be slow gets a single run as a probe.
-  return { ...load, maxRunsCount: load.isUncertain ? 1 : engine.endpoint.slotsCount }
+  // An engine that may still be slow gets a single run as a probe. One that had failed gets the next as soon as it has begun the last.
+  return { ...load, maxRunsCount: engine.pace.needsProbe ? 1 : engine.endpoint.slotsCount }
 }
 
 /** @param maxRunsCount considers engines with fewer runs than this; undefined also considers full engines */
--- a/tests/batches/assignmentRound.test.ts
+++ b/tests/batches/assignmentRound.test.ts
@@ -125,3 +125,30 @@
   t.is(new Set(chosen).size, 3)
   t.true(engines.every(({ runningCount }) => runningCount <= 1))
 })
+
+// An engine that had failed several times got one run at a time until that run had ended, so that a step whose other engines were full waited for whole samples.
+test('should give an engine that had failed repeatedly its next run as soon as it has begun the last', async t => {
+  const clock = new VirtualClock()
+  const health = new EndpointHealth({ clock })
+  const failed = new Engine(engine('e1', 1, { slotsCount: SLOTS_COUNT }), health, clock)
+  const { runs } = world(1, SLOTS_COUNT)
+  for (let failure = 0; failure < 4; failure++) {
+    await clock.advance(2_000)
+    health.failedRequest(`r${failure}`, clock.nowMs())
+    health.failedRequest(`r${failure} again`, clock.nowMs() + 1)
+  }
+  await clock.advance(2_000)
+  t.true(health.isHalfOpen)
+  const startNext = (): boolean => {
+    const round = new AssignmentRound({ nowMs: clock.nowMs(), placementOf: () => ({ service: 'engines', modelEngine: undefined }), enginesOf: () => [failed], deferrableSlotsOf: () => SLOTS_COUNT })
+    const chosen = round.engineFor(runs[failed.runningCount] as ItemRun, 0)
+    chosen?.addRun(100)
+    return chosen !== undefined
+  }
+  t.true(startNext())
+  t.false(startNext(), 'the first run has not begun')
+  health.accepted()
+  t.true(startNext())
+  t.false(startNext(), 'the second run has not begun')
+  t.is(failed.runningCount, 2)
+})
