Begin nothing on a leader whose lease has ended

What callers would see: reward calls made once more, and items begun at an engine for a second time, by a leader that runs items itself and wakes after its machine was suspended.

Cause: a leader trusted itself without a lease. After a suspension its steady clock has not moved, so until the first answer of a later term it goes on.

Change: the leader passes on its lease (which counts suspensions) to its own reward calls, as runners do, and answers runs as interrupted without it; they keep their slots and are tried again. A single store host always holds its lease.

--- a/bench/leader/leader.ts
+++ b/bench/leader/leader.ts
@@ -58,7 +58,7 @@
 const local = new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf, isOverloaded })
 const { hostId, peerAddress } = members[0]!
 const executor = new RunnerPool({
-  clock: systemClock, logger: silentLogger, metrics, view, links: replica.links, local, hostId, dataCentre: DATA_CENTRE, peerAddress, term: replica.core.term, scope, isOverloaded
+  clock: systemClock, logger: silentLogger, metrics, view, links: replica.links, local, hostId, dataCentre: DATA_CENTRE, peerAddress, term: replica.core.term, scope, holdsLease: () => true, isOverloaded
 })
 handlers.on(reportTasksMethod, ({ term: _term, ...report }) => ({ kind: 'received' as const, unknownTaskIds: executor.receive(report) }))
 supervisor.spawn('runners', taskScope => executor.watch(taskScope))
--- a/src/batches/itemExecutor.ts
+++ b/src/batches/itemExecutor.ts
@@ -24,8 +24,11 @@
 export interface ItemExecutor {
   /** @param abandonAtMs time from which the output is of no use */
   run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun
-  /** @param abandonAtMs time from which a quarantined call is no longer repeated */
-  score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore>
+  /**
+   * @param abandonAtMs time from which a quarantined call is no longer repeated
+   * @param holdsLease whether no other host may make the call; always without it
+   */
+  score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease?: () => boolean): Promise<RewardScore>
   /** Passes on all events that the runs have received so far. */
   flush (progress: Progress): Promise<void>
 }
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -49,6 +49,8 @@
   term: number
   /** Closes with the leadership. */
   scope: Scope
+  /** Whether no other host can lead yet. A leader that wakes from a suspension learns only some messages later that another one has taken its place. */
+  holdsLease: () => boolean
   /** Whether the processor of this host is overloaded. */
   isOverloaded: () => boolean
 }
@@ -89,7 +91,7 @@
 
   run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun {
     const runner = this._runnerFor(request.endpoint)
-    if (!runner) return this._options.local.run(request, abandonAtMs, scope, onProgress)
+    if (!runner) return this._runLocally(request, abandonAtMs, scope, onProgress)
     const taskId = this._nextTaskId()
     const ended = new Promise<RunOutcome>(resolve => {
       runner.start({ kind: 'run', taskId, abandonInMs: this._remainingMs(abandonAtMs), request }, { kind: 'run', onProgress, settle: resolve })
@@ -99,7 +101,7 @@
 
   async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
     const runner = leastLoaded(this._trusted())
-    if (!runner) return await this._options.local.score(reward, abandonAtMs, scope)
+    if (!runner) return await this._options.local.score(reward, abandonAtMs, scope, this._options.holdsLease)
     const taskId = this._nextTaskId()
     const ended = new Promise<RewardScore>(resolve => {
       runner.start({ kind: 'score', taskId, abandonInMs: this._remainingMs(abandonAtMs), reward }, { kind: 'score', settle: resolve })
@@ -127,6 +129,12 @@
     return this._runners.get(hostId)?.isUsable === true
   }
 
+  private _runLocally (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun {
+    const { local, holdsLease } = this._options
+    if (holdsLease()) return local.run(request, abandonAtMs, scope, onProgress)
+    return { outcome: Promise.resolve({ kind: 'interrupted', reason: 'the lease on the leadership has ended' }), stop: () => {} }
+  }
+
   private async _awaitTask<T> (runner: RemoteRunner, taskId: number, ended: Promise<T>, scope: Scope): Promise<T> {
     try {
       return await scope.race(ended)
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -360,11 +360,11 @@
     return new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf: this._routeOf, isOverloaded })
   }
 
-  private _createRunnerPool ({ term }: Leadership, supervisor: Supervisor): RunnerPool {
+  private _createRunnerPool (leadership: Leadership, supervisor: Supervisor): RunnerPool {
     const { settings: { hostId, dataCentre, peerAddress }, logger, metrics } = this._options
     const isOverloaded = (): boolean => this._dispatcher?.isOverloaded === true
     return new RunnerPool({
-      clock: systemClock, logger, metrics, view: this._view, links: this._replica.links, local: this._executor, hostId, dataCentre, peerAddress, term, scope: supervisor.scope, isOverloaded
+      clock: systemClock, logger, metrics, view: this._view, links: this._replica.links, local: this._executor, hostId, dataCentre, peerAddress, term: leadership.term, scope: supervisor.scope, holdsLease: () => leadership.holdsLease(), isOverloaded
     })
   }
 
