Give the advice of the host that stops under load a longer validity in its test

What was seen: npm test on the runner changes, at a load of 25 (two plays, a fuzz run beside it): entry/processes "should abort no request and exit with code 0 when it is stopped under load" failed once, "it served while callers could still hold advice that named it".

Cause: the test sees that another host no longer names the stopping one, and then sends its first request. The stopping host serves for the validity of advice, 500 ms in this test; if the test's process stands still for longer in between, the first request is refused, rightly.

Evidence: with 700 ms of standing still put between the two, the old test fails in the same way, the new one passes; without, both pass.

The check is the same and as strict; only the validity is longer, 4 s.

--- a/tests/entry/processes.test.ts
+++ b/tests/entry/processes.test.ts
@@ -108,7 +108,8 @@
 })
 
 test.serial('should abort no request and exit with code 0 when it is stopped under load', async t => {
-  const processes = await EntryProcesses.start(1, 2)
+  // Longer than this process may stand still between seeing the new advice and its first request.
+  const processes = await EntryProcesses.start(1, 2, { adviceValidMs: 4_000 })
   const booking = new BookingService()
   try {
     await processes.endpoint('booking-1', EndpointKind.Service, booking.handler)
