--- a/tests/batches/runnerLiveness.test.ts
+++ b/tests/batches/runnerLiveness.test.ts
@@ -68,22 +68,25 @@
   return { firstMs: Math.min(...firstStarts) - fromMs, allMs: Math.max(...firstStarts) - fromMs }
 }
 
-// A host that froze while it had nothing to do was the first choice for the next step, which stood still for 600 ms.
-for (const fault of ['freeze', 'suspend'] as const) {
-  test(`should start a step at once on the hosts that answer, after a ${fault} of one without tasks`, async t => {
-    const store = await startStore(t, 4)
-    const { world } = store
-    await runStep(store, 'first', FIRST_IDS)
-    for (const hostId of ['h2', 'h3']) world[fault](hostId, LONG_MS)
-    await world.clock.advance(NOTICED_MS)
-    const { allMs } = await startDelays(store)
-    t.true(allMs <= AT_ONCE_MS, `${allMs} ms`)
-    await world.clock.advance(2 * LONG_MS)
-    t.is(store.starts.length, FIRST_IDS.length + NEXT_IDS.length)
-    t.deepEqual(world.failures, [])
-  })
+async function checkStartsAtOnceAfter (t: ExecutionContext, fault: 'freeze' | 'suspend'): Promise<void> {
+  const store = await startStore(t, 4)
+  const { world } = store
+  await runStep(store, 'first', FIRST_IDS)
+  for (const hostId of ['h2', 'h3']) world[fault](hostId, LONG_MS)
+  await world.clock.advance(NOTICED_MS)
+  const { allMs } = await startDelays(store)
+  t.true(allMs <= AT_ONCE_MS, `${allMs} ms`)
+  await world.clock.advance(2 * LONG_MS)
+  t.is(store.starts.length, FIRST_IDS.length + NEXT_IDS.length)
+  t.deepEqual(world.failures, [])
 }
 
+// A host that froze while it had nothing to do was the first choice for the next step, which stood still for 600 ms.
+test('should start a step at once on the hosts that answer, after a freeze of some without tasks', async t => await checkStartsAtOnceAfter(t, 'freeze'))
+
+// The clock of a host that is suspended stands still, so that only its silence tells.
+test('should start a step at once on the hosts that answer, after a suspension of some without tasks', async t => await checkStartsAtOnceAfter(t, 'suspend'))
+
 // After a quiet time nobody knows which hosts are frozen; what waits for an answer must not begin later.
 test('should give tasks to a host that was not watched only once it has answered', async t => {
   const store = await startStore(t, 2)
--- a/tests/batches/trainersFuzz.test.ts
+++ b/tests/batches/trainersFuzz.test.ts
@@ -48,3 +48,13 @@
 test('should end a run in which a host was suspended', async t => {
   t.deepEqual((await runTrainers(7182, false)).violations, [])
 })
+
+// An engine had failed several times, and the other engines that had the weights were full: it took one run at a time for whole samples.
+test('should keep a step busy whose only free engine had failed repeatedly', async t => {
+  t.deepEqual((await runTrainers(10221, false)).violations, [])
+})
+
+// A run that stalls passes on events of long ago as it ends, which reinstate an engine that had just been given up; the item goes there again.
+test('should keep a step busy whose last item stalls on an engine that another run has just given up', async t => {
+  t.deepEqual((await runTrainers(30043, false)).violations, [])
+})
