Let a full log take entries that replace those of a deposed leader

A log that is full of entries which no quorum has gets room only by taking the entries that replace them, so such a host would have stayed behind for good.

Now only entries that extend the log wait.

Also two comments and a constant that needed explaining.

--- a/src/batches/firstEventTimes.ts
+++ b/src/batches/firstEventTimes.ts
@@ -10,8 +10,8 @@
 export const MAX_FIRST_EVENT_TIMEOUT_MS = 900
 /** Lower bound: a lost packet is retransmitted twice within it. */
 const MIN_FIRST_EVENT_TIMEOUT_MS = 600
-/** Timeout in longest times of the latest runs. */
-const LONGEST_TIMES_COUNT = 4
+/** Timeout as a multiple of the longest time of the latest runs. */
+const TIMEOUT_FACTOR = 4
 /** Runs that count: a burst of steps begins more, and then shows how long prompts wait for each other. */
 const LATEST_RUNS_COUNT = 32
 
@@ -26,7 +26,7 @@
 
   get timeoutMs (): number {
     if (this._latestMs.length === 0) return MAX_FIRST_EVENT_TIMEOUT_MS
-    const usualMs = LONGEST_TIMES_COUNT * Math.max(...this._latestMs)
+    const usualMs = TIMEOUT_FACTOR * Math.max(...this._latestMs)
     return Math.min(MAX_FIRST_EVENT_TIMEOUT_MS, Math.max(MIN_FIRST_EVENT_TIMEOUT_MS, usualMs))
   }
 }
--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -86,10 +86,10 @@
   private _heardAtMs: number
   /** Whether the runner had lately received a message of this host when it was last heard of. */
   private _isReached = true
-  /** When the present tasks began, or the first of them. */
+  /** When the runner was given the first of its present tasks. */
   private _busySinceMs = 0
   private _pendingCallsCount = 0
-  /** An answer is awaited before anything is sent. */
+  /** Everything is held back until the runner answers. */
   private _isConfirming = false
   /** When to probe a runner that has not answered since it failed, or at all; undefined while it may be given tasks. */
   private _probeAtMs: number | undefined
--- a/src/replication/log/follower.ts
+++ b/src/replication/log/follower.ts
@@ -36,7 +36,7 @@
     if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
     if (request.term < core.term) return { kind: 'staleTerm', term: core.term }
     core.follow(request.term, request.fromReplicaId)
-    if (request.entries.length > 0 && this._applier.isLogFull) {
+    if (this._applier.isLogFull && this._extendsLog(request)) {
       const hasRoom = await this._applier.whenLogHasRoom(this._scope, { clock: core.options.clock, deadlineMs: core.options.clock.nowMs() + FULL_LOG_PAUSE_MS })
       if (core.term !== request.term) return { kind: 'staleTerm', term: core.term }
       // The leader sends the entries again.
@@ -51,6 +51,12 @@
     return { kind: 'matched', matchIndex: merged.matchIndex }
   }
 
+  /** Whether a request only appends to the log. One that replaces entries of an earlier leader has to be taken also by a full log, which may never commit those. */
+  private _extendsLog ({ prevIndex, prevTerm, entries }: AppendRequest): boolean {
+    const { log } = this._core.state
+    return entries.length > 0 && prevIndex === log.lastIndex && prevTerm === log.lastTerm
+  }
+
   async onHeartbeat (request: HeartbeatRequest): Promise<HeartbeatReply> {
     const core = this._core
     if (!(await core.accepts(request))) return { kind: 'wrongReplica' }
--- a/tests/replication/logBound.test.ts
+++ b/tests/replication/logBound.test.ts
@@ -40,16 +40,20 @@
   return running?.replica.core.state.log.uncoveredBytes ?? 0
 }
 
+function submitCommand (number: number): unknown {
+  const batch = submission(`b${number}`, [`i${number}`])
+  batch.items[0]!.body = new Uint8Array(BODY_BYTES).fill(number)
+  return { kind: BatchCommandKind.Submit, submission: batch, keepMs: KEEP_MS }
+}
+
 /** Proposes batches at a fixed pace; returns the outcomes, and the most bytes that each host held after its latest snapshot. */
 async function propose (cluster: StoreCluster, timeoutMs = CLIENT_TIMEOUT_MS): Promise<{ outcomes: ProposalOutcome[], mostBytes: Map<string, number> }> {
   const { running } = await cluster.untilLeader()
   const pending: Array<Promise<ProposalOutcome>> = []
   const mostBytes = new Map<string, number>()
   for (let number = 0; number < BATCHES_COUNT; number++) {
-    const batch = submission(`b${number}`, [`i${number}`])
-    batch.items[0]!.body = new Uint8Array(BODY_BYTES).fill(number)
     const progress = new Progress(cluster.clock, new Scope('client'), cluster.clock.nowMs() + timeoutMs)
-    pending.push(running!.replica.propose({ kind: BatchCommandKind.Submit, submission: batch, keepMs: KEEP_MS }, progress))
+    pending.push(running!.replica.propose(submitCommand(number), progress))
     await cluster.clock.advance(INTERVAL_MS)
     for (const host of cluster.hosts) mostBytes.set(host.hostId, Math.max(mostBytes.get(host.hostId) ?? 0, uncoveredBytes(host)))
   }
@@ -96,3 +100,27 @@
   for (const { disk } of cluster.hosts) disk.snapshotSyncMs = 0
   await checkAllHold(t, cluster, committedCount)
 })
+
+// A log that is full of entries which no quorum has must take the entries that replace them.
+test('should let a host whose log is full of entries of a deposed leader follow the next one', async t => {
+  const cluster = await startStore(4)
+  const deposed = await cluster.untilLeader()
+  for (const other of cluster.hosts) if (other !== deposed) cluster.network.cut(deposed.ip, other.ip)
+  const pending: Array<Promise<ProposalOutcome>> = []
+  while (uncoveredBytes(deposed) < 3 * EVERY_BYTES && deposed.running?.replica.leadership) {
+    const progress = new Progress(cluster.clock, new Scope('client'), cluster.clock.nowMs() + CLIENT_TIMEOUT_MS)
+    pending.push(deposed.running.replica.propose(submitCommand(1_000 + pending.length), progress))
+    await cluster.clock.advance(1)
+  }
+  t.true(uncoveredBytes(deposed) >= 3 * EVERY_BYTES, `${uncoveredBytes(deposed)} bytes`)
+  await cluster.until(() => cluster.leading().some(host => host !== deposed), 'another host leads')
+  const next = cluster.leading().find(host => host !== deposed) as StoreHost
+  await cluster.until(() => next.running?.replica.leadership?.mayChangeMembers() === true, 'it has committed')
+  const progress = new Progress(cluster.clock, new Scope('client'), cluster.clock.nowMs() + CLIENT_TIMEOUT_MS)
+  const outcome = await cluster.clock.advanceUntil(next.running!.replica.propose(submitCommand(1), progress))
+  t.is(outcome.kind, 'committed')
+  cluster.network.heal()
+  await checkAllHold(t, cluster, 1)
+  const outcomes = await cluster.clock.advanceUntil(Promise.all(pending))
+  t.deepEqual(outcomes.filter(({ kind }) => kind === 'committed'), [])
+})
