--- a/tests/batches/trainersFuzz.test.ts
+++ b/tests/batches/trainersFuzz.test.ts
@@ -58,3 +58,8 @@
 test('should keep a step busy whose last item stalls on an engine that another run has just given up', async t => {
   t.deepEqual((await runTrainers(30043, false)).violations, [])
 })
+
+// An item of a step stands still after a change of leader, beside an unresponsive engine and a suspended host.
+test('should keep a step busy through a change of leader while an engine is unresponsive and a host suspended', async t => {
+  t.deepEqual((await runTrainers(30544, false)).violations, [])
+})
