Move the scheduling of items into a folder of its own

The modules that decide which item runs when and on which engine move to src/batchScheduling, which may import neither the log nor the transport (importBoundaries.js). It knows an item and its batch by the interface SchedulableItem, which ItemRun implements; BatchTimes, WaitReason and SubmissionHead stand where both folders may read them. No behaviour changes.

--- a/src/batches/assignmentRound.ts
+++ b/src/batchScheduling/assignmentRound.ts
@@ -6,10 +6,9 @@
  * it lost its leadership at every step.
  */
 import type { ModelEngine } from '../protocol/routing.js'
-import type { Batch } from './batch.js'
 import type { Engine } from './engineFleet.js'
 import { ASSUMED_TOKEN_MS, eventCostMs, loadOf, shouldWaitForFaster, type EngineLoad } from './itemOrder.js'
-import type { ItemRun } from './itemRun.js'
+import type { SchedulableBatch, SchedulableItem } from './schedulableItem.js'
 import { deferrableUntilMs } from './slotSharing.js'
 
 /** The service at which an item runs. */
@@ -26,7 +25,7 @@
 
 export interface AssignmentRoundOptions {
   nowMs: number
-  placementOf: (run: ItemRun) => Placement | undefined
+  placementOf: (run: SchedulableItem) => Placement | undefined
   enginesOf: (service: string) => Engine[]
   /** Runs of an engine up to which deferrable items may start there. */
   deferrableSlotsOf: (service: string, engines: Engine[]) => number
@@ -49,7 +48,7 @@
 export class AssignmentRound {
   private readonly _options: AssignmentRoundOptions
   /** By batch and service. */
-  private readonly _candidateSets = new Map<Batch, Map<string, CandidateSet>>()
+  private readonly _candidateSets = new Map<SchedulableBatch, Map<string, CandidateSet>>()
   private readonly _deferrableSlots = new Map<string, number>()
   /** Slots assigned in this round; the ranking of the engines can only change when this count grows. */
   private _assignedCount = 0
@@ -62,13 +61,13 @@
    * The engine on which to start the run now; undefined when none has a free slot, or
    * when it is better to wait for a faster one. The caller takes the slot before the next call.
    */
-  engineFor (run: ItemRun, waitedMs: number): Engine | undefined {
+  engineFor (run: SchedulableItem, waitedMs: number): Engine | undefined {
     const engine = this._choose(run, waitedMs)
     if (engine) this._assignedCount++
     return engine
   }
 
-  private _choose (run: ItemRun, waitedMs: number): Engine | undefined {
+  private _choose (run: SchedulableItem, waitedMs: number): Engine | undefined {
     const candidateSet = run.isRestricted ? this._restrictedCandidatesFor(run) : this._candidatesFor(run)
     if (!candidateSet || candidateSet.isFull) return undefined
     const isDeferrable = this._isDeferrable(run, candidateSet.placement)
@@ -86,7 +85,7 @@
   }
 
   /** Candidates for an item with restrictions of its own; engines at which the item has failed only count when there is no other engine. */
-  private _restrictedCandidatesFor (run: ItemRun): CandidateSet | undefined {
+  private _restrictedCandidatesFor (run: SchedulableItem): CandidateSet | undefined {
     const shared = this._candidatesFor(run)
     if (!shared) return undefined
     const allowed = shared.candidates.filter(({ engine }) => run.mayRunOn(engine))
@@ -94,7 +93,7 @@
     return candidateSetOf(shared.placement, untried.length > 0 ? untried : allowed, this._assignedCount)
   }
 
-  private _candidatesFor (run: ItemRun): CandidateSet | undefined {
+  private _candidatesFor (run: SchedulableItem): CandidateSet | undefined {
     const { batch, item } = run
     const placement = this._options.placementOf(run)
     if (!placement) return undefined
@@ -119,7 +118,7 @@
     return candidateSet.cheapest.get(maxRunsCount)
   }
 
-  private _isDeferrable (run: ItemRun, placement: Placement): boolean {
+  private _isDeferrable (run: SchedulableItem, placement: Placement): boolean {
     const item = {
       longestEndsAtMs: Math.min(run.times.longestEndsAtMs, run.dueAtMs),
       remainingEventsCount: run.remainingTokensCount / tokensPerEvent(placement)
--- a/src/batches/modelDemand.ts
+++ b/src/batchScheduling/modelDemand.ts
@@ -3,8 +3,8 @@
  * batch store: how often its trainer names a version, how many versions behind a
  * step may be, how many items a step has, and the length of the longest sample.
  */
+import type { SubmissionHead } from '../protocol/batches.js'
 import type { Clock } from '../utils/clock.js'
-import type { SubmissionHead } from './batch.js'
 
 /** Staleness assumed until steps show otherwise: trainers that train on the previous step. */
 const ASSUMED_STALENESS_VERSIONS = 1
--- a/src/batches/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -10,11 +10,11 @@
 import { AssignmentRound, tokensPerEvent, type Placement } from './assignmentRound.js'
 import type { Engine, EngineFleet } from './engineFleet.js'
 import { ASSUMED_TOKEN_MS, compareWaiting, expectedEventsCount, fastestEngine, gainPerEventMs, movingGainMs, type RunEstimate, type WaitingItem } from './itemOrder.js'
-import type { ItemRun } from './itemRun.js'
 import type { ModelDemand } from './modelDemand.js'
+import type { SchedulableItem } from './schedulableItem.js'
 import { slotsForDeferrable } from './slotSharing.js'
 import { StartPacing } from './startPacing.js'
-import { WaitReason } from './stepReports.js'
+import { WaitReason } from './waitReason.js'
 
 /** Interval between steps, assumed until the interval of the trainer was observed; the trainers of both known deployments submit a step every four seconds. */
 const ASSUMED_STEP_INTERVAL_MS = 4_000
@@ -27,15 +27,15 @@
   engines: EngineFleet
   demand: ModelDemand
   /** All items that are not listed yet: waiting, running or being scored. */
-  runs: ReadonlySet<ItemRun>
+  runs: ReadonlySet<SchedulableItem>
   /** Called at each turn in which runs may start, with its delay. */
   onTurn: (latenessMs: number, waitingCount: number) => void
   /** The service at which an item runs; undefined while its route is unknown. */
-  placementOf: (run: ItemRun) => Placement | undefined
+  placementOf: (run: SchedulableItem) => Placement | undefined
 }
 
 interface WaitingRun {
-  run: ItemRun
+  run: SchedulableItem
   sinceMs: number
   resolve: (engine: Engine | undefined) => void
 }
@@ -44,9 +44,9 @@
   private readonly _options: SlotAssignmentOptions
   private readonly _pacing: StartPacing
   /** Engines with a slot reserved for a run that is leaving a slower engine, or whose host was lost. */
-  private readonly _reserved = new Map<ItemRun, Engine>()
+  private readonly _reserved = new Map<SchedulableItem, Engine>()
   /** Items that were moved off an engine before its removal. */
-  private readonly _movedBeforeRemoval = new WeakSet<ItemRun>()
+  private readonly _movedBeforeRemoval = new WeakSet<SchedulableItem>()
   private _waiting: WaitingRun[] = []
   private _isSorted = true
   private _isPaused = false
@@ -76,7 +76,7 @@
   }
 
   /** Why a waiting item has no slot. */
-  waitReasonOf (run: ItemRun): WaitReason {
+  waitReasonOf (run: SchedulableItem): WaitReason {
     const placement = this._options.placementOf(run)
     if (!placement) return WaitReason.NoRoute
     const engines = this._options.engines.ofService(placement.service)
@@ -97,7 +97,7 @@
   }
 
   /** Waits for a slot of an engine and takes it; undefined when none is free until the deadline. */
-  async acquire (run: ItemRun, deadlineMs: number, scope: Scope): Promise<Engine | undefined> {
+  async acquire (run: SchedulableItem, deadlineMs: number, scope: Scope): Promise<Engine | undefined> {
     const reserved = this._reserved.get(run)
     if (reserved && reserved.acceptsRuns(run.item.model) && this._isReady(reserved)) {
       this._reserved.delete(run)
@@ -125,7 +125,7 @@
     }
   }
 
-  release (run: ItemRun, engine: Engine): void {
+  release (run: SchedulableItem, engine: Engine): void {
     engine.removeRun(tokensOf(run))
     this._offerSlotToRunning(engine)
     this.assign()
@@ -136,13 +136,13 @@
    * nor the engine is at fault, and items of other steps that wait for a slot would
    * otherwise get all slots of a step that has just begun.
    */
-  keep (run: ItemRun, engine: Engine): void {
+  keep (run: SchedulableItem, engine: Engine): void {
     if (this._reserved.has(run)) this.release(run, engine)
     else this._reserved.set(run, engine)
   }
 
   /** Frees the slot that is reserved for a run, if a slot is reserved. */
-  releaseReservation (run: ItemRun): void {
+  releaseReservation (run: SchedulableItem): void {
     const engine = this._reserved.get(run)
     if (!engine) return
     this._reserved.delete(run)
@@ -169,7 +169,7 @@
   }
 
   /** Whether a run should move to another engine; never while items wait, which get free slots first. */
-  shouldMove (run: ItemRun, engine: Engine): boolean {
+  shouldMove (run: SchedulableItem, engine: Engine): boolean {
     if (this._waiting.length > 0 || this.isOverloaded) return false
     const others = this._fittingEngines(run).filter(other => other !== engine && !run.avoids(other) && other.canStartRun(run.item.model) && other.pace.expectedGapMs !== undefined)
     const fastest = fastestEngine(others, Number.POSITIVE_INFINITY, this._kvCapacityTokens(run))
@@ -219,7 +219,7 @@
     if (this.isOverloaded || !engine.isHealthy || engine.freeSlotsCount === 0 || !this._isReady(engine)) return
     const slower = new Set(this._options.engines.ofService(engine.endpoint.service).filter(other => gainPerEventMs(other, engine) > 0))
     if (slower.size === 0) return
-    let movingRun: ItemRun | undefined
+    let movingRun: SchedulableItem | undefined
     let maxGainMs = 0
     for (const run of this._options.runs) {
       // A run without events has most likely only just started.
@@ -236,7 +236,7 @@
   }
 
   /** Time that a run saves by moving to an engine; 0 when the run should stay. */
-  private _gainMs (run: ItemRun, from: Engine, to: Engine): number {
+  private _gainMs (run: SchedulableItem, from: Engine, to: Engine): number {
     if (this._reserved.has(run) || !to.acceptsRuns(run.item.model) || !this._fits(run, to) || run.avoids(to)) return 0
     return movingGainMs(from, to, this._estimateOf(run))
   }
@@ -256,14 +256,14 @@
   }
 
   /** Healthy engines whose weights are new enough for the item, with a free slot or without. */
-  private _fittingEngines (run: ItemRun): Engine[] {
+  private _fittingEngines (run: SchedulableItem): Engine[] {
     const placement = this._options.placementOf(run)
     if (!placement) return []
     return this._options.engines.ofService(placement.service).filter(engine => engine.acceptsRuns(run.item.model) && this._fits(run, engine))
   }
 
   /** Whether an engine belongs to the service of a run and has weights that are new enough for the run. */
-  private _fits (run: ItemRun, engine: Engine): boolean {
+  private _fits (run: SchedulableItem, engine: Engine): boolean {
     if (engine.endpoint.service !== this._options.placementOf(run)?.service) return false
     return engine.version(run.item.model) >= run.batch.submission.minVersion
   }
@@ -273,7 +273,7 @@
     return this._options.view.endpoint(engine.id)?.lifecycle === EndpointLifecycle.Ready
   }
 
-  private _estimateOf (run: ItemRun): RunEstimate {
+  private _estimateOf (run: SchedulableItem): RunEstimate {
     return {
       generatedCount: run.generatedCount,
       hintedRemainingCount: this._hintedRemainingEventsCount(run),
@@ -282,34 +282,34 @@
   }
 
   /** Remaining events of an item, estimated from the hint of the submitter. */
-  private _hintedRemainingEventsCount (run: ItemRun): number {
+  private _hintedRemainingEventsCount (run: SchedulableItem): number {
     return run.remainingTokensCount / this._tokensPerEvent(run)
   }
 
   /** Estimated time that a run still needs. */
-  private _remainingMs (run: ItemRun): number {
+  private _remainingMs (run: SchedulableItem): number {
     return expectedEventsCount(this._estimateOf(run)) * this._assumedGapMs(run)
   }
 
-  private _assumedGapMs (run: ItemRun): number {
+  private _assumedGapMs (run: SchedulableItem): number {
     return ASSUMED_TOKEN_MS * this._tokensPerEvent(run)
   }
 
-  private _tokensPerEvent (run: ItemRun): number {
+  private _tokensPerEvent (run: SchedulableItem): number {
     const placement = this._options.placementOf(run)
     return placement ? tokensPerEvent(placement) : 1
   }
 
-  private _kvCapacityTokens (run: ItemRun): number {
+  private _kvCapacityTokens (run: SchedulableItem): number {
     return this._options.placementOf(run)?.modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY
   }
 }
 
 /** Copies the properties that determine the order, so that sorting reads each property once per item. */
-function sortKeyOf ({ isStarted, isCarriedOver, dueAtMs, remainingTokensCount, priority }: ItemRun): WaitingItem {
+function sortKeyOf ({ isStarted, isCarriedOver, dueAtMs, remainingTokensCount, priority }: SchedulableItem): WaitingItem {
   return { isStarted, isCarriedOver, dueAtMs, remainingTokensCount, priority }
 }
 
-function tokensOf (run: ItemRun): number {
+function tokensOf (run: SchedulableItem): number {
   return run.item.promptTokensCount + run.item.expectedTokensCount
 }
--- a/src/batches/batch.ts
+++ b/src/batches/batch.ts
@@ -4,17 +4,12 @@
  * listed item keeps only its result and the id of its reward call, an ended batch
  * keeps only its results.
  */
-import { ResultState, type BatchItem, type BatchSubmission, type ItemResult } from '../protocol/batches.js'
+import { ResultState, type BatchItem, type BatchSubmission, type ItemResult, type SubmissionHead } from '../protocol/batches.js'
 import { heldBytesOfHead, heldBytesOfItem, heldBytesOfResult } from './heldBytes.js'
 
 /** A batch that its submitter never ends expires after this many times its retention time. */
 const MAX_OPEN_FACTOR = 2
 
-/** A submission with the number of its items in place of the items. */
-export interface SubmissionHead extends Omit<BatchSubmission, 'items'> {
-  itemsCount: number
-}
-
 /** Plain data of a batch, as stored in snapshots. Neither its arrays nor their elements are mutated. */
 export interface BatchRecord {
   submission: SubmissionHead
--- a/src/batches/batchTimes.ts
+++ b/src/batches/batchTimes.ts
@@ -6,21 +6,12 @@
 import type { BatchPolicy } from '../protocol/routing.js'
 import type { Clock } from '../utils/clock.js'
 import type { Batch } from './batch.js'
-import { ASSUMED_TOKEN_MS } from './itemOrder.js'
+import { ASSUMED_TOKEN_MS } from '../batchScheduling/itemOrder.js'
+import type { BatchTimes } from '../batchScheduling/schedulableItem.js'
 
 /** Used for a batch whose route no longer exists. */
 const DEFAULT_DUE_MS = 10_000
 
-/** Times that all items of a batch share, by this host's monotonic clock. */
-export interface BatchTimes {
-  /** When the results are due; once that time has passed, the last time at which the results are of use. */
-  dueAtMs: number
-  /** From this time on, an item may be abandoned. */
-  abandonAtMs: number
-  /** When the longest open item is expected to end if it starts at once. */
-  longestEndsAtMs: number
-}
-
 export class BatchAges {
   private readonly _clock: Clock
   private readonly _addedAtMs = new WeakMap<Batch, number>()
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -17,15 +17,14 @@
 import type { Scope } from '../utils/scope.js'
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
-import type { BatchTimes } from './batchTimes.js'
-import type { Engine } from './engineFleet.js'
+import type { Engine } from '../batchScheduling/engineFleet.js'
 import type { ItemExecutor, StartedRun } from './itemExecutor.js'
 import { ItemFailures, RETRY_PAUSE_MS } from './itemFailures.js'
 import { ItemOutput } from './itemOutput.js'
 import { OutputReplicator } from './outputReplicator.js'
 import { ResultListing } from './resultListing.js'
 import { recordOutcome } from './runOutcome.js'
-import type { WaitingItem } from './itemOrder.js'
+import type { BatchTimes, SchedulableItem } from '../batchScheduling/schedulableItem.js'
 import { ItemStage } from './stepReports.js'
 
 /** A run checks for a faster engine each time the run has received this many further events. */
@@ -58,7 +57,7 @@
   routeOf: (host: string, path: string) => RoutingRoute | undefined
 }
 
-export class ItemRun implements WaitingItem {
+export class ItemRun implements SchedulableItem {
   readonly batch: Batch
   readonly item: BatchItem
   readonly output: ItemOutput
--- a/src/batches/placementSelector.ts
+++ b/src/batches/placementSelector.ts
@@ -7,9 +7,9 @@
 import { chooseService } from '../gateway/routeTable.js'
 import type { Routing, RoutingRoute } from '../protocol/routing.js'
 import type { RandomSource } from '../utils/randomSource.js'
-import type { Placement } from './assignmentRound.js'
-import type { EngineFleet } from './engineFleet.js'
-import type { ItemRun } from './itemRun.js'
+import type { Placement } from '../batchScheduling/assignmentRound.js'
+import type { EngineFleet } from '../batchScheduling/engineFleet.js'
+import type { SchedulableItem } from '../batchScheduling/schedulableItem.js'
 
 export interface PlacementSelectorOptions {
   view: FleetView
@@ -27,14 +27,14 @@
 
 export class PlacementSelector {
   private readonly _options: PlacementSelectorOptions
-  private readonly _drawn = new WeakMap<ItemRun, DrawnPlacements>()
+  private readonly _drawn = new WeakMap<SchedulableItem, DrawnPlacements>()
 
   constructor (options: PlacementSelectorOptions) {
     this._options = options
   }
 
   /** The present placement of an item; undefined while its route is unknown. */
-  placementOf (run: ItemRun): Placement | undefined {
+  placementOf (run: SchedulableItem): Placement | undefined {
     const { routing } = this._options.view
     if (!routing) return undefined
     let drawn = this._drawn.get(run)
@@ -47,7 +47,7 @@
     return others.find(placement => this._hasEngines(placement)) ?? first
   }
 
-  private _draw ({ batch, item }: ItemRun, routing: Routing): Placement[] {
+  private _draw ({ batch, item }: SchedulableItem, routing: Routing): Placement[] {
     const route = this._options.routeOf(batch.submission.host, batch.submission.path)
     if (!route) return []
     const engineOf = (service: string) => routing.services.find(({ name }) => name === service)?.engine
--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -5,7 +5,7 @@
 import type { FailureAttribution } from '../endpoints/failureAttribution.js'
 import { isEndedByHost, type HostOutcome, type RunOutcome } from '../protocol/runnerTasks.js'
 import { unreachable } from '../utils/errors.js'
-import type { Engine } from './engineFleet.js'
+import type { Engine } from '../batchScheduling/engineFleet.js'
 
 export interface EndedRun {
   engine: Engine
--- a/src/batches/stallDetector.ts
+++ b/src/batches/stallDetector.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from '../utils/clock.js'
 import type { Scope } from '../utils/scope.js'
-import type { EnginePace } from './enginePace.js'
+import type { EnginePace } from '../batchScheduling/enginePace.js'
 import { MAX_FIRST_EVENT_TIMEOUT_MS, type FirstEventTimes } from './firstEventTimes.js'
 
 /** Timeout for later events in usual gaps of the engine: a prompt of thousands of tokens that is processed between two events takes less than three gaps. */
--- a/src/batches/stepReports.ts
+++ b/src/batches/stepReports.ts
@@ -10,6 +10,7 @@
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
 import type { Scope } from '../utils/scope.js'
+import { WaitReason } from '../batchScheduling/waitReason.js'
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
 
@@ -27,20 +28,6 @@
   Committing = 'committing'
 }
 
-/** Why a queued item has no slot. */
-export enum WaitReason {
-  NoRoute = 'no_route',
-  /** The service has no engine that accepts new runs. */
-  NoEngine = 'no_engine',
-  /** No engine has weights that are new enough. */
-  NoVersion = 'no_version',
-  /** All engines with these weights are ejected after failures, report that they are full, or are loading weights. */
-  EnginesUnfit = 'engines_unfit',
-  NoSlot = 'no_slot',
-  /** A slot is free, but the item waits for a better slot or for its turn. */
-  Turn = 'turn'
-}
-
 /** The properties of an item that are reported. */
 export interface ReportedItem {
   batch: Batch
--- a/src/batches/weightLoad.ts
+++ b/src/batches/weightLoad.ts
@@ -17,7 +17,7 @@
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import { BatchEvent } from './batchEvents.js'
-import type { Engine } from './engineFleet.js'
+import type { Engine } from '../batchScheduling/engineFleet.js'
 import type { LoadReason } from './weightPlanner.js'
 
 const REPORT_TIMEOUT_MS = 400
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -48,6 +48,11 @@
 })
 export type BatchSubmission = z.infer<typeof batchSubmissionSchema>
 
+/** A submission with the number of its items in place of the items. */
+export interface SubmissionHead extends Omit<BatchSubmission, 'items'> {
+  itemsCount: number
+}
+
 export enum ResultState {
   Completed = 'completed',
   /** Permanently abandoned. */
--- a/tests/batches/enginePace.test.ts
+++ b/tests/batchScheduling/enginePace.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { EnginePace } from '../../src/batches/enginePace.js'
+import { EnginePace } from '../../src/batchScheduling/enginePace.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
 /**
--- a/tests/batches/itemOrder.test.ts
+++ b/tests/batchScheduling/itemOrder.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { EndpointHealth } from '../../src/endpoints/endpointHealth.js'
-import { Engine } from '../../src/batches/engineFleet.js'
-import { compareWaiting, expectedEventsCount, fastestEngine, movingGainMs, shouldWaitForFaster, type RunEstimate, type WaitingItem } from '../../src/batches/itemOrder.js'
+import { Engine } from '../../src/batchScheduling/engineFleet.js'
+import { compareWaiting, expectedEventsCount, fastestEngine, movingGainMs, shouldWaitForFaster, type RunEstimate, type WaitingItem } from '../../src/batchScheduling/itemOrder.js'
 import { engine } from '../fixtures/fleet/fleetFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
--- a/tests/batches/modelDemand.test.ts
+++ b/tests/batchScheduling/modelDemand.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { Batch } from '../../src/batches/batch.js'
-import { ModelDemand } from '../../src/batches/modelDemand.js'
+import { ModelDemand } from '../../src/batchScheduling/modelDemand.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
--- a/tests/batches/slotSharing.test.ts
+++ b/tests/batchScheduling/slotSharing.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { deferrableUntilMs, slotsForDeferrable } from '../../src/batches/slotSharing.js'
+import { deferrableUntilMs, slotsForDeferrable } from '../../src/batchScheduling/slotSharing.js'
 
 /**
  * The load behind these tests: three trainers submit steps of about fifty items at the
--- a/tests/batches/startPacing.test.ts
+++ b/tests/batchScheduling/startPacing.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { StartPacing, TURN_MS } from '../../src/batches/startPacing.js'
+import { StartPacing, TURN_MS } from '../../src/batchScheduling/startPacing.js'
 import { engine } from '../fixtures/fleet/fleetFixtures.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 import { StoreWorld } from '../fixtures/fleet/storeWorld.js'
--- a/tests/batches/placementSelector.test.ts
+++ b/tests/batches/placementSelector.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import type { Engine, EngineFleet } from '../../src/batches/engineFleet.js'
+import type { Engine, EngineFleet } from '../../src/batchScheduling/engineFleet.js'
 import type { ItemRun } from '../../src/batches/itemRun.js'
 import { PlacementSelector } from '../../src/batches/placementSelector.js'
 import { seededRandom } from '../../src/utils/randomSource.js'
--- a/tests/batches/stallDetector.test.ts
+++ b/tests/batches/stallDetector.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { EnginePace } from '../../src/batches/enginePace.js'
+import { EnginePace } from '../../src/batchScheduling/enginePace.js'
 import { FirstEventTimes } from '../../src/batches/firstEventTimes.js'
 import { StallDetector } from '../../src/batches/stallDetector.js'
 import { Scope } from '../../src/utils/scope.js'
