Choose endpoints by their pace now, use two a host first, and make reward calls at one host

Change: the reported slowdown counts in the expected duration and fades with a half-life of 100 ms; a second try begins at once where the endpoint of the first reports a slowdown and another would end before it, and later where all others are slow. A host uses two endpoints by rendezvous hashing, and others where these are expected to take half as long again. Reward calls go through one store host while it is not loaded over 1.25 times the mean. The two rendezvous hashes of the control folder and this one are one function now.

--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -11,6 +11,7 @@
 import type { Clock } from '../utils/clock.js'
 import { unreachable } from '../utils/errors.js'
 import { Progress } from '../utils/progress.js'
+import { rendezvousRank } from '../utils/rendezvous.js'
 import type { Scope } from '../utils/scope.js'
 import type { ProgressListener } from './itemExecutor.js'
 import { PeerClock } from './peerClock.js'
@@ -78,6 +79,8 @@
   readonly hostId: string
   readonly dataCentre: string
   readonly address: string
+  /** Order in which hosts are chosen for reward calls, the same for every leader. */
+  readonly scoringRank: number
   private readonly _options: RemoteRunnerOptions
   private readonly _tasks = new Map<number, AssignedTask>()
   private readonly _link: PeerLink
@@ -99,6 +102,7 @@
   constructor (hostId: string, address: string, dataCentre: string, options: RemoteRunnerOptions) {
     this.hostId = hostId
     this.address = address
+    this.scoringRank = rendezvousRank('reward calls', hostId)
     this.dataCentre = dataCentre
     this._options = options
     this._runnerClock = new PeerClock(options.clock)
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -32,6 +32,9 @@
 const SILENT_MS = LEASE_MS + 100
 /** Runners without tasks are watched until this long after the last task was given to any: longer than a trainer takes between two steps. */
 const WATCHED_AFTER_TASK_MS = 10_000
+/** A host makes reward calls while it has no more tasks than this multiple of the mean, and a few more (consistent hashing with bounded loads). */
+const MAX_SCORING_LOAD = 1.25
+const SCORING_ALLOWANCE_COUNT = 4
 /** A check later than this shows that this host was busy or frozen itself, so that reports may be waiting to be read. */
 const MAX_CHECK_DELAY_MS = 100
 
@@ -100,7 +103,7 @@
   }
 
   async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
-    const runner = leastLoaded(this._trusted())
+    const runner = scoringRunner(this._trusted())
     if (!runner) return await this._options.local.score(reward, abandonAtMs, scope, this._options.holdsLease)
     const taskId = this._nextTaskId()
     const ended = new Promise<RewardScore>(resolve => {
@@ -230,6 +233,12 @@
   }
 }
 
-function leastLoaded (runners: readonly RemoteRunner[]): RemoteRunner | undefined {
-  return minBy(runners, ({ tasksCount }) => tasksCount)
+/**
+ * The host that makes a reward call: the same one for all calls as long as it has not
+ * clearly more tasks than the others, so that its connections to the endpoints stay warm.
+ */
+function scoringRunner (runners: readonly RemoteRunner[]): RemoteRunner | undefined {
+  const tasksCount = runners.reduce((sum, runner) => sum + runner.tasksCount, 0)
+  const maxTasksCount = MAX_SCORING_LOAD * tasksCount / Math.max(1, runners.length) + SCORING_ALLOWANCE_COUNT
+  return minBy(runners.filter(runner => runner.tasksCount <= maxTasksCount), ({ scoringRank }) => scoringRank)
 }
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -349,8 +349,8 @@
   }
 
   private _createPool (): EndpointPool {
-    const { settings: { dataCentre }, logger, metrics } = this._options
-    return new EndpointPool({ view: this._view, clock: systemClock, random: systemRandom(), dataCentre, logger, metrics })
+    const { settings: { dataCentre, hostId }, logger, metrics } = this._options
+    return new EndpointPool({ view: this._view, clock: systemClock, random: systemRandom(), dataCentre, hostId, logger, metrics })
   }
 
   private _createExecutor (): LocalExecutor {
--- a/src/control/fleet/routingPush.ts
+++ b/src/control/fleet/routingPush.ts
@@ -15,18 +15,17 @@
  * latest, as followers call twice a second. One call would be too early, because the
  * push may still be in transit.
  */
-import { createHash } from 'node:crypto'
+import { minBy } from '../../utils/minBy.js'
+import { rendezvousRank } from '../../utils/rendezvous.js'
 
 /**
- * Rendezvous hashing: all control hosts choose the same control host, and the removal of a
- * control host reassigns only its own followers.
+ * All control hosts choose the same control host, and the removal of a control host
+ * reassigns only its own followers (rendezvous hashing).
  * @param memberAddresses addresses of all control hosts
  * @returns the address of the control host that pushes to the follower; undefined without members
  */
 export function pusherOf (followerId: string, memberAddresses: readonly string[]): string | undefined {
-  const ranked = memberAddresses.map(address => ({ address, rank: createHash('sha1').update(`${followerId}\n${address}`).digest('hex') }))
-  ranked.sort((left, right) => (left.rank < right.rank ? -1 : 1))
-  return ranked[0]?.address
+  return minBy(memberAddresses, address => rendezvousRank(followerId, address))
 }
 
 /** Tracks which routing version one follower has been sent over one connection. */
--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -11,6 +11,8 @@
   runningCount: number
   waitingCount: number
   slotsCount: number
+  /** How long work takes at the endpoint right now, relative to the usual time; absent if the endpoint does not report it. */
+  slowdownFactor?: number
 }
 
 export interface EndpointRequest {
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -18,6 +18,8 @@
 const MEAN_LIFETIME_MS = 5_000
 /** Reported load is out of date after about the duration of one request. */
 const LOAD_LIFETIME_MS = 150
+/** A reported slowdown counts half after this long: other programs on the machine slow it down for moments of a tenth of a second. */
+const SLOWDOWN_HALF_LIFE_MS = 100
 
 /** Why an endpoint is ejected. */
 export enum FailureReason {
@@ -56,6 +58,7 @@
   private _meanAtMs = Number.NEGATIVE_INFINITY
   private _load: ReportedLoad | undefined
   private _loadAtMs = Number.NEGATIVE_INFINITY
+  private readonly _slowdownListeners = new Set<() => void>()
 
   constructor (options: EndpointHealthOptions) {
     this._options = options
@@ -120,6 +123,12 @@
     return this._clock.nowMs() - this._loadAtMs
   }
 
+  /** How long work takes at the endpoint now, relative to its recent mean: the slowdown that it reported last, which counts less the older the report is. */
+  get slowdownFactor (): number {
+    const reported = this._load?.slowdownFactor ?? 1
+    return 1 + (reported - 1) * 2 ** (-this.loadAgeMs / SLOWDOWN_HALF_LIFE_MS)
+  }
+
   /** Estimated requests at the endpoint: the reported number, or the number sent by this host if that is higher. */
   get busyCount (): number {
     const isFresh = this._clock.nowMs() - this._loadAtMs < LOAD_LIFETIME_MS
@@ -187,6 +196,14 @@
     if (!load) return
     this._load = load
     this._loadAtMs = this._clock.nowMs()
+    if ((load.slowdownFactor ?? 1) <= 1) return
+    for (const listener of this._slowdownListeners) listener()
+  }
+
+  /** Adds a listener that is called when the endpoint reports that work takes longer than usual; the returned function removes it. */
+  onSlowdown (listener: () => void): () => void {
+    this._slowdownListeners.add(listener)
+    return () => this._slowdownListeners.delete(listener)
   }
 
   /** Records that a call started at `startedAtMs` failed to connect, broke or timed out. */
--- a/src/endpoints/endpointPool.ts
+++ b/src/endpoints/endpointPool.ts
@@ -12,6 +12,7 @@
 import type { RandomSource } from '../utils/randomSource.js'
 import { EndpointEvent } from './endpointEvents.js'
 import { EndpointHealth, type EndpointHealthOptions } from './endpointHealth.js'
+import { isWorthLeaving, preferredEndpoints } from './endpointSubset.js'
 
 /** Factor on the expected duration at an endpoint in another data centre: a remote endpoint has to gain more than the cost of the transfer. */
 const REMOTE_PENALTY_FACTOR = 1.1
@@ -32,6 +33,8 @@
   clock: Clock
   random: RandomSource
   dataCentre: string
+  /** Name of this host, by which it chooses the endpoints that it uses first; without it, all endpoints alike. */
+  hostId?: string
   logger: Logger
   metrics: Metrics
 }
@@ -93,7 +96,7 @@
     const safe = untried.filter(({ endpointId }) => !risky.has(endpointId))
     const candidates = [safe, untried, all].find(({ length }) => length > 0) ?? []
     const open = candidates.filter(({ endpointId }) => this.health(endpointId).isAvailable)
-    if (open.length > 0) return this._lowest(open, endpoint => this._expectedMs(endpoint))
+    if (open.length > 0) return this._fastest(open)
     const listening = candidates.filter(({ endpointId }) => !this.health(endpointId).isRefusing)
     return this._lowest(listening.length > 0 ? listening : candidates, ({ endpointId }) => this.health(endpointId).ejectedUntilMs)
   }
@@ -142,12 +145,39 @@
     }
   }
 
+  /** Expected duration of a request at the best endpoint of a service beside the one that has it; undefined without another. */
+  expectedElsewhereMs (service: string, tried: ReadonlySet<string>): number | undefined {
+    const others = this.ofService(service).filter(({ endpointId }) => !tried.has(endpointId) && this.health(endpointId).isAvailable)
+    return others.length === 0 ? undefined : Math.min(...others.map(endpoint => this._expectedDurationMs(endpoint)))
+  }
+
+  /** The endpoint that is expected to answer first, and of those that this host uses first if they are about as good. */
+  private _fastest (candidates: FleetEndpoint[]): FleetEndpoint | undefined {
+    const { hostId } = this._options
+    const expectedMs = new Map(candidates.map(endpoint => [endpoint, this._expectedMs(endpoint)]))
+    const costOf = (endpoint: FleetEndpoint): number => expectedMs.get(endpoint) ?? Number.POSITIVE_INFINITY
+    const fastest = this._lowest(candidates, costOf)
+    if (hostId === undefined || !fastest) return fastest
+    const preferred = this._lowest(preferredEndpoints(hostId, candidates), costOf)
+    return preferred && !isWorthLeaving(costOf(preferred), costOf(fastest)) ? preferred : fastest
+  }
+
+  /** Cost of choosing an endpoint: its expected duration, more for a remote one, with jitter. */
   private _expectedMs (endpoint: FleetEndpoint): number {
-    const health = this.health(endpoint.endpointId)
-    const queueFactor = 1 + health.busyCount / Math.max(1, endpoint.slotsCount)
     const distanceFactor = endpoint.dataCentre === this._options.dataCentre ? 1 : REMOTE_PENALTY_FACTOR
     const jitter = 1 + MAX_JITTER_SHARE * this._options.random.real()
-    return (health.meanMs ?? DEFAULT_MEAN_MS) * queueFactor * distanceFactor * jitter
+    return this._expectedDurationMs(endpoint) * distanceFactor * jitter
+  }
+
+  private _expectedDurationMs (endpoint: FleetEndpoint): number {
+    const health = this.health(endpoint.endpointId)
+    const queueFactor = 1 + health.busyCount / Math.max(1, endpoint.slotsCount)
+    return (health.meanMs ?? this._unknownMeanMs(endpoint)) * health.slowdownFactor * queueFactor
+  }
+
+  /** Mean duration assumed for an endpoint without recent calls. */
+  private _unknownMeanMs ({ service }: FleetEndpoint): number {
+    return this._options.hostId === undefined ? DEFAULT_MEAN_MS : this.typicalMs(service)
   }
 
   private _lowest (endpoints: FleetEndpoint[], valueOf: (endpoint: FleetEndpoint) => number): FleetEndpoint | undefined {
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -31,6 +31,8 @@
 
 /** Pause before the endpoints of a service are tried again after all of them were full. */
 const FULL_RETRY_MS = 20
+/** A second try is started early beside one at an endpoint that reports at least this slowdown: the second then ends first in most cases. */
+const HEDGED_SLOWDOWN_FACTOR = 1.5
 
 export interface ForwardRequest {
   route: RoutingRoute
@@ -110,13 +112,15 @@
   private readonly _waitQueue: FairWaitQueue
   private readonly _queueEntry: QueueEntry
   private readonly _tried = new Set<string>()
-  private readonly _tryEnded = new Signal()
+  /** Notified when a try ends, and when the endpoint of an open try reports a slowdown. */
+  private readonly _wake = new Signal()
   private readonly _startedAtMs: number
   private _triesCount = 0
   private _openTriesCount = 0
   /** Tries that an endpoint ran or may have run. */
   private _ranCount = 0
   private _isStarted = false
+  private _lastTry: { endpointId: string, startedAtMs: number } | undefined
   private readonly _failures: FailureAttribution
   private _answer: AnsweredOutcome | undefined
   private _failure: AnsweredOutcome | undefined
@@ -146,8 +150,8 @@
         const outcome = this._mayTry ? this._tryNext() : this._refuse(RefusalReason.LeaseLost)
         if (outcome) return outcome
       }
-      const hasTryEnded = await this._tryEnded.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextCheckAtMs() })
-      if (!hasTryEnded && this._mayTry && this._mayHedge()) this._hedge()
+      await this._wake.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextCheckAtMs() })
+      if (this._mayTry && this._mayHedge() && this._isTryLate()) this._hedge()
     }
     return this._answer ?? this._refuse(RefusalReason.DeadlinePassed)
   }
@@ -179,10 +183,27 @@
   }
 
   private _nextCheckAtMs (): number {
-    const { progress } = this._request
+    const { progress: { clock, deadlineMs } } = this._request
+    const isLateAtMs = this._openTriesCount === 1 && this._lastTry ? this._lastTry.startedAtMs + this._hedgeDelayMs() : Number.NEGATIVE_INFINITY
+    return Math.min(deadlineMs, isLateAtMs > clock.nowMs() ? isLateAtMs : clock.nowMs() + FULL_RETRY_MS)
+  }
+
+  /** Whether the open try takes unusually long, or a second one would most likely end before it, since its endpoint reports a slowdown meanwhile. */
+  private _isTryLate (): boolean {
+    const { pool } = this._options
+    if (!this._lastTry) return false
+    const { endpointId, startedAtMs } = this._lastTry
+    const elapsedMs = this._request.progress.clock.nowMs() - startedAtMs
+    if (elapsedMs >= this._hedgeDelayMs()) return true
+    const { slowdownFactor } = pool.health(endpointId)
+    const elsewhereMs = pool.expectedElsewhereMs(this._service, this._tried)
+    if (slowdownFactor < HEDGED_SLOWDOWN_FACTOR || elsewhereMs === undefined) return false
+    return pool.typicalMs(this._service) * slowdownFactor - elapsedMs > elsewhereMs
+  }
+
+  private _hedgeDelayMs (): number {
     const { pool } = this._options
-    const waitMs = this._openTriesCount === 0 ? FULL_RETRY_MS : hedgeDelayMs(pool.sortedDurationsMs(this._service), pool.typicalMs(this._service))
-    return Math.min(progress.deadlineMs, progress.clock.nowMs() + waitMs)
+    return hedgeDelayMs({ sortedDurationsMs: pool.sortedDurationsMs(this._service), typicalMs: pool.typicalMs(this._service), elsewhereMs: pool.expectedElsewhereMs(this._service, this._tried) })
   }
 
   private _mayHedge (): boolean {
@@ -213,6 +234,7 @@
 
   private _startTry (endpoint: FleetEndpoint): void {
     this._tried.add(endpoint.endpointId)
+    this._lastTry = { endpointId: endpoint.endpointId, startedAtMs: this._request.progress.clock.nowMs() }
     this._triesCount++
     this._openTriesCount++
     this._logTry(endpoint)
@@ -230,14 +252,16 @@
     let isSettled = false
     health.began()
     health.runningCount++
+    const removeListener = health.onSlowdown(() => this._wake.notify())
     try {
       const request = { endpoint, method, path, host, headers, body, attemptId, account, deadlineMs: progress.deadlineMs }
       const outcome = await this._options.client.call(request, this._scope)
       isSettled = true
       this._openTriesCount--
       this._onOutcome(run, outcome, startedAtMs)
-      this._tryEnded.notify()
+      this._wake.notify()
     } finally {
+      removeListener()
       health.runningCount--
       if (!isSettled) this._options.quarantine.abandoned(run)
       if (!isSettled) this._notifyStarted(startedAtMs)
--- a/src/gateway/requestPolicy.ts
+++ b/src/gateway/requestPolicy.ts
@@ -56,8 +56,22 @@
 /** For exponentially distributed durations, this multiple of the mean is the same quantile. */
 const HEDGE_MEAN_MULTIPLE = 3
 
-/** Time after which a try counts as late, given the usual durations of its service. */
-export function hedgeDelayMs (sortedDurationsMs: readonly number[], typicalMs: number): number {
-  if (sortedDurationsMs.length < MIN_DURATIONS_COUNT) return HEDGE_MEAN_MULTIPLE * typicalMs
-  return sortedDurationsMs[Math.floor(HEDGE_QUANTILE * sortedDurationsMs.length)] ?? HEDGE_MEAN_MULTIPLE * typicalMs
+export interface OpenTry {
+  /** Durations of recent answers of the service, the shortest first. */
+  sortedDurationsMs: readonly number[]
+  /** Typical duration of a request at an endpoint. */
+  typicalMs: number
+  /** Expected duration of a second try; undefined when no other endpoint is known. */
+  elsewhereMs: number | undefined
+}
+
+/**
+ * Time after which a try counts as late, given the usual durations of its service.
+ * While all other endpoints are slow or busy as well, a second try would not end
+ * sooner and would only add to their load, so that the first gets as much longer.
+ */
+export function hedgeDelayMs ({ sortedDurationsMs, typicalMs, elsewhereMs = typicalMs }: OpenTry): number {
+  const isMeaningful = sortedDurationsMs.length >= MIN_DURATIONS_COUNT
+  const quantileMs = isMeaningful ? sortedDurationsMs[Math.floor(HEDGE_QUANTILE * sortedDurationsMs.length)] : undefined
+  return (quantileMs ?? HEDGE_MEAN_MULTIPLE * typicalMs) * Math.max(1, elsewhereMs / typicalMs)
 }
--- a/tests/gateway/requestPolicy.test.ts
+++ b/tests/gateway/requestPolicy.test.ts
@@ -40,6 +40,12 @@
 
 test('should count a try as late by the usual durations of its service', t => {
   const durationsMs = Array.from({ length: 100 }, (_value, position) => 20 + position)
-  t.is(hedgeDelayMs(durationsMs, 70), 115)
-  t.is(hedgeDelayMs([20, 25], 30), 90, 'too few durations for a quantile')
+  t.is(hedgeDelayMs({ sortedDurationsMs: durationsMs, typicalMs: 70, elsewhereMs: 70 }), 115)
+  t.is(hedgeDelayMs({ sortedDurationsMs: [20, 25], typicalMs: 30, elsewhereMs: undefined }), 90, 'too few durations for a quantile')
+})
+
+test('should wait longer before a second try while the other endpoints are slow as well, and no less while they are fast', t => {
+  const durationsMs = Array.from({ length: 100 }, () => 40)
+  t.is(hedgeDelayMs({ sortedDurationsMs: durationsMs, typicalMs: 20, elsewhereMs: 50 }), 100)
+  t.is(hedgeDelayMs({ sortedDurationsMs: durationsMs, typicalMs: 20, elsewhereMs: 10 }), 40)
 })
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava'
 import { decodeHeartbeat } from '../../platform/announcementCodec.js'
 import { decodeSubmission, encodeResults } from '../../platform/batchCodec.js'
+import { loadOf } from '../../platform/endpointClient.js'
 import { decodeRouting } from '../../platform/routingCodec.js'
+import { WireHeader } from '../../platform/wireNames.js'
 import { digestOfKey } from '../../src/accounts/keyDigest.js'
 import { toPart } from '../../src/batches/outputParts.js'
 import { ResultState } from '../../src/protocol/batches.js'
@@ -171,3 +173,12 @@
     ]
   })
 })
+
+test('should read how busy an endpoint is, and how slow its machine is where it says so', t => {
+  const load = { runningCount: 3, waitingCount: 1, slotsCount: 6 }
+  t.deepEqual(loadOf([WireHeader.Load, '3,1,6']), load)
+  t.deepEqual(loadOf([WireHeader.Load, '3,1,6,250']), { ...load, slowdownFactor: 2.5 })
+  for (const unusable of ['0', '-5', 'fast', '']) t.deepEqual(loadOf([WireHeader.Load, `3,1,6,${unusable}`]), load, unusable)
+  t.is(loadOf([WireHeader.Load, '3,1']), undefined)
+  t.is(loadOf([]), undefined)
+})
