Let the fleet soak press with bursts and slow readers, and its endpoints report slowdowns

Two kinds of load beyond the usual, drawn from a seed of their own, so that a seed keeps its other faults: a burst of 200 requests a second, and 30 callers that ask for answers of 300 KB and read nothing for a while. An answer that looks complete has to be; one that was broken off may be. Endpoints report their load with the figure of how slow their machine is.

--- a/bench/fleetSoak/faultPlan.ts
+++ b/bench/fleetSoak/faultPlan.ts
@@ -29,7 +29,11 @@
   PoisonCaller = 'deadlyCaller',
   /** The machine of a host is suspended, and its monotonic clock with it. */
   Suspend = 'suspend',
-  Configure = 'configure'
+  Configure = 'configure',
+  /** Callers send many times the usual requests. */
+  Burst = 'burst',
+  /** Callers ask for large answers and read nothing of them for a while. */
+  SlowReaders = 'slowReaders'
 }
 
 export enum HostGroup {
@@ -71,6 +75,11 @@
 const HOST_FAULTS = [FaultKind.Kill, FaultKind.Stop, FaultKind.Freeze, FaultKind.Suspend, FaultKind.Isolate, FaultKind.IsolateOneWay, FaultKind.Reset, FaultKind.Silence]
 const OTHER_FAULTS = [FaultKind.EndpointDrains, FaultKind.EndpointDeregisters, FaultKind.EndpointDeregisters, FaultKind.EndpointCrashes, FaultKind.Configure, FaultKind.Configure]
 
+const LOAD_FAULTS = [FaultKind.Burst, FaultKind.SlowReaders]
+const LOAD_SEED_OFFSET = 1_000_003
+const MIN_LOAD_GAP_MS = 2_000
+const MAX_LOAD_GAP_MS = 8_000
+
 export interface PlanOptions {
   seed: number
   durationMs: number
@@ -93,6 +102,18 @@
     if (isHostFault(fault.kind)) nextFaultAtMs.set(fault.group, atMs + fault.forMs + RECOVERY_MS)
     if (fault.kind === FaultKind.PowerLoss) for (const group of Object.values(HostGroup)) nextFaultAtMs.set(group, atMs + fault.forMs + 2 * RECOVERY_MS)
   }
+  const load = planLoad(seed, endMs).filter(({ kind }) => only === undefined || only.includes(kind))
+  return [...planned, ...load].sort((left, right) => left.atMs - right.atMs)
+}
+
+/** Load beyond the usual; drawn by itself, so that a seed keeps its faults whatever load is added. */
+function planLoad (seed: number, endMs: number): PlannedFault[] {
+  const random = seededRandom(seed + LOAD_SEED_OFFSET)
+  const planned: PlannedFault[] = []
+  for (let atMs = QUIET_BEFORE_MS + random.int(0, MAX_LOAD_GAP_MS); atMs < endMs; atMs += random.int(MIN_LOAD_GAP_MS, MAX_LOAD_GAP_MS)) {
+    const kind = LOAD_FAULTS[random.int(0, LOAD_FAULTS.length - 1)] ?? FaultKind.Burst
+    planned.push({ kind, atMs, forMs: Math.min(random.int(MIN_FAULT_MS, MAX_FAULT_MS), endMs - atMs), group: HostGroup.Entry, number: 0 })
+  }
   return planned
 }
 
--- a/bench/fleetSoak/soakCallers.ts
+++ b/bench/fleetSoak/soakCallers.ts
@@ -6,11 +6,15 @@
 import { Agent } from 'undici'
 import { WireHeader, WirePath } from '../../platform/wireNames.js'
 import type { RandomSource } from '../../src/utils/randomSource.js'
+import { readAfterPause } from './slowReader.js'
 import { MODEL, pause, SLOTS_COUNT, SoakService } from './soakEndpoint.js'
 import { CallKind, eventsCountOf, type ObservedBatch, type ObservedItem, type SoakRecord } from './soakRecord.js'
 
 const HOST_NAME = 'soak.example'
 const CALL_GAP_MS = 60
+const BURST_TURN_MS = 20
+const CALLS_PER_BURST_TURN_COUNT = 4
+const SLOW_READERS_COUNT = 30
 const POISON_GAP_MS = 250
 const CALL_TIMEOUT_MS = 2_000
 const CHANGE_TIMEOUT_MS = 1_000
@@ -105,6 +109,26 @@
     await Promise.all(pendingCalls)
   }
 
+  /** Sends many times the usual requests. */
+  async press (forMs: number): Promise<void> {
+    const untilMs = this._options.nowMs() + forMs
+    const pendingCalls: Array<Promise<void>> = []
+    while (this._options.nowMs() < untilMs) {
+      for (let number = 0; number < CALLS_PER_BURST_TURN_COUNT; number++) pendingCalls.push(this._call(CallKind.Repeatable, '/open/'))
+      await pause(BURST_TURN_MS)
+    }
+    await Promise.all(pendingCalls)
+  }
+
+  /** Asks for large answers and reads nothing of them for a while. */
+  async readSlowly (forMs: number): Promise<void> {
+    const { record, callerAddresses } = this._options
+    await Promise.all(Array.from({ length: SLOW_READERS_COUNT }, async () => {
+      const attemptId = `large-${++this._callsCount}`
+      record.slowReads.push(await readAfterPause({ address: this._pick(callerAddresses()), host: HOST_NAME, attemptId, pauseMs: forMs, timeoutMs: CALL_TIMEOUT_MS }))
+    }))
+  }
+
   /** Reads all accepted batches from the start, and the newest configuration; called once all faults are over. */
   async readAll (): Promise<void> {
     const { record } = this._options
@@ -114,21 +138,23 @@
   }
 
   private async _callContinuously (kind: CallKind, prefix: string): Promise<void> {
-    const { record, nowMs, callerAddresses } = this._options
     const pendingCalls: Array<Promise<void>> = []
     while (!this._isFinished) {
-      const attemptId = `${kind}-${++this._callsCount}`
-      pendingCalls.push((async () => {
-        const sentAtMs = nowMs()
-        const method = kind === CallKind.Repeatable ? 'GET' : 'POST'
-        const response = await this._send(this._pick(callerAddresses()), method, `${prefix}${attemptId}`, { [WireHeader.AttemptId]: attemptId }, undefined, CALL_TIMEOUT_MS)
-        record.calls.push({ attemptId, kind, sentAtMs, status: response?.status, body: response?.body ?? '', hasReceipt: response?.hasReceipt ?? false })
-      })())
+      pendingCalls.push(this._call(kind, prefix))
       await pause(CALL_GAP_MS)
     }
     await Promise.all(pendingCalls)
   }
 
+  private async _call (kind: CallKind, prefix: string): Promise<void> {
+    const { record, nowMs, callerAddresses } = this._options
+    const attemptId = `${kind}-${++this._callsCount}`
+    const sentAtMs = nowMs()
+    const method = kind === CallKind.Repeatable ? 'GET' : 'POST'
+    const response = await this._send(this._pick(callerAddresses()), method, `${prefix}${attemptId}`, { [WireHeader.AttemptId]: attemptId }, undefined, CALL_TIMEOUT_MS)
+    record.calls.push({ attemptId, kind, sentAtMs, status: response?.status, body: response?.body ?? '', hasReceipt: response?.hasReceipt ?? false })
+  }
+
   /** Submits the batch of a step, waits for its results, ends it and announces the next weight version; then the next step. */
   private async _train (): Promise<void> {
     const { record, nowMs } = this._options
--- a/bench/fleetSoak/soakChecks.ts
+++ b/bench/fleetSoak/soakChecks.ts
@@ -20,6 +20,7 @@
 export function findViolations (record: SoakRecord): string[] {
   return [
     ...mismatchedResponses(record),
+    ...mismatchedSlowReads(record),
     ...repeatedRuns(record),
     ...falseRefusals(record),
     ...lateRequests(record),
@@ -38,6 +39,12 @@
   })
 }
 
+/** A broken-off answer is allowed, one that looks complete has to be. */
+function mismatchedSlowReads ({ slowReads }: SoakRecord): string[] {
+  const complete = slowReads.filter(({ isComplete, status }) => isComplete && status === 200)
+  return complete.flatMap(({ attemptId, body }) => (body === responseTo(attemptId) ? [] : [`${attemptId}: a slow reader got a complete answer that is not its own`]))
+}
+
 function runsOf ({ arrivals }: SoakRecord): Map<string, number> {
   const runs = new Map<string, number>()
   for (const { attemptId, isRun } of arrivals) if (isRun) runs.set(attemptId, (runs.get(attemptId) ?? 0) + 1)
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -24,6 +24,10 @@
 const SLOW_RESPONSE_MS = 250
 const SLOW_RESPONSE_INTERVAL = 5
 const EVENT_GAP_MS = 25
+/** Every seventh response reports that its machine is slowed down. */
+const SLOWED_INTERVAL = 7
+const SLOWED_PERCENT = 250
+const USUAL_PERCENT = 100
 /** A poison request crashes its endpoint this long after it started to run. */
 const CRASH_AFTER_MS = 60
 const LOAD_MS = 250
@@ -204,7 +208,12 @@
   }
 
   private _responseHeaders (attemptId: string): Record<string, string> {
-    return { [WireHeader.AttemptId]: attemptId, [WireHeader.Receipt]: `stamp.${this.options.name}.${attemptId}` }
+    const slowdownPercent = this._responsesCount % SLOWED_INTERVAL === 0 ? SLOWED_PERCENT : USUAL_PERCENT
+    return {
+      [WireHeader.AttemptId]: attemptId,
+      [WireHeader.Receipt]: `stamp.${this.options.name}.${attemptId}`,
+      [WireHeader.Load]: `${this._runningCount},0,${SLOTS_COUNT},${slowdownPercent}`
+    }
   }
 
   private _report (response: ServerResponse): void {
--- a/bench/fleetSoak/soakRecord.ts
+++ b/bench/fleetSoak/soakRecord.ts
@@ -40,6 +40,15 @@
   hasReceipt: boolean
 }
 
+/** A large answer of which nothing was read for a while. */
+export interface SlowRead {
+  attemptId: string
+  /** All bytes that the head announced were read. */
+  isComplete: boolean
+  status: number | undefined
+  body: string
+}
+
 export interface ObservedItem {
   itemId: string
   state: string
@@ -92,6 +101,7 @@
 export interface SoakRecord {
   arrivals: Arrival[]
   calls: ObservedCall[]
+  slowReads: SlowRead[]
   batches: ObservedBatch[]
   leaves: ObservedDeregistration[]
   ends: ObservedCrash[]
@@ -105,12 +115,17 @@
 }
 
 export function emptyRecord (): SoakRecord {
-  return { arrivals: [], calls: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
+  return { arrivals: [], calls: [], slowReads: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
 }
 
+/** Attempt ids of requests with large answers. */
+const LARGE_ID = /^large-/
+const LARGE_RESPONSE_BYTES = 300_000
+
 /** The response body of an endpoint, unique to the request. */
 export function responseTo (attemptId: string): string {
-  return `answer to ${attemptId}`
+  const response = `answer to ${attemptId}`
+  return LARGE_ID.test(attemptId) ? response.padEnd(LARGE_RESPONSE_BYTES, '.') : response
 }
 
 /** Number of events of an item: 3 to 14, with 20 more for one item in ten; deterministic for each item. */
--- a/bench/fleetSoak/soakRun.ts
+++ b/bench/fleetSoak/soakRun.ts
@@ -213,6 +213,8 @@
   private async _disturbEndpoint (fault: PlannedFault): Promise<void> {
     if (fault.kind === FaultKind.Configure) return await this._callers.configure()
     if (fault.kind === FaultKind.PoisonCaller) return await this._callers.repeatPoisonRequest(`deadly-${++this._poisonCallersCount}`, fault.forMs)
+    if (fault.kind === FaultKind.Burst) return await this._callers.press(fault.forMs)
+    if (fault.kind === FaultKind.SlowReaders) return await this._callers.readSlowly(fault.forMs)
     const endpoints = this._availableEndpoints()
     const endpoint = endpoints[fault.number % Math.max(1, endpoints.length)]
     if (!endpoint) return
--- a/tests/fleetSoak/soakChecks.test.ts
+++ b/tests/fleetSoak/soakChecks.test.ts
@@ -93,3 +93,9 @@
   record.disturbances = [{ ...cut, fromMs: 1_500 }]
   t.deepEqual(findViolations(record), [], 'the leader may have been hit after it confirmed')
 })
+
+test('should find a slow reader whose broken-off answer looks complete, and allow one that does not', t => {
+  const broken = { attemptId: 'large-1', status: 200, body: responseTo('large-1').slice(0, 9) }
+  t.deepEqual(findViolations({ ...passingRecord(), slowReads: [{ ...broken, isComplete: false }] }), [])
+  t.is(findViolations({ ...passingRecord(), slowReads: [{ ...broken, isComplete: true }] }).length, 1)
+})
