Count old events of an engine only against older failures

Cause: a run passes on the events that make no whole part when it ends, also when it has stalled. A report that a store host repeats has the same effect, and so have the first events of a run on failures of requests.

Change: a report tells when its last event was received, by the clock of the host that runs the item; the leader converts it with its estimate of that clock. The circuit breakers ignore a success older than their last failure. An answer with an error counts from the start of its run.

Ruled out: dropping the last events of a stalled run (the item would repeat them), and counting the failure of the stalled run (it was in flight when the first failure was recorded, so one disturbance would count twice).

--- a/src/batches/itemExecutor.ts
+++ b/src/batches/itemExecutor.ts
@@ -7,7 +7,8 @@
 import type { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 
-export type ProgressListener = (progress: RunProgress) => void
+/** @param ageMs time since the last event was received; a run passes on the rest of its events when it ends, also one that has stalled */
+export type ProgressListener = (progress: RunProgress, ageMs: number) => void
 
 export interface StartedRun {
   /** The store host that executes the run; absent for this host. */
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -258,9 +258,11 @@
     const { executor, quarantine } = this._options
     const quarantined = quarantine.startRun(this._identity, engine.endpoint)
     let hasStarted = false
-    const run = executor.run(this._request(engine), this.times.abandonAtMs, scope, progress => {
-      if (!hasStarted) this._recordStart(engine)
+    const run = executor.run(this._request(engine), this.times.abandonAtMs, scope, (progress, ageMs) => {
+      const receivedAtMs = this._options.clock.nowMs() - ageMs
+      if (!hasStarted) this._recordStart(engine, receivedAtMs)
       hasStarted = true
+      engine.health.responded(receivedAtMs)
       this._onProgress(progress, engine, scope)
     })
     this._current = { engine, run }
@@ -283,7 +285,6 @@
   private _onProgress ({ lastEventId, gapsMs, parts }: RunProgress, engine: Engine, scope: Scope): void {
     const hadChecksCount = Math.floor(this._lastEventId / MOVE_CHECK_EVENTS_COUNT)
     for (const gapMs of gapsMs) engine.pace.recordGap(gapMs)
-    engine.health.responded()
     this._lastEventId = Math.max(this._lastEventId, lastEventId)
     for (const { afterEventId, part } of parts) this._addPart(afterEventId, part, engine)
     this._outputReplicator.replicateIfEnough(scope)
@@ -304,8 +305,8 @@
   }
 
   /** Records that the engine has sent the first event of a run. */
-  private _recordStart (engine: Engine): void {
-    engine.health.accepted()
+  private _recordStart (engine: Engine, observedAtMs: number): void {
+    engine.health.accepted(observedAtMs)
     this._failures.attribution.accepted(engine.id)
   }
 
--- a/src/batches/localExecutor.ts
+++ b/src/batches/localExecutor.ts
@@ -46,9 +46,10 @@
   }
 
   run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun {
+    const { clock } = this._options
     const run = this.hold(request, abandonAtMs, scope, received => {
       const progress = received.take()
-      if (progress) onProgress(progress)
+      if (progress) onProgress(progress, clock.leaseNowMs() - (progress.lastEventAtMs ?? clock.leaseNowMs()))
     })
     this._runs.add(run)
     const remove = (): void => { this._runs.delete(run) }
@@ -157,7 +158,7 @@
     const gapMs = this._stallDetector.recordEvent()
     const unusable = this._checkVersion(event.version)
     if (unusable) return this._end(unusable)
-    this.received.add(event, gapMs)
+    this.received.add(event, this._options.clock.leaseNowMs(), gapMs)
     this._onEvent(this.received)
   }
 
--- a/src/batches/outputBuffer.ts
+++ b/src/batches/outputBuffer.ts
@@ -24,6 +24,7 @@
 
 export class OutputBuffer {
   private _lastEventId: number
+  private _lastEventAtMs: number | undefined
   private _reportedEventId: number
   private _held: ItemEvent[] = []
   private _parts: RunProgress['parts'] = []
@@ -35,10 +36,14 @@
     this._reportedEventId = afterEventId
   }
 
-  /** @param gapMs time since the previous event; undefined if it does not show the pace of the engine */
-  add (event: ItemEvent, gapMs: number | undefined): void {
+  /**
+   * @param receivedAtMs by the clock of this host
+   * @param gapMs time since the previous event; undefined if it does not show the pace of the engine
+   */
+  add (event: ItemEvent, receivedAtMs: number, gapMs: number | undefined): void {
     this._held.push(event)
     this._lastEventId = event.id
+    this._lastEventAtMs = receivedAtMs
     if (gapMs !== undefined) this._gapsMs.push(gapMs)
     if (this._held.length >= eventsPerPartCount(event.id)) this.completePart()
   }
@@ -60,7 +65,7 @@
   /** Everything since the last call; undefined if nothing was received. */
   take (): RunProgress | undefined {
     if (this._reportedEventId === this._lastEventId && this._parts.length === 0) return undefined
-    const progress = { lastEventId: this._lastEventId, gapsMs: this._gapsMs, parts: this._parts }
+    const progress = { lastEventId: this._lastEventId, lastEventAtMs: this._lastEventAtMs, gapsMs: this._gapsMs, parts: this._parts }
     this._reportedEventId = this._lastEventId
     this._gapsMs = []
     this._parts = []
--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -3,7 +3,7 @@
  * the messages to it. Its reports are matched to the tasks by their ids; whatever it
  * reports on a task that has been given up is ignored.
  */
-import type { RunnerTask, RewardScore, RunOutcome, TaskReport } from '../protocol/runnerTasks.js'
+import type { RunnerTask, RewardScore, RunOutcome, RunProgress, TaskReport } from '../protocol/runnerTasks.js'
 import type { PeerLinks } from '../replication/log/peerLinks.js'
 import { assignTasksMethod, flushTasksMethod, type AssignTasksReply, type TasksReport } from '../transport/runnerMethods.js'
 import type { PeerLink } from '../transport/peerLink.js'
@@ -188,7 +188,7 @@
     if (!task) return false
     switch (report.kind) {
       case 'progress':
-        if (task.kind === 'run') task.onProgress(report.progress)
+        if (task.kind === 'run') task.onProgress(report.progress, this._ageMs(report.progress))
         return true
       case 'ran':
         this._tasks.delete(report.taskId)
@@ -203,6 +203,12 @@
     }
   }
 
+  /** Time since the runner received the last event of a report, which it repeats until this host has received it; at most by the transit time too short. */
+  private _ageMs ({ lastEventAtMs }: RunProgress): number {
+    const runnerNowMs = this._runnerClock.nowMs
+    return runnerNowMs === undefined || lastEventAtMs === undefined ? 0 : Math.max(0, runnerNowMs - lastEventAtMs)
+  }
+
   private _send (task: RunnerTask): void {
     this._outgoing.push(task)
     this._scheduleSend()
--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -26,7 +26,8 @@
     case 'impossible':
       return
     case 'failed':
-      health.responded()
+      // The answer may be reported late; it came after the start of the run.
+      health.responded(startedAtMs)
       failures.note(engine.id, health, startedAtMs, outcome.status)
       return
     case 'notExecuted':
--- a/src/endpoints/circuitBreaker.ts
+++ b/src/endpoints/circuitBreaker.ts
@@ -79,22 +79,27 @@
     if (this.isHalfOpen) this._probeUntilMs = this._clock.nowMs() + PROBE_TIMEOUT_MS
   }
 
-  /** Records a success: takes back one failure; returns true when no failure is left. */
-  recordSuccess (): boolean {
-    if (this._failuresCount === 0) return false
-    if (this._failuresCount === 1) return this.reset()
+  /** Records a success: takes back one failure, unless the failure is newer; returns true when no failure is left. */
+  recordSuccess (observedAtMs: number): boolean {
+    if (!this._isOutdatedAt(observedAtMs)) return false
+    if (this._failuresCount === 1) return this.reset(observedAtMs)
     this._failuresCount--
     this._openUntilMs = Number.NEGATIVE_INFINITY
     this._probeUntilMs = Number.NEGATIVE_INFINITY
     return false
   }
 
-  /** Clears all failures; returns true when there were any. */
-  reset (): boolean {
-    if (this._failuresCount === 0) return false
+  /** Clears all failures, unless the last one is newer than what shows that they are over; returns true when there were any. */
+  reset (observedAtMs: number): boolean {
+    if (!this._isOutdatedAt(observedAtMs)) return false
     this._failuresCount = 0
     this._openUntilMs = Number.NEGATIVE_INFINITY
     this._probeUntilMs = Number.NEGATIVE_INFINITY
     return true
   }
+
+  /** Whether there are failures, the last of them before this time. */
+  private _isOutdatedAt (observedAtMs: number): boolean {
+    return this._failuresCount > 0 && observedAtMs >= this._lastFailureAtMs
+  }
 }
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -48,8 +48,8 @@
   private readonly _connectionBreaker: CircuitBreaker
   /** Counts requests that the endpoint received and failed. */
   private readonly _errorBreaker: CircuitBreaker
-  /** Requests that the endpoint failed since it last accepted a request. */
-  private readonly _requestErrors = new Set<string>()
+  /** Requests that the endpoint failed since it last accepted a request, with the times at which the failures were recorded. */
+  private readonly _requestErrors = new Map<string, number>()
   private _fullUntilMs = Number.NEGATIVE_INFINITY
   private _refusedUntilMs = Number.NEGATIVE_INFINITY
   private _meanMs: number | undefined
@@ -135,15 +135,21 @@
     this.recordLoad(load)
   }
 
-  /** Records any data received from the endpoint: it is reachable and runs requests. */
-  responded (): void {
-    if (this._connectionBreaker.reset()) this._options.onReinstated?.()
+  /**
+   * Records any data received from the endpoint: it is reachable and runs requests.
+   * @param receivedAtMs when the data arrived, which may be long before another host reports it; later failures still count
+   */
+  responded (receivedAtMs = this._clock.nowMs()): void {
+    if (this._connectionBreaker.reset(receivedAtMs)) this._options.onReinstated?.()
   }
 
-  /** Records that the endpoint has started or completed a request without an error. */
-  accepted (): void {
-    this._requestErrors.clear()
-    if (this._errorBreaker.recordSuccess()) this._options.onReinstated?.()
+  /**
+   * Records that the endpoint has started or completed a request without an error.
+   * @param observedAtMs when it did so; later failures still count
+   */
+  accepted (observedAtMs = this._clock.nowMs()): void {
+    for (const [requestKey, failedAtMs] of this._requestErrors) if (failedAtMs <= observedAtMs) this._requestErrors.delete(requestKey)
+    if (this._errorBreaker.recordSuccess(observedAtMs)) this._options.onReinstated?.()
   }
 
   /**
@@ -155,14 +161,14 @@
    */
   failedRequest (requestKey: string, startedAtMs: number): void {
     if (startedAtMs <= this._errorBreaker.lastFailureAtMs) return
-    this._requestErrors.add(requestKey)
+    this._requestErrors.set(requestKey, this._clock.nowMs())
     this._evaluateErrors(startedAtMs)
   }
 
   /** Records that another endpoint served a request which this endpoint had failed: the failure counts twice, unless this endpoint has accepted a request since. */
   servedElsewhere (requestKey: string): void {
     if (this._errorBreaker.isTripped) return
-    this._requestErrors.add(`${requestKey}, served elsewhere`)
+    this._requestErrors.set(`${requestKey}, served elsewhere`, this._clock.nowMs())
     this._evaluateErrors(this._clock.nowMs())
   }
 
--- a/src/protocol/runnerTasks.ts
+++ b/src/protocol/runnerTasks.ts
@@ -73,6 +73,8 @@
 const runProgressSchema = z.object({
   /** Id of the last event received. */
   lastEventId: z.int().min(0),
+  /** When the last event was received, by the clock of the host that runs the item; absent from hosts that do not report it. */
+  lastEventAtMs: z.number().optional(),
   /** Times between two consecutive events. */
   gapsMs: z.array(z.number()),
   /** Events that are complete enough to be stored, with the id of the event that they follow. */
--- a/tests/batches/runners.test.ts
+++ b/tests/batches/runners.test.ts
@@ -25,6 +25,8 @@
 /** The time within which items continue at other hosts after theirs was lost without a word. */
 const LOSS_KNOWN_MS = 900
 const ITEM_IDS = ['i1', 'i2', 'i3', 'i4']
+/** The shortest time after which a run counts as stalled. */
+const MIN_STALL_MS = 400
 const NO_COSTS: WorkCosts = { startMs: 0, eventMs: 0, rewardMs: 0, commitMs: 0, messageMs: 0 }
 
 async function start (t: ExecutionContext, hostsCount = 3): Promise<StoreWorld> {
@@ -260,6 +262,29 @@
   for (const afterEventId of resumedAfterEventIds(world)) t.true(afterEventId >= sentCount - 3, `resumed after event ${afterEventId}`)
 })
 
+// Events of 900 ms ago, passed on at the end of a run that had stalled, were taken for a sign of life of their engine.
+for (const hostsCount of [1, 2]) {
+  test(`should tell how old the last events of a stalled run are, with ${hostsCount} store hosts`, async t => {
+    const world = await start(t, hostsCount)
+    const { clock, endpoints, runnerPool } = world
+    const eventsCount = 20
+    endpoints.onRun = () => ({ eventsCount: EVENTS_COUNT, gapMs: GAP_MS, version: 1, stallsAfterEventId: eventsCount })
+    const scope = new Scope('stalled run')
+    const agesMs = new Map<number, number>()
+    const request = { endpoint: engine('e1', 1), path: '/hints/1', host: 'h', headers: [], body: Buffer.from('i1'), itemId: 'i1', afterEventId: 0, minVersion: 1, isSingleVersion: false }
+    const run = runnerPool?.run(request, Number.POSITIVE_INFINITY, scope, ({ parts }, ageMs) => {
+      for (const { afterEventId } of parts) agesMs.set(afterEventId, ageMs)
+    })
+    const outcome = await clock.advanceUntil(run?.outcome ?? Promise.reject(new Error('no runner pool')))
+    t.is(outcome.kind, 'broken')
+    // The events that make no whole part are held back until the run ends.
+    t.deepEqual([...agesMs.keys()], [0, 16])
+    t.true((agesMs.get(0) ?? Number.NaN) <= GAP_MS, `${agesMs.get(0)} ms`)
+    t.true((agesMs.get(16) ?? Number.NaN) >= MIN_STALL_MS, `${agesMs.get(16)} ms`)
+    scope.close('test over')
+  })
+}
+
 test('should refuse tasks of an earlier term, unless the later leader has not been heard of for seconds', async t => {
   const world = await start(t, 2)
   const { hostId } = world.runners[0] as RunnerHost
--- a/tests/endpoints/endpointHealth.test.ts
+++ b/tests/endpoints/endpointHealth.test.ts
@@ -59,6 +59,34 @@
   t.false(all.health.isHalfOpen)
 })
 
+// A run that had stalled for 900 ms passed on its last events as it ended, which reinstated an engine that another run had just found unreachable.
+test('should not count as an answer what the endpoint sent before it failed', async t => {
+  const all = world()
+  const { clock, health } = all
+  await clock.advance(1)
+  const sentAtMs = clock.nowMs()
+  await fail(all)
+  health.responded(sentAtMs)
+  t.true(health.isSuspect)
+  health.responded(clock.nowMs())
+  t.false(health.isSuspect)
+})
+
+test('should not take back a failure for a request that the endpoint accepted before it', async t => {
+  const { clock, health } = world()
+  await clock.advance(1)
+  const acceptedAtMs = clock.nowMs()
+  await clock.advance(1)
+  health.failedRequest('r1', clock.nowMs())
+  health.accepted(acceptedAtMs)
+  health.failedRequest('r2', clock.nowMs())
+  t.true(health.isSuspect, 'two requests in a row')
+  health.accepted(acceptedAtMs)
+  t.true(health.isFailing)
+  health.accepted(clock.nowMs())
+  t.false(health.isFailing)
+})
+
 test('should be tried again after the shortest ejection when most endpoints of the service fail', async t => {
   const all = world(true)
   for (let round = 0; round < 5; round++) {
