Send the routing configuration packed, once per connection, and not in replies

Versions 26, 28, 30 and 34 follow within 4 s. The copies fill the links of the control hosts, so that calls of followers are not answered within 600 ms. After two such calls a follower replaces the connection, drops the replies in transit and gets a further copy with the first call of the next connection, from each control host: the load never ends. In the trace edge-kurasini-1 replaces its connections to the two other control hosts every 1.5 s from 34.2 s on, after the cut has healed, and stays at version 26 until its restart at 44 s; edge-mbezi-22 comes up at 37.7 s, hears only the control host that had been cut off and puts version 26 into force unconfirmed at 40.78 s.

Change: a configuration is compressed (45 KB for 307 KB with random names, 1.4 ms; encoding took 3.5 ms a copy) and packed once per version. It is pushed, never part of a reply, so that it counts also when the reply comes too late, and is sent once per connection. The reply names the version that a quorum confirmed; the first configuration takes effect when it is at least that. A follower that has the version does not unpack it. A follower says that it takes packed configurations; others get them as before.

Ruled out: processor time at the follower (reading a copy takes 7 ms of a core), a lease that is too long (no host believes itself in touch; it simply never gets the newer version).

--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -6,6 +6,7 @@
  */
 import { UsageTally } from '../../duties/usageTally.js'
 import { fleetUpdateMethod } from '../../transport/fleetMethods.js'
+import { RoutingPacker } from '../../transport/packedRouting.js'
 import { RpcPeer } from '../../transport/rpcPeer.js'
 import type { EndpointLeave } from '../../protocol/endpointLeaves.js'
 import { HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate, type FollowReply, type FollowRequest } from '../../protocol/fleet.js'
@@ -37,6 +38,7 @@
   host: FleetHost
   heardAtMs: number
   routing: RoutingDelivery
+  acceptsPackedRouting: boolean
   /** Address of the control host that pushes the routing configuration to this follower, chosen among these members. */
   pusher: { members: string, address: string | undefined }
   sentStateRevision: number
@@ -60,6 +62,7 @@
   private readonly _options: FollowerSessionsOptions
   private readonly _sessions = new Map<RpcPeer, Session>()
   private readonly _hostChanges = new HostChanges()
+  private readonly _packer = new RoutingPacker()
   private readonly _clocks: HostClocks
   /** Lost hosts by id; a host is removed when it reconnects. */
   private readonly _lost = new Map<string, { host: FleetHost, lostAtMs: number }>()
@@ -106,7 +109,7 @@
   async follow (peer: RpcPeer, request: FollowRequest, progress: Progress): Promise<FollowReply> {
     const { clock } = this._options
     const known = this._sessions.get(peer)
-    const session = known ?? (request.host && this._openSession(peer, request.host))
+    const session = known ?? (request.host && this._openSession(peer, request.host, request.acceptsPackedRouting === true))
     if (!session) return this._refuse(peer)
     if (request.host) this._updateHost(session, request.host)
     const needsFullUpdate = request.host !== undefined
@@ -117,10 +120,18 @@
     const isRoutingConfirmed = needsConfirmation && await this._options.confirm(progress)
     if (needsFullUpdate) this._refreshState()
     const update = this._updateFor(session)
-    const { routing } = this._options.node.state
-    if (routing.routing && session.routing.recordCall(request.routingVersion, routing.version)) update.routing = routing.routing
+    this._sendRoutingIfLacking(session, request.routingVersion, update)
     if (needsFullUpdate) update.endpoints = this._options.directory.all()
-    return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, fleetWallMs: Math.round(this.wallMs()), update }
+    const confirmedRoutingVersion = isRoutingConfirmed ? this._options.node.state.routing.routing?.version : undefined
+    return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, confirmedRoutingVersion, fleetWallMs: Math.round(this.wallMs()), update }
+  }
+
+  /** Pushes the configuration, so that it counts also when the reply comes too late; a follower that takes only replies gets it with the reply. */
+  private _sendRoutingIfLacking (session: Session, knownVersion: number | undefined, reply: FleetUpdate): void {
+    const { routing, version } = this._options.node.state.routing
+    if (!routing || !session.routing.recordCall(knownVersion, version)) return
+    if (session.acceptsPackedRouting) session.peer.notify(fleetUpdateMethod, { packedRouting: this._packer.of(routing) })
+    else reply.routing = routing
   }
 
   private _recordReport (hostId: string, { wallMs, usage }: FollowRequest): void {
@@ -190,8 +201,8 @@
     return { isRoutingConfirmed: false, update: {} }
   }
 
-  private _openSession (peer: RpcPeer, host: FleetHost): Session {
-    const session = { peer, host, heardAtMs: 0, routing: new RoutingDelivery(), pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentQuarantineNumber: 0, sentControlAddresses: '' }
+  private _openSession (peer: RpcPeer, host: FleetHost, acceptsPackedRouting: boolean): Session {
+    const session = { peer, host, heardAtMs: 0, routing: new RoutingDelivery(acceptsPackedRouting), acceptsPackedRouting, pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentQuarantineNumber: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
     this._lost.delete(host.hostId)
     this._hostChanges.set(host)
@@ -262,7 +273,11 @@
     const { routing, version } = this._options.node.state.routing
     if (!routing) return
     const recipients = [...this._sessions.values()].filter(session => this._isPusherOf(session) && session.routing.recordPush(version))
-    RpcPeer.notifyAll(recipients.map(({ peer }) => peer), fleetUpdateMethod, { routing })
+    if (recipients.length === 0) return
+    const packed = recipients.filter(({ acceptsPackedRouting }) => acceptsPackedRouting)
+    const plain = recipients.filter(({ acceptsPackedRouting }) => !acceptsPackedRouting)
+    RpcPeer.notifyAll(packed.map(({ peer }) => peer), fleetUpdateMethod, { packedRouting: this._packer.of(routing) })
+    RpcPeer.notifyAll(plain.map(({ peer }) => peer), fleetUpdateMethod, { routing })
   }
 
   private _isPusherOf (session: Session): boolean {
--- a/src/control/fleet/routingPush.ts
+++ b/src/control/fleet/routingPush.ts
@@ -14,6 +14,11 @@
  * before, the control host that received the call sends that version: 1.5 s after the change at the
  * latest, as followers call twice a second. One call would be too early, because the
  * push may still be in transit.
+ *
+ * What was pushed is not sent again over the same connection, which delivers it for as
+ * long as it lasts. Only a configuration that is part of a reply may be lost without
+ * the connection, when the reply comes too late; such replies go to followers of
+ * earlier builds.
  */
 import { createHash } from 'node:crypto'
 
@@ -31,11 +36,17 @@
 
 /** Tracks which routing version one follower has been sent over one connection. */
 export class RoutingDelivery {
+  private readonly _isPushOnly: boolean
   private _sentVersion = Number.NEGATIVE_INFINITY
   /** The version that the follower has to have at its next call: the one in force two calls before. Infinite at the first call. */
   private _dueVersion = Number.POSITIVE_INFINITY
   private _nextDueVersion = Number.NEGATIVE_INFINITY
 
+  /** @param isPushOnly whether the follower takes configurations from pushes, never from replies */
+  constructor (isPushOnly = false) {
+    this._isPushOnly = isPushOnly
+  }
+
   /** Records a push; returns false if this version, or a newer version, has already been sent. */
   recordPush (version: number): boolean {
     if (version <= this._sentVersion) return false
@@ -46,13 +57,14 @@
   /**
    * Records a call of the follower.
    * @param knownVersion version that the follower has; undefined before its first version
-   * @returns whether the reply has to contain the configuration
+   * @returns whether the configuration has to be sent with the reply
    */
   recordCall (knownVersion: number | undefined, version: number): boolean {
     const isOverdue = knownVersion === undefined || (knownVersion < version && knownVersion < this._dueVersion)
     this._dueVersion = this._nextDueVersion
     this._nextDueVersion = version
-    if (isOverdue) this._sentVersion = version
-    return isOverdue
+    if (!isOverdue || (this._isPushOnly && version <= this._sentVersion)) return false
+    this._sentVersion = version
+    return true
   }
 }
--- a/src/fleet/fleetEvents.ts
+++ b/src/fleet/fleetEvents.ts
@@ -14,7 +14,8 @@
   WeightsNamed = 1107,
   StoreLeaderKnown = 1108,
   StoreLeaderLost = 1109,
-  LeaveBoundShort = 1110
+  LeaveBoundShort = 1110,
+  RoutingUnreadable = 1111
 }
 
 export const fleetEventCatalogue: EventCatalogue = {
@@ -28,5 +29,6 @@
   [FleetEvent.WeightsNamed]: { level: LogLevel.Info, text: 'A newer version of the weights was named for a model.', advice: 'None.' },
   [FleetEvent.StoreLeaderKnown]: { level: LogLevel.Info, text: 'The batch store has a leader, or its leader has changed.', advice: 'None.' },
   [FleetEvent.StoreLeaderLost]: { level: LogLevel.Warn, text: 'No control host knows of a leader of the batch store.', advice: 'A new one is elected within about a second, as long as more than half of the store hosts are up.' },
-  [FleetEvent.LeaveBoundShort]: { level: LogLevel.Warn, text: 'The configured drain time of endpoints is shorter than this host may take to learn of a leave.', advice: 'Raise bounds.drainMs; otherwise a request may reach a leaving endpoint too late when pushes are lost.' }
+  [FleetEvent.LeaveBoundShort]: { level: LogLevel.Warn, text: 'The configured drain time of endpoints is shorter than this host may take to learn of a leave.', advice: 'Raise bounds.drainMs; otherwise a request may reach a leaving endpoint too late when pushes are lost.' },
+  [FleetEvent.RoutingUnreadable]: { level: LogLevel.Error, text: 'A control host sent a routing configuration that this host cannot read; it stays with the version that it has.', advice: 'Check that this host and the control host run the same build.' }
 }
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -3,11 +3,12 @@
  * each. Updates of all control hosts are merged into the view, so that a single control
  * host that is disconnected, slow or outdated does not delay this host.
  */
-import type { FleetHost, FleetUpdate, FollowReply } from '../protocol/fleet.js'
+import type { FleetHost, FleetUpdate, FollowReply, PackedRouting } from '../protocol/fleet.js'
 import type { UsageReport } from '../protocol/usage.js'
 import type { Routing } from '../protocol/routing.js'
 import type { Transport } from '../transport/connection.js'
 import { fleetUpdateMethod, followMethod } from '../transport/fleetMethods.js'
+import { unpackRouting } from '../transport/packedRouting.js'
 import { RpcHandlers, RpcPeer } from '../transport/rpcPeer.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import { ScopeClosedError } from '../utils/errors.js'
@@ -176,7 +177,7 @@
     const { clock, view } = this._options
     const calledAtMs = clock.nowMs()
     const usage = this._usageSince(sentUsage)
-    const request = { host, routingVersion: view.routing?.version, wallMs: clock.wallMs(), usage: usage?.report }
+    const request = { host, routingVersion: view.routing?.version, acceptsPackedRouting: host ? true : undefined, wallMs: clock.wallMs(), usage: usage?.report }
     const outcome = await peer.call(followMethod, request, new Progress(clock, scope, calledAtMs + FOLLOW_TIMEOUT_MS))
     if (outcome.kind !== 'replied') return false
     if (usage) Object.assign(sentUsage, { revision: usage.revision, settledBefore: usage.report.settledBefore })
@@ -203,6 +204,7 @@
     if (followed && reply.controlAddresses) followed.listedAddresses = reply.controlAddresses
     this.follow(followed?.listedAddresses ?? [])
     this._merge(address, reply.update, reply.isRoutingConfirmed)
+    this._acceptFirstRouting(address, reply.confirmedRoutingVersion)
     this._removeUnlistedAddresses()
   }
 
@@ -222,6 +224,25 @@
     view.merge(address, { routing: this._unconfirmed })
   }
 
+  /** Puts the first configuration into effect if it is at least as new as the one that a quorum confirmed; a connection delivers it before the confirmation. */
+  private _acceptFirstRouting (address: string, confirmedVersion: number | undefined): void {
+    const { view } = this._options
+    if (view.routing || !this._unconfirmed || confirmedVersion === undefined) return
+    if (this._unconfirmed.version >= confirmedVersion) view.merge(address, { routing: this._unconfirmed })
+  }
+
+  /** Reads a packed configuration; undefined if this host has it or a newer one already, as the control hosts do not know what the others have sent. */
+  private _unpack (address: string, packed: PackedRouting): Routing | undefined {
+    const known = this._options.view.routing ?? this._unconfirmed
+    if (known && known.version >= packed.version) return undefined
+    try {
+      return unpackRouting(packed)
+    } catch (error) {
+      this._options.logger.event(FleetEvent.RoutingUnreadable, { address, routingVersion: packed.version, reason: (error as Error).message })
+      return undefined
+    }
+  }
+
   private _removeUnlistedAddresses (): void {
     const nowMs = this._options.clock.nowMs()
     for (const [address, { scope, lastListedAtMs }] of this._followed) {
@@ -254,7 +275,8 @@
   private _handlers (address: string): RpcHandlers {
     const handlers = new RpcHandlers()
     handlers.on(fleetUpdateMethod, update => {
-      this._merge(address, update, false)
+      const routing = update.packedRouting ? this._unpack(address, update.packedRouting) : update.routing
+      this._merge(address, { ...update, routing }, false)
       return {}
     })
     return handlers
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -72,13 +72,22 @@
 })
 export type FleetHost = z.infer<typeof fleetHostSchema>
 
+/** A routing configuration in the form that `transport/packedRouting` reads. */
+const packedRoutingSchema = z.object({
+  version: z.int().min(0),
+  deflated: z.instanceof(Uint8Array)
+})
+export type PackedRouting = z.infer<typeof packedRoutingSchema>
+
 /**
  * Absent fields have not changed since the last update on this connection. The
  * first update has the full list of hosts, later ones only changes: a connection
  * delivers updates in order and without loss, and a new one starts over.
  */
 export const fleetUpdateSchema = z.object({
+  /** For followers that do not accept it packed. */
   routing: routingSchema.optional(),
+  packedRouting: packedRoutingSchema.optional(),
   weights: z.array(namedWeightsSchema).optional(),
   storeGroup: storeGroupSchema.optional(),
   retirements: z.array(retirementSchema).optional(),
@@ -102,6 +111,8 @@
   host: fleetHostSchema.optional(),
   /** Version of the routing configuration in effect on the host; absent before the first one. */
   routingVersion: z.int().optional(),
+  /** The follower takes a routing configuration packed, and from updates; in the first call of a connection, absent from earlier builds. */
+  acceptsPackedRouting: z.boolean().optional(),
   /** The follower's time of day, by its own clock. */
   wallMs: z.number().optional(),
   /** Absent if unchanged since the last answered call. */
@@ -114,6 +125,8 @@
   controlAddresses: z.array(z.string()).optional(),
   /** True if a quorum confirmed, after the call started, that no newer routing configuration is in effect. */
   isRoutingConfirmed: z.boolean(),
+  /** The version in effect when a quorum confirmed; a follower may put it or a later one into effect as its first. */
+  confirmedRoutingVersion: z.int().optional(),
   /** The time of day according to most hosts. */
   fleetWallMs: z.number().optional(),
   update: fleetUpdateSchema
--- a/tests/fleet/fleetFollower.test.ts
+++ b/tests/fleet/fleetFollower.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava'
+import { FleetEvent } from '../../src/fleet/fleetEvents.js'
 import { FleetFollower } from '../../src/fleet/fleetFollower.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { HostRole, type FollowReply, type FollowRequest } from '../../src/protocol/fleet.js'
 import { followMethod, fleetUpdateMethod } from '../../src/transport/fleetMethods.js'
+import { packRouting } from '../../src/transport/packedRouting.js'
 import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
 import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
 import { silentLogger } from '../../src/utils/logger.js'
@@ -11,6 +13,10 @@
 import { endpoint, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { VirtualClock } from '../fixtures/virtualClock.js'
 
+const FIRST_CALL_MS = 100
+/** More than the interval of calls. */
+const CALL_MS = 600
+
 interface ControlHost {
   address: string
   peers: RpcPeer[]
@@ -22,6 +28,8 @@
   readonly clock = new VirtualClock()
   readonly network = new MemoryNetwork(this.clock)
   readonly view = new FleetView(silentLogger)
+  /** Numbers of the events that the follower has logged. */
+  readonly events: number[] = []
   private readonly _scope = new Scope('world')
 
   async control (ip: string, reply: Partial<FollowReply>): Promise<ControlHost> {
@@ -41,7 +49,7 @@
     const follower = new FleetFollower({
       clock: this.clock,
       transport: this.network.host('10.0.0.9'),
-      logger: silentLogger,
+      logger: { ...silentLogger, event: number => { this.events.push(number) } },
       supervisor,
       view: this.view,
       seedAddresses,
@@ -113,3 +121,33 @@
   t.true(control.requests.length > requestsCount)
   t.true(control.peers.length > 1)
 })
+
+test('should put a pushed first configuration into force once a quorum has confirmed that version or an earlier one', async t => {
+  const world = new World()
+  const control = await world.control('10.0.0.1', {})
+  world.follow(['10.0.0.1:1'])
+  await world.clock.advance(FIRST_CALL_MS)
+  const pushTo = (version: number): void => { control.peers[0]?.notify(fleetUpdateMethod, { packedRouting: packRouting(routing(version)) }) }
+  pushTo(3)
+  control.reply = { ...control.reply, isRoutingConfirmed: true, confirmedRoutingVersion: 4 }
+  await world.clock.advance(CALL_MS)
+  t.is(world.view.routing, undefined, 'a newer version is in force')
+  pushTo(5)
+  await world.clock.advance(CALL_MS)
+  t.deepEqual(world.view.routing, routing(5))
+  pushTo(4)
+  pushTo(6)
+  await world.clock.advance(CALL_MS)
+  t.deepEqual(world.view.routing, routing(6))
+})
+
+test('should keep its configuration and say so when it cannot read a newer one', async t => {
+  const world = new World()
+  const control = await world.control('10.0.0.1', { isRoutingConfirmed: true, update: { routing: routing(3) } })
+  world.follow(['10.0.0.1:1'])
+  await world.clock.advance(FIRST_CALL_MS)
+  control.peers[0]?.notify(fleetUpdateMethod, { packedRouting: { version: 4, deflated: Buffer.from('not deflated') } })
+  await world.clock.advance(CALL_MS)
+  t.is(world.view.routing?.version, 3)
+  t.true(world.events.includes(FleetEvent.RoutingUnreadable))
+})
--- a/tests/fleet/routingDelivery.test.ts
+++ b/tests/fleet/routingDelivery.test.ts
@@ -25,3 +25,13 @@
   t.false(delivery.recordPush(3), 'the reply has brought it')
   t.true(delivery.recordPush(4))
 })
+
+// On a link that was short of room, each call of a follower got another copy of a configuration that was in transit.
+test('should not send a pushed configuration again over the connection that carries it', t => {
+  const delivery = new RoutingDelivery(true)
+  t.true(delivery.recordCall(undefined, 2), 'the first call of a connection')
+  t.false(delivery.recordCall(undefined, 2))
+  t.false(delivery.recordCall(undefined, 2))
+  t.true(delivery.recordPush(3))
+  for (let call = 0; call < 3; call++) t.false(delivery.recordCall(2, 3))
+})
