Give up a run that has not begun when its engine is found unreachable

At 8,358 ms the leader's own request for a report fails and the engine is ejected, but the item stays there until the host is given up at 9,058 ms, as only the host could end its run.

Change: a run of which no event has arrived is ended by the leader when its engine accepts no connection or sends no report after the run was sent there.

Ruled out: a shorter lease (it has to outlast lost messages and late timers), ending runs for any failure of their engine (one broken stream would move all prompts that wait there).

--- a/src/batches/batchEvents.ts
+++ b/src/batches/batchEvents.ts
@@ -54,7 +54,7 @@
   [BatchEvent.ItemListed]: { level: LogLevel.Info, text: 'The result of an item was proposed for the result list of its batch; the outcome field tells whether it was listed.', advice: 'None.' },
   [BatchEvent.ItemAbandoned]: { level: LogLevel.Warn, text: 'An item was abandoned and gets no further attempt.', advice: 'Check the failed runs of the item (3231), or what its step waited for (3270).' },
   [BatchEvent.ItemReused]: { level: LogLevel.Info, text: 'An item reuses the output or the result that it has from an earlier batch or leader.', advice: 'None.' },
-  [BatchEvent.ItemMoved]: { level: LogLevel.Info, text: 'A run moves to a faster engine.', advice: 'Check the engine that it left if this repeats.' },
+  [BatchEvent.ItemMoved]: { level: LogLevel.Info, text: 'A run moves to another engine: to a faster one, or because its engine was found unreachable before the run began.', advice: 'Check the engine that it left if this repeats.' },
   [BatchEvent.ProgressNotReplicated]: { level: LogLevel.Info, text: 'Events of a run were not written to the replicated state; they are sent again with the next ones.', advice: 'None, unless this repeats: then check whether the quorum is lost.' },
   [BatchEvent.DispatchStarted]: { level: LogLevel.Info, text: 'This host has become the leader of the batch store and runs its items.', advice: 'None.' },
   [BatchEvent.DispatchEnded]: { level: LogLevel.Info, text: 'This host no longer runs items.', advice: 'None.' },
--- a/src/batches/itemExecutor.ts
+++ b/src/batches/itemExecutor.ts
@@ -20,6 +20,8 @@
   readonly outcome: Promise<RunOutcome>
   /** Ends the run with the outcome `moved`. */
   stop (): void
+  /** The same at once, without waiting for what the host of the run has received. */
+  giveUp (): void
 }
 
 export interface ItemExecutor {
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -71,7 +71,7 @@
   private readonly _listing: ResultListing
   private readonly _identity: RequestIdentity
   private readonly _startedAtMs: number
-  private _current: { engine: Engine, run: StartedRun } | undefined
+  private _current: { engine: Engine, run: StartedRun, startedAtMs: number, hasBegun: boolean } | undefined
   /** Id of the last event that an engine has sent; `output` may not have it yet. */
   private _lastEventId: number
 
@@ -139,6 +139,18 @@
     this._current?.run.stop()
   }
 
+  /**
+   * Ends a run whose engine was found unreachable since the run was sent there and that
+   * has not begun: its own timeout would only tell later what is known, and if its host
+   * is lost too, nobody would tell before the lease of the host has ended.
+   */
+  leaveUnreachable (): void {
+    if (!this._current || this._current.hasBegun) return
+    const { engine, run, startedAtMs } = this._current
+    const { unreachableSinceMs } = engine.health
+    if (unreachableSinceMs !== undefined && unreachableSinceMs > startedAtMs) run.giveUp()
+  }
+
   get isStarted (): boolean {
     return this._lastEventId > 0
   }
@@ -257,15 +269,16 @@
   private async _attempt (engine: Engine, scope: Scope): Promise<RunOutcome> {
     const { executor, quarantine } = this._options
     const quarantined = quarantine.startRun(this._identity, engine.endpoint)
-    let hasStarted = false
+    const startedAtMs = this._options.clock.nowMs()
     const run = executor.run(this._request(engine), this.times.abandonAtMs, scope, (progress, ageMs) => {
       const receivedAtMs = this._options.clock.nowMs() - ageMs
-      if (!hasStarted) this._recordStart(engine, receivedAtMs)
-      hasStarted = true
+      if (!current.hasBegun) this._recordStart(engine, receivedAtMs)
+      current.hasBegun = true
       engine.health.responded(receivedAtMs)
       this._onProgress(progress, engine, scope)
     })
-    this._current = { engine, run }
+    const current = { engine, run, startedAtMs, hasBegun: false }
+    this._current = current
     const { runnerId } = run
     this._log(BatchEvent.ItemStarted, { endpointId: engine.id, runnerId, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
     try {
--- a/src/batches/localExecutor.ts
+++ b/src/batches/localExecutor.ts
@@ -128,6 +128,10 @@
     this._end({ kind: 'moved' })
   }
 
+  giveUp (): void {
+    this.stop()
+  }
+
   private async _run (abandonAtMs: number, parent: Scope): Promise<RunOutcome> {
     // Also when the scope closes, so that an output that is continued later has all events.
     const removeCloseListener = parent.onClose(() => this.passOnAll())
--- a/src/batches/runnerPool.ts
+++ b/src/batches/runnerPool.ts
@@ -93,10 +93,10 @@
     const runner = this._runnerFor(request.endpoint)
     if (!runner) return this._runLocally(request, abandonAtMs, scope, onProgress)
     const taskId = this._nextTaskId()
-    const ended = new Promise<RunOutcome>(resolve => {
-      runner.start({ kind: 'run', taskId, abandonInMs: this._remainingMs(abandonAtMs), request }, { kind: 'run', onProgress, settle: resolve })
-    })
-    return { runnerId: runner.hostId, outcome: this._awaitTask(runner, taskId, ended, scope), stop: () => runner.stop(taskId) }
+    let settle: (outcome: RunOutcome) => void = () => {}
+    const ended = new Promise<RunOutcome>(resolve => { settle = resolve })
+    runner.start({ kind: 'run', taskId, abandonInMs: this._remainingMs(abandonAtMs), request }, { kind: 'run', onProgress, settle })
+    return { runnerId: runner.hostId, outcome: this._awaitTask(runner, taskId, ended, scope), stop: () => runner.stop(taskId), giveUp: () => settle({ kind: 'moved' }) }
   }
 
   async score (reward: RewardCall, abandonAtMs: number, scope: Scope): Promise<RewardScore> {
@@ -132,7 +132,7 @@
   private _runLocally (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun {
     const { local, holdsLease } = this._options
     if (holdsLease()) return local.run(request, abandonAtMs, scope, onProgress)
-    return { outcome: Promise.resolve({ kind: 'interrupted', reason: 'the lease on the leadership has ended' }), stop: () => {} }
+    return { outcome: Promise.resolve({ kind: 'interrupted', reason: 'the lease on the leadership has ended' }), stop: () => {}, giveUp: () => {} }
   }
 
   private async _awaitTask<T> (runner: RemoteRunner, taskId: number, ended: Promise<T>, scope: Scope): Promise<T> {
--- a/src/endpoints/endpointHealth.ts
+++ b/src/endpoints/endpointHealth.ts
@@ -50,6 +50,7 @@
   private readonly _errorBreaker: CircuitBreaker
   /** Requests that the endpoint failed since it last accepted a request, with the times at which the failures were recorded. */
   private readonly _requestErrors = new Map<string, number>()
+  private _unreachableSinceMs: number | undefined
   private _fullUntilMs = Number.NEGATIVE_INFINITY
   private _refusedUntilMs = Number.NEGATIVE_INFINITY
   private _meanMs: number | undefined
@@ -90,6 +91,11 @@
     return !this._connectionBreaker.isProbeRunning && !this._errorBreaker.isProbeRunning && !this.isSuspect
   }
 
+  /** When the endpoint last accepted no connection or sent no report, if it has not responded since. */
+  get unreachableSinceMs (): number | undefined {
+    return this._unreachableSinceMs
+  }
+
   get isFull (): boolean {
     return this._clock.nowMs() < this._fullUntilMs
   }
@@ -140,6 +146,7 @@
    * @param receivedAtMs when the data arrived, which may be long before another host reports it; later failures still count
    */
   responded (receivedAtMs = this._clock.nowMs()): void {
+    if (this._unreachableSinceMs !== undefined && receivedAtMs >= this._unreachableSinceMs) this._unreachableSinceMs = undefined
     if (this._connectionBreaker.reset(receivedAtMs)) this._options.onReinstated?.()
   }
 
@@ -197,6 +204,7 @@
 
   /** Records that a call started at `startedAtMs` failed to connect, broke or timed out. */
   failed (reason: FailureReason, startedAtMs: number): void {
+    if (reason === FailureReason.Unreached || reason === FailureReason.NoReport) this._unreachableSinceMs = this._clock.nowMs()
     const forMs = this._connectionBreaker.recordFailure(startedAtMs)
     if (forMs !== undefined) this._options.onEjected?.(reason, forMs, this._connectionBreaker.failuresCount)
   }
--- a/tests/batches/runnerLiveness.test.ts
+++ b/tests/batches/runnerLiveness.test.ts
@@ -3,6 +3,7 @@
  * no tasks, also if that happened while it had none.
  */
 import test, { type ExecutionContext } from 'ava'
+import { FailureReason } from '../../src/endpoints/endpointHealth.js'
 import { submission } from '../fixtures/fleet/batchFixtures.js'
 import type { WorkCosts } from '../fixtures/fleet/billedEndpoints.js'
 import { engine } from '../fixtures/fleet/fleetFixtures.js'
@@ -132,6 +133,35 @@
   t.true(latestMs <= 800, `${latestMs} ms after the messages were lost`)
 })
 
+// After a change of leader, the last item of a step went to an engine that did not answer, and its host was suspended before it could say so: the item waited for the end of the lease, although the leader knew of the engine.
+test('should give up a run that has not begun when its engine is found unreachable, also when its host is lost', async t => {
+  const { world, starts } = await startStore(t, 3)
+  world.stopDispatching()
+  const dispatcher = world.startDispatching()
+  world.endpoints.onRun = ({ attemptId, endpoint: { endpointId } }) => {
+    starts.push({ itemId: attemptId, atMs: world.clock.nowMs() })
+    engineIds.push(endpointId)
+    return { eventsCount: EVENTS_COUNT, gapMs: starts.length === 1 ? LONG_MS : GAP_MS, version: 1 }
+  }
+  const engineIds: string[] = []
+  await world.submit(submission('first', ['i1']))
+  await world.clock.advance(RUN_MS / 4)
+  const [runner] = world.busyRunners()
+  const dead = dispatcher.engines.ofService('engines').find(({ id }) => id === engineIds[0])
+  if (!runner || !dead) return t.fail('no other host runs the item')
+  world.suspend(runner.hostId, LONG_MS)
+  await world.clock.advance(RUN_MS / 4)
+  const foundAtMs = world.clock.nowMs()
+  dead.health.failed(FailureReason.NoReport, foundAtMs)
+  await world.untilListed('first', 1, LONG_MS)
+  t.is(starts.length, 2)
+  t.not(engineIds[1], engineIds[0])
+  const delayMs = (starts[1]?.atMs ?? Number.NaN) - foundAtMs
+  t.true(delayMs <= AT_ONCE_MS, `${delayMs} ms`)
+  t.deepEqual(world.runningCounts(), [0, 0])
+  t.deepEqual(world.failures, [])
+})
+
 test('should ask hosts for answers only while there are steps', async t => {
   const store = await startStore(t, 1 + HOSTS_COUNT, { ...NO_COSTS, messageMs: MESSAGE_MS })
   const { world } = store
