--- a/importBoundaries.js
+++ b/importBoundaries.js
@@ -13,6 +13,7 @@
   fleet: ['utils', 'protocol', 'transport', 'replication'],
   endpoints: ['utils', 'protocol', 'fleet'],
   accounts: ['utils', 'protocol'],
+  balancing: ['utils', 'protocol', 'accounts'],
   duties: ['utils', 'protocol', 'replication'],
   quarantine: ['utils', 'protocol', 'fleet', 'endpoints'],
   gateway: ['utils', 'protocol', 'fleet', 'endpoints', 'quarantine', 'accounts'],
--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -8,7 +8,7 @@
 import { fleetUpdateMethod } from '../../transport/fleetMethods.js'
 import { RpcPeer } from '../../transport/rpcPeer.js'
 import type { EndpointLeave } from '../../protocol/endpointLeaves.js'
-import { HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate, type FollowReply, type FollowRequest } from '../../protocol/fleet.js'
+import { HostRole, type FleetEndpoint, type FleetHost, type FleetUpdate, type FollowReply, type FollowRequest, type HostLoad } from '../../protocol/fleet.js'
 import { sleepUntil, type Clock } from '../../utils/clock.js'
 import { unreachable } from '../../utils/errors.js'
 import type { Logger } from '../../utils/logger.js'
@@ -35,6 +35,8 @@
 interface Session {
   peer: RpcPeer
   host: FleetHost
+  /** Undefined until the follower has reported a load. */
+  load: HostLoad | undefined
   heardAtMs: number
   routing: RoutingDelivery
   /** Address of the control host that pushes the routing configuration to this follower, chosen among these members. */
@@ -109,6 +111,7 @@
     const session = known ?? (request.host && this._openSession(peer, request.host))
     if (!session) return this._refuse(peer)
     if (request.host) this._updateHost(session, request.host)
+    if (request.load) this._updateLoad(session, request.load)
     const needsFullUpdate = request.host !== undefined
     if (needsFullUpdate) resetSent(session)
     session.heardAtMs = clock.nowMs()
@@ -191,7 +194,7 @@
   }
 
   private _openSession (peer: RpcPeer, host: FleetHost): Session {
-    const session = { peer, host, heardAtMs: 0, routing: new RoutingDelivery(), pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentQuarantineNumber: 0, sentControlAddresses: '' }
+    const session = { peer, host, load: undefined, heardAtMs: 0, routing: new RoutingDelivery(), pusher: { members: '', address: undefined }, sentStateRevision: 0, sentLeaveNumber: 0, sentQuarantineNumber: 0, sentControlAddresses: '' }
     this._sessions.set(peer, session)
     this._lost.delete(host.hostId)
     this._hostChanges.set(host)
@@ -213,7 +216,12 @@
   private _updateHost (session: Session, host: FleetHost): void {
     if (JSON.stringify(session.host) === JSON.stringify(host)) return
     session.host = host
-    this._hostChanges.set(host)
+    this._hostChanges.set(describedHost(session))
+  }
+
+  private _updateLoad (session: Session, load: HostLoad): void {
+    session.load = load
+    this._hostChanges.setLoad(session.host.hostId, load)
   }
 
   private _closeSession (peer: RpcPeer): void {
@@ -223,7 +231,7 @@
     const { hostId, hostName } = session.host
     // A host that has already reconnected continues with its newer connection.
     const newer = [...this._sessions.values()].findLast(({ host }) => host.hostId === hostId)
-    if (newer) this._hostChanges.set(newer.host)
+    if (newer) this._hostChanges.set(describedHost(newer))
     else this._recordLostHost(session.host)
     this._options.logger.event(ControlEvent.FollowerLost, { hostId, hostName, reason: peer.connection.scope.closeReason ?? '' })
   }
@@ -313,6 +321,11 @@
   }
 }
 
+/** The description of a follower together with its load. */
+function describedHost ({ host, load }: Session): FleetHost {
+  return load ? { ...host, load } : host
+}
+
 function resetSent (session: Session): void {
   session.sentStateRevision = 0
   session.sentLeaveNumber = 0
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -3,7 +3,7 @@
  * each. Updates of all control hosts are merged into the view, so that a single control
  * host that is disconnected, slow or outdated does not delay this host.
  */
-import type { FleetHost, FleetUpdate, FollowReply } from '../protocol/fleet.js'
+import type { FleetHost, FleetUpdate, FollowReply, HostLoad } from '../protocol/fleet.js'
 import type { UsageReport } from '../protocol/usage.js'
 import type { Routing } from '../protocol/routing.js'
 import type { Transport } from '../transport/connection.js'
@@ -59,6 +59,8 @@
   drainMs?: number
   /** Returns the current description of this host. */
   describe: () => FleetHost
+  /** Returns the current load of this host: the same object until it changes; absent or undefined while nothing is to report. */
+  describeLoad?: () => HostLoad | undefined
   /** Source of the usage of client accounts, if this host counts usage: all counts that changed since a revision. */
   usage?: { reportSince: (revision: number) => { revision: number, report: UsageReport } } | undefined
   onFatal: (error: unknown) => void
@@ -74,10 +76,11 @@
   lastAnsweredCallAtMs: number
 }
 
-/** The state of the usage reports that were sent over a connection. */
-interface SentUsage {
-  revision: number
-  settledBefore: number
+/** The reports that were sent over a connection and answered. */
+interface SentReports {
+  usageRevision: number
+  usageSettledBefore: number
+  load: HostLoad | undefined
 }
 
 export class FleetFollower {
@@ -154,12 +157,12 @@
     let unansweredCount = 0
     /** The description of this host in the last call, if that call was answered. Otherwise the description is sent again, and the control host replies with its complete state. */
     let sentDescription = ''
-    const usage: SentUsage = { revision: 0, settledBefore: Number.NEGATIVE_INFINITY }
+    const sent: SentReports = { usageRevision: 0, usageSettledBefore: Number.NEGATIVE_INFINITY, load: undefined }
     while (!peer.connection.scope.isClosed && unansweredCount < MAX_UNANSWERED_COUNT) {
       const calledAtMs = clock.nowMs()
       const host = this._options.describe()
       const description = JSON.stringify(host)
-      const isAnswered = await this._callOnce(peer, address, scope, description === sentDescription ? undefined : host, usage)
+      const isAnswered = await this._callOnce(peer, address, scope, description === sentDescription ? undefined : host, sent)
       sentDescription = isAnswered ? description : ''
       unansweredCount = isAnswered ? 0 : unansweredCount + 1
       if (isAnswered) await this._hostChanged.wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
@@ -172,23 +175,25 @@
     return waitsForQuorum ? UNCONFIRMED_INTERVAL_MS : FOLLOW_INTERVAL_MS
   }
 
-  private async _callOnce (peer: RpcPeer, address: string, scope: Scope, host: FleetHost | undefined, sentUsage: SentUsage): Promise<boolean> {
+  private async _callOnce (peer: RpcPeer, address: string, scope: Scope, host: FleetHost | undefined, sent: SentReports): Promise<boolean> {
     const { clock, view } = this._options
     const calledAtMs = clock.nowMs()
-    const usage = this._usageSince(sentUsage)
-    const request = { host, routingVersion: view.routing?.version, wallMs: clock.wallMs(), usage: usage?.report }
+    const usage = this._usageSince(sent)
+    const load = this._options.describeLoad?.()
+    const request = { host, ...(load === sent.load ? {} : { load }), routingVersion: view.routing?.version, wallMs: clock.wallMs(), usage: usage?.report }
     const outcome = await peer.call(followMethod, request, new Progress(clock, scope, calledAtMs + FOLLOW_TIMEOUT_MS))
     if (outcome.kind !== 'replied') return false
-    if (usage) Object.assign(sentUsage, { revision: usage.revision, settledBefore: usage.report.settledBefore })
+    if (usage) Object.assign(sent, { usageRevision: usage.revision, usageSettledBefore: usage.report.settledBefore })
+    sent.load = load
     this._recordAnswer(address, calledAtMs, outcome.body.fleetWallMs)
     this._onReply(address, outcome.body)
     return true
   }
 
   /** Returns the usage to report; undefined when everything was already sent over the connection. */
-  private _usageSince ({ revision, settledBefore }: SentUsage): { revision: number, report: UsageReport } | undefined {
-    const usage = this._options.usage?.reportSince(revision)
-    const hasChanged = usage !== undefined && (usage.revision !== revision || usage.report.settledBefore !== settledBefore)
+  private _usageSince ({ usageRevision, usageSettledBefore }: SentReports): { revision: number, report: UsageReport } | undefined {
+    const usage = this._options.usage?.reportSince(usageRevision)
+    const hasChanged = usage !== undefined && (usage.revision !== usageRevision || usage.report.settledBefore !== usageSettledBefore)
     return hasChanged ? usage : undefined
   }
 
--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -21,7 +21,15 @@
     isFirstStart: z.boolean(),
     dataFolder: z.string().min(1).optional(),
     /** Memory limit of each process on the host; a process that exceeds it is killed. */
-    memoryMb: z.number().positive().optional()
+    memoryMb: z.number().positive().optional(),
+    /** The share of a core that the processes of the host get together. */
+    processorShare: z.number().positive().optional(),
+    /** How many times as fast as one core the shared core is. */
+    processorSpeed: z.number().positive().optional(),
+    /** Descriptors that each process may hold: files and connections. */
+    maxDescriptorsCount: z.int().positive().optional(),
+    /** Bandwidth of the host's network link. */
+    linkMbps: z.number().positive().optional()
   }),
   listen: z.strictObject({
     callers: addressSchema.optional(),
--- a/src/fleet/fleetView.ts
+++ b/src/fleet/fleetView.ts
@@ -137,11 +137,13 @@
     for (const { endpointId, sequence } of silent) this._removeSilent(endpointId, sequence)
   }
 
-  private _updateHosts (controlAddress: string, { hosts, changedHosts = [], lostHostIds = [] }: FleetUpdate): void {
-    if (!hosts && changedHosts.length === 0 && lostHostIds.length === 0) return
+  private _updateHosts (controlAddress: string, { hosts, changedHosts = [], lostHostIds = [], hostLoads = [] }: FleetUpdate): void {
+    const changesCount = changedHosts.length + lostHostIds.length + hostLoads.length
+    if (!hosts && changesCount === 0) return
     const known = hosts ? new Map<string, FleetHost>() : this._hosts.get(controlAddress) ?? new Map<string, FleetHost>()
     for (const host of [...hosts ?? [], ...changedHosts]) known.set(host.hostId, host)
     for (const hostId of lostHostIds) known.delete(hostId)
+    setLoads(known, hostLoads)
     this._hosts.set(controlAddress, known)
     this._merged = undefined
     this._logStoreLeader()
@@ -218,6 +220,14 @@
   }
 }
 
+/** Loads of hosts that are not known here are dropped: the description that follows carries them. */
+function setLoads (hosts: Map<string, FleetHost>, hostLoads: NonNullable<FleetUpdate['hostLoads']>): void {
+  for (const { hostId, load } of hostLoads) {
+    const host = hosts.get(hostId)
+    if (host) hosts.set(hostId, { ...host, load })
+  }
+}
+
 /** If several control hosts report a host, the entry with the latest term wins. */
 function mergeHosts (hostsByControlHost: Iterable<Map<string, FleetHost>>): FleetHost[] {
   const merged = new Map<string, FleetHost>()
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -59,6 +59,17 @@
 })
 export type StoreStatus = z.infer<typeof storeStatusSchema>
 
+/** How busy an entry host is; coarse, because each change is passed on to all entry hosts. */
+export const hostLoadSchema = z.object({
+  /** Use of the capacity in sixteenths, of the resource that is shortest; 0 while idle. */
+  useSteps: z.int().min(0),
+  /** Each step takes a twentieth of the callers from a host that can do less than its capacity says. */
+  backOffSteps: z.int().min(0),
+  /** The host should get no new callers; absent if not. */
+  isOverloaded: z.boolean().optional()
+})
+export type HostLoad = z.infer<typeof hostLoadSchema>
+
 export const fleetHostSchema = z.object({
   hostId: z.string(),
   hostName: z.string(),
@@ -68,6 +79,10 @@
   isServing: z.boolean(),
   /** The address to which callers connect; entry hosts only. */
   callerAddress: z.string().optional(),
+  /** What an entry host can carry, in cores; absent if its limits are not known. */
+  capacity: z.number().positive().optional(),
+  /** Absent in the description that a host sends of itself, and while it has reported none. */
+  load: hostLoadSchema.optional(),
   store: storeStatusSchema.optional()
 })
 export type FleetHost = z.infer<typeof fleetHostSchema>
@@ -87,6 +102,8 @@
   /** New and changed hosts. */
   changedHosts: z.array(fleetHostSchema).optional(),
   lostHostIds: z.array(z.string()).optional(),
+  /** Changed loads of known hosts. */
+  hostLoads: z.array(z.object({ hostId: z.string(), load: hostLoadSchema })).optional(),
   endpoints: z.array(fleetEndpointSchema).optional(),
   /** Departures of endpoints recorded since the last update on this connection, in the order of the departure numbers. */
   leaves: z.array(endpointLeaveSchema).optional(),
@@ -100,6 +117,8 @@
 export const followRequestSchema = z.object({
   /** The follower itself; absent if unchanged since the last answered call on this connection. */
   host: fleetHostSchema.optional(),
+  /** Absent if unchanged since the last answered call on this connection. Not part of the description, as a changed description is answered by the full state. */
+  load: hostLoadSchema.optional(),
   /** Version of the routing configuration in effect on the host; absent before the first one. */
   routingVersion: z.int().optional(),
   /** The follower's time of day, by its own clock. */
--- a/src/utils/metricNames.ts
+++ b/src/utils/metricNames.ts
@@ -70,7 +70,9 @@
   MembersLargestLagEntries = 'members.largest_lag_entries',
   BatchesOpen = 'batches.open',
   BatchesHeld = 'batches.held',
-  OutputsUnfinished = 'outputs.unfinished'
+  OutputsUnfinished = 'outputs.unfinished',
+  HostUse = 'host.use',
+  HostBackOffSteps = 'host.back_off_steps'
 }
 
 export interface MetricDescription {
@@ -151,5 +153,7 @@
   [MetricName.MembersLargestLagEntries]: { type: 'gauge', tags: [], text: 'Entries that the voter furthest behind lacks on its disk, as the leader knows it; -1 on a host that does not lead.' },
   [MetricName.BatchesOpen]: { type: 'gauge', tags: [], text: 'Batches held by this replica that their submitters have not ended.' },
   [MetricName.BatchesHeld]: { type: 'gauge', tags: [], text: 'Batches held by this replica, ended ones included.' },
-  [MetricName.OutputsUnfinished]: { type: 'gauge', tags: [], text: 'Items of which this replica holds a part of the output.' }
+  [MetricName.OutputsUnfinished]: { type: 'gauge', tags: [], text: 'Items of which this replica holds a part of the output.' },
+  [MetricName.HostUse]: { type: 'gauge', tags: [], text: 'Share of the capacity of an entry host that was in use over the last second, of the resource that is shortest; absent without limits in the settings.' },
+  [MetricName.HostBackOffSteps]: { type: 'gauge', tags: [], text: 'Steps by which an entry host has itself named less often to callers; each takes a twentieth of them.' }
 }
--- a/src/utils/processorWatch.ts
+++ b/src/utils/processorWatch.ts
@@ -48,11 +48,12 @@
 }
 
 /** Updates the gauges of processor use every second, until the scope closes. */
-export async function watchProcessor (clock: Clock, metrics: Metrics, scope: Scope): Promise<void> {
+export async function watchProcessor (clock: Clock, metrics: Metrics, scope: Scope, onUse: (use: ProcessorUse) => void = () => {}): Promise<void> {
   const meter = new ProcessorMeter(clock)
   await everySecond(clock, scope, () => {
-    const { cores, maxLoopDelayMs } = meter.read()
-    metrics.gauge(MetricName.ProcessorCores, cores)
-    metrics.gauge(MetricName.LoopDelayMs, maxLoopDelayMs)
+    const use = meter.read()
+    metrics.gauge(MetricName.ProcessorCores, use.cores)
+    metrics.gauge(MetricName.LoopDelayMs, use.maxLoopDelayMs)
+    onUse(use)
   })
 }
--- a/tests/fleet/followerSessions.test.ts
+++ b/tests/fleet/followerSessions.test.ts
@@ -7,7 +7,7 @@
 import { FollowerSessions } from '../../src/control/fleet/followerSessions.js'
 import { FleetFollower } from '../../src/fleet/fleetFollower.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
-import { EndpointLifecycle, HostRole } from '../../src/protocol/fleet.js'
+import { EndpointLifecycle, HostRole, type FleetHost, type FollowRequest, type HostLoad } from '../../src/protocol/fleet.js'
 import { followMethod } from '../../src/transport/fleetMethods.js'
 import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
 import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
@@ -43,6 +43,8 @@
   readonly followers: FleetFollower[] = []
   readonly supervisors = new Map<string, Supervisor>()
   messagesCount = 0
+  /** Bytes of the calls of followers, as JSON. */
+  callBytes = 0
   /** Delays of the next confirmations in order; later ones have none. */
   readonly confirmDelaysMs: number[] = []
   readonly sessions: FollowerSessions
@@ -77,14 +79,17 @@
     await this.network.host('10.0.1.1').listen(CONTROL, this.scope, connection => {
       const handlers = new RpcHandlers()
       const peer = new RpcPeer(connection, handlers, error => { throw error })
-      handlers.on(followMethod, (request, remainingMs) => this.sessions.follow(peer, request, new Progress(this.clock, this.scope, this.clock.nowMs() + remainingMs)))
+      handlers.on(followMethod, async (request, remainingMs) => {
+        this._countCall(request)
+        return await this.sessions.follow(peer, request, new Progress(this.clock, this.scope, this.clock.nowMs() + remainingMs))
+      })
       this.sessions.watch(peer)
     })
     const supervisor = new Supervisor(this.scope, (_task, error) => { throw error })
     supervisor.spawn('review', scope => this.sessions.review(scope))
   }
 
-  follow (number: number, role: HostRole): FleetView {
+  follow (number: number, role: HostRole, changes: Partial<FleetHost> = {}, describeLoad?: () => HostLoad | undefined): FleetView {
     const hostId = `10.0.0.${number}`
     const view = new FleetView(silentLogger)
     const supervisor = new Supervisor(this.scope.child(hostId), (_task, error) => { throw error })
@@ -96,7 +101,8 @@
       supervisor,
       view,
       seedAddresses: [CONTROL],
-      describe: () => ({ hostId, hostName: hostId, dataCentre: 'north', role, isServing: true, store }),
+      describe: () => ({ hostId, hostName: hostId, dataCentre: 'north', role, isServing: true, store, ...changes }),
+      ...(describeLoad ? { describeLoad } : {}),
       onFatal: error => { throw error }
     })
     follower.start()
@@ -106,6 +112,11 @@
     return view
   }
 
+  /** Times of day differ from call to call, also in length. */
+  private _countCall (request: FollowRequest): void {
+    this.callBytes += JSON.stringify({ ...request, wallMs: 0 }).length
+  }
+
   private _count (): number {
     this.messagesCount++
     return LINK_DELAY_MS
@@ -216,3 +227,72 @@
   await world.clock.advance(10)
   t.deepEqual(view.ready().map(({ endpointId }) => endpointId), ['e1@2000'])
 })
+
+const LOST_WITHIN_MS = 3_000
+
+test('should tell entry hosts of a changed load, and hosts that connect later, but no store host', async t => {
+  const world = new World()
+  await world.start()
+  const reported: { load?: HostLoad } = {}
+  world.follow(1, HostRole.Entry, { capacity: 0.3 }, () => reported.load)
+  const entry = world.follow(2, HostRole.Entry)
+  const store = world.follow(3, HostRole.Store)
+  await world.clock.advance(SETTLE_MS)
+  const loadIn = (view: FleetView): HostLoad | undefined => view.hosts(HostRole.Entry).find(({ hostId }) => hostId === '10.0.0.1')?.load
+  t.is(loadIn(entry), undefined)
+  reported.load = { useSteps: 12, backOffSteps: 3 }
+  await world.clock.advance(SETTLE_MS)
+  t.deepEqual(loadIn(entry), reported.load)
+  t.deepEqual(loadIn(world.follow(4, HostRole.Entry)), undefined)
+  await world.clock.advance(SETTLE_MS)
+  t.deepEqual(loadIn(world.views.get('10.0.0.4')!), reported.load)
+  t.deepEqual(store.hosts(HostRole.Entry), [])
+})
+
+test('should not send the whole state again because a load changes', async t => {
+  const world = new World()
+  await world.start()
+  let load: HostLoad = { useSteps: 4, backOffSteps: 0 }
+  const view = world.follow(1, HostRole.Entry, {}, () => load)
+  await world.clock.advance(SETTLE_MS)
+  let endpointsSentCount = 0
+  const merge = view.merge.bind(view)
+  view.merge = (address, update) => {
+    if (update.endpoints || update.routing || update.hosts) endpointsSentCount++
+    merge(address, update)
+  }
+  load = { useSteps: 9, backOffSteps: 1 }
+  await world.clock.advance(SETTLE_MS)
+  t.is(endpointsSentCount, 0)
+  t.is(view.hosts(HostRole.Entry)[0]?.load?.useSteps, 9)
+})
+
+test('should cost an idle host with known limits not a byte more than one without, after its first call', async t => {
+  const bytesOf = async (changes: Partial<FleetHost>, describeLoad?: () => HostLoad | undefined): Promise<{ callBytes: number, messagesCount: number }> => {
+    const world = new World()
+    await world.start()
+    for (let number = 1; number <= 10; number++) world.follow(number, HostRole.Entry, changes, describeLoad)
+    await world.clock.advance(SETTLE_MS)
+    Object.assign(world, { callBytes: 0, messagesCount: 0 })
+    await world.clock.advance(10 * SETTLE_MS)
+    return { callBytes: world.callBytes, messagesCount: world.messagesCount }
+  }
+  const before = await bytesOf({})
+  t.true(before.callBytes > 0)
+  t.deepEqual(await bytesOf({ capacity: 0.3 }, () => undefined), before)
+})
+
+for (const kind of ['frozen', 'cut off'] as const) {
+  test(`should forget an entry host that is ${kind} within three seconds`, async t => {
+    const world = new World()
+    await world.start()
+    const view = world.follow(1, HostRole.Entry)
+    world.follow(2, HostRole.Entry)
+    await world.clock.advance(SETTLE_MS)
+    t.is(hostsKnown(view), 2)
+    if (kind === 'frozen') world.network.cutOneWay('10.0.0.2', '10.0.1.1')
+    else world.network.cut('10.0.0.2', '10.0.1.1')
+    await world.clock.advance(LOST_WITHIN_MS)
+    t.deepEqual(view.hosts(HostRole.Entry).map(({ hostId }) => hostId), ['10.0.0.1'])
+  })
+}
