Load weights on engines that are slower by nature

Cause: the planner of loads left out every engine that was at least twice as slow as the fastest one, meant for engines that are slowed down. Where a quarter of the engines is at 0.55 of the usual time per event and the others at 1.2 the ratio is 2.18: three quarters got no new weights whenever a fast one was idle, and the fast ones ran nearly everything.

Change: an engine is measured by its own baseline as far as that is within three times the fastest. An engine that is slowed down, or three times slower by nature, is left out as before.

Ruled out: leaving the ratio and raising it to three, which would give weights to engines that are slowed down by two to three times.

--- a/src/batches/weightPlanner.ts
+++ b/src/batches/weightPlanner.ts
@@ -25,6 +25,8 @@
   acceptsOrders: boolean
   /** Expected time between two events of a run. */
   gapMs: number
+  /** The same while nothing slows the engine down; undefined until observed. */
+  baselineGapMs?: number | undefined
   slotsCount: number
   freeSlotsCount: number
   /** The version of a model that is loaded on the engine, or will be loaded after the weight load in progress. */
@@ -81,8 +83,10 @@
 const ROOM_IN_STEPS = 1.5
 /** Engines beyond those that the work needs, so that the loss of one leaves enough slots. */
 const SPARE_ENGINES_COUNT = 1
-/** An engine this many times slower than the fastest finishes no long sample in time. */
+/** An engine this many times slower than the fastest, or than its own nature, finishes no long sample in time. */
 const TOO_SLOW_RATIO = 2
+/** An engine that is slower than the fastest by nature still runs shorter samples, up to this ratio. */
+const MAX_NATURE_RATIO = 3
 /** Cost of each other model on an engine, in units of relative slowness: models on one engine share its slots but do not lengthen its time per event, so two other models cost less than an engine that is slower by 1.3. */
 const SHARING_COST = 0.1
 /** Cost of an engine without a free slot, in units of relative slowness: slots become free within a second, while a long time per event lasts. */
@@ -96,7 +100,7 @@
 export function nextLoad (engines: readonly PlannedEngine[], models: readonly PlannedModel[], capacity: LoadCapacity): PlannedLoad | undefined {
   const usable = usableEngines(engines)
   const fastestMs = Math.min(...usable.map(({ gapMs }) => gapMs))
-  const fastEnough = usable.filter(({ gapMs }) => gapMs < TOO_SLOW_RATIO * fastestMs)
+  const fastEnough = usable.filter(engine => engine.gapMs < TOO_SLOW_RATIO * natureOf(engine, fastestMs))
   const sizes = setSizes(fastEnough, models, capacity)
   const needs = models.map((model, position) => loadNeedOf(model, sizes[position] ?? 0, fastEnough)).filter(need => need !== undefined)
   needs.sort((left, right) => rankOf(left.reason) - rankOf(right.reason) || left.coverage - right.coverage || priorityOf(left) - priorityOf(right))
@@ -107,6 +111,11 @@
   return undefined
 }
 
+/** Time per event that an engine is measured by: its own while it is slower by nature. */
+function natureOf ({ baselineGapMs = 0 }: PlannedEngine, fastestMs: number): number {
+  return baselineGapMs <= MAX_NATURE_RATIO * fastestMs ? Math.max(fastestMs, baselineGapMs) : fastestMs
+}
+
 /** Available engines that are not failing; all available engines if all of them fail. */
 function usableEngines (engines: readonly PlannedEngine[]): PlannedEngine[] {
   const available = engines.filter(({ isAvailable }) => isAvailable)
--- a/src/batches/weightRollout.ts
+++ b/src/batches/weightRollout.ts
@@ -120,6 +120,7 @@
       isAvailable: !engine.health.isSuspect && engine.endpoint.lifecycle === EndpointLifecycle.Ready,
       acceptsOrders: engine.load === undefined && this._mayOrder(engine),
       gapMs: engine.pace.expectedGapMs ?? ASSUMED_TOKEN_MS * tokensPerEvent,
+      baselineGapMs: engine.pace.baselineGapMs,
       slotsCount: engine.endpoint.slotsCount,
       freeSlotsCount: engine.freeSlotsCount,
       versionOf: model => (engine.load?.model === model ? engine.load.version : engine.version(model))
--- a/tests/batches/weightPlanner.test.ts
+++ b/tests/batches/weightPlanner.test.ts
@@ -117,6 +117,17 @@
   t.deepEqual(loads.map(({ engineId }) => engineId), ['fast', 'slow'])
 })
 
+// Engines that are 2.2 times slower than the fastest ones by nature, three quarters of all, got no weights, so that the others ran nearly everything.
+test('should load engines that are slower by nature, but none that is slowed down', t => {
+  const fast = engineNamed('fast', { gapMs: 25, baselineGapMs: 25, versions: { a: 3 } })
+  const slow = engineNamed('slow', { gapMs: 55, baselineGapMs: 55, versions: { a: 3 } })
+  const slowed = engineNamed('slowed', { gapMs: 120, baselineGapMs: 55, versions: { a: 3 } })
+  const crawling = engineNamed('crawling', { gapMs: 140, baselineGapMs: 140, versions: { a: 3 } })
+  const models = [modelNamed('a', { namedVersion: 5, neededVersion: 4, stepItemsCount: 108 })]
+  const loads = loadsUntilNoneNeeded([crawling, slowed, slow, fast], models)
+  t.deepEqual(loads.map(({ engineId }) => engineId), ['fast', 'slow'])
+})
+
 test('should spread models over engines rather than concentrate them on one', t => {
   const engines = [engineNamed('shared', { versions: { a: 3, b: 5, c: 5 } }), engineNamed('own', { versions: { a: 3, b: 3, c: 3 } })]
   const models = ['a', 'b', 'c'].map(model => modelNamed(model, { namedVersion: 5, neededVersion: 4, stepItemsCount: model === 'a' ? 48 : 1 }))
