Plan whole groups when engines are short

Under shortage every group of a step got a little and none was whole in time: items were sorted by slack alone, and wantedGroupsCount was read by nobody.

Runs of surplus groups are stopped while waited-for items find all engines full; their events are kept. With room enough the order is that of before.

--- a/src/batchScheduling/schedulableItem.ts
+++ b/src/batchScheduling/schedulableItem.ts
@@ -20,6 +20,8 @@
 export interface SchedulableBatch {
   readonly batchId: string
   readonly submission: SubmissionHead
+  /** Number of groups of its items; undefined if it was stored without it. */
+  readonly groupsCount: number | undefined
 }
 
 /** An item that is not listed yet: waiting for a slot, running or being scored. */
@@ -31,6 +33,8 @@
   readonly engine: Engine | undefined
   /** Number of events that were generated so far. */
   readonly generatedCount: number
+  /** Whether all its output exists, so that the item needs no engine any more. */
+  readonly isGenerated: boolean
   /** Whether the item may not use all engines that other items of its batch may use. */
   readonly isRestricted: boolean
   /** Whether the item has failed at an engine, which is then only used if no other engine fits. */
--- a/src/batchScheduling/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -9,6 +9,7 @@
 import type { Scope } from '../utils/scope.js'
 import { AssignmentRound, tokensPerEvent, type Placement } from './assignmentRound.js'
 import type { Engine, EngineFleet } from './engineFleet.js'
+import { GroupScheduling, type BatchPlan } from './groupScheduling.js'
 import { ASSUMED_TOKEN_MS, compareWaiting, expectedEventsCount, fastestEngine, gainPerEventMs, movingGainMs, type RunEstimate, type WaitingItem } from './itemOrder.js'
 import type { ModelDemand } from './modelDemand.js'
 import type { SchedulableItem } from './schedulableItem.js'
@@ -30,6 +31,8 @@
   runs: ReadonlySet<SchedulableItem>
   /** Called at each turn in which runs may start, with its delay. */
   onTurn: (latenessMs: number, waitingCount: number) => void
+  /** Called with each new plan of the groups of the open batches. */
+  onPlan?: (plans: readonly BatchPlan[]) => void
   /** The service at which an item runs; undefined while its route is unknown. */
   placementOf: (run: SchedulableItem) => Placement | undefined
 }
@@ -47,6 +50,9 @@
   private readonly _reserved = new Map<SchedulableItem, Engine>()
   /** Items that were moved off an engine before its removal. */
   private readonly _movedBeforeRemoval = new WeakSet<SchedulableItem>()
+  private readonly _groups: GroupScheduling
+  /** Runs that were stopped for waiting items and have not ended yet. */
+  private readonly _stopping = new Set<SchedulableItem>()
   private _waiting: WaitingRun[] = []
   private _isSorted = true
   private _isPaused = false
@@ -54,6 +60,8 @@
   constructor (options: SlotAssignmentOptions) {
     this._options = options
     this._pacing = new StartPacing(options.clock)
+    const { clock, engines, runs, placementOf, onPlan } = options
+    this._groups = new GroupScheduling({ clock, engines, runs, placementOf, onPlan })
   }
 
   /** Whether the processor of this host is overloaded. */
@@ -67,6 +75,7 @@
       await sleepUntil(this._options.clock, scope, this._pacing.dueAtMs)
       this._options.onTurn(this._pacing.beginTurn(), this._waiting.length)
       this.assign()
+      this._stopSurplusRuns()
     }
   }
 
@@ -92,6 +101,7 @@
   assignAfter (addItems: () => void): void {
     this._isPaused = true
     addItems()
+    this._groups.batchAdded()
     this._isPaused = false
     this.assign()
   }
@@ -188,28 +198,50 @@
       deferrableSlotsOf: (service, candidates) => this._deferrableSlotsOf(service, candidates)
     })
     const remaining: WaitingRun[] = []
-    for (const waiting of this._sortedWaiting()) {
+    const sorted = this._sortedWaiting()
+    const queue = this._groups.queueOf(sorted)
+    for (let position = 0; position < sorted.length; position++) {
+      const waiting = (queue ? queue.next() : sorted[position]) as WaitingRun
       const engine = this._pacing.mayStart ? round.engineFor(waiting.run, nowMs - waiting.sinceMs) : undefined
       if (!engine) {
         remaining.push(waiting)
         continue
       }
       this._pacing.recordStart()
+      queue?.recordStart()
       engine.addRun(tokensOf(waiting.run))
       waiting.resolve(engine)
     }
     this._waiting = remaining
   }
 
-  /** Waiting items in order. The sort keys of items do not change while the items wait, so the list is sorted only after items were added. */
+  /** Waiting items in order. The sort keys of items do not change while the items wait, so the list is sorted only after items were added or the plan of their groups has changed. */
   private _sortedWaiting (): WaitingRun[] {
-    if (this._isSorted) return this._waiting
+    const isPlanChanged = this._groups.refresh()
+    if (this._isSorted && !isPlanChanged) return this._waiting
     const keyed = this._waiting.map(waiting => ({ waiting, key: sortKeyOf(waiting.run) }))
-    keyed.sort((left, right) => compareWaiting(left.key, right.key, ASSUMED_TOKEN_MS))
+    keyed.sort((left, right) => this._groups.compareGroups(left.waiting.run, right.waiting.run) || compareWaiting(left.key, right.key, ASSUMED_TOKEN_MS))
     this._isSorted = true
     return keyed.map(({ waiting }) => waiting)
   }
 
+  /** Stops runs of groups that no trainer waits for, while items that are waited for find all engines full. */
+  private _stopSurplusRuns (): void {
+    for (const run of this._stopping) if (!run.engine) this._stopping.delete(run)
+    if (this._waiting.length === 0 || this.isOverloaded) return
+    const candidates = this._groups.runsGivingWay().filter(run => !this._stopping.has(run))
+    if (candidates.length === 0) return
+    const wanting = this._waiting.filter(({ run }) => !this._groups.isSurplus(run)).slice(this._stopping.size)
+    for (const { run } of wanting) {
+      const stopped = candidates.findIndex(({ engine }) => engine !== undefined && this._fits(run, engine) && engine.acceptsRuns(run.item.model))
+      if (stopped < 0 || this.waitReasonOf(run) !== WaitReason.NoSlot) return
+      for (const surplus of candidates.splice(stopped, 1)) {
+        this._stopping.add(surplus)
+        surplus.move()
+      }
+    }
+  }
+
   /**
    * Gives a free slot to the run on a slower engine that gains most by moving, ahead of
    * waiting items, which get the slot that the run leaves. The longest samples
--- a/src/batches/batch.ts
+++ b/src/batches/batch.ts
@@ -5,7 +5,7 @@
  * keeps only its results.
  */
 import { ResultState, type BatchItem, type BatchSubmission, type ItemResult, type SubmissionHead } from '../protocol/batches.js'
-import { heldBytesOfHead, heldBytesOfItem, heldBytesOfResult } from './heldBytes.js'
+import { heldBytesOfHead, heldBytesOfIds, heldBytesOfItem, heldBytesOfResult } from './heldBytes.js'
 
 /** A batch that its submitter never ends expires after this many times its retention time. */
 const MAX_OPEN_FACTOR = 2
@@ -24,12 +24,18 @@
   rewardIds: (string | undefined)[]
   /** Sum of the tokens that the submitter expected of the completed items. */
   completedTokensCount: number
+  /** Number of groups of all items; absent in snapshots that were written without it. */
+  groupsCount?: number | undefined
+  /** Items of an ended batch without a result; absent in snapshots that were written without it. */
+  unlistedItemIds?: string[]
 }
 
 export class Batch {
   readonly submission: SubmissionHead
   /** Wall clock time of the leader when the leader accepted the batch. */
   readonly acceptedAtMs: number
+  /** Number of groups of all items; undefined if the batch comes from a snapshot without it. */
+  readonly groupsCount: number | undefined
   private readonly _keepMs: number
   private readonly _openItems: Map<string, BatchItem>
   private readonly _results: ItemResult[]
@@ -39,8 +45,10 @@
   private _itemsBytes = 0
   private _resultsBytes = 0
   private _completedTokensCount: number
+  /** Items that had no result when the batch ended; they may return in a later batch. */
+  private _unlistedItemIds: Set<string>
 
-  constructor ({ submission, acceptedAtMs, keepMs, isEnded, openItems, results, rewardIds, completedTokensCount }: BatchRecord) {
+  constructor ({ submission, acceptedAtMs, keepMs, isEnded, openItems, results, rewardIds, completedTokensCount, groupsCount, unlistedItemIds = [] }: BatchRecord) {
     this.submission = submission
     this.acceptedAtMs = acceptedAtMs
     this._keepMs = keepMs
@@ -50,13 +58,16 @@
     this._rewardIds = [...rewardIds]
     this._listed = new Set(results.map(({ itemId }) => itemId))
     this._completedTokensCount = completedTokensCount
+    this.groupsCount = groupsCount
+    this._unlistedItemIds = new Set(unlistedItemIds)
+    this._itemsBytes = heldBytesOfIds(unlistedItemIds)
     for (const item of this._openItems.values()) this._itemsBytes += heldBytesOfItem(item)
     for (const [position, result] of results.entries()) this._resultsBytes += heldBytesOfResult(result, rewardIds[position])
   }
 
   static accepted ({ items, ...head }: BatchSubmission, acceptedAtMs: number, keepMs: number): Batch {
     const submission = { ...head, itemsCount: items.length }
-    return new Batch({ submission, acceptedAtMs, keepMs, isEnded: false, openItems: items.map(withCopiedBodies), results: [], rewardIds: [], completedTokensCount: 0 })
+    return new Batch({ submission, acceptedAtMs, keepMs, isEnded: false, openItems: items.map(withCopiedBodies), results: [], rewardIds: [], completedTokensCount: 0, groupsCount: new Set(items.map(({ groupId }) => groupId)).size })
   }
 
   get batchId (): string {
@@ -100,6 +111,11 @@
     return this._openItems.get(itemId)
   }
 
+  /** Whether the batch ended before the item had a result. */
+  hasUnlisted (itemId: string): boolean {
+    return this._unlistedItemIds.has(itemId)
+  }
+
   openItems (): BatchItem[] {
     return [...this._openItems.values()]
   }
@@ -132,9 +148,11 @@
   }
 
   end (): void {
+    if (this._isEnded) return
     this._isEnded = true
+    this._unlistedItemIds = new Set(this._openItems.keys())
+    this._itemsBytes = heldBytesOfIds(this._unlistedItemIds)
     this._openItems.clear()
-    this._itemsBytes = 0
   }
 
   /** Retention time, counted from the acceptance. */
@@ -156,7 +174,9 @@
       openItems: this.openItems(),
       results: [...this._results],
       rewardIds: [...this._rewardIds],
-      completedTokensCount: this._completedTokensCount
+      completedTokensCount: this._completedTokensCount,
+      ...(this.groupsCount === undefined ? {} : { groupsCount: this.groupsCount }),
+      ...(this._unlistedItemIds.size === 0 ? {} : { unlistedItemIds: [...this._unlistedItemIds] })
     }
   }
 }
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -242,7 +242,7 @@
       enginesCount: run => this.engines.ofService(this._placements.placementOf(run)?.service ?? '').length,
       routeOf
     }
-    const run = new ItemRun(options, batch, item, times, this._carriedOverOutputOf(batch, item), this._seenItemKeys.has(keyOf(batch, item)))
+    const run = new ItemRun(options, batch, item, times, this._carriedOverOutputOf(batch, item), this._isCarriedOver(batch, item))
     this._seenItemKeys.add(keyOf(batch, item))
     const completed = this._completedResultOf(batch, item)
     this._runs.add(run)
@@ -256,6 +256,10 @@
     })
   }
 
+  private _isCarriedOver (batch: Batch, item: BatchItem): boolean {
+    return this._seenItemKeys.has(keyOf(batch, item)) || this._options.state.isCarriedOver(item.itemId, batch.submission.account)
+  }
+
   /** The completed result of the same item in an earlier batch, if its versions are new enough for this batch. */
   private _completedResultOf (batch: Batch, item: BatchItem): ItemResult | undefined {
     const completed = this._options.state.completedResult(item, batch.submission.account)
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -139,6 +139,12 @@
     return [...this._batches.values()].filter(batch => !batch.isEnded)
   }
 
+  /** Whether an ended batch of the account lacks a result of the item, which thus returns in a later batch. */
+  isCarriedOver (itemId: string, account?: string): boolean {
+    for (const batch of this._batches.values()) if (batch.submission.account === account && batch.hasUnlisted(itemId)) return true
+    return false
+  }
+
   /** The completed result of an item with the same reward call in any batch of the account that is still stored. */
   completedResult ({ itemId, reward }: BatchItem, account?: string): ItemResult | undefined {
     const completed = this._completed.get(itemKeyOf(account, itemId))
--- a/src/batches/heldBytes.ts
+++ b/src/batches/heldBytes.ts
@@ -27,6 +27,11 @@
   return RESULT_OVERHEAD_BYTES + textBytes([itemId, state, score ?? '', rewardId ?? '']) + heldBytesOfParts(parts)
 }
 
+/** Items without a result of a batch that has ended. */
+export function heldBytesOfIds (itemIds: Iterable<string>): number {
+  return textBytes([...itemIds])
+}
+
 /** Stored output of an item that is not listed yet. */
 export function heldBytesOfUnfinished (itemId: string, parts: readonly OutputPart[]): number {
   return RESULT_OVERHEAD_BYTES + itemId.length + heldBytesOfParts(parts)
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -142,6 +142,11 @@
     return this._lastEventId > 0
   }
 
+  /** Whether all its output exists, so that the item needs no engine any more. */
+  get isGenerated (): boolean {
+    return this.stage === ItemStage.Scoring || this.stage === ItemStage.Committing
+  }
+
   /** Number of events that were generated so far. */
   get generatedCount (): number {
     return this._lastEventId
