End runs at unreachable engines through the interface of scheduling

The turn in which slots are assigned asks each item to leave an engine that was found unreachable; the scheduling folder knows items by their interface.

--- a/src/batchScheduling/schedulableItem.ts
+++ b/src/batchScheduling/schedulableItem.ts
@@ -43,4 +43,6 @@
   mayRunOn: (engine: Engine) => boolean
   /** Ends the run at the present engine, so that the item continues at another engine. */
   move: () => void
+  /** Ends a run that has not begun if its engine was found unreachable since the run was sent there. */
+  leaveUnreachable: () => void
 }
--- a/src/batchScheduling/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -74,7 +74,7 @@
     for (;;) {
       await sleepUntil(this._options.clock, scope, this._pacing.dueAtMs)
       this._options.onTurn(this._pacing.beginTurn(), this._waiting.length)
-      for (const itemRun of this._options.runs) itemRun.leaveUnreachable()
+      for (const run of this._options.runs) run.leaveUnreachable()
       this.assign()
       this._stopSurplusRuns()
     }
