Wait longer for a control host that may know a newer configuration

In the trace the two control hosts of the quorum accepted its connections, and only their replies came too late; the one that had been cut off answered with version 26, which went into force at 40.78 s although 34 was accepted at 29.3.

Change: while a control host has accepted a connection within the last 3 s and answered nothing yet, the wait is 8 s. Hosts that refuse connections or do not answer at all leave it at 3 s, as before.

Ruled out: never accepting an unconfirmed configuration (a fleet that lost the quorum for good could not start again), and asking for a majority of answers (a host beside the smaller part of a cut could not start).

--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -45,6 +45,8 @@
 export const LEAVE_KNOWN_WITHIN_MS = 150 + FOLLOW_INTERVAL_MS + FOLLOW_TIMEOUT_MS
 /** A host that has waited this long for a confirmed routing configuration accepts an unconfirmed one: without a quorum, none will be confirmed. */
 const ACCEPT_UNCONFIRMED_AFTER_MS = 3_000
+/** The same while a control host that has not answered yet accepts connections. It may be frozen; if it is only slow, it most likely knows a newer configuration than the hosts that answered. */
+const ACCEPT_OUTDATED_AFTER_MS = 8_000
 /** A control host that has been in no list of members for this long is no longer followed. */
 const FORGET_ADDRESS_AFTER_MS = 30_000
 
@@ -73,6 +75,7 @@
   listedAddresses: string[]
   /** When the latest answered call was made. */
   lastAnsweredCallAtMs: number
+  lastConnectedAtMs: number
 }
 
 /** The state of the usage reports that were sent over a connection. */
@@ -132,7 +135,7 @@
   private _startFollowing (address: string): void {
     const { supervisor, clock } = this._options
     const scope = supervisor.spawn(`control host ${address}`, taskScope => this._run(address, taskScope))
-    this._followed.set(address, { scope, lastListedAtMs: clock.nowMs(), listedAddresses: [], lastAnsweredCallAtMs: Number.NEGATIVE_INFINITY })
+    this._followed.set(address, { scope, lastListedAtMs: clock.nowMs(), listedAddresses: [], lastAnsweredCallAtMs: Number.NEGATIVE_INFINITY, lastConnectedAtMs: Number.NEGATIVE_INFINITY })
   }
 
   private async _run (address: string, scope: Scope): Promise<void> {
@@ -141,6 +144,7 @@
       const peer = await this._connect(address, scope)
       if (peer) {
         logger.event(FleetEvent.ControlHostFollowed, { address })
+        this._recordConnected(address)
         await this._followOver(peer, address, scope)
         view.removeHostsOf(address)
         logger.event(FleetEvent.ControlHostLost, { address, reason: peer.connection.scope.closeReason ?? '' })
@@ -193,6 +197,11 @@
     return hasChanged ? usage : undefined
   }
 
+  private _recordConnected (address: string): void {
+    const followed = this._followed.get(address)
+    if (followed) followed.lastConnectedAtMs = this._options.clock.nowMs()
+  }
+
   private _recordAnswer (address: string, calledAtMs: number, fleetWallMs: number | undefined): void {
     const followed = this._followed.get(address)
     if (followed) followed.lastAnsweredCallAtMs = calledAtMs
@@ -210,7 +219,7 @@
 
   /** The first routing configuration must be confirmed by a quorum; later configurations replace it only if they are newer. */
   private _merge (address: string, update: FleetUpdate, isRoutingConfirmed: boolean): void {
-    const { view, clock, logger } = this._options
+    const { view, logger } = this._options
     const isFirst = view.routing === undefined
     if (update.routing && isFirst && !isRoutingConfirmed) {
       this._unconfirmed = newer(this._unconfirmed, update.routing)
@@ -218,12 +227,21 @@
     } else {
       view.merge(address, update)
     }
-    const waitedTooLong = clock.nowMs() - this._startedAtMs > ACCEPT_UNCONFIRMED_AFTER_MS
-    if (view.routing || !this._unconfirmed || !waitedTooLong) return
+    if (view.routing || !this._unconfirmed || !this._hasWaitedLong()) return
     logger.event(FleetEvent.RoutingUnconfirmed, { routingVersion: this._unconfirmed.version })
     view.merge(address, { routing: this._unconfirmed })
   }
 
+  /** Whether this host has waited long enough for a confirmed configuration. */
+  private _hasWaitedLong (): boolean {
+    const nowMs = this._options.clock.nowMs()
+    const waitedMs = nowMs - this._startedAtMs
+    const mayLearnMore = [...this._followed.values()].some(({ lastConnectedAtMs, lastAnsweredCallAtMs }) => (
+      lastAnsweredCallAtMs === Number.NEGATIVE_INFINITY && nowMs - lastConnectedAtMs <= ACCEPT_UNCONFIRMED_AFTER_MS
+    ))
+    return waitedMs > (mayLearnMore ? ACCEPT_OUTDATED_AFTER_MS : ACCEPT_UNCONFIRMED_AFTER_MS)
+  }
+
   /** Puts the first configuration into effect if it is at least as new as the one that a quorum confirmed; a connection delivers it before the confirmation. */
   private _acceptFirstRouting (address: string, confirmedVersion: number | undefined): void {
     const { view } = this._options
--- a/tests/fleet/fleetFollower.test.ts
+++ b/tests/fleet/fleetFollower.test.ts
@@ -16,12 +16,20 @@
 const FIRST_CALL_MS = 100
 /** More than the interval of calls. */
 const CALL_MS = 600
+/** More than the time after which an unconfirmed configuration is accepted when no other may be known. */
+const UNCONFIRMED_MS = 4_000
+/** The same while a control host is connected that does not answer. */
+const OUTDATED_MS = 8_500
+/** Two calls without an answer, a pause and a call. */
+const RECONNECT_MS = 1_500
 
 interface ControlHost {
   address: string
   peers: RpcPeer[]
   requests: FollowRequest[]
   reply: FollowReply
+  /** False while it accepts connections and calls but sends no replies. */
+  answers: boolean
 }
 
 class World {
@@ -34,11 +42,11 @@
 
   async control (ip: string, reply: Partial<FollowReply>): Promise<ControlHost> {
     const address = `${ip}:1`
-    const host: ControlHost = { address, peers: [], requests: [], reply: { controlAddresses: [address], isRoutingConfirmed: false, update: {}, ...reply } }
+    const host: ControlHost = { address, peers: [], requests: [], reply: { controlAddresses: [address], isRoutingConfirmed: false, update: {}, ...reply }, answers: true }
     const handlers = new RpcHandlers()
     handlers.on(followMethod, request => {
       host.requests.push(request)
-      return host.reply
+      return host.answers ? host.reply : new Promise<FollowReply>(() => {})
     })
     await this.network.host(ip).listen(address, this._scope, connection => { host.peers.push(new RpcPeer(connection, handlers, () => {})) })
     return host
@@ -151,3 +159,27 @@
   t.is(world.view.routing?.version, 3)
   t.true(world.events.includes(FleetEvent.RoutingUnreadable))
 })
+
+// A host that started heard only the control host that had been cut off, as the replies of the others came too late: after 3 s it put a configuration of 14 s before into force.
+test('should wait longer for a control host that accepts connections before it accepts an unconfirmed configuration', async t => {
+  const world = new World()
+  const outdated = await world.control('10.0.0.1', { update: { routing: routing(3) } })
+  const slow = await world.control('10.0.0.2', { update: { routing: routing(5) } })
+  slow.answers = false
+  world.follow([outdated.address, slow.address])
+  await world.clock.advance(UNCONFIRMED_MS)
+  t.is(world.view.routing, undefined)
+  slow.answers = true
+  await world.clock.advance(RECONNECT_MS)
+  t.is(world.view.routing?.version, 5)
+})
+
+test('should accept an unconfirmed configuration after a longer wait for a control host that never answers', async t => {
+  const world = new World()
+  const outdated = await world.control('10.0.0.1', { update: { routing: routing(3) } })
+  const frozen = await world.control('10.0.0.2', {})
+  frozen.answers = false
+  world.follow([outdated.address, frozen.address])
+  await world.clock.advance(OUTDATED_MS)
+  t.is(world.view.routing?.version, 3)
+})
