Bound what an entry host takes on, by its own limits

Cause: a host had no bound on requests in progress, on bytes held for callers or on connections, and shed nothing when its processor, link or memory were short.

Change: HostGuard (without network) decides on each request after its caller is admitted and before its body is read; refusals say 503, Retry-After, not run. Shedding goes by priority, the least urgent first. Large answers are written in pieces, callers that take nothing are broken off. The shortest resource is what the host reports of its use. Without limits in the settings there is no guard.

Ruled out: a queue before the bound; bounds by remote address.

--- a/src/protocol/refusals.ts
+++ b/src/protocol/refusals.ts
@@ -27,6 +27,8 @@
   AnswerLost = 'answer_lost',
   HostStopping = 'host_stopping',
   HostNotReady = 'host_not_ready',
+  /** The host is short of a resource of its own. */
+  HostOverloaded = 'host_overloaded',
   LeaseLost = 'lease_lost',
   ControlUnavailable = 'control_unavailable',
   SessionFenced = 'session_fenced',
@@ -88,6 +90,7 @@
   [RefusalReason.AnswerLost]: 502,
   [RefusalReason.HostStopping]: 503,
   [RefusalReason.HostNotReady]: 503,
+  [RefusalReason.HostOverloaded]: 503,
   [RefusalReason.LeaseLost]: 503,
   [RefusalReason.ControlUnavailable]: 503,
   [RefusalReason.SessionFenced]: 409,
--- a/src/utils/metricNames.ts
+++ b/src/utils/metricNames.ts
@@ -72,7 +72,12 @@
   BatchesHeld = 'batches.held',
   OutputsUnfinished = 'outputs.unfinished',
   HostUse = 'host.use',
-  HostBackOffSteps = 'host.back_off_steps'
+  HostBackOffSteps = 'host.back_off_steps',
+  HostRequests = 'host.requests',
+  HostHeldBytes = 'host.held_bytes',
+  HostShedDepth = 'host.shed_depth',
+  HostShed = 'host.shed',
+  SlowReaderBrokenOff = 'slow_reader.broken_off'
 }
 
 export interface MetricDescription {
@@ -155,5 +160,10 @@
   [MetricName.BatchesHeld]: { type: 'gauge', tags: [], text: 'Batches held by this replica, ended ones included.' },
   [MetricName.OutputsUnfinished]: { type: 'gauge', tags: [], text: 'Items of which this replica holds a part of the output.' },
   [MetricName.HostUse]: { type: 'gauge', tags: [], text: 'Share of the capacity of an entry host that was in use over the last second, of the resource that is shortest; absent without limits in the settings.' },
-  [MetricName.HostBackOffSteps]: { type: 'gauge', tags: [], text: 'Steps by which an entry host has itself named less often to callers; each takes a twentieth of them.' }
+  [MetricName.HostBackOffSteps]: { type: 'gauge', tags: [], text: 'Steps by which an entry host has itself named less often to callers; each takes a twentieth of them.' },
+  [MetricName.HostRequests]: { type: 'gauge', tags: [], text: 'Requests in progress on an entry host with limits.' },
+  [MetricName.HostHeldBytes]: { type: 'gauge', tags: [], text: 'Bytes of request bodies and of answers not yet taken that an entry host with limits holds.' },
+  [MetricName.HostShedDepth]: { type: 'gauge', tags: [], text: 'Ranks of priority that an entry host sheds, the least urgent first; 0 while it is short of nothing.' },
+  [MetricName.HostShed]: { type: 'counter', tags: ['resource'], text: 'Requests refused before their body was read because the host was short of a resource.' },
+  [MetricName.SlowReaderBrokenOff]: { type: 'counter', tags: [], text: 'Answers broken off because their callers did not take them.' }
 }
