Decide once on which kind of engine an item starts

Cause: items started on whatever engine was free, and each run that found a faster one free was cut to move there, also between engines that differ by nature and when its step gained nothing from it. Momentary slowness counted as lasting.

Change: engines are grouped by baseline (engineKinds). Each step gets thresholds once (stepPlacement): an item starts on the slowest kind on which it ends, even if it becomes longer than its hint, while the longest item of its step still runs on the fastest kind. A run moves only if it holds its step up by 300 ms, at most three times, and not for slowness of less than a second (movePolicy). Among equally busy engines that which has run an item of the group is preferred. Engines of one kind are chosen between as before. The rest of an item is forecast from its hint, its events and the spread that was seen (lengthForecast).

--- a/src/batchScheduling/assignmentRound.ts
+++ b/src/batchScheduling/assignmentRound.ts
@@ -5,22 +5,29 @@
  * event loop of the store leader for longer than the heartbeat timeout, so that
  * it lost its leadership at every step.
  */
-import type { ModelEngine } from '../protocol/routing.js'
+import { CandidateSet, type Candidate, type Tier } from './candidateSet.js'
 import type { Engine } from './engineFleet.js'
-import { ASSUMED_TOKEN_MS, eventCostMs, loadOf, shouldWaitForFaster, type EngineLoad } from './itemOrder.js'
+import { KIND_RATIO, type EngineKind } from './engineKinds.js'
+import { ASSUMED_TOKEN_MS, shouldWaitForFaster } from './itemOrder.js'
+import { tokensPerEvent, type Placement } from './placement.js'
 import type { SchedulableBatch, SchedulableItem } from './schedulableItem.js'
 import { deferrableUntilMs } from './slotSharing.js'
-
-/** The service at which an item runs. */
-export interface Placement {
-  service: string
-  modelEngine: ModelEngine | undefined
-}
-
-/** An engine whose weights are new enough, with its load at the start of the round. */
-interface Candidate extends EngineLoad {
-  /** Another run may start while the engine has fewer runs than this. */
-  maxRunsCount: number
+import type { StartingKind } from './stepPlacement.js'
+
+/** Runs by which an engine of the item's group may exceed the least busy one of its kind, for an item that has time. */
+const MAX_FURTHER_RUNS_COUNT = 1
+
+/** Longest wait for a slot of an item's kind while a slower engine is free: an engine of full slots frees one more often, and weights take as long to load. */
+const MAX_KIND_WAIT_MS = 1_500
+
+/** Where engines differ by nature: what placement by kind rests on. */
+export interface KindChoice {
+  /** The kinds of a service's engines, fastest first. */
+  kindsOf: (service: string) => readonly EngineKind[]
+  /** The kind on which an item starts; undefined while all engines are of one kind. */
+  startingKindOf: (run: SchedulableItem) => StartingKind | undefined
+  /** The engines that have run items of the same group. */
+  enginesOfGroup: (run: SchedulableItem) => readonly Engine[]
 }
 
 export interface AssignmentRoundOptions {
@@ -29,20 +36,14 @@
   enginesOf: (service: string) => Engine[]
   /** Runs of an engine up to which deferrable items may start there. */
   deferrableSlotsOf: (service: string, engines: Engine[]) => number
+  /** Absent where engines count as of one kind. */
+  kindChoice?: KindChoice
 }
 
-/** The engines that items of a batch may use at one service; shared by all items of the batch without restrictions of their own. */
-interface CandidateSet {
-  placement: Placement
-  candidates: Candidate[]
-  /** No engine has a free slot. Slots are only taken during a round, so this never changes back. */
-  isFull: boolean
-  /** No engine has a slot that a deferrable item may take. */
-  isFullForDeferrable: boolean
-  /** The cheapest candidate by run limit; cleared after a slot is assigned. */
-  cheapest: Map<number | undefined, Candidate | undefined>
-  /** Value of the round's `_assignedCount` when `cheapest` was last filled. */
-  assignedCountAtComparison: number
+interface KindRequest {
+  kind: StartingKind
+  isDeferrable: boolean
+  waitedMs: number
 }
 
 export class AssignmentRound {
@@ -71,26 +72,79 @@
     const candidateSet = run.isRestricted ? this._restrictedCandidatesFor(run) : this._candidatesFor(run)
     if (!candidateSet || candidateSet.isFull) return undefined
     const isDeferrable = this._isDeferrable(run, candidateSet.placement)
+    const kind = candidateSet.tiers.length > 0 ? this._options.kindChoice?.startingKindOf(run) : undefined
+    return kind ? this._chooseByKind(run, candidateSet, { kind, isDeferrable, waitedMs }) : this._chooseByLoad(run, candidateSet, isDeferrable, waitedMs)
+  }
+
+  /** Chooses among engines of one kind. */
+  private _chooseByLoad (run: SchedulableItem, candidateSet: CandidateSet, isDeferrable: boolean, waitedMs: number): Engine | undefined {
     if (isDeferrable && candidateSet.isFullForDeferrable) return undefined
-    const free = this._cheapest(candidateSet, isDeferrable ? this._deferrableSlotsOf(candidateSet) : Number.POSITIVE_INFINITY)
+    const free = this._cheapest(candidateSet, candidateSet.whole, isDeferrable ? this._deferrableSlotsOf(candidateSet) : Number.POSITIVE_INFINITY)
     if (!free) {
       candidateSet.isFullForDeferrable = true
       candidateSet.isFull ||= !isDeferrable
       return undefined
     }
-    const best = this._cheapest(candidateSet, undefined) ?? free
+    const best = this._cheapest(candidateSet, candidateSet.whole, undefined) ?? free
     if (best === free) return free.engine
-    const remainingEventsCount = run.remainingTokensCount / tokensPerEvent(candidateSet.placement)
+    const remainingEventsCount = remainingEventsCountOf(run, candidateSet)
     return shouldWaitForFaster({ freeGapMs: free.gapMs, fullGapMs: best.gapMs, remainingEventsCount, waitedMs }) ? undefined : free.engine
   }
 
+  /**
+   * Tries the kind on which the item starts, then faster ones, then slower ones. An item
+   * that can wait leaves half of a faster engine to those that need it.
+   */
+  private _chooseByKind (run: SchedulableItem, candidateSet: CandidateSet, { kind, isDeferrable, waitedMs }: KindRequest): Engine | undefined {
+    const { tiers } = candidateSet
+    const isSuitable = ({ gapMs }: Tier): boolean => gapMs <= KIND_RATIO * kind.gapMs
+    const isNeeded = ({ gapMs }: Tier): boolean => kind.neededGapMs < kind.gapMs && gapMs <= KIND_RATIO * kind.neededGapMs
+    const suitable = tiers.filter(isSuitable).reverse()
+    const ownSlotsCount = isDeferrable ? this._deferrableSlotsOf(candidateSet) : Number.POSITIVE_INFINITY
+    const choices = [
+      ...suitable.filter(isNeeded).map(tier => ({ tier, slotsCount: halfOf(tier) })),
+      ...suitable.map((tier, position) => ({ tier, slotsCount: position > 0 && isDeferrable ? halfOf(tier) : ownSlotsCount }))
+    ]
+    for (const { tier, slotsCount } of choices) {
+      const free = this._cheapest(candidateSet, tier, slotsCount)
+      if (free) return this._withGroup(run, candidateSet, { tier, slotsCount, isDeferrable }, free).engine
+    }
+    for (const tier of tiers.filter(other => !isSuitable(other))) {
+      const free = this._cheapest(candidateSet, tier, ownSlotsCount)
+      if (!free) continue
+      return this._waitsForKind(run, candidateSet, { startingGapMs: kind.gapMs, freeGapMs: tier.gapMs, waitedMs }) ? undefined : free.engine
+    }
+    candidateSet.isFull = this._cheapest(candidateSet, candidateSet.whole, Number.POSITIVE_INFINITY) === undefined
+    return undefined
+  }
+
+  /** Whether an item waits for its kind although a slower engine is free: for as long as it would lose there, within a bound. */
+  private _waitsForKind (run: SchedulableItem, candidateSet: CandidateSet, { startingGapMs, freeGapMs, waitedMs }: { startingGapMs: number, freeGapMs: number, waitedMs: number }): boolean {
+    const isExpected = candidateSet.tiers.some(({ gapMs }) => gapMs <= KIND_RATIO * startingGapMs) || this._isBeingLoaded(run, candidateSet, startingGapMs)
+    if (!isExpected || waitedMs >= MAX_KIND_WAIT_MS) return false
+    return shouldWaitForFaster({ freeGapMs, fullGapMs: startingGapMs, remainingEventsCount: remainingEventsCountOf(run, candidateSet), waitedMs })
+  }
+
+  /** Whether an engine of an item's kind is about to have its weights. */
+  private _isBeingLoaded ({ item, batch }: SchedulableItem, { placement }: CandidateSet, startingGapMs: number): boolean {
+    const kinds = this._options.kindChoice?.kindsOf(placement.service) ?? []
+    const suitable = kinds.filter(({ gapMs }) => gapMs <= KIND_RATIO * startingGapMs).flatMap(({ engines }) => engines)
+    return suitable.some(({ load }) => load?.model === item.model && load.version >= batch.submission.minVersion)
+  }
+
+  /** Prefers an engine that has the prompt of the item's group, where that costs the step nothing. */
+  private _withGroup (run: SchedulableItem, candidateSet: CandidateSet, { tier, slotsCount, isDeferrable }: { tier: Tier, slotsCount: number, isDeferrable: boolean }, cheapest: Candidate): Candidate {
+    const engines = this._options.kindChoice?.enginesOfGroup(run) ?? []
+    return candidateSet.preferred(engines, cheapest, tier, slotsCount, isDeferrable ? MAX_FURTHER_RUNS_COUNT : 0)
+  }
+
   /** Candidates for an item with restrictions of its own; engines at which the item has failed only count when there is no other engine. */
   private _restrictedCandidatesFor (run: SchedulableItem): CandidateSet | undefined {
     const shared = this._candidatesFor(run)
     if (!shared) return undefined
-    const allowed = shared.candidates.filter(({ engine }) => run.mayRunOn(engine))
-    const untried = allowed.filter(({ engine }) => !run.avoids(engine))
-    return candidateSetOf(shared.placement, untried.length > 0 ? untried : allowed, this._assignedCount)
+    const allowed = shared.filter(engine => run.mayRunOn(engine))
+    const untried = allowed.filter(engine => !run.avoids(engine))
+    return untried.engines.length > 0 ? untried : allowed
   }
 
   private _candidatesFor (run: SchedulableItem): CandidateSet | undefined {
@@ -102,20 +156,14 @@
     const existing = candidateSets.get(placement.service)
     if (existing) return existing
     const { minVersion } = batch.submission
-    const candidates = this._options.enginesOf(placement.service).filter(engine => engine.acceptsRuns(item.model) && engine.version(item.model) >= minVersion)
-    const candidateSet = candidateSetOf(placement, candidates.map(engine => candidateOf(engine, placement)), this._assignedCount)
+    const engines = this._options.enginesOf(placement.service).filter(engine => engine.acceptsRuns(item.model) && engine.version(item.model) >= minVersion)
+    const candidateSet = CandidateSet.of(placement, engines, this._options.kindChoice?.kindsOf(placement.service) ?? [])
     candidateSets.set(placement.service, candidateSet)
     return candidateSet
   }
 
-  /** Compares the engines again only after a slot was taken, since hundreds of items may wait for a faster engine than the free one. */
-  private _cheapest (candidateSet: CandidateSet, maxRunsCount: number | undefined): Candidate | undefined {
-    if (candidateSet.assignedCountAtComparison !== this._assignedCount) {
-      candidateSet.cheapest.clear()
-      candidateSet.assignedCountAtComparison = this._assignedCount
-    }
-    if (!candidateSet.cheapest.has(maxRunsCount)) candidateSet.cheapest.set(maxRunsCount, cheapest(candidateSet.candidates, maxRunsCount))
-    return candidateSet.cheapest.get(maxRunsCount)
+  private _cheapest (candidateSet: CandidateSet, tier: Tier, maxRunsCount: number | undefined): Candidate | undefined {
+    return candidateSet.cheapest(tier, maxRunsCount, this._assignedCount)
   }
 
   private _isDeferrable (run: SchedulableItem, placement: Placement): boolean {
@@ -126,43 +174,21 @@
     return this._options.nowMs < deferrableUntilMs(item, ASSUMED_TOKEN_MS * tokensPerEvent(placement))
   }
 
-  private _deferrableSlotsOf ({ placement, candidates }: CandidateSet): number {
+  private _deferrableSlotsOf ({ placement, engines }: CandidateSet): number {
     let slotsCount = this._deferrableSlots.get(placement.service)
     if (slotsCount === undefined) {
-      slotsCount = this._options.deferrableSlotsOf(placement.service, candidates.map(({ engine }) => engine))
+      slotsCount = this._options.deferrableSlotsOf(placement.service, engines)
       this._deferrableSlots.set(placement.service, slotsCount)
     }
     return slotsCount
   }
 }
 
-export function tokensPerEvent ({ modelEngine }: Placement): number {
-  return modelEngine?.tokensPerEvent ?? 1
+function remainingEventsCountOf (run: SchedulableItem, { placement }: CandidateSet): number {
+  return run.remainingTokensCount / tokensPerEvent(placement)
 }
 
-function candidateSetOf (placement: Placement, candidates: Candidate[], assignedCountAtComparison: number): CandidateSet {
-  return { placement, candidates, isFull: false, isFullForDeferrable: false, cheapest: new Map(), assignedCountAtComparison }
-}
-
-function candidateOf (engine: Engine, placement: Placement): Candidate {
-  const load = loadOf(engine, ASSUMED_TOKEN_MS * tokensPerEvent(placement), placement.modelEngine?.kvCapacityTokens ?? Number.POSITIVE_INFINITY)
-  // An engine that may still be slow gets a single run as a probe. One that had failed gets the next as soon as it has begun the last.
-  return { ...load, maxRunsCount: engine.pace.needsProbe ? 1 : engine.endpoint.slotsCount }
-}
-
-/** @param maxRunsCount considers engines with fewer runs than this; undefined also considers full engines */
-function cheapest (candidates: readonly Candidate[], maxRunsCount: number | undefined): Candidate | undefined {
-  let best: Candidate | undefined
-  let lowestCostMs = Number.POSITIVE_INFINITY
-  for (const candidate of candidates) {
-    const { engine } = candidate
-    if (maxRunsCount !== undefined && engine.runningCount >= Math.min(maxRunsCount, candidate.maxRunsCount)) continue
-    // A probing engine accepts one run at a time and may have got that run earlier in this round.
-    if (candidate.isUncertain && !engine.health.isAvailable) continue
-    const costMs = eventCostMs(candidate)
-    if (costMs >= lowestCostMs) continue
-    best = candidate
-    lowestCostMs = costMs
-  }
-  return best
+/** Half of the slots of a tier's engines. */
+function halfOf ({ candidates }: Tier): number {
+  return Math.floor(Math.max(...candidates.map(({ engine }) => engine.endpoint.slotsCount)) / 2)
 }
--- a/src/batchScheduling/enginePace.ts
+++ b/src/batchScheduling/enginePace.ts
@@ -28,6 +28,12 @@
 
 /** An engine this many times slower than its baseline is slowed down. A full batch alone makes an engine 1.13 times slower (37 and 42 ms for an event). */
 const SLOWED_RATIO = 1.3
+/** Weight of a new gap in the mean that tells whether the engine is slow at the moment: about seven gaps, a round of its runs. */
+const RECENT_GAP_WEIGHT = 0.25
+/** Slowness shorter than this is momentary: programs that share the machine slow it for some hundred milliseconds, which costs a run less than a move. */
+const MOMENT_MS = 1_000
+/** How much a full batch alone slows an engine down, at most. */
+const LOAD_RATIO = 1.15
 
 interface Bucket {
   endsAtMs: number
@@ -45,6 +51,9 @@
   /** Mean gap of each kept bucket, oldest first. */
   private readonly _bucketMeansMs: number[] = []
   private _baselineMs: number | undefined
+  /** Mean of the last few gaps. */
+  private _recentMs: number | undefined
+  private _slowedSinceMs: number | undefined
 
   constructor (clock: Clock) {
     this._clock = clock
@@ -59,6 +68,7 @@
     this._currentMs = this._currentMs === undefined ? gapMs : this._currentMs + weight * (gapMs - this._currentMs)
     this._updatedAtMs = this._clock.nowMs()
     this._addToBucket(gapMs)
+    this._recordSlowness(gapMs)
   }
 
   /** Current mean time between two events of a run; undefined without enough recent events. */
@@ -72,6 +82,18 @@
     return this._baselineMs
   }
 
+  /** Whether the engine has been slower than its baseline for longer than a moment. */
+  get isSlowed (): boolean {
+    return this._slowedSinceMs !== undefined && !this._isCurrentExpired() && this._clock.nowMs() - this._slowedSinceMs >= MOMENT_MS
+  }
+
+  /** The time per event that is expected to last: momentary slowness is left out. */
+  get lastingGapMs (): number | undefined {
+    const currentMs = this.currentGapMs
+    if (currentMs === undefined || this._baselineMs === undefined) return currentMs ?? this._baselineMs
+    return this.isSlowed ? currentMs : Math.min(currentMs, LOAD_RATIO * this._baselineMs)
+  }
+
   /** Best estimate for the next run; undefined before the first event. */
   get expectedGapMs (): number | undefined {
     return this.currentGapMs ?? this._baselineMs ?? this._currentMs
@@ -90,6 +112,12 @@
     return this._clock.nowMs() - this._updatedAtMs >= CURRENT_PACE_TTL_MS
   }
 
+  private _recordSlowness (gapMs: number): void {
+    this._recentMs = this._currentGapsCount === 1 || this._recentMs === undefined ? gapMs : this._recentMs + RECENT_GAP_WEIGHT * (gapMs - this._recentMs)
+    const isSlow = this._baselineMs !== undefined && this._recentMs > SLOWED_RATIO * this._baselineMs
+    this._slowedSinceMs = isSlow ? this._slowedSinceMs ?? this._clock.nowMs() : undefined
+  }
+
   private _addToBucket (gapMs: number): void {
     const nowMs = this._clock.nowMs()
     if (this._bucket && nowMs >= this._bucket.endsAtMs) this._closeBucket(this._bucket)
--- a/src/batchScheduling/itemOrder.ts
+++ b/src/batchScheduling/itemOrder.ts
@@ -128,7 +128,7 @@
 /** A run leaves an engine that is slower than another by this ratio. Engines of one kind differ by less, even when one is full and the other empty (42 and 37 ms), so no run moves back and forth between them. */
 const MOVE_RATIO = 1.22
 /** A run that gains less than this stays: a move processes the prompt and the generated text again, which takes about 20 ms, and loses an event in transit. */
-const MIN_MOVING_GAIN_MS = 300
+export const MIN_MOVING_GAIN_MS = 300
 /** A run is expected to generate at least this share of its events once more, as hints are often far off: a share of 0.9 was seen after 40 events, 0.5 after 80 events. */
 const EXPECTED_REMAINING_SHARE = 0.75
 
@@ -156,7 +156,7 @@
 
 /** Time that a run saves per event by moving to another engine; 0 when both engines are of one kind. */
 export function gainPerEventMs (from: Engine, to: Engine): number {
-  const fromGapMs = from.pace.currentGapMs
+  const fromGapMs = from.pace.lastingGapMs
   const toGapMs = gapWithOneMoreMs(to)
   if (fromGapMs === undefined || toGapMs === undefined || fromGapMs < MOVE_RATIO * toGapMs) return 0
   return fromGapMs - toGapMs
@@ -164,7 +164,7 @@
 
 /** Expected time per event of an engine with one more run; undefined when the present time per event is unknown or uncertain. */
 function gapWithOneMoreMs (engine: Engine): number | undefined {
-  const { currentGapMs, baselineGapMs, needsProbe } = engine.pace
-  if (currentGapMs !== undefined) return currentGapMs
+  const { lastingGapMs, currentGapMs, baselineGapMs, needsProbe } = engine.pace
+  if (currentGapMs !== undefined) return lastingGapMs
   return needsProbe || baselineGapMs === undefined ? undefined : baselineGapMs * (1 + FULL_BATCH_SLOWDOWN * busyShareOf(engine))
 }
--- a/src/batchScheduling/modelDemand.ts
+++ b/src/batchScheduling/modelDemand.ts
@@ -5,12 +5,16 @@
  */
 import type { SubmissionHead } from '../protocol/batches.js'
 import type { Clock } from '../utils/clock.js'
+import { LengthSpread } from './lengthForecast.js'
 
 /** Staleness assumed until steps show otherwise: trainers that train on the previous step. */
 const ASSUMED_STALENESS_VERSIONS = 1
 /** Steps over which the staleness is taken: the first steps of a job allow less, because there is no older version. */
 const STALENESS_WINDOW_STEPS = 3
 
+/** Steps whose samples are complete before the longest of them bounds what is expected of others: short samples finish first. */
+const MIN_COMPLETE_STEPS_COUNT = 2
+
 /** Named versions over which the interval is averaged, so that a single late version has little effect. */
 const INTERVAL_WINDOW_NAMINGS = 4
 
@@ -24,7 +28,9 @@
   namings: NamedVersion[]
   stalenesses: number[]
   stepItemsCount: number | undefined
+  samplesCount: number
   longestEventsCount: number
+  lengthSpread: LengthSpread
 }
 
 export class ModelDemand {
@@ -52,10 +58,22 @@
     if (demand.stalenesses.length > STALENESS_WINDOW_STEPS) demand.stalenesses.shift()
   }
 
-  /** Records the length of a complete sample. */
-  recordSample (model: string, eventsCount: number): void {
+  /**
+   * Records the length of a complete sample.
+   *
+   * @param hintedCount its length in events by the submitter's hint, if it has one
+   */
+  recordSample (model: string, eventsCount: number, hintedCount?: number): void {
     const demand = this._demands.get(model)
-    if (demand) demand.longestEventsCount = Math.max(demand.longestEventsCount, eventsCount)
+    if (!demand) return
+    demand.samplesCount++
+    demand.longestEventsCount = Math.max(demand.longestEventsCount, eventsCount)
+    if (hintedCount !== undefined) demand.lengthSpread.record(hintedCount, eventsCount)
+  }
+
+  /** Spread of the logarithm of lengths about their hints. */
+  lengthSpread (model: string): number {
+    return (this._demands.get(model)?.lengthSpread ?? new LengthSpread()).value
   }
 
   /** Events of the longest complete sample; 0 before the first. */
@@ -63,6 +81,13 @@
     return this._demands.get(model)?.longestEventsCount ?? 0
   }
 
+  /** Events that no sample of the model is expected to exceed; 0 until enough samples are complete. */
+  maxExpectedEventsCount (model: string): number {
+    const demand = this._demands.get(model)
+    if (demand?.stepItemsCount === undefined) return 0
+    return demand.samplesCount >= MIN_COMPLETE_STEPS_COUNT * demand.stepItemsCount ? demand.longestEventsCount : 0
+  }
+
   /** How many versions behind the newest one the samples of a step may be. */
   stalenessVersions (model: string): number {
     const seen = this._demands.get(model)?.stalenesses ?? []
@@ -86,7 +111,7 @@
   private _demandOf (model: string, version: number): Demand {
     let demand = this._demands.get(model)
     if (!demand) {
-      demand = { namedVersion: version, namings: [], stalenesses: [], stepItemsCount: undefined, longestEventsCount: 0 }
+      demand = { namedVersion: version, namings: [], stalenesses: [], stepItemsCount: undefined, samplesCount: 0, longestEventsCount: 0, lengthSpread: new LengthSpread() }
       this._demands.set(model, demand)
     }
     return demand
--- a/src/batchScheduling/schedulableItem.ts
+++ b/src/batchScheduling/schedulableItem.ts
@@ -6,6 +6,7 @@
 import type { BatchItem, SubmissionHead } from '../protocol/batches.js'
 import type { Engine } from './engineFleet.js'
 import type { WaitingItem } from './itemOrder.js'
+import type { Move } from './movePolicy.js'
 
 /** Times that all items of a batch share, by this host's monotonic clock. */
 export interface BatchTimes {
@@ -38,5 +39,5 @@
   /** Whether the quarantine allows the item to run at an engine beside its present runs. */
   mayRunOn: (engine: Engine) => boolean
   /** Ends the run at the present engine, so that the item continues at another engine. */
-  move: () => void
+  move: (move: Move) => void
 }
--- a/src/batchScheduling/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -7,10 +7,13 @@
 import { EndpointLifecycle } from '../protocol/fleet.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
 import type { Scope } from '../utils/scope.js'
-import { AssignmentRound, tokensPerEvent, type Placement } from './assignmentRound.js'
+import { AssignmentRound } from './assignmentRound.js'
 import type { Engine, EngineFleet } from './engineFleet.js'
 import { ASSUMED_TOKEN_MS, compareWaiting, expectedEventsCount, fastestEngine, gainPerEventMs, movingGainMs, type RunEstimate, type WaitingItem } from './itemOrder.js'
+import { KindPlacement } from './kindPlacement.js'
 import type { ModelDemand } from './modelDemand.js'
+import { MovePolicy, MoveReason, type Move } from './movePolicy.js'
+import { tokensPerEvent, type Placement } from './placement.js'
 import type { SchedulableItem } from './schedulableItem.js'
 import { slotsForDeferrable } from './slotSharing.js'
 import { StartPacing } from './startPacing.js'
@@ -43,6 +46,8 @@
 export class SlotAssignment {
   private readonly _options: SlotAssignmentOptions
   private readonly _pacing: StartPacing
+  private readonly _kinds: KindPlacement
+  private readonly _moves: MovePolicy
   /** Engines with a slot reserved for a run that is leaving a slower engine, or whose host was lost. */
   private readonly _reserved = new Map<SchedulableItem, Engine>()
   /** Items that were moved off an engine before its removal. */
@@ -54,6 +59,8 @@
   constructor (options: SlotAssignmentOptions) {
     this._options = options
     this._pacing = new StartPacing(options.clock)
+    this._kinds = new KindPlacement(options)
+    this._moves = new MovePolicy({ clock: options.clock, runs: options.runs, expectedRestCount: run => this._kinds.expectedRestCount(run), allowedRestCount: run => expectedEventsCount(this._estimateOf(run)), fastestGapMs: run => this._kinds.fastestGapMs(run) })
   }
 
   /** Whether the processor of this host is overloaded. */
@@ -85,7 +92,9 @@
     if (fitting.length === 0) return WaitReason.NoVersion
     const healthy = fitting.filter(engine => engine.acceptsRuns(run.item.model))
     if (healthy.length === 0) return WaitReason.EnginesUnfit
-    return healthy.some(engine => engine.canStartRun(run.item.model)) ? WaitReason.Turn : WaitReason.NoSlot
+    const free = healthy.filter(engine => engine.canStartRun(run.item.model))
+    if (free.length === 0) return WaitReason.NoSlot
+    return free.some(engine => this._kinds.isSuitable(run, engine)) ? WaitReason.Turn : WaitReason.FasterKind
   }
 
   /** Assigns slots only after all items were added, so that the most urgent item gets the first slot. */
@@ -158,7 +167,7 @@
       const gapMs = engine.pace.currentGapMs ?? this._assumedGapMs(run)
       if (expectedEventsCount(this._estimateOf(run)) * gapMs <= leavesInMs - LEAVING_MARGIN_MS) continue
       this._movedBeforeRemoval.add(run)
-      run.move()
+      run.move({ reason: MoveReason.EngineLeaves, restCount: expectedEventsCount(this._estimateOf(run)) })
     }
   }
 
@@ -168,12 +177,18 @@
     return endpoint?.lifecycle === EndpointLifecycle.Leaving ? endpoint.leavesInMs : undefined
   }
 
-  /** Whether a run should move to another engine; never while items wait, which get free slots first. */
-  shouldMove (run: SchedulableItem, engine: Engine): boolean {
-    if (this._waiting.length > 0 || this.isOverloaded) return false
+  /** Why a run should move to another engine now, if it should; never while items wait, which get free slots first. */
+  moveOf (run: SchedulableItem, engine: Engine): Move | undefined {
+    if (this._waiting.length > 0 || this.isOverloaded || !this._moves.movable().has(run)) return undefined
     const others = this._fittingEngines(run).filter(other => other !== engine && !run.avoids(other) && other.canStartRun(run.item.model) && other.pace.expectedGapMs !== undefined)
     const fastest = fastestEngine(others, Number.POSITIVE_INFINITY, this._kvCapacityTokens(run))
-    return fastest !== undefined && movingGainMs(engine, fastest, this._estimateOf(run)) > 0
+    const gainMs = fastest ? movingGainMs(engine, fastest, this._estimateOf(run)) : 0
+    return gainMs > 0 ? this._recordMove(run, engine, gainMs) : undefined
+  }
+
+  private _recordMove (run: SchedulableItem, engine: Engine, gainMs: number): Move {
+    this._moves.recordMove(run)
+    return { reason: this._moves.reasonFor(engine), restCount: expectedEventsCount(this._estimateOf(run)), gainMs }
   }
 
   /** Assigns free slots to waiting items. */
@@ -185,7 +200,8 @@
       nowMs,
       placementOf,
       enginesOf: service => engines.ofService(service),
-      deferrableSlotsOf: (service, candidates) => this._deferrableSlotsOf(service, candidates)
+      deferrableSlotsOf: (service, candidates) => this._deferrableSlotsOf(service, candidates),
+      kindChoice: this._kinds
     })
     const remaining: WaitingRun[] = []
     for (const waiting of this._sortedWaiting()) {
@@ -196,6 +212,7 @@
       }
       this._pacing.recordStart()
       engine.addRun(tokensOf(waiting.run))
+      this._kinds.recordStart(waiting.run, engine)
       waiting.resolve(engine)
     }
     this._waiting = remaining
@@ -219,20 +236,25 @@
     if (this.isOverloaded || !engine.isHealthy || engine.freeSlotsCount === 0 || !this._isReady(engine)) return
     const slower = new Set(this._options.engines.ofService(engine.endpoint.service).filter(other => gainPerEventMs(other, engine) > 0))
     if (slower.size === 0) return
-    let movingRun: SchedulableItem | undefined
-    let maxGainMs = 0
-    for (const run of this._options.runs) {
+    const best = this._bestMoveTo(engine, slower)
+    if (!best) return
+    const move = this._recordMove(best.run, best.from, best.gainMs)
+    engine.addRun(tokensOf(best.run))
+    this._reserved.set(best.run, engine)
+    best.run.move(move)
+  }
+
+  /** The run that gains most by moving from one of some engines to another. */
+  private _bestMoveTo (to: Engine, slower: ReadonlySet<Engine>): { run: SchedulableItem, from: Engine, gainMs: number } | undefined {
+    let best: { run: SchedulableItem, from: Engine, gainMs: number } | undefined
+    for (const run of this._moves.movable()) {
+      const from = run.engine
       // A run without events has most likely only just started.
-      if (!run.isStarted || !run.engine || !slower.has(run.engine)) continue
-      const gainMs = this._gainMs(run, run.engine, engine)
-      if (gainMs <= maxGainMs) continue
-      movingRun = run
-      maxGainMs = gainMs
+      if (!run.isStarted || !from || !slower.has(from)) continue
+      const gainMs = this._gainMs(run, from, to)
+      if (gainMs > (best?.gainMs ?? 0)) best = { run, from, gainMs }
     }
-    if (!movingRun) return
-    engine.addRun(tokensOf(movingRun))
-    this._reserved.set(movingRun, engine)
-    movingRun.move()
+    return best
   }
 
   /** Time that a run saves by moving to an engine; 0 when the run should stay. */
@@ -276,16 +298,11 @@
   private _estimateOf (run: SchedulableItem): RunEstimate {
     return {
       generatedCount: run.generatedCount,
-      hintedRemainingCount: this._hintedRemainingEventsCount(run),
-      longestCount: this._options.demand.longestEventsCount(run.item.model)
+      hintedRemainingCount: this._kinds.expectedRestCount(run),
+      longestCount: this._options.demand.maxExpectedEventsCount(run.item.model)
     }
   }
 
-  /** Remaining events of an item, estimated from the hint of the submitter. */
-  private _hintedRemainingEventsCount (run: SchedulableItem): number {
-    return run.remainingTokensCount / this._tokensPerEvent(run)
-  }
-
   /** Estimated time that a run still needs. */
   private _remainingMs (run: SchedulableItem): number {
     return expectedEventsCount(this._estimateOf(run)) * this._assumedGapMs(run)
--- a/src/batchScheduling/waitReason.ts
+++ b/src/batchScheduling/waitReason.ts
@@ -12,6 +12,8 @@
   /** All engines with these weights are ejected after failures, report that they are full, or are loading weights. */
   EnginesUnfit = 'engines_unfit',
   NoSlot = 'no_slot',
+  /** Slots are free only on engines of a kind that is too slow for the item. */
+  FasterKind = 'faster_kind',
   /** A slot is free, but the item waits for a better slot or for its turn. */
   Turn = 'turn'
 }
--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -236,8 +236,8 @@
       markRemoved: endpointId => this._options.view.markRemoved(endpointId),
       release: (run, engine) => this._slots.release(run, engine),
       keepSlot: (run, engine) => this._slots.keep(run, engine),
-      shouldMove: (run, engine) => this._slots.shouldMove(run, engine),
-      onComplete: run => this.demand.recordSample(run.item.model, run.output.lastEventId),
+      moveOf: (run, engine) => this._slots.moveOf(run, engine),
+      onComplete: run => this._recordSample(run),
       tokensPerEvent: run => this._placements.placementOf(run)?.modelEngine?.tokensPerEvent ?? 1,
       enginesCount: run => this.engines.ofService(this._placements.placementOf(run)?.service ?? '').length,
       routeOf
@@ -256,6 +256,10 @@
     })
   }
 
+  private _recordSample ({ item, output, tokensPerEvent }: ItemRun): void {
+    this.demand.recordSample(item.model, output.lastEventId, item.expectedTokensCount / tokensPerEvent)
+  }
+
   /** The completed result of the same item in an earlier batch, if its versions are new enough for this batch. */
   private _completedResultOf (batch: Batch, item: BatchItem): ItemResult | undefined {
     const completed = this._options.state.completedResult(item, batch.submission.account)
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -18,6 +18,7 @@
 import type { Batch } from './batch.js'
 import { BatchEvent } from './batchEvents.js'
 import type { Engine } from '../batchScheduling/engineFleet.js'
+import type { Move } from '../batchScheduling/movePolicy.js'
 import type { ItemExecutor, StartedRun } from './itemExecutor.js'
 import { ItemFailures, RETRY_PAUSE_MS } from './itemFailures.js'
 import { ItemOutput } from './itemOutput.js'
@@ -44,8 +45,8 @@
   release: (run: ItemRun, engine: Engine) => void
   /** Keeps the slot of an engine for the item's next `acquire`. */
   keepSlot: (run: ItemRun, engine: Engine) => void
-  /** Whether a run should move to another engine with a free slot. */
-  shouldMove: (run: ItemRun, engine: Engine) => boolean
+  /** Why a run should move to another engine with a free slot; undefined if it should stay. */
+  moveOf: (run: ItemRun, engine: Engine) => Move | undefined
   /** Called once the output of the item is complete. */
   onComplete: (run: ItemRun) => void
   tokensPerEvent: (run: ItemRun) => number
@@ -70,6 +71,8 @@
   private readonly _listing: ResultListing
   private readonly _identity: RequestIdentity
   private readonly _startedAtMs: number
+  /** Why the present run was ended to be moved. */
+  private _move: Move | undefined
   private _current: { engine: Engine, run: StartedRun } | undefined
   /** Id of the last event that an engine has sent; `output` may not have it yet. */
   private _lastEventId: number
@@ -134,7 +137,8 @@
   }
 
   /** Ends the run at the present engine, so that the item continues at another engine. */
-  move (): void {
+  move (move: Move): void {
+    this._move = move
     this._current?.run.stop()
   }
 
@@ -149,7 +153,11 @@
 
   /** Expected tokens of the item less the tokens of the generated events. */
   get remainingTokensCount (): number {
-    return Math.max(0, this.item.expectedTokensCount - this._lastEventId * this._options.tokensPerEvent(this))
+    return Math.max(0, this.item.expectedTokensCount - this._lastEventId * this.tokensPerEvent)
+  }
+
+  get tokensPerEvent (): number {
+    return this._options.tokensPerEvent(this)
   }
 
   /** Runs the item to its end and resolves once its result is listed. */
@@ -227,10 +235,23 @@
     this._options.metrics.count(MetricName.ItemRunEnded, { outcome: outcome.kind })
     const fields = { endpointId: engine.id, eventsCount: this.output.lastEventId }
     if (outcome.kind === 'finished') return this._log(BatchEvent.ItemFinished, { ...fields, versions: this.output.versions.map(String) })
-    if (outcome.kind === 'moved') return this._log(BatchEvent.ItemMoved, { ...fields, meanGapMs: Math.round(engine.pace.currentGapMs ?? 0) })
+    if (outcome.kind === 'moved') return this._logMove(engine, fields)
     this._log(BatchEvent.ItemRunFailed, { ...fields, outcome: outcome.kind, reason: reasonOf(outcome) })
   }
 
+  private _logMove ({ pace }: Engine, fields: LogFields): void {
+    const { reason = '', restCount = 0, gainMs } = this._move ?? {}
+    this._options.metrics.count(MetricName.ItemMoved, { reason })
+    this._log(BatchEvent.ItemMoved, {
+      ...fields,
+      meanGapMs: Math.round(pace.currentGapMs ?? 0),
+      baselineGapMs: Math.round(pace.baselineGapMs ?? 0),
+      reason,
+      restEventsCount: Math.round(restCount),
+      ...(gainMs === undefined ? {} : { gainMs: Math.round(gainMs) })
+    })
+  }
+
   private _shouldAbandon (): boolean {
     const route = this._options.routeOf(this.batch.submission.host, this.batch.submission.path)
     const haveExhausted = route !== undefined && this._failures.haveExhausted(route.maxAttemptsCount, this._options.enginesCount(this))
@@ -263,6 +284,8 @@
       this._onProgress(progress, engine, scope)
     })
     this._current = { engine, run }
+    this._move = undefined
+    this._options.metrics.count(MetricName.ItemRunStarted)
     const { runnerId } = run
     this._log(BatchEvent.ItemStarted, { endpointId: engine.id, runnerId, afterEventId: this.output.lastEventId, version: engine.version(this.item.model) })
     try {
@@ -287,7 +310,8 @@
     for (const { afterEventId, part } of parts) this._addPart(afterEventId, part, engine)
     this._outputReplicator.replicateIfEnough(scope)
     const isCheckDue = Math.floor(this._lastEventId / MOVE_CHECK_EVENTS_COUNT) > hadChecksCount
-    if (isCheckDue && !scope.isClosed && this._options.shouldMove(this, engine)) this.move()
+    const move = isCheckDue && !scope.isClosed ? this._options.moveOf(this, engine) : undefined
+    if (move) this.move(move)
   }
 
   private _addPart (afterEventId: number, part: OutputPart, engine: Engine): void {
--- a/src/batches/placementSelector.ts
+++ b/src/batches/placementSelector.ts
@@ -7,7 +7,7 @@
 import { chooseService } from '../gateway/routeTable.js'
 import type { Routing, RoutingRoute } from '../protocol/routing.js'
 import type { RandomSource } from '../utils/randomSource.js'
-import type { Placement } from '../batchScheduling/assignmentRound.js'
+import type { Placement } from '../batchScheduling/placement.js'
 import type { EngineFleet } from '../batchScheduling/engineFleet.js'
 import type { SchedulableItem } from '../batchScheduling/schedulableItem.js'
 
