--- a/src/batchScheduling/groupScheduling.ts
+++ b/src/batchScheduling/groupScheduling.ts
@@ -5,8 +5,7 @@
  * runs show, and not for each comparison of items, since hundreds of items may wait.
  */
 import type { Clock } from '../utils/clock.js'
-import type { Placement } from './assignmentRound.js'
-import { tokensPerEvent } from './assignmentRound.js'
+import { tokensPerEvent, type Placement } from './placement.js'
 import type { EngineFleet } from './engineFleet.js'
 import { shareWeightOf, ShareQueue, slotSharesOf } from './engineShares.js'
 import { aimAtMs, GroupStanding, planGroups, type OpenBatch, type OpenGroup } from './groupPlan.js'
