Admit requests to a full service by the figures of all hosts that use it

Cause: with sixty hosts before five endpoints a host has one request in its queue and cannot tell how full the service is, nor which class presses: at 1.5 times the room every class lost alike. Change: hosts count arrivals by class and account and the load that endpoints report (src/balancing), send the counts to one control host while the service lacks room, and let in the shares that follow from the sum, before a request's body is read. Optional fields of the follow call and of fleetUpdate; nothing is sent without pressure. Ruled out: windows of a second (the onset took a second and a half), waiting at hosts for cut classes (a backlog that kept endpoints full for a second), a tenth for returns (answers that no longer count took 4% of capacity).

--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -2,6 +2,7 @@
  * Assembles a store host: a replica of the batch store and, while it leads, the
  * item dispatcher, the weight rollout, the engine supply and host retirements.
  */
+import { ServiceAdmission } from '../balancing/serviceAdmission.js'
 import { DutyLease } from '../duties/dutyLease.js'
 import type { Infrastructure } from '../duties/infrastructure.js'
 import { EngineSupply } from '../engineSupply/engineSupply.js'
@@ -115,6 +116,8 @@
   })
 
   private readonly _replica: Replica
+  /** Counts reward calls, which share services with the requests of callers. */
+  private readonly _services: ServiceAdmission
   private readonly _follower: FleetFollower
   private readonly _service: BatchService
   private readonly _commands: ControlCommands
@@ -150,6 +153,7 @@
       toleratedLosses: settings.toleratedLosses,
       placement: placementFor(settings.toleratedLosses)
     })
+    this._services = new ServiceAdmission({ clock: systemClock, random: systemRandom(), logger, metrics, wallAt: nowMs => this._follower.time.wallAt(nowMs), routing: () => this._view.routing })
     this._follower = new FleetFollower({
       clock: systemClock,
       transport: this._transport,
@@ -159,6 +163,7 @@
       seedAddresses: settings.controlAddresses,
       drainMs: settings.drainMs,
       describe: () => this._describe(),
+      services: this._services,
       onFatal
     })
     const { keepBatchesMs: keepMs, stateCapacityBytes } = settings
@@ -355,7 +360,7 @@
 
   private _createExecutor (): LocalExecutor {
     const { client, logger, metrics } = this._options
-    const forwarder = new RequestForwarder({ view: this._view, pool: this._createPool(), client, quarantine: this._quarantine, random: systemRandom(), logger, metrics })
+    const forwarder = new RequestForwarder({ view: this._view, pool: this._createPool(), client, quarantine: this._quarantine, random: systemRandom(), logger, metrics, admission: this._services })
     const isOverloaded = (): boolean => this._dispatcher?.isOverloaded ?? this._runnerService.isLate
     return new LocalExecutor({ clock: systemClock, metrics, client, forwarder, routeOf: this._routeOf, isOverloaded })
   }
--- a/src/control/controlEvents.ts
+++ b/src/control/controlEvents.ts
@@ -20,7 +20,8 @@
   RetirementEnded = 1050,
   CommandUnanswered = 1051,
   AnnouncementRefused = 1052,
-  LeaveConfirmed = 1053
+  LeaveConfirmed = 1053,
+  ServiceFiguresHeld = 1054
 }
 
 export const controlEventCatalogue: EventCatalogue = {
@@ -40,5 +41,6 @@
   [ControlEvent.RetirementEnded]: { level: LogLevel.Info, text: 'A store host holds no data any more and can be removed.', advice: 'None.' },
   [ControlEvent.CommandUnanswered]: { level: LogLevel.Warn, text: 'The outcome of a command was not confirmed in time.', advice: 'The caller retries it. If the event recurs, check whether the control hosts have lost their quorum.' },
   [ControlEvent.AnnouncementRefused]: { level: LogLevel.Warn, text: 'An endpoint announcement is malformed and was rejected.', advice: 'Logged once for each reason, then every ten seconds. Check the sender of the announcement: the reason names the field.' },
-  [ControlEvent.LeaveConfirmed]: { level: LogLevel.Info, text: 'The leave of an endpoint was recorded in the log and confirmed to the endpoint; the counts tell how many of this host\'s followers have confirmed it.', advice: 'None. Followers that did not confirm receive the leave from any control host that they follow.' }
+  [ControlEvent.LeaveConfirmed]: { level: LogLevel.Info, text: 'The leave of an endpoint was recorded in the log and confirmed to the endpoint; the counts tell how many of this host\'s followers have confirmed it.', advice: 'None. Followers that did not confirm receive the leave from any control host that they follow.' },
+  [ControlEvent.ServiceFiguresHeld]: { level: LogLevel.Info, text: 'This control host has begun, or has ceased, to sum the figures of a service that lacks room.', advice: 'None.' }
 }
--- a/src/control/fleet/followerSessions.ts
+++ b/src/control/fleet/followerSessions.ts
@@ -4,6 +4,7 @@
  * a connection to every control host, so control hosts need not exchange updates
  * with each other. A push to many followers is encoded once.
  */
+import { ServiceTotalsTable } from '../../balancing/serviceTotals.js'
 import { UsageTally } from '../../duties/usageTally.js'
 import { fleetUpdateMethod } from '../../transport/fleetMethods.js'
 import { RpcPeer } from '../../transport/rpcPeer.js'
@@ -27,6 +28,8 @@
 const REVIEW_INTERVAL_MS = 200
 /** Followers that connect within this time share one encoding of the host list; when a whole fleet starts, hundreds connect within a second. */
 const HOST_LIST_BATCH_MS = 20
+/** Figures of services that arrive within this time are summed together; when a service fills up, most hosts see it within a few tens of milliseconds. */
+const TOTALS_BATCH_MS = 20
 /** Limit for followers to confirm a departure, so that a disconnected follower does not delay the leaving endpoint. */
 export const FOLLOWERS_CONFIRM_TIMEOUT_MS = 300
 /** A host that has not reconnected within this time, several times what a reconnect takes, counts as lost. */
@@ -61,6 +64,8 @@
   private readonly _sessions = new Map<RpcPeer, Session>()
   private readonly _hostChanges = new HostChanges()
   private readonly _clocks: HostClocks
+  private readonly _serviceTotals = new ServiceTotalsTable()
+  private _isTellingTotals = false
   /** Lost hosts by id; a host is removed when it reconnects. */
   private readonly _lost = new Map<string, { host: FleetHost, lostAtMs: number }>()
   /** Followers that have not received the host list yet. */
@@ -123,9 +128,29 @@
     return { controlAddresses: this._controlAddressesFor(session), isRoutingConfirmed, fleetWallMs: Math.round(this.wallMs()), update }
   }
 
-  private _recordReport (hostId: string, { wallMs, usage }: FollowRequest): void {
+  private _recordReport (hostId: string, { wallMs, usage, services = [] }: FollowRequest): void {
     if (wallMs !== undefined) this._clocks.record(hostId, wallMs)
     if (usage) this.usage.addReport(hostId, usage)
+    for (const figures of services) this._serviceTotals.record(hostId, figures)
+    if (services.length > 0) this._tellTotalsSoon()
+  }
+
+  private _tellTotalsSoon (): void {
+    if (this._isTellingTotals) return
+    this._isTellingTotals = true
+    this._options.clock.callAt(this._options.clock.nowMs() + TOTALS_BATCH_MS, () => {
+      this._isTellingTotals = false
+      this._tellTotals()
+    })
+  }
+
+  /** Entry hosts take the requests of callers, so they are the ones to let in or refuse. */
+  private _tellTotals (): void {
+    const { clock, logger } = this._options
+    const { due, begun, ended } = this._serviceTotals.takeDue(clock.nowMs(), Math.round(this.wallMs()))
+    if (due.length > 0) this._notify({ serviceTotals: due }, HostRole.Entry)
+    for (const service of begun) logger.event(ControlEvent.ServiceFiguresHeld, { service, isHeld: true })
+    for (const service of ended) logger.event(ControlEvent.ServiceFiguresHeld, { service, isHeld: false })
   }
 
   /** Notifies the followers that need this kind of update about an endpoint. */
@@ -175,6 +200,7 @@
         if (clock.nowMs() - session.heardAtMs > FOLLOWER_TIMEOUT_MS) session.peer.connection.close('the follower is silent')
       }
       this._forgetSilentEndpoints()
+      this._tellTotals()
       this._pushToAll()
     }
   }
--- a/src/control/fleet/routingPush.ts
+++ b/src/control/fleet/routingPush.ts
@@ -15,7 +15,7 @@
  * latest, as followers call twice a second. One call would be too early, because the
  * push may still be in transit.
  */
-import { createHash } from 'node:crypto'
+import { rendezvousChoice } from '../../utils/rendezvousHash.js'
 
 /**
  * Rendezvous hashing: all control hosts choose the same control host, and the removal of a
@@ -24,9 +24,7 @@
  * @returns the address of the control host that pushes to the follower; undefined without members
  */
 export function pusherOf (followerId: string, memberAddresses: readonly string[]): string | undefined {
-  const ranked = memberAddresses.map(address => ({ address, rank: createHash('sha1').update(`${followerId}\n${address}`).digest('hex') }))
-  ranked.sort((left, right) => (left.rank < right.rank ? -1 : 1))
-  return ranked[0]?.address
+  return rendezvousChoice(followerId, memberAddresses)
 }
 
 /** Tracks which routing version one follower has been sent over one connection. */
--- a/src/fleet/fleetFollower.ts
+++ b/src/fleet/fleetFollower.ts
@@ -4,6 +4,7 @@
  * host that is disconnected, slow or outdated does not delay this host.
  */
 import type { FleetHost, FleetUpdate, FollowReply } from '../protocol/fleet.js'
+import type { ServiceFigures, ServiceTotals } from '../protocol/serviceFigures.js'
 import type { UsageReport } from '../protocol/usage.js'
 import type { Routing } from '../protocol/routing.js'
 import type { Transport } from '../transport/connection.js'
@@ -13,6 +14,7 @@
 import { ScopeClosedError } from '../utils/errors.js'
 import type { Logger } from '../utils/logger.js'
 import { Progress } from '../utils/progress.js'
+import { rendezvousChoice } from '../utils/rendezvousHash.js'
 import type { Scope } from '../utils/scope.js'
 import { Signal } from '../utils/signal.js'
 import type { Supervisor } from '../utils/supervisor.js'
@@ -44,6 +46,8 @@
 export const LEAVE_KNOWN_WITHIN_MS = 150 + FOLLOW_INTERVAL_MS + FOLLOW_TIMEOUT_MS
 /** A host that has waited this long for a confirmed routing configuration accepts an unconfirmed one: without a quorum, none will be confirmed. */
 const ACCEPT_UNCONFIRMED_AFTER_MS = 3_000
+/** A control host whose calls are not answered for this time, two calls and a timeout, holds no figures of services any more. */
+const HOLDER_TIMEOUT_MS = 2 * FOLLOW_INTERVAL_MS + FOLLOW_TIMEOUT_MS
 /** A control host that has been in no list of members for this long is no longer followed. */
 const FORGET_ADDRESS_AFTER_MS = 30_000
 
@@ -61,9 +65,17 @@
   describe: () => FleetHost
   /** Source of the usage of client accounts, if this host counts usage: all counts that changed since a revision. */
   usage?: { reportSince: (revision: number) => { revision: number, report: UsageReport } } | undefined
+  /** Counts how full services are, and gets the sums over all hosts, if this host uses services. */
+  services?: ServiceFiguresExchange | undefined
   onFatal: (error: unknown) => void
 }
 
+export interface ServiceFiguresExchange {
+  /** The figures to send with the next call to a control host; marks them as sent. */
+  takeDue: (address: string, holderOf: (service: string) => string | undefined) => ServiceFigures[]
+  receive: (totals: readonly ServiceTotals[]) => void
+}
+
 interface FollowedHost {
   scope: Scope
   /** When the control host was last in a list of members. */
@@ -72,6 +84,8 @@
   listedAddresses: string[]
   /** When the latest answered call was made. */
   lastAnsweredCallAtMs: number
+  /** Notified when this control host is to be called at once. */
+  callDue: Signal
 }
 
 /** The state of the usage reports that were sent over a connection. */
@@ -85,7 +99,6 @@
   readonly time: FleetTime
   private readonly _options: FleetFollowerOptions
   private readonly _followed = new Map<string, FollowedHost>()
-  private readonly _hostChanged = new Signal()
   private readonly _startedAtMs: number
   private _unconfirmed: Routing | undefined
 
@@ -115,7 +128,13 @@
 
   /** Calls all control hosts immediately, as the description of this host has changed. */
   announceChange (): void {
-    this._hostChanged.notify()
+    for (const { callDue } of this._followed.values()) callDue.notify()
+  }
+
+  /** Sends the figures of a service to their holder at once. */
+  announceFigures (service: string): void {
+    const holder = this._holderOf(service)
+    if (holder !== undefined) this._followed.get(holder)?.callDue.notify()
   }
 
   /** Starts to follow these control hosts, in addition to the current ones. */
@@ -131,7 +150,7 @@
   private _startFollowing (address: string): void {
     const { supervisor, clock } = this._options
     const scope = supervisor.spawn(`control host ${address}`, taskScope => this._run(address, taskScope))
-    this._followed.set(address, { scope, lastListedAtMs: clock.nowMs(), listedAddresses: [], lastAnsweredCallAtMs: Number.NEGATIVE_INFINITY })
+    this._followed.set(address, { scope, lastListedAtMs: clock.nowMs(), listedAddresses: [], lastAnsweredCallAtMs: Number.NEGATIVE_INFINITY, callDue: new Signal() })
   }
 
   private async _run (address: string, scope: Scope): Promise<void> {
@@ -162,11 +181,28 @@
       const isAnswered = await this._callOnce(peer, address, scope, description === sentDescription ? undefined : host, usage)
       sentDescription = isAnswered ? description : ''
       unansweredCount = isAnswered ? 0 : unansweredCount + 1
-      if (isAnswered) await this._hostChanged.wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
+      if (isAnswered) await this._callDueOf(address).wait(scope, { clock, deadlineMs: calledAtMs + this._intervalMs() })
     }
     peer.connection.close('calls are not answered')
   }
 
+  private _callDueOf (address: string): Signal {
+    return this._followed.get(address)?.callDue ?? new Signal()
+  }
+
+  /** All hosts that reach the same control hosts choose the same one. */
+  private _holderOf (service: string): string | undefined {
+    const sinceMs = this._options.clock.nowMs() - HOLDER_TIMEOUT_MS
+    const reachable = [...this._followed].filter(([, { lastAnsweredCallAtMs }]) => lastAnsweredCallAtMs >= sinceMs)
+    return rendezvousChoice(service, reachable.map(([address]) => address))
+  }
+
+  /** Absent where there is nothing to send. */
+  private _figuresFor (address: string): ServiceFigures[] | undefined {
+    const figures = this._options.services?.takeDue(address, service => this._holderOf(service)) ?? []
+    return figures.length > 0 ? figures : undefined
+  }
+
   private _intervalMs (): number {
     const waitsForQuorum = this._options.view.routing === undefined && this._unconfirmed !== undefined
     return waitsForQuorum ? UNCONFIRMED_INTERVAL_MS : FOLLOW_INTERVAL_MS
@@ -176,7 +212,7 @@
     const { clock, view } = this._options
     const calledAtMs = clock.nowMs()
     const usage = this._usageSince(sentUsage)
-    const request = { host, routingVersion: view.routing?.version, wallMs: clock.wallMs(), usage: usage?.report }
+    const request = { host, routingVersion: view.routing?.version, wallMs: clock.wallMs(), usage: usage?.report, services: this._figuresFor(address) }
     const outcome = await peer.call(followMethod, request, new Progress(clock, scope, calledAtMs + FOLLOW_TIMEOUT_MS))
     if (outcome.kind !== 'replied') return false
     if (usage) Object.assign(sentUsage, { revision: usage.revision, settledBefore: usage.report.settledBefore })
@@ -208,7 +244,8 @@
 
   /** The first routing configuration must be confirmed by a quorum; later configurations replace it only if they are newer. */
   private _merge (address: string, update: FleetUpdate, isRoutingConfirmed: boolean): void {
-    const { view, clock, logger } = this._options
+    const { view, clock, logger, services } = this._options
+    if (update.serviceTotals) services?.receive(update.serviceTotals)
     const isFirst = view.routing === undefined
     if (update.routing && isFirst && !isRoutingConfirmed) {
       this._unconfirmed = newer(this._unconfirmed, update.routing)
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -4,7 +4,8 @@
  * is started beside the first when the first takes unusually long (hedged
  * requests; Dean and Barroso, "The Tail at Scale", 2013).
  */
-import type { EndpointClient, EndpointOutcome } from '../endpoints/endpointClient.js'
+import type { ServiceAdmission } from '../balancing/serviceAdmission.js'
+import type { EndpointClient, EndpointOutcome, ReportedLoad } from '../endpoints/endpointClient.js'
 import type { EndpointPool } from '../endpoints/endpointPool.js'
 import { FailureAttribution } from '../endpoints/failureAttribution.js'
 import type { FleetView } from '../fleet/fleetView.js'
@@ -34,6 +35,8 @@
 
 export interface ForwardRequest {
   route: RoutingRoute
+  /** The service that the request was admitted to; drawn if absent. */
+  service?: string | undefined
   method: string
   path: string
   host: string
@@ -58,6 +61,13 @@
   | { kind: 'answered', endpointId: string, status: number, headers: string[], body: Uint8Array, receipt: string | undefined, failedAnswersCount: number }
   | { kind: 'refused', executed: Executed, reason: RefusalReason, retryAfterMs: number }
 
+/** What is known of a request from its head. */
+export type ForwardHead = Pick<ForwardRequest, 'route' | 'account' | 'priority'> & { remainingMs: number }
+
+export type HeadDecision =
+  | { kind: 'admitted', service: string }
+  | Extract<ForwardOutcome, { kind: 'refused' }>
+
 export interface RequestForwarderOptions {
   view: FleetView
   pool: EndpointPool
@@ -66,6 +76,8 @@
   random: RandomSource
   logger: Logger
   metrics: Metrics
+  /** Shares full services among classes and accounts; without it, a host decides by its own calls. */
+  admission?: ServiceAdmission | undefined
 }
 
 export class RequestForwarder {
@@ -78,10 +90,18 @@
     this._options = options
   }
 
+  /** Decides at once, before the body of a request is read, whether its service has room for it. */
+  admit ({ route, account, priority, remainingMs }: ForwardHead): HeadDecision {
+    const service = chooseService(route, this._options.random)
+    const decision = this._options.admission?.admit({ route, service, account, priority: priority ?? route.priority, remainingMs })
+    if (decision?.kind !== 'refused') return { kind: 'admitted', service }
+    return { kind: 'refused', executed: Executed.No, reason: RefusalReason.QueueFull, retryAfterMs: decision.retryAfterMs }
+  }
+
   /** @throws ScopeClosedError when the caller disconnects first. */
   async forward (request: ForwardRequest): Promise<ForwardOutcome> {
     const scope = request.progress.scope.child('tries')
-    const service = chooseService(request.route, this._options.random)
+    const service = request.service ?? this._chooseUnadmitted(request)
     const run = new ForwardRun(this._options, request, service, this._hedgeBudgetOf(service, request.progress.clock), this._waitQueue, scope)
     try {
       return await run.run()
@@ -91,6 +111,13 @@
     }
   }
 
+  /** The service of a request that did not ask for admission; its demand counts all the same. */
+  private _chooseUnadmitted ({ route, account, priority, progress }: ForwardRequest): string {
+    const service = chooseService(route, this._options.random)
+    this._options.admission?.countUnrefused({ route, service, account, priority: priority ?? route.priority, remainingMs: progress.remainingMs() })
+    return service
+  }
+
   private _hedgeBudgetOf (service: string, clock: Clock): RetryBudget {
     const budget = this._hedgeBudgets.get(service) ?? new RetryBudget(clock)
     this._hedgeBudgets.set(service, budget)
@@ -171,9 +198,17 @@
       return undefined
     }
     this._waitQueue.enqueue(this._queueEntry)
-    const { isPersistent, progress } = this._request
-    if (isPersistent === true) return undefined
-    const undispatched = { forecast: this._options.pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs: progress.remainingMs() }
+    return this._request.isPersistent === true ? undefined : this._waitOrRefuse()
+  }
+
+  /** Undefined when the request waits for a free slot. */
+  private _waitOrRefuse (): ForwardOutcome | undefined {
+    const { route, account, progress } = this._request
+    const remainingMs = progress.remainingMs()
+    // What may have run cannot be refused to the caller's use.
+    const turn = this._ranCount > 0 ? undefined : this._options.admission?.mayWait({ route, service: this._service, priority: this._queueEntry.priority, account, remainingMs })
+    if (turn?.kind === 'refused') return this._refuse(RefusalReason.QueueFull, turn.retryAfterMs)
+    const undispatched = { forecast: this._options.pool.forecast(this._service), waitedMs: progress.clock.nowMs() - this._startedAtMs, remainingMs }
     const decision = waitOrRefuse(undispatched, this._options.random)
     return decision.kind === 'refuse' ? this._refuse(RefusalReason.NoEndpoint, decision.retryAfterMs) : undefined
   }
@@ -190,6 +225,7 @@
     const mayRepeat = route.kind !== RouteKind.AtMostOnce && this._ranCount + this._openTriesCount < route.maxAttemptsCount
     // A request that terminates endpoints would terminate the second endpoint as well.
     if (this._options.quarantine.statusOf(this._identity) !== QuarantineStatus.Free) return false
+    if (this._options.admission?.isCutting(this._service) === true) return false
     return mayRepeat && !progress.isPastDeadline() && this._openTriesCount === 1
   }
 
@@ -253,6 +289,7 @@
       case 'answered':
         this._notifyStarted(startedAtMs)
         this._waitQueue.served(this._queueEntry)
+        this._recordServiceLoad(endpoint, outcome.load, durationMs)
         if (outcome.status < 500) {
           this._options.quarantine.answered(run)
           health.succeeded(durationMs, outcome.load)
@@ -268,10 +305,15 @@
         return this._onAnswer(endpoint, outcome)
       default:
         this._options.quarantine.failed(run, outcome)
+        if (outcome.kind === 'notExecuted') this._options.admission?.refusedByEndpoint(this._service)
         return this._onFailed(endpoint, startedAtMs, outcome)
     }
   }
 
+  private _recordServiceLoad ({ dataCentre }: FleetEndpoint, load: ReportedLoad | undefined, durationMs: number): void {
+    if (load) this._options.admission?.answered(this._service, { dataCentre, durationMs, load })
+  }
+
   private _notifyStarted (sentAtMs: number): void {
     if (!this._isStarted) this._request.onBegan?.(sentAtMs)
     this._isStarted = true
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -8,6 +8,7 @@
 import { quarantineEntrySchema } from './quarantine.js'
 import { routingSchema } from './routing.js'
 import { namedWeightsSchema, retirementSchema, storeGroupSchema } from './routingCommands.js'
+import { serviceFiguresSchema, serviceTotalsSchema } from './serviceFigures.js'
 import { usageReportSchema } from './usage.js'
 
 export { EndpointLifecycle }
@@ -93,7 +94,9 @@
   /** Quarantine entries that are new or have changed since the last update on this connection. */
   quarantine: z.array(quarantineEntrySchema).optional(),
   /** Endpoints without recent heartbeats, with the last sequence number received. */
-  silent: z.array(z.object({ endpointId: z.string(), sequence: z.number() })).optional()
+  silent: z.array(z.object({ endpointId: z.string(), sequence: z.number() })).optional(),
+  /** How full the services are that lack room, summed over all hosts that use them; sent by the holder of the figures. */
+  serviceTotals: z.array(serviceTotalsSchema).optional()
 })
 export type FleetUpdate = z.infer<typeof fleetUpdateSchema>
 
@@ -105,7 +108,9 @@
   /** The follower's time of day, by its own clock. */
   wallMs: z.number().optional(),
   /** Absent if unchanged since the last answered call. */
-  usage: usageReportSchema.optional()
+  usage: usageReportSchema.optional(),
+  /** Services that lack room, of which the called host holds the figures; absent if there are none or if they have hardly changed. */
+  services: z.array(serviceFiguresSchema).optional()
 })
 export type FollowRequest = z.infer<typeof followRequestSchema>
 
