--- a/src/control/fleet/routingPush.ts
+++ b/src/control/fleet/routingPush.ts
@@ -18,8 +18,7 @@
  * the connection, when the reply comes too late; such replies go to followers of
  * earlier builds.
  */
-import { minBy } from '../../utils/minBy.js'
-import { rendezvousRank } from '../../utils/rendezvous.js'
+import { rendezvousChoice } from '../../utils/rendezvous.js'
 
 /**
  * All control hosts choose the same control host, and the removal of a control host
@@ -28,7 +27,7 @@
  * @returns the address of the control host that pushes to the follower; undefined without members
  */
 export function pusherOf (followerId: string, memberAddresses: readonly string[]): string | undefined {
-  return minBy(memberAddresses, address => rendezvousRank(followerId, address))
+  return rendezvousChoice(followerId, memberAddresses)
 }
 
 /** Tracks which routing version one follower has been sent over one connection. */
--- a/src/utils/rendezvous.ts
+++ b/src/utils/rendezvous.ts
@@ -3,6 +3,7 @@
  * for a key, and removing a candidate reassigns only the keys that it had.
  */
 import { createHash } from 'node:crypto'
+import { minBy } from './minBy.js'
 
 /** Bytes of the digest that make up a rank; more would not fit into a number exactly. */
 const RANK_BYTES = 6
@@ -11,3 +12,8 @@
 export function rendezvousRank (key: string, candidate: string): number {
   return createHash('sha1').update(`${key}\n${candidate}`).digest().readUIntBE(0, RANK_BYTES)
 }
+
+/** The candidate for a key; undefined without candidates. */
+export function rendezvousChoice (key: string, candidates: readonly string[]): string | undefined {
+  return minBy(candidates, candidate => rendezvousRank(key, candidate))
+}
