Report the plan of groups, and test trainers in a shortage

A log line for each step whose plan changes (3272, at most once a second), a gauge of groups by standing.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -29,6 +29,7 @@
 import { ItemRun, type ItemRunOptions } from './itemRun.js'
 import { ItemOutput } from './itemOutput.js'
 import { ModelDemand } from '../batchScheduling/modelDemand.js'
+import { PlanReports } from './planReports.js'
 import { PlacementSelector } from './placementSelector.js'
 import { SlotAssignment } from '../batchScheduling/slotAssignment.js'
 import { StepReports, type ReportedStep } from './stepReports.js'
@@ -86,7 +87,8 @@
     this.demand = new ModelDemand(options.clock)
     const { clock, random, view, logger, metrics, routeOf } = options
     this._placements = new PlacementSelector({ view, engines: this.engines, random, routeOf })
-    this._slots = new SlotAssignment({ clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placementOf: run => this._placements.placementOf(run), onTurn: (latenessMs, waitingCount) => this._recordTurn(latenessMs, waitingCount) })
+    const planReports = new PlanReports({ clock, logger, metrics })
+    this._slots = new SlotAssignment({ onPlan: plans => planReports.report(plans), clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placementOf: run => this._placements.placementOf(run), onTurn: (latenessMs, waitingCount) => this._recordTurn(latenessMs, waitingCount) })
     this._reports = new StepReports({ clock, logger, metrics, steps: () => [...this._tracked.values()], items: () => this._runs, waitReasonOf: run => this._slots.waitReasonOf(run) })
   }
 
--- a/src/batches/batchEvents.ts
+++ b/src/batches/batchEvents.ts
@@ -33,7 +33,8 @@
   OrderSettled = 3251,
   HostRetired = 3260,
   StepWaiting = 3270,
-  StepEnded = 3271
+  StepEnded = 3271,
+  GroupsPlanned = 3272
 }
 
 export const batchEventCatalogue: EventCatalogue = {
@@ -66,5 +67,6 @@
   [BatchEvent.OrderSettled]: { level: LogLevel.Info, text: 'An order to an engine to load weights has ended; the fields give its result.', advice: 'Check the engine if it did not reach the version.' },
   [BatchEvent.StepWaiting]: { level: LogLevel.Info, text: 'Progress of an open step: its items by stage, and the queued items by the reason for which they have no slot.', advice: 'Logged once a second for each open step. no_version: check the orders (3250, 3251). engines_unfit: check which engines were ejected (2660) or are loading weights. no_slot: the engines are full. turn for several seconds: check for 3242. held_back: check for 2652. committing: check whether the quorum is lost.' },
   [BatchEvent.StepEnded]: { level: LogLevel.Info, text: 'A step ended at this host: its submitter ended it, or this replica no longer holds it.', advice: 'Compare openForMs with the time within which its results are due.' },
+  [BatchEvent.GroupsPlanned]: { level: LogLevel.Info, text: 'While engines are short: how many groups of a step are whole, planned to be whole when due, behind, and beyond the wanted number; openWorkMs is the engine time that its open items need, roomMs that of its trainer until then.', advice: 'Logged at most once a second for each open step while the plan changes, and once with isShort false when the shortage is over. Short for long: look for engines that were removed, ejected (2660) or are slow, or order more.' },
   [BatchEvent.HostRetired]: { level: LogLevel.Info, text: 'A store host was removed from the members for its retirement.', advice: 'None.' }
 }
--- a/tests/batches/trainersFuzz.test.ts
+++ b/tests/batches/trainersFuzz.test.ts
@@ -1,28 +1,32 @@
 import test, { type ExecutionContext } from 'ava'
-import { runTrainers } from '../fixtures/fleet/trainerFuzz.js'
+import { runTrainers, runTrainersInShortage, type TrainerRun } from '../fixtures/fleet/trainerFuzz.js'
 
 const RUNS_COUNT = Number(process.env.TRAINER_RUNS ?? 12)
 const FIRST_SEED = Number(process.env.TRAINER_SEED ?? 1)
 /** Fewer steps would make the runs meaningless. */
 const MIN_STEPS_PER_RUN = 6
+/** Runs in a shortage are long; a few of them are part of each test run. */
+const SHORTAGE_RUNS_COUNT = Number(process.env.TRAINER_RUNS ?? 4)
 
-async function runAll (t: ExecutionContext, isMomentaryOnly: boolean): Promise<void> {
+async function runAll (t: ExecutionContext, run: (seed: number) => Promise<TrainerRun>, runsCount = RUNS_COUNT): Promise<void> {
   t.timeout(280_000)
   let stepsCount = 0
   const failed: string[] = []
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS_COUNT; seed++) {
-    const run = await runTrainers(seed, isMomentaryOnly)
-    if (run.violations.length > 0) failed.push(`seed ${seed}: ${run.violations.join('; ')} (${run.faults.join(', ')})`)
-    stepsCount += run.stepsCount
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + runsCount; seed++) {
+    const { violations, faults, ...counts } = await run(seed)
+    if (violations.length > 0) failed.push(`seed ${seed}: ${violations.join('; ')} (${faults.join(', ')})`)
+    stepsCount += counts.stepsCount
   }
   // Compared after all runs, so that one seed that fails does not hide the others.
   t.deepEqual(failed, [])
-  t.true(stepsCount >= MIN_STEPS_PER_RUN * RUNS_COUNT, `${stepsCount} steps`)
+  t.true(stepsCount >= MIN_STEPS_PER_RUN * runsCount, `${stepsCount} steps`)
 }
 
-test('should keep engines and steps busy in random runs with momentary faults', async t => await runAll(t, true))
+test('should keep engines and steps busy in random runs with momentary faults', async t => await runAll(t, async seed => await runTrainers(seed, true)))
 
-test('should keep engines and steps busy in random runs with all faults', async t => await runAll(t, false))
+test('should keep engines and steps busy in random runs with all faults', async t => await runAll(t, async seed => await runTrainers(seed, false)))
+
+test('should complete whole groups of every trainer in random runs with a shortage of engines', async t => await runAll(t, runTrainersInShortage, SHORTAGE_RUNS_COUNT))
 
 // A host that is frozen while it has nothing to do gets the items of the next step, and the engine that has room failed shortly before.
 test('should keep a step busy that begins while one of two hosts is frozen', async t => {
