--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -25,6 +25,7 @@
 import { OutputReplicator } from './outputReplicator.js'
 import { ResultListing } from './resultListing.js'
 import { recordOutcome } from './runOutcome.js'
+import { moveFields, reasonOf } from './runLogFields.js'
 import type { BatchTimes, SchedulableItem } from '../batchScheduling/schedulableItem.js'
 import { ItemStage } from './stepReports.js'
 
@@ -259,16 +260,8 @@
   }
 
   private _logMove ({ pace }: Engine, fields: LogFields): void {
-    const { reason = '', restCount = 0, gainMs } = this._move ?? {}
-    this._options.metrics.count(MetricName.ItemMoved, { reason })
-    this._log(BatchEvent.ItemMoved, {
-      ...fields,
-      meanGapMs: Math.round(pace.currentGapMs ?? 0),
-      baselineGapMs: Math.round(pace.baselineGapMs ?? 0),
-      reason,
-      restEventsCount: Math.round(restCount),
-      ...(gainMs === undefined ? {} : { gainMs: Math.round(gainMs) })
-    })
+    this._options.metrics.count(MetricName.ItemMoved, { reason: this._move?.reason ?? '' })
+    this._log(BatchEvent.ItemMoved, { ...fields, ...moveFields(pace, this._move) })
   }
 
   private _shouldAbandon (): boolean {
@@ -433,8 +426,3 @@
     this._options.logger.event(event, { batchId: this.batch.batchId, itemId: this.item.itemId, ...fields })
   }
 }
-
-function reasonOf (outcome: RunOutcome): string {
-  if ('reason' in outcome) return outcome.reason
-  return 'status' in outcome ? `status ${outcome.status}` : ''
-}
