--- a/src/balancing/hostLimits.ts
+++ b/src/balancing/hostLimits.ts
@@ -264,9 +264,10 @@
 const LINK_SHORT_ABOVE = 0.9
 /** A processor in full use is short only if timers are late as well. */
 const PROCESSOR_SHORT_ABOVE = 0.95
-const LATE_TIMER_MS = 50
+/** Beyond what a host waits that has spent its share of a tenth of a second; requests that wait this long for the processor are late. */
+const LATE_TIMER_MS = 200
 /** Timers this late show a slowed host, whatever share of its processor it could use. */
-const VERY_LATE_TIMER_MS = 500
+const VERY_LATE_TIMER_MS = 1_000
 
 function shortResourceOf (shares: Record<ShortResource, number>, maxLoopDelayMs: number): ShortResource | undefined {
   const isProcessorFull = shares[ShortResource.Processor] > PROCESSOR_SHORT_ABOVE && maxLoopDelayMs > LATE_TIMER_MS
--- a/src/balancing/shedDepth.ts
+++ b/src/balancing/shedDepth.ts
@@ -5,8 +5,8 @@
  */
 import type { ShortResource } from './hostLimits.js'
 
-/** One long pause, for a collection or a new routing configuration, is no shortage. */
-const SHORT_READINGS_COUNT = 2
+/** A pause or two, for a collection or a new routing configuration, is no shortage. */
+const SHORT_READINGS_COUNT = 3
 /** Five readings until a rank is shed: callers go to other hosts meanwhile. */
 const DEEPER_STEP = 0.2
 const SHALLOWER_STEP = 0.1
