Load tests of admission to a full service; reports again 80 and 250 ms after its onset

Cause: at 3 times the room the sum of the first figures held mostly requests of before the rush, so that requests were let in as if it had not begun; the target of waiting requests grew with durations that the backlog itself had made. Change: two more reports of each host at the onset; at most 1.5 waiting a slot; a slot that an endpoint reports free lets one request in; refusals begin only when demand is above the capacity and no slot is free, or at 1.25 times the capacity.

--- a/src/balancing/admissionLevel.ts
+++ b/src/balancing/admissionLevel.ts
@@ -20,11 +20,16 @@
 const MIN_RETURN_ROOM_SHARE = 0.1
 /** Sums of fewer answers vary too much between two of them to be acted on. */
 const MIN_ANSWERS_PER_S = 50
+/** A service begins to refuse only when demand is above the capacity, no slot is free and requests wait; in a rush, before they do. */
+const MIN_EXCESS_SHARE = 0.02
+const RUSH_EXCESS_SHARE = 0.25
+const FULL_RUNNING_SHARE = 0.95
+const FULL_WAITING_PER_SLOT = 0.5
 /** Requests at the endpoints wait at most this share of the objective; the rest is left for their work and its variance. */
 const MAX_WAIT_OBJECTIVE_SHARE = 0.25
 /** With fewer waiting, endpoints run out of work between two requests; with more, callers wait for nothing. */
 const MIN_WAITING_PER_SLOT = 0.25
-const MAX_WAITING_PER_SLOT = 2
+const MAX_WAITING_PER_SLOT = 1.5
 /** How much more or less than the capacity is let in when the requests that wait are off their target by as much again. */
 const CORRECTION_SHARE = 0.15
 /** With more than twice the target waiting, a rush has come in before the shares were known: it is worked off first. */
@@ -61,12 +66,15 @@
 /**
  * @param fullness the freshest load of the endpoints; the sum may be some calls old
  * @param objectiveMs the shortest objective of the routes that use the service
+ * @param wasCut whether requests are refused already
  */
-export function admissionLevelOf (totals: ServiceTotals, fullness: Fullness, objectiveMs: number): AdmissionLevel {
+export function admissionLevelOf (totals: ServiceTotals, fullness: Fullness, objectiveMs: number, wasCut: boolean): AdmissionLevel {
   const capacityPerS = capacityPerSOf(totals.dataCentres)
   const answersPerS = totals.dataCentres.reduce((sum, load) => sum + load.answersPerS, 0)
   const demandPerS = totals.classes.reduce((sum, demand) => sum + demandOf(demand), 0)
   if (answersPerS < MIN_ANSWERS_PER_S) return { kind: 'open' }
+  const minExcessShare = isFull(fullness) ? MIN_EXCESS_SHARE : RUSH_EXCESS_SHARE
+  if (!wasCut && demandPerS <= (1 + minExcessShare) * capacityPerS) return { kind: 'open' }
   const allowedPerS = capacityPerS * correctionFactor(totals.dataCentres, fullness, objectiveMs)
   if (demandPerS <= allowedPerS) return { kind: 'open' }
   const granted = grantedPerS(totals.classes, allowedPerS)
@@ -81,6 +89,10 @@
   }
 }
 
+function isFull ({ runningShare, waitingPerSlot }: Fullness): boolean {
+  return runningShare >= FULL_RUNNING_SHARE && waitingPerSlot >= FULL_WAITING_PER_SLOT
+}
+
 /** Answers as there would be if all slots were taken, in each data centre. */
 function capacityPerSOf (dataCentres: readonly DataCentreLoad[]): number {
   return dataCentres.reduce((sum, { answersPerS, slotsPerS, runningPerS }) => sum + answersPerS * (runningPerS > 0 ? slotsPerS / runningPerS : 1), 0)
--- a/src/balancing/serviceAdmission.ts
+++ b/src/balancing/serviceAdmission.ts
@@ -24,8 +24,10 @@
 const LEVEL_LIFETIME_MS = 50
 /** Figures that have hardly changed are sent again before they stop counting, with one call to spare. */
 const REPEAT_INTERVAL_MS = 1_000
-/** When a service fills up, the figures sent at once hold mostly requests of before; those sent again after this time do not. */
-const SECOND_REPORT_AFTER_MS = 150
+/** A slot that an endpoint reported free is given away within the time in which other hosts would take it. */
+const FREE_SLOT_LIFETIME_MS = 50
+/** When a service fills up, the figures sent at once hold mostly requests of before; those sent again after these times hold fewer, and none. */
+const FOLLOW_UP_REPORTS_AFTER_MS = [80, 250]
 const LOG_INTERVAL_MS = 1_000
 /** For services that no route with an objective uses. */
 const DEFAULT_OBJECTIVE_MS = 200
@@ -66,7 +68,10 @@
   ownShare: number
   sent: { atMs: number, holder: string, figures: ServiceFigures } | undefined
   wasUnderPressure: boolean
-  secondReportAtMs: number
+  /** Times of reports that do not wait for the next call, the earliest first. */
+  followUpReportsAtMs: number[]
+  /** Until when a slot that an endpoint reported free may be given to a request. */
+  freeSlotUntilMs: number
   loggedAtMs: number
   loggedText: string
 }
@@ -93,7 +98,7 @@
     const level = this._levelOf(request.service, state)
     if (level.kind === 'open') return ADMITTED
     const classLevel = level.classes.get(arrival.priority)
-    const isAdmitted = !classLevel || hasRoom(this._freshestFullness(state)) || state.admission.isAdmitted(arrival, classLevel, state.ownShare)
+    const isAdmitted = !classLevel || hasRoom(this._freshestFullness(state)) || state.admission.isAdmitted(arrival, classLevel, state.ownShare) || this._takeFreeSlot(state)
     return isAdmitted ? ADMITTED : this._refuse(request, arrival, state, level.roomForReturnsPerS)
   }
 
@@ -123,6 +128,8 @@
   answered (service: string, sample: LoadSample): void {
     const state = this._stateOf(service)
     state.counter.answered(sample)
+    const { runningCount, waitingCount, slotsCount } = sample.load
+    if (waitingCount === 0 && runningCount < slotsCount) state.freeSlotUntilMs = this._options.clock.nowMs() + FREE_SLOT_LIFETIME_MS
     this._checkPressure(service, state)
   }
 
@@ -167,6 +174,13 @@
     return { priority, account, isReturn: this._patience.isReturn(route.name, remainingMs) }
   }
 
+  /** Each report of a free slot lets one request in, so that room is used as it comes, before any sum tells of it. */
+  private _takeFreeSlot (state: ServiceState): boolean {
+    const isFree = this._options.clock.nowMs() < state.freeSlotUntilMs
+    state.freeSlotUntilMs = Number.NEGATIVE_INFINITY
+    return isFree
+  }
+
   private _refuse ({ service, remainingMs }: AdmissionRequest, arrival: Arrival, state: ServiceState, roomForReturnsPerS: number): AdmissionDecision {
     state.counter.refused(arrival)
     this._options.metrics.count(MetricName.AdmissionRefused, { pool: service, priorityClass: String(arrival.priority) })
@@ -187,7 +201,8 @@
         ownShare: 0,
         sent: undefined,
         wasUnderPressure: false,
-        secondReportAtMs: Number.POSITIVE_INFINITY,
+        followUpReportsAtMs: [],
+        freeSlotUntilMs: Number.NEGATIVE_INFINITY,
         loggedAtMs: Number.NEGATIVE_INFINITY,
         loggedText: ''
       }
@@ -200,7 +215,7 @@
     const nowMs = this._options.clock.nowMs()
     if (!state.totals || nowMs < state.levelUntilMs) return state.level
     if (!this._isFresh(state.totals)) return this._dropTotals(service, state, state.totals)
-    state.level = admissionLevelOf(state.totals, this._freshestFullness(state), this._objectiveMsOf(service))
+    state.level = admissionLevelOf(state.totals, this._freshestFullness(state), this._objectiveMsOf(service), state.level.kind === 'cut')
     state.levelUntilMs = nowMs + LEVEL_LIFETIME_MS
     if (state.level.kind === 'open') state.admission.reset()
     return state.level
@@ -234,8 +249,9 @@
     const nowMs = this._options.clock.nowMs()
     const isNew = isUnderPressure && !state.wasUnderPressure
     state.wasUnderPressure = isUnderPressure
-    if (!isNew && nowMs < state.secondReportAtMs) return
-    state.secondReportAtMs = isNew ? nowMs + SECOND_REPORT_AFTER_MS : Number.POSITIVE_INFINITY
+    const [followUpAtMs = Number.POSITIVE_INFINITY, ...laterMs] = state.followUpReportsAtMs
+    if (!isNew && nowMs < followUpAtMs) return
+    state.followUpReportsAtMs = isNew ? FOLLOW_UP_REPORTS_AFTER_MS.map(afterMs => nowMs + afterMs) : laterMs
     if (isUnderPressure) this._options.onPressure?.(service)
   }
 
--- a/src/balancing/slidingCounts.ts
+++ b/src/balancing/slidingCounts.ts
@@ -8,6 +8,8 @@
 export const COUNT_WINDOW_MS = 500
 const SLICES_COUNT = 10
 const SLICE_MS = COUNT_WINDOW_MS / SLICES_COUNT
+/** Counts that have just begun are taken over this time at least: a rate of less time is hardly one. */
+const MIN_SPAN_MS = 250
 const MS_PER_S = 1_000
 
 interface Slice {
@@ -35,10 +37,11 @@
    */
   ratesPerS (withinMs = COUNT_WINDOW_MS): Map<string, number> {
     const sliceNumber = this._currentSlice().number
+    const spanMs = Math.min(withinMs, Math.max(MIN_SPAN_MS, this._clock.nowMs() - (this._slices[0]?.number ?? sliceNumber) * SLICE_MS))
     const rates = new Map<string, number>()
     for (const { number, sums } of this._slices) {
       if (number <= sliceNumber - withinMs / SLICE_MS) continue
-      for (const [key, sum] of sums) rates.set(key, (rates.get(key) ?? 0) + sum * MS_PER_S / withinMs)
+      for (const [key, sum] of sums) rates.set(key, (rates.get(key) ?? 0) + sum * MS_PER_S / spanMs)
     }
     return rates
   }
--- a/tests/balancing/admissionLevel.test.ts
+++ b/tests/balancing/admissionLevel.test.ts
@@ -21,7 +21,7 @@
 }
 
 function levelOf (sum: ServiceTotals): ReturnType<typeof admissionLevelOf> {
-  return admissionLevelOf(sum, fullnessOf(sum.dataCentres), OBJECTIVE_MS)
+  return admissionLevelOf(sum, fullnessOf(sum.dataCentres), OBJECTIVE_MS, true)
 }
 
 function classOf (sum: ServiceTotals, priority: number): ClassLevel {
