Make up for engine time that a trainer missed, and refuse batches with repeated ids

A step that is submitted finds all slots taken; its trainer lost the time until they were free at every step. While engines are short, what each trainer missed of its share (2 s of all slots at most) now counts against its running items.

An id that repeats in a submission is refused with the field and the id: the second item was lost, and the batch could never be whole.

--- a/src/batchScheduling/engineShares.ts
+++ b/src/batchScheduling/engineShares.ts
@@ -1,9 +1,8 @@
 /**
  * How trainers share the slots of engines that are short: by the priority of their
  * batches, and what one does not need goes to the others. A free slot goes to the
- * trainer that has the fewest running items for its weight, so that the running items
- * of trainers that wait are in proportion to their weights at any time, without a
- * record of the past that a new leader would lack. Pure apart from the queue's counts.
+ * trainer that has the fewest running items for its weight, and what it missed before is
+ * made up for, so that no trainer is passed over while it is below its share.
  */
 import { GroupStanding } from './groupPlan.js'
 
@@ -99,3 +98,50 @@
     return queue
   }
 }
+
+/** What a trainer has at the moment. */
+export interface ServedTrainer {
+  readonly trainer: string
+  readonly weight: number
+  /** Items that run or wait and are not surplus. */
+  readonly wantedItemsCount: number
+  readonly runningCount: number
+}
+
+/** Engine time that a trainer missed is made up for within about this time, by more running items meanwhile. */
+const CREDIT_HORIZON_MS = 300
+/** Engine time that is remembered, as time of all slots of the service. */
+const MAX_CREDIT_MS = 2_000
+
+/**
+ * Engine time that trainers missed, or had beyond their shares, since engines are short.
+ * A step that is submitted finds all slots taken and would otherwise lose the time until
+ * they are free. A new leader starts without credits, which bounds what is lost with it.
+ */
+export class ShareCredits {
+  /** Time of one slot. */
+  private readonly _creditsMs = new Map<string, number>()
+  private _recordedAtMs: number | undefined
+
+  /** Has to be called regularly while engines are short. */
+  record (trainers: readonly ServedTrainer[], slotsCount: number, nowMs: number): void {
+    const passedMs = nowMs - (this._recordedAtMs ?? nowMs)
+    this._recordedAtMs = nowMs
+    const shares = slotSharesOf(trainers.map(({ trainer, weight, wantedItemsCount }) => ({ trainer, weight, neededSlotsCount: wantedItemsCount })), slotsCount)
+    const boundMs = MAX_CREDIT_MS * slotsCount
+    for (const { trainer, runningCount } of trainers) {
+      const creditMs = (this._creditsMs.get(trainer) ?? 0) + passedMs * ((shares.get(trainer) ?? 0) - runningCount)
+      this._creditsMs.set(trainer, Math.max(-boundMs, Math.min(boundMs, creditMs)))
+    }
+  }
+
+  /** Has to be called while engines are not short; what was missed before is still made up for later. */
+  pause (): void {
+    this._recordedAtMs = undefined
+  }
+
+  /** The number of running items by which a trainer is compared with others. */
+  countedRunning (trainer: string, runningCount: number): number {
+    return runningCount - (this._creditsMs.get(trainer) ?? 0) / CREDIT_HORIZON_MS
+  }
+}
--- a/src/batchScheduling/groupScheduling.ts
+++ b/src/batchScheduling/groupScheduling.ts
@@ -8,7 +8,7 @@
 import type { Placement } from './assignmentRound.js'
 import { tokensPerEvent } from './assignmentRound.js'
 import type { EngineFleet } from './engineFleet.js'
-import { shareWeightOf, ShareQueue, slotSharesOf } from './engineShares.js'
+import { ShareCredits, shareWeightOf, ShareQueue, slotSharesOf } from './engineShares.js'
 import { aimAtMs, GroupStanding, planGroups, type OpenBatch, type OpenGroup } from './groupPlan.js'
 import { ASSUMED_TOKEN_MS, expectedGapMs } from './itemOrder.js'
 import { isShort, roomOf, type Room } from './room.js'
@@ -62,6 +62,7 @@
   isCarriedOver: boolean
   workTokensCount: number
   longestTokensCount: number
+  openItemsCount: number
 }
 
 interface BatchDraft {
@@ -85,6 +86,7 @@
   private _plannedAtMs = Number.NEGATIVE_INFINITY
   private _isAnyShort = false
   private _isAnyGivingWay = false
+  private readonly _credits = new ShareCredits()
   private _standings = new Map<SchedulableBatch, Map<string, Standing>>()
 
   constructor (options: GroupSchedulingOptions) {
@@ -120,7 +122,10 @@
       const { batch, priority } = item.run
       return { item, trainer: trainerOf(batch), weight: shareWeightOf(priority), standing: standingOrder(this._standingOf(item.run)), rank }
     })
-    return new ShareQueue(ranked, this._runningCounts())
+    const runningCounts = this._runningCounts()
+    const trainers = new Set(ranked.map(({ trainer }) => trainer))
+    const counted = [...trainers].map((trainer): [string, number] => [trainer, this._credits.countedRunning(trainer, runningCounts.get(trainer) ?? 0)])
+    return new ShareQueue(ranked, new Map(counted))
   }
 
   /** Whether an item waits only for room that nobody needs. */
@@ -152,12 +157,26 @@
     return counts
   }
 
+  private _recordCredits (trainers: readonly TrainerDraft[], room: Room, nowMs: number): void {
+    const runningCounts = this._runningCounts()
+    const served = trainers.map(({ trainer, weight, batches }) => (
+      { trainer, weight, wantedItemsCount: batches.reduce((sum, { draft }) => sum + this._wantedItemsCount(draft), 0), runningCount: runningCounts.get(trainer) ?? 0 }
+    ))
+    this._credits.record(served, room.slotsCount, nowMs)
+  }
+
+  private _wantedItemsCount ({ batch, groups }: BatchDraft): number {
+    const standings = this._standings.get(batch)
+    return [...groups].reduce((sum, [groupId, { openItemsCount }]) => sum + (standings?.get(groupId)?.standing === GroupStanding.Surplus ? 0 : openItemsCount), 0)
+  }
+
   private _plan (nowMs: number): void {
     this._isAnyShort = false
     this._isAnyGivingWay = false
     this._standings = new Map()
     const plans: BatchPlan[] = []
     for (const [service, drafts] of this._draftsByService()) plans.push(...this._planService(service, drafts, nowMs))
+    if (!this._isAnyShort) this._credits.pause()
     this._options.onPlan?.(plans)
   }
 
@@ -170,7 +189,9 @@
     this._isAnyShort ||= isServiceShort
     const trainers = trainersOf(batches, nowMs)
     const shares = slotSharesOf(trainers, room.slotsCount)
-    return trainers.flatMap(trainer => this._planTrainer(trainer, shares.get(trainer.trainer) ?? 0, isServiceShort, nowMs))
+    const plans = trainers.flatMap(trainer => this._planTrainer(trainer, shares.get(trainer.trainer) ?? 0, isServiceShort, nowMs))
+    if (isServiceShort) this._recordCredits(trainers, room, nowMs)
+    return plans
   }
 
   private _planTrainer ({ batches }: TrainerDraft, slotsCount: number, isServiceShort: boolean, nowMs: number): BatchPlan[] {
@@ -243,11 +264,12 @@
 
 function addItem (groups: Map<string, GroupDraft>, run: SchedulableItem): void {
   const { item, isCarriedOver, isGenerated } = run
-  const group = groups.get(item.groupId) ?? { isCarriedOver: false, workTokensCount: 0, longestTokensCount: 0 }
+  const group = groups.get(item.groupId) ?? { isCarriedOver: false, workTokensCount: 0, longestTokensCount: 0, openItemsCount: 0 }
   groups.set(item.groupId, group)
   group.isCarriedOver ||= isCarriedOver
   if (isGenerated) return
   const remainingTokensCount = Math.max(run.remainingTokensCount, OVERRUN_SHARE * item.expectedTokensCount)
+  group.openItemsCount++
   group.workTokensCount += remainingTokensCount
   group.longestTokensCount = Math.max(group.longestTokensCount, remainingTokensCount)
 }
--- a/tests/batchScheduling/engineShares.test.ts
+++ b/tests/batchScheduling/engineShares.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { ShareQueue, shareWeightOf, slotSharesOf, type RankedItem } from '../../src/batchScheduling/engineShares.js'
+import { ShareCredits, ShareQueue, shareWeightOf, slotSharesOf, type RankedItem } from '../../src/batchScheduling/engineShares.js'
 import { GroupStanding } from '../../src/batchScheduling/groupPlan.js'
 
 function waiting (trainer: string, count: number, weight = 1, standing = GroupStanding.Planned): Array<RankedItem<string>> {
@@ -32,6 +32,20 @@
   t.deepEqual(started.slice(0, 2), ['b0', 'b1'])
 })
 
+// A step finds all slots taken when it is submitted, and its trainer lost the time until they were free, step after step.
+test('should make up for engine time that a trainer missed, and not for time without a shortage', t => {
+  const credits = new ShareCredits()
+  const trainers = [{ trainer: 'a', weight: 1, wantedItemsCount: 50, runningCount: 0 }, { trainer: 'b', weight: 1, wantedItemsCount: 50, runningCount: 10 }]
+  credits.record(trainers, 10, 0)
+  credits.record(trainers, 10, 300)
+  t.true(credits.countedRunning('a', 5) < 5)
+  t.true(credits.countedRunning('b', 5) > 5)
+  const counted = credits.countedRunning('a', 5)
+  credits.pause()
+  credits.record(trainers, 10, 60_000)
+  t.is(credits.countedRunning('a', 5), counted)
+})
+
 test('should go on with another trainer after the items of one, and with surplus last', t => {
   const queue = new ShareQueue([...waiting('s', 2, 3, GroupStanding.Surplus), ...waiting('a', 1), ...waiting('b', 2)], new Map([['b', 50]]))
   t.deepEqual(startsOf(queue, 6), ['a0', 'b0', 'b1', 's0', 's1', ''])
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -152,6 +152,15 @@
   t.is(decodeSubmission('b1', 'h', '/p/', { ...submission, items: [{ ...submission.items[0], body: '%%' }] }).kind, 'invalid')
 })
 
+// The second item of an id was lost, and the batch could never be whole.
+test('should refuse a batch in which an id repeats, or that waits for a negative number of groups, and say where', t => {
+  const [item] = submission.items
+  const repeated = decodeSubmission('b1', 'h', '/p/', { ...submission, items: [item, item] })
+  t.deepEqual(repeated.kind === 'invalid' && repeated.error.issues.map(({ path, message }) => [path, message]), [[['items'], `the id "${item?.id}" repeats`]])
+  const negative = decodeSubmission('b1', 'h', '/p/', { ...submission, desired: -1 })
+  t.deepEqual(negative.kind === 'invalid' && negative.error.issues.map(({ path }) => path), [['desired']])
+})
+
 test('should encode results with the texts of their parts joined', t => {
   const parts = [toPart(['one', 'two'], [1]), toPart(['three'], [2])]
   const page = encodeResults({
