Let a run move only if its step gains by it, also before lengths are known

Cause: in the first two steps after a change of leader nothing bounds a hint, and one item whose hint was far too high made its step look so long that long runs stayed on slow engines until it was found out (step of 7.1 s). A margin of 300 ms held runs back where kinds differ by a third only.

Change: until two whole steps are finished, the longest tenth of a step by its hints is left out of what the step lasts; and a step has to gain two fifths of what the run gains instead of 300 ms.

--- a/src/batchScheduling/modelDemand.ts
+++ b/src/batchScheduling/modelDemand.ts
@@ -29,6 +29,8 @@
   stalenesses: number[]
   stepItemsCount: number | undefined
   samplesCount: number
+  /** Events of all complete samples. */
+  eventsCount: number
   longestEventsCount: number
   lengthSpread: LengthSpread
 }
@@ -67,6 +69,7 @@
     const demand = this._demands.get(model)
     if (!demand) return
     demand.samplesCount++
+    demand.eventsCount += eventsCount
     demand.longestEventsCount = Math.max(demand.longestEventsCount, eventsCount)
     if (hintedCount !== undefined) demand.lengthSpread.record(hintedCount, eventsCount)
   }
@@ -84,8 +87,19 @@
   /** Events that no sample of the model is expected to exceed; 0 until enough samples are complete. */
   maxExpectedEventsCount (model: string): number {
     const demand = this._demands.get(model)
-    if (demand?.stepItemsCount === undefined) return 0
-    return demand.samplesCount >= MIN_COMPLETE_STEPS_COUNT * demand.stepItemsCount ? demand.longestEventsCount : 0
+    return demand && hasWholeSteps(demand) ? demand.longestEventsCount : 0
+  }
+
+  /** Whether enough samples are complete that forecasts rest on more than hints. */
+  hasSamples (model: string): boolean {
+    const demand = this._demands.get(model)
+    return demand !== undefined && hasWholeSteps(demand)
+  }
+
+  /** Mean events of a sample; undefined until enough samples are complete. */
+  meanEventsCount (model: string): number | undefined {
+    const demand = this._demands.get(model)
+    return demand && hasWholeSteps(demand) ? demand.eventsCount / demand.samplesCount : undefined
   }
 
   /** How many versions behind the newest one the samples of a step may be. */
@@ -111,9 +125,14 @@
   private _demandOf (model: string, version: number): Demand {
     let demand = this._demands.get(model)
     if (!demand) {
-      demand = { namedVersion: version, namings: [], stalenesses: [], stepItemsCount: undefined, samplesCount: 0, longestEventsCount: 0, lengthSpread: new LengthSpread() }
+      demand = { namedVersion: version, namings: [], stalenesses: [], stepItemsCount: undefined, samplesCount: 0, eventsCount: 0, longestEventsCount: 0, lengthSpread: new LengthSpread() }
       this._demands.set(model, demand)
     }
     return demand
   }
 }
+
+/** Whether samples of whole steps are complete, so that the long ones are among them. */
+function hasWholeSteps ({ samplesCount, stepItemsCount }: Demand): boolean {
+  return stepItemsCount !== undefined && samplesCount >= MIN_COMPLETE_STEPS_COUNT * stepItemsCount
+}
--- a/src/batchScheduling/movePolicy.ts
+++ b/src/batchScheduling/movePolicy.ts
@@ -6,7 +6,6 @@
  */
 import type { Clock } from '../utils/clock.js'
 import type { Engine } from './engineFleet.js'
-import { MIN_MOVING_GAIN_MS } from './itemOrder.js'
 import type { SchedulableBatch, SchedulableItem } from './schedulableItem.js'
 
 /** Runs are judged anew after this time: a few events. */
@@ -14,6 +13,11 @@
 /** Moves of one run at most: each reads its text again, and what the forecast missed twice it will miss again. */
 const MAX_MOVES_COUNT = 3
 
+/** Share of what a run gains by a move that its step has to gain as well. */
+const MIN_STEP_GAIN_SHARE = 0.4
+/** Share of a step's items that are left out as too long by their hints, where forecasts rest on hints alone: one hint that is far too high says nothing of the step. */
+const HINTED_SHARE = 0.1
+
 /** Why a run is moved. */
 export enum MoveReason {
   /** Its engine has been slower than its own baseline for longer than a moment. */
@@ -41,6 +45,8 @@
   expectedRestCount: (run: SchedulableItem) => number
   /** Events to allow for: more than expected once a run has come far, as hints are often far off. */
   allowedRestCount: (run: SchedulableItem) => number
+  /** Whether the forecasts of an item rest on finished samples, and not on its hint alone. */
+  isForecast: (run: SchedulableItem) => boolean
   /** Time per event of the fastest engines that the item may use. */
   fastestGapMs: (run: SchedulableItem) => number
 }
@@ -76,19 +82,33 @@
   }
 
   private _judge (): Set<SchedulableItem> {
-    const { runs, expectedRestCount, allowedRestCount, fastestGapMs } = this._options
+    const { runs, expectedRestCount, allowedRestCount, isForecast, fastestGapMs } = this._options
     // An item without an engine that has started is being scored, or starts again in a moment.
     const open = [...runs].filter(run => run.engine !== undefined || !run.isStarted)
-    /** By batch: the rest of the longest item, which the step lasts in any case. */
-    const stepsMs = new Map<SchedulableBatch, number>()
+    const restsMs = new Map<SchedulableBatch, number[]>()
     for (const run of open) {
       const restMs = expectedRestCount(run) * fastestGapMs(run)
-      stepsMs.set(run.batch, Math.max(restMs, stepsMs.get(run.batch) ?? 0))
+      const known = restsMs.get(run.batch)
+      if (known) known.push(restMs)
+      else restsMs.set(run.batch, [restMs])
+    }
+    /** By batch: how long the step lasts in any case. */
+    const stepsMs = new Map<SchedulableBatch, number>()
+    for (const run of open) {
+      if (!stepsMs.has(run.batch)) stepsMs.set(run.batch, stepMsOf(restsMs.get(run.batch) ?? [], isForecast(run) ? 0 : HINTED_SHARE * run.batch.submission.itemsCount))
     }
     return new Set(open.filter(run => {
       const gapMs = run.engine?.pace.lastingGapMs
       if (gapMs === undefined || (this._movesCounts.get(run) ?? 0) >= MAX_MOVES_COUNT) return false
-      return allowedRestCount(run) * gapMs > (stepsMs.get(run.batch) ?? 0) + MIN_MOVING_GAIN_MS
+      const restMs = allowedRestCount(run) * gapMs
+      const runGainMs = allowedRestCount(run) * (gapMs - fastestGapMs(run))
+      const stepGainMs = restMs - (stepsMs.get(run.batch) ?? 0)
+      return stepGainMs > 0 && stepGainMs >= MIN_STEP_GAIN_SHARE * runGainMs
     }))
   }
 }
+
+/** Time that a step lasts at least, from the rests of its open items on the fastest engines, without the longest ones. */
+function stepMsOf (restsMs: readonly number[], leftOutCount: number): number {
+  return [...restsMs].sort((left, right) => right - left)[Math.floor(leftOutCount)] ?? 0
+}
--- a/src/batchScheduling/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -60,7 +60,7 @@
     this._options = options
     this._pacing = new StartPacing(options.clock)
     this._kinds = new KindPlacement(options)
-    this._moves = new MovePolicy({ clock: options.clock, runs: options.runs, expectedRestCount: run => this._kinds.expectedRestCount(run), allowedRestCount: run => expectedEventsCount(this._estimateOf(run)), fastestGapMs: run => this._kinds.fastestGapMs(run) })
+    this._moves = new MovePolicy({ clock: options.clock, runs: options.runs, expectedRestCount: run => this._kinds.expectedRestCount(run), allowedRestCount: run => expectedEventsCount(this._estimateOf(run)), isForecast: run => options.demand.hasSamples(run.item.model), fastestGapMs: run => this._kinds.fastestGapMs(run) })
   }
 
   /** Whether the processor of this host is overloaded. */
@@ -82,6 +82,12 @@
     return this._waiting.filter(({ run }) => run.item.model === model).length
   }
 
+  /** Time that all open items of a service still need, one after the other. */
+  openWorkMs (service: string): number {
+    const open = [...this._options.runs].filter(run => this._options.placementOf(run)?.service === service)
+    return open.reduce((sumMs, run) => sumMs + this._remainingMs(run), 0)
+  }
+
   /** Why a waiting item has no slot. */
   waitReasonOf (run: SchedulableItem): WaitReason {
     const placement = this._options.placementOf(run)
--- a/tests/batchScheduling/movePolicy.test.ts
+++ b/tests/batchScheduling/movePolicy.test.ts
@@ -16,13 +16,15 @@
   readonly fast = this._engine('fast', FAST_GAP_MS)
   readonly slow = this._engine('slow', SLOW_GAP_MS)
   readonly runs = new Set<SchedulableItem>()
-  private readonly _batch = { batchId: 'b1' }
+  isForecast = true
+  private readonly _batch = { batchId: 'b1', submission: { itemsCount: 20 } }
   private readonly _rests = new Map<SchedulableItem, Rest>()
   readonly policy = new MovePolicy({
     clock: this.clock,
     runs: this.runs,
     expectedRestCount: run => this._rests.get(run)?.expectedCount ?? 0,
     allowedRestCount: run => this._rests.get(run)?.allowedCount ?? this._rests.get(run)?.expectedCount ?? 0,
+    isForecast: () => this.isForecast,
     fastestGapMs: () => FAST_GAP_MS
   })
 
@@ -56,6 +58,16 @@
   t.false(world.policy.movable().has(run))
 })
 
+// The first step after a change of leader: one hint that was far too high kept long runs on slow engines to their end.
+test('should not let one hint that is far too high hold all other runs where they are', t => {
+  const world = new MoveWorld()
+  world.isForecast = false
+  world.add({ expectedCount: 120, engine: world.fast })
+  for (let item = 0; item < 18; item++) world.add({ expectedCount: 10, engine: world.fast })
+  const run = world.add({ expectedCount: 30, engine: world.slow })
+  t.true(world.policy.movable().has(run))
+})
+
 test('should move a run that has come much further than its hint', t => {
   const world = new MoveWorld()
   world.add({ expectedCount: 20, engine: world.fast })
