Order engines from the work that is expected

Cause: engines were ordered for a count of runs, at most 250, which dates from when the leader of the batch store read the events of every run; store hosts run the items now. A data centre that takes its reclaimable engines back was found without capacity only once an order for others there had been refused.

Change: where samples of whole steps of each model are known, what is needed follows from items, mean length and pace over the interval of the steps at three quarters of the slots, and from open work that the present engines do not finish while others start. The bound is 240 items a second: 2.7 ms of the leader's main thread an item, a fifth spare. While reclaimable engines are needed, as many more as one data centre can take back at once, if they cost half of the others at most; equal counts first, then by price. Without a forecast the rule is that of before.

Ruled out: fewer engines than the kept ones, which stay as ordered.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -32,6 +32,7 @@
 import { PlacementSelector } from './placementSelector.js'
 import { SlotAssignment } from '../batchScheduling/slotAssignment.js'
 import { StepReports, type ReportedStep } from './stepReports.js'
+import { workForecastOf } from './workForecast.js'
 
 /** Outputs of unfinished items of ended batches that are kept for a later batch with the same items. */
 const MAX_CARRIED_OVER_OUTPUTS_COUNT = 2_000
@@ -113,11 +114,12 @@
   }
 
   /** Demand of the steps of a service's models; `itemsCount` is undefined until a step of each model was seen. */
-  supplyNeedOf ({ engine }: RoutingService): SupplyNeed {
+  supplyNeedOf ({ name, engine }: RoutingService): SupplyNeed {
     const counts = engine?.models.map(model => this.demand.stepItemsCount(model)) ?? []
     const isKnown = counts.every(count => count !== undefined)
     const itemsCount = isKnown ? STEPS_OPEN_COUNT * counts.reduce((sum, count) => sum + count, 0) : undefined
-    return { itemsCount, slotsCount: engine?.slotsCount ?? 1 }
+    const forecast = workForecastOf(this.engines.ofService(name), engine?.models ?? [], this.demand, this._slots.openWorkMs(name))
+    return { itemsCount, slotsCount: engine?.slotsCount ?? 1, ...(forecast ? { forecast } : {}) }
   }
 
   /** Starts and stops items as batches are submitted and end, until the scope closes. */
--- a/src/engineSupply/engineSupply.ts
+++ b/src/engineSupply/engineSupply.ts
@@ -14,7 +14,7 @@
 import type { Metrics } from '../utils/metrics.js'
 import type { Scope } from '../utils/scope.js'
 import type { SupplyLedger, SupplyOrder } from './supplyLedger.js'
-import { planSupply, type PlannedSupply, type DataCentreSupply, type SupplyNeed } from './supplyPlan.js'
+import { neededEnginesCount, planSupply, type PlannedSupply, type DataCentreSupply, type SupplyNeed } from './supplyPlan.js'
 
 const CHECK_INTERVAL_MS = 250
 const CALL_TIMEOUT_MS = 1_500
@@ -22,6 +22,8 @@
 const RETRY_PAUSE_MS = 1_000
 /** Pause before engines are ordered again in a data centre without capacity. */
 const OUT_OF_CAPACITY_PAUSE_MS = 5_000
+/** Time after a notice to reclaimable engines for which their data centre is not expected to have others. */
+const RECLAIM_PAUSE_MS = 10_000
 /** Minimum time before an order is reduced: lost engines may come back and go again, and starting an engine takes seconds. */
 const MIN_HOLD_MS = 15_000
 /** Engines that are missing this long after their boot time are ordered again. */
@@ -59,6 +61,10 @@
 export class EngineSupply {
   private readonly _options: EngineSupplyOptions
   private readonly _sent = new Map<string, SentOrder>()
+  /** Until when a data centre is not expected to have reclaimable engines, by service and data centre. */
+  private readonly _reclaimedUntilMs = new Map<string, number>()
+  /** The plan logged last, by service. */
+  private readonly _loggedPlans = new Map<string, string>()
 
   constructor (options: EngineSupplyOptions) {
     this._options = options
@@ -86,7 +92,10 @@
   private async _reconcileService (service: RoutingService, scaling: ServiceScaling, scope: Scope): Promise<void> {
     const supplies = this._currentSupplies(service.name, scaling)
     if (supplies.every(({ permanentCount, orderedPermanentCount }) => permanentCount === 0 && orderedPermanentCount === undefined)) return
-    for (const planned of planSupply(supplies, scaling, this._options.needOf(service))) {
+    const need = this._options.needOf(service)
+    const plan = planSupply(supplies, scaling, need)
+    this._logPlan(service.name, scaling, need, plan)
+    for (const planned of plan) {
       await this._reconcileDataCentre(service, scaling, planned, scope)
     }
   }
@@ -96,10 +105,39 @@
       dataCentre,
       permanentCount: this._countOf({ service, dataCentre, isReclaimable: false }),
       orderedPermanentCount: this._options.ledger.orderOf({ service, dataCentre, isReclaimable: false }),
-      isOutOfCapacity: this._isOutOfCapacity({ service, dataCentre })
+      isOutOfCapacity: this._isOutOfCapacity({ service, dataCentre }) || this._isBeingReclaimed({ service, dataCentre })
     }))
   }
 
+  /** Whether a data centre lately gave notice to reclaimable engines that are still wanted; it then takes all of them back at once. */
+  private _isBeingReclaimed ({ service, dataCentre }: { service: string, dataCentre: string }): boolean {
+    const { clock, endpointsOf, ledger } = this._options
+    const order = { service, dataCentre, isReclaimable: true }
+    const key = orderKeyOf(order)
+    const isLeaving = endpointsOf(service).some(endpoint => endpoint.dataCentre === dataCentre && endpoint.isReclaimable === true && endpoint.lifecycle === EndpointLifecycle.Leaving)
+    if (isLeaving && this._countOf(order) < (ledger.orderOf(order) ?? 0)) this._reclaimedUntilMs.set(key, clock.nowMs() + RECLAIM_PAUSE_MS)
+    return clock.nowMs() < (this._reclaimedUntilMs.get(key) ?? Number.NEGATIVE_INFINITY)
+  }
+
+  /** Logs a plan that has changed, with what it rests on. */
+  private _logPlan (service: string, { bootMs }: ServiceScaling, need: SupplyNeed, plan: readonly PlannedSupply[]): void {
+    const reclaimableCounts = plan.map(({ dataCentre, reclaimableCount }) => `${dataCentre}=${reclaimableCount}`)
+    if (this._loggedPlans.get(service) === reclaimableCounts.join()) return
+    this._loggedPlans.set(service, reclaimableCounts.join())
+    const { forecast, itemsCount = 0 } = need
+    const steps = forecast?.steps ?? []
+    this._options.logger.event(DutyEvent.SupplyDecided, {
+      service,
+      reclaimableCounts,
+      neededCount: neededEnginesCount(need, bootMs),
+      isForecast: forecast !== undefined,
+      itemsCount,
+      busySlotsCount: Math.round(steps.reduce((sum, step) => sum + step.itemsCount * step.itemMs / Math.max(1, step.intervalMs), 0)),
+      openWorkMs: Math.round(forecast?.openWorkMs ?? 0),
+      presentSlotsCount: forecast?.presentSlotsCount ?? 0
+    })
+  }
+
   private async _reconcileDataCentre ({ name: service }: RoutingService, { bootMs }: ServiceScaling, { dataCentre, permanentCount, reclaimableCount }: PlannedSupply, scope: Scope): Promise<void> {
     const wanted = [{ isReclaimable: false, desiredCount: permanentCount }, { isReclaimable: true, desiredCount: reclaimableCount }]
     for (const { isReclaimable, desiredCount } of wanted) {
