--- a/src/batchScheduling/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -65,10 +65,17 @@
   constructor (options: SlotAssignmentOptions) {
     this._options = options
     this._pacing = new StartPacing(options.clock)
-    const { clock, engines, runs, placementOf, onPlan } = options
+    const { clock, engines, demand, runs, placementOf, onPlan } = options
     this._groups = new GroupScheduling({ clock, engines, runs, placementOf, onPlan })
     this._kinds = new KindPlacement(options)
-    this._moves = new MovePolicy({ clock, runs, expectedRestCount: run => this._kinds.expectedRestCount(run), allowedRestCount: run => expectedEventsCount(this._estimateOf(run)), fastestGapMs: run => this._kinds.fastestGapMs(run) })
+    this._moves = new MovePolicy({
+      clock,
+      runs,
+      expectedRestCount: run => this._kinds.expectedRestCount(run),
+      allowedRestCount: run => expectedEventsCount(this._estimateOf(run)),
+      isForecast: run => demand.hasSamples(run.item.model),
+      fastestGapMs: run => this._kinds.fastestGapMs(run)
+    })
   }
 
   /** Whether the processor of this host is overloaded. */
@@ -92,6 +99,12 @@
     return this._waiting.filter(({ run }) => run.item.model === model).length
   }
 
+  /** Time that all open items of a service still need, one after the other. */
+  openWorkMs (service: string): number {
+    const open = [...this._options.runs].filter(run => this._options.placementOf(run)?.service === service)
+    return open.reduce((sumMs, run) => sumMs + this._remainingMs(run), 0)
+  }
+
   /** Why a waiting item has no slot. */
   waitReasonOf (run: SchedulableItem): WaitReason {
     const placement = this._options.placementOf(run)
