--- a/tests/fleet/followerSessions.test.ts
+++ b/tests/fleet/followerSessions.test.ts
@@ -5,9 +5,10 @@
 import { QuarantineState } from '../../src/control/routing/quarantineState.js'
 import { RecordedLeaves } from '../../src/control/routing/recordedLeaves.js'
 import { FollowerSessions } from '../../src/control/fleet/followerSessions.js'
-import { FleetFollower } from '../../src/fleet/fleetFollower.js'
+import { FleetFollower, type ServiceFiguresExchange } from '../../src/fleet/fleetFollower.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { EndpointLifecycle, HostRole } from '../../src/protocol/fleet.js'
+import type { ServiceTotals } from '../../src/protocol/serviceFigures.js'
 import { followMethod } from '../../src/transport/fleetMethods.js'
 import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
 import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
@@ -84,7 +85,7 @@
     supervisor.spawn('review', scope => this.sessions.review(scope))
   }
 
-  follow (number: number, role: HostRole): FleetView {
+  follow (number: number, role: HostRole, services?: ServiceFiguresExchange): FleetView {
     const hostId = `10.0.0.${number}`
     const view = new FleetView(silentLogger)
     const supervisor = new Supervisor(this.scope.child(hostId), (_task, error) => { throw error })
@@ -97,6 +98,7 @@
       view,
       seedAddresses: [CONTROL],
       describe: () => ({ hostId, hostName: hostId, dataCentre: 'north', role, isServing: true, store }),
+      services,
       onFatal: error => { throw error }
     })
     follower.start()
@@ -216,3 +218,31 @@
   await world.clock.advance(10)
   t.deepEqual(view.ready().map(({ endpointId }) => endpointId), ['e1@2000'])
 })
+
+test('should send the figures of a full service to one control host, and their sum to entry hosts only while there are figures', async t => {
+  const world = new World()
+  await world.start()
+  const received: ServiceTotals[] = []
+  const sentTo: string[] = []
+  let isUnderPressure = false
+  const services = (hostNumber: number): ServiceFiguresExchange => ({
+    takeDue: (address, holderOf) => {
+      if (!isUnderPressure || holderOf('decks') !== address) return []
+      sentTo.push(address)
+      return [{ service: 'decks', countedAtWallMs: world.clock.nowMs(), classes: [{ priority: 0, firstTriesPerS: 10 * hostNumber, returnsPerS: 0, refusedPerS: 0 }], dataCentres: [] }]
+    },
+    receive: totals => { received.push(...totals) }
+  })
+  for (const number of [1, 2]) world.follow(number, HostRole.Entry, services(number))
+  await world.clock.advance(SETTLE_MS)
+  t.is(received.length, 0)
+  isUnderPressure = true
+  await world.clock.advance(SETTLE_MS)
+  t.true(received.some(({ hostsCount, classes }) => hostsCount === 2 && classes[0]?.firstTriesPerS === 30))
+  t.deepEqual([...new Set(sentTo)], [CONTROL])
+  isUnderPressure = false
+  await world.clock.advance(SETTLE_MS)
+  const receivedCount = received.length
+  await world.clock.advance(SETTLE_MS)
+  t.is(received.length, receivedCount)
+})
