--- a/tests/fleet/followerSessions.test.ts
+++ b/tests/fleet/followerSessions.test.ts
@@ -5,9 +5,10 @@
 import { QuarantineState } from '../../src/control/routing/quarantineState.js'
 import { RecordedLeaves } from '../../src/control/routing/recordedLeaves.js'
 import { FollowerSessions } from '../../src/control/fleet/followerSessions.js'
-import { FleetFollower } from '../../src/fleet/fleetFollower.js'
+import { FleetFollower, type ServiceFiguresExchange } from '../../src/fleet/fleetFollower.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { EndpointLifecycle, HostRole, type FleetHost, type FollowRequest, type HostLoad } from '../../src/protocol/fleet.js'
+import type { ServiceTotals } from '../../src/protocol/serviceFigures.js'
 import { followMethod } from '../../src/transport/fleetMethods.js'
 import { MemoryNetwork } from '../../src/transport/memoryTransport.js'
 import { RpcHandlers, RpcPeer } from '../../src/transport/rpcPeer.js'
@@ -89,7 +90,7 @@
     supervisor.spawn('review', scope => this.sessions.review(scope))
   }
 
-  follow (number: number, role: HostRole, changes: Partial<FleetHost> = {}, describeLoad?: () => HostLoad | undefined): FleetView {
+  follow (number: number, role: HostRole, changes: Partial<FleetHost> = {}, describeLoad?: () => HostLoad | undefined, services?: ServiceFiguresExchange): FleetView {
     const hostId = `10.0.0.${number}`
     const view = new FleetView(silentLogger)
     const supervisor = new Supervisor(this.scope.child(hostId), (_task, error) => { throw error })
@@ -103,6 +104,7 @@
       seedAddresses: [CONTROL],
       describe: () => ({ hostId, hostName: hostId, dataCentre: 'north', role, isServing: true, store, ...changes }),
       ...(describeLoad ? { describeLoad } : {}),
+      services,
       onFatal: error => { throw error }
     })
     follower.start()
@@ -296,3 +298,31 @@
     t.deepEqual(view.hosts(HostRole.Entry).map(({ hostId }) => hostId), ['10.0.0.1'])
   })
 }
+
+test('should send the figures of a full service to one control host, and their sum to entry hosts only while there are figures', async t => {
+  const world = new World()
+  await world.start()
+  const received: ServiceTotals[] = []
+  const sentTo: string[] = []
+  let isUnderPressure = false
+  const services = (hostNumber: number): ServiceFiguresExchange => ({
+    takeDue: (address, holderOf) => {
+      if (!isUnderPressure || holderOf('decks') !== address) return []
+      sentTo.push(address)
+      return [{ service: 'decks', countedAtWallMs: world.clock.nowMs(), classes: [{ priority: 0, firstTriesPerS: 10 * hostNumber, returnsPerS: 0, refusedPerS: 0 }], dataCentres: [] }]
+    },
+    receive: totals => { received.push(...totals) }
+  })
+  for (const number of [1, 2]) world.follow(number, HostRole.Entry, {}, undefined, services(number))
+  await world.clock.advance(SETTLE_MS)
+  t.is(received.length, 0)
+  isUnderPressure = true
+  await world.clock.advance(SETTLE_MS)
+  t.true(received.some(({ hostsCount, classes }) => hostsCount === 2 && classes[0]?.firstTriesPerS === 30))
+  t.deepEqual([...new Set(sentTo)], [CONTROL])
+  isUnderPressure = false
+  await world.clock.advance(SETTLE_MS)
+  const receivedCount = received.length
+  await world.clock.advance(SETTLE_MS)
+  t.is(received.length, receivedCount)
+})
