--- a/tests/balancing/hostSelection.test.ts
+++ b/tests/balancing/hostSelection.test.ts
@@ -25,7 +25,12 @@
   return selectHosts({ hosts, caller: { identity, dataCentre }, wallMs, maxCount: MAX_ADDRESSES_COUNT, random: seededRandom(seed) }).map(({ hostId }) => hostId)
 }
 
-for (const seed of [1, 2, 3]) {
+const SEEDS = [1, 2, 3]
+/** Seed 14: the slowed host, of 0.08 cores, gets a third too much. Four callers that stay connected are all that it can serve; it leaves the lists and comes back in turns. */
+const SMALL_SLOWED_SEEDS = [...SEEDS, 14]
+const STABILITY_SEEDS = [1]
+
+for (const seed of SEEDS) {
   test(`should load hosts by capacity when one data centre presses at eight times the usual, seed ${seed}`, t => {
     const world = new CallerSpreadWorld({ capacities: UNEVEN_CAPACITIES, callersPerDataCentre: CALLERS, fleetUse: PRESSED_USE, seed })
     world.run(SETTLE_S)
@@ -35,8 +40,10 @@
     t.log(`${Math.min(...ratios).toFixed(3)} to ${Math.max(...ratios).toFixed(3)}`)
     for (const ratio of ratios) t.true(Math.abs(ratio - 1) <= MAX_DEVIATION, `${ratio}`)
   })
+}
 
-  for (const [size, slowedHost] of [['large', 0], ['small', 59]] as const) {
+for (const [size, slowedHost, seeds] of [['large', 0, SEEDS], ['small', 59, SMALL_SLOWED_SEEDS]] as const) {
+  for (const seed of seeds) {
     test(`should load hosts by what they can do with one frozen and a ${size} one slowed to a third, seed ${seed}`, t => {
       const world = new CallerSpreadWorld({ capacities: UNEVEN_CAPACITIES, callersPerDataCentre: CALLERS, fleetUse: PRESSED_USE, seed })
       world.run(SETTLE_S)
@@ -78,15 +85,17 @@
   for (let caller = 0; caller < 100; caller++) t.true(idsFor(hosts, `caller-${caller}`).length >= MIN_LISTED_COUNT)
 })
 
-test('should keep a caller\'s list nearly as it is over renewals', t => {
-  const world = new CallerSpreadWorld({ capacities: UNEVEN_CAPACITIES, callersPerDataCentre: CALLERS, fleetUse: PRESSED_USE, seed: 1 })
-  world.run(SETTLE_S)
-  const { droppedConnectionsCount, renewalsCount } = world
-  world.run(MEASURED_S)
-  const dropped = (world.droppedConnectionsCount - droppedConnectionsCount) / (world.renewalsCount - renewalsCount)
-  t.log(`${dropped.toFixed(4)} connections dropped per renewal`)
-  t.true(dropped < 0.05, `${dropped}`)
-})
+for (const seed of STABILITY_SEEDS) {
+  test(`should keep a caller's list nearly as it is over renewals, seed ${seed}`, t => {
+    const world = new CallerSpreadWorld({ capacities: UNEVEN_CAPACITIES, callersPerDataCentre: CALLERS, fleetUse: PRESSED_USE, seed })
+    world.run(SETTLE_S)
+    const { droppedConnectionsCount, renewalsCount } = world
+    world.run(MEASURED_S)
+    const dropped = (world.droppedConnectionsCount - droppedConnectionsCount) / (world.renewalsCount - renewalsCount)
+    t.log(`${dropped.toFixed(4)} connections dropped per renewal`)
+    t.true(dropped < 0.05, `${dropped}`)
+  })
+}
 
 test('should move only one host of the lists when one host\'s weight changes', t => {
   const before = unevenHosts()
