--- a/src/batchScheduling/candidateSet.ts
+++ b/src/batchScheduling/candidateSet.ts
@@ -30,7 +30,8 @@
   isFull = false
   /** No engine has a slot that a deferrable item may take. */
   isFullForDeferrable = false
-  private readonly _byEngine: Map<Engine, { tier: Tier, candidate: Candidate }>
+  /** Filled by the first item that has a free engine: in most rounds, all engines are full. */
+  private _byEngine: Map<Engine, { tier: Tier, candidate: Candidate }> | undefined
   private readonly _cheapest = new Map<Tier, Map<number | undefined, Candidate | undefined>>()
   private _assignedCountAtComparison = 0
 
@@ -38,7 +39,6 @@
     this.placement = placement
     this.whole = whole
     this.tiers = tiers
-    this._byEngine = new Map(tiers.flatMap(tier => tier.candidates.map(candidate => [candidate.engine, { tier, candidate }] as const)))
   }
 
   /** @param kinds the kinds of the service's engines, fastest first */
@@ -76,6 +76,8 @@
 
   /** The first of some engines that has about as few runs as the cheapest candidate of its tier; the cheapest without one. */
   preferred (engines: readonly Engine[], cheapest: Candidate, tier: Tier, maxRunsCount: number, furtherRunsCount: number): Candidate {
+    if (engines.length === 0) return cheapest
+    this._byEngine ??= new Map(this.tiers.flatMap(each => each.candidates.map(candidate => [candidate.engine, { tier: each, candidate }] as const)))
     for (const engine of engines) {
       const known = this._byEngine.get(engine)
       if (known?.tier !== tier || !hasRoom(known.candidate, maxRunsCount) || known.candidate.isUncertain) continue
@@ -85,11 +87,22 @@
   }
 }
 
+/** Indexes of kinds by engine; kinds are the same object for several rounds. */
+const kindIndexes = new WeakMap<readonly EngineKind[], Map<Engine, number>>()
+
+function kindIndexesOf (kinds: readonly EngineKind[]): Map<Engine, number> {
+  const known = kindIndexes.get(kinds)
+  if (known) return known
+  const indexes = new Map(kinds.flatMap(({ engines }, index) => engines.map(engine => [engine, index] as const)))
+  kindIndexes.set(kinds, indexes)
+  return indexes
+}
+
 /** Tiers by kind. Engines of no kind belong to the slowest until they have shown their pace. */
 function tiersOf (candidates: readonly Candidate[], kinds: readonly EngineKind[]): Tier[] {
   const tiers = kinds.map(({ gapMs }): Tier => ({ gapMs, candidates: [] }))
   const slowed: Tier = { gapMs: Number.POSITIVE_INFINITY, candidates: [] }
-  const kindByEngine = new Map(kinds.flatMap(({ engines }, index) => engines.map(engine => [engine, index] as const)))
+  const kindByEngine = kindIndexesOf(kinds)
   for (const candidate of candidates) {
     const { engine } = candidate
     const index = kindByEngine.get(engine)
