--- a/tests/balancing/hostSelection.test.ts
+++ b/tests/balancing/hostSelection.test.ts
@@ -28,7 +28,8 @@
 const SEEDS = [1, 2, 3]
 /** Seed 14: the slowed host, of 0.08 cores, gets a third too much. Four callers that stay connected are all that it can serve; it leaves the lists and comes back in turns. */
 const SMALL_SLOWED_SEEDS = [...SEEDS, 14]
-const STABILITY_SEEDS = [1]
+/** Seed 12 is over the bound; not traced. */
+const STABILITY_SEEDS = [1, 12]
 
 for (const seed of SEEDS) {
   test(`should load hosts by capacity when one data centre presses at eight times the usual, seed ${seed}`, t => {
