Check late tries often only while a second try may begin

After the delay of second tries, an open try was looked at every 20 ms also where no second may begin: for requests that may run once, beside an open second try, and while a service refuses requests. Such a try is looked at after the delay again, as before.

--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -219,8 +219,13 @@
 
   private _nextCheckAtMs (): number {
     const { progress: { clock, deadlineMs } } = this._request
-    const isLateAtMs = this._openTriesCount === 1 && this._lastTry ? this._lastTry.startedAtMs + this._hedgeDelayMs() : Number.NEGATIVE_INFINITY
-    return Math.min(deadlineMs, isLateAtMs > clock.nowMs() ? isLateAtMs : clock.nowMs() + FULL_RETRY_MS)
+    const nowMs = clock.nowMs()
+    if (this._openTriesCount === 0 || !this._lastTry) return Math.min(deadlineMs, nowMs + FULL_RETRY_MS)
+    const hedgeDelayMs = this._hedgeDelayMs()
+    const isLateAtMs = this._lastTry.startedAtMs + hedgeDelayMs
+    // A late try waits for an endpoint or for the budget of second tries; one that may have no second waits for its end.
+    const pauseMs = this._mayHedge() ? FULL_RETRY_MS : hedgeDelayMs
+    return Math.min(deadlineMs, isLateAtMs > nowMs ? isLateAtMs : nowMs + pauseMs)
   }
 
   /** Whether the open try takes unusually long, or a second one would most likely end before it, since its endpoint reports a slowdown meanwhile. */
