--- a/src/batchScheduling/groupScheduling.ts
+++ b/src/batchScheduling/groupScheduling.ts
@@ -13,8 +13,8 @@
 import { isShort, roomOf, type Room } from './room.js'
 import type { SchedulableBatch, SchedulableItem } from './schedulableItem.js'
 
-/** Interval between two plans while no batch is added: two or three events of an engine. */
-const PLAN_INTERVAL_MS = 100
+/** Interval between two plans while no batch is added: some events of an engine, a small part of a step. */
+const PLAN_INTERVAL_MS = 250
 /** An item that has made more than its hint is expected to need at least this share of the hint. */
 const OVERRUN_SHARE = 0.1
 /** Shortest time over which the need of slots is taken, for batches that are about to be due. */
