--- a/tests/balancing/fullService.test.ts
+++ b/tests/balancing/fullService.test.ts
@@ -1,7 +1,8 @@
 /**
  * Sixty hosts before five endpoints of six slots, with the product's forwarder. Bounds
  * are what callers were promised: the urgent class within its objective for 0.95 of its
- * requests and 0.95 of capacity put to use, the onset of the pressure included.
+ * requests and 0.95 of capacity put to use, the onset of the pressure included. The tests
+ * run one after the other, so that the time limit of each counts its own work only.
  */
 import test from 'ava'
 import { GUARANTEED_SHARE } from '../../src/balancing/admissionLevel.js'
@@ -45,7 +46,7 @@
 }
 
 for (const load of [1.5, 3]) {
-  test(`should serve the urgent class in time, and use the capacity, at ${load} times the room`, async t => {
+  test.serial(`should serve the urgent class in time, and use the capacity, at ${load} times the room`, async t => {
     t.timeout(300_000)
     const worlds = await Promise.all(SEEDS.map(seed => warm({ seed, isShared: true })))
     for (const world of worlds) {
@@ -63,7 +64,7 @@
     }
   })
 
-  test(`should serve more in time than hosts that decide alone, at ${load} times the room`, async t => {
+  test.serial(`should serve more in time than hosts that decide alone, at ${load} times the room`, async t => {
     t.timeout(300_000)
     const [shared, alone] = [await warm({ seed: 1, isShared: true }), await warm({ seed: 1, isShared: false })]
     for (const world of [shared, alone]) await world.press(at(load), 3_000)
@@ -72,7 +73,7 @@
     t.true(inTimeShareOf(shared, URGENT) > inTimeShareOf(alone, URGENT))
   })
 
-  test(`should decide refusals at once, at ${load} times the room`, async t => {
+  test.serial(`should decide refusals at once, at ${load} times the room`, async t => {
     t.timeout(300_000)
     const world = await warm({ seed: 2, isShared: true })
     await world.press(at(load), ONSET_MS)
@@ -84,7 +85,7 @@
   })
 }
 
-test('should let callers of a short rush return without a second peak over 1.2 of the capacity', async t => {
+test.serial('should let callers of a short rush return without a second peak over 1.2 of the capacity', async t => {
   t.timeout(300_000)
   const peaks = await Promise.all(SEEDS.map(async seed => {
     const world = await warm({ seed, isShared: true, budgetMs: 1_505 })
@@ -97,7 +98,7 @@
   t.true(meanOf(peaks) <= 1.2, peaks.join(' '))
 })
 
-test('should treat no request differently, and send nothing, with room enough', async t => {
+test.serial('should treat no request differently, and send nothing, with room enough', async t => {
   t.timeout(300_000)
   const [shared, alone] = [new FullService({ seed: 1, isShared: true }), new FullService({ seed: 1, isShared: false })]
   for (const world of [shared, alone]) {
@@ -112,7 +113,7 @@
   t.is(nearlyFull.refusalTimesMs.length, 0)
 })
 
-test('should give a small account all that it asks for beside a large one of its class', async t => {
+test.serial('should give a small account all that it asks for beside a large one of its class', async t => {
   t.timeout(300_000)
   const world = await warm({ seed: 3, isShared: true })
   const [large, small]: Pressure[] = [{ priority: 1, load: 1.4, account: 'large' }, { priority: 1, load: 0.1, account: 'small' }]
@@ -132,7 +133,7 @@
 ]
 
 for (const [name, options, fail] of failures) {
-  test(`should be no worse than hosts that decide alone ${name}`, async t => {
+  test.serial(`should be no worse than hosts that decide alone ${name}`, async t => {
     t.timeout(300_000)
     const results = { shared: [] as number[], alone: [] as number[], urgentShared: [] as number[], urgentAlone: [] as number[] }
     for (const seed of SEEDS) {
@@ -154,7 +155,7 @@
   })
 }
 
-test('should send a host no more bytes the more hosts there are, and tell sums six times a second at most', async t => {
+test.serial('should send a host no more bytes the more hosts there are, and tell sums six times a second at most', async t => {
   t.timeout(300_000)
   const world = await warm({ seed: 1, isShared: true })
   await world.press(at(1.5), 3_000)
