Decide late tries in a pure function, and bound what admission remembers of routes

The usual waits of routes were kept for ever, also of routes that are gone.

A first form compared times relative to now and let the virtual clock stand still (two tests failed); absolute times are compared, as before. 50 tests of gateway, admission and proofs pass.

--- a/src/balancing/callerPatience.ts
+++ b/src/balancing/callerPatience.ts
@@ -4,6 +4,7 @@
  * by the time that it has spent, which is bounded: callers come back within a third of
  * their remaining time, and hardly more than twice.
  */
+import { LRUCache } from 'lru-cache'
 import type { Clock } from '../utils/clock.js'
 import { MIN_RETURN_MS } from './returnTurns.js'
 
@@ -11,6 +12,8 @@
 const MIN_REMAINING_SHARE = 4 / 9
 /** The usual wait of a route is the longest within one to two of these spans. */
 const SPAN_MS = 10_000
+/** Routes come and go with the configuration; those of the last spans are far fewer. */
+const MAX_REMEMBERED_COUNT = 4_096
 
 interface Longest {
   spanNumber: number
@@ -20,7 +23,7 @@
 
 export class CallerPatience {
   private readonly _clock: Clock
-  private readonly _byRoute = new Map<string, Longest>()
+  private readonly _byRoute = new LRUCache<string, Longest>({ max: MAX_REMEMBERED_COUNT })
 
   constructor (clock: Clock) {
     this._clock = clock
--- a/src/balancing/hash32.ts
+++ b/src/balancing/hash32.ts
@@ -6,6 +6,8 @@
 
 const FNV_OFFSET = 0x811c9dc5
 const FNV_PRIME = 0x01000193
+/** Multipliers of the finalizer. */
+const [MIX_FIRST, MIX_SECOND] = [0x85ebca6b, 0xc2b2ae35]
 
 /** An unsigned 32-bit hash. */
 export function hash32 (text: string): number {
@@ -19,7 +21,7 @@
 /** Spreads the bits of a number over an unsigned 32-bit number. */
 export function mix32 (value: number): number {
   let mixed = value
-  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
-  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  mixed = Math.imul(mixed ^ (mixed >>> 16), MIX_FIRST)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), MIX_SECOND)
   return (mixed ^ (mixed >>> 16)) >>> 0
 }
--- a/src/batchScheduling/slotAssignment.ts
+++ b/src/batchScheduling/slotAssignment.ts
@@ -1,7 +1,8 @@
 /**
  * Assigns the slots of engines to waiting items and to runs that should move to
  * another engine. This module holds the waiting and running items; the rules are in
- * itemOrder and slotSharing.
+ * itemOrder and slotSharing, in groupScheduling while engines are short, and in
+ * kindPlacement and movePolicy where engines differ.
  */
 import type { FleetView } from '../fleet/fleetView.js'
 import { EndpointLifecycle } from '../protocol/fleet.js'
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -26,14 +26,12 @@
 import { Signal } from '../utils/signal.js'
 import { recordFailedTry, type FailedOutcome } from './failedTry.js'
 import { GatewayEvent } from './gatewayEvents.js'
-import { hedgeDelayMs, waitOrRefuse } from './requestPolicy.js'
+import { hedgeDelayMs, isTryLate, waitOrRefuse, type RunningTry } from './requestPolicy.js'
 import { chooseService } from './routeTable.js'
 import { FairWaitQueue, type QueueEntry } from './fairWaitQueue.js'
 
 /** Pause before the endpoints of a service are tried again after all of them were full. */
 const FULL_RETRY_MS = 20
-/** A second try is started early beside one at an endpoint that reports at least this slowdown: the second then ends first in most cases. */
-const HEDGED_SLOWDOWN_FACTOR = 1.5
 
 export interface ForwardRequest {
   route: RoutingRoute
@@ -178,7 +176,7 @@
         if (outcome) return outcome
       }
       await this._wake.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextCheckAtMs() })
-      if (this._mayTry && this._mayHedge() && this._isTryLate()) this._hedge()
+      if (this._mayTry && this._mayHedge()) this._hedgeIfLate()
     }
     return this._answer ?? this._refuse(RefusalReason.DeadlinePassed)
   }
@@ -220,30 +218,27 @@
   private _nextCheckAtMs (): number {
     const { progress: { clock, deadlineMs } } = this._request
     const nowMs = clock.nowMs()
-    if (this._openTriesCount === 0 || !this._lastTry) return Math.min(deadlineMs, nowMs + FULL_RETRY_MS)
-    const hedgeDelayMs = this._hedgeDelayMs()
-    const isLateAtMs = this._lastTry.startedAtMs + hedgeDelayMs
+    const open = this._runningTry()
+    if (this._openTriesCount === 0 || !this._lastTry || !open) return Math.min(deadlineMs, nowMs + FULL_RETRY_MS)
+    const delayMs = hedgeDelayMs(open)
+    const isLateAtMs = this._lastTry.startedAtMs + delayMs
     // A late try waits for an endpoint or for the budget of second tries; one that may have no second waits for its end.
-    const pauseMs = this._mayHedge() ? FULL_RETRY_MS : hedgeDelayMs
+    const pauseMs = this._mayHedge() ? FULL_RETRY_MS : delayMs
     return Math.min(deadlineMs, isLateAtMs > nowMs ? isLateAtMs : nowMs + pauseMs)
   }
 
-  /** Whether the open try takes unusually long, or a second one would most likely end before it, since its endpoint reports a slowdown meanwhile. */
-  private _isTryLate (): boolean {
+  /** The latest try; undefined before the first. */
+  private _runningTry (): RunningTry | undefined {
+    if (!this._lastTry) return undefined
     const { pool } = this._options
-    if (!this._lastTry) return false
     const { endpointId, startedAtMs } = this._lastTry
-    const elapsedMs = this._request.progress.clock.nowMs() - startedAtMs
-    if (elapsedMs >= this._hedgeDelayMs()) return true
-    const { slowdownFactor } = pool.health(endpointId)
-    const elsewhereMs = pool.expectedElsewhereMs(this._service, this._tried)
-    if (slowdownFactor < HEDGED_SLOWDOWN_FACTOR || elsewhereMs === undefined) return false
-    return pool.typicalMs(this._service) * slowdownFactor - elapsedMs > elsewhereMs
-  }
-
-  private _hedgeDelayMs (): number {
-    const { pool } = this._options
-    return hedgeDelayMs({ sortedDurationsMs: pool.sortedDurationsMs(this._service), typicalMs: pool.typicalMs(this._service), elsewhereMs: pool.expectedElsewhereMs(this._service, this._tried) })
+    return {
+      sortedDurationsMs: pool.sortedDurationsMs(this._service),
+      typicalMs: pool.typicalMs(this._service),
+      elsewhereMs: pool.expectedElsewhereMs(this._service, this._tried),
+      elapsedMs: this._request.progress.clock.nowMs() - startedAtMs,
+      slowdownFactor: pool.health(endpointId).slowdownFactor
+    }
   }
 
   private _mayHedge (): boolean {
@@ -255,7 +250,9 @@
     return mayRepeat && !progress.isPastDeadline() && this._openTriesCount === 1
   }
 
-  private _hedge (): void {
+  private _hedgeIfLate (): void {
+    const open = this._runningTry()
+    if (!open || !isTryLate(open)) return
     const endpoint = this._choose()
     if (!endpoint || this._tried.has(endpoint.endpointId) || this._options.pool.isRefusing(endpoint)) return
     if (!this._hedgeBudget.tryWithdraw()) return
--- a/src/gateway/requestPolicy.ts
+++ b/src/gateway/requestPolicy.ts
@@ -56,6 +56,9 @@
 /** For exponentially distributed durations, this multiple of the mean is the same quantile. */
 const HEDGE_MEAN_MULTIPLE = 3
 
+/** A second try begins early beside one at an endpoint that reports at least this slowdown. */
+const HEDGED_SLOWDOWN_FACTOR = 1.5
+
 export interface OpenTry {
   /** Durations of recent answers of the service, the shortest first. */
   sortedDurationsMs: readonly number[]
@@ -75,3 +78,17 @@
   const quantileMs = isMeaningful ? sortedDurationsMs[Math.floor(HEDGE_QUANTILE * sortedDurationsMs.length)] : undefined
   return (quantileMs ?? HEDGE_MEAN_MULTIPLE * typicalMs) * Math.max(1, elsewhereMs / typicalMs)
 }
+
+export interface RunningTry extends OpenTry {
+  elapsedMs: number
+  /** How long work takes now at the endpoint that has the try, relative to the usual time. */
+  slowdownFactor: number
+}
+
+/** Whether the open try takes unusually long, or a second one would most likely end before it, since its endpoint reports a slowdown meanwhile. */
+export function isTryLate (open: RunningTry): boolean {
+  const { typicalMs, elsewhereMs, elapsedMs, slowdownFactor } = open
+  if (elapsedMs >= hedgeDelayMs(open)) return true
+  if (slowdownFactor < HEDGED_SLOWDOWN_FACTOR || elsewhereMs === undefined) return false
+  return typicalMs * slowdownFactor - elapsedMs > elsewhereMs
+}
--- a/tests/gateway/requestPolicy.test.ts
+++ b/tests/gateway/requestPolicy.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { hedgeDelayMs, waitOrRefuse, type UndispatchedRequest } from '../../src/gateway/requestPolicy.js'
+import { hedgeDelayMs, isTryLate, waitOrRefuse, type UndispatchedRequest } from '../../src/gateway/requestPolicy.js'
 import { seededRandom } from '../../src/utils/randomSource.js'
 
 /**
@@ -49,3 +49,12 @@
   t.is(hedgeDelayMs({ sortedDurationsMs: durationsMs, typicalMs: 20, elsewhereMs: 50 }), 100)
   t.is(hedgeDelayMs({ sortedDurationsMs: durationsMs, typicalMs: 20, elsewhereMs: 10 }), 40)
 })
+
+test('should count a try as late early when its endpoint is slowed down and another would end before it', t => {
+  const open = { sortedDurationsMs: Array.from({ length: 100 }, () => 60), typicalMs: 25, elsewhereMs: 25, elapsedMs: 10, slowdownFactor: 2.5 }
+  t.true(isTryLate(open))
+  t.false(isTryLate({ ...open, slowdownFactor: 1.4 }), 'hardly slower')
+  t.false(isTryLate({ ...open, elapsedMs: 40 }), 'about to end')
+  t.false(isTryLate({ ...open, elsewhereMs: undefined }), 'no other endpoint')
+  t.true(isTryLate({ ...open, slowdownFactor: 1, elapsedMs: 60 }), 'past the usual durations')
+})
