--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -33,6 +33,19 @@
     for (const socket of this.sockets) socket.destroy()
   }
 
+  /** The address refuses new channels from now on, and the open ones are closed. */
+  crash () {
+    this.stop()
+  }
+
+  /** The engine is back at its address under its id, with the weights that it had. */
+  async restart () {
+    this.isStopped = false
+    this.orders = 0
+    this.server = createServer(socket => this._serve(socket))
+    await this.start()
+  }
+
   async _beat () {
     for (let turn = 0; !this.isStopped;) {
       const body = JSON.stringify({ service: this.service, address: `${this.ip}:${this.port}`, zone: this.zone, version: 'v1', slots: this.slots, state: 'ready', 'cold-left-ms': 0, ...(this.models.length > 0 ? { stage: 'hybrid', models: this.models } : {}), seq: ++this.seq })
--- a/review/lib/samples.mjs
+++ b/review/lib/samples.mjs
@@ -26,7 +26,7 @@
 }
 
 /** Serves items in batches of slots: an event each `gapMs` for each that runs; what has no place is refused. */
-export function itemHandler ({ slots, queue, events, gapMs, onBegin = () => {}, onBrokenOff = () => {}, isWithoutLength = () => false, isBrokenOff = () => false }) {
+export function itemHandler ({ slots, queue, events, gapMs, onBegin = () => {}, onEnd = () => {}, onBrokenOff = () => {}, isWithoutLength = () => false, isBrokenOff = () => false }) {
   const running = new Set()
   const waiting = []
   const begin = run => {
@@ -40,7 +40,7 @@
   }
   const end = run => {
     clearInterval(run.timer)
-    running.delete(run)
+    if (running.delete(run)) onEnd(run, run.sent >= events)
     const position = waiting.indexOf(run)
     if (position >= 0) waiting.splice(position, 1)
     while (running.size < slots && waiting.length > 0) begin(waiting.shift())
@@ -75,13 +75,15 @@
 
 /** A batch submission like those of the sheets. */
 export function submissionOf ({ host, step, itemsCount, groupSize, minVersion = 1 }) {
+  // The items of a group share their prompt.
+  const prompts = Array.from({ length: Math.ceil(itemsCount / groupSize) }, () => randomBytes(96).toString('base64'))
   const items = Array.from({ length: itemsCount }, (_none, number) => ({
     id: id(),
     path: '/lohu930/91c4',
     headers: { 'X-Threaddrum-Model': MODEL, 'X-Threaddrum-Token-Count': '271,1242', 'X-Threaddrum-Prompt-Prefix': '9c2e41:255,5d07b8:16' },
-    body: randomBytes(96).toString('base64'),
+    body: prompts[Math.floor(number / groupSize)],
     tokens: 1513,
-    group: `g${Math.floor(number / groupSize)}`,
+    group: `${step}-${Math.floor(number / groupSize)}`,
     scorer: { id: id(), host, path: '/pufi791/5e07', body: randomBytes(96).toString('base64') }
   }))
   return { step, model: MODEL, 'min-version': minVersion, desired: Math.ceil(0.9 * itemsCount / groupSize), items }
