A refusal counts only for the request whose id it carries

Cause: rejectionOf believed 421 and X-Threaddrum-Not-Executed before it compared the attempt id. The late copy of a refusal, in the place where the next answer on its connection is due, was taken for the refusal of that next request.

On the same path: - The id does not tell the copy from the refusal of the same request that came back to a full endpoint. A request that may run once now goes back there over a new connection, used for it alone (wasRefusedThere). - The connection of a response to another request stayed in use if the response was whole with its head, with the true answer still due on it.

Ruled out: closing the connection behind every refusal (full engines refuse by the hundred); sending an id with orders and reports (a request that nobody sent).

Two older tests are changed. "accept no answer to another request, and close its connection" counted two connections, which it got although the first was not closed: the second request came before undici takes a connection for free. It now waits until the endpoint sees the first one closed, for a success and a refusal, and counts the requests.

--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -26,6 +26,12 @@
   headers: string[]
   body: Uint8Array
   attemptId: string
+  /**
+   * The endpoint has refused a request with this id, and the request may run only once.
+   * The id does not tell a late copy of that refusal from the answer, so the request must
+   * not go over a connection that was used before.
+   */
+  wasRefusedThere?: boolean
   /** The client account that the request runs for; undefined for none. */
   account?: string | undefined
   /** Time until which an answer is of use; the endpoint is sent the remaining time. */
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -137,6 +137,8 @@
   private readonly _waitQueue: FairWaitQueue
   private readonly _queueEntry: QueueEntry
   private readonly _tried = new Set<string>()
+  /** Endpoints that have refused this request as full. */
+  private readonly _refusedBy = new Set<string>()
   /** Notified when a try ends, and when the endpoint of an open try reports a slowdown. */
   private readonly _wake = new Signal()
   private readonly _startedAtMs: number
@@ -282,7 +284,7 @@
   }
 
   private async _try (endpoint: FleetEndpoint): Promise<void> {
-    const { method, path, host, headers, body, attemptId, account, progress } = this._request
+    const { route, method, path, host, headers, body, attemptId, account, progress } = this._request
     const { clock } = progress
     const health = this._options.pool.health(endpoint.endpointId)
     const startedAtMs = clock.nowMs()
@@ -292,7 +294,8 @@
     health.runningCount++
     const removeListener = health.onSlowdown(() => this._wake.notify())
     try {
-      const request = { endpoint, method, path, host, headers, body, attemptId, account, deadlineMs: progress.deadlineMs }
+      const wasRefusedThere = route.kind === RouteKind.AtMostOnce && this._refusedBy.has(endpoint.endpointId)
+      const request = { endpoint, method, path, host, headers, body, attemptId, wasRefusedThere, account, deadlineMs: progress.deadlineMs }
       const outcome = await this._options.client.call(request, this._scope)
       isSettled = true
       this._openTriesCount--
@@ -359,7 +362,10 @@
       this._notifyStarted(startedAtMs)
     }
     // A full endpoint may be tried again once all the others were tried.
-    if (wasFull) this._tried.delete(endpoint.endpointId)
+    if (wasFull) {
+      this._tried.delete(endpoint.endpointId)
+      this._refusedBy.add(endpoint.endpointId)
+    }
     this._logFailure(endpoint, reason, detail)
   }
 
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -79,6 +79,8 @@
   private readonly _startedAtMs: number
   private readonly _failures: FailureAttribution
   private readonly _tried = new Set<string>()
+  /** Endpoints that have refused this stream as full. */
+  private readonly _refusedBy = new Set<string>()
   private _lastEventId: number | undefined
   private _isHeadSent = false
   private _isStarted = false
@@ -158,7 +160,8 @@
     health.began()
     health.runningCount++
     try {
-      const outcome = await this._options.client.stream({ ...this._request, endpoint, deadlineMs: progress.deadlineMs, afterEventId: this._lastEventId }, scope, {
+      const wasRefusedThere = !this._request.route.isResumable && this._refusedBy.has(endpoint.endpointId)
+      const outcome = await this._options.client.stream({ ...this._request, endpoint, wasRefusedThere, deadlineMs: progress.deadlineMs, afterEventId: this._lastEventId }, scope, {
         onHead: head => {
           health.responded()
           this._onHead(head)
@@ -246,7 +249,10 @@
       return this._onBroken(endpoint, detail)
     }
     // A full endpoint may be tried again once all the others were tried.
-    if (wasFull) this._tried.delete(endpoint.endpointId)
+    if (wasFull) {
+      this._tried.delete(endpoint.endpointId)
+      this._refusedBy.add(endpoint.endpointId)
+    }
     return this._logFailure(endpoint, reason, detail)
   }
 
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -18,7 +18,7 @@
   clock: VirtualClock
   view: FleetView
   endpoints: ScriptedEndpoints
-  forward: (target?: RoutingRoute, waitMs?: number, scope?: Scope) => Promise<ForwardOutcome>
+  forward: (target?: RoutingRoute, waitMs?: number, scope?: Scope, isPersistent?: boolean) => Promise<ForwardOutcome>
 }
 
 function world (endpointsCount = 3): World {
@@ -28,7 +28,7 @@
   const endpoints = new ScriptedEndpoints(clock)
   const pool = new EndpointPool({ view, clock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics: memoryMetrics() })
   const forwarder = new RequestForwarder({ view, pool, client: endpoints, quarantine: quarantineOf(view, clock, endpoints), random, logger: silentLogger, metrics: memoryMetrics() })
-  const forward = (target = route(), waitMs = 1_500, scope = new Scope('caller')): Promise<ForwardOutcome> => forwarder.forward({
+  const forward = (target = route(), waitMs = 1_500, scope = new Scope('caller'), isPersistent = false): Promise<ForwardOutcome> => forwarder.forward({
     route: target,
     method: 'POST',
     path: '/open/7',
@@ -36,6 +36,7 @@
     headers: [],
     body: new Uint8Array(),
     attemptId: 'a1',
+    isPersistent,
     progress: new Progress(clock, scope, clock.nowMs() + waitMs)
   })
   return { clock, view, endpoints, forward }
@@ -96,6 +97,17 @@
   t.true(clock.nowMs() <= 70, `${clock.nowMs()} ms`)
 })
 
+// A late copy of a refusal carries the id of the request that comes back, and was taken for its second refusal while it ran.
+test('should send a request that may run once back to an endpoint that refused it over a connection of its own only', async t => {
+  for (const kind of [RouteKind.AtMostOnce, RouteKind.Idempotent]) {
+    const { clock, endpoints, forward } = world(1)
+    endpoints.onCall = () => ({ afterMs: 5, outcome: endpoints.calls.length < 3 ? { kind: 'notExecuted', status: 503, load: undefined } : answered() })
+    t.is((await clock.advanceUntil(forward(route({ kind }), 1_500, new Scope('caller'), true))).kind, 'answered')
+    const isOnce = kind === RouteKind.AtMostOnce
+    t.deepEqual(endpoints.calls.map(({ wasRefusedThere }) => wasRefusedThere), [false, isOnce, isOnce])
+  }
+})
+
 test('should stop using an endpoint whose address another one has taken over', async t => {
   const { clock, view, endpoints, forward } = world(2)
   endpoints.onCall = () => ({ afterMs: 1, outcome: endpoints.calls.length === 1 ? { kind: 'misdirected' } : answered() })
--- a/tests/gateway/streamForwarder.test.ts
+++ b/tests/gateway/streamForwarder.test.ts
@@ -84,6 +84,21 @@
   t.is(world.text, event(1))
 })
 
+// A late copy of a refusal carries the id of the stream that comes back, and was taken for its second refusal while it ran.
+test('should send a stream that may run once back to an endpoint that refused it over a connection of its own only', async t => {
+  for (const target of [plain, resumable]) {
+    const world = new World()
+    world.endpoints.onStream = () => world.endpoints.streams.length < 5
+      ? { ...script([], ended), refuses: { kind: 'notExecuted', status: 503, load: undefined } }
+      : script([event(1)], ended)
+    t.is((await world.clock.advanceUntil(world.forward(target))).kind, 'ended')
+    const { streams } = world.endpoints
+    const isBack = streams.map(({ endpoint: { endpointId } }, position) => streams.slice(0, position).some(earlier => earlier.endpoint.endpointId === endpointId))
+    t.true(isBack.includes(true))
+    t.deepEqual(streams.map(({ wasRefusedThere }) => wasRefusedThere), isBack.map(is => is && target === plain))
+  }
+})
+
 test('should resume at another endpoint after the last complete event, with the head of the first one', async t => {
   const world = new World()
   world.endpoints.onStream = ({ afterEventId }) => afterEventId === undefined
--- a/tests/platform/endpointClient.test.ts
+++ b/tests/platform/endpointClient.test.ts
@@ -1,6 +1,7 @@
+import type { Socket } from 'node:net'
 import test from 'ava'
 import { PlatformEndpointClient } from '../../platform/endpointClient.js'
-import type { EndpointOutcome, ItemEvent, ItemOutcome, StreamedRequest } from '../../src/endpoints/endpointClient.js'
+import { LoadMode, type EndpointOutcome, type ItemEvent, type ItemOutcome, type StreamedRequest } from '../../src/endpoints/endpointClient.js'
 import type { FleetEndpoint } from '../../src/protocol/fleet.js'
 import { sleepUntil, systemClock } from '../../src/utils/clock.js'
 import { memoryMetrics } from '../../src/utils/metrics.js'
@@ -29,6 +30,11 @@
   }, scope)
 }
 
+/** The bytes of a response that promises that the request with this id has not run. */
+function refusalOf (attemptId: string, status: number): string {
+  return `HTTP/1.1 ${status} Refused\r\nX-Threaddrum-Attempt-Id: ${attemptId}\r\nX-Threaddrum-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`
+}
+
 function streamRequest (target: FleetEndpoint): StreamedRequest {
   return {
     endpoint: target,
@@ -68,12 +74,20 @@
   })
 })
 
+// The connection of a response that was whole at once stayed in use, with the answer still due on it.
 test('should accept no answer to another request, and close its connection', async t => {
-  await withEndpoint(({ socket, attemptId }, number) => { socket.write(completeResponse(number === 1 ? 'foreign' : attemptId)) }, async raw => {
-    t.is((await call(raw.endpoint, 'a1')).kind, 'broken')
-    t.is((await call(raw.endpoint, 'a2')).kind, 'answered')
-    t.is(raw.connectionsCount(), 2)
-  })
+  for (const foreign of [completeResponse('foreign'), refusalOf('foreign', 503)]) {
+    let isClosed = false
+    await withEndpoint(({ socket, attemptId }, number) => {
+      if (number === 1) socket.once('close', () => { isClosed = true })
+      socket.write(number === 1 ? foreign : completeResponse(attemptId))
+    }, async raw => {
+      t.is((await call(raw.endpoint, 'a1')).kind, 'broken')
+      await until(() => isClosed)
+      t.is((await call(raw.endpoint, 'a2')).kind, 'answered')
+      t.is(raw.requests.length, 2)
+    })
+  }
 })
 
 test('should not give a surplus answer to the next request on the connection', async t => {
@@ -205,7 +219,7 @@
 test('should abort a stream that its listener rejects, and report a refusal as such', async t => {
   await withEndpoint(({ socket, attemptId }, number) => {
     if (number === 1) socket.write(completeResponse(attemptId))
-    else socket.write('HTTP/1.1 503 Busy\r\nx-threaddrum-not-executed: 1\r\ncontent-length: 0\r\n\r\n')
+    else socket.write(refusalOf(attemptId, 503))
   }, async raw => {
     const handler = { onHead: () => {}, onData: async () => 'not the next event' }
     t.deepEqual(await client.stream(streamRequest(raw.endpoint), new Scope('test'), handler), { kind: 'broken', reason: 'not the next event' })
@@ -288,3 +302,76 @@
     })
   }
 })
+
+const REFUSAL_STATUSES = [421, 429, 503]
+
+// The late copy of a refusal was taken for the refusal of the next request on its connection, which then ran twice.
+test('should not take the refusal of another request, or of none, for the one of its own', async t => {
+  for (const status of REFUSAL_STATUSES) {
+    for (const refusal of [refusalOf('earlier', status), refusalOf('', status).replace(/X-Threaddrum-Attempt-Id: \r\n/, '')]) {
+      let closedCount = 0
+      await withEndpoint(({ socket }) => {
+        socket.once('close', () => { closedCount++ })
+        socket.write(refusal)
+      }, async raw => {
+        t.deepEqual(await exchanges(raw), ['broken', 'broken', 'broken'], `${status}`)
+        await until(() => closedCount === 3)
+        t.is(raw.requests.length, 3)
+      })
+    }
+  }
+})
+
+test('should tell the status and the id of a response to another request, and count it', async t => {
+  const ownMetrics = memoryMetrics()
+  const ownClient = new PlatformEndpointClient(systemClock, ownMetrics)
+  await withEndpoint(({ socket }) => { socket.write(refusalOf('earlier', 503)) }, async raw => {
+    const outcome = await ownClient.call(streamRequest(raw.endpoint), new Scope('test'))
+    t.like(outcome, { kind: 'broken', reason: 'the response, status 503, has the attempt id earlier' })
+    t.is(ownMetrics.snapshot()['answers.dropped{reason=foreign_id}'], 1)
+  })
+})
+
+// The late copy of a refusal of the same request carries its id, so that only the connection tells it from the answer.
+test('should send a request that was refused there before over a connection of its own', async t => {
+  await withEndpoint(({ socket, attemptId }, number) => {
+    socket.write(number === 1 ? refusalOf(attemptId, 503) : completeResponse(attemptId))
+  }, async raw => {
+    t.is((await call(raw.endpoint)).kind, 'notExecuted')
+    for (const connectionsCount of [2, 3]) {
+      t.is((await client.call({ ...streamRequest(raw.endpoint), wasRefusedThere: true }, new Scope('test'))).kind, 'answered')
+      t.is(raw.connectionsCount(), connectionsCount)
+    }
+  })
+})
+
+const ORDER = { model: 'lm', version: 2, mode: LoadMode.Retain, holder: 'store-1', fencingNumber: 1, expectedOrdersCount: 0 }
+const REPORT_BODY = JSON.stringify({ busy: false, seq: 1, models: [{ name: 'lm', version: 1 }] })
+
+// The late answer to a request was taken for the one to an order or a report, which have no id.
+test('should take no answer to a request for one to an order or a report', async t => {
+  await withEndpoint(({ socket, text }) => {
+    const surplus = completeResponse('earlier', REPORT_BODY)
+    socket.write(text.startsWith('POST /open/') ? completeResponse('a1') : surplus)
+  }, async raw => {
+    await call(raw.endpoint)
+    const deadlineMs = systemClock.nowMs() + WAIT_MS
+    t.is((await client.orderLoad(raw.endpoint, ORDER, deadlineMs, new Scope('test'))).kind, 'unknown')
+    t.is(await client.report(raw.endpoint, deadlineMs, new Scope('test')), undefined)
+  })
+})
+
+test('should take no answer to a report for one to an order', async t => {
+  const seen = new Set<Socket>()
+  const framed = (text: string): string => `HTTP/1.1 ${text === '' ? '202 Accepted' : '200 OK'}\r\nContent-Length: ${text.length}\r\n\r\n${text}`
+  await withEndpoint(({ socket, text }) => {
+    // A second answer to a report comes while the next call on its connection waits.
+    const isSecondOnConnection = seen.has(socket)
+    seen.add(socket)
+    socket.write(isSecondOnConnection || text.startsWith('GET') ? framed(REPORT_BODY) : framed(''))
+  }, async raw => {
+    const deadlineMs = systemClock.nowMs() + WAIT_MS
+    t.like(await client.report(raw.endpoint, deadlineMs, new Scope('test')), { isBusy: false, ordersCount: 1 })
+    t.is((await client.orderLoad(raw.endpoint, ORDER, deadlineMs, new Scope('test'))).kind, 'underWay')
+  })
+})
