An event stream that ends within an event is not whole

Found on related paths of the reset answers; not seen in use.

Cause: the parser of events drops an unfinished event, and the end of the response was all that counted. An engine that is killed while it writes an answer without a length may close its connection in order, within an event: the item was listed as completed without its last events. Only resumable streams were checked.

The reasons of answers.dropped are an enum, and count for items too.

Evidence: the new test on: "finished" after one and a half events.

Ruled out: the same for streams whose end is stated; a stream that is no event stream by its content type.

--- a/src/entry/services/plainCalls.ts
+++ b/src/entry/services/plainCalls.ts
@@ -12,7 +12,7 @@
 import { Executed, RefusalReason, RetryReason, type Refusal } from '../../protocol/refusals.js'
 import { httpConnector } from '../../utils/httpConnector.js'
 import type { Logger } from '../../utils/logger.js'
-import { MetricName } from '../../utils/metricNames.js'
+import { AnswerProblem, MetricName } from '../../utils/metricNames.js'
 import type { Metrics } from '../../utils/metrics.js'
 import type { Progress } from '../../utils/progress.js'
 import type { RandomSource } from '../../utils/randomSource.js'
@@ -153,7 +153,7 @@
   }
 
   private _dropForeignResponse ({ attemptId, endpointId }: Attempt): AttemptOutcome {
-    this._options.metrics.count(MetricName.AnswersDropped, { reason: 'foreign_id' })
+    this._options.metrics.count(MetricName.AnswersDropped, { reason: AnswerProblem.Foreign })
     this._options.logger.event(EntryEvent.ForeignAnswerDropped, { attemptId, endpointId })
     this._echoingIncarnations.delete(endpointId)
     return { kind: 'failed', reason: RetryReason.EndpointError, mayHaveRun: true, message: 'the endpoint responded with the id of another request, or without one on a connection that was used before' }
@@ -170,7 +170,7 @@
     if (typeof declaredBytes === 'string') forwarded['content-length'] = declaredBytes
     switch (buffered.kind) {
       case 'broken':
-        metrics.count(MetricName.AnswersDropped, { reason: 'not_whole' })
+        metrics.count(MetricName.AnswersDropped, { reason: AnswerProblem.NotWhole })
         return { kind: 'failed', reason: RetryReason.ConnectionLost, mayHaveRun: true, message: `the response broke off: ${buffered.message}` }
       case 'whole':
         forwarded['content-length'] ??= String(buffered.body.length)
@@ -194,7 +194,7 @@
     for (;;) {
       const next = await progress.race(rest.next().catch(() => undefined))
       if (next.kind === 'deadlinePassed' || next.value === undefined) {
-        metrics.count(MetricName.AnswersDropped, { reason: 'not_whole' })
+        metrics.count(MetricName.AnswersDropped, { reason: AnswerProblem.NotWhole })
         response.destroy()
         return false
       }
--- a/src/utils/metricNames.ts
+++ b/src/utils/metricNames.ts
@@ -86,6 +86,13 @@
   SlowReaderBrokenOff = 'slow_reader.broken_off'
 }
 
+/** The reasons of `answers.dropped`. */
+export enum AnswerProblem {
+  /** The answer belongs to another request, or to none. */
+  Foreign = 'foreign_id',
+  NotWhole = 'not_whole'
+}
+
 export interface MetricDescription {
   type: 'counter' | 'gauge' | 'timing'
   /** Names of its tags. */
--- a/tests/platform/endpointClient.test.ts
+++ b/tests/platform/endpointClient.test.ts
@@ -326,9 +326,10 @@
   const ownMetrics = memoryMetrics()
   const ownClient = new PlatformEndpointClient(systemClock, ownMetrics)
   await withEndpoint(({ socket }) => { socket.write(refusalOf('earlier', 503)) }, async raw => {
-    const outcome = await ownClient.call(streamRequest(raw.endpoint), new Scope('test'))
-    t.like(outcome, { kind: 'broken', reason: 'the response, status 503, has the attempt id earlier' })
-    t.is(ownMetrics.snapshot()['answers.dropped{reason=foreign_id}'], 1)
+    const outcome = { kind: 'broken', reason: 'the response, status 503, has the attempt id earlier' }
+    t.like(await ownClient.call(streamRequest(raw.endpoint), new Scope('test')), outcome)
+    t.like(await ownClient.runItem(streamRequest(raw.endpoint), new Scope('test'), () => {}), outcome)
+    t.is(ownMetrics.snapshot()['answers.dropped{reason=foreign_id}'], 2)
   })
 })
 
@@ -375,3 +376,23 @@
     t.is((await client.orderLoad(raw.endpoint, ORDER, deadlineMs, new Scope('test'))).kind, 'underWay')
   })
 })
+
+// The events before the cut were listed as the whole output of an item, or handed out as a whole stream.
+test('should report an event stream as broken that ends within an event, however its end is told', async t => {
+  const cut = 'id: 1\ndata: a\n\nid: 2\nda'
+  const chunkedHead = headWithoutLength('i1').replace(/\r\n$/, 'Transfer-Encoding: chunked\r\n\r\n')
+  for (const answer of [headWithoutLength('i1') + cut, chunkedHead + chunk(cut) + END]) {
+    await withEndpoint(({ socket }) => { socket.end(answer) }, async raw => {
+      const { outcome, events } = await runItem(raw)
+      t.is(outcome.kind, 'broken')
+      t.deepEqual(events.map(({ id }) => id), [1])
+    })
+  }
+  const handler = { onHead: () => {}, onData: async () => undefined }
+  const streamHeadOf = (contentType: string): string => headWithoutLength('a1').replace(/\r\n$/, `Content-Type: ${contentType}\r\n\r\n`)
+  for (const [contentType, kind] of [['text/event-stream', 'broken'], ['text/plain', 'ended']] as const) {
+    await withEndpoint(({ socket }) => { socket.end(streamHeadOf(contentType) + cut) }, async raw => {
+      t.is((await client.stream(streamRequest(raw.endpoint), new Scope('test'), handler)).kind, kind, contentType)
+    })
+  }
+})
