An answer broken off towards a caller without chunks does not look whole

Found on related paths of the reset answers; not seen in use.

Cause: an answer is broken off by closing its connection, which shows in an answer in chunks or with a length. A caller of HTTP/1.0 gets a stream with neither.

--- a/src/entry/http/responseWriter.ts
+++ b/src/entry/http/responseWriter.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from 'node:http'
 import { CallerHeader } from '../../protocol/callers.js'
 import { refusalStatus, type Refusal } from '../../protocol/refusals.js'
+import { breakOff } from '../../utils/breakOff.js'
 import { MetricName } from '../../utils/metricNames.js'
 import type { Metrics } from '../../utils/metrics.js'
 import type { Progress } from '../../utils/progress.js'
@@ -98,7 +99,7 @@
     })
     try {
       const outcome = await scope.race(outcomeReady)
-      if (outcome === 'callerStalled') response.destroy()
+      if (outcome === 'callerStalled') breakOff(response)
       return outcome
     } finally {
       cancel()
--- a/src/entry/services/plainCalls.ts
+++ b/src/entry/services/plainCalls.ts
@@ -10,6 +10,7 @@
  */
 import { Agent, type Dispatcher } from 'undici'
 import { Executed, RefusalReason, RetryReason, type Refusal } from '../../protocol/refusals.js'
+import { breakOff } from '../../utils/breakOff.js'
 import { httpConnector } from '../../utils/httpConnector.js'
 import type { Logger } from '../../utils/logger.js'
 import { AnswerProblem, MetricName } from '../../utils/metricNames.js'
@@ -195,7 +196,7 @@
       const next = await progress.race(rest.next().catch(() => undefined))
       if (next.kind === 'deadlinePassed' || next.value === undefined) {
         metrics.count(MetricName.AnswersDropped, { reason: AnswerProblem.NotWhole })
-        response.destroy()
+        breakOff(response)
         return false
       }
       if (next.value.done) {
