Soak: endpoints that break off, leave without a length or repeat their answers

In turn, every second endpoint now garbles one in five answers for a while: half an answer without a length and a reset, at once or later; a whole one without a length; a second copy of an answer or refusal in the place of the next one on its connection. Drawn by itself, so that a seed keeps its other faults.

--- a/bench/fleetSoak/faultPlan.ts
+++ b/bench/fleetSoak/faultPlan.ts
@@ -33,7 +33,9 @@
   /** Callers send many times the usual requests. */
   Burst = 'burst',
   /** Callers ask for large answers and read nothing of them for a while. */
-  SlowReaders = 'slowReaders'
+  SlowReaders = 'slowReaders',
+  /** Every second endpoint breaks off, leaves without a length or repeats some of its answers. */
+  GarbledAnswers = 'garbledAnswers'
 }
 
 export enum HostGroup {
@@ -79,6 +81,9 @@
 const LOAD_SEED_OFFSET = 1_000_003
 const MIN_LOAD_GAP_MS = 2_000
 const MAX_LOAD_GAP_MS = 8_000
+const GARBLED_SEED_OFFSET = 2_000_003
+const MIN_GARBLED_GAP_MS = 3_000
+const MAX_GARBLED_GAP_MS = 9_000
 
 export interface PlanOptions {
   seed: number
@@ -102,8 +107,8 @@
     if (isHostFault(fault.kind)) nextFaultAtMs.set(fault.group, atMs + fault.forMs + RECOVERY_MS)
     if (fault.kind === FaultKind.PowerLoss) for (const group of Object.values(HostGroup)) nextFaultAtMs.set(group, atMs + fault.forMs + 2 * RECOVERY_MS)
   }
-  const load = planLoad(seed, endMs).filter(({ kind }) => only === undefined || only.includes(kind))
-  return [...planned, ...load].sort((left, right) => left.atMs - right.atMs)
+  const beside = [...planLoad(seed, endMs), ...planGarbledAnswers(seed, endMs)].filter(({ kind }) => only === undefined || only.includes(kind))
+  return [...planned, ...beside].sort((left, right) => left.atMs - right.atMs)
 }
 
 /** Load beyond the usual; drawn by itself, so that a seed keeps its faults whatever load is added. */
@@ -117,6 +122,17 @@
   return planned
 }
 
+/** Drawn by themselves, as load is. */
+function planGarbledAnswers (seed: number, endMs: number): PlannedFault[] {
+  const random = seededRandom(seed + GARBLED_SEED_OFFSET)
+  const planned: PlannedFault[] = []
+  for (let atMs = QUIET_BEFORE_MS + random.int(0, MIN_GARBLED_GAP_MS); atMs < endMs; atMs += random.int(MIN_GARBLED_GAP_MS, MAX_GARBLED_GAP_MS)) {
+    const forMs = Math.min(random.int(MIN_FAULT_MS, 2 * MAX_FAULT_MS), endMs - atMs)
+    planned.push({ kind: FaultKind.GarbledAnswers, atMs, forMs, group: HostGroup.Entry, number: random.int(0, 1) })
+  }
+  return planned
+}
+
 export function isHostFault (kind: FaultKind): boolean {
   return HOST_FAULTS.includes(kind) || [FaultKind.Wipe, FaultKind.PowerLoss, FaultKind.DeregisterAtIsolatedHost].includes(kind)
 }
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -7,6 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { request } from 'undici'
 import { WireHeader, WirePath } from '../../platform/wireNames.js'
+import { AnswerGarbler } from './garbledAnswers.js'
 import { responseTo, POISON_ID, eventsCountOf, eventText, type SoakRecord } from './soakRecord.js'
 
 export const MODEL = 'practice-lm'
@@ -52,6 +53,7 @@
 export class SoakEndpoint {
   readonly options: SoakEndpointOptions
   private readonly _server: Server
+  private readonly _garbler = new AnswerGarbler()
   private _version = 1
   private _isLoading = false
   private _runningCount = 0
@@ -95,6 +97,13 @@
     this._server.closeAllConnections()
   }
 
+  /** Garbles some of its answers for a while. */
+  async garble (forMs: number): Promise<void> {
+    this._garbler.isActive = true
+    await pause(forMs)
+    this._garbler.isActive = false
+  }
+
   /** Announces that it drains, keeps serving for a while, deregisters and stops. */
   async drain (): Promise<void> {
     this._isLeaving = true
@@ -161,6 +170,7 @@
       response.destroy()
       return
     }
+    this._garbler.sendCopy(incoming.socket)
     if (incoming.url === WirePath.Report) return this._report(response)
     if (incoming.url === WirePath.Order) return this._order(response, body)
     const attemptId = String(incoming.headers[WireHeader.AttemptId])
@@ -172,7 +182,7 @@
     if (this._crashesUnder(attemptId)) return
     if (this.options.service === SoakService.Engines) return this._stream(response, attemptId, Number(incoming.headers[WireHeader.LastEventId] ?? 0))
     const responseMs = this._responsesCount++ % SLOW_RESPONSE_INTERVAL === 0 ? SLOW_RESPONSE_MS : RESPONSE_MS
-    setTimeout(() => response.writeHead(200, this._responseHeaders(attemptId)).end(responseTo(attemptId)), responseMs)
+    setTimeout(() => this._garbler.send(response, 200, this._responseHeaders(attemptId), responseTo(attemptId)), responseMs)
   }
 
   /** The status that a request is refused with; undefined if it runs. */
@@ -191,14 +201,16 @@
 
   private _refuse (incoming: IncomingMessage, response: ServerResponse, status: number): void {
     if (status !== 421) this._recordArrival(incoming, false)
-    response.writeHead(status, { [WireHeader.AttemptId]: String(incoming.headers[WireHeader.AttemptId]), [WireHeader.NotExecuted]: '1' }).end()
+    this._garbler.send(response, status, { [WireHeader.AttemptId]: String(incoming.headers[WireHeader.AttemptId]), [WireHeader.NotExecuted]: '1' }, '')
   }
 
   private _stream (response: ServerResponse, itemId: string, afterEventId: number): void {
     const version = this._version
-    response.writeHead(200, { ...this._responseHeaders(itemId), [WireHeader.WeightVersion]: String(version), 'content-type': 'text/event-stream' })
+    const headers = { ...this._responseHeaders(itemId), [WireHeader.WeightVersion]: String(version), 'content-type': 'text/event-stream' }
+    const resetAfterCount = this._garbler.begin(response, headers, eventsCountOf(itemId) - afterEventId)
     let eventId = afterEventId
     const timer = setInterval(() => {
+      if (resetAfterCount !== undefined && eventId - afterEventId >= resetAfterCount) return response.socket?.resetAndDestroy()
       if (++eventId <= eventsCountOf(itemId)) response.write(`id: ${eventId}\ndata: ${eventText(itemId, eventId, version)}\n\n`)
       if (eventId < eventsCountOf(itemId)) return
       clearInterval(timer)
--- a/bench/fleetSoak/soakRun.ts
+++ b/bench/fleetSoak/soakRun.ts
@@ -216,6 +216,11 @@
     if (fault.kind === FaultKind.Burst) return await this._callers.press(fault.forMs)
     if (fault.kind === FaultKind.SlowReaders) return await this._callers.readSlowly(fault.forMs)
     const endpoints = this._availableEndpoints()
+    if (fault.kind === FaultKind.GarbledAnswers) {
+      const garbling = endpoints.filter((_endpoint, number) => number % 2 === fault.number)
+      await Promise.all(garbling.map(async endpoint => await endpoint.garble(fault.forMs)))
+      return
+    }
     const endpoint = endpoints[fault.number % Math.max(1, endpoints.length)]
     if (!endpoint) return
     // The replacement starts first, so that the service always has an endpoint.
