Stand-ins: a record whose last line is cut is read up to its whole lines

The checker reads the file to which an engine appends its tokens, while engines write it or after one was killed; a line may be cut there. The next incarnation went on in the same line.

Change: only whole lines are read, and an engine that starts cuts the rest off. No check is looser: tokens are written before they are sent, so that a sample with tokens of a cut line still fails the comparison.

The torn file itself was not kept.

--- a/standins/generationRecord.ts
+++ b/standins/generationRecord.ts
@@ -3,7 +3,7 @@
  * each request. Only checkers read it, never the system under test. With a file
  * it survives a crash, because tokens are written before they are sent.
  */
-import { appendFileSync, existsSync, readFileSync } from 'node:fs'
+import { appendFileSync, existsSync, readFileSync, truncateSync } from 'node:fs'
 import type { VersionSpan } from '../src/protocol/trainers.js'
 
 export interface GenerationEntry {
@@ -42,6 +42,7 @@
   /** @param file to which generated tokens are appended */
   constructor (file?: string) {
     this._file = file
+    if (file !== undefined && existsSync(file)) truncateSync(file, Buffer.byteLength(wholeLinesOf(file)))
   }
 
   get entries (): readonly GenerationEntry[] {
@@ -68,11 +69,17 @@
   }
 }
 
+/** A line may be read while it is written, or be cut by a crash; its tokens have not been sent then. */
+function wholeLinesOf (file: string): string {
+  const text = readFileSync(file, 'utf8')
+  return text.slice(0, text.lastIndexOf('\n') + 1)
+}
+
 /** Reads the entries that one or more incarnations of an engine appended to a file. */
 export function readRecordFile (file: string): GenerationEntry[] {
   if (!existsSync(file)) return []
   const entries = new Map<string, GenerationEntry>()
-  for (const text of readFileSync(file, 'utf8').split('\n').filter(line => line !== '')) {
+  for (const text of wholeLinesOf(file).split('\n').filter(line => line !== '')) {
     const { entryNumber, requestId, prompt, fromToken, tokens, maker } = JSON.parse(text) as JournalLine
     const key = `${maker.engineIncarnation}/${entryNumber}`
     const entry = entries.get(key) ?? { requestId, prompt, resumedFromToken: fromToken, spans: [], tokens: [], ended: 'running' }
--- a/tests/standins/checks.test.ts
+++ b/tests/standins/checks.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { Sample } from '../../src/protocol/trainers.js'
-import { mkdtempSync } from 'node:fs'
+import { mkdtempSync, statSync, truncateSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { GenerationRecord, readRecordFile } from '../../standins/generationRecord.js'
@@ -64,3 +64,18 @@
   t.is(findVersionMismatches([claimsOne], [...record.entries]).length, 1)
   t.is(findVersionMismatches([sample({ tokens: ['a ', 'x ', 'c '] })], [...record.entries]).length, 1)
 })
+
+// A test of a killed engine failed because a line of the record was cut where it was read.
+test('should read a record whose last line is cut, and go on behind its whole lines', t => {
+  const file = join(mkdtempSync(join(tmpdir(), 'threaddrum-record-')), 'engine')
+  const record = new GenerationRecord(file)
+  const entry = record.begin('r1', 'p', 0)
+  record.add(entry, ['a '], { weightVersion: 3, ...ENGINE })
+  const whole = readRecordFile(file)
+  record.add(entry, ['b '], { weightVersion: 3, ...ENGINE })
+  truncateSync(file, statSync(file).size - 20)
+  t.deepEqual(readRecordFile(file), whole)
+  const next = new GenerationRecord(file)
+  next.add(next.begin('r2', 'q', 0), ['c '], { weightVersion: 4, engineId: ENGINE.engineId, engineIncarnation: ENGINE.engineIncarnation + 1 })
+  t.deepEqual(readRecordFile(file).map(({ requestId, tokens }) => ({ requestId, tokens })), [{ requestId: 'r1', tokens: ['a '] }, { requestId: 'r2', tokens: ['c '] }])
+})
