Soak: an endpoint that crashes resets what it has garbled

An endpoint of the soak that crashes while a part without a length waits for its reset closes that connection in order, and nobody can tell that from a whole answer.

Change: the stand-in resets such connections before it closes the others, as its script has it. The check is as it was.

--- a/bench/fleetSoak/garbledAnswers.ts
+++ b/bench/fleetSoak/garbledAnswers.ts
@@ -25,6 +25,8 @@
   private _answersCount = 0
   private _garbledCount = 0
   private readonly _copies = new WeakMap<Socket, string>()
+  /** Connections that carry an answer without a length. */
+  private readonly _unfinished = new Set<Socket>()
 
   /** Sends an answer, perhaps garbled. */
   send (response: ServerResponse, status: number, headers: AnswerHeaders, body: string): void {
@@ -40,16 +42,21 @@
         response.writeHead(status, headers).end(body)
         return
       case Garbling.WithoutLength:
-        beginWithoutLength(response, headers)
+        this._beginWithoutLength(response, headers)
         response.end(body)
         return
       case Garbling.ResetAtOnce:
       case Garbling.ResetLater:
-        beginWithoutLength(response, headers)
+        this._beginWithoutLength(response, headers)
         response.write(body.slice(0, body.length / 2), () => reset(socket, garbling))
     }
   }
 
+  /** To be called before its endpoint closes all connections, which it does in order: a part of an answer without a length would pass for a whole one. */
+  resetUnfinished (): void {
+    for (const socket of this._unfinished) socket.resetAndDestroy()
+  }
+
   /** Begins a stream; returns after how many of its events it is reset, if it is. */
   begin (response: ServerResponse, headers: AnswerHeaders, eventsCount: number): number | undefined {
     const garbling = this._next()
@@ -57,7 +64,7 @@
       response.writeHead(200, headers)
       return undefined
     }
-    beginWithoutLength(response, headers)
+    this._beginWithoutLength(response, headers)
     return garbling === Garbling.WithoutLength ? undefined : Math.floor(eventsCount / 2)
   }
 
@@ -68,18 +75,23 @@
     this._copies.delete(socket)
   }
 
+  private _beginWithoutLength (response: ServerResponse, headers: AnswerHeaders): void {
+    const { socket } = response
+    if (socket) {
+      this._unfinished.add(socket)
+      socket.once('close', () => this._unfinished.delete(socket))
+    }
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+    response.writeHead(200, headers)
+  }
+
   private _next (): Garbling | undefined {
     if (!this.isActive || ++this._answersCount % GARBLED_INTERVAL !== 0) return undefined
     return GARBLINGS[this._garbledCount++ % GARBLINGS.length]
   }
 }
 
-function beginWithoutLength (response: ServerResponse, headers: AnswerHeaders): void {
-  response.useChunkedEncodingByDefault = false
-  response.shouldKeepAlive = false
-  response.writeHead(200, headers)
-}
-
 function reset (socket: Socket, garbling: Garbling.ResetAtOnce | Garbling.ResetLater): void {
   if (garbling === Garbling.ResetAtOnce) socket.resetAndDestroy()
   else setTimeout(() => socket.resetAndDestroy(), RESET_LATER_MS)
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -93,6 +93,7 @@
   /** Stops without notifying anybody. */
   crash (): void {
     this._isStopped = true
+    this._garbler.resetUnfinished()
     this._server.close()
     this._server.closeAllConnections()
   }
