--- a/review/parts/engines.mjs
+++ b/review/parts/engines.mjs
@@ -102,7 +102,7 @@
   }
 
   /** Streams the events of an item from behind `Last-Event-Id`. */
-  async stream ({ request, response, attemptId, path, atMs }, { eventsCount = this.eventsCount, eventMs = this.eventMs } = {}) {
+  async stream ({ request, response, attemptId, path, atMs }, { eventsCount = this.eventsCount, eventMs = this.eventMs, textOf = id => `${attemptId}-${id}` } = {}) {
     const after = Number(request.headers['last-event-id'] ?? 0)
     const run = { attemptId, path, atMs, after, sent: after, isOver: false }
     this.runs.push(run)
@@ -114,7 +114,7 @@
       await sleep(eventMs)
       if (response.destroyed) break
       const now = version()
-      response.write(`${now !== told ? `x-threaddrum-weight-versions: ${now}\n` : ''}id: ${id}\ndata: ${attemptId}-${id}\n\n`)
+      response.write(`${now !== told ? `x-threaddrum-weight-versions: ${now}\n` : ''}id: ${id}\ndata: ${textOf(id)}\n\n`)
       told = now
       run.sent = id
     }
