--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -18,7 +18,11 @@
 const EVENT_MS = [36, 36, 47]
 const SHORT_EVENTS_COUNT = 12
 const LONG_EVENTS_COUNT = 150
-const LONG_ITEMS_COUNT = 4
+const LONG_GROUPS_COUNT = 2
+const GROUP_SIZE = 4
+const LONG_ITEMS_COUNT = LONG_GROUPS_COUNT * GROUP_SIZE
+/** Of 20 groups, 90% are waited for. */
+const SHORT_GROUPS_COUNT = 18
 
 runCase(dirname(fileURLToPath(import.meta.url)), { zones: 3 }, async (site, isTrouble) => {
   site.startAll()
@@ -43,12 +47,12 @@
   await whenReady(site)
   await sleep(3_000)
 
-  const shortGroups = step => Array.from({ length: 9 }, (_, position) => itemOf({ id: `short-${step}-${position}`, group: `s${step}-${position}`, tokensOut: 54 * SHORT_EVENTS_COUNT }))
-  const longGroup = Array.from({ length: LONG_ITEMS_COUNT }, (_, position) => itemOf({ id: `long-${position}`, group: 'long', tokensOut: 54 * LONG_EVENTS_COUNT }))
-  const first = [...longGroup, ...shortGroups(0)]
+  const shortGroups = step => Array.from({ length: SHORT_GROUPS_COUNT }, (_, position) => itemOf({ id: `short-${step}-${position}`, group: `s${step}-${position}`, tokensOut: 54 * SHORT_EVENTS_COUNT }))
+  const longGroups = Array.from({ length: LONG_ITEMS_COUNT }, (_, position) => itemOf({ id: `long-${position}`, group: `long-${Math.floor(position / GROUP_SIZE)}`, tokensOut: 54 * LONG_EVENTS_COUNT }))
+  const first = [...longGroups, ...shortGroups(0)]
   let startedAtMs = performance.now()
-  if (await submit(site, 'lot-0', { items: first, step: 0, desired: 9 }) !== 202) throw new Error('lot-0 was not taken')
-  await collect(site, 'lot-0', { budgetMs: BUDGET_MS, startedAtMs, isDone: listed => wholeGroups(first, listed).length >= 9 })
+  if (await submit(site, 'lot-0', { items: first, step: 0, desired: SHORT_GROUPS_COUNT }) !== 202) throw new Error('lot-0 was not taken')
+  await collect(site, 'lot-0', { budgetMs: BUDGET_MS, startedAtMs, isDone: listed => wholeGroups(first, listed).length >= SHORT_GROUPS_COUNT })
 
   if (isTrouble) {
     for (const node of site.stores) site.signal(node, 'SIGKILL')
@@ -66,9 +70,9 @@
   const named = await callControl(site, { path: '/v1/version-put', body: { model: 'm0', version: 2 }, headers: { 'content-type': 'application/json' } })
   site.note(`trainer: names version 2: ${named?.status}`)
 
-  const second = [...longGroup, ...shortGroups(1)]
+  const second = [...longGroups, ...shortGroups(1)]
   startedAtMs = performance.now()
-  if (await submit(site, 'lot-1', { items: second, step: 1, minVersion: 1, desired: 9 }) !== 202) throw new Error('lot-1 was not taken')
+  if (await submit(site, 'lot-1', { items: second, step: 1, minVersion: 1, desired: SHORT_GROUPS_COUNT }) !== 202) throw new Error('lot-1 was not taken')
   const results = await collect(site, 'lot-1', { budgetMs: BUDGET_MS, startedAtMs, isDone: listed => listed.filter(({ id }) => id.startsWith('long')).length === LONG_ITEMS_COUNT })
 
   // Other clients look at batches all day long; lot-0 is still open unless its end was confirmed.
