Batch store: a part of an output continues the text that is stored, not as many events

Cause: the stored output of an unfinished item is kept under its id for all batches of an account, and _appendOutput and _finish compared a number of events. Two open batches with the same items stored by turns; a run whose events had been replaced by as many events of the other went on behind those.

Change: a command names the digest of the output that it continues.

Ruled out: a key of batch and item (a later batch could not go on behind an earlier one's events, and two builds would read the log differently); ending the earlier batch when its items return.

--- a/src/batches/batchDispatcher.ts
+++ b/src/batches/batchDispatcher.ts
@@ -30,6 +30,7 @@
 import { ItemOutput } from './itemOutput.js'
 import { ModelDemand } from '../batchScheduling/modelDemand.js'
 import { PlanReports } from './planReports.js'
+import { SharedItems } from './sharedItems.js'
 import { PlacementSelector } from './placementSelector.js'
 import { SlotAssignment } from '../batchScheduling/slotAssignment.js'
 import { StepReports, type ReportedStep } from './stepReports.js'
@@ -77,6 +78,7 @@
   private readonly _carriedOverOutputs = new Map<string, ItemOutput>()
   private readonly _seenItemKeys = new Set<string>()
   private readonly _runs = new Set<ItemRun>()
+  private readonly _shared: SharedItems
   private readonly _placements: PlacementSelector
   private readonly _slots: SlotAssignment
   private readonly _reports: StepReports<ItemRun>
@@ -87,6 +89,7 @@
     this.engines = new EngineFleet(options.pool, options.clock)
     this.demand = new ModelDemand(options.clock)
     const { clock, random, view, logger, metrics, routeOf } = options
+    this._shared = new SharedItems({ clock, logger })
     this._placements = new PlacementSelector({ view, engines: this.engines, random, routeOf })
     const planReports = new PlanReports({ clock, logger, metrics })
     this._slots = new SlotAssignment({ onPlan: plans => planReports.report(plans), clock, view, engines: this.engines, demand: this.demand, runs: this._runs, placementOf: run => this._placements.placementOf(run), onTurn: (latenessMs, waitingCount) => this._recordTurn(latenessMs, waitingCount) })
@@ -228,6 +231,10 @@
   }
 
   private _startItem (batch: Batch, item: BatchItem, times: BatchTimes, supervisor: Supervisor): void {
+    const key = keyOf(batch, item)
+    const resume = (): void => { if (!supervisor.scope.isClosed) this._startItem(batch, item, times, supervisor) }
+    // A run for an earlier batch ends here, so that this one takes over its output.
+    const turn = this._shared.take(key, { batch, item, resume })
     const { clock, logger, metrics, executor, quarantine, replica, routeOf } = this._options
     const options: ItemRunOptions = {
       clock,
@@ -247,7 +254,7 @@
       routeOf
     }
     const run = new ItemRun(options, batch, item, times, this._carriedOverOutputOf(batch, item), this._isCarriedOver(batch, item))
-    this._seenItemKeys.add(keyOf(batch, item))
+    this._seenItemKeys.add(key)
     const completed = this._completedResultOf(batch, item)
     this._runs.add(run)
     supervisor.spawn(`item ${item.itemId}`, async scope => {
@@ -255,7 +262,9 @@
         this._runs.delete(run)
         this._slots.releaseReservation(run)
         this._carryOverOutput(run)
+        turn.end()
       })
+      turn.begin(scope)
       await run.run(scope, completed)
     })
   }
@@ -270,7 +279,7 @@
 
   /** The completed result of the same item in an earlier batch, if its versions are new enough for this batch. */
   private _completedResultOf (batch: Batch, item: BatchItem): ItemResult | undefined {
-    const completed = this._options.state.completedResult(item, batch.submission.account)
+    const completed = this._options.state.completedResult(item, batch.submission.account, batch.submission.model)
     if (!completed) return undefined
     return completed.versions.every(version => version >= batch.submission.minVersion) ? completed : undefined
   }
@@ -278,7 +287,7 @@
   private _carriedOverOutputOf (batch: Batch, item: BatchItem): ItemOutput | undefined {
     const carriedOver = this._carriedOverOutputs.get(keyOf(batch, item))
     this._carriedOverOutputs.delete(keyOf(batch, item))
-    const output = carriedOver ?? new ItemOutput(this._options.state.unfinishedParts(item.itemId, batch.submission.account))
+    const output = carriedOver ?? new ItemOutput(this._options.state.unfinishedParts(item.itemId, batch.submission.account, batch.submission.model))
     return output.isGeneratedSince(batch.submission.minVersion) ? output : undefined
   }
 
@@ -294,6 +303,7 @@
   return Number(value.toFixed(digits))
 }
 
-function keyOf (batch: Batch, { itemId }: BatchItem): string {
-  return itemKeyOf(batch.submission.account, itemId)
+/** Items of two models are different items, whatever their ids. */
+function keyOf ({ submission }: Batch, { itemId }: BatchItem): string {
+  return `${submission.model} ${itemKeyOf(submission.account, itemId)}`
 }
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -11,6 +11,7 @@
 import { invariant } from '../utils/errors.js'
 import { Batch, type BatchRecord } from './batch.js'
 import { heldBytesOfUnfinished } from './heldBytes.js'
+import { digestAfterAll, EMPTY_OUTPUT_DIGEST } from './outputDigest.js'
 import { eventsCountOf } from './outputParts.js'
 
 /** Key of an item across batches; item ids are unique within a client account only. */
@@ -20,6 +21,8 @@
 
 interface CompletedItem {
   result: ItemResult
+  /** The model of its batch. */
+  model: string
   rewardId: string | undefined
 }
 
@@ -51,10 +54,18 @@
   itemId: string
   /** The client account; absent for none. */
   account?: string | undefined
+  /** The model of its batch; absent in snapshots that were written without it. */
+  model?: string
   parts: OutputPart[]
   keptAtMs: number
 }
 
+type ProgressCommand = Extract<BatchCommand, { kind: BatchCommandKind.Progress }>
+type FinishCommand = Extract<BatchCommand, { kind: BatchCommandKind.Finish }>
+
+/** The output that the parts of a command continue. */
+type OutputPlace = Pick<ProgressCommand, 'afterEventId' | 'afterDigest'>
+
 /** Unfinished output that has not grown for this long is removed. */
 const UNFINISHED_RETENTION_MS = 30_000
 
@@ -80,6 +91,8 @@
   private readonly _completed = new Map<string, CompletedItem>()
 
   private readonly _unfinished = new Map<string, UnfinishedOutput>()
+  /** Digests of stored outputs, which are computed again after a snapshot was restored. */
+  private readonly _digests = new WeakMap<OutputPart[], string>()
   /** Latest order by engine, in the sequence of the announcements. */
   private readonly _orders = new Map<string, { holder: string, lanesCount: number | undefined }>()
   /** The newest published version of each model. */
@@ -99,7 +112,7 @@
   heldBytesAt (atMs: number): number {
     let heldBytes = 0
     for (const batch of this._batches.values()) heldBytes += batch.isExpired(atMs) ? 0 : batch.heldBytes
-    for (const output of this._unfinished.values()) heldBytes += isOutputExpired(output, atMs) ? 0 : heldBytesOfUnfinished(output.itemId, output.parts)
+    for (const output of this._unfinished.values()) heldBytes += isOutputExpired(output, atMs) ? 0 : heldBytesOfUnfinished(output.itemId, output.parts, output.model)
     return heldBytes
   }
 
@@ -107,15 +120,19 @@
     return this._batches.get(batchId)
   }
 
-  /** Stored output of an unfinished item, from the last batch of the account that contained the item. */
-  unfinishedParts (itemId: string, account?: string): OutputPart[] {
-    return this._unfinished.get(itemKeyOf(account, itemId))?.parts ?? []
+  /**
+   * Stored output of an unfinished item, from the last batch of the account that contained the item.
+   * @param model the model whose output is asked for; without it, that of any
+   */
+  unfinishedParts (itemId: string, account?: string, model?: string): OutputPart[] {
+    const output = this._unfinished.get(itemKeyOf(account, itemId))
+    return output && isOfModel(output, model) ? output.parts : []
   }
 
   /** Estimated memory of the stored output of an unfinished item in bytes. */
   unfinishedBytes (itemId: string, account?: string): number {
-    const parts = this._unfinished.get(itemKeyOf(account, itemId))?.parts
-    return parts ? heldBytesOfUnfinished(itemId, parts) : 0
+    const output = this._unfinished.get(itemKeyOf(account, itemId))
+    return output ? heldBytesOfUnfinished(itemId, output.parts, output.model) : 0
   }
 
   batches (): IterableIterator<Batch> {
@@ -145,10 +162,14 @@
     return false
   }
 
-  /** The completed result of an item with the same reward call in any batch of the account that is still stored. */
-  completedResult ({ itemId, reward }: BatchItem, account?: string): ItemResult | undefined {
+  /**
+   * The completed result of an item with the same reward call in any batch of the account that is still stored.
+   * @param model the model whose result is asked for; without it, that of any
+   */
+  completedResult ({ itemId, reward }: BatchItem, account?: string, model?: string): ItemResult | undefined {
     const completed = this._completed.get(itemKeyOf(account, itemId))
-    return completed && completed.rewardId === reward?.rewardId ? completed.result : undefined
+    if (!completed || !isOfModel(completed, model)) return undefined
+    return completed.rewardId === reward?.rewardId ? completed.result : undefined
   }
 
   apply (command: BatchCommand, { atMs }: ApplyContext): BatchCommandResult {
@@ -156,9 +177,9 @@
       case BatchCommandKind.Submit:
         return this._submit(command.submission, command.keepMs, atMs)
       case BatchCommandKind.Progress:
-        return this._appendOutput(command.batchId, command.itemId, command.afterEventId, command.parts, atMs)
+        return this._appendOutput(command, atMs)
       case BatchCommandKind.Finish:
-        return this._finish(command.batchId, command.afterEventId, command.result)
+        return this._finish(command)
       case BatchCommandKind.End:
         return this._end(command.batchId, command.account)
       case BatchCommandKind.AnnounceOrder:
@@ -250,22 +271,24 @@
     this._listener.onBatchAdded?.(batch)
   }
 
-  private _appendOutput (batchId: string, itemId: string, afterEventId: number, parts: OutputPart[], atMs: number): BatchCommandResult {
+  private _appendOutput ({ batchId, itemId, parts, ...place }: ProgressCommand, atMs: number): BatchCommandResult {
     const batch = this._batches.get(batchId)
     if (!batch?.openItem(itemId)) return { kind: 'closed' }
-    const { account } = batch.submission
-    const kept = afterEventId === 0 ? [] : this.unfinishedParts(itemId, account)
-    if (eventsCountOf(kept) !== afterEventId) return { kind: 'mismatch' }
-    this._unfinished.set(itemKeyOf(account, itemId), { itemId, account, parts: [...kept, ...parts], keptAtMs: atMs })
+    const { account, model } = batch.submission
+    const kept = this._continuedParts(itemId, account, place)
+    if (!kept) return { kind: 'mismatch' }
+    const appended = [...kept, ...parts]
+    this._digests.set(appended, digestAfterAll(this._digestOf(kept), parts))
+    this._unfinished.set(itemKeyOf(account, itemId), { itemId, account, model, parts: appended, keptAtMs: atMs })
     return { kind: 'kept' }
   }
 
-  private _finish (batchId: string, afterEventId: number, { parts, ...rest }: ItemResult): BatchCommandResult {
+  private _finish ({ batchId, result: { parts, ...rest }, ...place }: FinishCommand): BatchCommandResult {
     const batch = this._batches.get(batchId)
     if (!batch || batch.isEnded) return { kind: 'closed' }
     const { account } = batch.submission
-    const kept = afterEventId === 0 ? [] : this.unfinishedParts(rest.itemId, account)
-    if (eventsCountOf(kept) !== afterEventId) return { kind: 'mismatch' }
+    const kept = this._continuedParts(rest.itemId, account, place)
+    if (!kept) return { kind: 'mismatch' }
     const result = { ...rest, parts: [...kept, ...parts] }
     const position = batch.list(result)
     if (position === undefined) return { kind: 'closed' }
@@ -274,6 +297,20 @@
     return { kind: 'listed', position }
   }
 
+  /** The stored output that a command continues; undefined if the stored output is not exactly that one. */
+  private _continuedParts (itemId: string, account: string | undefined, { afterEventId, afterDigest }: OutputPlace): OutputPart[] | undefined {
+    if (afterEventId === 0) return []
+    const kept = this.unfinishedParts(itemId, account)
+    const isSame = afterDigest === undefined ? eventsCountOf(kept) === afterEventId : this._digestOf(kept) === afterDigest
+    return isSame ? kept : undefined
+  }
+
+  private _digestOf (parts: OutputPart[]): string {
+    const digest = this._digests.get(parts) ?? digestAfterAll(EMPTY_OUTPUT_DIGEST, parts)
+    this._digests.set(parts, digest)
+    return digest
+  }
+
   private _end (batchId: string, account: string | undefined): BatchCommandResult {
     const batch = this._batches.get(batchId)
     if (batch?.isAccessibleBy(account) !== true) return { kind: 'unknownBatch' }
@@ -300,7 +337,7 @@
 
   private _recordCompleted (batch: Batch, result: ItemResult, position: number): void {
     if (result.state !== ResultState.Completed) return
-    this._completed.set(itemKeyOf(batch.submission.account, result.itemId), { result, rewardId: batch.rewardIdAt(position) })
+    this._completed.set(itemKeyOf(batch.submission.account, result.itemId), { result, model: batch.submission.model, rewardId: batch.rewardIdAt(position) })
   }
 
   private _removeExpired (atMs: number): void {
@@ -323,6 +360,10 @@
   return atMs - keptAtMs > UNFINISHED_RETENTION_MS
 }
 
+function isOfModel (stored: { model?: string }, model: string | undefined): boolean {
+  return model === undefined || stored.model === undefined || stored.model === model
+}
+
 function * piecesOf (batches: BatchRecord[], outputs: UnfinishedOutput[], orders: AnnouncedOrder[], weights: NamedWeights[], supply: SupplySnapshot): Generator<SnapshotPiece> {
   for (const record of batches) {
     const { submission: { batchId }, results, rewardIds } = record
--- a/src/batches/heldBytes.ts
+++ b/src/batches/heldBytes.ts
@@ -33,8 +33,8 @@
 }
 
 /** Stored output of an item that is not listed yet. */
-export function heldBytesOfUnfinished (itemId: string, parts: readonly OutputPart[]): number {
-  return RESULT_OVERHEAD_BYTES + itemId.length + heldBytesOfParts(parts)
+export function heldBytesOfUnfinished (itemId: string, parts: readonly OutputPart[], model = ''): number {
+  return RESULT_OVERHEAD_BYTES + textBytes([itemId, model]) + heldBytesOfParts(parts)
 }
 
 /** A batch without its items and results. */
--- a/src/batches/outputReplicator.ts
+++ b/src/batches/outputReplicator.ts
@@ -58,8 +58,8 @@
 
   private async _write (scope: Scope): Promise<void> {
     const { clock, replica, output, batchId, itemId, onNotReplicated } = this._options
-    const { replicatedCount: afterEventId, lastEventId, generation } = output
-    const command = { kind: BatchCommandKind.Progress, batchId, itemId, afterEventId, parts: output.unreplicatedParts() }
+    const { replicatedCount: afterEventId, replicatedDigest: afterDigest, lastEventId, generation } = output
+    const command = { kind: BatchCommandKind.Progress, batchId, itemId, afterEventId, afterDigest, parts: output.unreplicatedParts() }
     const outcome = await replica.propose(command, new Progress(clock, scope, clock.nowMs() + ITEM_COMMIT_TIMEOUT_MS))
     const answer = outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
     if (output.generation !== generation) return
--- a/src/batches/resultListing.ts
+++ b/src/batches/resultListing.ts
@@ -52,10 +52,10 @@
     return outcome.kind === 'committed' ? (outcome.result as BatchCommandResult).kind : outcome.kind
   }
 
-  private _commandFields (result: ItemResult): { afterEventId: number, result: ItemResult } {
+  private _commandFields (result: ItemResult): { afterEventId: number, afterDigest?: string, result: ItemResult } {
     const { output } = this._options
     const isOwnOutput = result.state === ResultState.Completed && result.parts.length === 0
     if (!isOwnOutput) return { afterEventId: 0, result }
-    return { afterEventId: output.replicatedCount, result: { ...result, parts: output.unreplicatedParts() } }
+    return { afterEventId: output.replicatedCount, afterDigest: output.replicatedDigest, result: { ...result, parts: output.unreplicatedParts() } }
   }
 }
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -107,6 +107,8 @@
     itemId: z.string(),
     /** Id of the last event already replicated; 0 starts the output over. */
     afterEventId: z.int().min(0),
+    /** Digest of the replicated output that the parts continue; absent from leaders that compare numbers of events only. */
+    afterDigest: z.string().optional(),
     parts: z.array(outputPartSchema)
   }),
   z.object({
@@ -114,6 +116,8 @@
     batchId: z.string(),
     /** Id of the last event already replicated; the result's parts follow it. */
     afterEventId: z.int().min(0),
+    /** As for progress. */
+    afterDigest: z.string().optional(),
     result: itemResultSchema
   }),
   z.object({ kind: z.literal(BatchCommandKind.End), batchId: z.string(), account: z.string().optional() }),
--- a/tests/platform/callerKeys.test.ts
+++ b/tests/platform/callerKeys.test.ts
@@ -1,23 +1,21 @@
 import test, { type ExecutionContext } from 'ava'
 import { request } from 'undici'
-import { BatchRoutes } from '../../platform/batchRoutes.js'
 import { CallerServer } from '../../platform/callerServer.js'
 import { PlatformEndpointClient } from '../../platform/endpointClient.js'
 import { CallerAdmission } from '../../src/accounts/callerAdmission.js'
 import { digestOfKey } from '../../src/accounts/keyDigest.js'
-import { BatchClient } from '../../src/batches/batchClient.js'
 import { UsageCounter } from '../../src/duties/usageCounter.js'
 import { EndpointPool } from '../../src/endpoints/endpointPool.js'
 import { FleetView } from '../../src/fleet/fleetView.js'
 import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
 import { StreamForwarder } from '../../src/gateway/streamForwarder.js'
 import { RouteKind, type ClientAccount } from '../../src/protocol/routing.js'
-import { TcpTransport } from '../../src/transport/tcpTransport.js'
 import { systemClock } from '../../src/utils/clock.js'
 import { silentLogger, type LogFields, type Logger } from '../../src/utils/logger.js'
 import { memoryMetrics } from '../../src/utils/metrics.js'
 import { seededRandom } from '../../src/utils/randomSource.js'
 import { Scope } from '../../src/utils/scope.js'
+import { batchRoutesOf } from '../fixtures/batchRoutesFixture.js'
 import { DATA_CENTRE, HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { quarantineOf } from '../fixtures/fleet/quarantineFixtures.js'
 import { freePort, loopbackHost } from '../fixtures/loopback.js'
@@ -50,7 +48,7 @@
   const client = new PlatformEndpointClient(systemClock, metrics)
   const pool = new EndpointPool({ view, clock: systemClock, random, dataCentre: DATA_CENTRE, logger: silentLogger, metrics })
   const forwarderContext = { view, pool, client, quarantine: quarantineOf(view, systemClock, client), random, logger, metrics }
-  const batches = new BatchRoutes({ client: new BatchClient(view, DATA_CENTRE, new TcpTransport(), scope, onFatal), clock: systemClock, logger, metrics })
+  const batches = batchRoutesOf({ view, scope, logger, metrics, onFatal })
   const admission = new CallerAdmission({ policy: { isRevocationStrict: false, revokeMs: 5_000 }, disconnectedMs: () => outOfTouchMs })
   const usage = new UsageCounter({ clock: systemClock, windowMs: 1e12, wallAt: nowMs => nowMs, incarnation: 'x' })
   const address = `${loopbackHost()}:${await freePort()}`
