Quarantine: items and their reward calls are owed work, never suspected nor withheld

Cause: the quarantine condemns by content what ran at three endpoints that ended. It is made for requests of callers that end endpoints by themselves.

Change: the identity of a run says whether it is owed work. That has no status and is no suspect, whatever entries there are, and clears nothing; its lost connections still show the end of an endpoint, so that what ran beside it is condemned at the same bound.

Ruled out: a higher threshold, ends of one moment as one, clearing by events.

--- a/src/batchScheduling/assignmentRound.ts
+++ b/src/batchScheduling/assignmentRound.ts
@@ -142,9 +142,8 @@
   private _restrictedCandidatesFor (run: SchedulableItem): CandidateSet | undefined {
     const shared = this._candidatesFor(run)
     if (!shared) return undefined
-    const allowed = shared.filter(engine => run.mayRunOn(engine))
-    const untried = allowed.filter(engine => !run.avoids(engine))
-    return untried.engines.length > 0 ? untried : allowed
+    const untried = shared.filter(engine => !run.avoids(engine))
+    return untried.engines.length > 0 ? untried : shared
   }
 
   private _candidatesFor (run: SchedulableItem): CandidateSet | undefined {
--- a/src/batchScheduling/schedulableItem.ts
+++ b/src/batchScheduling/schedulableItem.ts
@@ -40,8 +40,6 @@
   readonly isRestricted: boolean
   /** Whether the item has failed at an engine, which is then only used if no other engine fits. */
   avoids: (engine: Engine) => boolean
-  /** Whether the quarantine allows the item to run at an engine beside its present runs. */
-  mayRunOn: (engine: Engine) => boolean
   /** Ends the run at the present engine, so that the item continues at another engine. */
   move: (move: Move) => void
   /** Ends a run that has not begun if its engine was found unreachable since the run was sent there. */
--- a/src/batches/itemExecutor.ts
+++ b/src/batches/itemExecutor.ts
@@ -28,7 +28,7 @@
   /** @param abandonAtMs time from which the output is of no use */
   run (request: ItemRunRequest, abandonAtMs: number, scope: Scope, onProgress: ProgressListener): StartedRun
   /**
-   * @param abandonAtMs time from which a quarantined call is no longer repeated
+   * @param abandonAtMs time from which the item may be abandoned; hosts of a former build stop to repeat a quarantined call then
    * @param holdsLease whether no other host may make the call; always without it
    */
   score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease?: () => boolean): Promise<RewardScore>
--- a/src/batches/itemRun.ts
+++ b/src/batches/itemRun.ts
@@ -3,7 +3,7 @@
  * The item runs on an engine, resumes after the last event on another engine if the
  * run breaks off, is scored and is committed, all in one sequential task.
  */
-import { QuarantineStatus, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
+import type { QuarantinedRun, RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import { ResultState, type BatchItem, type ItemResult, type OutputPart, type RewardCall } from '../protocol/batches.js'
 import type { RoutingRoute } from '../protocol/routing.js'
@@ -31,8 +31,6 @@
 
 /** A run checks for a faster engine each time the run has received this many further events. */
 const MOVE_CHECK_EVENTS_COUNT = 4
-/** Interval for checking whether the quarantine of an item was lifted, until the item may be abandoned. */
-const QUARANTINE_CHECK_INTERVAL_MS = 500
 
 export interface ItemRunOptions {
   clock: Clock
@@ -82,7 +80,7 @@
   constructor (options: ItemRunOptions, batch: Batch, item: BatchItem, times: BatchTimes, earlierOutput: ItemOutput | undefined, isCarriedOver: boolean) {
     this._options = options
     this._startedAtMs = options.clock.nowMs()
-    this._identity = options.quarantine.identify({ host: batch.submission.host, method: 'POST', path: item.path, body: item.body })
+    this._identity = options.quarantine.identify({ host: batch.submission.host, method: 'POST', path: item.path, body: item.body }, true)
     this.batch = batch
     this.item = item
     this._failures = new ItemFailures(item.itemId)
@@ -123,7 +121,7 @@
 
   /** Whether the item may not use all engines that other items of its batch may use. */
   get isRestricted (): boolean {
-    return this._failures.attribution.endpointsCount > 0 || this._quarantineStatus() === QuarantineStatus.OnProbation
+    return this._failures.attribution.endpointsCount > 0
   }
 
   /** Whether the item has failed at an engine, which is then only used if no other engine fits. */
@@ -131,12 +129,6 @@
     return this._failures.attribution.hasFailedAt(id)
   }
 
-  /** Whether the quarantine allows the item to run at an engine beside its present runs. */
-  mayRunOn ({ endpoint }: Engine): boolean {
-    const status = this._quarantineStatus()
-    return status !== QuarantineStatus.Condemned && this._options.quarantine.mayStart(status, endpoint)
-  }
-
   /** Ends the run at the present engine, so that the item continues at another engine. */
   move (move: Move): void {
     this._move = move
@@ -198,17 +190,10 @@
     const { clock } = this._options
     if (this.isStarted) this._log(BatchEvent.ItemReused, { eventsCount: this.output.lastEventId, isWhole: false })
     for (;;) {
-      // No await before `acquire` unless the item is withheld: the item has to request a slot in the same turn as the rest of its batch.
-      if (this._isWithheld() && !await this._waitUntilLifted(scope)) return false
+      // No await before `acquire`: the item has to request a slot in the same turn as the rest of its batch.
       this.stage = ItemStage.Queued
       const engine = await this._options.acquire(this, this.times.abandonAtMs, scope)
       if (!engine) return false
-      // While the item waited for the slot, the quarantine status of the item or of other runs at the engine may have changed.
-      if (!this.mayRunOn(engine)) {
-        this._options.release(this, engine)
-        await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
-        continue
-      }
       this.stage = ItemStage.Running
       const outcome = await this._runOn(engine, scope)
       this._logRun(engine, outcome)
@@ -229,28 +214,6 @@
     }
   }
 
-  /** Waits until the quarantine of the item is lifted; resolves to false if the item is abandoned first. */
-  private async _waitUntilLifted (scope: Scope): Promise<boolean> {
-    const { clock } = this._options
-    this.stage = ItemStage.Withheld
-    while (this._isWithheld()) {
-      if (clock.nowMs() >= this.times.abandonAtMs) return false
-      await sleepUntil(clock, scope, clock.nowMs() + QUARANTINE_CHECK_INTERVAL_MS)
-    }
-    return true
-  }
-
-  private _isWithheld (): boolean {
-    const { quarantine } = this._options
-    if (quarantine.statusOf(this._identity) !== QuarantineStatus.Condemned) return false
-    quarantine.recordWithheld(this._identity, { attemptId: this.item.itemId, route: this.batch.submission.path })
-    return true
-  }
-
-  private _quarantineStatus (): QuarantineStatus {
-    return this._options.quarantine.statusOf(this._identity)
-  }
-
   private _logRun (engine: Engine, outcome: RunOutcome): void {
     this._options.metrics.count(MetricName.ItemRunEnded, { outcome: outcome.kind })
     const fields = { endpointId: engine.id, eventsCount: this.output.lastEventId }
@@ -346,6 +309,7 @@
     this._failures.attribution.accepted(engine.id)
   }
 
+  /** The item itself is owed; its lost connections show that an engine has ended. */
   private _reportToQuarantine (run: QuarantinedRun, outcome: RunOutcome): void {
     const { quarantine } = this._options
     if (isEndedByHost(outcome)) return quarantine.abandoned(run)
--- a/src/batches/localExecutor.ts
+++ b/src/batches/localExecutor.ts
@@ -64,9 +64,9 @@
     return new EngineRun(this._options, request, abandonAtMs, times, scope, onReceived)
   }
 
-  async score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease = () => true): Promise<RewardScore> {
+  async score (reward: RewardCall, _abandonAtMs: number, scope: Scope, holdsLease = () => true): Promise<RewardScore> {
     const { clock, metrics, forwarder, routeOf } = this._options
-    return await new RewardScoring({ clock, metrics, forwarder, routeOf }).score(reward, abandonAtMs, scope, holdsLease)
+    return await new RewardScoring({ clock, metrics, forwarder, routeOf }).score(reward, scope, holdsLease)
   }
 
   async flush (): Promise<void> {
--- a/src/batches/rewardScoring.ts
+++ b/src/batches/rewardScoring.ts
@@ -1,13 +1,12 @@
 /**
  * Scores a sample with complete text by its reward call. The call is repeated until
- * there is a score, until it has failed as often as its route allows, until it is
- * quarantined for crashing endpoints and the item may be abandoned, or until this
- * host no longer holds the lease on the item.
+ * there is a score, until it has failed as often as its route allows, or until this
+ * host no longer holds the lease on the item. It is owed with its item: endpoints that
+ * end under it do not withhold it.
  */
 import type { ForwardOutcome } from '../gateway/forwardRequest.js'
 import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import type { RewardCall } from '../protocol/batches.js'
-import { RefusalReason } from '../protocol/refusals.js'
 import type { RoutingRoute } from '../protocol/routing.js'
 import type { RewardScore } from '../protocol/runnerTasks.js'
 import { sleepUntil, type Clock } from '../utils/clock.js'
@@ -19,8 +18,6 @@
 /** Time limit for one reward call with its retries; the longest calls of both known deployments take a tenth of this limit. */
 const REWARD_TIMEOUT_MS = 2_000
 const RETRY_PAUSE_MS = 50
-/** A quarantined call is sent to no endpoint; this is the interval for checking whether the quarantine was lifted. */
-const QUARANTINE_CHECK_INTERVAL_MS = 1_000
 const HTTP_OK_MIN = 200
 const HTTP_OK_MAX = 299
 
@@ -39,11 +36,8 @@
     this._options = options
   }
 
-  /**
-   * @param abandonAtMs time from which a quarantined call is no longer repeated
-   * @param holdsLease whether no other host may make the call; asked before every try
-   */
-  async score (reward: RewardCall, abandonAtMs: number, scope: Scope, holdsLease: () => boolean): Promise<RewardScore> {
+  /** @param holdsLease whether no other host may make the call; asked before every try */
+  async score (reward: RewardCall, scope: Scope, holdsLease: () => boolean): Promise<RewardScore> {
     const { clock, routeOf } = this._options
     let failuresCount = 0
     for (;;) {
@@ -55,10 +49,8 @@
         if (receipt !== undefined) return { kind: 'scored', receipt }
         failuresCount += outcome.failedAnswersCount
       }
-      const isWithheld = isQuarantined(outcome)
-      const hasExhaustedAttempts = route !== undefined && failuresCount >= route.maxAttemptsCount
-      if (hasExhaustedAttempts || (isWithheld && clock.nowMs() >= abandonAtMs)) return { kind: 'lost' }
-      await sleepUntil(clock, scope, clock.nowMs() + (isWithheld ? QUARANTINE_CHECK_INTERVAL_MS : RETRY_PAUSE_MS))
+      if (route !== undefined && failuresCount >= route.maxAttemptsCount) return { kind: 'lost' }
+      await sleepUntil(clock, scope, clock.nowMs() + RETRY_PAUSE_MS)
     }
   }
 
@@ -74,17 +66,14 @@
       attemptId: reward.rewardId,
       progress: new Progress(clock, scope, clock.nowMs() + REWARD_TIMEOUT_MS),
       mayTry: holdsLease,
-      isPersistent: true
+      isPersistent: true,
+      isOwed: true
     })
     metrics.count(MetricName.RewardCalled, { outcome: outcome.kind })
     return outcome
   }
 }
 
-function isQuarantined (outcome: ForwardOutcome | undefined): boolean {
-  return outcome?.kind === 'refused' && outcome.reason === RefusalReason.Quarantined
-}
-
 /** The receipt of a successful answer. */
 function receiptOf ({ status, receipt }: Extract<ForwardOutcome, { kind: 'answered' }>): string | undefined {
   return status >= HTTP_OK_MIN && status <= HTTP_OK_MAX ? receipt : undefined
--- a/src/batches/stepReports.ts
+++ b/src/batches/stepReports.ts
@@ -21,8 +21,6 @@
   Running = 'running',
   /** Pauses after a failed run. */
   Pausing = 'pausing',
-  /** Quarantined after engines crashed while running the item, which is sent to no engine meanwhile. */
-  Withheld = 'held_back',
   Scoring = 'scoring',
   /** The result of the item is being committed to the replicated log. */
   Committing = 'committing'
--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -28,6 +28,8 @@
   mayTry?: (() => boolean) | undefined
   /** Keep trying until the deadline: a refusal would be of no use to the caller. */
   isPersistent?: boolean
+  /** Whether the request is part of work that was handed in for later, which the quarantine never withholds. */
+  isOwed?: boolean
 }
 
 export type ForwardOutcome =
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -121,7 +121,7 @@
     this._options = options
     this._request = request
     this._scope = scope
-    this._identity = options.quarantine.identify(request)
+    this._identity = options.quarantine.identify(request, request.isOwed)
     this._service = service
     this._failures = new FailureAttribution(() => this._identity.digest)
     this._hedgeBudget = hedgeBudget
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -92,7 +92,7 @@
     this._options = options
     this._request = request
     this._sink = sink
-    this._identity = options.quarantine.identify(request)
+    this._identity = options.quarantine.identify(request, request.isOwed)
     this._failures = new FailureAttribution(() => this._identity.digest)
     this._service = chooseService(request.route, options.random)
     this._startedAtMs = request.progress.clock.nowMs()
--- a/src/quarantine/requestQuarantine.ts
+++ b/src/quarantine/requestQuarantine.ts
@@ -4,7 +4,8 @@
  * terminates, all requests that ran at it become suspects; an answer clears a
  * request at once and on all hosts; three terminations condemn it on all hosts.
  * After two terminations a request is on probation: at most one such request runs
- * at an endpoint, so that the next termination identifies the culprit.
+ * at an endpoint, so that the next termination identifies the culprit. Owed work is
+ * neither suspected nor withheld; what ran beside it is, as if it had not been there.
  *
  * In the simulation of tests/fleet/deadlyRequest (seed 11; one such request every
  * 0.7 s at four endpoints, 50 other requests a second), without the quarantine 73 %
@@ -94,11 +95,13 @@
     this._options.supervisor.spawn('reports of terminated endpoints', scope => this._reports.run(scope))
   }
 
-  identify (request: RequestContent): RequestIdentity {
-    return new RequestIdentity(request)
+  /** @param isOwed whether it is work that was handed in for later */
+  identify (request: RequestContent, isOwed = false): RequestIdentity {
+    return new RequestIdentity(request, isOwed)
   }
 
   statusOf (identity: RequestIdentity): QuarantineStatus {
+    if (identity.isOwed) return QuarantineStatus.Free
     if (this._options.view.quarantine.isEmpty && this._ownTerminations.size === 0) return QuarantineStatus.Free
     const terminationsCount = this._terminationsCount(identity.digest)
     if (terminationsCount >= QUARANTINE_THRESHOLD_COUNT) return QuarantineStatus.Condemned
@@ -139,6 +142,7 @@
   answered (run: QuarantinedRun): void {
     this._release(run)
     this._runs.done(run)
+    if (run.identity.isOwed) return
     const { digest } = run.identity
     this._answeredAtMs.set(digest, this._options.clock.nowMs())
     const entry = this._options.view.quarantine.get(digest)
@@ -195,9 +199,10 @@
   private _onTerminated (endpoint: FleetEndpoint, identities: RequestIdentity[]): void {
     const { clock, logger, metrics } = this._options
     const nowMs = clock.nowMs()
-    const digests = [...new Set(identities.map(({ digest }) => digest))]
+    const owedCount = identities.filter(({ isOwed }) => isOwed).length
+    const digests = [...new Set(identities.filter(({ isOwed }) => !isOwed).map(({ digest }) => digest))]
     const suspects = digests.filter(digest => nowMs - (this._answeredAtMs.get(digest) ?? Number.NEGATIVE_INFINITY) > ANSWER_RETENTION_MS)
-    logger.event(QuarantineEvent.EndpointTerminated, { endpointId: endpoint.endpointId, service: endpoint.service, address: endpoint.address, suspects, answeredLatelyCount: digests.length - suspects.length })
+    logger.event(QuarantineEvent.EndpointTerminated, { endpointId: endpoint.endpointId, service: endpoint.service, address: endpoint.address, suspects, answeredLatelyCount: digests.length - suspects.length, owedCount })
     metrics.count(MetricName.QuarantineEndpointEnded, { pool: endpoint.service })
     for (const digest of suspects) this._suspect(digest, endpoint.endpointId)
   }
--- a/tests/fleet/deadlyRequest.test.ts
+++ b/tests/fleet/deadlyRequest.test.ts
@@ -12,8 +12,9 @@
  * counted as a new choice.
  */
 import test, { type ExecutionContext } from 'ava'
+import { RefusalReason } from '../../src/protocol/refusals.js'
 import { RouteKind } from '../../src/protocol/routing.js'
-import { DeadlyRequestWorld, type WorldOptions } from '../fixtures/fleet/deadlyRequestWorld.js'
+import { DeadlyRequestWorld, OWED_PREFIX, type WorldOptions } from '../fixtures/fleet/deadlyRequestWorld.js'
 
 /** Required bound within which connected hosts know of a condemned request. */
 const CONTACT_MS = 3_000
@@ -51,3 +52,17 @@
   const late = world.lateSends(CONTACT_MS)
   t.true(late.length <= MAX_LATE_SENDS_COUNT, `${late.length} sends later than ${CONTACT_MS} ms after the third termination; ${world.deadlyEnds().length} endpoints terminated`)
 })
+
+// Work that was handed in for later was withheld with the request that it ran beside.
+test('should condemn a deadly request at the same bound beside owed work, and withhold none of that', async t => {
+  const world = await start(t)
+  await world.load(RUN_MS, { deadlyEachMs: 350, innocentEachMs: 50, owedCount: 3 })
+  t.true(world.deadlyEnds().length >= 3)
+  t.true(world.deadlyEnds().some(({ paths }) => paths.some(path => path.startsWith(OWED_PREFIX))), 'owed work ran beside it')
+  const late = world.lateSends(CONTACT_MS)
+  t.true(late.length <= MAX_LATE_SENDS_COUNT, `${late.length} sends later than ${CONTACT_MS} ms after the third termination; ${world.deadlyEnds().length} endpoints terminated`)
+  const owed = world.served.filter(({ path }) => path.startsWith(OWED_PREFIX))
+  t.deepEqual(owed.filter(({ outcome }) => outcome.kind === 'refused' && outcome.reason === RefusalReason.Quarantined), [])
+  t.true(world.innocentShare() >= 0.9, `${Math.round(100 * world.innocentShare())}% served`)
+  for (const { following } of world.hosts) t.is(following.view.quarantine.condemnedDigests().length, 1)
+})
--- a/tests/quarantine/requestQuarantine.test.ts
+++ b/tests/quarantine/requestQuarantine.test.ts
@@ -68,6 +68,22 @@
   t.is(world.status, QuarantineStatus.Free)
 })
 
+// An item took the blame for the engines that ended under it.
+test('should neither suspect nor withhold owed work, and let it clear nothing', async t => {
+  const world = new World()
+  const owed = world.quarantine.identify(REQUEST, true)
+  for (const number of [0, 1, 2]) {
+    const run = world.quarantine.startRun(owed, world.own[number]!)
+    await world.lose(number, true)
+    world.quarantine.failed(run, LOST)
+    await world.clock.advance(CHECKED_WITHIN_MS)
+  }
+  t.is(world.status, QuarantineStatus.Condemned, 'the request beside it')
+  t.is(world.quarantine.statusOf(owed), QuarantineStatus.Free)
+  world.quarantine.answered(world.quarantine.startRun(owed, world.own[0]!))
+  t.is(world.status, QuarantineStatus.Condemned)
+})
+
 test('should let no two requests on probation run at one endpoint', async t => {
   const world = new World()
   await world.lose(0, true)
