Batch store: a large submission moves in parts, and is refused before it is read

Heartbeats waited behind it.

The store is asked for room before the body is read. A part that comes again is answered from what is held. Entry hosts send parts only if all store hosts say that they take them.

Ruled out: a lower limit; a connection of its own for the log; only joining frames once.

--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -20,7 +20,7 @@
 /** Number of hosts per block of addresses. */
 const HOSTS_PER_BLOCK = 14
 const GRACE_S = 5
-const MEMORY_MB = 300
+const DEFAULT_MEMORY_MB = 300
 
 enum Port {
   Callers = 7110,
@@ -34,6 +34,13 @@
   StoreMetrics = 7132
 }
 
+export interface SoakFleetOptions {
+  /** Memory limit that the settings of the hosts of a group state. */
+  memoryMbOf?: (group: HostGroup) => number
+  /** Node.js flags of the programs of a group. */
+  nodeFlagsOf?: (program: ProgramName) => string[]
+}
+
 export class SoakHost {
   readonly name: string
   readonly ip: string
@@ -73,19 +80,21 @@
   private readonly _stopped = new Set<ManagedProcess>()
   private _faults: LinkFaults = structuredClone(NO_FAULTS)
   private _usedIpsCount = 0
+  private readonly _options: SoakFleetOptions
 
-  private constructor (blocks: AddressBlock[]) {
+  private constructor (blocks: AddressBlock[], options: SoakFleetOptions) {
     this._blocks = blocks
+    this._options = options
     this._processes = new ProcessGroup(this.folder, join(DIST, 'demo/guardian.js'))
     this._writeFaults()
   }
 
   /** @param endpointsCount number of addresses reserved for endpoints */
-  static async create (counts: HostCounts, endpointsCount: number): Promise<SoakFleet> {
+  static async create (counts: HostCounts, endpointsCount: number, options: SoakFleetOptions = {}): Promise<SoakFleet> {
     const hostsCount = Object.values(counts).reduce((sum: number, count: number) => sum + count, 0)
     const blocks: AddressBlock[] = []
     while (blocks.length * HOSTS_PER_BLOCK < hostsCount + endpointsCount) blocks.push(await AddressBlock.acquire())
-    const fleet = new SoakFleet(blocks)
+    const fleet = new SoakFleet(blocks, options)
     for (const group of Object.values(HostGroup)) {
       for (let number = 0; number < counts[group]; number++) {
         fleet.hosts.push(new SoakHost(`${group}-${number + 1}`, fleet.allocateIp(), group, DATA_CENTRES[number % DATA_CENTRES.length] ?? ''))
@@ -119,6 +128,12 @@
     return programs.includes('edge') ? `${ip}:${Port.Callers}` : undefined
   }
 
+  /** Where the programs of a host tell their metrics. */
+  metricsAddressesOf ({ ip, programs }: SoakHost): Array<{ program: ProgramName, address: string }> {
+    const ports = { edge: Port.EdgeMetrics, control: Port.ControlMetrics, store: Port.StoreMetrics }
+    return programs.map(program => ({ program, address: `${ip}:${ports[program]}` }))
+  }
+
   startAll (): void {
     for (const host of this.hosts) this.start(host)
   }
@@ -212,7 +227,7 @@
   private _spawn (host: SoakHost, program: ProgramName, settingsFile: string): ManagedProcess {
     const process = this._processes.start(`${host.name}-${program}`, join(DIST, `platform/${program}.js`), [], {
       THREADDRUM_NODE_FILE: settingsFile,
-      NODE_OPTIONS: `--import ${pathToFileURL(join(DIST, 'bench/fleetSoak/netFaults.js')).href}`,
+      NODE_OPTIONS: [`--import ${pathToFileURL(join(DIST, 'bench/fleetSoak/netFaults.js')).href}`, ...this._options.nodeFlagsOf?.(program) ?? []].join(' '),
       [FAULTS_VARIABLE]: this._faultsFile,
       [ADDRESS_VARIABLE]: host.ip
     })
@@ -227,7 +242,7 @@
     const seeds = this.controlAddresses
     mkdirSync(this._dataFolder(host), { recursive: true })
     writeFileSync(file, stringify({
-      host: { name: host.name, ip: host.ip, dataCentre: host.dataCentre, isFirstStart: host.startsCount === 0, dataFolder: this._dataFolder(host), memoryMb: MEMORY_MB },
+      host: { name: host.name, ip: host.ip, dataCentre: host.dataCentre, isFirstStart: host.startsCount === 0, dataFolder: this._dataFolder(host), memoryMb: this._options.memoryMbOf?.(host.group) ?? DEFAULT_MEMORY_MB },
       listen: {
         callers: `${host.ip}:${Port.Callers}`,
         readiness: `${host.ip}:${Port.Readiness}`,
--- a/src/batches/batch.ts
+++ b/src/batches/batch.ts
@@ -139,6 +139,12 @@
     return this._results.push(result) - 1
   }
 
+  /** Adds an open item read from a snapshot, behind those that were read before it. */
+  restoreItem (item: BatchItem): void {
+    this._openItems.set(item.itemId, item)
+    this._itemsBytes += heldBytesOfItem(item)
+  }
+
   /** Appends a result read from a snapshot and returns its position. */
   restore (result: ItemResult, rewardId: string | undefined): number {
     this._listed.add(result.itemId)
@@ -186,7 +192,7 @@
  * of the batch in memory until its last item is listed: 25 MB instead of 1 MB for a
  * hundred batches of 190 items with one open item each.
  */
-function withCopiedBodies ({ reward, ...item }: BatchItem): BatchItem {
+export function withCopiedBodies ({ reward, ...item }: BatchItem): BatchItem {
   const copy = { ...item, body: Uint8Array.from(item.body) }
   return reward ? { ...copy, reward: { ...reward, body: Uint8Array.from(reward.body) } } : copy
 }
--- a/src/batches/batchClient.ts
+++ b/src/batches/batchClient.ts
@@ -8,8 +8,8 @@
 import type { BatchSubmission } from '../protocol/batches.js'
 import { PeerLinks } from '../replication/log/peerLinks.js'
 import {
-  endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod,
-  type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
+  endBatchMethod, readItemMethod, readResultsMethod, submitBatchMethod, submitPartMethod,
+  type EndBatchReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply, type SubmitPartReply, type SubmitPartRequest
 } from '../transport/batchMethods.js'
 import type { Transport } from '../transport/connection.js'
 import type { CallOutcome, RpcMethod } from '../transport/rpcPeer.js'
@@ -69,9 +69,19 @@
     this._links = new PeerLinks(transport, scope, onFatal)
   }
 
-  /** Submitting is idempotent, so lost calls are repeated. */
-  async submit (submission: BatchSubmission, progress: Progress): Promise<SubmitBatchReply> {
-    const outcome = await this._callLeader<{ submission: BatchSubmission }, SubmitBatchReply>(submitBatchMethod, { submission }, progress, ATTEMPT_TIMEOUT_MS)
+  /** Whether the store takes submissions in parts: all its hosts have to. */
+  takesParts (): boolean {
+    const replicas = this._view.hosts(HostRole.Store).flatMap(({ store }) => store ?? [])
+    return replicas.every(({ takesParts }) => takesParts === true)
+  }
+
+  /**
+   * Submitting is idempotent, so lost calls are repeated.
+   * @param stagedItemsCount number of items that `submitPart` has sent before, which precede those of the submission
+   */
+  async submit (submission: BatchSubmission, progress: Progress, stagedItemsCount?: number): Promise<SubmitBatchReply> {
+    const request = { submission, ...(stagedItemsCount === undefined ? {} : { stagedItemsCount }) }
+    const outcome = await this._callLeader<typeof request, SubmitBatchReply>(submitBatchMethod, request, progress, ATTEMPT_TIMEOUT_MS)
     switch (outcome.kind) {
       case 'answered':
         return outcome.reply
@@ -82,6 +92,19 @@
     }
   }
 
+  /** A part may be sent again: one that the store holds already changes nothing. */
+  async submitPart (part: SubmitPartRequest, progress: Progress): Promise<SubmitPartReply> {
+    const outcome = await this._callLeader<SubmitPartRequest, SubmitPartReply>(submitPartMethod, part, progress, ATTEMPT_TIMEOUT_MS)
+    switch (outcome.kind) {
+      case 'answered':
+        return outcome.reply
+      case 'refused':
+        return outcome
+      case 'lost':
+        return { kind: 'unknown', reason: outcome.reason }
+    }
+  }
+
   /** Waits for results in short polls, so that after a replica crashes, another replica is soon polled instead. */
   async readResults ({ batchId, account }: BatchReference, fromPosition: number, waitMs: number, progress: Progress): Promise<Exclude<ReadResultsReply, NotLeader>> {
     const { clock } = progress
--- a/src/batches/batchService.ts
+++ b/src/batches/batchService.ts
@@ -8,12 +8,12 @@
 import type { NamedWeights } from '../protocol/routingCommands.js'
 import { ReadMode, type Replica } from '../replication/log/replica.js'
 import {
-  batchReadIndexMethod, endBatchMethod, nameWeightsMethod, readItemMethod, readResultsMethod, submitBatchMethod,
-  type BatchReadIndexReply, type EndBatchReply, type NameWeightsReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply
+  batchReadIndexMethod, endBatchMethod, nameWeightsMethod, readItemMethod, readResultsMethod, submitBatchMethod, submitPartMethod,
+  type BatchReadIndexReply, type EndBatchReply, type NameWeightsReply, type ReadItemReply, type ReadResultsReply, type SubmitBatchReply, type SubmitPartReply
 } from '../transport/batchMethods.js'
 import type { RpcHandlers } from '../transport/rpcPeer.js'
 import type { Clock } from '../utils/clock.js'
-import type { Logger } from '../utils/logger.js'
+import type { LogFields, Logger } from '../utils/logger.js'
 import { Progress } from '../utils/progress.js'
 import type { Scope } from '../utils/scope.js'
 import type { Batch } from './batch.js'
@@ -22,6 +22,7 @@
 import { UnknownBatchReporter } from './batchReports.js'
 import type { BatchState } from './batchState.js'
 import { textLengthBytes } from './outputParts.js'
+import type { SubmissionPart } from './stagedSubmissions.js'
 import { StoreCapacity } from './storeCapacity.js'
 
 /** Limit for the text bytes of one page of results, so that the page with all its fields stays under a megabyte. */
@@ -55,7 +56,8 @@
   }
 
   serve (handlers: RpcHandlers): void {
-    handlers.on(submitBatchMethod, ({ submission }, remainingMs) => this._submit(submission, this._progress(remainingMs)))
+    handlers.on(submitBatchMethod, ({ submission, stagedItemsCount }, remainingMs) => this._submit(submission, stagedItemsCount, this._progress(remainingMs)))
+    handlers.on(submitPartMethod, ({ totalBytes, ...part }, remainingMs) => this._submitPart(part, totalBytes, this._progress(remainingMs)))
     handlers.on(readResultsMethod, (request, remainingMs) => (
       this._readResults(request, request.fromPosition, request.waitMs, this._progress(remainingMs))
     ))
@@ -65,26 +67,59 @@
     handlers.on(endBatchMethod, (request, remainingMs) => this._end(request, this._progress(remainingMs)))
   }
 
-  private async _submit (submission: BatchSubmission, progress: Progress): Promise<SubmitBatchReply> {
-    const { replica, logger, keepMs } = this._options
+  private async _submit (submission: BatchSubmission, stagedItemsCount: number | undefined, progress: Progress): Promise<SubmitBatchReply> {
+    const { replica, logger, keepMs, state } = this._options
     if (!replica.leadership) return this._notLeader()
-    const { batchId, step, items, model, minVersion } = submission
-    const fullReason = this._capacity.reserve(submission)
-    if (fullReason !== undefined) {
-      logger.event(BatchEvent.BatchRefused, { batchId, step, outcome: 'full', reason: fullReason })
-      return { kind: 'refused', reason: fullReason, isFinal: true }
-    }
-    const outcome = await replica.propose({ kind: BatchCommandKind.Submit, submission, keepMs }, progress)
+    const { batchId, step, model, minVersion } = submission
+    const staged = stagedItemsCount === undefined ? [] : state.staged.get(submission)?.items ?? []
+    const fullReason = stagedItemsCount === undefined ? this._capacity.reserve(submission) : this._capacity.reserveOutput(submission, staged)
+    if (fullReason !== undefined) return this._refuseAsFull(submission, fullReason)
+    const command = { kind: BatchCommandKind.Submit, submission, keepMs, ...(stagedItemsCount === undefined ? {} : { stagedItemsCount }) }
+    const outcome = await replica.propose(command, progress)
     if (outcome.kind !== 'unknown') this._capacity.release(batchId)
-    if (outcome.kind === 'committed') {
-      if ((outcome.result as BatchCommandResult).kind === 'foreign') return { kind: 'refused', reason: 'the batch id is already in use', isFinal: true }
-      logger.event(BatchEvent.BatchAccepted, { batchId, step, model, minVersion, itemsCount: items.length, index: outcome.index })
-      return { kind: 'accepted' }
-    }
-    logger.event(BatchEvent.BatchRefused, { batchId, step, outcome: outcome.kind, reason: outcome.reason })
+    if (outcome.kind === 'committed') return this._acceptedUnless(outcome.result as BatchCommandResult, submission, { index: outcome.index, itemsCount: staged.length + submission.items.length, stagedItemsCount: stagedItemsCount ?? 0 })
+    logger.event(BatchEvent.BatchRefused, { batchId, step, model, minVersion, outcome: outcome.kind, reason: outcome.reason })
     return outcome.kind === 'notCommitted' ? { kind: 'refused', reason: outcome.reason } : outcome
   }
 
+  private _acceptedUnless ({ kind }: BatchCommandResult, { batchId, step, model, minVersion }: BatchSubmission, fields: LogFields): SubmitBatchReply {
+    if (kind === 'foreign') return { kind: 'refused', reason: 'the batch id is already in use', isFinal: true }
+    if (kind === 'incomplete') return { kind: 'refused', reason: 'parts of the submission are missing', isFinal: true }
+    this._options.logger.event(BatchEvent.BatchAccepted, { batchId, step, model, minVersion, ...fields })
+    return { kind: 'accepted' }
+  }
+
+  private async _submitPart (part: SubmissionPart, totalBytes: number, progress: Progress): Promise<SubmitPartReply> {
+    const { replica } = this._options
+    if (!replica.leadership) return this._notLeader()
+    if (this._isHeld(part)) return { kind: 'staged' }
+    const fullReason = this._capacity.reserveParts(part, totalBytes)
+    if (fullReason !== undefined) return this._refuseAsFull(part, fullReason)
+    if (part.items.length === 0) return { kind: 'staged' }
+    if (!(await replica.whenLogHasSpareRoom(progress))) return { kind: 'refused', reason: 'the log has no room until the next snapshot is written' }
+    const outcome = await replica.propose({ kind: BatchCommandKind.SubmitPart, ...part }, progress)
+    switch (outcome.kind) {
+      case 'committed':
+        return (outcome.result as BatchCommandResult).kind === 'staged' ? { kind: 'staged' } : { kind: 'incomplete' }
+      case 'notCommitted':
+        return { kind: 'refused', reason: outcome.reason }
+      case 'unknown':
+        return outcome
+    }
+  }
+
+  /** Whether the items of a part were taken before, with it or with the whole batch. */
+  private _isHeld (part: SubmissionPart): boolean {
+    const { state } = this._options
+    const isAccepted = state.get(part.batchId)?.isAccessibleBy(part.account) === true
+    return isAccepted || (part.items.length > 0 && state.staged.holds(part))
+  }
+
+  private _refuseAsFull ({ batchId }: { batchId: string }, reason: string): { kind: 'refused', reason: string, isFinal: true } {
+    this._options.logger.event(BatchEvent.BatchRefused, { batchId, outcome: 'full', reason })
+    return { kind: 'refused', reason, isFinal: true }
+  }
+
   private async _readResults (reference: BatchReference, fromPosition: number, waitMs: number, progress: Progress): Promise<ReadResultsReply> {
     const { clock, replica } = this._options
     const waiting = progress.withDeadline(Math.min(clock.nowMs() + waitMs, progress.deadlineMs - WAIT_MARGIN_MS))
--- a/src/batches/batchState.ts
+++ b/src/batches/batchState.ts
@@ -3,16 +3,17 @@
  * results. The position and content of a result never change.
  */
 import {
-  BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type BatchSubmission, type ItemResult, type OutputPart
+  BatchCommandKind, ResultState, type BatchCommand, type BatchCommandResult, type BatchItem, type ItemResult, type OutputPart
 } from '../protocol/batches.js'
 import type { NamedWeights } from '../protocol/routingCommands.js'
 import type { ApplyContext, ReplicatedState, SnapshotPieces } from '../replication/replicatedState.js'
 import { SupplyLedger, type SupplySnapshot } from '../engineSupply/supplyLedger.js'
 import { invariant } from '../utils/errors.js'
-import { Batch, type BatchRecord } from './batch.js'
-import { heldBytesOfUnfinished } from './heldBytes.js'
+import { Batch, withCopiedBodies, type BatchRecord } from './batch.js'
+import { heldBytesOfItems, heldBytesOfUnfinished } from './heldBytes.js'
 import { digestAfterAll, EMPTY_OUTPUT_DIGEST } from './outputDigest.js'
 import { eventsCountOf } from './outputParts.js'
+import { slicesOf, StagedSubmissions, type StagedSubmission } from './stagedSubmissions.js'
 
 /** Key of an item across batches; item ids are unique within a client account only. */
 export function itemKeyOf (account: string | undefined, itemId: string): string {
@@ -30,6 +31,9 @@
 type SnapshotPiece =
   /** The batch without its results. */
   | { kind: 'batch', record: BatchRecord }
+  /** Open items of a batch with large bodies, in order; those of other batches are in its record. */
+  | { kind: 'items', batchId: string, items: BatchItem[] }
+  | { kind: 'staged', staged: StagedSubmission }
   | { kind: 'results', batchId: string, fromPosition: number, results: ItemResult[], rewardIds: (string | undefined)[] }
   | { kind: 'unfinished', outputs: UnfinishedOutput[] }
   | { kind: 'orders', orders: AnnouncedOrder[] }
@@ -38,6 +42,8 @@
 
 /** Results or outputs in one piece of a snapshot: at a few kilobytes per result, a piece has half a megabyte at most. */
 const PIECE_ITEMS_COUNT = 64
+/** Larger items of a batch are in pieces of this size. */
+const PIECE_BYTES = 512 * 1024
 
 /** The latest weight load order that a leader announced for an engine. */
 interface AnnouncedOrder {
@@ -60,6 +66,8 @@
   keptAtMs: number
 }
 
+type SubmitCommand = Extract<BatchCommand, { kind: BatchCommandKind.Submit }>
+type PartCommand = Extract<BatchCommand, { kind: BatchCommandKind.SubmitPart }>
 type ProgressCommand = Extract<BatchCommand, { kind: BatchCommandKind.Progress }>
 type FinishCommand = Extract<BatchCommand, { kind: BatchCommandKind.Finish }>
 
@@ -86,6 +94,8 @@
 export class BatchState implements ReplicatedState<BatchCommand, BatchCommandResult> {
   /** Engine orders sent to the infrastructure. */
   readonly supply = new SupplyLedger()
+  /** Items of submissions that are not complete yet. */
+  readonly staged = new StagedSubmissions()
   private readonly _batches = new Map<string, Batch>()
   /** Completed results by item key, for items that are submitted again in a later batch. */
   private readonly _completed = new Map<string, CompletedItem>()
@@ -110,7 +120,7 @@
 
   /** Estimated memory in bytes without the batches and outputs that have expired at an instant; the next submission removes these. */
   heldBytesAt (atMs: number): number {
-    let heldBytes = 0
+    let heldBytes = this.staged.heldBytesAt(atMs)
     for (const batch of this._batches.values()) heldBytes += batch.isExpired(atMs) ? 0 : batch.heldBytes
     for (const output of this._unfinished.values()) heldBytes += isOutputExpired(output, atMs) ? 0 : heldBytesOfUnfinished(output.itemId, output.parts, output.model)
     return heldBytes
@@ -175,7 +185,9 @@
   apply (command: BatchCommand, { atMs }: ApplyContext): BatchCommandResult {
     switch (command.kind) {
       case BatchCommandKind.Submit:
-        return this._submit(command.submission, command.keepMs, atMs)
+        return this._submit(command, atMs)
+      case BatchCommandKind.SubmitPart:
+        return this._stage(command, atMs)
       case BatchCommandKind.Progress:
         return this._appendOutput(command, atMs)
       case BatchCommandKind.Finish:
@@ -206,7 +218,8 @@
     const orders = [...this._orders].map(([endpointId, order]) => ({ endpointId, ...order }))
     const weights = [...this._weights].map(([model, version]) => ({ model, version }))
     const supply = this.supply.snapshot()
-    return { [Symbol.iterator]: () => piecesOf(batches, outputs, orders, weights, supply) }
+    const staged = this.staged.all()
+    return { [Symbol.iterator]: () => piecesOf({ batches, staged, outputs, orders, weights, supply }) }
   }
 
   /** Replaces received results by equal results that are already stored; results are immutable. */
@@ -225,6 +238,7 @@
     this._batches.clear()
     this._completed.clear()
     this._unfinished.clear()
+    this.staged.clear()
     this._orders.clear()
     this._weights.clear()
     this.supply.restore({ holder: undefined, orders: [] })
@@ -236,8 +250,21 @@
       case 'batch':
         this._add(new Batch(piece.record))
         return
+      case 'items':
+        for (const item of piece.items) this._batchOfPiece(piece.batchId).restoreItem(item)
+        return
       case 'results':
         return this._restoreResults(piece.batchId, piece.results, piece.rewardIds)
+      case 'staged':
+        this.staged.restore(piece.staged)
+        return
+      default:
+        this._restoreList(piece)
+    }
+  }
+
+  private _restoreList (piece: Exclude<SnapshotPiece, { kind: 'batch' | 'items' | 'results' | 'staged' }>): void {
+    switch (piece.kind) {
       case 'unfinished':
         for (const output of piece.outputs) this._unfinished.set(itemKeyOf(output.account, output.itemId), output)
         return
@@ -253,19 +280,37 @@
   }
 
   private _restoreResults (batchId: string, results: ItemResult[], rewardIds: (string | undefined)[]): void {
-    const batch = this._batches.get(batchId)
-    invariant(batch, `snapshot holds results of batch ${batchId} before the batch itself`)
+    const batch = this._batchOfPiece(batchId)
     for (const [position, result] of results.entries()) this._recordCompleted(batch, result, batch.restore(result, rewardIds[position]))
   }
 
-  private _submit (submission: BatchSubmission, keepMs: number, atMs: number): BatchCommandResult {
+  private _batchOfPiece (batchId: string): Batch {
+    const batch = this._batches.get(batchId)
+    invariant(batch, `snapshot holds parts of batch ${batchId} before the batch itself`)
+    return batch
+  }
+
+  private _submit ({ submission, keepMs, stagedItemsCount = 0 }: SubmitCommand, atMs: number): BatchCommandResult {
     this._removeExpired(atMs)
     const existing = this._batches.get(submission.batchId)
     if (existing?.isAccessibleBy(submission.account) === false) return { kind: 'foreign' }
-    if (!existing) this._add(Batch.accepted(submission, atMs, keepMs))
+    if (existing) return { kind: 'accepted' }
+    const staged = stagedItemsCount > 0 ? this.staged.get(submission)?.items ?? [] : []
+    if (staged.length !== stagedItemsCount) return { kind: 'incomplete' }
+    const { model } = submission
+    const items = [...staged.map(item => (item.model === '' ? { ...item, model } : item)), ...submission.items]
+    this.staged.remove(submission)
+    this._add(Batch.accepted({ ...submission, items }, atMs, keepMs))
     return { kind: 'accepted' }
   }
 
+  /** Bodies are copied: a view would keep the whole part in memory. */
+  private _stage ({ items, ...part }: PartCommand, atMs: number): BatchCommandResult {
+    this._removeExpired(atMs)
+    const isHeld = this.staged.add({ ...part, items: items.map(withCopiedBodies) }, atMs)
+    return { kind: isHeld ? 'staged' : 'incomplete' }
+  }
+
   private _add (batch: Batch): void {
     this._batches.set(batch.batchId, batch)
     this._listener.onBatchAdded?.(batch)
@@ -341,6 +386,7 @@
   }
 
   private _removeExpired (atMs: number): void {
+    this.staged.removeExpired(atMs)
     for (const [key, output] of this._unfinished) {
       if (isOutputExpired(output, atMs)) this._unfinished.delete(key)
     }
@@ -364,14 +410,19 @@
   return model === undefined || stored.model === undefined || stored.model === model
 }
 
-function * piecesOf (batches: BatchRecord[], outputs: UnfinishedOutput[], orders: AnnouncedOrder[], weights: NamedWeights[], supply: SupplySnapshot): Generator<SnapshotPiece> {
-  for (const record of batches) {
-    const { submission: { batchId }, results, rewardIds } = record
-    yield { kind: 'batch', record: { ...record, results: [], rewardIds: [] } }
-    for (const start of chunkStarts(results)) {
-      const end = start + PIECE_ITEMS_COUNT
-      yield { kind: 'results', batchId, fromPosition: start, results: results.slice(start, end), rewardIds: rewardIds.slice(start, end) }
-    }
+interface SnapshotContent {
+  batches: BatchRecord[]
+  staged: StagedSubmission[]
+  outputs: UnfinishedOutput[]
+  orders: AnnouncedOrder[]
+  weights: NamedWeights[]
+  supply: SupplySnapshot
+}
+
+function * piecesOf ({ batches, staged, outputs, orders, weights, supply }: SnapshotContent): Generator<SnapshotPiece> {
+  for (const record of batches) yield * piecesOfBatch(record)
+  for (const submission of staged) {
+    for (const items of slicesOf(submission.items, PIECE_BYTES)) yield { kind: 'staged', staged: { ...submission, items } }
   }
   for (const start of chunkStarts(outputs)) yield { kind: 'unfinished', outputs: outputs.slice(start, start + PIECE_ITEMS_COUNT) }
   yield { kind: 'orders', orders }
@@ -379,6 +430,17 @@
   yield { kind: 'supply', supply }
 }
 
+function * piecesOfBatch (record: BatchRecord): Generator<SnapshotPiece> {
+  const { submission: { batchId }, openItems, results, rewardIds } = record
+  const isLarge = heldBytesOfItems(openItems) > PIECE_BYTES
+  yield { kind: 'batch', record: { ...record, openItems: isLarge ? [] : openItems, results: [], rewardIds: [] } }
+  for (const items of isLarge ? slicesOf(openItems, PIECE_BYTES) : []) yield { kind: 'items', batchId, items }
+  for (const start of chunkStarts(results)) {
+    const end = start + PIECE_ITEMS_COUNT
+    yield { kind: 'results', batchId, fromPosition: start, results: results.slice(start, end), rewardIds: rewardIds.slice(start, end) }
+  }
+}
+
 function * chunkStarts (values: readonly unknown[]): Generator<number> {
   for (let start = 0; start < values.length; start += PIECE_ITEMS_COUNT) yield start
 }
--- a/src/batches/heldBytes.ts
+++ b/src/batches/heldBytes.ts
@@ -23,6 +23,10 @@
   return ITEM_OVERHEAD_BYTES + textBytes(texts) + body.length + rewardBytes
 }
 
+export function heldBytesOfItems (items: readonly BatchItem[]): number {
+  return items.reduce((sum, item) => sum + heldBytesOfItem(item), 0)
+}
+
 export function heldBytesOfResult ({ itemId, state, score, parts }: ItemResult, rewardId: string | undefined): number {
   return RESULT_OVERHEAD_BYTES + textBytes([itemId, state, score ?? '', rewardId ?? '']) + heldBytesOfParts(parts)
 }
@@ -43,7 +47,7 @@
 }
 
 export function heldBytesOfSubmission (submission: BatchSubmission): number {
-  return submission.items.reduce((sum, item) => sum + heldBytesOfItem(item), heldBytesOfHead(submission))
+  return heldBytesOfHead(submission) + heldBytesOfItems(submission.items)
 }
 
 function heldBytesOfParts (parts: readonly OutputPart[]): number {
--- a/src/batches/remoteRunner.ts
+++ b/src/batches/remoteRunner.ts
@@ -19,6 +19,8 @@
 /** Messages to a runner wait this long for others, so that they share a call. */
 const SEND_DELAY_MS = 4
 const SEND_TIMEOUT_MS = 600
+/** Bodies in one call: a heartbeat of the log may wait behind it. */
+const MAX_CALL_BYTES = 1024 * 1024
 /** A runner without tasks is asked for an answer when it has not been heard of for this long; one with tasks reports as often. */
 const HEARTBEAT_INTERVAL_MS = 150
 /** A runner that has not been heard of, or has not heard of this host, for this long may be frozen or cut off: two intervals and a delayed message. */
@@ -231,8 +233,10 @@
   private async _sendOutgoing (): Promise<void> {
     const isDoubtful = this._outgoing.length > 0 && !this.isLive && !this._options.isOverloaded()
     if (isDoubtful && !(await this._confirmLive())) return
-    const tasks = this._takeOutgoing()
-    this._recordSent(tasks, await this._call(tasks, SEND_TIMEOUT_MS))
+    do {
+      const tasks = this._takeOutgoing(MAX_CALL_BYTES)
+      this._recordSent(tasks, await this._call(tasks, SEND_TIMEOUT_MS))
+    } while (this._outgoing.length > 0)
   }
 
   /**
@@ -246,15 +250,17 @@
     const outcome = await this._call([], CONFIRM_TIMEOUT_MS)
     this._isConfirming = false
     if (outcome.kind === 'assigned') return true
-    this._recordSent(this._takeOutgoing(), outcome)
+    this._recordSent(this._takeOutgoing(Number.POSITIVE_INFINITY), outcome)
     return false
   }
 
-  /** What is to be sent, without tasks that were given up before they were sent. */
-  private _takeOutgoing (): RunnerTask[] {
+  /** What is to be sent next, without tasks that were given up before they were sent; one task at least, whatever its size. */
+  private _takeOutgoing (maxBytes: number): RunnerTask[] {
     const tasks = this._outgoing.filter(({ kind, taskId }) => kind === 'stop' || kind === 'cancel' || this._tasks.has(taskId))
-    this._outgoing = []
-    return tasks
+    let count = 0
+    for (let bytes = 0; count < tasks.length && (count === 0 || bytes + bodyBytesOf(tasks[count]) <= maxBytes); count++) bytes += bodyBytesOf(tasks[count])
+    this._outgoing = tasks.slice(count)
+    return tasks.slice(0, count)
   }
 
   private _recordSent (tasks: readonly RunnerTask[], outcome: SendOutcome): void {
@@ -318,6 +324,10 @@
   }
 }
 
+function bodyBytesOf (task: RunnerTask | undefined): number {
+  return task?.kind === 'run' ? task.request.body.length : 0
+}
+
 function failureOf (outcome: CallOutcome<AssignTasksReply>): RunnerFailure {
   switch (outcome.kind) {
     case 'unserved':
--- a/src/batches/storeCapacity.ts
+++ b/src/batches/storeCapacity.ts
@@ -3,8 +3,9 @@
  * output that open batches are still expected to produce, so that nothing accepted
  * has to be dropped later, and for submissions that are not committed yet.
  */
-import type { BatchSubmission } from '../protocol/batches.js'
+import type { BatchItem, BatchSubmission } from '../protocol/batches.js'
 import type { Clock } from '../utils/clock.js'
+import type { BatchReference } from './batchClient.js'
 import type { BatchState } from './batchState.js'
 import { heldBytesOfSubmission, RESULT_OVERHEAD_BYTES } from './heldBytes.js'
 
@@ -12,7 +13,7 @@
 const ASSUMED_BYTES_PER_TOKEN = 39
 /** The assumed ratio weighs as much as this number of observed tokens: the tokens of one small step. */
 const ASSUMED_RATIO_WEIGHT_TOKENS = 10_000
-/** A submission with an unknown outcome keeps its reservation this long: no call waits longer for a quorum. */
+/** A submission with an unknown outcome, or one that does not go on to arrive, keeps its reservation this long: no call waits longer for a quorum. */
 const UNKNOWN_OUTCOME_TTL_MS = 10_000
 const MB = 1024 * 1024
 
@@ -37,14 +38,35 @@
   /** Reserves capacity for a batch that is not stored yet; returns the reason if the batch does not fit. */
   reserve (submission: BatchSubmission): string | undefined {
     if (this._capacityBytes === undefined || this._isStored(submission.batchId)) return undefined
+    return this._reserve(submission.batchId, heldBytesOfSubmission(submission) + this._outputBytes(submission.items))
+  }
+
+  private _reserve (batchId: string, neededBytes: number): string | undefined {
     this._dropExpiredReservations()
-    const usedBytes = this._state.heldBytesAt(this._clock.wallMs()) + this._expectedBytes() + this._reservedBytes(submission.batchId)
-    const neededBytes = this._neededBytes(submission)
-    if (usedBytes + neededBytes > this._capacityBytes) return refusalReason(usedBytes, neededBytes, this._capacityBytes)
-    this._reservations.set(submission.batchId, { bytes: neededBytes, expiresAtMs: this._clock.nowMs() + UNKNOWN_OUTCOME_TTL_MS })
+    const capacityBytes = this._capacityBytes ?? Number.POSITIVE_INFINITY
+    const usedBytes = this._state.heldBytesAt(this._clock.wallMs()) + this._expectedBytes() + this._reservedBytes(batchId)
+    if (usedBytes + neededBytes > capacityBytes) return refusalReason(usedBytes, neededBytes, capacityBytes)
+    this._reservations.set(batchId, { bytes: neededBytes, expiresAtMs: this._clock.nowMs() + UNKNOWN_OUTCOME_TTL_MS })
     return undefined
   }
 
+  /**
+   * Reserves capacity for a submission that is to arrive in parts, before the first of them
+   * is taken; returns the reason if it does not fit. Repeated with each part.
+   * @param totalBytes size of the whole submission as its sender has it, an upper bound of what its items will hold
+   */
+  reserveParts (reference: BatchReference, totalBytes: number): string | undefined {
+    const { batchId } = reference
+    if (this._capacityBytes === undefined || this._isStored(batchId)) return undefined
+    return this._reserve(batchId, Math.max(0, totalBytes - this._state.staged.bytesOf(reference)))
+  }
+
+  /** The same for the output of a submission whose items have all arrived. */
+  reserveOutput (submission: BatchSubmission, items: readonly BatchItem[]): string | undefined {
+    if (this._capacityBytes === undefined || this._isStored(submission.batchId)) return undefined
+    return this._reserve(submission.batchId, heldBytesOfSubmission(submission) + this._outputBytes(items))
+  }
+
   /** Releases the reservation of a submission that was applied, or that never will be. */
   release (batchId: string): void {
     this._reservations.delete(batchId)
@@ -54,9 +76,9 @@
     return this._state.get(batchId)?.isExpired(this._clock.wallMs()) === false
   }
 
-  private _neededBytes (submission: BatchSubmission): number {
+  private _outputBytes (items: readonly BatchItem[]): number {
     const bytesPerToken = this._bytesPerToken()
-    return submission.items.reduce((sum, { expectedTokensCount }) => sum + expectedOutputBytes(expectedTokensCount, bytesPerToken), heldBytesOfSubmission(submission))
+    return items.reduce((sum, { expectedTokensCount }) => sum + expectedOutputBytes(expectedTokensCount, bytesPerToken), 0)
   }
 
   /** Output that open items are still expected to produce. */
--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -89,7 +89,7 @@
 }
 
 /** A snapshot has all stored batches, some tens of megabytes. Log entries since the last snapshot stay in memory as well: 12 MB of log entries instead of 24 MB lower the peak memory of a busy store by 20 to 30 MB (tests/processes/storeMemory). */
-export const storeSnapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 12 * 1024 * 1024, keptEntriesCount: 256 }
+export const storeSnapshotPolicy: SnapshotPolicy = { everyEntriesCount: 20_000, everyBytes: 12 * 1024 * 1024, keptEntriesCount: 256, keptBytes: 4 * 1024 * 1024 }
 /** Entries of the store wait longer for others than those of control, since results come at a high rate and none is urgent by milliseconds. */
 export const storeTimings: LogTimings = { ...defaultTimings, appendIntervalMs: 20 }
 /** Source name in the view for versions from the log of the store itself. */
@@ -254,7 +254,7 @@
     const { core, leadership } = this._replica
     const isLeader = leadership?.holdsLease() === true
     const memberIds = isLeader ? core.members.map(({ replicaId }) => replicaId) : []
-    const store = { replicaId: core.replicaId, peerAddress, clusterId: core.clusterId, term: core.term, isLeader, memberIds }
+    const store = { replicaId: core.replicaId, peerAddress, clusterId: core.clusterId, term: core.term, isLeader, memberIds, takesParts: true }
     return { hostId, hostName, dataCentre, role: HostRole.Store, isServing: true, store }
   }
 
--- a/src/protocol/batches.ts
+++ b/src/protocol/batches.ts
@@ -85,6 +85,7 @@
 
 export enum BatchCommandKind {
   Submit = 'batch.submit',
+  SubmitPart = 'batch.submitPart',
   Progress = 'batch.progress',
   Finish = 'batch.finish',
   End = 'batch.end',
@@ -94,13 +95,26 @@
   OrderSupply = 'supply.order'
 }
 
+/** Some consecutive items of a submission. */
+export const submissionPartSchema = z.object({
+  batchId: z.string(),
+  account: z.string().optional(),
+  /** Number of items before it. */
+  fromPosition: z.int().min(0),
+  items: z.array(batchItemSchema)
+})
+
 export const batchCommandSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal(BatchCommandKind.Submit),
     submission: batchSubmissionSchema,
     /** How long the results can be read after the batch was accepted. */
-    keepMs: z.number()
+    keepMs: z.number(),
+    /** Number of items that precede those of the submission and were sent in parts; absent for none. */
+    stagedItemsCount: z.int().min(1).optional()
   }),
+  /** Some items of a submission that is too large for one entry; they belong to no batch until the submission follows. */
+  z.object({ kind: z.literal(BatchCommandKind.SubmitPart), ...submissionPartSchema.shape }),
   z.object({
     kind: z.literal(BatchCommandKind.Progress),
     batchId: z.string(),
@@ -142,6 +156,10 @@
 export type BatchCommandResult =
   /** Accepted by this command or an earlier one. */
   | { kind: 'accepted' }
+  /** The part is held, now or from before. */
+  | { kind: 'staged' }
+  /** Items before the part, or of the submission, are missing: their sender has to start over. */
+  | { kind: 'incomplete' }
   /** A batch of another client account has this id. */
   | { kind: 'foreign' }
   /** The result was listed, now or earlier, at this position. */
--- a/src/protocol/fleet.ts
+++ b/src/protocol/fleet.ts
@@ -56,7 +56,9 @@
   term: z.int(),
   isLeader: z.boolean(),
   /** Voters and spares of the store, reported by the leader only; empty on other replicas. */
-  memberIds: z.array(z.string())
+  memberIds: z.array(z.string()),
+  /** Whether it applies submissions that were sent in parts; absent from hosts that do not. */
+  takesParts: z.boolean().optional()
 })
 export type StoreStatus = z.infer<typeof storeStatusSchema>
 
--- a/src/replication/log/entryLog.ts
+++ b/src/replication/log/entryLog.ts
@@ -99,6 +99,19 @@
     return this._entries.slice(Math.max(0, index - this._base.index))
   }
 
+  /** The index behind which entries stay, of those up to `lastIndex`: the latest ones within both limits. */
+  keptFrom (lastIndex: number, maxCount: number, maxBytes: number): number {
+    let keptFromIndex = lastIndex
+    let bytes = 0
+    while (keptFromIndex > this._base.index && lastIndex - keptFromIndex < maxCount) {
+      const entry = this.get(keptFromIndex)
+      bytes += entry ? entryBytes(entry) : 0
+      if (bytes > maxBytes) break
+      keptFromIndex--
+    }
+    return keptFromIndex
+  }
+
   /** Drops the entries up to and including an index. */
   compactTo (index: number): void {
     const last = this.get(index)
--- a/src/replication/log/logApplier.ts
+++ b/src/replication/log/logApplier.ts
@@ -20,6 +20,8 @@
 const MAX_ENTRIES_PER_TURN = 256
 /** Size at which the log is full, in sizes at which a snapshot is taken: one that is being written, and two that arrive meanwhile. */
 const FULL_LOG_SNAPSHOTS_COUNT = 3
+/** The same for large entries, which would fill the log before others notice. */
+const SPARE_LOG_SNAPSHOTS_COUNT = 1.5
 /** Pause before a snapshot is taken again after the disk was full. */
 const DISK_FULL_RETRY_MS = 1_000
 
@@ -29,6 +31,8 @@
   everyBytes: number
   /** Entries before the snapshot that stay in memory for followers that lag slightly. */
   keptEntriesCount: number
+  /** Bytes of these entries at most; without it, there is no limit. */
+  keptBytes?: number
 }
 
 export const defaultSnapshotPolicy: SnapshotPolicy = {
@@ -87,7 +91,16 @@
   /** Waits until the log has room for further entries; false when the deadline passed first. */
   async whenLogHasRoom (scope: Scope, limit: WaitLimit): Promise<boolean> {
     this._logIfFull()
-    while (this.isLogFull) {
+    return await this._whenLogIsBelow(FULL_LOG_SNAPSHOTS_COUNT, scope, limit)
+  }
+
+  /** Waits until the log has room for a large entry, and for others beside it; false when the deadline passed first. */
+  async whenLogHasSpareRoom (scope: Scope, limit: WaitLimit): Promise<boolean> {
+    return await this._whenLogIsBelow(SPARE_LOG_SNAPSHOTS_COUNT, scope, limit)
+  }
+
+  private async _whenLogIsBelow (snapshotsCount: number, scope: Scope, limit: WaitLimit): Promise<boolean> {
+    while (this._core.state.log.uncoveredBytes >= snapshotsCount * this._policy.everyBytes) {
       if (!(await this._compacted.wait(scope, limit))) return false
     }
     return true
@@ -177,7 +190,7 @@
     if (!written) return await this._retryLater(restoresCount, scope)
     // A later snapshot from the leader was installed in the meantime.
     if (restoresCount !== this._restoresCount) return await scope.race(storage.discardSnapshot(written))
-    state.compact(written, this._policy.keptEntriesCount)
+    state.compact(written, this._policy)
     this._noteCompacted()
     logger.event(ReplicationEvent.SnapshotTaken, { lastIndex: written.lastIndex, bytesCount: written.lengthBytes, tookMs: snapshotStats.recordTaken(written.lengthBytes, startedAtMs) })
   }
--- a/src/replication/log/persistentState.ts
+++ b/src/replication/log/persistentState.ts
@@ -17,6 +17,12 @@
   | { kind: 'merged', matchIndex: number }
   | { kind: 'mismatch', retryFromIndex: number }
 
+/** What stays in memory of the entries that a snapshot covers. */
+export interface KeptEntries {
+  keptEntriesCount: number
+  keptBytes?: number
+}
+
 export class PersistentState {
   readonly log: EntryLog
   readonly members: MembershipHistory
@@ -73,8 +79,8 @@
   }
 
   /** Replaces the log up to a snapshot's last entry with the snapshot, except for the entries to keep in memory. */
-  compact (snapshot: WrittenSnapshot, keptEntriesCount: number): number {
-    const keptFromIndex = Math.max(this.log.baseIndex, snapshot.lastIndex - keptEntriesCount)
+  compact (snapshot: WrittenSnapshot, { keptEntriesCount, keptBytes = Number.POSITIVE_INFINITY }: KeptEntries): number {
+    const keptFromIndex = this.log.keptFrom(snapshot.lastIndex, keptEntriesCount, keptBytes)
     this.log.compactTo(keptFromIndex)
     this.log.coverTo(snapshot.lastIndex)
     this.members.compactTo(keptFromIndex)
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -173,6 +173,11 @@
     }
   }
 
+  /** Waits until the log has room for a large entry; false when the deadline passed first. */
+  async whenLogHasSpareRoom (progress: Progress): Promise<boolean> {
+    return await this._applier.whenLogHasSpareRoom(progress.scope, progress)
+  }
+
   private async _untilLogHasRoom (progress: Progress): Promise<boolean> {
     if (this._proposalsWithoutRoomCount >= MAX_PROPOSALS_COUNT) return false
     this._proposalsWithoutRoomCount++
--- a/src/transport/batchMethods.ts
+++ b/src/transport/batchMethods.ts
@@ -3,7 +3,7 @@
  * control hosts, and by store hosts among each other.
  */
 import { z } from 'zod'
-import { batchSubmissionSchema, itemResultSchema } from '../protocol/batches.js'
+import { batchSubmissionSchema, itemResultSchema, submissionPartSchema } from '../protocol/batches.js'
 import { namedWeightsSchema } from '../protocol/routingCommands.js'
 import { rpcMethod } from './rpcPeer.js'
 
@@ -28,6 +28,17 @@
 ])
 export type SubmitBatchReply = z.infer<typeof submitBatchReplySchema>
 
+export const submitPartReplySchema = z.discriminatedUnion('kind', [
+  /** The items are on the disks of a quorum, or the batch was accepted already. */
+  z.object({ kind: z.literal('staged') }),
+  /** Parts before this one are missing. */
+  z.object({ kind: z.literal('incomplete') }),
+  z.object({ kind: z.literal('refused'), reason: z.string(), isFinal: z.boolean().optional() }),
+  z.object({ kind: z.literal('unknown'), reason: z.string() }),
+  notLeader
+])
+export type SubmitPartReply = z.infer<typeof submitPartReplySchema>
+
 export const readResultsReplySchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('results'),
@@ -73,7 +84,18 @@
   notLeader
 ])
 
-export const submitBatchMethod = rpcMethod('batch.submit', z.object({ submission: batchSubmissionSchema }), submitBatchReplySchema)
+export const submitBatchMethod = rpcMethod('batch.submit', z.object({
+  submission: batchSubmissionSchema,
+  /** Number of items that were sent in parts before; absent for none. */
+  stagedItemsCount: z.int().min(1).optional()
+}), submitBatchReplySchema)
+/** Sends items of a submission before the submission itself. Without items, only asks whether there is room. */
+export const submitPartMethod = rpcMethod('batch.submitPart', z.object({
+  ...submissionPartSchema.shape,
+  /** Size of the whole submission as its sender has it. */
+  totalBytes: z.number().min(0)
+}), submitPartReplySchema)
+export type SubmitPartRequest = z.infer<typeof submitPartMethod.request>
 /** The client account that makes the request; batches of other accounts are unknown to it. */
 const account = z.string().optional()
 
--- a/src/transport/tcpTransport.ts
+++ b/src/transport/tcpTransport.ts
@@ -73,7 +73,9 @@
   private readonly _encoder = new Encoder({ useRecords: false, mapsAsObjects: true })
   private readonly _decoder = new Decoder({ useRecords: false, mapsAsObjects: true })
   private readonly _listeners: Array<(message: unknown) => void> = []
-  private _pending: Buffer = Buffer.alloc(0)
+  /** What has arrived of a message that is not complete. */
+  private _pending: Buffer[] = []
+  private _pendingBytes = 0
 
   constructor (socket: Socket, scope: Scope, counts: TrafficCounts) {
     this._socket = socket
@@ -121,18 +123,36 @@
 
   private _onData (chunk: Buffer): void {
     this._counts.receivedBytes += chunk.length
-    this._pending = this._pending.length > 0 ? Buffer.concat([this._pending, chunk]) : chunk
-    while (this._pending.length >= LENGTH_BYTES) {
-      const lengthBytes = this._pending.readUInt32BE(0)
-      if (lengthBytes > MAX_FRAME_BYTES) return this.close(`frame of ${lengthBytes} bytes exceeds the limit of ${MAX_FRAME_BYTES}`)
-      if (this._pending.length < LENGTH_BYTES + lengthBytes) return
-      const body = this._pending.subarray(LENGTH_BYTES, LENGTH_BYTES + lengthBytes)
-      this._pending = this._pending.subarray(LENGTH_BYTES + lengthBytes)
-      this._deliver(body)
+    this._pending.push(chunk)
+    this._pendingBytes += chunk.length
+    for (let lengthBytes = this._nextLength(); lengthBytes !== undefined && this._pendingBytes >= LENGTH_BYTES + lengthBytes; lengthBytes = this._nextLength()) {
+      this._deliver(this._take(LENGTH_BYTES + lengthBytes).subarray(LENGTH_BYTES))
       if (this.scope.isClosed) return
     }
   }
 
+  /** Length of the message that arrives; undefined until it is known, and if it is not allowed. */
+  private _nextLength (): number | undefined {
+    if (this._pendingBytes < LENGTH_BYTES) return undefined
+    let [first] = this._pending
+    if (first && first.length < LENGTH_BYTES) [first] = this._pending = [Buffer.concat(this._pending)]
+    const lengthBytes = first?.readUInt32BE(0) ?? 0
+    if (lengthBytes <= MAX_FRAME_BYTES) return lengthBytes
+    this.close(`frame of ${lengthBytes} bytes exceeds the limit of ${MAX_FRAME_BYTES}`)
+    return undefined
+  }
+
+  /** Takes bytes that have arrived, which are joined once, however many pieces they came in. */
+  private _take (lengthBytes: number): Buffer {
+    const [first] = this._pending
+    const joined = first && first.length >= lengthBytes ? first : Buffer.concat(this._pending, this._pendingBytes)
+    const rest = first === joined ? this._pending.slice(1) : []
+    const remaining = joined.subarray(lengthBytes)
+    this._pending = remaining.length > 0 ? [remaining, ...rest] : rest
+    this._pendingBytes -= lengthBytes
+    return joined.subarray(0, lengthBytes)
+  }
+
   private _deliver (body: Buffer): void {
     this._counts.receivedMessages++
     let message: unknown
