--- a/bench/fleetSoak/faultPlan.ts
+++ b/bench/fleetSoak/faultPlan.ts
@@ -35,7 +35,9 @@
   /** Callers ask for large answers and read nothing of them for a while. */
   SlowReaders = 'slowReaders',
   /** Every second endpoint breaks off, leaves without a length or repeats some of its answers. */
-  GarbledAnswers = 'garbledAnswers'
+  GarbledAnswers = 'garbledAnswers',
+  /** Every second endpoint sends some answers without end. */
+  EndlessAnswers = 'endlessAnswers'
 }
 
 export enum HostGroup {
@@ -82,6 +84,7 @@
 const MIN_LOAD_GAP_MS = 2_000
 const MAX_LOAD_GAP_MS = 8_000
 const GARBLED_SEED_OFFSET = 2_000_003
+const ENDLESS_SEED_OFFSET = 3_000_017
 const MIN_GARBLED_GAP_MS = 3_000
 const MAX_GARBLED_GAP_MS = 9_000
 
@@ -107,7 +110,7 @@
     if (isHostFault(fault.kind)) nextFaultAtMs.set(fault.group, atMs + fault.forMs + RECOVERY_MS)
     if (fault.kind === FaultKind.PowerLoss) for (const group of Object.values(HostGroup)) nextFaultAtMs.set(group, atMs + fault.forMs + 2 * RECOVERY_MS)
   }
-  const beside = [...planLoad(seed, endMs), ...planGarbledAnswers(seed, endMs)].filter(({ kind }) => only === undefined || only.includes(kind))
+  const beside = [...planLoad(seed, endMs), ...planAnswers(FaultKind.GarbledAnswers, seed + GARBLED_SEED_OFFSET, endMs), ...planAnswers(FaultKind.EndlessAnswers, seed + ENDLESS_SEED_OFFSET, endMs)].filter(({ kind }) => only === undefined || only.includes(kind))
   return [...planned, ...beside].sort((left, right) => left.atMs - right.atMs)
 }
 
@@ -123,12 +126,12 @@
 }
 
 /** Drawn by themselves, as load is. */
-function planGarbledAnswers (seed: number, endMs: number): PlannedFault[] {
-  const random = seededRandom(seed + GARBLED_SEED_OFFSET)
+function planAnswers (kind: FaultKind, seed: number, endMs: number): PlannedFault[] {
+  const random = seededRandom(seed)
   const planned: PlannedFault[] = []
   for (let atMs = QUIET_BEFORE_MS + random.int(0, MIN_GARBLED_GAP_MS); atMs < endMs; atMs += random.int(MIN_GARBLED_GAP_MS, MAX_GARBLED_GAP_MS)) {
     const forMs = Math.min(random.int(MIN_FAULT_MS, 2 * MAX_FAULT_MS), endMs - atMs)
-    planned.push({ kind: FaultKind.GarbledAnswers, atMs, forMs, group: HostGroup.Entry, number: random.int(0, 1) })
+    planned.push({ kind, atMs, forMs, group: HostGroup.Entry, number: random.int(0, 1) })
   }
   return planned
 }
--- a/bench/largeSubmissions/programWatch.ts
+++ b/bench/fleetSoak/programWatch.ts
@@ -1,10 +1,10 @@
 /**
- * Watches the memory and the event loops of the programs of a fleet.
+ * Watches the memory and the event loops of the programs of a fleet, over restarts.
  */
 import { readFileSync } from 'node:fs'
 import { request } from 'undici'
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
-import type { SoakFleet, SoakHost } from '../fleetSoak/soakFleet.js'
+import type { SoakFleet } from './soakFleet.js'
 
 const MEMORY_INTERVAL_MS = 20
 const LOOP_INTERVAL_MS = 500
@@ -21,43 +21,53 @@
   loopDelayMs: number
 }
 
-interface WatchedProgram extends ProgramPeak {
+interface RunningProgram {
+  peak: ProgramPeak
   pid: number
   metricsAddress: string
 }
 
 export class ProgramWatch {
-  private readonly _programs: WatchedProgram[]
+  private readonly _fleet: SoakFleet
+  private readonly _peaks = new Map<string, ProgramPeak>()
   private readonly _timers: NodeJS.Timeout[]
 
   constructor (fleet: SoakFleet) {
-    this._programs = fleet.hosts.flatMap(host => watchedOf(fleet, host))
+    this._fleet = fleet
     this._timers = [setInterval(() => this._readMemory(), MEMORY_INTERVAL_MS), setInterval(() => { this._readLoops().catch(error => { throw error }) }, LOOP_INTERVAL_MS)]
   }
 
   async stop (): Promise<ProgramPeak[]> {
     for (const timer of this._timers) clearInterval(timer)
     await this._readLoops()
-    return this._programs.map(({ hostName, program, anonymousMb, loopDelayMs }) => ({ hostName, program, anonymousMb, loopDelayMs }))
+    return [...this._peaks.values()]
+  }
+
+  private _running (): RunningProgram[] {
+    return this._fleet.hosts.flatMap(host => this._fleet.metricsAddressesOf(host).flatMap(({ program, address }, position) => {
+      const process = host.running[position]
+      return process && process.end === undefined ? [{ peak: this._peakOf(host.name, program), pid: process.pid, metricsAddress: address }] : []
+    }))
+  }
+
+  private _peakOf (hostName: string, program: ProgramName): ProgramPeak {
+    const key = `${hostName} ${program}`
+    const peak = this._peaks.get(key) ?? { hostName, program, anonymousMb: 0, loopDelayMs: 0 }
+    this._peaks.set(key, peak)
+    return peak
   }
 
   private _readMemory (): void {
-    for (const program of this._programs) program.anonymousMb = Math.max(program.anonymousMb, anonymousMbOf(program.pid))
+    for (const { peak, pid } of this._running()) peak.anonymousMb = Math.max(peak.anonymousMb, anonymousMbOf(pid))
   }
 
   private async _readLoops (): Promise<void> {
-    await Promise.all(this._programs.map(async program => {
-      program.loopDelayMs = Math.max(program.loopDelayMs, await loopDelayMsAt(program.metricsAddress))
+    await Promise.all(this._running().map(async ({ peak, metricsAddress }) => {
+      peak.loopDelayMs = Math.max(peak.loopDelayMs, await loopDelayMsAt(metricsAddress))
     }))
   }
 }
 
-function watchedOf (fleet: SoakFleet, host: SoakHost): WatchedProgram[] {
-  return fleet.metricsAddressesOf(host).map(({ program, address }, position) => (
-    { hostName: host.name, program, anonymousMb: 0, loopDelayMs: 0, pid: host.running[position]?.pid ?? 0, metricsAddress: address }
-  ))
-}
-
 /** 0 for a process that has ended. */
 function anonymousMbOf (pid: number): number {
   try {
--- a/bench/fleetSoak/soakChecks.ts
+++ b/bench/fleetSoak/soakChecks.ts
@@ -4,6 +4,7 @@
  * time before until the moment in question.
  */
 import { FaultKind } from './faultPlan.js'
+import { DEFAULT_MEMORY_MB } from './soakFleet.js'
 import { responseTo, CallKind, POISON_ID, eventsCountOf, eventText, type ObservedBatch, type ObservedItem, type SoakRecord, type StopCall } from './soakRecord.js'
 
 /** Nothing is sent to an endpoint later than this after its deregistration was confirmed. */
@@ -29,7 +30,8 @@
     ...poisonRequests(record),
     ...record.batches.flatMap(batchViolations),
     ...staleConfigurations(record),
-    ...record.ownEnds.map(end => `exited unexpectedly: ${end}`)
+    ...record.ownEnds.map(end => `exited unexpectedly: ${end}`),
+    ...record.peaks.flatMap(({ hostName, program, anonymousMb }) => (anonymousMb > DEFAULT_MEMORY_MB ? [`${program} of ${hostName} used ${anonymousMb} MB, more than the ${DEFAULT_MEMORY_MB} of its settings`] : []))
   ]
 }
 
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -25,6 +25,9 @@
 const SLOW_RESPONSE_MS = 250
 const SLOW_RESPONSE_INTERVAL = 5
 const EVENT_GAP_MS = 25
+/** Every fourth answer has no end while an endpoint pours. */
+const POURING_INTERVAL = 4
+const POURED_PIECE = Buffer.alloc(64 * 1024, 'x')
 /** Every seventh response reports that its machine is slowed down. */
 const SLOWED_INTERVAL = 7
 const SLOWED_PERCENT = 250
@@ -64,6 +67,8 @@
   private _controlHostIndex: number
   private _isLeaving = false
   private _isStopped = false
+  private _isPouring = false
+  private _pouringCandidatesCount = 0
 
   /** @param controlHostIndex index of the control host that it announces itself to first */
   constructor (options: SoakEndpointOptions, controlHostIndex: number) {
@@ -105,6 +110,13 @@
     this._garbler.isActive = false
   }
 
+  /** Sends some of its answers without end for a while. */
+  async pour (forMs: number): Promise<void> {
+    this._isPouring = true
+    await pause(forMs)
+    this._isPouring = false
+  }
+
   /** Announces that it drains, keeps serving for a while, deregisters and stops. */
   async drain (): Promise<void> {
     this._isLeaving = true
@@ -181,10 +193,24 @@
     this._runningCount++
     response.once('close', () => { this._runningCount-- })
     if (this._crashesUnder(attemptId)) return
+    if (this._isPouring && this._pouringCandidatesCount++ % POURING_INTERVAL === 0) return this._pour(response, attemptId)
     if (this.options.service === SoakService.Engines) return this._stream(response, attemptId, Number(incoming.headers[WireHeader.LastEventId] ?? 0))
     setTimeout(() => this._garbler.send(response, 200, this._responseHeaders(attemptId), responseTo(attemptId)), this._workMs(attemptId))
   }
 
+  /** Writes until the caller closes the connection, in an event if it is an engine. */
+  private _pour (response: ServerResponse, attemptId: string): void {
+    const isEngine = this.options.service === SoakService.Engines
+    response.writeHead(200, { ...this._responseHeaders(attemptId), [WireHeader.WeightVersion]: String(this._version), ...(isEngine ? { 'content-type': 'text/event-stream' } : {}) })
+    response.write(isEngine ? 'id: 1\ndata: ' : '')
+    const again = (): void => {
+      if (response.destroyed || this._isStopped) return
+      if (response.write(POURED_PIECE)) setImmediate(again)
+      else response.once('drain', again)
+    }
+    again()
+  }
+
   private _workMs (attemptId: string): number {
     const workMs = WORK_ID.exec(attemptId)?.[1]
     if (workMs !== undefined) return Number(workMs)
--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -20,7 +20,7 @@
 /** Number of hosts per block of addresses. */
 const HOSTS_PER_BLOCK = 14
 const GRACE_S = 5
-const DEFAULT_MEMORY_MB = 300
+export const DEFAULT_MEMORY_MB = 300
 
 enum Port {
   Callers = 7110,
--- a/bench/fleetSoak/soakRecord.ts
+++ b/bench/fleetSoak/soakRecord.ts
@@ -3,6 +3,8 @@
  * endpoints. Times are milliseconds since the start of the run.
  */
 
+import type { ProgramPeak } from './programWatch.js'
+
 /** A request or item that arrived at an endpoint. */
 export interface Arrival {
   attemptId: string
@@ -123,10 +125,12 @@
   disturbances: Disturbance[]
   /** Programs that exited without having been stopped. */
   ownEnds: string[]
+  /** The most that each program has used. */
+  peaks: ProgramPeak[]
 }
 
 export function emptyRecord (): SoakRecord {
-  return { arrivals: [], calls: [], slowReads: [], stopCalls: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
+  return { arrivals: [], calls: [], slowReads: [], stopCalls: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [], peaks: [] }
 }
 
 /** Attempt ids of requests that an endpoint works on for some milliseconds. */
--- a/bench/fleetSoak/soakRun.ts
+++ b/bench/fleetSoak/soakRun.ts
@@ -10,6 +10,7 @@
 import { findViolations } from './soakChecks.js'
 import { pause, SoakEndpoint, SoakService } from './soakEndpoint.js'
 import { SoakFleet, type SoakHost } from './soakFleet.js'
+import { ProgramWatch } from './programWatch.js'
 import { emptyRecord, type Disturbance, type SoakRecord } from './soakRecord.js'
 
 export interface SoakOptions {
@@ -85,6 +86,7 @@
 
   async run (): Promise<SoakRecord> {
     await this._startUp()
+    const watch = new ProgramWatch(this._fleet)
     const startedAtMs = this._nowMs()
     const callersDone = this._callers.run()
     for (const fault of this.planned) {
@@ -98,6 +100,7 @@
     await this._callers.readAll()
     for (const endpoint of this._endpoints) if (!endpoint.isStopped) endpoint.crash()
     this._record.ownEnds.push(...this._fleet.unexpectedExits)
+    this._record.peaks.push(...await watch.stop())
     return this._record
   }
 
@@ -229,11 +232,9 @@
     if (fault.kind === FaultKind.Burst) return await this._callers.press(fault.forMs)
     if (fault.kind === FaultKind.SlowReaders) return await this._callers.readSlowly(fault.forMs)
     const endpoints = this._availableEndpoints()
-    if (fault.kind === FaultKind.GarbledAnswers) {
-      const garbling = endpoints.filter((_endpoint, number) => number % 2 === fault.number)
-      await Promise.all(garbling.map(async endpoint => await endpoint.garble(fault.forMs)))
-      return
-    }
+    const half = endpoints.filter((_endpoint, number) => number % 2 === fault.number)
+    if (fault.kind === FaultKind.GarbledAnswers) return await inParallel(half, async endpoint => await endpoint.garble(fault.forMs))
+    if (fault.kind === FaultKind.EndlessAnswers) return await inParallel(half, async endpoint => await endpoint.pour(fault.forMs))
     const endpoint = endpoints[fault.number % Math.max(1, endpoints.length)]
     if (!endpoint) return
     // The replacement starts first, so that the service always has an endpoint.
@@ -264,6 +265,10 @@
   }
 }
 
+async function inParallel<T> (values: readonly T[], task: (value: T) => Promise<void>): Promise<void> {
+  await Promise.all(values.map(task))
+}
+
 /** Three control hosts, which also accept requests, plus entry hosts and store hosts. */
 export function hostCounts (entryHostsCount: number, storeHostsCount: number): HostCounts {
   return { [HostGroup.Control]: 3, [HostGroup.Entry]: entryHostsCount, [HostGroup.Store]: storeHostsCount }
--- a/bench/largeSubmissions/largeSubmissions.ts
+++ b/bench/largeSubmissions/largeSubmissions.ts
@@ -9,9 +9,9 @@
 import { WireHeader, WirePath } from '../../platform/wireNames.js'
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
 import { HostGroup } from '../fleetSoak/faultPlan.js'
+import { ProgramWatch, type ProgramPeak } from '../fleetSoak/programWatch.js'
 import { pause } from '../fleetSoak/soakEndpoint.js'
 import { SoakFleet } from '../fleetSoak/soakFleet.js'
-import { ProgramWatch, type ProgramPeak } from './programWatch.js'
 
 const HOST_NAME = 'large.example'
 /** As on the smallest machines in use. */
--- a/src/entry/completions/engineStream.ts
+++ b/src/entry/completions/engineStream.ts
@@ -19,6 +19,8 @@
 const BAD_REQUEST = 400
 const INTERNAL_ERROR = 500
 const MAX_ERROR_TEXT_BYTES = 512
+/** An event that does not end within this is none: an engine may send bytes without end. */
+const MAX_EVENT_LENGTH = 1024 * 1024
 /** How long an engine may take to end its stream after the end marker. */
 const END_OF_STREAM_TIMEOUT_MS = 1_000
 
@@ -110,23 +112,42 @@
 }
 
 async function failureOf (status: number, body: Dispatcher.ResponseData['body']): Promise<AttemptOutcome> {
-  const text = await body.text().catch(() => '')
-  const message = `status ${status}: ${text.slice(0, MAX_ERROR_TEXT_BYTES)}`
+  const message = `status ${status}: ${await startOf(body)}`
   if (status === TOO_MANY_REQUESTS || status === SERVICE_UNAVAILABLE) return { kind: 'failed', reason: RetryReason.EndpointRefused, message }
   if (status >= BAD_REQUEST && status < INTERNAL_ERROR) return { kind: 'rejected', status, message }
   return { kind: 'failed', reason: RetryReason.EndpointError, message }
 }
 
+/** The first bytes of a body, which is not read any further: it may have no end. */
+async function startOf (body: Dispatcher.ResponseData['body']): Promise<string> {
+  let text = ''
+  try {
+    for await (const chunk of body) {
+      text += String(chunk)
+      if (text.length >= MAX_ERROR_TEXT_BYTES) break
+    }
+  } catch {
+    // What has arrived is all that is told.
+  }
+  return text.slice(0, MAX_ERROR_TEXT_BYTES)
+}
+
 async function readEvents (iterator: AsyncIterator<Buffer>, progress: Progress, sink: ChunkSink): Promise<AttemptOutcome> {
   const decoder = new TextDecoder()
   const events: string[] = []
-  const parser = createParser({ onEvent: ({ data }) => events.push(data) })
+  let isEndless = false
+  const parser = createParser({
+    maxBufferSize: MAX_EVENT_LENGTH,
+    onEvent: ({ data }) => events.push(data),
+    onError: ({ type }) => { isEndless ||= type === 'max-buffer-size-exceeded' }
+  })
   for (;;) {
     const next = await progress.race(readNext(iterator))
     if (next.kind === 'deadlinePassed') return { kind: 'deadlinePassed' }
     if ('kind' in next.value) return next.value
     if (next.value.done) return { kind: 'failed', reason: RetryReason.ConnectionLost, message: 'the stream ended without its end marker' }
     parser.feed(decoder.decode(next.value.value, { stream: true }))
+    if (isEndless) return { kind: 'failed', reason: RetryReason.EndpointError, message: `an event does not end within ${MAX_EVENT_LENGTH} characters` }
     const parsed = chunksOf(events.splice(0))
     const decision = parsed.chunks.length > 0 ? await sink(parsed.chunks) : ReadDecision.Continue
     if (decision !== ReadDecision.Continue) return { kind: 'ended', isComplete: decision === ReadDecision.Complete }
--- a/src/gateway/eventStreamSplitter.ts
+++ b/src/gateway/eventStreamSplitter.ts
@@ -28,6 +28,11 @@
     return { bytes, firstId: ids[0], lastId: ids.at(-1) }
   }
 
+  /** Bytes of the event that is not complete. */
+  get partialBytes (): number {
+    return this._partialEvent.length
+  }
+
   /** Whether the bytes received so far end at an event boundary. */
   get isAtEventEnd (): boolean {
     return this._partialEvent.length === 0
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -26,6 +26,8 @@
 
 /** Pause before the endpoints of a service are tried again after all of them were full. */
 const FULL_RETRY_MS = 20
+/** What is held of an event that is not complete, on a route that can be resumed. */
+const MAX_EVENT_BYTES = 1024 * 1024
 
 export interface StreamRequest extends ForwardRequest {
   /** Id of the last event that the caller has already received. */
@@ -199,7 +201,7 @@
       return undefined
     }
     const complete = this._splitter.push(chunk)
-    if (!complete) return undefined
+    if (!complete) return this._splitter.partialBytes > MAX_EVENT_BYTES ? `an event does not end within ${MAX_EVENT_BYTES} bytes` : undefined
     const nextId = (this._lastEventId ?? 0) + 1
     const isOutOfSequence = complete.firstId !== undefined && this._lastEventId !== undefined && complete.firstId !== nextId
     if (isOutOfSequence) return `got event ${complete.firstId}, expected ${nextId}`
--- a/src/utils/metricNames.ts
+++ b/src/utils/metricNames.ts
@@ -90,7 +90,9 @@
 export enum AnswerProblem {
   /** The answer belongs to another request, or to none. */
   Foreign = 'foreign_id',
-  NotWhole = 'not_whole'
+  NotWhole = 'not_whole',
+  /** The answer did not come to its end within its bounds. */
+  TooLarge = 'too_large'
 }
 
 export interface MetricDescription {
@@ -117,7 +119,7 @@
   [MetricName.RequestDurationMs]: { type: 'timing', tags: ['route'], text: 'From the head of a request to the end of its answer.' },
   [MetricName.AdmissionShare]: { type: 'gauge', tags: ['pool', 'priorityClass'], text: 'Share of the first tries of a priority that a service without room for all lets in, by the figures of all hosts; 1 with room enough.' },
   [MetricName.AdmissionRefused]: { type: 'counter', tags: ['pool', 'priorityClass'], text: 'Requests that were refused by that share, before they were sent to any endpoint.' },
-  [MetricName.AnswersDropped]: { type: 'counter', tags: ['reason'], text: 'Answers of endpoints that were thrown away, because they were not whole or belonged to another request.' },
+  [MetricName.AnswersDropped]: { type: 'counter', tags: ['reason'], text: 'Answers of endpoints that were thrown away, because they were not whole, belonged to another request, or did not come to an end.' },
   [MetricName.AnswersWithoutLength]: { type: 'counter', tags: [], text: 'Answers of endpoints that had neither a length nor chunks and were taken as whole because their connection was closed in order.' },
   [MetricName.QueueLength]: { type: 'gauge', tags: ['pool', 'priorityClass'], text: 'Requests that wait for an endpoint.' },
   [MetricName.QueueBytes]: { type: 'gauge', tags: ['pool'], text: 'Bytes of request bodies that wait for an endpoint.' },
--- a/tests/gateway/streamForwarder.test.ts
+++ b/tests/gateway/streamForwarder.test.ts
@@ -149,3 +149,17 @@
   await failed
   t.is(abandoned.text, event(1))
 })
+
+// What had arrived of an event was held without a bound, and joined anew with each piece.
+test('should continue at another endpoint when an event of a resumable stream does not end', async t => {
+  const world = new World()
+  const piece = 'x'.repeat(256 * 1024)
+  world.endpoints.onStream = ({ afterEventId }) => afterEventId === undefined
+    ? script([event(1), 'id: 2\ndata: ', ...Array<string>(40).fill(piece)], ended)
+    : script([event(2)], ended)
+  const startedAtMs = world.clock.nowMs()
+  t.like(await world.clock.advanceUntil(world.forward(resumable)), { kind: 'ended' })
+  t.deepEqual(world.endpoints.streams.map(({ afterEventId }) => afterEventId), [undefined, 1])
+  t.is(world.text, event(1) + event(2))
+  t.true(world.clock.nowMs() - startedAtMs < 150, 'it did not wait for the rest of the 40 pieces, 10 ms apart')
+})
