Programs: a second signal no longer ends a planned stop

Callers of an entry host with its own interface lost what ran there when the host got SIGTERM twice, or SIGINT after it: the handler was taken with `once`, so that the second signal met none and ended the process at once.

The handlers stay, and only the first signal starts the stop. Found by reading what else ends a process that stops.

entry/processes "should end its planned stop when it is asked to stop again" failed before (the process was gone, no state after 60 s) and passes now, with the other three.

--- a/src/utils/programMain.ts
+++ b/src/utils/programMain.ts
@@ -93,10 +93,20 @@
   process.on('uncaughtException', onFatal)
   try {
     const program = await description.start(settings, { logger, metrics, onFatal, onStopped })
-    const stop = (): void => { program.stop().then(onStopped, onFatal) }
-    process.once('SIGTERM', stop)
-    process.once('SIGINT', stop)
+    stopOnSignals(() => { program.stop().then(onStopped, onFatal) })
   } catch (error) {
     onFatal(error)
   }
 }
+
+/** The handlers stay: without them, a second signal would end the process in the middle of its planned stop. */
+function stopOnSignals (stop: () => void): void {
+  let isStopping = false
+  const stopOnce = (): void => {
+    if (isStopping) return
+    isStopping = true
+    stop()
+  }
+  process.on('SIGTERM', stopOnce)
+  process.on('SIGINT', stopOnce)
+}
--- a/tests/entry/processes.test.ts
+++ b/tests/entry/processes.test.ts
@@ -144,6 +144,29 @@
   }
 })
 
+// Guards against a second signal that ends the process in the middle of its planned stop.
+test.serial('should end its planned stop when it is asked to stop again', async t => {
+  const processes = await EntryProcesses.start(1, 2)
+  const booking = new BookingService()
+  try {
+    await processes.endpoint('booking-1', EndpointKind.Service, booking.handler)
+    const [stopped] = processes.entries
+    if (!stopped) return t.fail()
+    booking.hold('slow')
+    const slow = sendReturn(stopped, 'slow')
+    await until(() => booking.executions.has('slow'))
+    stopped.child.kill('SIGTERM')
+    await until(async () => ['leaving', 'refusing'].includes((await statusOf(stopped))?.state ?? 'none'))
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGINT'] as const) stopped.child.kill(signal)
+    await until(async () => (await statusOf(stopped))?.state === 'refusing')
+    booking.release('slow')
+    t.like(await slow, { status: 200, text: 'recorded slow' })
+    t.is(await stopped.exitCode, 0, stopped.log)
+  } finally {
+    await processes.stop()
+  }
+})
+
 async function complete (url: string): Promise<string> {
   const answer = await request(`${url}/v1/completions`, { method: 'POST', body: JSON.stringify({ model: 'practice-lm', prompt: 'drum' }) })
   return await answer.body.text()
