--- a/bench/fleetSoak/soakCallers.ts
+++ b/bench/fleetSoak/soakCallers.ts
@@ -5,8 +5,9 @@
  */
 import { Agent } from 'undici'
 import { WireHeader, WirePath } from '../../platform/wireNames.js'
-import type { RandomSource } from '../../src/utils/randomSource.js'
+import { seededRandom, type RandomSource } from '../../src/utils/randomSource.js'
 import { readAfterPause } from './slowReader.js'
+import { StoppingHostCallers } from './stoppingHostCallers.js'
 import { MODEL, pause, SLOTS_COUNT, SoakService } from './soakEndpoint.js'
 import { CallKind, eventsCountOf, type ObservedBatch, type ObservedItem, type SoakRecord } from './soakRecord.js'
 
@@ -28,6 +29,7 @@
 const PROBE_GAP_MS = 500
 /** How long accepted work is queried once all faults are over. */
 const FINAL_READ_TIMEOUT_MS = 20_000
+const MAX_SEED = 1_000_000
 const BODY_BYTES_LIMIT = 1_048_576
 const MALFORMED_GAP_MS = 300
 const MALFORMED_CALLS = [
@@ -69,9 +71,17 @@
   private _versionsCount = 0
   private _announcedVersion = 1
   private _configuredVersion = 0
+  private readonly _stoppingHostCallers: StoppingHostCallers
 
   constructor (options: SoakCallersOptions) {
     this._options = options
+    const { record, random, nowMs } = options
+    this._stoppingHostCallers = new StoppingHostCallers({ random: seededRandom(random.int(1, MAX_SEED)), nowMs, onEnd: call => record.stopCalls.push(call) })
+  }
+
+  /** Keeps connections to a host that stops, and uses them until it is gone. */
+  async useUntilGone (host: { ip: string, address: string, isGone: () => boolean }): Promise<void> {
+    await this._stoppingHostCallers.useUntilGone({ ...host, hostName: HOST_NAME })
   }
 
   /** Runs until `finish` is called. */
@@ -300,6 +310,7 @@
     routes: [
       route('open', '/open/', 'idempotent'),
       route('once', '/once/', 'non_idempotent', { 'max-attempts': 1 }),
+      route('work', '/work/', 'non_idempotent', { 'timeout-ms': 6_000, 'slo-ms': 3_000, 'max-attempts': 1 }),
       route('hints', '/hints/', 'rollout', { service: SoakService.Engines, 'due-ms': 7_500, 'max-queue-s': 12 }),
       route('newest', `/only-${version}/`, 'idempotent')
     ],
--- a/bench/fleetSoak/soakChecks.ts
+++ b/bench/fleetSoak/soakChecks.ts
@@ -3,7 +3,8 @@
  * guarantee with a time limit is checked only where no fault was active from some
  * time before until the moment in question.
  */
-import { responseTo, CallKind, POISON_ID, eventsCountOf, eventText, type ObservedBatch, type ObservedItem, type SoakRecord } from './soakRecord.js'
+import { FaultKind } from './faultPlan.js'
+import { responseTo, CallKind, POISON_ID, eventsCountOf, eventText, type ObservedBatch, type ObservedItem, type SoakRecord, type StopCall } from './soakRecord.js'
 
 /** Nothing is sent to an endpoint later than this after its deregistration was confirmed. */
 export const DRAIN_MS = 2_000
@@ -23,6 +24,7 @@
     ...mismatchedSlowReads(record),
     ...repeatedRuns(record),
     ...falseRefusals(record),
+    ...cutOffByStops(record),
     ...lateRequests(record),
     ...poisonRequests(record),
     ...record.batches.flatMap(batchViolations),
@@ -67,6 +69,24 @@
   })
 }
 
+/** A host that stops has until then to answer what it has passed on. */
+function cutOffByStops (record: SoakRecord): string[] {
+  const runs = runsOf(record)
+  const falselyRefused = record.stopCalls.filter(({ attemptId, status }) => status !== undefined && NOT_RUN_STATUSES.includes(status) && runs.has(attemptId))
+  const repeated = record.stopCalls.filter(({ attemptId }) => (runs.get(attemptId) ?? 0) > 1)
+  const cutOff = record.stopCalls.filter(call => call.status === undefined && runs.has(call.attemptId) && isHitByStopsOnly(record, call))
+  return [
+    ...falselyRefused.map(({ attemptId, status }) => `${attemptId}: status ${status} states that it did not run, but an endpoint ran it`),
+    ...repeated.map(({ attemptId }) => `${attemptId}: may run once, ran ${runs.get(attemptId)} times`),
+    ...cutOff.map(({ attemptId, hostIp, sentAtMs }) => `${attemptId}: ran at an endpoint, and its connection to ${hostIp}, which stopped, ended without an answer; sent at ${Math.round(sentAtMs)} ms`)
+  ]
+}
+
+/** Whether only planned stops hit anything between some time before a call and its end. */
+function isHitByStopsOnly ({ disturbances }: SoakRecord, { sentAtMs, endedAtMs }: StopCall): boolean {
+  return disturbances.every(({ kind, fromMs, untilMs }) => kind === FaultKind.Stop || untilMs + RECOVERY_MS < sentAtMs || fromMs > endedAtMs)
+}
+
 function isUndisturbed ({ disturbances }: SoakRecord, fromMs: number, untilMs: number): boolean {
   return disturbances.every(disturbance => disturbance.untilMs + RECOVERY_MS < fromMs || disturbance.fromMs > untilMs)
 }
--- a/bench/fleetSoak/soakEndpoint.ts
+++ b/bench/fleetSoak/soakEndpoint.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici'
 import { WireHeader, WirePath } from '../../platform/wireNames.js'
 import { AnswerGarbler } from './garbledAnswers.js'
-import { responseTo, POISON_ID, eventsCountOf, eventText, type SoakRecord } from './soakRecord.js'
+import { responseTo, POISON_ID, WORK_ID, eventsCountOf, eventText, type SoakRecord } from './soakRecord.js'
 
 export const MODEL = 'practice-lm'
 export enum SoakService {
@@ -182,8 +182,13 @@
     response.once('close', () => { this._runningCount-- })
     if (this._crashesUnder(attemptId)) return
     if (this.options.service === SoakService.Engines) return this._stream(response, attemptId, Number(incoming.headers[WireHeader.LastEventId] ?? 0))
-    const responseMs = this._responsesCount++ % SLOW_RESPONSE_INTERVAL === 0 ? SLOW_RESPONSE_MS : RESPONSE_MS
-    setTimeout(() => this._garbler.send(response, 200, this._responseHeaders(attemptId), responseTo(attemptId)), responseMs)
+    setTimeout(() => this._garbler.send(response, 200, this._responseHeaders(attemptId), responseTo(attemptId)), this._workMs(attemptId))
+  }
+
+  private _workMs (attemptId: string): number {
+    const workMs = WORK_ID.exec(attemptId)?.[1]
+    if (workMs !== undefined) return Number(workMs)
+    return this._responsesCount++ % SLOW_RESPONSE_INTERVAL === 0 ? SLOW_RESPONSE_MS : RESPONSE_MS
   }
 
   /** The status that a request is refused with; undefined if it runs. */
--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -114,6 +114,11 @@
     return [...this.hostsOf(HostGroup.Control), ...this.hostsOf(HostGroup.Entry)].map(({ ip }) => `${ip}:${Port.Callers}`)
   }
 
+  /** Undefined for a host that serves no callers. */
+  callerAddressOf ({ ip, programs }: SoakHost): string | undefined {
+    return programs.includes('edge') ? `${ip}:${Port.Callers}` : undefined
+  }
+
   startAll (): void {
     for (const host of this.hosts) this.start(host)
   }
--- a/bench/fleetSoak/soakRecord.ts
+++ b/bench/fleetSoak/soakRecord.ts
@@ -49,6 +49,16 @@
   body: string
 }
 
+/** A request on a connection that its caller keeps to a host that stops. */
+export interface StopCall {
+  attemptId: string
+  hostIp: string
+  sentAtMs: number
+  endedAtMs: number
+  /** Undefined when no complete response arrived. */
+  status: number | undefined
+}
+
 export interface ObservedItem {
   itemId: string
   state: string
@@ -102,6 +112,7 @@
   arrivals: Arrival[]
   calls: ObservedCall[]
   slowReads: SlowRead[]
+  stopCalls: StopCall[]
   batches: ObservedBatch[]
   leaves: ObservedDeregistration[]
   ends: ObservedCrash[]
@@ -115,9 +126,12 @@
 }
 
 export function emptyRecord (): SoakRecord {
-  return { arrivals: [], calls: [], slowReads: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
+  return { arrivals: [], calls: [], slowReads: [], stopCalls: [], batches: [], leaves: [], ends: [], configurations: [], probes: [], readBackVersion: undefined, disturbances: [], ownEnds: [] }
 }
 
+/** Attempt ids of requests that an endpoint works on for some milliseconds. */
+export const WORK_ID = /^work-(\d+)-/
+
 /** Attempt ids of requests with large answers. */
 const LARGE_ID = /^large-/
 const LARGE_RESPONSE_BYTES = 300_000
--- a/bench/fleetSoak/soakRun.ts
+++ b/bench/fleetSoak/soakRun.ts
@@ -36,6 +36,8 @@
 const FIRST_ENDPOINT_PORT = 8_100
 /** Time that a restarted host needs to connect and to catch up with the log. */
 const START_MS = 2_500
+/** Callers of a host connect to it this long before it is asked to stop. */
+const USE_BEFORE_STOP_MS = 500
 /** Delay before an endpoint that a request crashed is replaced, under a new name at the same address. */
 const REPLACE_CRASHED_AFTER_MS = 1_500
 /** Programs apply a partition within 40 ms, the polling interval of the faults file. */
@@ -167,7 +169,7 @@
       case FaultKind.Kill:
         return await this._restart(host, () => fleet.kill(host), forMs)
       case FaultKind.Stop:
-        return await this._restart(host, () => fleet.stop(host), forMs)
+        return await this._restart(host, () => this._stopUnderUse(host), forMs)
       case FaultKind.Wipe:
         return await this._restart(host, async () => {
           await fleet.kill(host)
@@ -203,6 +205,17 @@
     await pause(START_MS)
   }
 
+  /** Stops a host; callers of an entry host go on using their connections to it. */
+  private async _stopUnderUse (host: SoakHost): Promise<void> {
+    let isGone = false
+    const address = this._fleet.callerAddressOf(host)
+    const using = address === undefined ? Promise.resolve() : this._callers.useUntilGone({ ip: host.ip, address, isGone: () => isGone })
+    if (address !== undefined) await pause(USE_BEFORE_STOP_MS)
+    await this._fleet.stop(host)
+    isGone = true
+    await using
+  }
+
   private async _losePower (forMs: number): Promise<void> {
     await Promise.all(this._fleet.hosts.map(async host => await this._fleet.kill(host)))
     await pause(forMs)
--- a/src/batches/rewardScoring.ts
+++ b/src/batches/rewardScoring.ts
@@ -4,7 +4,8 @@
  * quarantined for crashing endpoints and the item may be abandoned, or until this
  * host no longer holds the lease on the item.
  */
-import type { ForwardOutcome, RequestForwarder } from '../gateway/requestForwarder.js'
+import type { ForwardOutcome } from '../gateway/forwardRequest.js'
+import type { RequestForwarder } from '../gateway/requestForwarder.js'
 import type { RewardCall } from '../protocol/batches.js'
 import { RefusalReason } from '../protocol/refusals.js'
 import type { RoutingRoute } from '../protocol/routing.js'
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -11,7 +11,7 @@
 import type { FleetView } from '../fleet/fleetView.js'
 import type { FleetEndpoint } from '../protocol/fleet.js'
 import { Executed, RefusalReason, RetryReason } from '../protocol/refusals.js'
-import { RouteKind, type RoutingRoute } from '../protocol/routing.js'
+import { RouteKind } from '../protocol/routing.js'
 import { QuarantineStatus, type QuarantinedRun, type RequestQuarantine } from '../quarantine/requestQuarantine.js'
 import type { RequestIdentity } from '../quarantine/requestIdentity.js'
 import type { Clock } from '../utils/clock.js'
@@ -19,12 +19,12 @@
 import type { Logger } from '../utils/logger.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
-import type { Progress } from '../utils/progress.js'
 import type { RandomSource } from '../utils/randomSource.js'
 import { RetryBudget } from '../utils/retryBudget.js'
 import type { Scope } from '../utils/scope.js'
 import { Signal } from '../utils/signal.js'
 import { recordFailedTry, type FailedOutcome } from './failedTry.js'
+import type { ForwardHead, ForwardOutcome, ForwardRequest, HeadDecision } from './forwardRequest.js'
 import { GatewayEvent } from './gatewayEvents.js'
 import { hedgeDelayMs, isTryLate, waitOrRefuse, type RunningTry } from './requestPolicy.js'
 import { chooseService } from './routeTable.js'
@@ -33,41 +33,6 @@
 /** Pause before the endpoints of a service are tried again after all of them were full. */
 const FULL_RETRY_MS = 20
 
-export interface ForwardRequest {
-  route: RoutingRoute
-  /** The service that the request was admitted to; drawn if absent. */
-  service?: string | undefined
-  method: string
-  path: string
-  host: string
-  headers: string[]
-  body: Uint8Array
-  attemptId: string
-  /** The client account that the request runs for; undefined for none. */
-  account?: string | undefined
-  /** 0 is the most urgent. The priority of the account, if it has one, overrides that of the route. */
-  priority?: number | undefined
-  /** Called once when an endpoint has started, or may have started, to run the request; gets the time at which the request was sent to the endpoint. */
-  onBegan?: ((sentAtMs: number) => void) | undefined
-  progress: Progress
-  /** Whether the caller may still have the request run; asked before every try. */
-  mayTry?: (() => boolean) | undefined
-  /** Keep trying until the deadline: a refusal would be of no use to the caller. */
-  isPersistent?: boolean
-}
-
-export type ForwardOutcome =
-  /** The answer of an endpoint; `failedAnswersCount` is the number of answers with status 500. */
-  | { kind: 'answered', endpointId: string, status: number, headers: string[], body: Uint8Array, receipt: string | undefined, failedAnswersCount: number }
-  | { kind: 'refused', executed: Executed, reason: RefusalReason, retryAfterMs: number }
-
-/** What is known of a request from its head. */
-export type ForwardHead = Pick<ForwardRequest, 'route' | 'account' | 'priority'> & { remainingMs: number }
-
-export type HeadDecision =
-  | { kind: 'admitted', service: string }
-  | Extract<ForwardOutcome, { kind: 'refused' }>
-
 export interface RequestForwarderOptions {
   view: FleetView
   pool: EndpointPool
@@ -276,6 +241,7 @@
     this._tried.add(endpoint.endpointId)
     this._lastTry = { endpointId: endpoint.endpointId, startedAtMs: this._request.progress.clock.nowMs() }
     this._triesCount++
+    this._request.onTry?.()
     this._openTriesCount++
     this._logTry(endpoint)
     this._try(endpoint).catch(error => {
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -20,7 +20,7 @@
 import { EventStreamSplitter } from './eventStreamSplitter.js'
 import { recordFailedTry, type FailedOutcome } from './failedTry.js'
 import { GatewayEvent } from './gatewayEvents.js'
-import type { ForwardOutcome, ForwardRequest } from './requestForwarder.js'
+import type { ForwardOutcome, ForwardRequest } from './forwardRequest.js'
 import { waitOrRefuse, type WaitDecision } from './requestPolicy.js'
 import { chooseService } from './routeTable.js'
 
@@ -151,6 +151,7 @@
     const { progress } = this._request
     const { pool } = this._options
     this._tried.add(endpoint.endpointId)
+    this._request.onTry?.()
     const health = pool.health(endpoint.endpointId)
     const scope = progress.scope.child(`stream from ${endpoint.endpointId}`)
     const cancelTimer = progress.clock.callAt(progress.deadlineMs, () => scope.close('deadline passed'))
--- a/src/utils/progress.ts
+++ b/src/utils/progress.ts
@@ -9,17 +9,26 @@
 
 export type Raced<T> = { kind: 'done', value: T } | { kind: 'deadlinePassed' }
 
+const unbounded = (): number => Number.POSITIVE_INFINITY
+
 export class Progress {
   readonly clock: Clock
   readonly scope: Scope
-  /** Point in time of the monotonic clock. */
-  readonly deadlineMs: number
+  private readonly _deadlineMs: number
+  private readonly _latestMs: () => number
   private readonly _log: string[] = []
 
-  constructor (clock: Clock, scope: Scope, deadlineMs: number) {
+  /** @param latestMs a bound on the deadline that may come nearer while the request runs, as when its host is asked to stop */
+  constructor (clock: Clock, scope: Scope, deadlineMs: number, latestMs = unbounded) {
     this.clock = clock
     this.scope = scope
-    this.deadlineMs = deadlineMs
+    this._deadlineMs = deadlineMs
+    this._latestMs = latestMs
+  }
+
+  /** Point in time of the monotonic clock. */
+  get deadlineMs (): number {
+    return Math.min(this._deadlineMs, this._latestMs())
   }
 
   /** What was tried so far, oldest first. */
@@ -41,12 +50,12 @@
 
   /** A progress with the same deadline in a narrower scope. */
   within (scope: Scope): Progress {
-    return new Progress(this.clock, scope, this.deadlineMs)
+    return new Progress(this.clock, scope, this._deadlineMs, this._latestMs)
   }
 
   /** A progress with an earlier deadline, for one of several attempts. */
   withDeadline (deadlineMs: number): Progress {
-    return new Progress(this.clock, this.scope, Math.min(this.deadlineMs, deadlineMs))
+    return new Progress(this.clock, this.scope, Math.min(this._deadlineMs, deadlineMs), this._latestMs)
   }
 
   /**
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { EndpointPool } from '../../src/endpoints/endpointPool.js'
-import { RequestForwarder, type ForwardOutcome } from '../../src/gateway/requestForwarder.js'
+import type { ForwardOutcome } from '../../src/gateway/forwardRequest.js'
+import { RequestForwarder } from '../../src/gateway/requestForwarder.js'
 import type { FleetView } from '../../src/fleet/fleetView.js'
 import { Executed } from '../../src/protocol/refusals.js'
 import { RouteKind, type RoutingRoute } from '../../src/protocol/routing.js'
--- a/tests/processes/fleetSoak.test.ts
+++ b/tests/processes/fleetSoak.test.ts
@@ -1,8 +1,11 @@
 import test from 'ava'
+import { FaultKind } from '../../bench/fleetSoak/faultPlan.js'
 import { hostCounts, runSoak } from '../../bench/fleetSoak/soakRun.js'
 
 const SEED = 2
 const DURATION_MS = 25_000
+const STOPS_SEED = 41
+const STOPS_DURATION_MS = 30_000
 
 test('should keep every guarantee of the platform\'s programs during a short run with faults', async t => {
   t.timeout(180_000)
@@ -13,3 +16,11 @@
   t.true(record.leaves.length > 0)
   t.true(record.disturbances.length > 0)
 })
+
+// A host that was asked to stop passed requests on, and cut them off while endpoints worked on them.
+test('should cut off no request that a stopping host has passed on, whose callers go on until it is gone', async t => {
+  t.timeout(180_000)
+  const { violations, record } = await runSoak({ seed: STOPS_SEED, durationMs: STOPS_DURATION_MS, hosts: hostCounts(2, 4), only: [FaultKind.Stop] })
+  t.deepEqual(violations, [])
+  t.true(record.stopCalls.some(({ status }) => status === 200))
+})
