Listeners: a port that is not free is waited for

Callers lost a host for as long as another process held one port of its program, be it that of the metrics: the program ended with code 70 at each start (4002, listen EADDRINUSE).

Cause: a failed listen rejected the start, which counts as a broken invariant, and the listeners were opened one after the other, the metrics first.

Change: listenWhenFree opens all listeners, tries again each 100 ms until its scope closes, and tells so (920, again every 10 s, 921 at last). An entry host opens its listeners independently of each other and is ready only once it listens for callers; a control host serves without its admin port; nothing waits for the metrics.

Ruled out: other ports (peers know these), a bounded number of tries, a replica without its port for peers.

--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -104,7 +104,7 @@
   private readonly _options: StoreProgramOptions
   private readonly _scope = new Scope('store')
   private readonly _supervisor: Supervisor
-  private readonly _transport = new TcpTransport()
+  private readonly _transport: TcpTransport
   private readonly _orders = new OrderHistory(systemClock)
   private readonly _view: FleetView
   private readonly _ages = new BatchAges(systemClock)
@@ -132,6 +132,7 @@
 
   private constructor (options: StoreProgramOptions, opened: OpenedReplica, readMs: number) {
     this._options = options
+    this._transport = new TcpTransport({ logger: options.logger })
     const { settings, logger, metrics, onFatal } = options
     this._supervisor = new Supervisor(this._scope, (_task, error) => onFatal(error))
     this._view = new FleetView(logger)
@@ -181,10 +182,9 @@
    */
   static async start (options: StoreProgramOptions): Promise<StoreProgram> {
     const { settings, logger } = options
-    const random = systemRandom()
     const disk = await FileDisk.open(settings.dataFolder)
     const readFromMs = systemClock.nowMs()
-    const opened = await ReplicaStorage.open(disk, settings.hostId, () => random.id())
+    const opened = await ReplicaStorage.open(disk, settings.hostId, () => systemRandom().id())
     const readMs = systemClock.nowMs() - readFromMs
     if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
     if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailTruncated, { bytesCount: opened.loaded.tornBytes })
--- a/src/clients/guardedServer.ts
+++ b/src/clients/guardedServer.ts
@@ -5,10 +5,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../utils/clock.js'
+import { listenWhenFree } from '../utils/listenWhenFree.js'
 import type { Logger } from '../utils/logger.js'
 import { LogThrottle } from '../utils/logThrottle.js'
 import { MetricName } from '../utils/metricNames.js'
 import type { Metrics } from '../utils/metrics.js'
+import type { Scope } from '../utils/scope.js'
 import { ClientConnection, type ConnectionBounds } from './clientConnection.js'
 import { ClientEvent } from './clientEvents.js'
 import { ClientLimit, type ClientRoom } from './clientRoom.js'
@@ -63,6 +65,12 @@
     })
   }
 
+  /** Resolves once a guarded server listens, which waits for its address. */
+  async listen (server: Server, listener: string, address: string, scope: Scope): Promise<void> {
+    const { clock, logger } = this._options
+    await listenWhenFree({ server, name: listener, address, clock, logger, scope })
+  }
+
   /** The body of a request to a guarded server; one without bounds for any other. */
   bodyOf (request: IncomingMessage): RequestBody {
     const known = this._bodies.get(request)
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -18,7 +18,6 @@
 import type { Metrics } from '../utils/metrics.js'
 import { systemRandom } from '../utils/randomSource.js'
 import { Scope } from '../utils/scope.js'
-import { parseAddress } from '../utils/settings.js'
 import { Supervisor } from '../utils/supervisor.js'
 import { adminRouter } from './admin/adminRouter.js'
 import { adminClient, LeaderAccess } from './admin/leaderAccess.js'
@@ -93,7 +92,7 @@
 const MAX_ADMIN_BODY_BYTES = 64 * 1024
 
 export class ControlProgram {
-  readonly transport = new TcpTransport()
+  readonly transport: TcpTransport
   private readonly _options: ControlProgramOptions
   private readonly _scope = new Scope('control')
   private readonly _supervisor: Supervisor
@@ -109,6 +108,7 @@
 
   private constructor (options: ControlProgramOptions, opened: OpenedReplica, readMs: number) {
     this._options = options
+    this.transport = new TcpTransport({ logger: options.logger })
     this._formationOptions = { initialMembers: options.settings.cluster.initialMembers, mayForm: options.fleet?.mayForm ?? true }
     this._supervisor = new Supervisor(this._scope, (_task, error) => options.onFatal(error))
     const state = new ControlState(options.createLedgers)
@@ -195,8 +195,9 @@
       })
       this.followers.watch(peer)
     })
-    await this._listenForOperators(operatorAddress)
     replica.start()
+    // Control serves without it; only newcomers and the operators of this host wait for it.
+    this._supervisor.spawn('operators', scope => this._listenForOperators(operatorAddress, scope))
     const own = { hostId, peerAddress, operatorAddress }
     const formation = new ClusterFormation(replica.core, replica.links, own, this._formationOptions, joinByAdmin)
     const silentHosts = new SilentHostRemoval(this.node, systemClock, logger)
@@ -256,7 +257,7 @@
     }))
   }
 
-  private async _listenForOperators (operatorAddress: string): Promise<void> {
+  private async _listenForOperators (operatorAddress: string, scope: Scope): Promise<void> {
     const access = new LeaderAccess(this.node, systemClock, this._scope)
     const { node, leaderCalls } = this
     const watches = new WatchStreams(node, leaderCalls, systemClock)
@@ -272,11 +273,7 @@
       else this._handle(api, request, response)
     })
     clients.guard(server, 'operators', () => ({ maxHeadBytes: maxHeaderSize, maxRestMs: OPERATOR_REST_MS }))
-    const { host, port } = parseAddress(operatorAddress)
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, resolve)
-    })
+    await clients.listen(server, 'operators', operatorAddress, scope)
     this._servers.push(server)
   }
 
--- a/src/entry/http/httpServer.ts
+++ b/src/entry/http/httpServer.ts
@@ -76,14 +76,15 @@
     return this._inFlightCount
   }
 
-  /** @returns the bound address, `host:port` */
+  /**
+   * Waits for the address.
+   * @returns the bound address, `host:port`
+   */
   async listen (address: string): Promise<string> {
     const { host, port } = parseAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, resolve)
-    })
-    this._options.scope.onClose(() => {
+    const { clients, name, scope } = this._options
+    await clients.listen(this._server, name, address, scope)
+    scope.onClose(() => {
       this._server.close()
       this._server.closeAllConnections()
     })
--- a/src/transport/tcpTransport.ts
+++ b/src/transport/tcpTransport.ts
@@ -4,6 +4,9 @@
  */
 import { createServer, connect as connectSocket, type Socket } from 'node:net'
 import { Decoder, Encoder } from 'cbor-x'
+import { systemClock } from '../utils/clock.js'
+import { listenWhenFree } from '../utils/listenWhenFree.js'
+import { silentLogger, type Logger } from '../utils/logger.js'
 import { Scope } from '../utils/scope.js'
 import { parseAddress } from '../utils/settings.js'
 import type { Connection, ConnectOutcome, Listener, SharedMessage, Transport } from './connection.js'
@@ -21,13 +24,21 @@
   receivedMessages: number
 }
 
+export interface TcpTransportOptions {
+  /** IP address that outgoing connections are bound to. */
+  localHost?: string
+  /** Of a process that listens. */
+  logger?: Logger
+}
+
 export class TcpTransport implements Transport {
   readonly counts: TrafficCounts = { sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0 }
   private readonly _localHost: string | undefined
+  private readonly _logger: Logger
 
-  /** @param localHost IP address that outgoing connections are bound to */
-  constructor (localHost?: string) {
+  constructor ({ localHost, logger = silentLogger }: TcpTransportOptions = {}) {
     this._localHost = localHost
+    this._logger = logger
   }
 
   async connect (address: string, scope: Scope): Promise<ConnectOutcome> {
@@ -46,16 +57,14 @@
     return outcome
   }
 
+  /** Waits for the address. */
   async listen (address: string, scope: Scope, onConnection: (connection: Connection) => void): Promise<Listener> {
     const { host, port } = parseAddress(address)
     const server = createServer({ noDelay: true }, socket => {
       const from = `${socket.remoteAddress}:${socket.remotePort}`
       onConnection(new TcpConnection(socket, scope.child(`from ${from}`), this.counts))
     })
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, () => resolve())
-    })
+    await listenWhenFree({ server, name: 'peers', address, clock: systemClock, logger: this._logger, scope })
     scope.onClose(() => server.close())
     const bound = server.address()
     const boundPort = typeof bound === 'object' && bound ? bound.port : port
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -6,6 +6,7 @@
 import './enableRoarr.js'
 import { Roarr, ROARR } from 'roarr'
 import { LogLevel, type EventCatalogue } from './eventCatalogue.js'
+import { listenEventCatalogue } from './listenEvents.js'
 import { LogEvent, logEventCatalogue } from './logEvents.js'
 
 export { LogLevel, type EventCatalogue, type EventDescription } from './eventCatalogue.js'
@@ -34,7 +35,7 @@
 
 /** @param budget limits the number of lines; without it every line is written */
 export function createLogger (catalogue: EventCatalogue, context: LogFields, budget?: LineBudget): Logger {
-  const events: EventCatalogue = { ...catalogue, ...logEventCatalogue }
+  const events: EventCatalogue = { ...catalogue, ...logEventCatalogue, ...listenEventCatalogue }
   const write = (number: number, fields: LogFields): void => {
     const text = events[number]?.text ?? 'event missing from the catalogue'
     Roarr[levelOf(number)]({ ...context, eventNumber: number, ...fields }, text)
