A request that may be repeated is not refused as not run for a refusal that came twice

What callers saw: 503, which promises that a request has not run and never will, for a request that may run more than once, and for a stream that can be resumed; both had run.

Cause: an endpoint may repeat an answer in the place of the next one on its connection. A request that comes back to a full endpoint over the connection on which it was refused meets the copy of its own refusal, with the right id. The host took it for a second refusal, though the try ran. The connection of its own for such a try was given to what may run once only; what may be repeated is told "has not run" by the same 503.

Change: wasRefusedThere holds for every request and stream whose caller is told whether it ran. Owed work that may run again (persistent, not at most once) keeps used connections.

Ruled out: counting the second refusal as "may have run" (502 without Retry-After from full services); closing the connection behind every refusal (they come by the hundred).

Failed before, on: platform/callerServer "should not refuse as not run what runs at an endpoint that has repeated an earlier refusal of it": status 503 instead of 200, for {"kind":"idempotent"} and for a resumable stream, each by itself; 14 runs of the one request were seen by the endpoint. gateway/requestForwarder "should send every request whose caller waits back …": [false, false] instead of [false, true].

A changed test: gateway/streamForwarder "should send a stream (that may run once) back to an endpoint that refused it over a connection of its own only" stated that a stream that can be resumed uses the old connection, which is this fault. It states now, as exactly, that every stream that comes back has one of its own.

What more new connections cost a full service was not measured.

--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -27,7 +27,8 @@
   body: Uint8Array
   attemptId: string
   /**
-   * The endpoint has refused a request with this id, and the request may run only once.
+   * The endpoint has refused a request with this id, and it matters whether this try runs:
+   * the request may run only once, or its caller is told that it has not run.
    * The id does not tell a late copy of that refusal from the answer, so the request must
    * not go over a connection that was used before.
    */
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -148,6 +148,12 @@
     return this._answer ?? this._refuse(RefusalReason.DeadlinePassed)
   }
 
+  /** Owed work that may run again is repeated whatever is said of a try. */
+  private get _isToldWhetherItRan (): boolean {
+    const { route, isPersistent } = this._request
+    return route.kind === RouteKind.AtMostOnce || isPersistent !== true
+  }
+
   private get _mayTry (): boolean {
     return this._request.mayTry?.() ?? true
   }
@@ -250,7 +256,7 @@
   }
 
   private async _try (endpoint: FleetEndpoint): Promise<void> {
-    const { route, method, path, host, headers, body, attemptId, account, progress } = this._request
+    const { method, path, host, headers, body, attemptId, account, progress } = this._request
     const { clock } = progress
     const health = this._options.pool.health(endpoint.endpointId)
     const startedAtMs = clock.nowMs()
@@ -260,7 +266,7 @@
     health.runningCount++
     const removeListener = health.onSlowdown(() => this._wake.notify())
     try {
-      const wasRefusedThere = route.kind === RouteKind.AtMostOnce && this._refusedBy.has(endpoint.endpointId)
+      const wasRefusedThere = this._isToldWhetherItRan && this._refusedBy.has(endpoint.endpointId)
       const request = { endpoint, method, path, host, headers, body, attemptId, wasRefusedThere, account, deadlineMs: progress.deadlineMs }
       const outcome = await this._options.client.call(request, this._scope)
       isSettled = true
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -163,7 +163,7 @@
     health.began()
     health.runningCount++
     try {
-      const wasRefusedThere = !this._request.route.isResumable && this._refusedBy.has(endpoint.endpointId)
+      const wasRefusedThere = this._refusedBy.has(endpoint.endpointId)
       const outcome = await this._options.client.stream({ ...this._request, endpoint, wasRefusedThere, deadlineMs: progress.deadlineMs, afterEventId: this._lastEventId }, scope, {
         onHead: head => {
           health.responded()
--- a/tests/gateway/requestForwarder.test.ts
+++ b/tests/gateway/requestForwarder.test.ts
@@ -109,6 +109,14 @@
   }
 })
 
+// The soak's endpoints repeat refusals: a request that may run more than once ran, and its caller was told that it had not.
+test('should send every request whose caller waits back to an endpoint that refused it over a connection of its own only', async t => {
+  const { clock, endpoints, forward } = world(1)
+  endpoints.onCall = () => ({ afterMs: 5, outcome: endpoints.calls.length < 2 ? { kind: 'notExecuted', status: 503, load: undefined } : answered() })
+  t.is((await clock.advanceUntil(forward(route({ kind: RouteKind.Idempotent })))).kind, 'answered')
+  t.deepEqual(endpoints.calls.map(({ wasRefusedThere }) => wasRefusedThere), [false, true])
+})
+
 test('should stop using an endpoint whose address another one has taken over', async t => {
   const { clock, view, endpoints, forward } = world(2)
   endpoints.onCall = () => ({ afterMs: 1, outcome: endpoints.calls.length === 1 ? { kind: 'misdirected' } : answered() })
--- a/tests/gateway/streamForwarder.test.ts
+++ b/tests/gateway/streamForwarder.test.ts
@@ -85,7 +85,7 @@
 })
 
 // A late copy of a refusal carries the id of the stream that comes back, and was taken for its second refusal while it ran.
-test('should send a stream that may run once back to an endpoint that refused it over a connection of its own only', async t => {
+test('should send a stream back to an endpoint that refused it over a connection of its own only', async t => {
   for (const target of [plain, resumable]) {
     const world = new World()
     world.endpoints.onStream = () => world.endpoints.streams.length < 5
@@ -95,7 +95,7 @@
     const { streams } = world.endpoints
     const isBack = streams.map(({ endpoint: { endpointId } }, position) => streams.slice(0, position).some(earlier => earlier.endpoint.endpointId === endpointId))
     t.true(isBack.includes(true))
-    t.deepEqual(streams.map(({ wasRefusedThere }) => wasRefusedThere), isBack.map(is => is && target === plain))
+    t.deepEqual(streams.map(({ wasRefusedThere }) => wasRefusedThere), isBack)
   }
 })
 
--- a/tests/platform/callerServer.test.ts
+++ b/tests/platform/callerServer.test.ts
@@ -3,10 +3,11 @@
 import { request } from 'undici'
 import { GatewayEvent } from '../../src/gateway/gatewayEvents.js'
 import { RefusalReason } from '../../src/protocol/refusals.js'
-import { RouteKind } from '../../src/protocol/routing.js'
+import { RouteKind, type RoutingRoute } from '../../src/protocol/routing.js'
 import { serve, type CallerFixture } from '../fixtures/callerFixture.js'
 import { HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
-import { startRawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
+import { refusalOf } from '../fixtures/endpointCalls.js'
+import { completeResponse, startRawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
 
 async function serveStream (t: ExecutionContext, answer: (request: RawRequest) => void): Promise<CallerFixture> {
   const served = await serve(t)
@@ -92,3 +93,33 @@
     t.is(ending, isBroken ? 'ECONNRESET' : 'closed')
   }
 })
+
+const REPEATED: Array<Partial<RoutingRoute>> = [{ kind: RouteKind.Idempotent }, { kind: RouteKind.AtMostOnce }, { kind: RouteKind.Stream, isResumable: true }, { kind: RouteKind.Stream }]
+/** Requests of the service take so long that one waits for a full endpoint. */
+const USUAL_MS = 400
+
+// The copy of a refusal came where the answer was due; requests that may run more than once ran, and were refused as not run.
+test('should not refuse as not run what runs at an endpoint that has repeated an earlier refusal of it', async t => {
+  for (const kind of REPEATED) {
+    const served = await serve(t)
+    const refusing = new Set<Socket>()
+    let runsCount = 0
+    const raw = await startRawEndpoint(({ socket, text, attemptId }) => {
+      if (text.includes('/usual/')) return setTimeout(() => socket.write(completeResponse(attemptId)), USUAL_MS)
+      if (refusing.size > 0) runsCount++
+      // The endpoint repeats its refusal in the place of the answer.
+      if (refusing.size > 0 && !refusing.has(socket)) return socket.write(completeResponse(attemptId, 'id: 1\ndata: whole\n\n'))
+      refusing.add(socket)
+      socket.write(refusalOf(attemptId, 503))
+    })
+    t.teardown(() => raw.close())
+    const services = [{ service: raw.endpoint.service, weight: 1 }]
+    const routes = [route({ ...kind, timeoutMs: 2_000, services }), route({ name: 'usual', pathPrefix: '/usual/', services, timeoutMs: 2_000 })]
+    served.view.merge('control-1', { routing: routing(1, routes), endpoints: [raw.endpoint] })
+    await (await request(`http://${served.address}/usual/1`, { method: 'POST', headers })).body.dump()
+    const answer = await request(served.url, { method: 'POST', headers })
+    await answer.body.dump()
+    t.is(answer.statusCode, 200, JSON.stringify(kind))
+    t.is(runsCount, 1, JSON.stringify(kind))
+  }
+})
