--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -5,7 +5,8 @@
  * derived from the first port of a range.
  */
 import { z } from 'zod'
-import { addressSchema, parseAddress } from '../utils/settings.js'
+import { SettingsError } from '../utils/errors.js'
+import { addressSchema, checkSettings, parseAddress, valueAt } from '../utils/settings.js'
 
 /** The programs of the fleet. */
 export type ProgramName = 'edge' | 'control' | 'store'
@@ -76,6 +77,17 @@
 })
 export type FleetHostSettings = z.infer<typeof fleetHostSettingsSchema>
 
+/**
+ * @param requiredKeys keys of optional settings that the program of this host needs
+ * @throws SettingsError naming the file, the key, the value and the expectation.
+ */
+export function checkFleetHostSettings (path: string, text: string, requiredKeys: readonly string[]): FleetHostSettings {
+  const settings = checkSettings(path, text, fleetHostSettingsSchema)
+  const missing = requiredKeys.filter(key => valueAt(settings, key.split('.')) === undefined)
+  if (missing.length > 0) throw new SettingsError(missing.map(key => `${path}: ${key}: missing, but required for this role`).join('\n'))
+  return settings
+}
+
 /** Offsets of the internal ports from the first one. */
 enum InternalPort {
   ControlPeers = 0,
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -73,7 +73,8 @@
   return `${path}: ${key}: ${issue.message} (value: ${value === undefined ? 'missing' : JSON.stringify(value)})`
 }
 
-function valueAt (raw: unknown, path: PropertyKey[]): unknown {
+/** The value under a key of nested tables; undefined if there is none. */
+export function valueAt (raw: unknown, path: PropertyKey[]): unknown {
   let value: unknown = raw
   for (const key of path) value = (value as Record<PropertyKey, unknown> | undefined)?.[key]
   return value
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -2,7 +2,8 @@
  * Bundles the programs that run on the users' platform, each into one file with
  * a V8 code cache. A killed process restarts faster if it reads one file instead
  * of hundreds and has little to compile. Plain JavaScript, because it may run
- * before the TypeScript build.
+ * before the TypeScript build. `node tools/bundle.mjs FOLDER` bundles into another
+ * folder, without code caches, which belong to the deployment's own.
  */
 import { execFileSync } from 'node:child_process'
 import { readFileSync } from 'node:fs'
@@ -10,6 +11,7 @@
 import { build } from 'esbuild'
 import { parse } from 'smol-toml'
 
+const DEPLOYED_FOLDER = 'target'
 const PROGRAMS = ['edge', 'control', 'store']
 
 /** esbuild plugin that drops library modules which would be loaded at start but are never used: most of undici, and the locales of zod. */
@@ -30,9 +32,11 @@
   return roles[name].run.split(' ').filter(word => word.startsWith('--'))
 }
 
+const folder = process.argv[2] ?? DEPLOYED_FOLDER
+
 await build({
   entryPoints: PROGRAMS.map(name => `platform/${name}.ts`),
-  outdir: 'target',
+  outdir: folder,
   outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
@@ -47,4 +51,6 @@
   logLevel: 'warning'
 })
 
-for (const name of PROGRAMS) execFileSync(process.execPath, [...nodeFlagsOf(name), 'tools/writeCodeCache.cjs', name], { stdio: ['ignore', 'ignore', 'ignore'] })
+if (folder === DEPLOYED_FOLDER) {
+  for (const name of PROGRAMS) execFileSync(process.execPath, [...nodeFlagsOf(name), 'tools/writeCodeCache.cjs', name], { stdio: ['ignore', 'ignore', 'ignore'] })
+}
