Settings of the fleet's programs end with a mark, so that a cut file is known

What operators would see: a settings file read while it was written, cut between two lines, was taken for whole, with defaults for all bounds after the cut: wrong leases, grace and losses, without a line.

Cause: all bounds have defaults and `infrastructure` may be absent, so a prefix of the file is valid.

Evidence: "should not take settings for whole that are cut anywhere" checks every prefix; on the code before it failed with "cut after 383 signs". "should end the template and the example of the settings with their mark" failed as there was none. "should let ... wait for the end of settings that are cut between two tables" got code 2 there (cut at a table that is required).

Ruled out: a look twice with the same text, as a writer may pause; required bounds without defaults, as not every deployment states every bound and a cut within the last table would still pass.

--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -350,7 +350,8 @@
       },
       cluster: { seedAddresses: seeds, internalPorts: [Port.FirstInternal, Port.LastInternal] },
       metricsPorts: { edge: Port.EdgeMetrics, control: Port.ControlMetrics, store: Port.StoreMetrics },
-      bounds: { heartbeatMs: HEARTBEAT_MS, toleratedLosses: 1, graceS: GRACE_S, drainMs: DRAIN_MS }
+      bounds: { heartbeatMs: HEARTBEAT_MS, toleratedLosses: 1, graceS: GRACE_S, drainMs: DRAIN_MS },
+      end: { isWhole: true }
     }))
     return file
   }
--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -73,7 +73,9 @@
     address: addressSchema,
     /** Names of the duties in the deployment. */
     duties: z.array(z.string())
-  }).optional()
+  }).optional(),
+  /** The last table of the file: without it a file that is cut between two tables could not be told from a whole one, as all bounds have defaults. */
+  end: z.strictObject({ isWhole: z.literal(true) }, 'the end of the settings is missing, so the file is cut short or still being written')
 })
 export type FleetHostSettings = z.infer<typeof fleetHostSettingsSchema>
 
--- a/tests/platform/boundaries.test.ts
+++ b/tests/platform/boundaries.test.ts
@@ -48,6 +48,8 @@
 store = 9466
 [bounds]
 heartbeatMs = 1200
+[end]
+isWhole = true
 `
 
 test('should apply the defaults of bounds that the settings leave out', t => {
--- a/tests/platform/changedSettings.test.ts
+++ b/tests/platform/changedSettings.test.ts
@@ -24,14 +24,14 @@
   return program.linesOf(PlatformEvent.Reloaded).map(({ context }) => context.seeds)
 }
 
-// Guards against changed settings that are given up, or applied in part, because they were read while they were written.
+// Guards against a cut between two tables that is applied as if the rest were left to its defaults.
 test('should keep its settings while the changed ones are cut short or absent, and apply them once they are whole', async t => {
   const { program, files } = await running(t)
   await program.logged(PlatformEvent.Reloaded)
   const whole = files.changedText('127.0.0.1:3')
   files.write(whole.slice(0, whole.lastIndexOf('[')))
   program.signal('SIGHUP')
-  t.regex(String((await program.logged(PlatformEvent.ReloadFailed)).context.error), /bounds: .*missing/)
+  t.regex(String((await program.logged(PlatformEvent.ReloadFailed)).context.error), /end: .*missing/)
   files.remove()
   program.signal('SIGHUP')
   t.regex(String((await program.logged(PlatformEvent.ReloadFailed, 2)).context.error), /cannot be read: ENOENT/)
--- a/tests/platform/hostPrograms.test.ts
+++ b/tests/platform/hostPrograms.test.ts
@@ -38,7 +38,8 @@
     listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
     cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, lastInternal] },
     metricsPorts,
-    bounds: {}
+    bounds: {},
+    end: { isWhole: true }
   }))
   const child = spawn(process.execPath, [`dist/platform/${name}.js`], {
     env: { ...process.env, THREADDRUM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit']
--- a/tests/platform/startSettings.test.ts
+++ b/tests/platform/startSettings.test.ts
@@ -1,13 +1,16 @@
 /**
  * Settings that are read while they are written. Seen: programs ended with code 2
  * when their settings file was cut short at the start, although it was whole 150 ms
- * later.
+ * later; and as all bounds have defaults, a file cut between two tables was taken
+ * for whole.
  */
 import test, { type ExecutionContext } from 'ava'
-import { mkdirSync, rmdirSync, rmSync } from 'node:fs'
+import { mkdirSync, readFileSync, rmdirSync, rmSync } from 'node:fs'
 import { PlatformEvent } from '../../platform/platformEvents.js'
-import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
+import { fleetHostSettingsSchema, type ProgramName } from '../../src/fleet/fleetHostSettings.js'
+import { SettingsError } from '../../src/utils/errors.js'
 import { ProgramEvent } from '../../src/utils/programEvents.js'
+import { checkSettings } from '../../src/utils/settings.js'
 import { buildDeployment, HostFiles, HostProcess } from '../fixtures/hostProcess.js'
 
 const PROGRAMS = ['edge', 'control', 'store'] as const
@@ -20,6 +23,11 @@
   return new HostProcess(t, deployment, name, files.settingsFile)
 }
 
+/** The text without its last table, as a writer may have left it between two writes. */
+function cutAtLastTable (text: string): string {
+  return text.slice(0, text.lastIndexOf('['))
+}
+
 async function assertGoesOn (t: ExecutionContext, program: HostProcess, files: HostFiles): Promise<void> {
   await program.logged(ProgramEvent.SettingsUsable)
   await program.logged(PlatformEvent.Started)
@@ -40,6 +48,16 @@
     await assertGoesOn(t, program, files)
   })
 
+  // Guards against settings cut between two tables, which parse and were taken for whole.
+  test(`should let ${name} wait for the end of settings that are cut between two tables when it starts`, async t => {
+    const files = await HostFiles.create(t)
+    files.write(cutAtLastTable(files.text()))
+    const program = start(t, name, files)
+    t.regex(String((await program.logged(ProgramEvent.SettingsUnusable)).context.problem), /host\.toml: end: .*missing/)
+    files.write(files.text())
+    await assertGoesOn(t, program, files)
+  })
+
   // Guards against an end with code 2 when the settings file is not there yet.
   test(`should let ${name} wait for a settings file that is absent when it starts`, async t => {
     const files = await HostFiles.create(t)
@@ -97,3 +115,20 @@
     t.like(program.linesOf(ProgramEvent.Ended)[0]?.context, { reason: 'stopped_during_start', signal, exitCode: 0 })
   }
 })
+
+// Guards against a text that was cut anywhere and still counts as whole.
+test('should not take settings for whole that are cut anywhere', async t => {
+  const files = await HostFiles.create(t)
+  const text = files.text().trimEnd()
+  t.notThrows(() => checkSettings('host.toml', text, fleetHostSettingsSchema))
+  for (let length = 0; length < text.length; length++) {
+    t.throws(() => checkSettings('host.toml', text.slice(0, length), fleetHostSettingsSchema), { instanceOf: SettingsError }, `cut after ${length} signs`)
+  }
+})
+
+// Guards against a template whose end is not its last line, after which cut files would count as whole.
+test('should end the template and the example of the settings with their mark', t => {
+  for (const path of ['platform/settings.toml', 'examples/fleet-host.toml']) {
+    t.true(readFileSync(path, 'utf8').endsWith('\n[end]\nisWhole = true\n'), path)
+  }
+})
