Own programs: no end by SIGHUP, a line for a stop during the start, settings read while written

What operators saw: threaddrum-entry and threaddrum-control ended by SIGHUP at any time, without the planned stop and without a line (a closed terminal, a tool that reloads); by SIGTERM during the start without a line; with code 2 for settings that were half written.

The handlers of SIGTERM and SIGINT stood behind the start, SIGHUP had none, and the settings were read once.

Change: runProgram uses the same ProgramLife: SIGHUP leaves 924 ("settings are read at the start only") and nothing else, a stop during the start is code 0 and 920, a planned stop ends with 920. Settings that cannot be used are looked at again for a second before the error; that error stays one line with code 2, as people start these programs and wait for it.

Ruled out: reloading these settings on SIGHUP, as nothing in them is applied while a program runs; a wait without end, as a person would not see the error.

--- a/src/utils/programMain.ts
+++ b/src/utils/programMain.ts
@@ -4,19 +4,27 @@
  */
 import { cac } from 'cac'
 import type { z } from 'zod'
-import { SettingsError } from './errors.js'
+import { ScopeClosedError, SettingsError } from './errors.js'
 import { systemClock } from './clock.js'
-import { createLogger, type EventCatalogue, type Logger } from './logger.js'
+import { createLogger, type EventCatalogue, type LogFields, type Logger } from './logger.js'
 import { LogOutput } from './logOutput.js'
 import { MetricName } from './metricNames.js'
 import { memoryMetrics, type Metrics } from './metrics.js'
 import { productVersion } from './productVersion.js'
-import { parseAddress, readSettings } from './settings.js'
+import { ProgramEvent, programEventCatalogue } from './programEvents.js'
+import { ProgramLife } from './programLife.js'
+import type { Scope } from './scope.js'
+import { checkSettings, parseAddress } from './settings.js'
+import { SettingsWatch } from './settingsWatch.js'
 import { checkStartupRequirements, type StartupRequirements } from './startupChecks.js'
 import { statsdMetrics } from './statsdMetrics.js'
 
+/** How long a start looks for settings that can be used; a file is written within milliseconds. */
+const SETTINGS_WAIT_MS = 1_000
+/** Maximum time for writing the remaining log lines when the process ends. */
+const LOG_FLUSH_TIMEOUT_MS = 200
+
 export enum ProgramExit {
-  Stopped = 0,
   Settings = 2,
   BrokenInvariant = 70
 }
@@ -53,12 +61,16 @@
 export async function runProgram<Settings extends HostSettings> (description: ProgramDescription<Settings>): Promise<void> {
   const settingsFile = readSettingsPath(description.name)
   if (settingsFile === undefined) return
+  const frame = createFrame(description)
+  const { startScope } = frame.life
+  process.on('uncaughtException', frame.onFatal)
   try {
-    const settings = readSettings(settingsFile, description.settingsSchema)
-    await checkStartupRequirements(settingsFile, description.requirements(settings))
-    await start(description, settings)
+    const settings = await readWholeSettings(settingsFile, description.settingsSchema, startScope)
+    await startScope.race(checkStartupRequirements(settingsFile, description.requirements(settings)))
+    await start(description, settings, frame)
   } catch (error) {
-    if (!(error instanceof SettingsError)) throw error
+    if (error instanceof ScopeClosedError && startScope.isClosed) return
+    if (!(error instanceof SettingsError)) return frame.onFatal(error)
     process.stderr.write(`${error.message}\n`)
     process.exitCode = ProgramExit.Settings
   }
@@ -78,35 +90,65 @@
   return undefined
 }
 
-async function start<Settings extends HostSettings> (description: ProgramDescription<Settings>, settings: Settings): Promise<void> {
-  const { hostId, dataCentre } = settings.host
-  const metrics = settings.metrics ? statsdMetrics(parseAddress(settings.metrics.statsdAddress), { hostId, dataCentre }) : memoryMetrics()
-  const countDropped = (reason: string): void => metrics.count(MetricName.LogLinesLeftOut, { reason })
-  const output = new LogOutput({ stream: process.stderr, clock: systemClock, onDropped: countDropped })
+/** What a program has before its settings are known. */
+interface ProgramFrame {
+  logger: Logger
+  life: ProgramLife
+  /** Adds the host to the log lines that follow, and counts lines that are left out. */
+  know: (hostId: string, metrics: Metrics) => void
+  onFatal: (error: unknown) => void
+}
+
+function createFrame<Settings extends HostSettings> ({ name, eventCatalogue, brokenInvariantEvent }: ProgramDescription<Settings>): ProgramFrame {
+  let metrics: Metrics | undefined
+  const onDropped = (reason: string): void => metrics?.count(MetricName.LogLinesLeftOut, { reason })
+  const output = new LogOutput({ stream: process.stderr, clock: systemClock, onDropped })
   output.install()
-  const logger = createLogger(description.eventCatalogue, { program: description.name, hostId }, output.budget)
+  const context: LogFields = { program: name }
+  const logger = createLogger({ ...eventCatalogue, ...programEventCatalogue }, context, output.budget)
   const onFatal = (error: unknown): void => {
-    logger.event(description.brokenInvariantEvent, { error: error instanceof Error ? error.stack : String(error) })
+    logger.event(brokenInvariantEvent, { error: error instanceof Error ? error.stack : String(error), exitCode: ProgramExit.BrokenInvariant })
     process.exit(ProgramExit.BrokenInvariant)
   }
-  const onStopped = (): void => process.exit(ProgramExit.Stopped)
-  process.on('uncaughtException', onFatal)
+  const exit = (code: number): void => {
+    output.flush(systemClock, systemClock.nowMs() + LOG_FLUSH_TIMEOUT_MS).then(() => process.exit(code), onFatal)
+  }
+  const life = new ProgramLife({ logger, exit, onHangup: () => logger.event(ProgramEvent.HangupIgnored) })
+  const know = (hostId: string, known: Metrics): void => {
+    context.hostId = hostId
+    metrics = known
+  }
+  return { logger, life, know, onFatal }
+}
+
+/**
+ * Settings of a host are written by people and their tools; a file that is written at
+ * this moment is whole a little later.
+ * @throws SettingsError naming the problem that lasts.
+ */
+async function readWholeSettings<Settings> (path: string, schema: z.ZodType<Settings>, startScope: Scope): Promise<Settings> {
+  const watch = new SettingsWatch<Settings>({ path, clock: systemClock, check: text => checkSettings(path, text, schema), onProblem: () => {}, onUsable: () => {} })
+  const scope = startScope.child('settings')
+  const cancel = systemClock.callAt(systemClock.nowMs() + SETTINGS_WAIT_MS, () => scope.close('the settings cannot be used'))
   try {
-    const program = await description.start(settings, { logger, metrics, onFatal, onStopped })
-    stopOnSignals(() => { program.stop().then(onStopped, onFatal) })
+    return await watch.next(scope)
   } catch (error) {
-    onFatal(error)
+    if (startScope.isClosed || watch.problem === undefined) throw error
+    throw new SettingsError(watch.problem)
+  } finally {
+    cancel()
   }
 }
 
-/** The handlers stay: without them, a second signal would end the process in the middle of its planned stop. */
-function stopOnSignals (stop: () => void): void {
-  let isStopping = false
-  const stopOnce = (): void => {
-    if (isStopping) return
-    isStopping = true
-    stop()
+async function start<Settings extends HostSettings> (description: ProgramDescription<Settings>, settings: Settings, { logger, life, know, onFatal }: ProgramFrame): Promise<void> {
+  const { hostId, dataCentre } = settings.host
+  const metrics = settings.metrics ? statsdMetrics(parseAddress(settings.metrics.statsdAddress), { hostId, dataCentre }) : memoryMetrics()
+  know(hostId, metrics)
+  const onStopped = (): void => life.endPlannedStop()
+  try {
+    const program = await description.start(settings, { logger, metrics, onFatal, onStopped })
+    life.started(() => { program.stop().then(onStopped, onFatal) })
+  } catch (error) {
+    onFatal(error)
   }
-  process.on('SIGTERM', stopOnce)
-  process.on('SIGINT', stopOnce)
 }
--- a/src/utils/settingsWatch.ts
+++ b/src/utils/settingsWatch.ts
@@ -68,6 +68,11 @@
     }
   }
 
+  /** Why the file cannot be used; undefined if it can. */
+  get problem (): string | undefined {
+    return this._trouble?.problem
+  }
+
   /** Whoever waits looks at the file at once. */
   lookNow (): void {
     this._lookAsked.notify()
