Endpoints: a status that is none is a broken answer, not one for the caller

Callers saw answers with status 600 and 999 as their engine had sent them; an item that got one was counted as run and failed, an engine that answered an order so had refused it, and a call to the infrastructure answered by 000 counted as refused.

Cause: nothing asked whether a status is one. undici passes on 200 to 999, and takes what lies below 200 for something ahead of the answer; on 000 it breaks an invariant of its own.

--- a/src/utils/metricNames.ts
+++ b/src/utils/metricNames.ts
@@ -97,7 +97,9 @@
   Foreign = 'foreign_id',
   NotWhole = 'not_whole',
   /** The answer did not come to its end within its bounds. */
-  TooLarge = 'too_large'
+  TooLarge = 'too_large',
+  /** The status is none that an answer may have. */
+  BadStatus = 'bad_status'
 }
 
 export interface MetricDescription {
