--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -41,7 +41,7 @@
       else health.failed(FailureReason.Unreached, startedAtMs)
       return
     case 'broken':
-      health.failed(FailureReason.Broken, startedAtMs)
+      if (outcome.isOutOfTime !== true) health.failed(FailureReason.Broken, startedAtMs)
       return
     default:
       unreachable(outcome)
--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -61,6 +61,8 @@
 export interface Broken {
   kind: 'broken'
   reason: string
+  /** The deadline of the exchange passed: its endpoint may still be at work, and is not to blame. */
+  isOutOfTime?: boolean
   /** The endpoint closed or reset the connection, as opposed to sending a bad answer. */
   isConnectionLost?: boolean
 }
--- a/src/gateway/failedTry.ts
+++ b/src/gateway/failedTry.ts
@@ -39,7 +39,8 @@
       else health.failed(FailureReason.Unreached, startedAtMs)
       return { ...failed, reason: RetryReason.ConnectFailed, detail: outcome.reason }
     case 'broken':
-      health.failed(FailureReason.Broken, startedAtMs)
+      // The endpoint may be at work on it still.
+      if (outcome.isOutOfTime !== true) health.failed(FailureReason.Broken, startedAtMs)
       return { ...failed, mayHaveRun: true, reason: RetryReason.ConnectionLost, detail: outcome.reason }
     default:
       return unreachable(outcome)
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -262,6 +262,7 @@
     const startedAtMs = clock.nowMs()
     const run = this._options.quarantine.startRun(this._identity, endpoint)
     let isSettled = false
+    let isOutOfTime = false
     health.began()
     health.runningCount++
     const removeListener = health.onSlowdown(() => this._wake.notify())
@@ -269,6 +270,9 @@
       const wasRefusedThere = this._isToldWhetherItRan && this._refusedBy.has(endpoint.endpointId)
       const request = { endpoint, method, path, host, headers, body, attemptId, wasRefusedThere, account, deadlineMs: progress.deadlineMs }
       const outcome = await this._options.client.call(request, this._scope)
+      isOutOfTime = outcome.kind === 'broken' && outcome.isOutOfTime === true
+      // It counts as an open try: it may be at work still.
+      if (isOutOfTime) return
       isSettled = true
       this._openTriesCount--
       this._onOutcome(run, outcome, startedAtMs)
@@ -278,7 +282,7 @@
       health.runningCount--
       if (!isSettled) this._options.quarantine.abandoned(run)
       if (!isSettled) this._notifyStarted(startedAtMs)
-      if (this._scope.isClosed) health.recordDuration(clock.nowMs() - startedAtMs)
+      if (this._scope.isClosed || isOutOfTime) health.recordDuration(clock.nowMs() - startedAtMs)
     }
   }
 
--- a/src/protocol/runnerTasks.ts
+++ b/src/protocol/runnerTasks.ts
@@ -39,7 +39,7 @@
   z.object({ kind: z.literal('unreached'), reason: z.string(), isRefused: z.boolean().optional() }),
   z.object({ kind: z.literal('failed'), status: z.int() }),
   z.object({ kind: z.literal('impossible') }),
-  z.object({ kind: z.literal('broken'), reason: z.string(), isConnectionLost: z.boolean().optional() })
+  z.object({ kind: z.literal('broken'), reason: z.string(), isConnectionLost: z.boolean().optional(), isOutOfTime: z.boolean().optional() })
 ] as const
 
 /** Why a store host ended a run. */
