A stopping host asks again, before it sends a request on, whether it has the time

What callers saw: 504 for requests that a host sent to endpoints moments before its end: bodies that arrived late in the grace, streams that had waited for a full service. What may run once could not be sent again.

Cause: whether the stop leaves the time was asked once, with the head (before a signal: yes, always). A body that arrives and a wait for a place take as long as the caller allows.

Change: the question (hasTime) goes with the request; both forwarders ask it before a try while no endpoint may have run it, and before a hedged try. Refused at once: 503, not run, Retry-After 0.

Ruled out: asking behind the body only (a wait comes after it); refusing what may have run (the promise would not be true).

Failed before: platform/stoppingServer "should refuse, as not run, what its body comes too late for, and what has none": 504 "deadline_passed" instead of 503, at_most_once; "should not pass on what has waited for a full service until it cannot be answered any more": [504, 1 run] instead of [503, 0] for a stream. Plain requests held there before, by the forecast of their service. "should refuse as not run while it stops and has no configuration yet …" held before and is new.

--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -26,6 +26,8 @@
   progress: Progress
   /** Whether the caller may still have the request run; asked before every try. */
   mayTry?: (() => boolean) | undefined
+  /** Whether the host has the time to see the request answered; asked until an endpoint may have run it. */
+  hasTime?: (() => boolean) | undefined
   /** Keep trying until the deadline: a refusal would be of no use to the caller. */
   isPersistent?: boolean
   /** Whether the request is part of work that was handed in for later, which the quarantine never withholds. */
--- a/src/gateway/requestForwarder.ts
+++ b/src/gateway/requestForwarder.ts
@@ -139,15 +139,19 @@
     this._hedgeBudget.depositFirstAttempt()
     while (!this._answer && !progress.isPastDeadline()) {
       if (this._openTriesCount === 0) {
-        const outcome = this._mayTry ? this._tryNext() : this._refuse(RefusalReason.LeaseLost)
+        const outcome = this._withheld() ?? this._tryNext()
         if (outcome) return outcome
       }
       await this._wake.wait(this._scope, { clock: progress.clock, deadlineMs: this._nextCheckAtMs() })
-      if (this._mayTry && this._mayHedge()) this._hedgeIfLate()
+      if (this._mayTry && this._hasTime && this._mayHedge()) this._hedgeIfLate()
     }
     return this._answer ?? this._refuse(RefusalReason.DeadlinePassed)
   }
 
+  private get _hasTime (): boolean {
+    return this._request.hasTime?.() ?? true
+  }
+
   /** Owed work that may run again is repeated whatever is said of a try. */
   private get _isToldWhetherItRan (): boolean {
     const { route, isPersistent } = this._request
@@ -158,6 +162,12 @@
     return this._request.mayTry?.() ?? true
   }
 
+  /** Undefined if a try may start. */
+  private _withheld (): ForwardOutcome | undefined {
+    if (!this._mayTry) return this._refuse(RefusalReason.LeaseLost)
+    return this._ranCount === 0 && !this._hasTime ? this._refuse(RefusalReason.HostStopping, 0) : undefined
+  }
+
   /** Starts a try; returns the outcome of the request when no further try is allowed or useful. */
   private _tryNext (): ForwardOutcome | undefined {
     const { route } = this._request
--- a/src/gateway/streamForwarder.ts
+++ b/src/gateway/streamForwarder.ts
@@ -105,6 +105,7 @@
     const { progress } = this._request
     const { quarantine } = this._options
     while (!progress.isPastDeadline()) {
+      if (this._ranCount === 0 && !this._hasTime) return this._refuse(RefusalReason.HostStopping, 0)
       const status = quarantine.statusOf(this._identity)
       if (status === QuarantineStatus.Condemned) return this._refuseQuarantined()
       const endpoint = this._options.pool.choose(this._service, this._tried, quarantine.riskyEndpointIds())
@@ -123,6 +124,10 @@
     return this._refuse(RefusalReason.DeadlinePassed)
   }
 
+  private get _hasTime (): boolean {
+    return this._request.hasTime?.() ?? true
+  }
+
   private async _waitBeforeRetry (): Promise<void> {
     const { clock, scope, deadlineMs } = this._request.progress
     await sleepUntil(clock, scope, Math.min(deadlineMs, clock.nowMs() + FULL_RETRY_MS))
--- a/tests/platform/stoppingServer.test.ts
+++ b/tests/platform/stoppingServer.test.ts
@@ -10,12 +10,14 @@
 import { systemClock } from '../../src/utils/clock.js'
 import { parseAddress } from '../../src/utils/settings.js'
 import { serve, type CallerFixture } from '../fixtures/callerFixture.js'
+import { refusalOf } from '../fixtures/endpointCalls.js'
 import { HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { completeResponse, startRawEndpoint, type RawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
 import { until } from '../fixtures/until.js'
 
 const TIMEOUT_MS = 20_000
 const WORK_MS = 300
+const BODY = 'the body'
 /** More than the buffers of a loopback connection take. */
 const LARGE_BODY = 'x'.repeat(6 * 1024 * 1024)
 
@@ -44,8 +46,8 @@
   await server.answerRest(systemClock.nowMs() + 1_000)
 }
 
-async function post (url: string, waitMs?: number): Promise<{ status: number, text: string, retryAfter: unknown }> {
-  const headers = { host: HOST, 'x-threaddrum-attempt-id': 'a1', ...(waitMs === undefined ? {} : { 'x-threaddrum-deadline-ms': String(waitMs) }) }
+async function post (url: string, waitMs?: number, attemptId = 'a1'): Promise<{ status: number, text: string, retryAfter: unknown }> {
+  const headers = { host: HOST, 'x-threaddrum-attempt-id': attemptId, ...(waitMs === undefined ? {} : { 'x-threaddrum-deadline-ms': String(waitMs) }) }
   const { statusCode: status, headers: { 'retry-after': retryAfter }, body } = await request(url, { method: 'POST', headers })
   return { status, text: await body.text(), retryAfter }
 }
@@ -173,3 +175,56 @@
   await endStop(server)
   t.is(await closed, '')
 })
+
+/** The head of a request whose body comes later, or never. */
+function headBeforeBody (attemptId: string): string {
+  return head(attemptId).replace('content-length: 0', `content-length: ${BODY.length}`)
+}
+
+// A body that came late in the grace was passed on, and its caller could not be answered.
+test('should refuse, as not run, what its body comes too late for, and what has none', async t => {
+  for (const kind of [RouteKind.AtMostOnce, RouteKind.Idempotent, RouteKind.Stream]) {
+    const server = await start(t, answerAfter(WORK_MS), kind)
+    const [late, never] = [await openSocket(t, server.address), await openSocket(t, server.address)]
+    const texts = Promise.all([readAll(late), readAll(never)])
+    for (const socket of [late, never]) socket.write(headBeforeBody('a1'))
+    await until(() => server.server.openCount === 2)
+    beginStop(server, WORK_MS)
+    late.write(BODY)
+    await endStop(server)
+    for (const text of await texts) t.regex(text, /^HTTP\/1.1 503 /, kind)
+    t.is(server.endpoint.requests.length, 0, kind)
+  }
+})
+
+// What waited for a full service was passed on when a place came free just before the end.
+test('should not pass on what has waited for a full service until it cannot be answered any more', async t => {
+  for (const kind of [RouteKind.AtMostOnce, RouteKind.Idempotent, RouteKind.Stream]) {
+    let isFull = true
+    let runsCount = 0
+    const server = await start(t, ({ socket, attemptId }) => {
+      if (attemptId === 'usual') return setTimeout(() => socket.write(completeResponse(attemptId)), WORK_MS)
+      if (isFull) return socket.write(refusalOf(attemptId, 503))
+      runsCount++
+    }, kind)
+    await post(server.url, undefined, 'usual')
+    const answer = post(server.url)
+    await until(() => server.endpoint.requests.length > 1)
+    beginStop(server, WORK_MS)
+    isFull = false
+    await endStop(server)
+    t.deepEqual([(await answer).status, runsCount], [503, 0], kind)
+  }
+})
+
+test('should refuse as not run while it stops and has no configuration yet, and serve by the first one that comes', async t => {
+  const server = await serve(t)
+  const endpoint = await startRawEndpoint(answerAfter(0))
+  t.teardown(() => endpoint.close())
+  server.stop.begin(systemClock.nowMs() + TIMEOUT_MS)
+  server.server.beginStop()
+  t.is((await post(server.url, 600)).status, 503)
+  server.view.merge('control-1', { routing: routing(1, [route({ timeoutMs: TIMEOUT_MS, services: [{ service: endpoint.endpoint.service, weight: 1 }] })]), endpoints: [endpoint.endpoint] })
+  t.is((await post(server.url, 600)).status, 200)
+  t.is((await post(server.url, 2 * TIMEOUT_MS)).status, 503)
+})
