A stopping host counts what is in progress when it judges how long a route takes

What callers saw: while the endpoints of a route had slowed down, a stopping host took on requests that it could not see answered; they got 504 at its end, and what may run once could not be sent again.

Cause: PlannedStop knew only the durations of answered requests. The requests in progress, which take longer than all of them, did not count.

Ruled out: counting from the head: a caller that sends no body would make its host refuse others.

Failed before: platform/stoppingServer "should take on none of a route whose requests in progress take longer than is left", at_most_once: [504, deadline_passed] instead of [503, host_stopping]. gateway/plannedStop has the same as a model without a network.

Tests of platform/stoppingServer, callerServer, boundaries, gateway/plannedStop: passed.

--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -2,8 +2,8 @@
  * What a host that has been asked to stop can still serve. Callers come to it for a
  * while, by lists and connections that they hold; it must have answered each of them
  * when it ends. A request is taken on if its own time is over by then, or if what its
- * route usually takes is far less than what is left; any other is refused at once,
- * since another host can serve it.
+ * route takes, by what was answered and by what is in progress, is far less than what is
+ * left; any other is refused at once, since another host can serve it.
  */
 import { LRUCache } from 'lru-cache'
 
@@ -18,6 +18,8 @@
 export class PlannedStop {
   /** By the name of the route, the oldest first. */
   private readonly _durationsMs = new LRUCache<string, number[]>({ max: MAX_ROUTES_COUNT })
+  /** When each request that an endpoint has was sent, by the name of the route, the oldest first. */
+  private readonly _sent = new Map<string, Set<{ sentAtMs: number }>>()
   private _endsAtMs = Number.POSITIVE_INFINITY
 
   /** When all requests have to be answered; infinite while the host does not stop. */
@@ -33,6 +35,20 @@
     this._endsAtMs = endsAtMs
   }
 
+  /**
+   * Notes a request that is sent to an endpoint for the first time: its route takes at least as long as it does.
+   * @returns to be called when it has ended
+   */
+  noteSent (routeName: string, sentAtMs: number): () => void {
+    const sent = this._sent.get(routeName) ?? new Set()
+    const own = { sentAtMs }
+    this._sent.set(routeName, sent.add(own))
+    return () => {
+      sent.delete(own)
+      if (sent.size === 0 && this._sent.get(routeName) === sent) this._sent.delete(routeName)
+    }
+  }
+
   /** Learns how long an answered request of a route took, from its arrival to the end of its answer. */
   recordDuration (routeName: string, durationMs: number): void {
     const durationsMs = this._durationsMs.get(routeName) ?? []
@@ -49,6 +65,11 @@
     if (deadlineMs <= this._endsAtMs) return true
     const durationsMs = this._durationsMs.get(routeName) ?? []
     if (durationsMs.length < MIN_DURATIONS_COUNT) return false
-    return nowMs + SAFETY_FACTOR * Math.max(...durationsMs) <= this._endsAtMs
+    return nowMs + SAFETY_FACTOR * Math.max(this._longestOpenMs(routeName, nowMs), ...durationsMs) <= this._endsAtMs
+  }
+
+  private _longestOpenMs (routeName: string, nowMs: number): number {
+    const [oldest] = this._sent.get(routeName) ?? []
+    return oldest ? nowMs - oldest.sentAtMs : 0
   }
 }
--- a/tests/gateway/plannedStop.test.ts
+++ b/tests/gateway/plannedStop.test.ts
@@ -28,3 +28,15 @@
   t.false(stop.canServe('other', 9_000, 20_000), 'nothing is known of this route')
   t.false(stopping([40, 50]).canServe('open', 9_000, 20_000), 'two requests show little')
 })
+
+// Only answered requests told how long a route takes, so that one whose endpoints had slowed down went on to look fast.
+test('should count a request that an endpoint has as one that takes as long, until it has ended', t => {
+  const stop = stopping([40, 50, 30, 60, 45])
+  const ends = [7_000, 9_000].map(sentAtMs => stop.noteSent('open', sentAtMs))
+  t.false(stop.canServe('open', 9_000, 20_000))
+  t.true(stop.canServe('open', 7_500, 20_000), 'a quarter of a second')
+  ends[0]?.()
+  t.true(stop.canServe('open', 9_100, 20_000))
+  ends[1]?.()
+  t.true(stop.canServe('open', 9_800, 20_000))
+})
--- a/tests/platform/stoppingServer.test.ts
+++ b/tests/platform/stoppingServer.test.ts
@@ -217,6 +217,23 @@
   }
 })
 
+// Only answered requests told how long a route takes: while its endpoints had slowed down, a stopping host went on to pass requests on.
+test('should take on none of a route whose requests in progress take longer than is left', async t => {
+  for (const kind of [RouteKind.AtMostOnce, RouteKind.Idempotent, RouteKind.Stream]) {
+    const server = await start(t, ({ socket, attemptId }) => { if (attemptId === 'usual') socket.write(completeResponse(attemptId)) }, kind)
+    for (let number = 0; number < 5; number++) await post(server.url, undefined, 'usual')
+    const slow = post(server.url, undefined, 'slow')
+    await until(() => server.endpoint.requests.length === 6)
+    await new Promise(resolve => setTimeout(resolve, WORK_MS))
+    beginStop(server, WORK_MS)
+    const { status, text } = await post(server.url, undefined, 'late')
+    t.deepEqual([status, text], [503, RefusalReason.HostStopping], kind)
+    t.is(server.endpoint.requests.filter(request => request.includes('late')).length, 0, kind)
+    await endStop(server)
+    t.is((await slow).status, 504, kind)
+  }
+})
+
 test('should refuse as not run while it stops and has no configuration yet, and serve by the first one that comes', async t => {
   const server = await serve(t)
   const endpoint = await startRawEndpoint(answerAfter(0))
