A control host that stops answers the calls that are left

What callers saw: calls of operators, trainers and endpoints that were in progress at the end of a control host's planned stop had their connections closed without an answer.

Cause: finish waited 850 ms, the time-out of a call, which runs from the end of its body. A body that comes late in that time, or never, outlasts the wait; then all connections closed.

Ruled out: 503 (a command may have been committed); refusing from the signal on.

Failed before: platform/controlServer "should answer all calls before it ends, also those whose bodies come late or never": the caller read '' before its connection closed.

--- a/tests/platform/controlServer.test.ts
+++ b/tests/platform/controlServer.test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from 'ava'
+import { connect, type Socket } from 'node:net'
 import { request } from 'undici'
 import { ControlServer } from '../../platform/controlServer.js'
 import { ControlEvent } from '../../src/control/controlEvents.js'
@@ -10,8 +11,11 @@
 import type { SubmitReply } from '../../src/protocol/controlMessages.js'
 import { RoutingCommandKind, type RoutingCommand } from '../../src/protocol/routingCommands.js'
 import { EndpointLifecycle, type FleetEndpoint } from '../../src/protocol/fleet.js'
+import { parseAddress } from '../../src/utils/settings.js'
+import { until } from '../fixtures/until.js'
 import { systemClock } from '../../src/utils/clock.js'
 import type { LogFields, Logger } from '../../src/utils/logger.js'
+import type { Progress } from '../../src/utils/progress.js'
 import { seededRandom } from '../../src/utils/randomSource.js'
 import { Scope } from '../../src/utils/scope.js'
 import { unboundedGuard } from '../fixtures/clientGuards.js'
@@ -20,7 +24,15 @@
 const HEARTBEAT_MS = 1_000
 const heartbeat = { service: 'engines', address: '10.128.0.9:8080', zone: 'north', version: 'v1', slots: 12, state: 'ready', 'cold-left-ms': 0, models: [{ name: 'm1', version: 4 }], seq: 4, born: 1_700_000_000_000 }
 
+/** Most of the time that a control host has for calls in progress when it stops. */
+const LATE_BODY_MS = 600
+/** Longer than what is left then. */
+const COMMIT_MS = 500
+
 interface ControlFixture {
+  address: string
+  server: ControlServer
+  close: () => void
   directory: EndpointDirectory
   sentEndpoints: FleetEndpoint[]
   events: Array<{ number: number, fields: LogFields }>
@@ -29,7 +41,7 @@
 }
 
 /** Starts the server of a leading control host for endpoints. */
-async function serve (t: ExecutionContext): Promise<ControlFixture> {
+async function serve (t: ExecutionContext, commitMs = 0): Promise<ControlFixture> {
   const scope = new Scope('test')
   t.teardown(() => scope.close('test over'))
   const events: ControlFixture['events'] = []
@@ -39,7 +51,7 @@
   const sentEndpoints: FleetEndpoint[] = []
   const followers = { announce: (endpoint: FleetEndpoint) => { sentEndpoints.push(endpoint) }, tellLeave: async () => ({ followersCount: 0, knowingCount: 0 }) }
   const node = { isLeader: true, state: { routing: { leaves } } } as unknown as ControlNode
-  const leaderCalls = { submit: async (command: RoutingCommand): Promise<SubmitReply> => await recordLeave(leaves, command) }
+  const leaderCalls = { submit: async (command: RoutingCommand, progress: Progress): Promise<SubmitReply> => await progress.scope.race(recordLeave(leaves, command, commitMs)) }
   const announcements = new EndpointAnnouncements({ node, directory, leaderCalls, followers, clock: systemClock, logger })
   const program = { directory, announcements, node } as unknown as ControlProgram
   const address = `${loopbackHost()}:${await freePort()}`
@@ -51,11 +63,27 @@
     return answer.statusCode
   }
   const announce = async (name: string, body: unknown): Promise<number> => await send(`/v1/instances/${name}/heartbeat`, JSON.stringify(body))
-  return { directory, sentEndpoints, events, send, announce }
+  return { address, server, close: () => scope.close('planned stop'), directory, sentEndpoints, events, send, announce }
+}
+
+/** Sends the head of a call whose body comes later. */
+async function openCall (t: ExecutionContext, address: string, path: string, bodyBytes: number): Promise<{ socket: Socket, text: Promise<string> }> {
+  const { host, port } = parseAddress(address)
+  const socket = connect({ host, port })
+  t.teardown(() => socket.destroy())
+  const text = new Promise<string>(resolve => {
+    let received = ''
+    socket.on('data', chunk => { received += chunk.toString() })
+    socket.on('error', () => {})
+    socket.once('close', () => resolve(received))
+  })
+  socket.write(`POST ${path} HTTP/1.1\r\nhost: ${address}\r\ncontent-length: ${bodyBytes}\r\n\r\n`)
+  return { socket, text }
 }
 
-/** Replaces the replicated log: records leaves at once. */
-async function recordLeave (leaves: RecordedLeaves, command: RoutingCommand): Promise<SubmitReply> {
+/** Replaces the replicated log: records leaves, after a time. */
+async function recordLeave (leaves: RecordedLeaves, command: RoutingCommand, commitMs: number): Promise<SubmitReply> {
+  if (commitMs > 0) await new Promise(resolve => setTimeout(resolve, commitMs))
   if (command.kind !== RoutingCommandKind.RecordLeave) throw new Error(`unexpected command ${command.kind}`)
   return { kind: 'committed', result: { kind: 'leaveNoted', leave: leaves.record(command.leave) } }
 }
@@ -135,3 +163,17 @@
   }
   t.like(served.directory.all()[0], { name: 'i-1', sequence: heartbeat.seq, lifecycle: EndpointLifecycle.Ready })
 })
+
+// Calls that went on when a control host ended were cut off without an answer.
+test('should answer all calls before it ends, also those whose bodies come late or never', async t => {
+  const served = await serve(t, COMMIT_MS)
+  const body = JSON.stringify({ ...heartbeat, state: 'draining' })
+  const sockets = await Promise.all(['i-1', 'i-2'].map(async name => await openCall(t, served.address, `/v1/instances/${name}/heartbeat`, body.length)))
+  await until(() => served.server.openCount === 2)
+  const finished = served.server.finish()
+  await new Promise(resolve => setTimeout(resolve, LATE_BODY_MS))
+  sockets[0]?.socket.write(body)
+  await finished
+  served.close()
+  for (const { text } of sockets) t.regex(await text, /^HTTP\/1.1 504 [^]*this host stops/)
+})
--- a/tests/platform/stoppingServer.test.ts
+++ b/tests/platform/stoppingServer.test.ts
@@ -35,13 +35,13 @@
 }
 
 /** Asks the server to stop, with this much time to answer what it has. */
-function beginStop ({ server, stop }: Server, forMs: number): void {
+function beginStop ({ server, stop }: CallerFixture, forMs: number): void {
   stop.begin(systemClock.nowMs() + forMs)
   server.beginStop()
 }
 
 /** Lets the server end what is left, as its host does. */
-async function endStop ({ server }: Server): Promise<void> {
+async function endStop ({ server }: CallerFixture): Promise<void> {
   await server.finish()
   await server.answerRest(systemClock.nowMs() + 1_000)
 }
