Listeners: a connection that cannot be accepted does not end the process

Cause: the listener of errors that belonged to the attempt to listen took the first later error of the server without a line; the next error event had no listener, an uncaught exception.

Change: each server has a listener of errors for good, which counts (listeners.errors) and logs (922, again every 10 s).

Ruled out: pausing the listener; libuv drops what it cannot take by itself.

--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -132,7 +132,7 @@
 
   private constructor (options: StoreProgramOptions, opened: OpenedReplica, readMs: number) {
     this._options = options
-    this._transport = new TcpTransport({ logger: options.logger })
+    this._transport = new TcpTransport(options)
     const { settings, logger, metrics, onFatal } = options
     this._supervisor = new Supervisor(this._scope, (_task, error) => onFatal(error))
     this._view = new FleetView(logger)
--- a/src/clients/guardedServer.ts
+++ b/src/clients/guardedServer.ts
@@ -67,8 +67,8 @@
 
   /** Resolves once a guarded server listens, which waits for its address. */
   async listen (server: Server, listener: string, address: string, scope: Scope): Promise<void> {
-    const { clock, logger } = this._options
-    await listenWhenFree({ server, name: listener, address, clock, logger, scope })
+    const { clock, logger, metrics } = this._options
+    await listenWhenFree({ server, name: listener, address, clock, logger, metrics, scope })
   }
 
   /** The body of a request to a guarded server; one without bounds for any other. */
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -108,7 +108,7 @@
 
   private constructor (options: ControlProgramOptions, opened: OpenedReplica, readMs: number) {
     this._options = options
-    this.transport = new TcpTransport({ logger: options.logger })
+    this.transport = new TcpTransport(options)
     this._formationOptions = { initialMembers: options.settings.cluster.initialMembers, mayForm: options.fleet?.mayForm ?? true }
     this._supervisor = new Supervisor(this._scope, (_task, error) => options.onFatal(error))
     const state = new ControlState(options.createLedgers)
--- a/src/entry/startEntry.ts
+++ b/src/entry/startEntry.ts
@@ -26,7 +26,7 @@
 export async function startEntry (settings: EntrySettings, { logger, metrics, onFatal, onStopped }: StartEntryOptions): Promise<EntryProgram> {
   const supervisor = new Supervisor(new Scope('entry'), (_task, error) => onFatal(error))
   const random = systemRandom()
-  const transport = new TcpTransport({ localHost: parseAddress(settings.host.peerAddress).host, logger })
+  const transport = new TcpTransport({ localHost: parseAddress(settings.host.peerAddress).host, logger, metrics })
   const incarnation = systemClock.wallMs()
   const { operatorAddress, ...host } = settings.host
   const control = new NetworkControlClient({
--- a/src/transport/tcpTransport.ts
+++ b/src/transport/tcpTransport.ts
@@ -7,6 +7,7 @@
 import { systemClock } from '../utils/clock.js'
 import { listenWhenFree } from '../utils/listenWhenFree.js'
 import { silentLogger, type Logger } from '../utils/logger.js'
+import { memoryMetrics, type Metrics } from '../utils/metrics.js'
 import { Scope } from '../utils/scope.js'
 import { parseAddress } from '../utils/settings.js'
 import type { Connection, ConnectOutcome, Listener, SharedMessage, Transport } from './connection.js'
@@ -29,16 +30,18 @@
   localHost?: string
   /** Of a process that listens. */
   logger?: Logger
+  /** Of a process that listens. */
+  metrics?: Metrics
 }
 
 export class TcpTransport implements Transport {
   readonly counts: TrafficCounts = { sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0 }
   private readonly _localHost: string | undefined
-  private readonly _logger: Logger
+  private readonly _reports: { logger: Logger, metrics: Metrics }
 
-  constructor ({ localHost, logger = silentLogger }: TcpTransportOptions = {}) {
+  constructor ({ localHost, logger = silentLogger, metrics = memoryMetrics() }: TcpTransportOptions = {}) {
     this._localHost = localHost
-    this._logger = logger
+    this._reports = { logger, metrics }
   }
 
   async connect (address: string, scope: Scope): Promise<ConnectOutcome> {
@@ -64,7 +67,7 @@
       const from = `${socket.remoteAddress}:${socket.remotePort}`
       onConnection(new TcpConnection(socket, scope.child(`from ${from}`), this.counts))
     })
-    await listenWhenFree({ server, name: 'peers', address, clock: systemClock, logger: this._logger, scope })
+    await listenWhenFree({ server, name: 'peers', address, clock: systemClock, ...this._reports, scope })
     scope.onClose(() => server.close())
     const bound = server.address()
     const boundPort = typeof bound === 'object' && bound ? bound.port : port
--- a/src/utils/listenWhenFree.ts
+++ b/src/utils/listenWhenFree.ts
@@ -8,6 +8,8 @@
 import { ListenEvent } from './listenEvents.js'
 import type { LogFields, Logger } from './logger.js'
 import { LogThrottle } from './logThrottle.js'
+import { MetricName } from './metricNames.js'
+import type { Metrics } from './metrics.js'
 import type { Scope } from './scope.js'
 import { parseAddress } from './settings.js'
 
@@ -21,16 +23,19 @@
   address: string
   clock: Clock
   logger: Logger
+  metrics: Metrics
   /** Ends the wait. */
   scope: Scope
 }
 
 /**
  * Resolves once the server listens. What is wrong for good, such as a port that cannot
- * be one, is thrown.
+ * be one, is thrown. From the call on, no error of the server ends the process.
  * @throws ScopeClosedError when the scope closes first.
  */
-export async function listenWhenFree ({ server, name, address, clock, logger, scope }: ListenOptions): Promise<void> {
+export async function listenWhenFree (options: ListenOptions): Promise<void> {
+  const { server, name, address, clock, logger, scope } = options
+  recordErrors(options)
   const throttle = new LogThrottle(clock)
   const startedAtMs = clock.nowMs()
   const fields = (attemptsCount: number): LogFields => ({ listener: name, address, attemptsCount, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
@@ -49,6 +54,15 @@
   }
 }
 
+/** A server without a listener of its errors ends the process with the first one, such as a connection that no descriptor is left for. */
+function recordErrors ({ server, name, address, clock, logger, metrics }: ListenOptions): void {
+  const throttle = new LogThrottle(clock)
+  server.on('error', ({ code = 'unknown', message }: NodeJS.ErrnoException) => {
+    metrics.count(MetricName.ListenersErrors, { listener: name, code })
+    if (server.listening && throttle.shouldLog(code)) logger.event(ListenEvent.AcceptFailed, { listener: name, address, code, error: message })
+  })
+}
+
 /** Undefined once the server listens. */
 async function listenOnce (server: Server, address: string, scope: Scope): Promise<NodeJS.ErrnoException | undefined> {
   const { host, port } = parseAddress(address)
--- a/tests/utils/listenWhenFree.test.ts
+++ b/tests/utils/listenWhenFree.test.ts
@@ -6,6 +6,8 @@
 import { ListenEvent } from '../../src/utils/listenEvents.js'
 import { listenWhenFree } from '../../src/utils/listenWhenFree.js'
 import type { LogFields, Logger } from '../../src/utils/logger.js'
+import { MetricName } from '../../src/utils/metricNames.js'
+import { memoryMetrics } from '../../src/utils/metrics.js'
 import { Scope } from '../../src/utils/scope.js'
 import { freePort, loopbackHost } from '../fixtures/loopback.js'
 import { until } from '../fixtures/until.js'
@@ -40,7 +42,7 @@
   const address = `${loopbackHost()}:${await freePort()}`
   const holder = await hold(address)
   const [server, scope, lines] = [createHttpServer(), new Scope('test'), [] as Line[]]
-  const listening = listenWhenFree({ server, name: 'test', address, clock: systemClock, logger: recordingLogger(lines), scope })
+  const listening = listenWhenFree({ server, name: 'test', address, clock: systemClock, metrics: memoryMetrics(), logger: recordingLogger(lines), scope })
   await until(() => lines.length > 0)
   t.like(lines[0], { event: ListenEvent.Waiting, listener: 'test', address, code: 'EADDRINUSE' })
   holder.close()
@@ -51,9 +53,20 @@
   server.close()
 })
 
+// An error of a server without a listener of errors ends the process.
+test('should tell of the connections that could not be accepted once, and count them all', async t => {
+  const [server, lines, metrics] = [createServer(), [] as Line[], memoryMetrics()]
+  await listenWhenFree({ server, name: 'test', address: `${loopbackHost()}:0`, clock: systemClock, logger: recordingLogger(lines), metrics, scope: new Scope('test') })
+  for (let count = 0; count < 3; count++) server.emit('error', Object.assign(new Error('accept EMFILE'), { code: 'EMFILE' }))
+  t.like(lines, [{ event: ListenEvent.AcceptFailed, listener: 'test', code: 'EMFILE' }])
+  t.is(lines.length, 1)
+  t.is(metrics.snapshot()[`${MetricName.ListenersErrors}{code=EMFILE,listener=test}`], 3)
+  server.close()
+})
+
 test('should listen without a line where the address is free', async t => {
   const [server, lines] = [createServer(), [] as Line[]]
-  await listenWhenFree({ server, name: 'test', address: `${loopbackHost()}:0`, clock: systemClock, logger: recordingLogger(lines), scope: new Scope('test') })
+  await listenWhenFree({ server, name: 'test', address: `${loopbackHost()}:0`, clock: systemClock, metrics: memoryMetrics(), logger: recordingLogger(lines), scope: new Scope('test') })
   t.true(server.listening)
   t.deepEqual(lines, [])
   server.close()
@@ -64,7 +77,7 @@
     const address = `${loopbackHost()}:${await freePort()}`
     const holder = await hold(address)
     const [server, scope, lines] = [create(), new Scope('test'), [] as Line[]]
-    const listening = listenWhenFree({ server, name: 'test', address, clock: systemClock, logger: recordingLogger(lines), scope })
+    const listening = listenWhenFree({ server, name: 'test', address, clock: systemClock, metrics: memoryMetrics(), logger: recordingLogger(lines), scope })
     await until(() => lines.length > 0)
     scope.close('planned stop')
     await t.throwsAsync(listening, { instanceOf: ScopeClosedError })
@@ -78,7 +91,7 @@
 test('should not keep listening when the scope closes during an attempt', async t => {
   const address = `${loopbackHost()}:${await freePort()}`
   const [server, scope] = [createServer(), new Scope('test')]
-  const listening = listenWhenFree({ server, name: 'test', address, clock: systemClock, logger: recordingLogger([]), scope })
+  const listening = listenWhenFree({ server, name: 'test', address, clock: systemClock, metrics: memoryMetrics(), logger: recordingLogger([]), scope })
   scope.close('planned stop')
   await t.throwsAsync(listening, { instanceOf: ScopeClosedError })
   await until(async () => !server.listening && !await isListenedOn(address))
