Memory watch: a reading without a free descriptor does not end the process

Cause: the resident size is read from a file, the reading throws without a descriptor, and what a task throws counts as a broken invariant.

Ruled out: a descriptor in reserve; connections are accepted before our code.

Evidence: platform/descriptorLimit on, in its first form, failed for edge, control and store with 'code 70' and that line (300 descriptors, 500 clients); all three pass now.

--- a/src/utils/memoryWatch.ts
+++ b/src/utils/memoryWatch.ts
@@ -4,6 +4,7 @@
  * reached and one line when memory is below that level again, so that the last lines of a
  * process that was killed show whether memory was the cause.
  */
+import { getHeapStatistics } from 'node:v8'
 import type { Clock } from './clock.js'
 import { everySecond } from './everySecond.js'
 import type { LogFields, Logger } from './logger.js'
@@ -19,6 +20,8 @@
   heapBytes: number
   /** Buffers outside the heap. */
   externalBytes: number
+  /** Why the resident size is that of an earlier reading; absent if it is current. */
+  staleReason?: string
 }
 
 export type MemoryReader = () => MemoryUse
@@ -50,10 +53,19 @@
  * of each, one run).
  */
 export const processMemory: MemoryReader = () => {
-  const { rss, heapUsed, external } = process.memoryUsage()
-  return { residentBytes: rss, heapBytes: heapUsed, externalBytes: external }
+  try {
+    const { rss, heapUsed, external } = process.memoryUsage()
+    lastResidentBytes = rss
+    return { residentBytes: rss, heapBytes: heapUsed, externalBytes: external }
+  } catch (error) {
+    // Reading the resident size opens a file, for which a process at its limit of descriptors has none left.
+    const { used_heap_size: heapBytes, external_memory: externalBytes } = getHeapStatistics()
+    return { residentBytes: Math.max(lastResidentBytes, heapBytes + externalBytes), heapBytes, externalBytes, staleReason: (error as Error).message }
+  }
 }
 
+let lastResidentBytes = 0
+
 export function megabytesToBytes (megabytes: number): number {
   return megabytes * BYTES_PER_MEGABYTE
 }
@@ -62,6 +74,7 @@
   private readonly _options: MemoryWatchOptions
   /** Levels that were reached and not cleared since. */
   private readonly _exceededLevels = new Set<number>()
+  private _isStale = false
 
   constructor (options: MemoryWatchOptions) {
     this._options = options
@@ -74,6 +87,7 @@
   private _readOnce (): void {
     const { metrics, limitBytes, read } = this._options
     const use = read()
+    this._noteStale(use)
     metrics.gauge(MetricName.MemoryResidentBytes, use.residentBytes)
     metrics.gauge(MetricName.MemoryHeapBytes, use.heapBytes)
     metrics.gauge(MetricName.MemoryExternalBytes, use.externalBytes)
@@ -82,6 +96,14 @@
     for (const levelPercent of MEMORY_LEVELS_PERCENT) this._compare(levelPercent, use, limitBytes)
   }
 
+  /** One line when the resident size becomes unreadable, and one when it can be read again. */
+  private _noteStale ({ staleReason, residentBytes }: MemoryUse): void {
+    const isStale = staleReason !== undefined
+    if (isStale === this._isStale) return
+    this._isStale = isStale
+    this._options.logger.event(isStale ? MemoryEvent.Unreadable : MemoryEvent.ReadAgain, { error: staleReason, residentBytes })
+  }
+
   private _compare (levelPercent: number, use: MemoryUse, limitBytes: number): void {
     const usedPercent = 100 * use.residentBytes / limitBytes
     const fields: LogFields = { levelPercent, limitBytes, ...use }
