Demo: SIGTERM, SIGHUP and a second signal stop the system as Ctrl-C does, also while it starts

The guardian then killed the processes, and the folder stayed behind.

Cause: the handler, of SIGINT only and for once, stood behind the last step.

Change: the first signal, at any time, stops what has been started and removes the folder; the others change nothing. What starts a process refuses once the stop has begun.

Ruled out: ending at once and leaving the rest to the guardian, which kills: hosts would not stop as planned.

--- a/demo/demoRun.ts
+++ b/demo/demoRun.ts
@@ -76,7 +76,7 @@
     printLine(`checked: ${record.samples.length} samples, fresh, complete, each once, versions as the engines recorded them`)
   }
 
-  async runUntilInterrupted (): Promise<void> {
+  showHowToUse (): void {
     const [control = ''] = this._system.controlAddresses
     const [entry = ''] = this._system.entryAddresses
     printLine(`the system runs until Ctrl-C; logs and settings are in ${this._system.folder}`)
@@ -91,7 +91,6 @@
     printLine(`  curl http://${control}/v1/status`)
     printLine(`  curl 'http://${entry}/v1/advice?dataCentre=hal-a'`)
     printLine(`  curl -N http://${entry}/v1/completions -H 'content-type: application/json' -d '{"model":"practice-lm","prompt":"Kaart","stream":true}'`)
-    await waitForInterrupt()
   }
 
   async stop (): Promise<void> {
@@ -104,6 +103,16 @@
     }
   }
 
+  /** Stops what has been started so far; nothing more is started. */
+  async stopEarly (): Promise<void> {
+    printLine('stopping what has been started')
+    this._system.processes.beginClosing()
+    await this._client.close()
+    for (const group of [this._entries, this._standIns, this._controls]) {
+      await Promise.all(group.map(async managed => await managed.stop()))
+    }
+  }
+
   /** Sends a review twice with the same idempotency key and checks that it is executed once. */
   private async _sendReview (): Promise<void> {
     const review: EntryRequest = {
@@ -178,13 +187,3 @@
     if (code !== 0) throw new Error(`threaddrum ${args[0]} exited with ${code}`)
   }
 }
-
-async function waitForInterrupt (): Promise<void> {
-  await new Promise<void>(resolve => {
-    const keepAlive = setInterval(() => {}, PROGRESS_INTERVAL_MS)
-    process.once('SIGINT', () => {
-      clearInterval(keepAlive)
-      resolve()
-    })
-  })
-}
--- a/demo/processGroup.ts
+++ b/demo/processGroup.ts
@@ -59,6 +59,7 @@
   private readonly _folder: string
   private readonly _processes: ManagedProcess[] = []
   private readonly _guardian: ChildProcess
+  private _isClosing = false
 
   /** @param folder for the log files */
   constructor (folder: string, guardianScript: string) {
@@ -71,8 +72,17 @@
     return this._processes
   }
 
-  /** @param env variables added to the environment of this process */
+  /** Starts no more processes from now on. */
+  beginClosing (): void {
+    this._isClosing = true
+  }
+
+  /**
+   * @param env variables added to the environment of this process
+   * @throws Error once the group is closing
+   */
   start (name: string, script: string, args: string[], env: Record<string, string> = {}): ManagedProcess {
+    if (this._isClosing) throw new Error(`${name}: not started, because the others are being stopped`)
     const logFile = join(this._folder, `${name}.log`)
     const log = createWriteStream(logFile, { flags: 'a' })
     const child = spawn(process.execPath, [script, ...args], {
