Log events: those of listeners have numbers of their own, 930 to 939

Cause: two catalogues were given the numbers from 920 on at the same time; which line a number meant depended on the program.

Ruled out: moving the events of programs, which more pages name.

--- a/src/utils/listenEvents.ts
+++ b/src/utils/listenEvents.ts
@@ -1,12 +1,12 @@
 /**
- * Log events about the listeners of a process: 920 to 929. Every catalogue includes them.
+ * Log events about the listeners of a process: 930 to 939. Every catalogue includes them.
  */
 import { LogLevel, type EventCatalogue } from './eventCatalogue.js'
 
 export enum ListenEvent {
-  Waiting = 920,
-  Listening = 921,
-  AcceptFailed = 922
+  Waiting = 930,
+  Listening = 931,
+  AcceptFailed = 932
 }
 
 export const listenEventCatalogue: EventCatalogue = {
