Start: a data folder that cannot be used yet is waited for

Callers lost a control or store host as long as its folder was missing, not writable or on a full disk: code 70 at each start (4002, StorageError).

Cause: opening the replica threw, and what a start throws counts as a broken invariant; at run time a full disk is waited for.

Change: openReplica tries the whole opening again each 100 ms, says so (1016, again every 10 s, 1017 at last), and ends with the scope of the start (startScope of both programs). Both programs open their replica by it. The folder of another host still ends the program.

Ruled out: retrying single operations, as a sync that failed once must not be believed; waiting under a running replica.

The full disk is shown by a disk in memory (replication/openReplica, new module).

--- a/src/batches/storeProgram.ts
+++ b/src/batches/storeProgram.ts
@@ -25,9 +25,9 @@
 import { defaultTimings, type LogTimings } from '../replication/log/timings.js'
 import { VoterWatch } from '../replication/log/voterWatch.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
-import { ReplicationEvent } from '../replication/replicationEvents.js'
 import { FileDisk } from '../replication/storage/fileDisk.js'
-import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
+import { openReplica } from '../replication/openReplica.js'
+import type { OpenedReplica } from '../replication/storage/replicaStorage.js'
 import type { Connection } from '../transport/connection.js'
 import { joinStoreMethod } from '../transport/batchMethods.js'
 import { reportTasksMethod, type TasksReport, type TasksReportReply } from '../transport/runnerMethods.js'
@@ -86,6 +86,8 @@
   logger: Logger
   metrics: Metrics
   onFatal: (error: unknown) => void
+  /** Closes when a stop is asked for during the start; ends the wait for the data folder. */
+  startScope?: Scope
 }
 
 /** A snapshot has all stored batches, some tens of megabytes. Log entries since the last snapshot stay in memory as well: 12 MB of log entries instead of 24 MB lower the peak memory of a busy store by 20 to 30 MB (tests/processes/storeMemory). */
@@ -177,17 +179,13 @@
   }
 
   /**
-   * Opens the data folder and starts serving.
-   * @throws StorageError if the data folder cannot be used.
+   * Waits until the data folder can be used, and starts serving.
+   * @throws StorageError if the data folder can never be used.
    */
   static async start (options: StoreProgramOptions): Promise<StoreProgram> {
-    const { settings, logger } = options
-    const disk = await FileDisk.open(settings.dataFolder)
-    const readFromMs = systemClock.nowMs()
-    const opened = await ReplicaStorage.open(disk, settings.hostId, () => systemRandom().id())
-    const readMs = systemClock.nowMs() - readFromMs
-    if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
-    if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailTruncated, { bytesCount: opened.loaded.tornBytes })
+    const { settings, logger, startScope = new Scope('start') } = options
+    const folder = settings.dataFolder
+    const { opened, readMs } = await openReplica({ folder, openDisk: () => FileDisk.open(folder), hostId: settings.hostId, newId: () => systemRandom().id(), clock: systemClock, logger, scope: startScope })
     const program = new StoreProgram(options, opened, readMs)
     await program._start()
     return program
--- a/src/control/controlProgram.ts
+++ b/src/control/controlProgram.ts
@@ -22,7 +22,6 @@
 import { adminRouter } from './admin/adminRouter.js'
 import { adminClient, LeaderAccess } from './admin/leaderAccess.js'
 import { ClientSessions } from './clientSessions.js'
-import { ReplicationEvent } from '../replication/replicationEvents.js'
 import { ControlEvent } from './controlEvents.js'
 import { ControlNode } from './controlNode.js'
 import type { ControlSettings } from './controlSettings.js'
@@ -50,7 +49,8 @@
 import { VoterWatch } from '../replication/log/voterWatch.js'
 import type { ReplicatedState } from '../replication/replicatedState.js'
 import { FileDisk } from '../replication/storage/fileDisk.js'
-import { ReplicaStorage, type OpenedReplica } from '../replication/storage/replicaStorage.js'
+import { openReplica } from '../replication/openReplica.js'
+import type { OpenedReplica } from '../replication/storage/replicaStorage.js'
 
 export interface ControlProgramOptions {
   settings: ControlSettings
@@ -59,6 +59,8 @@
   metrics: Metrics
   /** Called once when the process has to stop because its state may be invalid. */
   onFatal: (error: unknown) => void
+  /** Closes when a stop is asked for during the start; ends the wait for the data folder. */
+  startScope?: Scope
   fleet?: FleetOptions
   /** The account of what clients cost this process; one of its own if undefined. */
   clients?: ClientGuard
@@ -146,18 +148,13 @@
   }
 
   /**
-   * Opens the data folder and starts serving.
-   * @throws StorageError if the data folder cannot be used.
+   * Waits until the data folder can be used, and starts serving.
+   * @throws StorageError if the data folder can never be used.
    */
   static async start (options: ControlProgramOptions): Promise<ControlProgram> {
-    const { settings, logger } = options
-    const random = systemRandom()
-    const disk = await FileDisk.open(settings.storage.dataFolder)
-    const readFromMs = systemClock.nowMs()
-    const opened = await ReplicaStorage.open(disk, settings.host.hostId, () => random.id())
-    const readMs = systemClock.nowMs() - readFromMs
-    if (opened.damage !== undefined) logger.event(ReplicationEvent.StorageDamaged, { reason: opened.damage })
-    if (opened.loaded.tornBytes > 0) logger.event(ReplicationEvent.TornTailTruncated, { bytesCount: opened.loaded.tornBytes })
+    const { settings, logger, startScope = new Scope('start') } = options
+    const folder = settings.storage.dataFolder
+    const { opened, readMs } = await openReplica({ folder, openDisk: () => FileDisk.open(folder), hostId: settings.host.hostId, newId: () => systemRandom().id(), clock: systemClock, logger, scope: startScope })
     const program = new ControlProgram(options, opened, readMs)
     await program._start()
     return program
--- a/src/replication/storage/fileDisk.ts
+++ b/src/replication/storage/fileDisk.ts
@@ -3,7 +3,7 @@
  */
 import { mkdir, open, readdir, readFile, rename, rm, stat, type FileHandle } from 'node:fs/promises'
 import { join } from 'node:path'
-import { DiskFullError, StorageError } from '../../utils/errors.js'
+import { DiskFullError, DiskUnusableError } from '../../utils/errors.js'
 import type { Disk, DiskFile } from './disk.js'
 
 export class FileDisk implements Disk {
@@ -154,5 +154,5 @@
 function storageError (operation: string, error: unknown): Error {
   const { code } = error as NodeJS.ErrnoException
   if (code === 'ENOSPC' || code === 'EDQUOT') return new DiskFullError(`cannot ${operation}: ${(error as Error).message}`)
-  return new StorageError(`cannot ${operation}: ${(error as Error).message}`)
+  return new DiskUnusableError(`cannot ${operation}: ${(error as Error).message}`)
 }
--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -34,6 +34,8 @@
 export interface StorageOptions {
   /** False only in benchmarks that measure the cost of syncing. */
   syncs: boolean
+  /** Called before the files of a damaged replica are moved aside. */
+  onDamaged?: (reason: string) => void
 }
 
 export class ReplicaStorage {
@@ -76,6 +78,7 @@
         break
       case 'damaged':
         damage = outcome.reason
+        options.onDamaged?.(damage)
         await disk.setAside(await disk.list(), `damaged-${newId()}`)
         loaded = await createReplica(disk, hostId, newId())
         break
@@ -84,8 +87,13 @@
     }
     const log = await disk.open(logName(loaded.logSequence))
     const storage = new ReplicaStorage(disk, options, loaded, log)
-    await storage._truncateTornTail(loaded.tornBytes)
-    await storage._removeLeftovers()
+    try {
+      await storage._truncateTornTail(loaded.tornBytes)
+      await storage._removeLeftovers()
+    } catch (error) {
+      await log.close()
+      throw error
+    }
     return { storage, loaded, damage }
   }
 
--- a/src/utils/errors.ts
+++ b/src/utils/errors.ts
@@ -20,6 +20,9 @@
 /** The disk is full. No data was lost; the same write can be retried. */
 export const DiskFullError = StorageError.subclass('DiskFullError')
 
+/** The operating system refused an operation on a disk. A program that starts can wait until it succeeds; a running replica does not know what reached the disk. */
+export const DiskUnusableError = StorageError.subclass('DiskUnusableError')
+
 /** Rejects every pending wait of a scope when the scope closes. */
 export const ScopeClosedError = BaseError.subclass('ScopeClosedError', {
   props: { reason: '' }
