Addresses: a port or an octet that cannot be one is no address

Callers were refused with 502, 'executed unknown', when an endpoint had announced port 70000, although nothing can run there; a peer's address of this kind made connect throw, which ends a task and so the process.

Cause: the pattern for addresses counted digits, and addresses of peers were not checked.

Change: the pattern allows what a socket can have. Settings with another one end with key and value (code 2), an announcement is refused (400), a peer is unreachable.

Ruled out: that the request path ends an entry host (it counts a failed try).

--- a/src/transport/tcpTransport.ts
+++ b/src/transport/tcpTransport.ts
@@ -9,7 +9,7 @@
 import { silentLogger, type Logger } from '../utils/logger.js'
 import { memoryMetrics, type Metrics } from '../utils/metrics.js'
 import { Scope } from '../utils/scope.js'
-import { parseAddress } from '../utils/settings.js'
+import { isAddress, parseAddress } from '../utils/settings.js'
 import type { Connection, ConnectOutcome, Listener, SharedMessage, Transport } from './connection.js'
 
 const LENGTH_BYTES = 4
@@ -45,6 +45,8 @@
   }
 
   async connect (address: string, scope: Scope): Promise<ConnectOutcome> {
+    // Told by another host, which may be of another version or broken: a socket throws on a port that cannot be one.
+    if (!isAddress(address)) return { kind: 'unreachable', reason: `"${address}" is no address` }
     const { host, port } = parseAddress(address)
     const socket = connectSocket({ host, port, localAddress: this._localHost, noDelay: true })
     const opened = new Promise<ConnectOutcome>(resolve => {
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -8,11 +8,18 @@
 import { z } from 'zod'
 import { SettingsError } from './errors.js'
 
-const addressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
+const OCTET = '(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)'
+const PORT = '(?:6553[0-5]|655[0-2]\\d|65[0-4]\\d\\d|6[0-4]\\d{3}|[1-5]?\\d{1,4})'
+const addressPattern = new RegExp(`^${OCTET}(?:\\.${OCTET}){3}:${PORT}$`)
 
 /** `ip:port`; hosts are addressed by IPv4 address, never by name. */
 export const addressSchema = z.string().regex(addressPattern, 'expected an address such as 127.0.0.1:7100')
 
+/** Whether a text is an address that a socket can have. */
+export function isAddress (text: string): boolean {
+  return addressPattern.test(text)
+}
+
 export interface SocketAddress {
   host: string
   port: number
