Replica: joining a cluster waits for room on a full disk

Callers lost a control or store host whose disk was full when it joined: code 70 (4002, no space left) at each start.

Change: one retryWhileDiskFull for the log and for joining.

Evidence: control/failures 'should wait for room on the disk of a host that joins a cluster' on failed with 'control-2: no space left' among the stopped processes; the case of a host that forms one passed before as well. Both pass now.

--- a/src/replication/log/durableWriter.ts
+++ b/src/replication/log/durableWriter.ts
@@ -3,22 +3,19 @@
  * a write are written together in the next one, with one sync for all of them
  * (group commit). Replies that rely on a record wait for its ticket.
  */
-import { sleepUntil, type Clock } from '../../utils/clock.js'
-import { DiskFullError } from '../../utils/errors.js'
+import type { Clock } from '../../utils/clock.js'
 import type { Logger } from '../../utils/logger.js'
 import { MetricName } from '../../utils/metricNames.js'
 import type { Metrics } from '../../utils/metrics.js'
 import type { Scope } from '../../utils/scope.js'
 import { Signal } from '../../utils/signal.js'
-import { ReplicationEvent } from '../replicationEvents.js'
 import type { LogRecord } from '../storage/logRecords.js'
 import type { Compaction, ReplicaStorage } from '../storage/replicaStorage.js'
+import { retryWhileDiskFull } from './diskFullRetry.js'
 import { entryBytes } from './logEntry.js'
 
 /** Approximate size limit of one write. */
 const MAX_BATCH_BYTES = 4 * 1024 * 1024
-/** Pause before a write is retried after the disk was full. */
-const DISK_FULL_RETRY_MS = 100
 
 type Job =
   | { kind: 'records', records: LogRecord[] }
@@ -113,17 +110,7 @@
 
   /** Retries a write while the disk is full. Until it succeeds, its ticket is not durable, so no reply that relies on it is sent. */
   private async _retryWhileDiskFull (scope: Scope, write: () => Promise<void>): Promise<void> {
-    let isLogged = false
-    for (;;) {
-      try {
-        return await scope.race(write())
-      } catch (error) {
-        if (!(error instanceof DiskFullError)) throw error
-        if (!isLogged) this._logger.event(ReplicationEvent.DiskFull, { error: error.message })
-        isLogged = true
-      }
-      await sleepUntil(this._clock, scope, this._clock.nowMs() + DISK_FULL_RETRY_MS)
-    }
+    await retryWhileDiskFull(this._clock, this._logger, scope, write)
   }
 
   private _dequeueBatch (): { records: LogRecord[], jobsCount: number } {
--- a/src/replication/log/replica.ts
+++ b/src/replication/log/replica.ts
@@ -104,7 +104,7 @@
     if (snapshot) options.state.restore(snapshot.pieces)
     const restoreMs = clock.nowMs() - restoredFromMs
     const startedAtMs = options.startedAtMs ?? clock.nowMs()
-    this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state, startedAtMs }, snapshot?.lastIndex ?? 0)
+    this.core = new ReplicaCore({ clock, random, metrics, logger, timings, storage: opened.storage, state, startedAtMs, scope: this._scope }, snapshot?.lastIndex ?? 0)
     this.links = new PeerLinks(options.transport, this._scope, options.onFatal, (address, reason) => this._recordClosedLink(address, reason))
     this._applier = new LogApplier(this.core, options.state, this._proposals, options.snapshotPolicy, options.observer)
     this._follower = new Follower(this.core, this._applier, this._scope)
--- a/src/replication/log/replicaCore.ts
+++ b/src/replication/log/replicaCore.ts
@@ -12,6 +12,7 @@
 import { Signal } from '../../utils/signal.js'
 import { ReplicationEvent } from '../replicationEvents.js'
 import type { ReplicaStorage } from '../storage/replicaStorage.js'
+import { retryWhileDiskFull } from './diskFullRetry.js'
 import { isVoter, type Member } from './members.js'
 import type { PersistentState } from './persistentState.js'
 import type { Addressed } from './raftMethods.js'
@@ -46,6 +47,8 @@
   state: PersistentState
   /** Time before which this process answered no requests. */
   startedAtMs: number
+  /** Of the replica. */
+  scope: Scope
 }
 
 export class ReplicaCore {
@@ -139,7 +142,8 @@
 
   /** Binds the replica permanently to a cluster; later calls have no effect. */
   async adoptCluster (clusterId: string): Promise<void> {
-    this._adoption ??= this.options.storage.adoptCluster(clusterId)
+    const { clock, logger, scope, storage } = this.options
+    this._adoption ??= retryWhileDiskFull(clock, logger, scope, () => storage.adoptCluster(clusterId))
     await this._adoption
   }
 
--- a/tests/control/failures.test.ts
+++ b/tests/control/failures.test.ts
@@ -3,6 +3,7 @@
  */
 import test from 'ava'
 import { ReadMode } from '../../src/replication/log/replica.js'
+import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
 import { MemberRole } from '../../src/replication/log/members.js'
 import type { Replica } from '../../src/replication/log/replica.js'
 import { ResourceCommandKind, type ResourceCommand } from '../../src/protocol/resourceCommands.js'
@@ -196,6 +197,23 @@
   t.deepEqual(cluster.violations, [])
 })
 
+// A disk that was full when its replica became a member ended the process: only writes to the log waited.
+for (const [kind, number] of [['forms', 0], ['joins', 1]] as const) {
+  test(`should wait for room on the disk of a host that ${kind} a cluster`, async t => {
+    const cluster = new ReplicaCluster({ seed: 12, hostsCount: 3 })
+    await cluster.startAll()
+    const short = cluster.hosts[number] as ClusterHost
+    short.disk.isFull = true
+    await cluster.clock.advance(5_000)
+    t.deepEqual(cluster.stopped, [])
+    t.true(cluster.logged.some(({ number }) => number === ReplicationEvent.DiskFull))
+    short.disk.isFull = false
+    await cluster.until(() => cluster.hosts.every(host => host.running?.replica.core.isVoter()), 'all are voters')
+    t.deepEqual(cluster.violations, [])
+    t.deepEqual(cluster.stopped, [])
+  })
+}
+
 test('should wait on a full disk while a snapshot of the leader arrives, and install it once there is room', async t => {
   const { cluster, leader, others } = await startThree(11)
   const behind = others[0] as ClusterHost
