A stopping host sends no submission to the store that it has no time to answer

What callers saw: a trainer whose submission's body came late in the grace of its host got 504, or a reason of the store, after the call to the store had begun; one whose body never came got 504 at the end, though nothing had been sent.

Cause: the time was asked for with the head only; a submission's body has no deadline, and every call on a batch that the end of the host cuts short was 504.

Change: asked again before the whole goes to the store, also of one in parts (parts never run by themselves). Without time: 503, Retry-After 0.

Ruled out: a deadline for the body (one that comes in time can be taken).

Failed before: platform/stoppingServer "should refuse, as not taken, a submission whose body comes too late or never": 503 "no leader of the batch store is known", Retry-After 0.3, instead of host_stopping, Retry-After 0: the call had begun. The 504 of the one without a body is by reading. platform/submissionReader "should not send the end of a submission …" is new with the option that it tests.

Tests of platform/stoppingServer, callerServer, submissionReader, boundaries: 45 passed.

--- a/src/batches/submissionUpload.ts
+++ b/src/batches/submissionUpload.ts
@@ -4,6 +4,7 @@
  * that neither this host nor the store ever holds a message of the size of the whole.
  */
 import type { BatchItem, BatchSubmission } from '../protocol/batches.js'
+import { RefusalReason } from '../protocol/refusals.js'
 import type { SubmitBatchReply, SubmitPartReply } from '../transport/batchMethods.js'
 import type { Progress } from '../utils/progress.js'
 import type { BatchClient, BatchReference } from './batchClient.js'
@@ -22,6 +23,10 @@
   statedBytes: number
   /** The time for one call to the store, from now on. */
   progressOfCall: () => Progress
+  /** Whether the store's answer to the whole submission can still be passed on; always if absent. */
+  hasTime?: () => boolean
+  /** Called when the whole goes to the store. */
+  onSent?: () => void
 }
 
 export class SubmissionUpload {
@@ -53,10 +58,15 @@
 
   /** @param head the submission without its items */
   async finish (head: BatchSubmission): Promise<SubmitBatchReply> {
-    const { client, progressOfCall } = this._options
-    const items = this._items
-    if (this._stagedItemsCount === 0) return await client.submit({ ...head, items }, progressOfCall())
-    return await this._flush() ?? await client.submit(head, progressOfCall(), this._stagedItemsCount)
+    if (this._stagedItemsCount === 0) return await this._submit({ ...head, items: this._items })
+    return await this._flush() ?? await this._submit(head, this._stagedItemsCount)
+  }
+
+  private async _submit (submission: BatchSubmission, stagedItemsCount?: number): Promise<SubmitBatchReply> {
+    const { client, progressOfCall, hasTime, onSent } = this._options
+    if (hasTime?.() === false) return { kind: 'refused', reason: RefusalReason.HostStopping }
+    onSent?.()
+    return await client.submit(submission, progressOfCall(), stagedItemsCount)
   }
 
   private async _flush (): Promise<UploadEnd> {
--- a/tests/platform/stoppingServer.test.ts
+++ b/tests/platform/stoppingServer.test.ts
@@ -11,7 +11,7 @@
 import { parseAddress } from '../../src/utils/settings.js'
 import { serve, type CallerFixture } from '../fixtures/callerFixture.js'
 import { refusalOf } from '../fixtures/endpointCalls.js'
-import { HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
+import { batchRoute, HOST, route, routing } from '../fixtures/fleet/fleetFixtures.js'
 import { completeResponse, startRawEndpoint, type RawEndpoint, type RawRequest } from '../fixtures/rawEndpoint.js'
 import { until } from '../fixtures/until.js'
 
@@ -245,3 +245,21 @@
   t.is((await post(server.url, 600)).status, 200)
   t.is((await post(server.url, 2 * TIMEOUT_MS)).status, 503)
 })
+
+const ITEM = { id: 'i1', path: '/open/i1', headers: { 'X-Threaddrum-Model': 'm1', 'X-Threaddrum-Token-Count': '10,400' }, body: 'AA==', tokens: 410, group: 'g1', scorer: { id: 's1', host: HOST, path: '/p', body: 'AA==' } }
+const SUBMISSION = JSON.stringify({ step: 1, model: 'm1', 'min-version': 1, desired: 1, items: [ITEM] })
+
+// A submission whose body came late was sent to the store, and one without a body got an answer that makes no promise.
+test('should refuse, as not taken, a submission whose body comes too late or never', async t => {
+  const server = await serve(t)
+  const routes = [batchRoute({ pathPrefix: '/open/' })]
+  server.view.merge('control-1', { routing: routing(1, routes), endpoints: [] })
+  const [late, never] = [await openSocket(t, server.address), await openSocket(t, server.address)]
+  const texts = Promise.all([readAll(late), readAll(never)])
+  for (const socket of [late, never]) socket.write(head('lot-1').replace('content-length: 0', `content-length: ${SUBMISSION.length}`))
+  await until(() => server.server.openCount === 2)
+  beginStop(server, WORK_MS)
+  late.write(SUBMISSION)
+  await endStop(server)
+  for (const text of await texts) t.regex(text, /^HTTP\/1.1 503 [^]*retry-after: 0\r\n[^]*host_stopping/)
+})
--- a/tests/platform/submissionReader.test.ts
+++ b/tests/platform/submissionReader.test.ts
@@ -45,10 +45,10 @@
   }
 }
 
-async function read (store: Store, chunks: Uint8Array[]): Promise<ReadSubmissionOutcome> {
+async function read (store: Store, chunks: Uint8Array[], hasTime?: () => boolean): Promise<ReadSubmissionOutcome> {
   const scope = new Scope('test')
   const progressOfCall = (): Progress => new Progress(systemClock, scope, systemClock.nowMs() + 1_000)
-  const upload = new SubmissionUpload({ client: store, batch: { batchId: 'b1', account: 'learners' }, statedBytes: 0, progressOfCall })
+  const upload = new SubmissionUpload({ client: store, batch: { batchId: 'b1', account: 'learners' }, statedBytes: 0, progressOfCall, ...(hasTime ? { hasTime } : {}) })
   const context = { batchId: 'b1', host: 'decks.example', path: '/hints/b1', submitter: SUBMITTER, maxBytes: MAX_BYTES }
   const request = Readable.from(chunks, { objectMode: false }) as unknown as IncomingMessage
   return await new SubmissionReader(context, upload).read({ scope, body: new RequestBody(request) })
@@ -165,3 +165,15 @@
   t.is((await read(new Store(), [bytes])).kind, 'invalid')
   t.is((await read(new Store(), cut(Buffer.alloc(MAX_BYTES + 1, ' '), 65_536))).kind, 'tooLarge')
 })
+
+// A host that stops sent a submission to the store when it could not pass the reply on any more.
+test('should not send the end of a submission for whose reply there is no time', async t => {
+  for (const itemsCount of [1, 8]) {
+    const store = new Store()
+    const items = Array.from({ length: itemsCount }, (_value, position) => wireItem(`i${position}`, { body: LARGE_BODY }))
+    const outcome = await read(store, [Buffer.from(JSON.stringify({ step: 1, model: 'm1', 'min-version': 1, desired: 1, items }))], () => false)
+    t.like(outcome, { kind: 'sent', reply: { kind: 'refused', reason: 'host_stopping' } })
+    t.is(store.submitted, undefined)
+    t.is(store.parts.length > 0, itemsCount > 1)
+  }
+})
