--- a/src/batches/runOutcome.ts
+++ b/src/batches/runOutcome.ts
@@ -37,6 +37,7 @@
       markRemoved(engine.id)
       return
     case 'unreached':
+      if (outcome.isUnsendable === true) return
       if (outcome.isRefused === true) health.refusedConnection(startedAtMs)
       else health.failed(FailureReason.Unreached, startedAtMs)
       return
--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -55,6 +55,8 @@
   reason: string
   /** The connection was refused: no endpoint listens at the address. */
   isRefused?: boolean
+  /** The request itself cannot be sent to any endpoint, such as one with a control character in a header; no endpoint is to blame. */
+  isUnsendable?: boolean
 }
 
 /** No usable answer; the request may have run. */
--- a/src/gateway/failedTry.ts
+++ b/src/gateway/failedTry.ts
@@ -35,6 +35,7 @@
       view.markRemoved(endpointId)
       return { ...failed, reason: RetryReason.EndpointRefused, detail: 'another endpoint has the address' }
     case 'unreached':
+      if (outcome.isUnsendable === true) return { ...failed, reason: RetryReason.ConnectFailed, detail: outcome.reason }
       if (outcome.isRefused === true) health.refusedConnection(startedAtMs)
       else health.failed(FailureReason.Unreached, startedAtMs)
       return { ...failed, reason: RetryReason.ConnectFailed, detail: outcome.reason }
--- a/src/protocol/runnerTasks.ts
+++ b/src/protocol/runnerTasks.ts
@@ -36,7 +36,7 @@
   z.object({ kind: z.literal('finished') }),
   z.object({ kind: z.literal('notExecuted'), status: z.int() }),
   z.object({ kind: z.literal('misdirected') }),
-  z.object({ kind: z.literal('unreached'), reason: z.string(), isRefused: z.boolean().optional() }),
+  z.object({ kind: z.literal('unreached'), reason: z.string(), isRefused: z.boolean().optional(), isUnsendable: z.boolean().optional() }),
   z.object({ kind: z.literal('failed'), status: z.int() }),
   z.object({ kind: z.literal('impossible') }),
   z.object({ kind: z.literal('broken'), reason: z.string(), isConnectionLost: z.boolean().optional(), isOutOfTime: z.boolean().optional() })
