Entry hosts: a status that is none is no answer of a service

Callers of services got 600 or 999 as the answer of an endpoint, and an unrepeatable call recorded it for its replays. Cause: as in the platform's client, nothing asked whether a status is one. Change: isAnswerStatus (src/utils) for both; a plain call counts as run by a faulty endpoint, an unrepeatable one as lost.

--- a/src/entry/services/plainCalls.ts
+++ b/src/entry/services/plainCalls.ts
@@ -10,6 +10,7 @@
  */
 import { Agent, type Dispatcher } from 'undici'
 import { Executed, RefusalReason, RetryReason, type Refusal } from '../../protocol/refusals.js'
+import { isAnswerStatus } from '../../utils/answerStatus.js'
 import { breakOff } from '../../utils/breakOff.js'
 import { httpConnector } from '../../utils/httpConnector.js'
 import type { Logger } from '../../utils/logger.js'
@@ -138,6 +139,7 @@
       const answered = await progress.race(send(dispatcher, url, call, attempt, progress, abort))
       if (answered.kind === 'deadlinePassed') return answered
       if ('kind' in answered.value) return answered.value
+      if (!isAnswerStatus(answered.value.statusCode)) return this._dropBadStatus(attempt, answered.value.statusCode)
       const echo = echoOf(answered.value.headers, attempt.attemptId)
       if (echo === Echo.Other || (echo === Echo.None && isEchoing)) return this._dropForeignResponse(attempt)
       if (echo === Echo.Same) this._echoingIncarnations.set(endpointId, incarnation)
@@ -153,6 +155,11 @@
     }
   }
 
+  private _dropBadStatus ({ endpointId }: Attempt, status: number): AttemptOutcome {
+    this._options.metrics.count(MetricName.AnswersDropped, { reason: AnswerProblem.BadStatus })
+    return { kind: 'failed', reason: RetryReason.EndpointError, mayHaveRun: true, message: `${endpointId} answered with the status ${status}, which no answer has` }
+  }
+
   private _dropForeignResponse ({ attemptId, endpointId }: Attempt): AttemptOutcome {
     this._options.metrics.count(MetricName.AnswersDropped, { reason: AnswerProblem.Foreign })
     this._options.logger.event(EntryEvent.ForeignAnswerDropped, { attemptId, endpointId })
--- a/src/entry/services/unrepeatableDispatch.ts
+++ b/src/entry/services/unrepeatableDispatch.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici'
 import { RefusalReason, RetryReason } from '../../protocol/refusals.js'
 import type { RecordedAnswer } from '../../protocol/unrepeatableCommands.js'
+import { isAnswerStatus } from '../../utils/answerStatus.js'
 import type { Progress } from '../../utils/progress.js'
 import type { Assignment, AttemptResult } from '../scheduling/scheduler.js'
 import { callOnce, type OneShotOutcome } from './oneShotCall.js'
@@ -67,6 +68,7 @@
       return { kind: 'lost', message: `the connection was lost after the request was sent: ${outcome.message}` }
     case 'answered': {
       const { status, headers, body } = outcome
+      if (!isAnswerStatus(status)) return { kind: 'lost', message: `the endpoint answered with the status ${status}, which no answer has` }
       if (echoOf(headers, attemptId) === Echo.Other) return { kind: 'lost', message: 'the endpoint responded with the id of another request' }
       if (isNotExecuted(status, headers)) {
         return { kind: 'notRun', reason: RefusalReason.EndpointRefused, retryReason: RetryReason.EndpointRefused, message: 'the endpoint reported that it did not run the call' }
--- a/tests/entry/plainCalls.test.ts
+++ b/tests/entry/plainCalls.test.ts
@@ -185,3 +185,14 @@
     t.deepEqual(host.program.directory.available('booking').map(({ announcement }) => announcement.endpointId), ['booking-2'])
   })
 })
+
+// A status that none has was passed on to the caller as the answer of its endpoint.
+for (const status of ['600', '999', '000', '2xx']) {
+  test(`should not pass on an answer with the status ${status}`, async t => {
+    const bad: Handler = (_request, response) => { response.socket?.write(`HTTP/1.1 ${status} Status\r\nContent-Length: 2\r\n\r\nok`) }
+    await withService(bad, async host => {
+      t.is((await call(host, '/stock')).status, 503, 'both endpoints answer so')
+      t.is((await call(host, '/stock', 'POST', 'order')).status, 502, 'it may have run')
+    })
+  })
+}
--- a/tests/entry/unrepeatable.test.ts
+++ b/tests/entry/unrepeatable.test.ts
@@ -261,3 +261,14 @@
     t.is(executions.length, 0)
   })
 })
+
+// The status 600 of an endpoint was recorded as the answer of a call, and replayed.
+test('should tell that a call may have run whose endpoint answers with a status that is none', async t => {
+  const bad: Handler = (_request, response) => { response.socket?.write('HTTP/1.1 600 Status\r\nContent-Length: 2\r\n\r\nok') }
+  await withService(bad, async ({ host, executions }) => {
+    const answer = await post(host, 'k600')
+    t.is(answer.status, 502)
+    t.like(JSON.parse(answer.text), { executed: 'unknown' })
+    t.is(executions.length, 1)
+  })
+})
