Tests: answers without end for items, reports, orders, infrastructure, many engines

What holds already gets its test: heads without end for an item, a stream, a report, an order and a call to the infrastructure, its body, informational answers, sixteen engines at once beside a sound one.

--- a/tests/platform/endlessAnswers.test.ts
+++ b/tests/platform/endlessAnswers.test.ts
@@ -5,6 +5,8 @@
  */
 import test from 'ava'
 import { PlatformEndpointClient } from '../../platform/endpointClient.js'
+import { PlatformInfrastructure } from '../../platform/infrastructureClient.js'
+import { DutyKind } from '../../src/duties/infrastructure.js'
 import { LoadMode } from '../../src/endpoints/endpointClient.js'
 import { systemClock } from '../../src/utils/clock.js'
 import { AnswerProblem, MetricName } from '../../src/utils/metricNames.js'
@@ -34,6 +36,10 @@
 const handler = { onHead: () => {}, onData: async () => undefined }
 const plain = async ({ endpoint }: PouringEndpoint): Promise<string> => await kindOf(call(endpoint))
 const item = async (endpoint: PouringEndpoint): Promise<string> => (await runItem(endpoint)).outcome.kind
+const streamed = async ({ endpoint }: PouringEndpoint): Promise<string> => await kindOf(client.stream(streamRequest(endpoint), new Scope('test'), handler))
+const infrastructure = async ({ endpoint }: PouringEndpoint): Promise<string> => (
+  await kindOf(new PlatformInfrastructure(endpoint.address, systemClock).call({ kind: DutyKind.ReportUsage, windowId: 7, counts: {} }, { holder: 'h1', fencingNumber: 1 }, () => true, systemClock.nowMs() + WAIT_MS, new Scope('test')))
+)
 const report = async ({ endpoint }: PouringEndpoint): Promise<string> => String(await client.report(endpoint, systemClock.nowMs() + WAIT_MS, new Scope('test')))
 const order = async ({ endpoint }: PouringEndpoint): Promise<string> => (
   await kindOf(client.orderLoad(endpoint, { model: 'm', version: 2, mode: LoadMode.Block, holder: 'h1', fencingNumber: 1, expectedOrdersCount: 0 }, systemClock.nowMs() + WAIT_MS, new Scope('test')))
@@ -51,6 +57,14 @@
   { name: 'the body of a refusal', pour: { start: refusalOf('a1', 503).replace('Content-Length: 0', 'Content-Length: 100000000000'), piece: PIECE }, use: plain, outcome: 'notExecuted', maxBytes: MEGABYTE },
   { name: 'the body of an answer to another request', pour: { start: chunkHead.replace('a1', 'a2'), piece: chunked(PIECE) }, use: plain, outcome: 'broken', maxBytes: MEGABYTE },
   { name: 'the trailers of a body', pour: { start: `${chunkHead}0\r\n`, piece: `X-Filler: ${'x'.repeat(1_000)}\r\n` }, use: plain, outcome: 'broken', maxBytes: MEGABYTE },
+  { name: 'the head for an item', pour: { start: 'HTTP/1.1 200 OK\r\n', piece: `X-Filler: ${'x'.repeat(1_000)}\r\n` }, use: item, outcome: 'broken', maxBytes: MEGABYTE },
+  { name: 'the head of a report', pour: { start: 'HTTP/1.1 200 OK\r\n', piece: `X-Filler: ${'x'.repeat(1_000)}\r\n` }, use: report, outcome: 'undefined', maxBytes: MEGABYTE },
+  { name: 'the head of the answer to an order', pour: { start: 'HTTP/1.1 202 Taken\r\nX-Filler: ', piece: PIECE }, use: order, outcome: 'unknown', maxBytes: MEGABYTE },
+  { name: 'the head for a stream', pour: { start: 'HTTP/1.1 200 OK\r\nX-Filler: ', piece: PIECE }, use: streamed, outcome: 'broken', maxBytes: MEGABYTE },
+  { name: 'informational answers', pour: { start: '', piece: 'HTTP/1.1 103 Early Hints\r\n\r\n' }, use: plain, outcome: 'broken', maxBytes: MEGABYTE },
+  { name: 'informational answers for an item', pour: { start: '', piece: 'HTTP/1.1 103 Early Hints\r\n\r\n' }, use: item, outcome: 'broken', maxBytes: MEGABYTE },
+  { name: 'the head of an answer of the infrastructure', pour: { start: 'HTTP/1.1 200 OK\r\n', piece: `X-Filler: ${'x'.repeat(1_000)}\r\n` }, use: infrastructure, outcome: 'unknown', maxBytes: MEGABYTE },
+  { name: 'the body of an answer of the infrastructure', pour: { start: 'HTTP/1.1 200 OK\r\n\r\n', piece: PIECE }, use: infrastructure, outcome: 'done', maxBytes: MEGABYTE },
   { name: 'an event of an item', pour: { start: streamHead(1), piece: chunked(`data: ${PIECE}\n`) }, use: item, outcome: 'broken', maxBytes: 2 * MEGABYTE },
   { name: 'a line of an event of an item', pour: { start: `${streamHead(1)}${chunked('id: 1\ndata: ')}`, piece: chunked(PIECE) }, use: item, outcome: 'broken', maxBytes: 2 * MEGABYTE },
   { name: 'an event behind a good one', pour: { start: `${streamHead(1)}${chunked('id: 1\ndata: a\n\nid: 2\ndata: ')}`, piece: chunked(PIECE) }, use: item, outcome: 'broken', maxBytes: 2 * MEGABYTE },
@@ -113,3 +127,26 @@
   await t.throwsAsync(outcome)
   await until(() => endpoint.pouringCount() === 0)
 })
+
+/** The parser of the HTTP client skips extensions of chunks without a bound: the deadline is theirs. */
+test('should end an exchange at its deadline whose chunk has an extension without end', async t => {
+  const endpoint = await startPouringEndpoint(({ attemptId }) => ({ start: `${chunkHead.replace('a1', attemptId)}5;extension=`, piece: PIECE, gapMs: 1 }))
+  t.teardown(() => endpoint.close())
+  const deadlineMs = systemClock.nowMs() + 1_000
+  const outcomes = [client.call({ ...streamRequest(endpoint.endpoint), deadlineMs }, new Scope('test')), client.runItem({ ...streamRequest(endpoint.endpoint), deadlineMs }, new Scope('test'), () => {})]
+  await until(() => endpoint.pouredBytes() > 16 * MEGABYTE)
+  for (const outcome of await Promise.all(outcomes)) t.like(outcome, { kind: 'broken', isOutOfTime: true })
+  await until(() => endpoint.pouringCount() === 0)
+})
+
+test('should hold a bounded number of bytes of the answers of many engines, and serve the others', async t => {
+  const metrics = memoryMetrics()
+  const small = new PlatformEndpointClient(systemClock, metrics, 8 * MEGABYTE)
+  const endless = await Promise.all(Array.from({ length: 16 }, () => startPouringEndpoint(({ attemptId }) => ({ start: headWithoutLength(attemptId), piece: PIECE }))))
+  const sound = await startPouringEndpoint(() => undefined, ({ socket, attemptId }) => { setTimeout(() => socket.write(completeResponse(attemptId, 'y'.repeat(KILOBYTE))), 100) })
+  t.teardown(() => { for (const { close } of [...endless, sound]) close() })
+  const ask = async ({ endpoint }: PouringEndpoint): Promise<string> => await kindOf(small.call(streamRequest(endpoint), new Scope('test')))
+  const outcomes = await Promise.all([...endless, ...Array<PouringEndpoint>(8).fill(sound)].map(ask))
+  t.deepEqual(outcomes, [...Array<string>(16).fill('broken'), ...Array<string>(8).fill('answered')])
+  for (const { pouringCount } of endless) await until(() => pouringCount() === 0)
+})
