Soak: settings stay cut and ports held until a busy machine's start meets them

Change: at a start settings are cut for 50 to 1,500 ms, ports are held for 2 to 5 s, and starts are disturbed twice as often.

--- a/bench/fleetSoak/faultPlan.ts
+++ b/bench/fleetSoak/faultPlan.ts
@@ -93,7 +93,7 @@
 
 /** Faults of starts, settings and signals. */
 export const START_FAULTS = [FaultKind.Settings, FaultKind.SettingsAtStart, FaultKind.HeldPort, FaultKind.SignalSeries, FaultKind.StaggeredStart]
-const DRAWN_START_FAULTS = [FaultKind.Settings, FaultKind.Settings, FaultKind.SettingsAtStart, FaultKind.HeldPort, FaultKind.HeldPort, FaultKind.SignalSeries, FaultKind.SignalSeries]
+const DRAWN_START_FAULTS = [FaultKind.Settings, FaultKind.Settings, FaultKind.SettingsAtStart, FaultKind.SettingsAtStart, FaultKind.HeldPort, FaultKind.HeldPort, FaultKind.SignalSeries, FaultKind.SignalSeries]
 
 const LOAD_FAULTS = [FaultKind.Burst, FaultKind.SlowReaders]
 const LOAD_SEED_OFFSET = 1_000_003
@@ -104,6 +104,8 @@
 const CROWD_SEED_OFFSET = 4_000_037
 const START_SEED_OFFSET = 5_000_011
 const MAX_STAGGER_MS = 8_000
+/** Programs listen by then, on a busy machine too. */
+const MIN_HELD_PORT_MS = 2_000
 const MIN_GARBLED_GAP_MS = 3_000
 const MAX_GARBLED_GAP_MS = 9_000
 
@@ -144,7 +146,8 @@
   for (let atMs = QUIET_BEFORE_MS + random.int(0, MAX_GAP_MS); atMs < endMs; atMs += random.int(MIN_GAP_MS, MAX_GAP_MS)) {
     const group = Object.values(HostGroup)[random.int(0, 2)] ?? HostGroup.Entry
     const kind = DRAWN_START_FAULTS[random.int(0, DRAWN_START_FAULTS.length - 1)] ?? FaultKind.Settings
-    const fault = { kind, atMs, forMs: Math.min(random.int(MIN_FAULT_MS, MAX_FAULT_MS), endMs - atMs), group, number: random.int(0, Math.max(0, hosts[group] - 1)) }
+    const minMs = kind === FaultKind.HeldPort ? MIN_HELD_PORT_MS : 0
+    const fault = { kind, atMs, forMs: Math.min(minMs + random.int(MIN_FAULT_MS, MAX_FAULT_MS), endMs - atMs), group, number: random.int(0, Math.max(0, hosts[group] - 1)) }
     if (isIncluded(fault) && ![...others, ...planned].some(other => clash(fault, other))) planned.push(fault)
   }
   return planned
--- a/bench/fleetSoak/startFaults.ts
+++ b/bench/fleetSoak/startFaults.ts
@@ -15,6 +15,8 @@
 /** A start takes as long on a machine that is not busy. */
 const START_PHASE_MS = 700
 const MAX_SIGNAL_GAP_MS = 300
+/** Programs read their settings by then, on a busy machine too. */
+const MAX_CUT_AT_START_MS = 1_500
 /** The platform starts a program that has ended after such a time. */
 const RESTART_AFTER_MS = 300
 
@@ -52,7 +54,7 @@
   /** A SIGHUP while programs start, and in half of the starts settings that are cut short at first. */
   async disturbStart (host: SoakHost): Promise<void> {
     const hangUpAfterMs = this._random.int(0, START_PHASE_MS)
-    const cutForMs = this._random.int(MIN_CHANGE_MS, MAX_CHANGE_MS)
+    const cutForMs = this._random.int(MIN_CHANGE_MS, MAX_CUT_AT_START_MS)
     const isCut = this._random.int(0, 1) === 0
     if (isCut) this._fleet.beginSettingsChange(host, SettingsWrite.CutShort, this._random.real())
     await Promise.all([
--- a/bench/fleetSoak/startWatch.ts
+++ b/bench/fleetSoak/startWatch.ts
@@ -10,19 +10,21 @@
 
 /** A program serves at the latest so long after the last fault of its host. */
 export const SERVES_WITHIN_MS = 10_000
+type WatchedFleet = Pick<SoakFleet, 'hosts' | 'listenersOf'>
+
 const CHECK_INTERVAL_MS = 1_000
 const CONNECT_TIMEOUT_MS = 2_000
 /** A busy machine may answer late: only what fails each time counts. */
 const TRIES_COUNT = 3
 
 export class StartWatch {
-  private readonly _fleet: SoakFleet
+  private readonly _fleet: WatchedFleet
   private readonly _disturbances: readonly Disturbance[]
   private readonly _nowMs: () => number
   private readonly _startedAtMs: number
   private readonly _silentListeners = new Set<string>()
 
-  constructor (fleet: SoakFleet, disturbances: readonly Disturbance[], nowMs: () => number) {
+  constructor (fleet: WatchedFleet, disturbances: readonly Disturbance[], nowMs: () => number) {
     this._fleet = fleet
     this._disturbances = disturbances
     this._nowMs = nowMs
