Test, failing: a full disk ends control when it writes down its cluster

Ruled out: a control host and a store started again with their data while the disk refuses writes for 4 s run on (one run).

--- a/tests/platform/hostShortages.test.ts
+++ b/tests/platform/hostShortages.test.ts
@@ -13,6 +13,7 @@
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
 import { freePort, loopbackHost } from '../fixtures/loopback.js'
+import { ALLOWED_OPENS_VARIABLE, REFUSED_FILE_VARIABLE } from '../fixtures/programs/refusingDisk.js'
 import { until } from '../fixtures/until.js'
 
 /** Enough for a program without clients, which opens all its modules at once. */
@@ -30,7 +31,7 @@
 }
 
 /** @param descriptors what `ulimit -n` takes */
-async function start (name: ProgramName, descriptors: string, preloaded: string[] = []): Promise<RunningProgram & { stop: () => Promise<void> }> {
+async function start (name: ProgramName, descriptors: string, preloaded: string[] = [], env: Record<string, string> = {}): Promise<RunningProgram & { stop: () => Promise<void> }> {
   const folder = mkdtempSync(join(tmpdir(), 'threaddrum-shortage-'))
   const ip = loopbackHost()
   const [callers = 0, readiness, control, firstInternal = 0, , lastInternal = 0, metricsPort = 0] = await Promise.all(Array.from({ length: 7 }, freePort))
@@ -44,7 +45,7 @@
   }))
   const limit = descriptors === NO_LIMIT ? '' : `ulimit -n ${descriptors};`
   const child = spawn('bash', ['-c', `${limit} exec "$0" "$@"`, process.execPath, ...preloaded, `dist/platform/${name}.js`], {
-    env: { ...process.env, THREADDRUM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit']
+    env: { ...process.env, ...env, THREADDRUM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit']
   })
   const exited = new Promise(resolve => child.once('exit', resolve))
   const program = {
@@ -96,12 +97,22 @@
   })
 }
 
+const REFUSING_DISK = ['--import', pathToFileURL('dist/tests/fixtures/programs/refusingDisk.js').href]
+
 for (const name of ['control', 'store'] as const) {
   // A full disk, which a running program waits out, ended a starting one with code 70, at each start.
   test(`should start ${name} once its disk, which refused every write at first, takes them`, async t => {
-    const program = await start(name, NO_LIMIT, ['--import', pathToFileURL('dist/tests/fixtures/programs/refusingDisk.js').href])
+    const program = await start(name, NO_LIMIT, REFUSING_DISK, { [REFUSED_FILE_VARIABLE]: '' })
     t.teardown(() => program.stop())
     await until(() => endOf(program) !== 'runs' || program.out.includes(`"eventNumber":${ReplicationEvent.Loaded}`))
     t.is(endOf(program), 'runs', program.out.split('\n').slice(-3).join('\n'))
   })
 }
+
+// A full disk ended a control host with code 70 when it wrote down which cluster it belongs to.
+test('should let control form its cluster once its disk, which was full then, takes writes', async t => {
+  const program = await start('control', NO_LIMIT, REFUSING_DISK, { [REFUSED_FILE_VARIABLE]: 'replica.tmp', [ALLOWED_OPENS_VARIABLE]: '1' })
+  t.teardown(() => program.stop())
+  await until(() => endOf(program) !== 'runs' || program.out.includes(`"eventNumber":${ReplicationEvent.LeadershipStarted}`))
+  t.is(endOf(program), 'runs', program.out.split('\n').slice(-3).join('\n'))
+})
