--- a/tests/processes/fleetSoak.test.ts
+++ b/tests/processes/fleetSoak.test.ts
@@ -8,6 +8,8 @@
 const BESIDE_OTHER_TESTS = Object.values(FaultKind).filter(kind => kind !== FaultKind.ClientCrowd && !START_FAULTS.includes(kind))
 const STOPS_SEED = 41
 const STOPS_DURATION_MS = 30_000
+const STARTS_SEED = 40
+const STARTS_DURATION_MS = 20_000
 
 test('should keep every guarantee of the platform\'s programs during a short run with faults', async t => {
   t.timeout(180_000)
@@ -26,3 +28,12 @@
   t.deepEqual(violations, [])
   t.true(record.stopCalls.some(({ status }) => status === 200))
 })
+
+// Programs ended by a SIGHUP while they started, with code 2 by settings that were still being written, and at each start while another program held one of their ports.
+test('should keep every program running while settings change, signals come and ports are held at its start', async t => {
+  t.timeout(180_000)
+  const { violations, record } = await runSoak({ seed: STARTS_SEED, durationMs: STARTS_DURATION_MS, hosts: hostCounts(2, 3), only: START_FAULTS })
+  t.deepEqual(violations, [])
+  t.true(record.calls.some(({ status }) => status === 200))
+  t.true(record.disturbances.length > 0)
+})
