--- a/bench/fleetSoak/garbledAnswers.ts
+++ b/bench/fleetSoak/garbledAnswers.ts
@@ -1,7 +1,8 @@
 /**
  * What a faulty endpoint makes of some of its answers: a part of an answer without a
- * length and a reset, a whole answer without a length, or a second copy of an answer
- * that comes in the place of the next one on its connection.
+ * length and a reset, a whole answer without a length, a second copy of an answer that
+ * comes in the place of the next one on its connection, an answer with a status that is
+ * none, or a head that is cut in the middle.
  */
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -10,13 +11,17 @@
   ResetAtOnce = 'resetAtOnce',
   ResetLater = 'resetLater',
   WithoutLength = 'withoutLength',
-  Repeated = 'repeated'
+  Repeated = 'repeated',
+  StatusOfNone = 'statusOfNone',
+  CutHead = 'cutHead'
 }
 
 const GARBLINGS = Object.values(Garbling)
 /** While an endpoint garbles, one in so many of its answers is affected. */
 const GARBLED_INTERVAL = 5
 const RESET_LATER_MS = 20
+/** One that HTTP clients hand on, one that they stumble over, and one that they refuse. */
+const STATUSES_OF_NONE = ['600', '000', '1000']
 
 export type AnswerHeaders = Record<string, string>
 
@@ -49,6 +54,10 @@
       case Garbling.ResetLater:
         this._beginWithoutLength(response, headers)
         response.write(body.slice(0, body.length / 2), () => reset(socket, garbling))
+        return
+      case Garbling.StatusOfNone:
+      case Garbling.CutHead:
+        this._sendNoAnswer(socket, garbling, headers, body)
     }
   }
 
@@ -64,6 +73,10 @@
       response.writeHead(200, headers)
       return undefined
     }
+    if (garbling === Garbling.StatusOfNone || garbling === Garbling.CutHead) {
+      if (response.socket) this._sendNoAnswer(response.socket, garbling, headers, '')
+      return undefined
+    }
     this._beginWithoutLength(response, headers)
     return garbling === Garbling.WithoutLength ? undefined : Math.floor(eventsCount / 2)
   }
@@ -75,6 +88,14 @@
     this._copies.delete(socket)
   }
 
+  /** Writes past the response, which closes with the connection. */
+  private _sendNoAnswer (socket: Socket, garbling: Garbling.StatusOfNone | Garbling.CutHead, headers: AnswerHeaders, body: string): void {
+    const status = garbling === Garbling.CutHead ? 200 : STATUSES_OF_NONE[Math.floor(this._garbledCount / GARBLINGS.length) % STATUSES_OF_NONE.length] ?? 0
+    const answer = rawAnswer(status, headers, body)
+    if (garbling === Garbling.StatusOfNone) socket.write(answer)
+    else socket.end(answer.slice(0, answer.indexOf('\r\n\r\n') / 2), () => socket.destroy())
+  }
+
   private _beginWithoutLength (response: ServerResponse, headers: AnswerHeaders): void {
     const { socket } = response
     if (socket) {
@@ -97,7 +118,7 @@
   else setTimeout(() => socket.resetAndDestroy(), RESET_LATER_MS)
 }
 
-function rawAnswer (status: number, headers: AnswerHeaders, body: string): string {
+function rawAnswer (status: number | string, headers: AnswerHeaders, body: string): string {
   const lines = Object.entries({ ...headers, 'content-length': String(Buffer.byteLength(body)) }).map(([name, value]) => `${name}: ${value}\r\n`)
   return `HTTP/1.1 ${status} Copy\r\n${lines.join('')}\r\n${body}`
 }
