Tests: a demo that does not come up tells the logs of its processes

Seen: demoSignals "should stop the running system as planned ..." failed in 4 of 10 runs beside other test files (once with an assertion and once rejected, neither recorded; twice "condition not met within 60000 ms", as the demo did not come up); by itself 4 of 4 runs passed. The log of the one failure with logs: control-1 ended with code 2, EADDRINUSE on 127.0.50.1:7200 and 7300, although the demo held the lock of that block of addresses. Who held the ports is not known.

--- a/tests/processes/demoSignals.test.ts
+++ b/tests/processes/demoSignals.test.ts
@@ -7,6 +7,8 @@
 import { join } from 'node:path'
 import { until } from '../fixtures/until.js'
 
+const MAX_LOG_CHARS = 1_500
+
 interface Demo {
   child: ChildProcess
   /** All files of the demo are in here, and its path is among the arguments of all processes. */
@@ -21,7 +23,7 @@
   const demo: Demo = { child, folder, out: '', ended: once(child, 'close') }
   child.stdout.on('data', part => { demo.out += String(part) })
   t.teardown(async () => {
-    if (!t.passed) t.log(demo.out)
+    if (!t.passed) t.log(demo.out, logsIn(folder))
     child.kill('SIGKILL')
     await demo.ended
     // The guardian ends what is left.
@@ -31,6 +33,12 @@
   return demo
 }
 
+/** The ends of the logs of all processes of the demo. */
+function logsIn (folder: string): string {
+  const logs = readdirSync(folder, { recursive: true, encoding: 'utf8' }).filter(name => name.endsWith('.log'))
+  return logs.map(name => `--- ${name}\n${readFileSync(join(folder, name), 'utf8').slice(-MAX_LOG_CHARS)}`).join('\n')
+}
+
 /** Ids of the processes that have the folder among their arguments. */
 function processesIn (folder: string): string[] {
   return readdirSync('/proc').filter(name => {
