--- a/tests/platform/hostShortages.test.ts
+++ b/tests/platform/hostShortages.test.ts
@@ -41,7 +41,8 @@
     listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
     cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, lastInternal] },
     metricsPorts: { edge: metricsPort, control: metricsPort, store: metricsPort },
-    bounds: {}
+    bounds: {},
+    end: { isWhole: true }
   }))
   const limit = descriptors === NO_LIMIT ? '' : `ulimit -n ${descriptors};`
   const child = spawn('bash', ['-c', `${limit} exec "$0" "$@"`, process.execPath, ...preloaded, `dist/platform/${name}.js`], {
