Own programs: a restart in place waits a second for its port

Operators saw code 2 when a program was started while its predecessor still held the port for a moment.

Cause: the check before the start tried once.

Change: it tries for PREDECESSOR_WAIT_MS, then ends with the same line and code 2.

Ruled out: waiting for good, as on the platform: a port in use is as a rule a mistake in the settings there, and processes/settings asks for code 2.

--- a/src/utils/startupChecks.ts
+++ b/src/utils/startupChecks.ts
@@ -4,9 +4,15 @@
  */
 import { access, constants, mkdir } from 'node:fs/promises'
 import { createServer } from 'node:net'
+import { sleepUntil, systemClock, type Clock } from './clock.js'
 import { SettingsError } from './errors.js'
+import { Scope } from './scope.js'
 import { parseAddress } from './settings.js'
 
+/** For a predecessor that still holds the address while it ends: a planned stop hands over in less (HANDOVER_TIMEOUT_MS of the control program). */
+const PREDECESSOR_WAIT_MS = 1_000
+const LISTEN_RETRY_MS = 100
+
 export interface StartupRequirements {
   /** Addresses to listen on, by their key in the settings. */
   addresses: Record<string, string>
@@ -15,10 +21,11 @@
 }
 
 /** @throws SettingsError naming the file, the key, the value and what is wrong. */
-export async function checkStartupRequirements (settingsFile: string, { addresses, folders }: StartupRequirements): Promise<void> {
+export async function checkStartupRequirements (settingsFile: string, { addresses, folders }: StartupRequirements, clock: Clock = systemClock): Promise<void> {
   const problems: string[] = []
+  const deadlineMs = clock.nowMs() + PREDECESSOR_WAIT_MS
   for (const [key, address] of Object.entries(addresses)) {
-    const problem = await problemOf(async () => await checkCanListen(address))
+    const problem = await problemOf(async () => await waitUntilFree(address, clock, deadlineMs))
     if (problem !== undefined) problems.push(`${settingsFile}: ${key}: cannot listen there: ${problem} (value: "${address}")`)
   }
   for (const [key, folder] of Object.entries(folders)) {
@@ -37,6 +44,19 @@
   }
 }
 
+/** Tries again until the deadline; then throws why the address cannot be listened on. */
+async function waitUntilFree (address: string, clock: Clock, deadlineMs: number): Promise<void> {
+  const scope = new Scope('startup checks')
+  for (;;) {
+    try {
+      return await checkCanListen(address)
+    } catch (error) {
+      if (clock.nowMs() >= deadlineMs) throw error
+    }
+    await sleepUntil(clock, scope, clock.nowMs() + LISTEN_RETRY_MS)
+  }
+}
+
 async function checkCanListen (address: string): Promise<void> {
   const { host, port } = parseAddress(address)
   const server = createServer()
