Start: a damaged code cache is left aside

Callers lost a host for as long as its cache of compiled code was damaged with its length kept, as after a loss of power while the build wrote it: each start ended by SIGSEGV or SIGTRAP, without a line.

Cause: V8 compares the version, the flags and the length of a cache, not its content.

Change: the cache ends with a digest of its content, and is written by a rename; one that does not match is not given to V8, and the program compiles its source, which it tells.

Ruled out: no cache at all (0.16 s of processor time at each start); V8's own check of the content, which release builds do not have.

Evidence: platform/bundles 'should start from its bundle with a code cache that has zeros in its second half' gave SIGSEGV, '... wrong bytes' SIGTRAP before; both pass.

--- a/tools/writeCodeCache.cjs
+++ b/tools/writeCodeCache.cjs
@@ -5,13 +5,12 @@
  * the deployment starts the program.
  */
 'use strict'
-const { writeFileSync } = require('node:fs')
-const { codeCachePath, compileBundle } = require('../platform/compileBundle.cjs')
+const { compileBundle, writeCodeCache } = require('../platform/compileBundle.cjs')
 
 const name = process.argv[2] ?? ''
 const { script, run } = compileBundle(name)
 process.on('exit', () => {
-  writeFileSync(codeCachePath(name), script.createCachedData())
+  writeCodeCache(name, script.createCachedData())
   process.exitCode = 0
 })
 run()
