Log: a log that cannot be written ends no program

Operators lost a program at each start, with code 70 and no line, while its log went to a full disk, or, with a code cache of another Node.js version, when nobody read its standard error.

Cause: roarr's own listener on standard output throws every error but EPIPE; launch.cjs wrote to standard error without a listener.

Ruled out: waiting for the log.

--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -12,6 +12,8 @@
 export { LogLevel, type EventCatalogue, type EventDescription } from './eventCatalogue.js'
 
 ROARR.write = () => {}
+// Its listener on standard output throws each error but a closed pipe, which would end the process.
+ROARR.teardown?.()
 
 export type LogFields = Record<string, string | number | boolean | null | string[] | undefined>
 
--- a/tests/platform/bundles.test.ts
+++ b/tests/platform/bundles.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { execFileSync, spawnSync, type SpawnSyncReturns } from 'node:child_process'
-import { cpSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { closeSync, cpSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import { createRequire } from 'node:module'
 import { tmpdir } from 'node:os'
@@ -19,11 +19,11 @@
 }
 
 /** Starts a program with the command line of the deployment, without settings. */
-function start (name: string, moreFlags: string[] = [], cwd = '.'): SpawnSyncReturns<string> {
+function start (name: string, moreFlags: string[] = [], cwd = '.', stderr: 'pipe' | number = 'pipe'): SpawnSyncReturns<string> {
   const { roles } = parse(readFileSync('deploy/system.toml', 'utf8')) as unknown as Deployment
   const [command, ...words] = roles[name]?.run.split(' ') ?? []
   if (command !== 'node') throw new Error(`${name} is started by ${command ?? 'nothing'}`)
-  return spawnSync(process.execPath, [...moreFlags, ...words], { encoding: 'utf8', env: {}, cwd })
+  return spawnSync(process.execPath, [...moreFlags, ...words], { encoding: 'utf8', env: {}, cwd, stdio: ['ignore', 'pipe', stderr] })
 }
 
 test.before(() => { execFileSync(process.execPath, ['tools/bundle.mjs'], { stdio: 'inherit' }) })
@@ -44,6 +44,13 @@
   t.regex(stderr, /THREADDRUM_NODE_FILE is not set/)
 })
 
+// A notice that nobody could take ended each start of a program whose code cache another Node.js version had written.
+test('should start from its bundle where standard error takes nothing', t => {
+  const full = openSync('/dev/full', 'w')
+  t.teardown(() => closeSync(full))
+  t.is(start('edge', ['--stack-size=900'], '.', full).status, EXIT_SETTINGS)
+})
+
 /** Damage that keeps the length: blocks that a loss of power did not keep, and single bytes. */
 const DAMAGES: Record<string, (cache: Buffer) => void> = {
   'zeros in its second half': cache => { cache.fill(0, cache.length >> 1) },
--- a/tests/utils/logOutput.test.ts
+++ b/tests/utils/logOutput.test.ts
@@ -1,5 +1,6 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { closeSync, openSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import test from 'ava'
 
@@ -35,3 +36,11 @@
   t.is(exitCode, 0)
   t.is(report.roundsCount, 400)
 })
+
+// The library's own listener threw every error of standard output but a closed pipe: a full log disk ended each program at its first line.
+test('should continue its work when the log cannot be written', async t => {
+  const full = openSync('/dev/full', 'w')
+  t.teardown(() => closeSync(full))
+  const child = spawn(process.execPath, [program], { stdio: ['ignore', full, 'ignore'] })
+  t.deepEqual(await once(child, 'exit'), [0, null])
+})
