Endpoints: the deadline of an item does not end its run

Trainers got steps later, or not at all: runs were cut at the time from which an item may be given up, though their output is of use late too.

Cause: 'each exchange ends at its deadline' took the deadline of an item for one of its run.

Change: runs of items end as before: by their events, by the stall detector, or by their scope.

--- a/src/endpoints/endpointClient.ts
+++ b/src/endpoints/endpointClient.ts
@@ -102,6 +102,10 @@
   afterEventId: number | undefined
 }
 
+/**
+ * The deadline of an item says from when it may be given up; a run in progress goes on,
+ * as its output is of use late too. What ends a run is that its events stop.
+ */
 export interface ItemRequest extends Omit<EndpointRequest, 'method'> {
   /** Id of the last event received so far; the endpoint continues after this event. */
   afterEventId: number | undefined
