Start: changed settings end a program that does not serve yet

Seen: edge, control and store whose settings named an address that the host lacks went on waiting for it after the file was corrected and SIGHUP sent; likewise control and store with a data folder that cannot be used. edge logged 4003 "Changed settings were applied", although it applies the seeds only. A regression of the waits for addresses and folders: before them such a program ended and was started with the corrected file.

Cause: the settings were read once, and changes were looked at only after the start, which these waits hold up.

Change: the settings are watched from the start on. A changed key that only a start applies (all but the seeds and host.isFirstStart) ends a program that does not serve yet with code 0 and 920 changed_settings, with changedKeys. One that serves goes on, and 4003 names these keys in notApplied. Seeds changed during the start are applied when it is over, as before.

Ruled out: a new start inside the process, as a start has no single scope to close (memory watch, metrics listener, replica); an address asked for before each attempt, as peers would have been told the old one. host.isFirstStart does not count: it may turn false while the first start lasts, and an end would only lose that start.

The whole suite was not run.

Left: a program that serves does not end for a listener that still waits (an entry host's readiness or addresses, a control host's admin port, the metrics).

--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -4,6 +4,7 @@
  * processes of the system reach each other are the same on all hosts and are
  * derived from the first port of a range.
  */
+import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
 import { SettingsError } from '../utils/errors.js'
 import { addressSchema, checkSettings, parseAddress, valueAt } from '../utils/settings.js'
@@ -90,6 +91,16 @@
   return settings
 }
 
+/** Keys, as table.key, whose values differ. */
+export function changedKeys (before: FleetHostSettings, after: FleetHostSettings): string[] {
+  const tables = Object.keys(fleetHostSettingsSchema.shape)
+  return tables.flatMap(table => {
+    const [old, now] = [before, after].map(settings => (valueAt(settings, [table]) ?? {}) as Record<string, unknown>)
+    const keys = new Set([...Object.keys(old ?? {}), ...Object.keys(now ?? {})])
+    return [...keys].filter(key => !isDeepStrictEqual(old?.[key], now?.[key])).map(key => `${table}.${key}`)
+  })
+}
+
 /** Offsets of the internal ports from the first one. */
 enum InternalPort {
   ControlPeers = 0,
--- a/src/utils/programLife.ts
+++ b/src/utils/programLife.ts
@@ -5,7 +5,7 @@
  * is as safe as after a kill; afterwards it begins the planned stop, which no further
  * signal breaks off.
  */
-import type { Logger } from './logger.js'
+import type { LogFields, Logger } from './logger.js'
 import { ProgramEvent } from './programEvents.js'
 import { Scope } from './scope.js'
 
@@ -13,7 +13,8 @@
 
 export enum EndReason {
   PlannedStop = 'planned_stop',
-  StoppedDuringStart = 'stopped_during_start'
+  StoppedDuringStart = 'stopped_during_start',
+  ChangedSettings = 'changed_settings'
 }
 
 const STOPPED_EXIT_CODE = 0
@@ -31,7 +32,7 @@
 }
 
 export class ProgramLife {
-  /** Closes when a stop is asked for during the start. */
+  /** Closes when the process is to end during the start. */
   readonly startScope = new Scope('start')
   private readonly _options: ProgramLifeOptions
   private _phase: Phase = { kind: 'starting' }
@@ -58,6 +59,17 @@
     this._end(EndReason.PlannedStop, this._phase.kind === 'ending' ? this._phase.signal : undefined)
   }
 
+  /**
+   * Ends the process at once, to be started again with settings that it cannot apply by itself.
+   * For a program that does not serve; without effect once the process ends.
+   */
+  endForSettings (changedKeys: string[]): void {
+    if (this._phase.kind === 'ending') return
+    this._phase = { kind: 'ending', signal: undefined }
+    this.startScope.close(EndReason.ChangedSettings)
+    this._end(EndReason.ChangedSettings, undefined, { changedKeys })
+  }
+
   private _onStop (signal: StopSignal): void {
     const phase = this._phase
     if (phase.kind === 'ending') return
@@ -71,8 +83,8 @@
     this._end(EndReason.StoppedDuringStart, signal)
   }
 
-  private _end (reason: EndReason, signal: StopSignal | undefined): void {
-    this._options.logger.event(ProgramEvent.Ended, { reason, signal, exitCode: STOPPED_EXIT_CODE, ranMs: Math.round(performance.now()) })
+  private _end (reason: EndReason, signal: StopSignal | undefined, fields: LogFields = {}): void {
+    this._options.logger.event(ProgramEvent.Ended, { reason, signal, exitCode: STOPPED_EXIT_CODE, ranMs: Math.round(performance.now()), ...fields })
     this._options.exit(STOPPED_EXIT_CODE)
   }
 }
--- /dev/null
+++ b/tests/platform/settingsDuringStart.test.ts
@@ -0,0 +1,80 @@
+/**
+ * Settings that are corrected while a program cannot start with those that it has read.
+ */
+import test, { type ExecutionContext } from 'ava'
+import { rmSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { PlatformEvent } from '../../platform/platformEvents.js'
+import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
+import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
+import { ListenEvent } from '../../src/utils/listenEvents.js'
+import { ProgramEvent } from '../../src/utils/programEvents.js'
+import { buildDeployment, HostFiles, HostProcess } from '../fixtures/hostProcess.js'
+
+/** No address of this machine: documentation only, RFC 5737. */
+const FOREIGN_IP = '192.0.2.1'
+
+let deployment = ''
+test.before(() => { deployment = buildDeployment() })
+test.after.always(() => rmSync(deployment, { recursive: true, force: true }))
+
+function start (t: ExecutionContext, name: ProgramName, files: HostFiles): HostProcess {
+  return new HostProcess(t, deployment, name, files.settingsFile)
+}
+
+/** Corrects the settings, and checks that the program ends for them and starts with them. */
+async function assertCorrectedSettingsCount (t: ExecutionContext, name: ProgramName, files: HostFiles, program: HostProcess, key: string): Promise<void> {
+  files.write(files.text())
+  program.signal('SIGHUP')
+  const line = await program.logged(ProgramEvent.Ended)
+  t.like(line.context, { reason: 'changed_settings', exitCode: 0, changedKeys: [key] })
+  t.deepEqual(await program.ended, { code: 0, signal: null })
+  t.is(program.linesOf(PlatformEvent.Reloaded).length, 0)
+  const next = start(t, name, files)
+  await next.logged(PlatformEvent.Started)
+  files.write(files.changedText('127.0.0.1:2'))
+  await next.logged(PlatformEvent.Reloaded)
+  t.is(next.end, undefined)
+}
+
+for (const [name, table, key, value] of [
+  ['edge', 'listen', 'callers', `${FOREIGN_IP}:8161`],
+  ['control', 'host', 'ip', FOREIGN_IP],
+  ['control', 'listen', 'control', `${FOREIGN_IP}:8166`],
+  ['store', 'host', 'ip', FOREIGN_IP]
+] as const) {
+  // Guards against a program that waits for ever for an address that its corrected settings no longer name.
+  test(`should end ${name} for corrected settings while it waits for an address from ${table}.${key}`, async t => {
+    const files = await HostFiles.create(t)
+    files.write(files.text({ [table]: { [key]: value } }))
+    const program = start(t, name, files)
+    await program.logged(ListenEvent.Waiting)
+    await assertCorrectedSettingsCount(t, name, files, program, `${table}.${key}`)
+  })
+}
+
+for (const name of ['control', 'store'] as const) {
+  // Guards against a program that waits for ever for a data folder that its corrected settings no longer name.
+  test(`should end ${name} for corrected settings while it waits for its data folder`, async t => {
+    const files = await HostFiles.create(t)
+    const file = `${files.settingsFile}.file`
+    writeFileSync(file, '')
+    files.write(files.text({ host: { dataFolder: join(file, 'data') } }))
+    const program = start(t, name, files)
+    await program.logged(ReplicationEvent.FolderUnusable)
+    await assertCorrectedSettingsCount(t, name, files, program, 'host.dataFolder')
+  })
+}
+
+// Guards against an end of a program that serves, and against a line that says a change is applied that is not.
+test('should go on serving when settings change that only a start applies, and name their keys', async t => {
+  const files = await HostFiles.create(t)
+  files.write(files.text())
+  const program = start(t, 'store', files)
+  await program.logged(PlatformEvent.Started)
+  files.write(files.changedText('127.0.0.1:2'))
+  t.deepEqual((await program.logged(PlatformEvent.Reloaded)).context.notApplied, [])
+  files.write(files.text({ bounds: { graceS: 3 }, cluster: { seedAddresses: ['127.0.0.1:3'] } }))
+  t.like((await program.logged(PlatformEvent.Reloaded, 2)).context, { seeds: ['127.0.0.1:3'], notApplied: ['bounds.graceS'] })
+  t.is(program.end, undefined)
+})
