Start: only a changed address or data folder ends a program that does not serve yet

Cause: any changed key but the seeds ended a program that was still starting, also one that keeps it from nothing; an own end for want of a reason is the fault that this work is about.

Change: the keys are those that a start may wait for; others are named in 4003 as not applied.

Ruled out: ending for none: a start would wait for an address that its settings no longer name.

--- a/src/utils/programEvents.ts
+++ b/src/utils/programEvents.ts
@@ -13,7 +13,7 @@
 }
 
 export const programEventCatalogue: EventCatalogue = {
-  [ProgramEvent.Ended]: { level: LogLevel.Info, text: 'The process ends because it was asked to, or because its settings changed before it served.', advice: 'reason stopped_during_start: nothing had been served; the data on disk is as after a kill. reason changed_settings: the same, and changedKeys names what only a start applies; the process is to be started again, and reads the new settings. Without this line and without a broken invariant, something outside ended the process: SIGKILL, or a signal in the first moments of Node.js.' },
+  [ProgramEvent.Ended]: { level: LogLevel.Info, text: 'The process ends because it was asked to, or because an address or its data folder changed in the settings before it served.', advice: 'reason stopped_during_start: nothing had been served; the data on disk is as after a kill. reason changed_settings: the same, and changedKeys names what changed; the process is to be started again, and reads the new settings. Without this line and without a broken invariant, something outside ended the process: SIGKILL, or a signal in the first moments of Node.js.' },
   [ProgramEvent.HangupDuringStart]: { level: LogLevel.Info, text: 'SIGHUP arrived during the start; the settings are looked at again.', advice: 'None.' },
   [ProgramEvent.SettingsUnusable]: { level: LogLevel.Warn, text: 'The settings cannot be used; the start waits until they can.', advice: 'Correct what the problem names. A file that is being written is whole a moment later: 923 follows.' },
   [ProgramEvent.SettingsUsable]: { level: LogLevel.Info, text: 'The settings can be used again.', advice: 'None; lastedMs says for how long they could not.' },
--- a/tests/platform/settingsDuringStart.test.ts
+++ b/tests/platform/settingsDuringStart.test.ts
@@ -78,3 +78,15 @@
   t.like((await program.logged(PlatformEvent.Reloaded, 2)).context, { seeds: ['127.0.0.1:3'], notApplied: ['bounds.graceS'] })
   t.is(program.end, undefined)
 })
+
+// Guards against an end for settings that change while a program starts and keep it from nothing.
+test('should end no program that starts for changed settings that name the same addresses and folder', async t => {
+  const files = await HostFiles.create(t)
+  files.write(files.text({ listen: { callers: `${FOREIGN_IP}:8161` } }))
+  const program = start(t, 'edge', files)
+  await program.logged(ListenEvent.Waiting)
+  files.write(files.text({ listen: { callers: `${FOREIGN_IP}:8161` }, bounds: { graceS: 3 } }))
+  program.signal('SIGHUP')
+  t.deepEqual((await program.logged(PlatformEvent.Reloaded)).context.notApplied, ['bounds.graceS'])
+  t.is(program.end, undefined)
+})
