Settings: internal ports that cannot be are refused

Seen (by a review): internalPorts = [70000, 7735] passed the check, and a reload with it ended a running edge with code 70 after 4003.

Cause: the first port had no maximum, and nothing compared the ports derived from it with the last one.

Change: both from 1 to 65535, and the range must hold the ports that are derived from the first. Fixtures of hostPrograms and hostShortages state the range that they use; their last port was that of a separate search and could lie before the first.

Evidence: platform/boundaries before: the 4 new cases failed. The new test of changedSettings did not end within the 60 s given to that run before (the code 70 of the review was not reproduced here). The whole suite was not run.

--- a/src/fleet/fleetHostSettings.ts
+++ b/src/fleet/fleetHostSettings.ts
@@ -12,6 +12,15 @@
 /** The programs of the fleet. */
 export type ProgramName = 'edge' | 'control' | 'store'
 
+/** Offsets of the internal ports from the first one. */
+enum InternalPort {
+  ControlPeers = 0,
+  ControlAdmin = 1,
+  StorePeers = 2
+}
+
+const LAST_INTERNAL_PORT = InternalPort.StorePeers
+
 const portSchema = z.int().min(1).max(65_535)
 
 export const fleetHostSettingsSchema = z.strictObject({
@@ -41,7 +50,8 @@
   }),
   cluster: z.strictObject({
     seedAddresses: z.array(addressSchema),
-    internalPorts: z.tuple([z.int().min(1), z.int().max(65_535)])
+    /** The first and the last port; those between them belong to the system too. */
+    internalPorts: z.tuple([portSchema, portSchema]).refine(([first, last]) => first + LAST_INTERNAL_PORT <= last, `must hold at least ${LAST_INTERNAL_PORT + 1} ports, the first port first`)
   }),
   /** Ports at which the programs serve their metrics; several programs may run on the same host. */
   metricsPorts: z.strictObject({ edge: portSchema, control: portSchema, store: portSchema }),
@@ -101,13 +111,6 @@
   })
 }
 
-/** Offsets of the internal ports from the first one. */
-enum InternalPort {
-  ControlPeers = 0,
-  ControlAdmin = 1,
-  StorePeers = 2
-}
-
 export interface InternalAddresses {
   /** Address of the control process for the other processes of the system. */
   controlPeers: string
--- a/tests/platform/boundaries.test.ts
+++ b/tests/platform/boundaries.test.ts
@@ -62,10 +62,15 @@
   ['an address', '"10.1.0.10:8161"', '"nowhere"', /settings\.toml: listen\.callers: .*nowhere/],
   ['a first start', 'isFirstStart = true', 'isFirstStart = 3', /host\.isFirstStart: .*\(value: 3\)/],
   ['a port', '[7720, 7735]', '[7720, 99999]', /cluster\.internalPorts\.1: .*99999/],
+  ['a first port', '[7720, 7735]', '[70000, 7735]', /cluster\.internalPorts\.0: .*\(value: 70000\)/],
+  ['a last port', '[7720, 7735]', '[7720, 0]', /cluster\.internalPorts\.1: .*\(value: 0\)/],
+  ['a range of ports that is too short', '[7720, 7735]', '[7720, 7721]', /cluster\.internalPorts: .*\(value: \[7720,7721\]\)/],
+  ['a range of ports that ends at the last one', '[7720, 7735]', '[65534, 65535]', /cluster\.internalPorts: .*\(value: \[65534,65535\]\)/],
   ['an interval', 'heartbeatMs = 1200', 'heartbeatMs = 0', /bounds\.heartbeatMs: .*\(value: 0\)/],
   ['a key', '[bounds]', '[bounds]\nunheardOf = 1', /bounds: unknown key "unheardOf"/]
 ]
 
+// Guards against settings that pass and end the program later, such as ports that cannot be.
 for (const [what, from, to, message] of mistakes) {
   test(`should name the file, the key and the value of ${what} that is invalid`, t => {
     const error = t.throws(() => checkSettings('settings.toml', settings.replace(from, to), fleetHostSettingsSchema), { instanceOf: SettingsError })
--- a/tests/platform/changedSettings.test.ts
+++ b/tests/platform/changedSettings.test.ts
@@ -55,3 +55,15 @@
   t.is(program.linesOf(PlatformEvent.ReloadFailed).length, 2)
   t.deepEqual(seedsOf(program), [['127.0.0.1:2']])
 })
+
+// Guards against an end with code 70 for ports that cannot be, which passed the check.
+test('should keep its settings when the changed ones name internal ports that cannot be', async t => {
+  const { program, files } = await running(t)
+  await program.logged(PlatformEvent.Reloaded)
+  files.write(files.text({ cluster: { seedAddresses: ['127.0.0.1:3'], internalPorts: [70_000, 7_735] } }))
+  t.regex(String((await program.logged(PlatformEvent.ReloadFailed)).context.error), /cluster\.internalPorts\.0: .*\(value: 70000\)/)
+  files.write(files.changedText('127.0.0.1:4'))
+  await program.logged(PlatformEvent.Reloaded, 2)
+  t.deepEqual(seedsOf(program), [['127.0.0.1:2'], ['127.0.0.1:4']])
+  t.is(program.end, undefined)
+})
--- a/tests/platform/hostPrograms.test.ts
+++ b/tests/platform/hostPrograms.test.ts
@@ -30,13 +30,13 @@
   const folder = mkdtempSync(join(tmpdir(), 'threaddrum-host-'))
   const ip = loopbackHost()
   const ports = await Promise.all(Array.from({ length: 9 }, freePort))
-  const [callers, readiness, control, firstInternal = 0, , lastInternal, edgeMetrics, controlMetrics, storeMetrics] = ports
+  const [callers, readiness, control, firstInternal = 0, , , edgeMetrics, controlMetrics, storeMetrics] = ports
   const metricsPorts = { edge: edgeMetrics, control: controlMetrics, store: storeMetrics }
   const file = join(folder, 'host.toml')
   writeFileSync(file, stringify({
     host: { name: 'h1', ip, dataCentre: 'dc', isFirstStart: true, dataFolder: join(folder, 'data'), ...(memoryMb === undefined ? {} : { memoryMb }), ...limits },
     listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
-    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, lastInternal] },
+    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, firstInternal + 2] },
     metricsPorts,
     bounds: {},
     end: { isWhole: true }
--- a/tests/platform/hostShortages.test.ts
+++ b/tests/platform/hostShortages.test.ts
@@ -34,12 +34,12 @@
 async function start (name: ProgramName, descriptors: string, preloaded: string[] = [], env: Record<string, string> = {}): Promise<RunningProgram & { stop: () => Promise<void> }> {
   const folder = mkdtempSync(join(tmpdir(), 'threaddrum-shortage-'))
   const ip = loopbackHost()
-  const [callers = 0, readiness, control, firstInternal = 0, , lastInternal = 0, metricsPort = 0] = await Promise.all(Array.from({ length: 7 }, freePort))
+  const [callers = 0, readiness, control, firstInternal = 0, , , metricsPort = 0] = await Promise.all(Array.from({ length: 7 }, freePort))
   const file = join(folder, 'host.toml')
   writeFileSync(file, stringify({
     host: { name: 'h1', ip, dataCentre: 'dc', isFirstStart: true, dataFolder: join(folder, 'data') },
     listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
-    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, lastInternal] },
+    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, firstInternal + 2] },
     metricsPorts: { edge: metricsPort, control: metricsPort, store: metricsPort },
     bounds: {},
     end: { isWhole: true }
