Submissions: an item that no engine can be sent is refused with 400

Cause: submissions were checked for the kinds of their fields, not for what HTTP/1.1 carries. Change: ids, paths, headers and hosts have to be sendable; the refusal names item, field and value (its first 100 characters). The item of submissionReader's fixture had a line end in a header: it stands in its group now, and a tab in the header, so that the same escapes are read; a submission with that header is a case of the refused ones. Ruled out: leaving the character out, which would change the request.

--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { decodeHeartbeat } from '../../platform/announcementCodec.js'
-import { decodeSubmission, encodeResults } from '../../platform/batchCodec.js'
+import { decodeItem, decodeSubmission, encodeResults } from '../../platform/batchCodec.js'
 import { loadOf } from '../../platform/endpointClient.js'
 import { decodeRouting } from '../../platform/routingCodec.js'
 import { WireHeader } from '../../platform/wireNames.js'
@@ -154,6 +154,36 @@
   t.is(decodeSubmission('b1', 'h', '/p/', { ...submission, items: [{ ...submission.items[0], body: '%%' }] }).kind, 'invalid')
 })
 
+/** Changes to an item with which no engine can be sent it, the field that says so, and the value. */
+const UNSENDABLE: Array<[changes: object, field: string, value: string]> = [
+  [{ headers: { 'X-Custom': 'a\nb' } }, 'headers.X-Custom', 'a\\nb'],
+  [{ headers: { 'X-Custom': 'a\u0001b' } }, 'headers.X-Custom', 'a\\u0001b'],
+  [{ headers: { 'X-Custom': 'коло' } }, 'headers.X-Custom', 'коло'],
+  [{ headers: { 'X Custom': 'a' } }, 'headers.X Custom', 'X Custom'],
+  [{ headers: { '': 'a' } }, 'headers.', '""'],
+  [{ id: 'i\r1' }, 'id', 'i\\r1'],
+  [{ path: '/hints/a b' }, 'path', '/hints/a b'],
+  [{ path: '/hints\r\n' }, 'path', '/hints\\r\\n'],
+  [{ scorer: { ...submission.items[0]?.scorer, id: 's\n1' } }, 'scorer.id', 's\\n1'],
+  [{ scorer: { ...submission.items[0]?.scorer, host: 'h\n' } }, 'scorer.host', 'h\\n'],
+  [{ scorer: { ...submission.items[0]?.scorer, path: '/a b' } }, 'scorer.path', '/a b']
+]
+
+// Such an item was taken with 202, and each of its runs failed before anything was sent, until its time was over.
+for (const [changes, field, value] of UNSENDABLE) {
+  test(`should refuse an item with ${JSON.stringify(changes)}, and say where and why`, t => {
+    const decoded = decodeItem({ ...submission.items[0], ...changes }, { account: undefined, priority: undefined, hasKeys: false })
+    const problem = decoded.kind === 'invalid' ? decoded.problem : ''
+    t.true(problem.startsWith(`${field}: `), problem)
+    t.true(problem.includes(value), problem)
+  })
+}
+
+test('should take an item whose header has tabs, quotes and Latin letters', t => {
+  const decoded = decodeItem({ ...submission.items[0], headers: { 'X-Custom': 'käse\t"' } }, { account: undefined, priority: undefined, hasKeys: false })
+  t.deepEqual(decoded.kind === 'valid' && decoded.item.headers, ['X-Custom', 'käse\t"'])
+})
+
 // The second item of an id was lost, and the batch could never be whole.
 test('should refuse a batch in which an id repeats, or that waits for a negative number of groups, and say where', t => {
   const [item] = submission.items
--- a/tests/platform/submissionReader.test.ts
+++ b/tests/platform/submissionReader.test.ts
@@ -55,7 +55,7 @@
 }
 
 function wireItem (id: string, changes = {}): object {
-  return { id, path: `/hints/${id}`, headers: { 'X-Threaddrum-Model': 'm1', 'X-Threaddrum-Token-Count': '10,400', 'X-Custom': 'käse\n"' }, body: 'q83vEjRWeJA=', tokens: 410, group: 'g1', scorer: { id: `s-${id}`, host: 'h', path: '/p', body: '3q2+7w==' }, ...changes }
+  return { id, path: `/hints/${id}`, headers: { 'X-Threaddrum-Model': 'm1', 'X-Threaddrum-Token-Count': '10,400', 'X-Custom': 'käse\t"' }, body: 'q83vEjRWeJA=', tokens: 410, group: 'g\n1', scorer: { id: `s-${id}`, host: 'h', path: '/p', body: '3q2+7w==' }, ...changes }
 }
 
 function bytesOf (value: unknown): Buffer {
@@ -138,6 +138,7 @@
 const INVALID: Array<[name: string, body: unknown, problem: RegExp]> = [
   ['an item without an id', { items: [wireItem('i1'), wireItem('', {})] }, /^items\.1\.id: /],
   ['a body that is not base64', { items: [wireItem('i1', { body: '$' })] }, /^items\.0\.body: /],
+  ['a header that no engine can be sent', { items: [wireItem('i1'), wireItem('i2', { headers: { 'X-Custom': 'a\nb' } })] }, /^items\.1\.headers\.X-Custom: "a\\nb" /],
   ['an id that repeats', { items: [wireItem('i1'), wireItem('i1')] }, /^items: the id "i1" repeats/],
   ['no items', { step: 1 }, /^items: expected at least one item/],
   ['an empty list', { items: [] }, /^items: expected at least one item/],
