--- a/tests/platform/unsendableRequests.test.ts
+++ b/tests/platform/unsendableRequests.test.ts
@@ -5,13 +5,20 @@
 import test from 'ava'
 import { PlatformEndpointClient } from '../../platform/endpointClient.js'
 import { PlatformInfrastructure } from '../../platform/infrastructureClient.js'
+import { Engine } from '../../src/batchScheduling/engineFleet.js'
+import { recordOutcome } from '../../src/batches/runOutcome.js'
 import { DutyKind } from '../../src/duties/infrastructure.js'
 import { Listening, LoadMode, type StreamedRequest } from '../../src/endpoints/endpointClient.js'
+import { EndpointHealth } from '../../src/endpoints/endpointHealth.js'
+import type { EndpointPool } from '../../src/endpoints/endpointPool.js'
+import { FailureAttribution } from '../../src/endpoints/failureAttribution.js'
+import type { FleetView } from '../../src/fleet/fleetView.js'
+import { recordFailedTry } from '../../src/gateway/failedTry.js'
 import { systemClock } from '../../src/utils/clock.js'
 import { memoryMetrics } from '../../src/utils/metrics.js'
 import { Scope } from '../../src/utils/scope.js'
 import { streamRequest, withEndpoint } from '../fixtures/endpointCalls.js'
-import { endpoint } from '../fixtures/fleet/fleetFixtures.js'
+import { endpoint, engine as batchEngine } from '../fixtures/fleet/fleetFixtures.js'
 import { completeResponse } from '../fixtures/rawEndpoint.js'
 import { until } from '../fixtures/until.js'
 
@@ -65,6 +72,32 @@
   })
 }
 
+/** Tries of one request at one engine: enough to eject an engine that is to blame. */
+const TRIES_COUNT = 20
+
+// Each run of an item that cannot be sent was held against its engine, and with one engine the next item waited.
+test('should hold runs and tries of requests that cannot be sent against no engine, unlike broken ones', async t => {
+  await withEndpoint(({ socket }) => { socket.destroy() }, async raw => {
+    const isHealthyAfter = async (changes: Partial<StreamedRequest>): Promise<boolean[]> => {
+      const request = { ...streamRequest(raw.endpoint), ...changes }
+      const ofRuns = new EndpointHealth({ clock: systemClock })
+      const ofTries = new EndpointHealth({ clock: systemClock })
+      const engine = new Engine(batchEngine('e1', 1), ofRuns, systemClock)
+      const pool = { health: () => ofTries } as unknown as EndpointPool
+      for (let count = 0; count < TRIES_COUNT; count++) {
+        const startedAtMs = systemClock.nowMs()
+        recordOutcome(await client.runItem(request, scope(), () => {}), { engine, startedAtMs, failures: new FailureAttribution(() => 'i1'), markRemoved: () => t.fail() })
+        const outcome = await client.call(request, scope())
+        if (outcome.kind === 'answered') return [t.fail()]
+        recordFailedTry('e1', startedAtMs, outcome, { pool, view: undefined as unknown as FleetView })
+      }
+      return [ofRuns, ofTries].map(({ isBreakerOpen, isHalfOpen }) => !isBreakerOpen && !isHalfOpen)
+    }
+    for (const [name, changes] of Object.entries(UNSENDABLE)) t.deepEqual(await isHealthyAfter(changes), [true, true], name)
+    t.deepEqual(await isHealthyAfter({}), [false, false])
+  })
+})
+
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Threaddrum-Attempt-Id: a1\r\nX-Threaddrum-Server-Stamp: stamp\r\n'
 const whole = (fields: string): string => `${HEAD}${fields}Content-Length: 5\r\n\r\nwhole`
 
