Tests: only a stream whose head came may be cut off at its deadline

Seen: "should answer the caller…" took 'cut off' for plain and at-most-once requests too. Change: those are told 504, as are streams without a head. Streams whose head the engine sent may be cut off or told 504, as before: demanding 'cut off' of each left the test pending after 10 s (not traced; likely an engine's head that is not this attempt's). No change to the program.

--- a/tests/platform/answerDeadlines.test.ts
+++ b/tests/platform/answerDeadlines.test.ts
@@ -143,6 +143,10 @@
   }
 })
 
+/** Only a stream whose head was passed on can be cut off: any other request is told its status. */
+const WITH_HEAD = new Set(['a head without its body', 'a body without its end', 'the extension of a chunk'])
+
+// A caller whose connection ends without an answer learns nothing.
 for (const kind of [RouteKind.Idempotent, RouteKind.AtMostOnce, RouteKind.Stream]) {
   test(`should answer the caller of a ${kind} request at its deadline, whatever its engine sends`, async t => {
     for (const [name, bytesOf] of Object.entries(ENDLESS)) {
@@ -158,7 +162,8 @@
           await body.text()
           return String(statusCode)
         }).catch(() => 'cut off')
-        t.true(['504', 'cut off'].includes(await ending), name)
+        const isCutOffAllowed = kind === RouteKind.Stream && WITH_HEAD.has(name)
+        t.true((isCutOffAllowed ? ['504', 'cut off'] : ['504']).includes(await ending), name)
         await until(() => closedCount === 1)
       })
     }
