Tests: a corrected host.ip after a wait for the port for peers (two are red)

The data folder is marked with host.ip before the port for peers is waited for; the test corrected the file before or after that, as it happened.

Change: the tests wait for the port for peers first. The end for corrected settings and the start after it are two tests; no check is dropped. Control and store each: "should start NAME with a corrected host.ip after it had waited for its port for peers" fails for a real fault that is not mended here.

Evidence: `npx ava dist/tests/platform/settingsDuringStart.test.js`: 7 passed, these 2 failed with code 70.

--- a/tests/platform/settingsDuringStart.test.ts
+++ b/tests/platform/settingsDuringStart.test.ts
@@ -22,14 +22,19 @@
   return new HostProcess(t, deployment, name, files.settingsFile)
 }
 
-/** Corrects the settings, and checks that the program ends for them and starts with them. */
-async function assertCorrectedSettingsCount (t: ExecutionContext, name: ProgramName, files: HostFiles, program: HostProcess, key: string): Promise<void> {
+/** Corrects the settings, and checks that the program ends for them. */
+async function assertEnds (t: ExecutionContext, files: HostFiles, program: HostProcess, key: string): Promise<void> {
   files.write(files.text())
   program.signal('SIGHUP')
   const line = await program.logged(ProgramEvent.Ended)
   t.like(line.context, { reason: 'changed_settings', exitCode: 0, changedKeys: [key] })
   t.deepEqual(await program.ended, { code: 0, signal: null })
   t.is(program.linesOf(PlatformEvent.Reloaded).length, 0)
+}
+
+/** Corrects the settings, and checks that the program ends for them and starts with them. */
+async function assertCorrectedSettingsCount (t: ExecutionContext, name: ProgramName, files: HostFiles, program: HostProcess, key: string): Promise<void> {
+  await assertEnds(t, files, program, key)
   const next = start(t, name, files)
   await next.logged(PlatformEvent.Started)
   files.write(files.changedText('127.0.0.1:2'))
@@ -39,9 +44,7 @@
 
 for (const [name, table, key, value] of [
   ['edge', 'listen', 'callers', `${FOREIGN_IP}:8161`],
-  ['control', 'host', 'ip', FOREIGN_IP],
-  ['control', 'listen', 'control', `${FOREIGN_IP}:8166`],
-  ['store', 'host', 'ip', FOREIGN_IP]
+  ['control', 'listen', 'control', `${FOREIGN_IP}:8166`]
 ] as const) {
   // Guards against a program that waits for ever for an address that its corrected settings no longer name.
   test(`should end ${name} for corrected settings while it waits for an address from ${table}.${key}`, async t => {
@@ -53,7 +56,28 @@
   })
 }
 
+/** Starts a program with an address that the host lacks, until it waits for its port for peers. */
+async function waitingForPeers (t: ExecutionContext, name: ProgramName): Promise<{ files: HostFiles, program: HostProcess }> {
+  const files = await HostFiles.create(t)
+  files.write(files.text({ host: { ip: FOREIGN_IP } }))
+  const program = start(t, name, files)
+  for (let count = 1; (await program.logged(ListenEvent.Waiting, count)).context.listener !== 'peers';) count++
+  return { files, program }
+}
+
 for (const name of ['control', 'store'] as const) {
+  // Guards against a program that waits for ever for the address of a host that its corrected settings no longer name.
+  test(`should end ${name} for a corrected host.ip while it waits for its port for peers`, async t => {
+    const { files, program } = await waitingForPeers(t, name)
+    await assertEnds(t, files, program, 'host.ip')
+  })
+
+  // Guards against ends with code 70 because the data folder was made for the address that was corrected.
+  test(`should start ${name} with a corrected host.ip after it had waited for its port for peers`, async t => {
+    const { files, program } = await waitingForPeers(t, name)
+    await assertCorrectedSettingsCount(t, name, files, program, 'host.ip')
+  })
+
   // Guards against a program that waits for ever for a data folder that its corrected settings no longer name.
   test(`should end ${name} for corrected settings while it waits for its data folder`, async t => {
     const files = await HostFiles.create(t)
