Replica: a data folder that was never used is not another host's

Operators who corrected host.ip of a control or store host that had waited for its address in vain found it ending with code 70, 'the data folder belongs to host ...', at each start.

Cause: the folder is marked with host.ip before the port for peers is waited for.

Change: a replica that has joined no cluster and holds nothing is set aside for a new one.

Ruled out: waiting for the port before the folder is read: a start would take longer.

--- a/src/replication/storage/replicaStorage.ts
+++ b/src/replication/storage/replicaStorage.ts
@@ -64,7 +64,7 @@
    * Opens the replica of a host, or creates one if the disk holds none. If its
    * files are damaged, they are moved aside and a new replica is created, which
    * has to join like any other new one.
-   * @throws StorageError if the disk belongs to another host.
+   * @throws StorageError if the disk belongs to another host, unless its replica was never used.
    */
   static async open (disk: Disk, hostId: string, newId: () => string, options: StorageOptions = { syncs: true }): Promise<OpenedReplica> {
     await loadChecksum()
@@ -74,7 +74,10 @@
     switch (outcome.kind) {
       case 'loaded':
         loaded = outcome.replica
-        if (loaded.identity.hostId !== hostId) throw new StorageError(`the data folder belongs to host ${loaded.identity.hostId}, not ${hostId}`)
+        if (loaded.identity.hostId === hostId) break
+        if (!isUnused(loaded)) throw new StorageError(`the data folder belongs to host ${loaded.identity.hostId}, not ${hostId}`)
+        await disk.setAside(await disk.list(), `unused-${newId()}`)
+        loaded = await createReplica(disk, hostId, newId())
         break
       case 'damaged':
         damage = outcome.reason
@@ -237,3 +240,8 @@
   yield { kind: 'hardState', hardState }
   for (const entry of entries) yield { kind: 'entry', entry }
 }
+
+/** Whether a replica has joined no cluster and holds nothing. */
+function isUnused ({ identity, entries, snapshot }: LoadedReplica): boolean {
+  return identity.clusterId === null && entries.length === 0 && snapshot === undefined
+}
