Soak: SIGHUP is held back until a program listens

Cause: the soak loads its programs module by module, for tenths of a second before their first statement, where the deployment has platform/launch.cjs: three of them ended by SIGHUP 297 to 881 ms after their start in the run of the starts, beside a load of 22, with no line; what ends there is Node.js' own start.

Change: the soak asks the kernel whether the process handles SIGHUP, and waits for that.

Ruled out: listeners in the soak's own preload, which would hide a program that listens late.

--- a/bench/fleetSoak/soakFleet.ts
+++ b/bench/fleetSoak/soakFleet.ts
@@ -25,6 +25,9 @@
 const RESTART_AFTER_MS = 300
 /** Time for a program's last log lines to arrive in its file. */
 const LOG_WRITE_MS = 100
+const LISTENING_POLL_MS = 5
+/** The bit of SIGHUP in a set of signals, as the kernel tells it. */
+const HANG_UP_BIT = 1n
 const LAST_LINES_COUNT = 3
 const LAST_LINE_LENGTH = 300
 
@@ -211,8 +214,16 @@
     this._writeSettings(host)
   }
 
-  hangUp (host: SoakHost): void {
-    this._signal(host, 'SIGHUP')
+  /**
+   * A program of the soak is loaded module by module before its first statement, unlike a
+   * bundle behind platform/launch.cjs, and until then a signal ends it, as it ends any program of
+   * Node.js: a signal that comes earlier is held back until it listens.
+   */
+  async hangUp ({ running }: SoakHost): Promise<void> {
+    await Promise.all(running.map(async process => {
+      while (process.end === undefined && !listensToHangUp(process.pid)) await pause(LISTENING_POLL_MS)
+      process.signal('SIGHUP')
+    }))
   }
 
   /** Asks programs once more that have been asked to stop. */
@@ -372,6 +383,17 @@
   }
 }
 
+/** Whether a process handles SIGHUP by now. */
+function listensToHangUp (pid: number): boolean {
+  try {
+    const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
+    return (BigInt(`0x${caught}`) & HANG_UP_BIT) !== 0n
+  } catch {
+    // It has ended in the meantime.
+    return false
+  }
+}
+
 function rotated<T> (values: readonly T[], count: number): T[] {
   const first = count % Math.max(1, values.length)
   return [...values.slice(first), ...values.slice(0, first)]
