Disk: a replica without a free descriptor waits for one

Operators lost a control or store host with code 70 when clients held all of its descriptors while its replica opened a file: 'DiskUnusableError: cannot sync ...: EMFILE: too many open files'.

Cause: EMFILE and ENFILE counted as errors of the disk.

Change: FileDisk tries such an operation again every 50 ms; none has done anything before its file is open. The operation takes as long as that, as at a disk that hangs.

Ruled out: retries in the replica: compaction closes the old log before it opens the new one.

--- a/src/replication/storage/fileDisk.ts
+++ b/src/replication/storage/fileDisk.ts
@@ -3,9 +3,13 @@
  */
 import { mkdir, open, readdir, readFile, rename, rm, stat, type FileHandle } from 'node:fs/promises'
 import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { DiskFullError, DiskUnusableError } from '../../utils/errors.js'
 import type { Disk, DiskFile } from './disk.js'
 
+/** Clients take descriptors and give them back within such times. */
+const DESCRIPTOR_RETRY_MS = 50
+
 export class FileDisk implements Disk {
   private readonly _folder: string
 
@@ -77,12 +81,10 @@
 
   /** Returns undefined if the file does not exist. */
   private async _unlessAbsent<T> (operation: string, work: () => Promise<T>): Promise<T | undefined> {
-    try {
-      return await work()
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined
-      throw storageError(operation, error)
-    }
+    return await withStorageErrors(operation, async () => await work().catch((error: NodeJS.ErrnoException) => {
+      if (error.code === 'ENOENT') return undefined
+      throw error
+    }))
   }
 }
 
@@ -143,14 +145,24 @@
   }
 }
 
+/** Runs an operation that does nothing before it has opened its file; it takes as long as that, as at a disk that hangs. */
 async function withStorageErrors<T> (operation: string, work: () => Promise<T>): Promise<T> {
-  try {
-    return await work()
-  } catch (error) {
-    throw storageError(operation, error)
+  for (;;) {
+    try {
+      return await work()
+    } catch (error) {
+      if (!hasNoDescriptor(error)) throw storageError(operation, error)
+      await sleep(DESCRIPTOR_RETRY_MS)
+    }
   }
 }
 
+/** The process, or its machine, may open no further file until another one is closed. */
+function hasNoDescriptor (error: unknown): boolean {
+  const { code } = error as NodeJS.ErrnoException
+  return code === 'EMFILE' || code === 'ENFILE'
+}
+
 function storageError (operation: string, error: unknown): Error {
   const { code } = error as NodeJS.ErrnoException
   if (code === 'ENOSPC' || code === 'EDQUOT') return new DiskFullError(`cannot ${operation}: ${(error as Error).message}`)
--- a/tests/platform/hostShortages.test.ts
+++ b/tests/platform/hostShortages.test.ts
@@ -13,7 +13,7 @@
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
 import { freePort, loopbackHost } from '../fixtures/loopback.js'
-import { ALLOWED_OPENS_VARIABLE, REFUSED_FILE_VARIABLE } from '../fixtures/programs/refusingDisk.js'
+import { ALLOWED_OPENS_VARIABLE, REFUSED_FILE_VARIABLE, UNOPENED_FILE_VARIABLE } from '../fixtures/programs/refusingDisk.js'
 import { until } from '../fixtures/until.js'
 
 /** Enough for a program without clients, which opens all its modules at once. */
@@ -117,3 +117,11 @@
   await until(() => endOf(program) !== 'runs' || program.out.includes(`"eventNumber":${ReplicationEvent.LeadershipStarted}`))
   t.is(endOf(program), 'runs', program.out.split('\n').slice(-3).join('\n'))
 })
+
+// A control host that had no descriptor left when it wrote down its cluster ended with code 70; its clients took them.
+test('should let control form its cluster once it has descriptors for its files again', async t => {
+  const program = await start('control', NO_LIMIT, REFUSING_DISK, { [UNOPENED_FILE_VARIABLE]: 'replica.tmp', [ALLOWED_OPENS_VARIABLE]: '2' })
+  t.teardown(() => program.stop())
+  await until(() => endOf(program) !== 'runs' || program.out.includes(`"eventNumber":${ReplicationEvent.LeadershipStarted}`))
+  t.is(endOf(program), 'runs', program.out.split('\n').slice(-3).join('\n'))
+})
