Tests: one module states the settings of a host, and file names tell the two kinds of program

Cause: four places wrote settings of a host, two fixtures had a class of the same name, and one program's lines were read in three ways; a new table had to be added to each (the end mark, missed twice).

Change: hostSettings.ts has the ports, the tables and the reading of lines; deployedProgram.ts starts bundles behind launch.cjs, testHost.ts programs of one host. Assertions are unchanged.

--- a/tests/platform/changedSettings.test.ts
+++ b/tests/platform/changedSettings.test.ts
@@ -5,22 +5,22 @@
 import { rmSync } from 'node:fs'
 import { PlatformEvent } from '../../platform/platformEvents.js'
 import { ProgramEvent } from '../../src/utils/programEvents.js'
-import { buildDeployment, HostFiles, HostProcess } from '../fixtures/hostProcess.js'
+import { buildDeployment, HostFiles, DeployedProgram } from '../fixtures/deployedProgram.js'
 
 let deployment = ''
 test.before(() => { deployment = buildDeployment() })
 test.after.always(() => rmSync(deployment, { recursive: true, force: true }))
 
-async function running (t: ExecutionContext): Promise<{ program: HostProcess, files: HostFiles }> {
+async function running (t: ExecutionContext): Promise<{ program: DeployedProgram, files: HostFiles }> {
   const files = await HostFiles.create(t)
   files.write(files.text())
-  const program = new HostProcess(t, deployment, 'edge', files.settingsFile)
+  const program = new DeployedProgram(t, deployment, 'edge', files.settingsFile)
   await program.logged(PlatformEvent.Started)
   files.write(files.changedText('127.0.0.1:2'))
   return { program, files }
 }
 
-function seedsOf (program: HostProcess): unknown[] {
+function seedsOf (program: DeployedProgram): unknown[] {
   return program.linesOf(PlatformEvent.Reloaded).map(({ context }) => context.seeds)
 }
 
--- a/tests/platform/descriptorLimit.test.ts
+++ b/tests/platform/descriptorLimit.test.ts
@@ -6,7 +6,8 @@
 import { connect, type Socket } from 'node:net'
 import { MemoryEvent } from '../../src/utils/memoryEvents.js'
 import { parseAddress } from '../../src/utils/settings.js'
-import { TestHost, type PortName } from '../fixtures/hostProcesses.js'
+import type { PortName } from '../fixtures/hostSettings.js'
+import { TestHost } from '../fixtures/testHost.js'
 
 /** One at a time: each starts programs. */
 const test = anyTest.serial
--- a/tests/platform/heldPorts.test.ts
+++ b/tests/platform/heldPorts.test.ts
@@ -5,7 +5,8 @@
 import anyTest, { type ExecutionContext } from 'ava'
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
 import { ListenEvent } from '../../src/utils/listenEvents.js'
-import { TestHost, type HostProcess, type PortName } from '../fixtures/hostProcesses.js'
+import type { PortName } from '../fixtures/hostSettings.js'
+import { TestHost, type TestProgram } from '../fixtures/testHost.js'
 
 /** One at a time: each starts programs. */
 const test = anyTest.serial
@@ -15,12 +16,12 @@
 /** No address of this machine: documentation only, RFC 5737. */
 const FOREIGN_IP = '192.0.2.1'
 
-async function untilWaiting (program: HostProcess, address: string): Promise<void> {
+async function untilWaiting (program: TestProgram, address: string): Promise<void> {
   await program.until(() => program.linesOf(ListenEvent.Waiting).some(({ context }) => context.address === address && context.code === 'EADDRINUSE'))
 }
 
 /** Starts a program while a port is held; returns how to release the port. */
-async function startHeld (t: ExecutionContext, name: ProgramName, port: PortName): Promise<{ host: TestHost, program: HostProcess, release: () => void }> {
+async function startHeld (t: ExecutionContext, name: ProgramName, port: PortName): Promise<{ host: TestHost, program: TestProgram, release: () => void }> {
   const host = await TestHost.create(t)
   const holder = await host.hold(t, port)
   const program = host.start(t, name)
--- a/tests/platform/hostPrograms.test.ts
+++ b/tests/platform/hostPrograms.test.ts
@@ -8,7 +8,8 @@
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
 import { MemoryEvent } from '../../src/utils/memoryEvents.js'
-import { freePort, loopbackHost } from '../fixtures/loopback.js'
+import { hostSettings, linesOf as linesIn, reserveHostPorts, withChanges, type LogLine } from '../fixtures/hostSettings.js'
+import { loopbackHost } from '../fixtures/loopback.js'
 import { until } from '../fixtures/until.js'
 
 /** Any process uses more, so that all warning levels are exceeded at once. */
@@ -22,25 +23,14 @@
   out: string
 }
 
-interface LogLine {
-  context: Record<string, unknown>
-}
-
 async function start (name: ProgramName, memoryMb: number | undefined, limits: Record<string, number> = {}): Promise<RunningProgram> {
   const folder = mkdtempSync(join(tmpdir(), 'threaddrum-host-'))
   const ip = loopbackHost()
-  const ports = await Promise.all(Array.from({ length: 9 }, freePort))
-  const [callers, readiness, control, firstInternal = 0, , , edgeMetrics, controlMetrics, storeMetrics] = ports
-  const metricsPorts = { edge: edgeMetrics, control: controlMetrics, store: storeMetrics }
+  const ports = await reserveHostPorts()
+  const metricsPorts = { edge: ports.edgeMetrics, control: ports.controlMetrics, store: ports.storeMetrics }
   const file = join(folder, 'host.toml')
-  writeFileSync(file, stringify({
-    host: { name: 'h1', ip, dataCentre: 'dc', isFirstStart: true, dataFolder: join(folder, 'data'), ...(memoryMb === undefined ? {} : { memoryMb }), ...limits },
-    listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
-    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, firstInternal + 2] },
-    metricsPorts,
-    bounds: {},
-    end: { isWhole: true }
-  }))
+  const settings = hostSettings(ip, ports, join(folder, 'data'))
+  writeFileSync(file, stringify(withChanges(settings, { host: { ...(memoryMb === undefined ? {} : { memoryMb }), ...limits } })))
   const child = spawn(process.execPath, [`dist/platform/${name}.js`], {
     env: { ...process.env, THREADDRUM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit']
   })
@@ -57,8 +47,7 @@
 }
 
 function linesOf ({ out }: RunningProgram, eventNumber: number): LogLine[] {
-  const whole = out.split('\n').slice(0, -1).filter(line => line.startsWith('{')).map(line => JSON.parse(line) as LogLine)
-  return whole.filter(({ context }) => context.eventNumber === eventNumber)
+  return linesIn(out, eventNumber)
 }
 
 async function readGauge (program: RunningProgram, name: string): Promise<number | undefined> {
--- a/tests/platform/hostShortages.test.ts
+++ b/tests/platform/hostShortages.test.ts
@@ -12,7 +12,8 @@
 import { request } from 'undici'
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
-import { freePort, loopbackHost } from '../fixtures/loopback.js'
+import { hostSettings, reserveHostPorts } from '../fixtures/hostSettings.js'
+import { loopbackHost } from '../fixtures/loopback.js'
 import { ALLOWED_OPENS_VARIABLE, REFUSED_FILE_VARIABLE, UNOPENED_FILE_VARIABLE } from '../fixtures/programs/refusingDisk.js'
 import { until } from '../fixtures/until.js'
 
@@ -34,16 +35,10 @@
 async function start (name: ProgramName, descriptors: string, preloaded: string[] = [], env: Record<string, string> = {}): Promise<RunningProgram & { stop: () => Promise<void> }> {
   const folder = mkdtempSync(join(tmpdir(), 'threaddrum-shortage-'))
   const ip = loopbackHost()
-  const [callers = 0, readiness, control, firstInternal = 0, , , metricsPort = 0] = await Promise.all(Array.from({ length: 7 }, freePort))
+  const ports = await reserveHostPorts()
+  const metricsPort = { edge: ports.edgeMetrics, control: ports.controlMetrics, store: ports.storeMetrics }[name]
   const file = join(folder, 'host.toml')
-  writeFileSync(file, stringify({
-    host: { name: 'h1', ip, dataCentre: 'dc', isFirstStart: true, dataFolder: join(folder, 'data') },
-    listen: { callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, control: `${ip}:${control}` },
-    cluster: { seedAddresses: [`${ip}:${control}`], internalPorts: [firstInternal, firstInternal + 2] },
-    metricsPorts: { edge: metricsPort, control: metricsPort, store: metricsPort },
-    bounds: {},
-    end: { isWhole: true }
-  }))
+  writeFileSync(file, stringify(hostSettings(ip, ports, join(folder, 'data'))))
   const limit = descriptors === NO_LIMIT ? '' : `ulimit -n ${descriptors};`
   const child = spawn('bash', ['-c', `${limit} exec "$0" "$@"`, process.execPath, ...preloaded, `dist/platform/${name}.js`], {
     env: { ...process.env, ...env, THREADDRUM_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'inherit']
--- a/tests/platform/impossibleAddresses.test.ts
+++ b/tests/platform/impossibleAddresses.test.ts
@@ -7,7 +7,7 @@
 import { TcpTransport } from '../../src/transport/tcpTransport.js'
 import { Scope } from '../../src/utils/scope.js'
 import { addressSchema } from '../../src/utils/settings.js'
-import { TestHost } from '../fixtures/hostProcesses.js'
+import { TestHost } from '../fixtures/testHost.js'
 import { until } from '../fixtures/until.js'
 
 /** One at a time: some start programs. */
--- a/tests/platform/missingFolders.test.ts
+++ b/tests/platform/missingFolders.test.ts
@@ -5,7 +5,7 @@
 import anyTest from 'ava'
 import { rmSync, writeFileSync } from 'node:fs'
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
-import { TestHost } from '../fixtures/hostProcesses.js'
+import { TestHost } from '../fixtures/testHost.js'
 
 /** One at a time: each starts programs. */
 const test = anyTest.serial
--- a/tests/platform/settingsDuringStart.test.ts
+++ b/tests/platform/settingsDuringStart.test.ts
@@ -9,7 +9,7 @@
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
 import { ListenEvent } from '../../src/utils/listenEvents.js'
 import { ProgramEvent } from '../../src/utils/programEvents.js'
-import { buildDeployment, HostFiles, HostProcess } from '../fixtures/hostProcess.js'
+import { buildDeployment, HostFiles, DeployedProgram } from '../fixtures/deployedProgram.js'
 
 /** No address of this machine: documentation only, RFC 5737. */
 const FOREIGN_IP = '192.0.2.1'
@@ -18,12 +18,12 @@
 test.before(() => { deployment = buildDeployment() })
 test.after.always(() => rmSync(deployment, { recursive: true, force: true }))
 
-function start (t: ExecutionContext, name: ProgramName, files: HostFiles): HostProcess {
-  return new HostProcess(t, deployment, name, files.settingsFile)
+function start (t: ExecutionContext, name: ProgramName, files: HostFiles): DeployedProgram {
+  return new DeployedProgram(t, deployment, name, files.settingsFile)
 }
 
 /** Corrects the settings, and checks that the program ends for them. */
-async function assertEnds (t: ExecutionContext, files: HostFiles, program: HostProcess, key: string): Promise<void> {
+async function assertEnds (t: ExecutionContext, files: HostFiles, program: DeployedProgram, key: string): Promise<void> {
   files.write(files.text())
   program.signal('SIGHUP')
   const line = await program.logged(ProgramEvent.Ended)
@@ -33,7 +33,7 @@
 }
 
 /** Corrects the settings, and checks that the program ends for them and starts with them. */
-async function assertCorrectedSettingsCount (t: ExecutionContext, name: ProgramName, files: HostFiles, program: HostProcess, key: string): Promise<void> {
+async function assertCorrectedSettingsCount (t: ExecutionContext, name: ProgramName, files: HostFiles, program: DeployedProgram, key: string): Promise<void> {
   await assertEnds(t, files, program, key)
   const next = start(t, name, files)
   await next.logged(PlatformEvent.Started)
@@ -57,7 +57,7 @@
 }
 
 /** Starts a program with an address that the host lacks, until it waits for its port for peers. */
-async function waitingForPeers (t: ExecutionContext, name: ProgramName): Promise<{ files: HostFiles, program: HostProcess }> {
+async function waitingForPeers (t: ExecutionContext, name: ProgramName): Promise<{ files: HostFiles, program: DeployedProgram }> {
   const files = await HostFiles.create(t)
   files.write(files.text({ host: { ip: FOREIGN_IP } }))
   const program = start(t, name, files)
--- a/tests/platform/startSettings.test.ts
+++ b/tests/platform/startSettings.test.ts
@@ -11,7 +11,7 @@
 import { SettingsError } from '../../src/utils/errors.js'
 import { ProgramEvent } from '../../src/utils/programEvents.js'
 import { checkSettings } from '../../src/utils/settings.js'
-import { buildDeployment, HostFiles, HostProcess } from '../fixtures/hostProcess.js'
+import { buildDeployment, HostFiles, DeployedProgram } from '../fixtures/deployedProgram.js'
 
 const PROGRAMS = ['edge', 'control', 'store'] as const
 
@@ -19,8 +19,8 @@
 test.before(() => { deployment = buildDeployment() })
 test.after.always(() => rmSync(deployment, { recursive: true, force: true }))
 
-function start (t: ExecutionContext, name: ProgramName, files: HostFiles): HostProcess {
-  return new HostProcess(t, deployment, name, files.settingsFile)
+function start (t: ExecutionContext, name: ProgramName, files: HostFiles): DeployedProgram {
+  return new DeployedProgram(t, deployment, name, files.settingsFile)
 }
 
 /** The text without its last table, as a writer may have left it between two writes. */
@@ -28,7 +28,7 @@
   return text.slice(0, text.lastIndexOf('['))
 }
 
-async function assertGoesOn (t: ExecutionContext, program: HostProcess, files: HostFiles): Promise<void> {
+async function assertGoesOn (t: ExecutionContext, program: DeployedProgram, files: HostFiles): Promise<void> {
   await program.logged(ProgramEvent.SettingsUsable)
   await program.logged(PlatformEvent.Started)
   files.write(files.changedText('127.0.0.1:2'))
--- a/tests/platform/startSignals.test.ts
+++ b/tests/platform/startSignals.test.ts
@@ -13,7 +13,7 @@
 import { ReplicationEvent } from '../../src/replication/replicationEvents.js'
 import { IDENTITY_FILE } from '../../src/replication/storage/storageLoader.js'
 import type { ProgramName } from '../../src/fleet/fleetHostSettings.js'
-import { buildDeployment, deploymentWithPipe, HeldPipe, HostFiles, HostProcess } from '../fixtures/hostProcess.js'
+import { buildDeployment, deploymentWithPipe, HeldPipe, HostFiles, DeployedProgram } from '../fixtures/deployedProgram.js'
 
 const PROGRAMS = ['edge', 'control', 'store'] as const
 const PROGRAMS_WITH_DATA = ['control', 'store'] as const
@@ -27,27 +27,27 @@
 test.after.always(() => rmSync(deployment, { recursive: true, force: true }))
 
 /** Held before its bundle is read; the returned function lets it go on. */
-async function heldAtLaunch (t: ExecutionContext, name: ProgramName, files: HostFiles): Promise<{ program: HostProcess, release: () => Promise<void> }> {
+async function heldAtLaunch (t: ExecutionContext, name: ProgramName, files: HostFiles): Promise<{ program: DeployedProgram, release: () => Promise<void> }> {
   const { root, pipe } = deploymentWithPipe(deployment, name)
   t.teardown(() => rmSync(root, { recursive: true, force: true }))
-  const program = new HostProcess(t, root, name, files.settingsFile)
+  const program = new DeployedProgram(t, root, name, files.settingsFile)
   return { program, release: await pipe.reader() }
 }
 
 /** Held while it reads the data of an earlier process; the returned function lets it go on. */
-async function heldAtData (t: ExecutionContext, name: ProgramWithData, files: HostFiles): Promise<{ program: HostProcess, release: () => Promise<void>, pipe: HeldPipe }> {
-  const earlier = new HostProcess(t, deployment, name, files.settingsFile)
+async function heldAtData (t: ExecutionContext, name: ProgramWithData, files: HostFiles): Promise<{ program: DeployedProgram, release: () => Promise<void>, pipe: HeldPipe }> {
+  const earlier = new DeployedProgram(t, deployment, name, files.settingsFile)
   await earlier.logged(STARTED_WITH_DATA[name])
   earlier.signal('SIGKILL')
   await earlier.ended
   const identity = join(files.dataFolder, IDENTITY_FILE)
   const pipe = new HeldPipe(identity, readFileSync(identity))
-  const program = new HostProcess(t, deployment, name, files.settingsFile)
+  const program = new DeployedProgram(t, deployment, name, files.settingsFile)
   return { program, release: await pipe.reader(), pipe }
 }
 
 /** Waits until the start has ended, which is when changed settings are applied. */
-async function appliesChanges (program: HostProcess, files: HostFiles, seed: string): Promise<void> {
+async function appliesChanges (program: DeployedProgram, files: HostFiles, seed: string): Promise<void> {
   files.write(files.changedText(seed))
   const line = await program.logged(PlatformEvent.Reloaded, program.linesOf(PlatformEvent.Reloaded).length + 1)
   if (String(line.context.seeds) !== seed) throw new Error(`applied ${String(line.context.seeds)} instead of ${seed}`)
@@ -95,7 +95,7 @@
   test(`should end ${name} with code 0 when SIGTERM and SIGHUP arrive again and again from the start on`, async t => {
     const files = await HostFiles.create(t)
     files.write(files.text())
-    const program = new HostProcess(t, deployment, name, files.settingsFile)
+    const program = new DeployedProgram(t, deployment, name, files.settingsFile)
     await program.logged(PlatformEvent.Started)
     const hangups = program.signalUntil('SIGHUP', () => false)
     await program.signalUntil('SIGTERM', () => false)
@@ -108,7 +108,7 @@
   test(`should tell how the planned stop of ${name} ended`, async t => {
     const files = await HostFiles.create(t)
     files.write(files.text())
-    const program = new HostProcess(t, deployment, name, files.settingsFile)
+    const program = new DeployedProgram(t, deployment, name, files.settingsFile)
     await program.logged(PlatformEvent.Started)
     await appliesChanges(program, files, '127.0.0.1:2')
     program.signal('SIGTERM')
@@ -142,7 +142,7 @@
     t.deepEqual(await program.ended, { code: 0, signal: null })
     t.like(program.linesOf(ProgramEvent.Ended)[0]?.context, { reason: 'stopped_during_start', signal: 'SIGTERM', exitCode: 0 })
     pipe.restore()
-    const next = new HostProcess(t, deployment, name, files.settingsFile)
+    const next = new DeployedProgram(t, deployment, name, files.settingsFile)
     await next.logged(STARTED_WITH_DATA[name])
     t.deepEqual(next.linesOf(ReplicationEvent.StorageDamaged), [])
   })
--- a/tests/processes/programSignals.test.ts
+++ b/tests/processes/programSignals.test.ts
@@ -13,7 +13,7 @@
 import { EntryEvent } from '../../src/entry/entryEvents.js'
 import { IDENTITY_FILE } from '../../src/replication/storage/storageLoader.js'
 import { ProgramEvent } from '../../src/utils/programEvents.js'
-import { HeldPipe } from '../fixtures/hostProcess.js'
+import { HeldPipe } from '../fixtures/deployedProgram.js'
 import { freePort, loopbackHost } from '../fixtures/loopback.js'
 import { until } from '../fixtures/until.js'
 
